--- /dev/null
+++ b/daemons/entry_main.cc
@@ -0,0 +1,30 @@
+// lavenderkeel-entry: takes callers' requests.
+#include <iostream>
+#include <utility>
+
+#include "lavenderkeel/io.h"
+
+int main(int argc, char** argv) {
+  using namespace lavenderkeel;
+  int status = 0;
+  const auto flags = ParseDaemonFlags(
+      argc, argv, "lavenderkeel-entry: takes callers' requests", status);
+  if (!flags.has_value()) {
+    return status;
+  }
+  auto settings =
+      Catch([&] { return ParseEntrySettings(flags->settings_text); });
+  if (!settings) {
+    std::cerr << "event=settings_invalid faults=\"" << settings.failure.message
+              << "\"\n";
+    return kBadUseStatus;
+  }
+  if (flags->check_only) {
+    return 0;
+  }
+  PrepareProcess();
+  const EventLog log = OpenLog(settings.value->common.log_level,
+                               settings.value->common.log_file);
+  settings.value->common.self.id.incarnation = NewIncarnation();
+  return EntryDaemon(*std::move(settings.value), log).Run(flags->ready_file);
+}
--- /dev/null
+++ b/lavenderkeel/admission/in_flight_limit.h
@@ -0,0 +1,67 @@
+#ifndef LAVENDERKEEL_ADMISSION_IN_FLIGHT_LIMIT_H_
+#define LAVENDERKEEL_ADMISSION_IN_FLIGHT_LIMIT_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel {
+
+/// How many requests run at a backend server at once, adapted to its speed.
+///
+/// Additive increase while the time between tokens is inside the target and
+/// the limit is in use; multiplicative decrease when it is not. Engines admit
+/// whatever they are sent, and each admitted request slows all others down.
+class InFlightLimit {
+ public:
+  struct Options {
+    uint32_t least = 1;
+    uint32_t first = 8;
+    uint32_t most = 64;
+    Duration between_tokens = std::chrono::milliseconds(49);
+    Duration period = std::chrono::milliseconds(500);
+  };
+
+  InFlightLimit() = default;
+  explicit InFlightLimit(Options options)
+      : options_(options), limit_(options.first) {}
+
+  uint32_t limit() const { return limit_; }
+
+  /// @param gap between two tokens of one request
+  void Observe(Duration gap) {
+    sum_ += gap;
+    ++samples_;
+  }
+
+  /// @param running how many requests run now
+  void Tick(TimePoint now, uint32_t running) {
+    if (now < next_) {
+      return;
+    }
+    next_ = now + options_.period;
+    if (samples_ == 0) {
+      return;
+    }
+    const Duration mean = sum_ / samples_;
+    sum_ = Duration::zero();
+    samples_ = 0;
+    if (mean > options_.between_tokens) {
+      limit_ = std::max(options_.least, limit_ * 9 / 10);
+    } else if (running >= limit_) {
+      limit_ = std::min(options_.most, limit_ + 1);
+    }
+  }
+
+ private:
+  Options options_;
+  uint32_t limit_ = Options().first;
+  Duration sum_ = Duration::zero();
+  int64_t samples_ = 0;
+  TimePoint next_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_ADMISSION_IN_FLIGHT_LIMIT_H_
--- /dev/null
+++ b/lavenderkeel/claim.h
@@ -0,0 +1,9 @@
+// Module claim: which entry owns a request key.
+#ifndef LAVENDERKEEL_CLAIM_H_
+#define LAVENDERKEEL_CLAIM_H_
+
+#include "lavenderkeel/claim/claim.h"
+#include "lavenderkeel/claim/claim_table.h"
+#include "lavenderkeel/claim/claimer.h"
+
+#endif  // LAVENDERKEEL_CLAIM_H_
--- /dev/null
+++ b/lavenderkeel/claim/claim.h
@@ -0,0 +1,58 @@
+#ifndef LAVENDERKEEL_CLAIM_CLAIM_H_
+#define LAVENDERKEEL_CLAIM_CLAIM_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/peer_id.h"
+#include "lavenderkeel/wire/message.h"
+
+namespace lavenderkeel {
+
+/// A request key given to one entry incarnation.
+struct Claim {
+  PeerId owner;
+  std::string team;
+  /// Of the request as sent; the same key with another body is refused.
+  uint64_t body_hash = 0;
+  /// The agents that the owner may send the request to; after its death they
+  /// are asked whether they have it.
+  std::vector<PeerId> agents;
+
+  friend bool operator==(const Claim&, const Claim&) = default;
+};
+
+/// Copies a claim into a ClaimRequest or ClaimReply.
+template <typename ClaimMessage>
+void PutClaim(const Claim& claim, ClaimMessage& message) {
+  message.owner_instance = claim.owner.instance;
+  message.owner_incarnation = claim.owner.incarnation;
+  message.team = claim.team;
+  message.body_hash = claim.body_hash;
+  for (const PeerId& agent : claim.agents) {
+    message.agents.push_back(agent.instance);
+    message.agent_incarnations.push_back(agent.incarnation);
+  }
+}
+
+/// Reads the claim of a ClaimRequest or ClaimReply.
+template <typename ClaimMessage>
+Claim TakeClaim(const ClaimMessage& message) {
+  Claim claim{.owner = {.instance = message.owner_instance,
+                        .incarnation = message.owner_incarnation},
+              .team = message.team,
+              .body_hash = message.body_hash,
+              .agents = {}};
+  const size_t agents =
+      std::min(message.agents.size(), message.agent_incarnations.size());
+  for (size_t i = 0; i < agents; ++i) {
+    claim.agents.push_back({.instance = message.agents[i],
+                            .incarnation = message.agent_incarnations[i]});
+  }
+  return claim;
+}
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CLAIM_CLAIM_H_
--- /dev/null
+++ b/lavenderkeel/claim/claim_table.h
@@ -0,0 +1,82 @@
+#ifndef LAVENDERKEEL_CLAIM_CLAIM_TABLE_H_
+#define LAVENDERKEEL_CLAIM_CLAIM_TABLE_H_
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <utility>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/request_key.h"
+#include "lavenderkeel/claim/claim.h"
+
+namespace lavenderkeel {
+
+/// The claims that this entry holds for others and for itself.
+class ClaimTable {
+ public:
+  struct Options {
+    /// How long a claim is kept, and so how late a retry may come.
+    Duration retention = std::chrono::minutes(10);
+    size_t capacity = 100'000;
+    /// Between any two calendar clocks.
+    Duration clock_skew = std::chrono::seconds(1);
+  };
+
+  struct Answer {
+    bool granted = false;
+    /// Nobody can have claimed the key before without this entry knowing.
+    bool vouched = false;
+    /// The claim now held.
+    Claim claim;
+
+    friend bool operator==(const Answer&, const Answer&) = default;
+  };
+
+  /// True if this entry ranks so that every claim on the key came here.
+  using MetEveryClaim = std::function<bool(const RequestKey&)>;
+
+  ClaimTable(Options options, const Clock& clock, MetEveryClaim met);
+
+  /// Gives the key to the wanted owner, unless another has it.
+  ///
+  /// @param replaces an owner whose claim may be taken over, since the agents
+  ///     refuse its later starts
+  Answer Request(const RequestKey& key,
+                 const Claim& wanted,
+                 const PeerId& replaces);
+
+  /// Like Request, but records nothing.
+  Answer Lookup(const RequestKey& key) const;
+
+  /// For keys sent up to now this entry can't vouch any more: it started just
+  /// now, was cut off or frozen, or had to drop claims.
+  void CannotVouchUntilNow();
+
+  /// Drops claims past the retention.
+  void Tick();
+
+  /// Calls with every claim, for the hand-over of a leaving entry.
+  void ForEach(
+      const std::function<void(const RequestKey&, const Claim&)>& visit) const;
+
+  bool Vouches(const RequestKey& key) const;
+  /// When a key first sent now, by the slowest clock, can be vouched for.
+  WallTime vouches_from() const { return blind_until_ + options_.clock_skew; }
+  size_t size() const { return claims_.size(); }
+  const Options& options() const { return options_; }
+
+ private:
+  void DropOldest();
+
+  Options options_;
+  const Clock& clock_;
+  MetEveryClaim met_;
+  WallTime blind_until_;
+  std::unordered_map<RequestKey, Claim, RequestKeyHash> claims_;
+  std::deque<std::pair<TimePoint, RequestKey>> by_age_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CLAIM_CLAIM_TABLE_H_
--- /dev/null
+++ b/lavenderkeel/claim/claimer.cc
@@ -0,0 +1,147 @@
+#include "lavenderkeel/claim/claimer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderkeel {
+
+Claimer::Claimer(ClaimTable& own_table,
+                 const HolderRanking& ranking,
+                 const MemberTable& members,
+                 Outbox& outbox)
+    : own_table_(own_table),
+      ranking_(ranking),
+      members_(members),
+      outbox_(outbox) {}
+
+void Claimer::Start(const RequestKey& key,
+                    const Claim& wanted,
+                    const PeerId& replaces,
+                    bool lookup,
+                    Done done) {
+  const uint64_t call = ++last_call_;
+  processes_[call] = {.key = key,
+                      .wanted = wanted,
+                      .replaces = replaces,
+                      .lookup = lookup,
+                      .done = std::move(done),
+                      .holders = ranking_.Holders(key),
+                      .verdict = {.alone = ranking_.LostHolder(key)}};
+  Run(call);
+}
+
+void Claimer::Run(uint64_t call) {
+  const auto found = processes_.find(call);
+  if (found == processes_.end() || !Advance(call, found->second)) {
+    return;
+  }
+  const Process process = std::move(found->second);
+  processes_.erase(found);
+  process.done(process.key, process.verdict);
+}
+
+bool Claimer::Advance(uint64_t call, Process& process) {
+  while (process.next < process.holders.size()) {
+    const std::string& holder = process.holders[process.next];
+    if (holder == members_.self().id.instance) {
+      const ClaimTable::Answer answer =
+          process.lookup ? own_table_.Lookup(process.key)
+                         : own_table_.Request(process.key, process.wanted,
+                                              process.replaces);
+      if (Take(process, answer)) {
+        return true;
+      }
+      continue;
+    }
+    const Member* member = members_.Find(holder);
+    if (member == nullptr || member->lost) {
+      // Lost while we were asking: the others answer, but nobody can exclude
+      // that it lives on, cut off from us, and took a claim.
+      process.verdict.alone = true;
+      ++process.next;
+      continue;
+    }
+    if (!member->outbound.has_value() || process.asked) {
+      return false;
+    }
+    ClaimRequest request;
+    request.key = ToWire(process.key);
+    request.call = call;
+    request.lookup = process.lookup;
+    request.replaces_instance = process.replaces.instance;
+    request.replaces_incarnation = process.replaces.incarnation;
+    PutClaim(process.wanted, request);
+    outbox_.Send(*member->outbound, std::move(request));
+    process.asked = true;
+    return false;
+  }
+  return true;
+}
+
+bool Claimer::Take(Process& process, const ClaimTable::Answer& answer) {
+  process.asked = false;
+  ++process.next;
+  if (answer.granted) {
+    process.verdict.vouched |= answer.vouched;
+    return false;
+  }
+  process.verdict.kind = ClaimVerdict::Kind::kHeld;
+  process.verdict.claim = answer.claim;
+  return true;
+}
+
+void Claimer::OnReply(LinkId link, const ClaimReply& reply) {
+  const auto found = processes_.find(reply.call);
+  const Member* member = members_.FindByLink(link);
+  if (found == processes_.end() || member == nullptr) {
+    return;
+  }
+  Process& process = found->second;
+  const bool expected = process.asked &&
+                        process.next < process.holders.size() &&
+                        process.holders[process.next] ==
+                            member->info.id.instance;
+  if (!expected) {
+    return;
+  }
+  const ClaimTable::Answer answer{.granted = reply.granted,
+                                  .vouched = reply.vouched,
+                                  .claim = TakeClaim(reply)};
+  if (Take(process, answer)) {
+    process.next = process.holders.size();
+  }
+  Run(reply.call);
+}
+
+void Claimer::OnLost(const PeerId& peer) {
+  std::vector<uint64_t> waiting;
+  for (auto& [call, process] : processes_) {
+    const bool waits_for_it = process.next < process.holders.size() &&
+                              process.holders[process.next] == peer.instance;
+    if (waits_for_it) {
+      process.asked = false;
+      waiting.push_back(call);
+    }
+  }
+  for (const uint64_t call : waiting) {
+    Run(call);
+  }
+}
+
+void Claimer::OnUp(const PeerId& peer) {
+  OnLost(peer);
+}
+
+void Claimer::Tick() {
+  std::vector<uint64_t> unasked;
+  for (const auto& [call, process] : processes_) {
+    if (!process.asked) {
+      unasked.push_back(call);
+    }
+  }
+  for (const uint64_t call : unasked) {
+    Run(call);
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/claim/claimer.h
@@ -0,0 +1,94 @@
+#ifndef LAVENDERKEEL_CLAIM_CLAIMER_H_
+#define LAVENDERKEEL_CLAIM_CLAIMER_H_
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/claim/claim_table.h"
+#include "lavenderkeel/membership/holder_ranking.h"
+#include "lavenderkeel/membership/member_table.h"
+
+namespace lavenderkeel {
+
+/// What the holders said together.
+struct ClaimVerdict {
+  enum class Kind {
+    /// The key is ours. See vouched and alone.
+    kOurs,
+    /// Another entry has it; `claim` says which.
+    kHeld,
+  };
+
+  Kind kind = Kind::kOurs;
+  /// At least one holder vouched that the key was unused.
+  bool vouched = false;
+  /// A holder was silent, so an entry that is cut off from here may have
+  /// claimed the key with it; the agents must be asked too.
+  bool alone = false;
+  Claim claim;
+};
+
+/// Claims keys at their holders on behalf of this entry.
+///
+/// The holders are asked one after the other, first holder first: asked at
+/// once, two entries with the same key could each win one holder.
+class Claimer {
+ public:
+  using Done = std::function<void(const RequestKey&, const ClaimVerdict&)>;
+
+  Claimer(ClaimTable& own_table,
+          const HolderRanking& ranking,
+          const MemberTable& members,
+          Outbox& outbox);
+
+  /// @param replaces see ClaimTable::Request
+  /// @param lookup ask only, claim nothing
+  void Start(const RequestKey& key,
+             const Claim& wanted,
+             const PeerId& replaces,
+             bool lookup,
+             Done done);
+
+  void OnReply(LinkId link, const ClaimReply& reply);
+  /// Goes on without a holder that was lost.
+  void OnLost(const PeerId& peer);
+  /// A link to a holder is up again: what was asked on the old one is asked
+  /// once more, since its answer may be gone.
+  void OnUp(const PeerId& peer);
+  /// Retries holders that had no link.
+  void Tick();
+
+  size_t size() const { return processes_.size(); }
+
+ private:
+  struct Process {
+    RequestKey key;
+    Claim wanted;
+    PeerId replaces;
+    bool lookup = false;
+    Done done;
+    std::vector<std::string> holders;
+    size_t next = 0;
+    bool asked = false;
+    ClaimVerdict verdict;
+  };
+
+  /// Asks holders until one has to be waited for; true when finished.
+  bool Advance(uint64_t call, Process& process);
+  void Run(uint64_t call);
+  bool Take(Process& process, const ClaimTable::Answer& answer);
+
+  ClaimTable& own_table_;
+  const HolderRanking& ranking_;
+  const MemberTable& members_;
+  Outbox& outbox_;
+  uint64_t last_call_ = 0;
+  std::unordered_map<uint64_t, Process> processes_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CLAIM_CLAIMER_H_
--- /dev/null
+++ b/lavenderkeel/config/config_spread.h
@@ -0,0 +1,84 @@
+#ifndef LAVENDERKEEL_CONFIG_CONFIG_SPREAD_H_
+#define LAVENDERKEEL_CONFIG_CONFIG_SPREAD_H_
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/config/config_store.h"
+#include "lavenderkeel/membership/member_table.h"
+#include "lavenderkeel/platform.h"
+
+namespace lavenderkeel {
+
+/// Brings the newest accepted configuration to this entry and on to others.
+///
+/// Three ways lead here: the accepting entry pushes the head, each heartbeat
+/// carries the version so that whoever is behind pulls, and a few entries per
+/// data centre watch the platform. The first two need no platform.
+class ConfigSpread {
+ public:
+  struct Options {
+    /// Entries of a data centre that hold a watch; each waiting watch counts as
+    /// a call on the platform.
+    size_t watchers_per_data_centre = 2;
+    std::chrono::milliseconds watch_wait = std::chrono::seconds(20);
+    /// Without a watch the head is still read now and then.
+    Duration poll_period = std::chrono::seconds(60);
+    Duration retry_period = std::chrono::seconds(1);
+    /// How long a peer may take to send shards before others are asked.
+    Duration pull_timeout = std::chrono::milliseconds(500);
+  };
+
+  ConfigSpread(Options options,
+               ConfigStore& store,
+               const MemberTable& members,
+               const Clock& clock,
+               std::mt19937_64& random,
+               PlatformPort& port,
+               Outbox& outbox);
+
+  /// Reads the platform at once.
+  void Start();
+  void Tick();
+
+  void OnHead(LinkId link, const ConfigHeadNotice& notice);
+  void OnPull(LinkId link, const ConfigPull& pull);
+  void OnShards(const ConfigShards& shards);
+  /// A heartbeat on a link that this entry opened.
+  void OnPeerVersion(LinkId link, uint64_t version);
+
+  /// Sends a head to every linked entry; the accepting entry does.
+  void PushHead(const ConfigHead& head);
+
+ private:
+  bool IsWatcher() const;
+  void ReadPlatform();
+  void OnPlatformHead(const PlatformReply& reply);
+  void OfferFrom(std::optional<LinkId> link, const ConfigHead& head);
+  void FetchMissing();
+  void FetchFromPlatform();
+
+  Options options_;
+  ConfigStore& store_;
+  const MemberTable& members_;
+  const Clock& clock_;
+  std::mt19937_64& random_;
+  PlatformPort& port_;
+  Outbox& outbox_;
+  std::string head_etag_;
+  bool reading_ = false;
+  TimePoint next_read_;
+  std::optional<LinkId> source_;
+  std::optional<TimePoint> fetch_deadline_;
+  std::set<std::string> fetching_;
+  TimePoint next_pull_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CONFIG_CONFIG_SPREAD_H_
--- /dev/null
+++ b/lavenderkeel/config/json_reader.h
@@ -0,0 +1,75 @@
+#ifndef LAVENDERKEEL_CONFIG_JSON_READER_H_
+#define LAVENDERKEEL_CONFIG_JSON_READER_H_
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/failure.h"
+
+namespace lavenderkeel {
+
+/// Faults of a document, each "JSON path: what is wrong".
+using Faults = std::vector<std::string>;
+
+std::string JoinFaults(const Faults& faults);
+
+/// kMalformedJson with the position of the fault.
+leaf::result<boost::json::value> ParseJson(const std::string& text);
+
+/// Reads one JSON object and notes each fault with its path, so that an
+/// operator sees all of them at once.
+class JsonReader {
+ public:
+  struct StringRule {
+    bool required = false;
+    std::string otherwise;
+  };
+  struct NumberRule {
+    bool required = false;
+    uint64_t otherwise = 0;
+    uint64_t least = 0;
+    uint64_t most = std::numeric_limits<int64_t>::max();
+  };
+  using ReadItem = std::function<void(const boost::json::value& item,
+                                      const std::string& path)>;
+  using ReadField = std::function<void(const std::string& name,
+                                       const boost::json::value& item,
+                                       const std::string& path)>;
+
+  JsonReader(const boost::json::value& value, std::string path, Faults& faults);
+
+  std::string String(const std::string& name, const StringRule& rule);
+  std::string String(const std::string& name) {
+    return String(name, StringRule());
+  }
+  uint64_t Number(const std::string& name, const NumberRule& rule);
+  double Real(const std::string& name, double otherwise);
+  bool Bool(const std::string& name, bool otherwise);
+  std::vector<std::string> Strings(const std::string& name);
+  void Array(const std::string& name, const ReadItem& read);
+  /// An object whose field names are free.
+  void Fields(const std::string& name, const ReadField& read);
+  bool Has(const std::string& name);
+  /// A field as it is, null if it is missing.
+  const boost::json::value* Raw(const std::string& name);
+  void Fault(const std::string& name, const std::string& what);
+  /// Notes every field that nothing asked for: a misspelt setting must not
+  /// pass as its default.
+  void RejectUnknown();
+  std::string PathOf(const std::string& name) const;
+
+ private:
+  const boost::json::object* object_ = nullptr;
+  std::string path_;
+  Faults& faults_;
+  std::set<std::string> asked_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/lavenderkeel/dispatch.h
@@ -0,0 +1,16 @@
+// Module dispatch: the entry's side of a request, from caller to answer.
+#ifndef LAVENDERKEEL_DISPATCH_H_
+#define LAVENDERKEEL_DISPATCH_H_
+
+#include "lavenderkeel/dispatch/answer_renderer.h"
+#include "lavenderkeel/dispatch/caller_feed.h"
+#include "lavenderkeel/dispatch/caller_request.h"
+#include "lavenderkeel/dispatch/dispatch_controller.h"
+#include "lavenderkeel/dispatch/entry_context.h"
+#include "lavenderkeel/dispatch/entry_node.h"
+#include "lavenderkeel/dispatch/entry_request.h"
+#include "lavenderkeel/dispatch/request_controller.h"
+#include "lavenderkeel/dispatch/retry_budget.h"
+#include "lavenderkeel/dispatch/team_usage.h"
+
+#endif  // LAVENDERKEEL_DISPATCH_H_
--- /dev/null
+++ b/lavenderkeel/dispatch/caller_feed.cc
@@ -0,0 +1,272 @@
+#include "lavenderkeel/dispatch/caller_feed.h"
+
+#include <xxhash.h>
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace lavenderkeel {
+
+namespace json = boost::json;
+
+struct CallerFeed::Entry {
+  Subscription subscription;
+  /// Over the bytes taken in, to compare at the end.
+  std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> hash;
+};
+
+CallerFeed::CallerFeed(Outbox& outbox) : outbox_(outbox) {}
+CallerFeed::~CallerFeed() = default;
+
+SubscriptionId CallerFeed::Open(CallerId caller,
+                                const RequestKey& key,
+                                const std::string& public_key,
+                                bool stream) {
+  const SubscriptionId id = ++last_;
+  auto entry = std::make_unique<Entry>(
+      Entry{.subscription = {.id = id,
+                             .caller = caller,
+                             .key = key,
+                             .public_key = public_key,
+                             .renderer = AnswerRenderer(public_key, stream)},
+            .hash = {XXH3_createState(), XXH3_freeState}});
+  XXH3_64bits_reset(entry->hash.get());
+  subscriptions_[id] = std::move(entry);
+  by_caller_[caller] = id;
+  by_key_.emplace(key, id);
+  return id;
+}
+
+void CallerFeed::Source(SubscriptionId id, LinkId link) {
+  const auto found = subscriptions_.find(id);
+  if (found != subscriptions_.end()) {
+    found->second->subscription.link = link;
+  }
+}
+
+void CallerFeed::OnChunk(LinkId link, const Chunk& chunk) {
+  const auto found = subscriptions_.find(chunk.subscription);
+  if (found == subscriptions_.end()) {
+    Detach detach;
+    detach.subscription = chunk.subscription;
+    outbox_.Send(link, std::move(detach));
+    return;
+  }
+  Subscription& subscription = found->second->subscription;
+  // Failure: a replaced connection still delivers, or an answer is read anew
+  // from an older offset. Symptom: bytes twice or mixed in the caller's answer.
+  // Only the present source counts, and only its next byte.
+  const bool expected =
+      subscription.link == link && chunk.offset == subscription.offset;
+  if (!expected) {
+    return;
+  }
+  XXH3_64bits_update(found->second->hash.get(), chunk.bytes.data(),
+                     chunk.bytes.size());
+  subscription.offset += chunk.bytes.size();
+  std::string bytes = subscription.renderer.Consume(chunk.bytes);
+  if (bytes.empty()) {
+    AckConsumed(subscription);
+    return;
+  }
+  Emit(subscription, std::move(bytes));
+}
+
+void CallerFeed::Emit(Subscription& subscription, std::string bytes) {
+  if (!subscription.head_sent) {
+    subscription.head_sent = true;
+    HttpHeaders headers =
+        Headers(subscription.public_key, ResultCode::kAnswered);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    headers.emplace_back("Cache-Control", "no-store");
+    outbox_.Push(ReplyHead{.caller = subscription.caller,
+                           .status = 200,
+                           .headers = std::move(headers)});
+  }
+  outbox_.Push(
+      ReplyData{.caller = subscription.caller, .bytes = std::move(bytes)});
+}
+
+void CallerFeed::AckConsumed(const Subscription& subscription) {
+  if (!subscription.link.has_value()) {
+    return;
+  }
+  Ack ack;
+  ack.subscription = subscription.id;
+  ack.offset = subscription.offset;
+  outbox_.Send(*subscription.link, std::move(ack));
+}
+
+void CallerFeed::Restart(const RequestKey& key) {
+  for (const SubscriptionId id : Of(key)) {
+    Entry& entry = *subscriptions_.at(id);
+    Subscription& subscription = entry.subscription;
+    if (subscription.head_sent) {
+      continue;
+    }
+    subscription.renderer = AnswerRenderer(subscription.public_key,
+                                           subscription.renderer.wants_stream());
+    subscription.offset = 0;
+    subscription.link.reset();
+    XXH3_64bits_reset(entry.hash.get());
+  }
+}
+
+void CallerFeed::OnDrained(CallerId caller) {
+  const auto found = by_caller_.find(caller);
+  if (found == by_caller_.end()) {
+    return;
+  }
+  // Acknowledged only once the caller has it: a slow caller holds back the
+  // agent, not this entry's memory.
+  AckConsumed(subscriptions_.at(found->second)->subscription);
+}
+
+std::optional<ResultCode> CallerFeed::OnFinish(const Finished& finish) {
+  const auto found = subscriptions_.find(finish.subscription);
+  if (found == subscriptions_.end()) {
+    return std::nullopt;
+  }
+  Subscription& subscription = found->second->subscription;
+  const auto code = Describe(static_cast<ResultCode>(finish.code)).code;
+  if (code != ResultCode::kAnswered) {
+    return code;
+  }
+  const bool whole =
+      subscription.offset == finish.length &&
+      XXH3_64bits_digest(found->second->hash.get()) == finish.checksum &&
+      subscription.renderer.complete();
+  if (!whole) {
+    Fail(subscription.id, ResultCode::kServerFailed, Duration::zero());
+    return ResultCode::kServerFailed;
+  }
+  if (subscription.renderer.streams()) {
+    Emit(subscription, subscription.renderer.StreamEnd());
+    outbox_.Push(ReplyEnd{.caller = subscription.caller});
+  } else {
+    AnswerRenderer::Whole whole_answer = subscription.renderer.TakeWhole();
+    HttpHeaders headers =
+        Headers(subscription.public_key, ResultCode::kAnswered);
+    headers.emplace_back("Content-Type", whole_answer.content_type);
+    outbox_.Push(ReplyWhole{.caller = subscription.caller,
+                            .status = whole_answer.status,
+                            .headers = std::move(headers),
+                            .body = std::move(whole_answer.body)});
+  }
+  Remove(subscription.id);
+  return ResultCode::kAnswered;
+}
+
+void CallerFeed::Fail(SubscriptionId id,
+                      ResultCode code,
+                      Duration retry_after) {
+  const Subscription* subscription = Find(id);
+  if (subscription == nullptr) {
+    return;
+  }
+  if (subscription->head_sent) {
+    outbox_.Push(ReplyAbort{.caller = subscription->caller});
+  } else {
+    outbox_.Push(ErrorReply(subscription->caller, code,
+                            std::string(Describe(code).message),
+                            subscription->public_key, retry_after));
+  }
+  if (subscription->link.has_value()) {
+    Detach detach;
+    detach.subscription = id;
+    outbox_.Send(*subscription->link, std::move(detach));
+  }
+  Remove(id);
+}
+
+std::optional<RequestKey> CallerFeed::OnCallerGone(CallerId caller) {
+  const auto found = by_caller_.find(caller);
+  if (found == by_caller_.end()) {
+    return std::nullopt;
+  }
+  const SubscriptionId id = found->second;
+  const Subscription& subscription = subscriptions_.at(id)->subscription;
+  const RequestKey key = subscription.key;
+  if (subscription.link.has_value()) {
+    Detach detach;
+    detach.subscription = id;
+    outbox_.Send(*subscription.link, std::move(detach));
+  }
+  Remove(id);
+  return key;
+}
+
+void CallerFeed::Remove(SubscriptionId id) {
+  const auto found = subscriptions_.find(id);
+  const Subscription& subscription = found->second->subscription;
+  by_caller_.erase(subscription.caller);
+  auto [position, last] = by_key_.equal_range(subscription.key);
+  while (position != last) {
+    position =
+        position->second == id ? by_key_.erase(position) : std::next(position);
+  }
+  subscriptions_.erase(found);
+}
+
+std::vector<SubscriptionId> CallerFeed::Of(const RequestKey& key) const {
+  std::vector<SubscriptionId> ids;
+  const auto [first, last] = by_key_.equal_range(key);
+  for (auto position = first; position != last; ++position) {
+    ids.push_back(position->second);
+  }
+  return ids;
+}
+
+const CallerFeed::Subscription* CallerFeed::Find(SubscriptionId id) const {
+  const auto found = subscriptions_.find(id);
+  return found == subscriptions_.end() ? nullptr
+                                       : &found->second->subscription;
+}
+
+bool CallerFeed::Delivered(const RequestKey& key) const {
+  for (const SubscriptionId id : Of(key)) {
+    if (Find(id)->head_sent) {
+      return true;
+    }
+  }
+  return false;
+}
+
+HttpHeaders CallerFeed::Headers(const std::string& public_key,
+                                ResultCode code) {
+  HttpHeaders headers = {
+      {"Lavenderkeel-Outcome", std::string(OutcomeName(Describe(code).outcome))},
+      {"Lavenderkeel-Result", std::to_string(static_cast<uint32_t>(code))}};
+  if (!public_key.empty()) {
+    headers.emplace_back("Lavenderkeel-Key", public_key);
+  }
+  return headers;
+}
+
+ReplyWhole CallerFeed::ErrorReply(CallerId caller,
+                                  ResultCode code,
+                                  const std::string& message,
+                                  const std::string& public_key,
+                                  Duration retry_after) {
+  const ResultCodeInfo& info = Describe(code);
+  const int64_t retry_after_ms = ToMilliseconds(retry_after);
+  HttpHeaders headers = Headers(public_key, code);
+  headers.emplace_back("Content-Type", "application/json");
+  if (retry_after_ms > 0) {
+    // The header counts whole seconds; rounded up, so that nobody is early.
+    headers.emplace_back("Retry-After",
+                         std::to_string((retry_after_ms + 999) / 1000));
+  }
+  const json::object body{
+      {"error", json::object{{"code", static_cast<uint32_t>(code)},
+                             {"name", info.name},
+                             {"outcome", OutcomeName(info.outcome)},
+                             {"message", message},
+                             {"retry_after_ms", retry_after_ms}}}};
+  return {.caller = caller,
+          .status = info.http_status,
+          .headers = std::move(headers),
+          .body = json::serialize(body)};
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -0,0 +1,73 @@
+#ifndef LAVENDERKEEL_DISPATCH_DISPATCH_CONTROLLER_H_
+#define LAVENDERKEEL_DISPATCH_DISPATCH_CONTROLLER_H_
+
+#include <optional>
+
+#include "lavenderkeel/dispatch/entry_context.h"
+
+namespace lavenderkeel {
+
+/// Brings requests that are ours to a server: limits, reservations, the one
+/// go, and what follows when an agent refuses, gives way, or is lost.
+class DispatchController {
+ public:
+  explicit DispatchController(EntryContext& context);
+
+  void Admit(EntryRequest& request);
+  /// Reads the answer at request.agent for all its callers.
+  void Follow(EntryRequest& request);
+  /// Lets go of reservations, slots and counts of a request that is over.
+  void Release(EntryRequest& request);
+
+  void OnSlotOffer(LinkId link, const SlotOffer& offer);
+  void OnStarted(EntryRequest& request, const PeerId& agent);
+  void OnRejected(EntryRequest& request, const PeerId& agent, ResultCode code);
+  /// Sent, but it never arrived; the agent refuses late copies.
+  void OnNeverArrived(EntryRequest& request);
+  /// The run is over.
+  void OnRunEnded(EntryRequest& request, ResultCode code);
+
+  void OnAgentUp(const PeerId& agent);
+  void OnAgentLost(const PeerId& agent);
+  void OnConfigActivated();
+  void OnTimer(EntryRequest& request);
+
+  /// When a request like this one has a chance again.
+  Duration RetryAfter(const EntryRequest& request, ResultCode code) const;
+  size_t waiting() const { return waiting_; }
+  size_t waiting(uint32_t tier) const {
+    return tier < waiting_by_tier_.size() ? waiting_by_tier_[tier] : 0;
+  }
+  /// Called when Claim has to be asked anew; set by the owner of both.
+  std::function<void(EntryRequest&)> reclaim;
+
+ private:
+  std::optional<ResultCode> Refusal(const EntryRequest& request);
+  bool MakeRoom(const EntryRequest& request);
+  std::optional<TeamUsage::Refusal> CountIn(EntryRequest& request);
+  void CountWaiting(const EntryRequest& request);
+  void UncountWaiting(const EntryRequest& request);
+  void Wait(EntryRequest& request);
+  void PlaceReservations(EntryRequest& request, size_t count);
+  void SendReserve(EntryRequest& request, LinkId link);
+  void Widen(EntryRequest& request);
+  void Withdraw(EntryRequest& request, const PeerId& except);
+  void Requeue(EntryRequest& request);
+  void ReleaseHeldBack(const std::string& team);
+  void AttachAll(EntryRequest& request, LinkId link);
+  void SetWaitingTimer(EntryRequest& request);
+  void LogRoute(const EntryRequest& request,
+                const std::vector<Candidate>& candidates,
+                size_t placed) const;
+  bool MayRunAgain(const EntryRequest& request);
+
+  EntryContext& context_;
+  TeamUsage usage_;
+  RetryBudget retries_;
+  size_t waiting_ = 0;
+  std::vector<size_t> waiting_by_tier_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_DISPATCH_DISPATCH_CONTROLLER_H_
--- /dev/null
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -0,0 +1,370 @@
+#include "lavenderkeel/dispatch/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderkeel {
+
+EntryNode::EntryNode(Options options,
+                     InstanceInfo self,
+                     const Clock& clock,
+                     uint64_t random_seed,
+                     const EventLog& log,
+                     Metrics& metrics)
+    : options_(std::move(options)),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      random_(random_seed),
+      platform_(outbox_),
+      members_(options_.members,
+               std::move(self),
+               clock,
+               random_,
+               outbox_,
+               [this] {
+                 Heartbeat heartbeat;
+                 heartbeat.config_version = config_.version();
+                 heartbeat.leaving = announced_;
+                 return heartbeat;
+               }),
+      claims_(options_.claims,
+              clock,
+              [this](const RequestKey& key) {
+                return ranking_.MetEveryClaim(members_.self().id.instance, key);
+              }),
+      claimer_(claims_, ranking_, members_, outbox_),
+      config_(log),
+      spread_(options_.spread,
+              config_,
+              members_,
+              clock,
+              random_,
+              platform_,
+              outbox_),
+      registration_(options_.registration,
+                    members_.self(),
+                    clock,
+                    random_,
+                    platform_,
+                    [this](const std::vector<InstanceInfo>& instances) {
+                      members_.OnInstanceList(instances);
+                    }),
+      router_(
+          members_,
+          random_,
+          [this](const Member& agent) {
+            return config_.current() &&
+                   config_.current()->IsDrained(agent.info.id.instance);
+          },
+          options_.estimate ? options_.estimate : Router::EstimateFirstToken),
+      feed_(outbox_),
+      context_{.options = options_.dispatch,
+               .clock = clock,
+               .random = random_,
+               .log = log,
+               .metrics = metrics,
+               .outbox = outbox_,
+               .members = members_,
+               .router = router_,
+               .config = config_,
+               .claimer = claimer_,
+               .requests = table_,
+               .feed = feed_,
+               .admit = nullptr,
+               .follow = nullptr,
+               .conclude = nullptr},
+      requests_(context_),
+      callers_(context_, requests_),
+      operators_(context_,
+                 requests_,
+                 spread_,
+                 platform_,
+                 options_.operator_key_sha256),
+      gap_(options_.members.heartbeat_timeout) {
+  ranking_.SetPresent(members_.self().id.instance);
+  members_.signal_up().connect(
+      [this](const Member& member) { OnPeerUp(member); });
+  members_.signal_lost().connect(
+      [this](const PeerId& peer, Role role) { OnPeerLost(peer, role); });
+  members_.signal_leaving().connect(
+      [this](const PeerId& peer, Role role) { OnPeerLeaving(peer, role); });
+  config_.signal_activated().connect([this] { OnConfigActivated(); });
+}
+
+void EntryNode::Start(const std::string& address) {
+  members_.set_address(address);
+  for (const std::string& seed : options_.seeds) {
+    members_.AddSeed(seed);
+  }
+  registration_.Start();
+  spread_.Start();
+}
+
+void EntryNode::CheckGap() {
+  if (!gap_.Check(clock_.Now())) {
+    return;
+  }
+  log_.Warn("gap_noticed", {{"instance", members_.self().id.instance}});
+  members_.ForgiveSilence();
+  // Others went on without us and may have claimed keys elsewhere.
+  claims_.CannotVouchUntilNow();
+}
+
+void EntryNode::Tick() {
+  CheckGap();
+  members_.Tick();
+  registration_.Tick();
+  claims_.Tick();
+  ranking_.ForgetLostBefore(clock_.WallNow() - options_.claims.retention);
+  claimer_.Tick();
+  spread_.Tick();
+  requests_.Tick();
+  operators_.Tick();
+  AdvanceLeaving();
+}
+
+bool EntryNode::OnLinkUp(LinkId link,
+                         const InstanceInfo& peer,
+                         const std::string& dialed) {
+  CheckGap();
+  return members_.OnLinkUp(link, peer, dialed);
+}
+
+void EntryNode::OnLinkDown(LinkId link) {
+  CheckGap();
+  members_.OnLinkDown(link);
+}
+
+void EntryNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
+}
+
+bool EntryNode::IsSameRegion(const std::string& instance) const {
+  const Member* member = members_.Find(instance);
+  return member != nullptr && member->info.region == members_.self().region;
+}
+
+void EntryNode::OnPeerUp(const Member& member) {
+  const PeerId id = member.info.id;
+  if (member.info.role == Role::kEntry) {
+    if (IsSameRegion(id.instance) && !member.info.leaving) {
+      ranking_.SetPresent(id.instance);
+    }
+    claimer_.OnUp(id);
+    requests_.OnEntryUp(id);
+  } else {
+    SendPolicy(*member.outbound, id.instance);
+    requests_.OnAgentUp(id);
+  }
+}
+
+void EntryNode::OnPeerLost(const PeerId& peer, Role role) {
+  log_.Warn("peer_lost", {{"peer", peer.ToString()},
+                          {"role", role == Role::kEntry ? "entry" : "agent"}});
+  if (role == Role::kAgent) {
+    requests_.OnAgentLost(peer);
+    return;
+  }
+  const Member* member = members_.Find(peer.instance);
+  const bool left = member != nullptr && member->info.leaving;
+  if (!left) {
+    ranking_.SetLost(peer.instance, clock_.WallNow());
+  }
+  claimer_.OnLost(peer);
+  requests_.OnEntryLost(peer);
+}
+
+void EntryNode::OnPeerLeaving(const PeerId& peer, Role role) {
+  log_.Info("peer_leaving", {{"peer", peer.ToString()}});
+  if (role == Role::kEntry) {
+    // It holds its claims until it has handed them over, and answers until
+    // then; new claims go to the holders that remain.
+    ranking_.SetLeft(peer.instance);
+  }
+}
+
+void EntryNode::OnMessage(LinkId link, Message message) {
+  CheckGap();
+  const Member* peer = members_.FindByLink(link);
+  if (peer == nullptr) {
+    // A replaced link of the peer: what still comes on it is of the past.
+    return;
+  }
+  members_.OnHeard(link);
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    members_.OnHeartbeat(link, *heartbeat);
+    const Member* member = members_.FindByLink(link);
+    if (member != nullptr && member->info.role == Role::kEntry) {
+      spread_.OnPeerVersion(link, heartbeat->config_version);
+    }
+  } else if (const auto* claim = std::get_if<ClaimRequest>(&message)) {
+    OnClaimRequest(link, *claim);
+  } else if (const auto* reply = std::get_if<ClaimReply>(&message)) {
+    if (reply->call == 0) {
+      hand_over_pending_ -= hand_over_pending_ > 0 ? 1 : 0;
+    } else {
+      claimer_.OnReply(link, *reply);
+    }
+  } else if (const auto* head = std::get_if<ConfigHeadNotice>(&message)) {
+    spread_.OnHead(link, *head);
+  } else if (const auto* pull = std::get_if<ConfigPull>(&message)) {
+    spread_.OnPull(link, *pull);
+  } else if (const auto* shards = std::get_if<ConfigShards>(&message)) {
+    spread_.OnShards(*shards);
+  } else {
+    requests_.OnMessage(link, message);
+  }
+}
+
+void EntryNode::OnClaimRequest(LinkId link, const ClaimRequest& request) {
+  const RequestKey key = FromWire(request.key);
+  const PeerId replaces{.instance = request.replaces_instance,
+                        .incarnation = request.replaces_incarnation};
+  const ClaimTable::Answer answer =
+      request.lookup ? claims_.Lookup(key)
+                     : claims_.Request(key, TakeClaim(request), replaces);
+  ClaimReply reply;
+  reply.key = request.key;
+  reply.call = request.call;
+  reply.granted = answer.granted;
+  reply.vouched = answer.vouched;
+  PutClaim(answer.claim, reply);
+  outbox_.Send(link, std::move(reply));
+  if (context_.leaving && !request.lookup && answer.granted) {
+    HandOver(key, answer.claim);
+  }
+}
+
+void EntryNode::OnConfigActivated() {
+  for (const Member* agent : members_.Members(Role::kAgent)) {
+    if (agent->outbound.has_value()) {
+      SendPolicy(*agent->outbound, agent->info.id.instance);
+    }
+  }
+  requests_.OnConfigActivated();
+}
+
+void EntryNode::SendPolicy(LinkId link, const std::string& instance) {
+  const auto& config = config_.current();
+  if (!config) {
+    return;
+  }
+  AgentPolicy policy;
+  policy.version = config->version();
+  policy.preset = config->head().preset;
+  policy.drained = config->IsDrained(instance);
+  for (const Tier& tier : config->base().tiers) {
+    if (config->IsClosed(tier.name)) {
+      policy.closed_tiers.push_back(tier.rank);
+    }
+    const TierLimits limits = config->LimitsOf(tier.name);
+    if (limits.running > 0) {
+      policy.limited_tiers.push_back(tier.rank);
+      policy.limits.push_back(limits.running);
+    }
+  }
+  outbox_.Send(link, std::move(policy));
+}
+
+void EntryNode::OnPlatformReply(PlatformCallId call,
+                                const PlatformReply& reply) {
+  platform_.OnReply(call, reply);
+}
+
+void EntryNode::OnCallerRequest(CallerRequest request) {
+  CheckGap();
+  const CallerId caller = request.caller;
+  const auto plain = [&](int status, std::string body) {
+    outbox_.Push(ReplyWhole{.caller = caller,
+                            .status = status,
+                            .headers = {{"Content-Type", "text/plain"}},
+                            .body = std::move(body)});
+  };
+  if (request.path == "/healthz") {
+    plain(200, "alive\n");
+  } else if (request.path == "/readyz") {
+    plain(Ready() ? 200 : 503, Ready() ? "ready\n" : "not ready\n");
+  } else if (request.path == "/metrics") {
+    metrics_.Set("claims", static_cast<double>(claims_.size()));
+    metrics_.Set("config_version", static_cast<double>(config_.version()));
+    metrics_.Set("requests_waiting",
+                 static_cast<double>(requests_.dispatch().waiting()));
+    plain(200, metrics_.ToPrometheus());
+  } else if (request.path.starts_with("/admin/v1/")) {
+    operators_.Handle(request);
+  } else {
+    callers_.Handle(std::move(request));
+  }
+}
+
+void EntryNode::OnCallerDrained(CallerId caller) {
+  feed_.OnDrained(caller);
+}
+
+void EntryNode::OnCallerGone(CallerId caller) {
+  requests_.OnCallerGone(caller);
+}
+
+bool EntryNode::Ready() const {
+  const bool drained = config_.current() &&
+                       config_.current()->IsDrained(members_.self().id.instance);
+  return config_.current() && !context_.leaving && !drained &&
+         clock_.WallNow() > claims_.vouches_from();
+}
+
+void EntryNode::Leave() {
+  if (std::exchange(context_.leaving, true)) {
+    return;
+  }
+  log_.Info("leaving", {{"instance", members_.self().id.instance},
+                        {"active", requests_.active()}});
+  members_.set_leaving();
+  registration_.Leave();
+  HandOverAll();
+}
+
+void EntryNode::HandOverAll() {
+  // Failure: two holders of a key leave in turn, as in any rolling restart.
+  // Symptom: the claim is gone and a retry runs again. A leaving holder gives
+  // its claims to those that hold the keys without it, and only then says that
+  // it leaves: whoever is asked in its place has them already.
+  hand_over_deadline_ = clock_.Now() + options_.hand_over_timeout;
+  ranking_.SetLeft(members_.self().id.instance);
+  claims_.ForEach([this](const RequestKey& key, const Claim& claim) {
+    HandOver(key, claim);
+  });
+  log_.Info("claims_handed_over", {{"claims", claims_.size()},
+                                   {"messages", hand_over_pending_}});
+}
+
+void EntryNode::HandOver(const RequestKey& key, const Claim& claim) {
+  for (const std::string& holder : ranking_.Holders(key)) {
+    const Member* member = members_.Find(holder);
+    if (member == nullptr || !member->outbound.has_value()) {
+      continue;
+    }
+    ClaimRequest request;
+    request.key = ToWire(key);
+    PutClaim(claim, request);
+    outbox_.Send(*member->outbound, std::move(request));
+    ++hand_over_pending_;
+  }
+}
+
+void EntryNode::AdvanceLeaving() {
+  const bool settled =
+      hand_over_pending_ == 0 || clock_.Now() >= hand_over_deadline_;
+  if (context_.leaving && !announced_ && settled) {
+    announced_ = true;
+    members_.AnnounceNow();
+  }
+}
+
+bool EntryNode::CanExit() const {
+  const bool settled =
+      hand_over_pending_ == 0 || clock_.Now() >= hand_over_deadline_;
+  return announced_ && settled && requests_.Idle() && operators_.Idle();
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -0,0 +1,122 @@
+#ifndef LAVENDERKEEL_DISPATCH_ENTRY_NODE_H_
+#define LAVENDERKEEL_DISPATCH_ENTRY_NODE_H_
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/base.h"
+#include "lavenderkeel/claim.h"
+#include "lavenderkeel/config.h"
+#include "lavenderkeel/dispatch/caller_api.h"
+#include "lavenderkeel/dispatch/entry_context.h"
+#include "lavenderkeel/dispatch/operator_api.h"
+#include "lavenderkeel/dispatch/request_controller.h"
+#include "lavenderkeel/membership.h"
+#include "lavenderkeel/platform.h"
+#include "lavenderkeel/routing.h"
+
+namespace lavenderkeel {
+
+/// Everything that an entry process decides, without its sockets.
+///
+/// Whoever drives it hands in events and carries out the actions that it then
+/// finds in the outbox.
+class EntryNode {
+ public:
+  struct Options {
+    MemberTable::Options members;
+    DispatchOptions dispatch;
+    ClaimTable::Options claims;
+    ConfigSpread::Options spread;
+    Registration::Options registration;
+    std::vector<std::string> seeds;
+    std::string operator_key_sha256;
+    /// How long the hand-over of claims may take at shutdown.
+    Duration hand_over_timeout = std::chrono::seconds(2);
+    /// Empty: Router::EstimateFirstToken.
+    Router::Estimate estimate;
+  };
+
+  EntryNode(Options options,
+            InstanceInfo self,
+            const Clock& clock,
+            uint64_t random_seed,
+            const EventLog& log,
+            Metrics& metrics);
+
+  Outbox& outbox() { return outbox_; }
+  MemberTable& members() { return members_; }
+  const ConfigStore& config() const { return config_; }
+  const RequestController& requests() const { return requests_; }
+  const ClaimTable& claims() const { return claims_; }
+
+  /// @param address the peer address really bound
+  void Start(const std::string& address);
+  void Tick();
+  bool OnLinkUp(LinkId link,
+                const InstanceInfo& peer,
+                const std::string& dialed);
+  void OnLinkDown(LinkId link);
+  void OnDialFailed(const std::string& address);
+  void OnMessage(LinkId link, Message message);
+  void OnPlatformReply(PlatformCallId call, const PlatformReply& reply);
+  void OnCallerRequest(CallerRequest request);
+  void OnCallerDrained(CallerId caller);
+  void OnCallerGone(CallerId caller);
+
+  /// True while new work is taken: configured, able to vouch for keys first
+  /// sent from now on, and not leaving.
+  bool Ready() const;
+  /// Begins the graceful shutdown.
+  void Leave();
+  /// True once nothing would be cut by the end of the process.
+  bool CanExit() const;
+
+ private:
+  void CheckGap();
+  void OnPeerUp(const Member& member);
+  void OnPeerLost(const PeerId& peer, Role role);
+  void OnPeerLeaving(const PeerId& peer, Role role);
+  void OnConfigActivated();
+  void SendPolicy(LinkId link, const std::string& instance);
+  void OnClaimRequest(LinkId link, const ClaimRequest& request);
+  /// Sends a claim to those that hold its key without this entry.
+  void HandOver(const RequestKey& key, const Claim& claim);
+  void HandOverAll();
+  void AdvanceLeaving();
+  bool IsSameRegion(const std::string& instance) const;
+
+  Options options_;
+  const Clock& clock_;
+  const EventLog& log_;
+  Metrics& metrics_;
+  std::mt19937_64 random_;
+  Outbox outbox_;
+  PlatformPort platform_;
+  MemberTable members_;
+  HolderRanking ranking_;
+  ClaimTable claims_;
+  Claimer claimer_;
+  ConfigStore config_;
+  ConfigSpread spread_;
+  Registration registration_;
+  Router router_;
+  RequestTable table_;
+  CallerFeed feed_;
+  EntryContext context_;
+  RequestController requests_;
+  CallerApi callers_;
+  OperatorApi operators_;
+  GapDetector gap_;
+  /// The peers were told that this entry leaves.
+  bool announced_ = false;
+  size_t hand_over_pending_ = 0;
+  TimePoint hand_over_deadline_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_DISPATCH_ENTRY_NODE_H_
--- /dev/null
+++ b/lavenderkeel/dispatch/operator_api.h
@@ -0,0 +1,53 @@
+#ifndef LAVENDERKEEL_DISPATCH_OPERATOR_API_H_
+#define LAVENDERKEEL_DISPATCH_OPERATOR_API_H_
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lavenderkeel/dispatch/caller_request.h"
+#include "lavenderkeel/dispatch/request_controller.h"
+
+namespace lavenderkeel {
+
+/// What operators may ask over `/admin/v1/`, short of the sockets.
+class OperatorApi {
+ public:
+  OperatorApi(EntryContext& context,
+              const RequestController& requests,
+              ConfigSpread& spread,
+              PlatformPort& platform,
+              std::string key_sha256);
+
+  void Handle(const CallerRequest& request);
+  void Tick();
+  /// True when no change waits for the platform.
+  bool Idle() const { return commits_.empty(); }
+
+ private:
+  void ApplyConfig(const CallerRequest& request);
+  void UsePreset(const CallerRequest& request);
+  void Drain(const CallerRequest& request);
+  void ShowConfig(CallerId caller);
+  void ShowPresets(CallerId caller);
+  void ShowStatus(CallerId caller);
+  void Explain(CallerId caller, const std::string& key);
+  void Commit(CallerId caller, ConfigCommit::Options options);
+  void OnCommitted(CallerId caller,
+                   const ConfigCommit::Result& result,
+                   const std::vector<ConfigShard>& shards);
+  void Refuse(CallerId caller, ResultCode code, const std::string& message);
+  void Reply(CallerId caller, std::string body);
+
+  EntryContext& context_;
+  const RequestController& requests_;
+  ConfigSpread& spread_;
+  PlatformPort& platform_;
+  std::string key_sha256_;
+  std::list<std::unique_ptr<ConfigCommit>> commits_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_DISPATCH_OPERATOR_API_H_
--- /dev/null
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -0,0 +1,328 @@
+#include "lavenderkeel/dispatch/ownership_controller.h"
+
+#include <utility>
+
+namespace lavenderkeel {
+
+using State = EntryRequest::State;
+
+Claim OwnershipController::OwnClaim(const EntryRequest& request) const {
+  return {.owner = context_.members.self().id,
+          .team = request.terms.team,
+          .body_hash = request.body_hash,
+          .agents = request.eligible};
+}
+
+void OwnershipController::Claim(EntryRequest& request) {
+  request.state = State::kClaiming;
+  request.eligible.clear();
+  for (const Candidate& candidate :
+       context_.router.Choose(request.route(), context_.options.eligible)) {
+    request.eligible.push_back(candidate.agent);
+  }
+  context_.claimer.Start(
+      request.key, OwnClaim(request), PeerId(), /*lookup=*/false,
+      [this](const RequestKey& key, const ClaimVerdict& verdict) {
+        OnClaimed(key, verdict);
+      });
+}
+
+void OwnershipController::Look(EntryRequest& request) {
+  request.state = State::kClaiming;
+  context_.claimer.Start(
+      request.key, OwnClaim(request), PeerId(), /*lookup=*/true,
+      [this](const RequestKey& key, const ClaimVerdict& verdict) {
+        EntryRequest* looked = context_.requests.Find(key);
+        if (looked == nullptr || looked->state != State::kClaiming) {
+          return;
+        }
+        if (verdict.kind == ClaimVerdict::Kind::kHeld) {
+          OnHeld(*looked, verdict.claim);
+        } else {
+          context_.conclude(*looked, ResultCode::kNotFound);
+        }
+      });
+}
+
+void OwnershipController::OnClaimed(const RequestKey& key,
+                                    const ClaimVerdict& verdict) {
+  EntryRequest* request = context_.requests.Find(key);
+  if (request == nullptr || request->state != State::kClaiming) {
+    return;
+  }
+  if (verdict.kind == ClaimVerdict::Kind::kHeld) {
+    OnHeld(*request, verdict.claim);
+    return;
+  }
+  if (request->minted) {
+    context_.admit(*request);
+    return;
+  }
+  if (!verdict.vouched) {
+    // Failure: every entry that could know of an earlier try is gone. Symptom
+    // of going on: a second appointment letter. So it is reported unknown.
+    context_.Note(*request, "no holder can vouch that the key is unused");
+    context_.conclude(*request, ResultCode::kCannotVouch);
+    return;
+  }
+  if (verdict.alone) {
+    // Failure: the other holder is not dead but cut off from us, and an entry
+    // on its side has the same key. Symptom: both sides run it. The agents are
+    // asked, and from then on refuse it to everybody but us.
+    std::vector<PeerId> agents = request->eligible;
+    for (const Member* agent : context_.members.Members(Role::kAgent)) {
+      agents.push_back(agent->info.id);
+    }
+    context_.Note(*request, "a holder is silent, asking the agents");
+    request->held = {};
+    Seal(*request, agents);
+    return;
+  }
+  context_.admit(*request);
+}
+
+void OwnershipController::OnHeld(EntryRequest& request,
+                                 const lavenderkeel::Claim& claim) {
+  if (request.observer) {
+    request.body_hash = claim.body_hash;
+  }
+  if (claim.body_hash != request.body_hash) {
+    context_.conclude(request, ResultCode::kKeyReused);
+    return;
+  }
+  request.held = claim;
+  context_.Note(request, "owned by " + claim.owner.ToString());
+  const Member* owner = context_.members.Find(claim.owner.instance);
+  const bool may_answer = owner != nullptr && owner->info.id == claim.owner &&
+                          !owner->lost;
+  if (!may_answer) {
+    Recover(request);
+    return;
+  }
+  request.state = State::kLocating;
+  SendLocate(request);
+}
+
+void OwnershipController::SendLocate(const EntryRequest& request) {
+  const std::optional<LinkId> link =
+      context_.members.LinkTo(request.held.owner);
+  if (!link.has_value()) {
+    // Asked when the link is up again, or recovered when the owner is lost.
+    return;
+  }
+  Locate locate;
+  locate.key = ToWire(request.key);
+  context_.outbox.Send(*link, std::move(locate));
+}
+
+void OwnershipController::OnLocate(LinkId link, const Locate& locate) {
+  EntryRequest* request = context_.requests.Find(FromWire(locate.key));
+  if (request == nullptr || request->observer) {
+    Located located;
+    located.key = locate.key;
+    located.subscription = locate.subscription;
+    located.code = static_cast<uint32_t>(ResultCode::kNotFound);
+    context_.outbox.Send(link, std::move(located));
+    return;
+  }
+  const bool known = request->state == State::kDone ||
+                     request->state == State::kRunning ||
+                     request->state == State::kFollowing;
+  if (!known) {
+    request->watchers.push_back(
+        {.link = link, .subscription = locate.subscription});
+    return;
+  }
+  context_.SendLocated(link, *request, locate.subscription);
+  const bool not_run =
+      request->state == State::kDone &&
+      Describe(request->result).outcome == Outcome::kNotRun;
+  if (not_run) {
+    // The asker takes the key over; this entry must forget that it was ours.
+    context_.requests.Erase(request->key);
+  }
+}
+
+void OwnershipController::OnLocated(LinkId link, const Located& located) {
+  EntryRequest* request = context_.requests.Find(FromWire(located.key));
+  const Member* peer = context_.members.FindByLink(link);
+  const bool expected = request != nullptr && peer != nullptr &&
+                        request->state == State::kLocating &&
+                        request->held.owner == peer->info.id;
+  if (!expected) {
+    return;
+  }
+  const ResultCodeInfo& info =
+      Describe(static_cast<ResultCode>(located.code));
+  if (info.outcome == Outcome::kNotRun) {
+    // Forgotten or never run there; the agents have the last word.
+    Recover(*request);
+    return;
+  }
+  if (located.agent.empty()) {
+    context_.conclude(*request, info.code);
+    return;
+  }
+  request->agent = {.instance = located.agent,
+                    .incarnation = located.agent_incarnation};
+  context_.Note(*request, "runs at " + request->agent.ToString());
+  request->state = State::kFollowing;
+  context_.follow(*request);
+}
+
+void OwnershipController::Recover(EntryRequest& request) {
+  context_.Note(request, "asking " +
+                             std::to_string(request.held.agents.size()) +
+                             " agents of the former owner");
+  context_.log.Info("request_recovering",
+                    {{"key", request.key.ToString()},
+                     {"former_owner", request.held.owner.ToString()},
+                     {"agents", request.held.agents.size()}});
+  Seal(request, request.held.agents);
+}
+
+void OwnershipController::Seal(EntryRequest& request,
+                               const std::vector<PeerId>& agents) {
+  request.state = State::kSealing;
+  request.seal_lost = false;
+  request.seal_pending = {agents.begin(), agents.end()};
+  context_.requests.SetTimer(
+      request, context_.clock.Now() + context_.options.seal_patience);
+  for (const PeerId& agent : agents) {
+    AskAgent(request, agent);
+  }
+  CheckSealed(request);
+}
+
+void OwnershipController::AskAgent(EntryRequest& request,
+                                   const PeerId& agent) {
+  const Member* member = context_.members.Find(agent.instance);
+  if (member != nullptr && member->info.id.incarnation > agent.incarnation) {
+    // Its successor knows nothing of what it ran.
+    request.seal_pending.erase(agent);
+    request.seal_lost = true;
+    return;
+  }
+  const std::optional<LinkId> link = context_.members.LinkTo(agent);
+  if (!link.has_value()) {
+    context_.members.AlsoWant(agent.instance);
+    return;
+  }
+  Attach attach;
+  attach.key = ToWire(request.key);
+  attach.seal = !request.observer;
+  context_.outbox.Send(*link, std::move(attach));
+}
+
+void OwnershipController::OnNotHere(EntryRequest& request,
+                                    const PeerId& agent) {
+  if (request.state != State::kSealing) {
+    return;
+  }
+  request.seal_pending.erase(agent);
+  CheckSealed(request);
+}
+
+void OwnershipController::CheckSealed(EntryRequest& request) {
+  if (!request.seal_pending.empty()) {
+    return;
+  }
+  if (request.seal_lost || request.observer) {
+    context_.conclude(request, ResultCode::kOwnerSilent);
+    return;
+  }
+  context_.Note(request, "no agent has it; it did not run");
+  if (request.held.owner.empty()) {
+    context_.admit(request);
+    return;
+  }
+  TakeOver(request);
+}
+
+void OwnershipController::TakeOver(EntryRequest& request) {
+  request.state = State::kClaiming;
+  const PeerId former = request.held.owner;
+  request.eligible.clear();
+  for (const Candidate& candidate :
+       context_.router.Choose(request.route(), context_.options.eligible)) {
+    request.eligible.push_back(candidate.agent);
+  }
+  context_.claimer.Start(
+      request.key, OwnClaim(request), former, /*lookup=*/false,
+      [this](const RequestKey& key, const ClaimVerdict& verdict) {
+        EntryRequest* taken = context_.requests.Find(key);
+        if (taken == nullptr || taken->state != State::kClaiming) {
+          return;
+        }
+        if (verdict.kind == ClaimVerdict::Kind::kHeld) {
+          OnHeld(*taken, verdict.claim);
+        } else {
+          context_.admit(*taken);
+        }
+      });
+}
+
+void OwnershipController::OnFound(EntryRequest& request, const PeerId& agent) {
+  context_.Note(request, "found at " + agent.ToString());
+  request.agent = agent;
+  request.state = State::kRunning;
+  context_.requests.ClearTimer(request);
+  // From now on others are to ask us for it.
+  request.eligible = {agent};
+  context_.claimer.Start(request.key, OwnClaim(request), request.held.owner,
+                         /*lookup=*/false,
+                         [](const RequestKey&, const ClaimVerdict&) {});
+  context_.follow(request);
+  context_.NotifyWatchers(request);
+}
+
+void OwnershipController::OnSealTimer(EntryRequest& request) {
+  // Any agent that stays silent may have it.
+  context_.Note(request, "an agent that may have it is silent");
+  context_.conclude(request, ResultCode::kOwnerSilent);
+}
+
+void OwnershipController::OnEntryUp(const PeerId& peer) {
+  const auto asks_it = [&peer](const EntryRequest& request) {
+    return request.state == State::kLocating && request.held.owner == peer;
+  };
+  for (const RequestKey& key : context_.requests.Select(asks_it)) {
+    SendLocate(*context_.requests.Find(key));
+  }
+}
+
+void OwnershipController::OnEntryLost(const PeerId& peer) {
+  const auto asks_it = [&peer](const EntryRequest& request) {
+    return request.state == State::kLocating && request.held.owner == peer;
+  };
+  for (const RequestKey& key : context_.requests.Select(asks_it)) {
+    Recover(*context_.requests.Find(key));
+  }
+}
+
+void OwnershipController::OnAgentUp(const PeerId& peer) {
+  const auto asks_it = [&peer](const EntryRequest& request) {
+    return request.state == State::kSealing &&
+           request.seal_pending.contains(peer);
+  };
+  for (const RequestKey& key : context_.requests.Select(asks_it)) {
+    AskAgent(*context_.requests.Find(key), peer);
+  }
+  const auto asks_predecessor = [&peer](const EntryRequest& request) {
+    const auto first = request.seal_pending.lower_bound(
+        {.instance = peer.instance, .incarnation = 0});
+    return request.state == State::kSealing &&
+           first != request.seal_pending.end() &&
+           first->instance == peer.instance && *first < peer;
+  };
+  for (const RequestKey& key : context_.requests.Select(asks_predecessor)) {
+    EntryRequest& request = *context_.requests.Find(key);
+    std::erase_if(request.seal_pending, [&peer](const PeerId& pending) {
+      return pending.instance == peer.instance && pending < peer;
+    });
+    request.seal_lost = true;
+    CheckSealed(request);
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/dispatch/request_body.cc
@@ -0,0 +1,97 @@
+#include "lavenderkeel/dispatch/request_body.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "lavenderkeel/base/rendezvous.h"
+#include "lavenderkeel/config/json_reader.h"
+
+namespace lavenderkeel::internal {
+
+namespace json = boost::json;
+
+namespace {
+
+/// A usual mean; estimates are corrected by measured times, not by this.
+constexpr size_t kBytesPerToken = 4;
+constexpr uint64_t kDefaultMaxTokens = 256;
+constexpr uint64_t kMostTokens = 1'000'000;
+constexpr size_t kPrefixBlockBytes = 1024;
+constexpr size_t kMaxPrefixBlocks = 16;
+
+std::string JoinMessages(JsonReader& reader, Faults& faults) {
+  std::string prompt;
+  reader.Array("messages",
+               [&](const json::value& item, const std::string& path) {
+                 JsonReader message(item, path, faults);
+                 prompt += message.String("role", {.required = true}) + ": ";
+                 prompt += message.String("content", {.required = true}) + "\n";
+               });
+  return prompt;
+}
+
+/// Hashes of ever longer beginnings, in whole blocks.
+std::vector<uint64_t> PrefixHashes(const std::string& prompt) {
+  std::vector<uint64_t> hashes;
+  const size_t blocks =
+      std::min(prompt.size() / kPrefixBlockBytes, kMaxPrefixBlocks);
+  uint64_t hash = 0;
+  for (size_t i = 0; i < blocks; ++i) {
+    const std::string_view block(prompt.data() + i * kPrefixBlockBytes,
+                                 kPrefixBlockBytes);
+    hash = HashBytes(block, hash);
+    hashes.push_back(hash);
+  }
+  return hashes;
+}
+
+}  // namespace
+
+leaf::result<ParsedBody> ParseEngineBody(const std::string& body,
+                                         bool chat,
+                                         const Config& config) {
+  BOOST_LEAF_AUTO(value, ParseJson(body));
+  Faults faults;
+  JsonReader reader(value, "", faults);
+  const std::string model = reader.String("model", {.required = true});
+  const std::string prompt = chat
+                                 ? JoinMessages(reader, faults)
+                                 : reader.String("prompt", {.required = true});
+  if (chat && !reader.Has("messages")) {
+    reader.Fault("messages", "is missing");
+  }
+  const uint64_t max_tokens =
+      reader.Number("max_tokens", {.otherwise = kDefaultMaxTokens,
+                                   .least = 1,
+                                   .most = kMostTokens});
+  ParsedBody parsed;
+  parsed.stream = reader.Bool("stream", false);
+  if (!faults.empty()) {
+    return leaf::new_error(
+        Failure{ResultCode::kWrongType, JoinFaults(faults)});
+  }
+  if (!config.HasModel(model)) {
+    return leaf::new_error(Failure{ResultCode::kUnknownModel, model});
+  }
+  // Whatever else the caller set (temperature and the like) goes along.
+  json::object engine_body = value.get_object();
+  engine_body.erase("messages");
+  engine_body["prompt"] = prompt;
+  engine_body["max_tokens"] = max_tokens;
+  parsed.payload = {
+      .service = false,
+      .method = "POST",
+      .path = "/v1/completions",
+      .body = json::serialize(engine_body),
+      .head = json::serialize(json::object{
+          {"kind", chat ? "chat" : "completion"}, {"model", model}}),
+      .needs = "engine",
+      .prompt_tokens =
+          static_cast<uint32_t>(prompt.size() / kBytesPerToken + 1),
+      .max_tokens = static_cast<uint32_t>(max_tokens),
+      .prefix = PrefixHashes(prompt)};
+  return parsed;
+}
+
+}  // namespace lavenderkeel::internal
--- /dev/null
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -0,0 +1,346 @@
+#include "lavenderkeel/dispatch/request_controller.h"
+
+#include <utility>
+
+namespace lavenderkeel {
+
+using State = EntryRequest::State;
+
+RequestController::RequestController(EntryContext& context)
+    : context_(context), ownership_(context), dispatch_(context) {
+  context_.admit = [this](EntryRequest& request) { dispatch_.Admit(request); };
+  context_.follow = [this](EntryRequest& request) {
+    dispatch_.Follow(request);
+  };
+  context_.conclude = [this](EntryRequest& request, ResultCode code) {
+    Conclude(request, code);
+  };
+  dispatch_.reclaim = [this](EntryRequest& request) {
+    ownership_.Claim(request);
+  };
+}
+
+void RequestController::Submit(Submission submission) {
+  EntryRequest* known = context_.requests.Find(submission.key);
+  if (known != nullptr && !known->observer &&
+      known->body_hash != submission.body_hash) {
+    context_.outbox.Push(CallerFeed::ErrorReply(
+        submission.caller, ResultCode::kKeyReused,
+        std::string(Describe(ResultCode::kKeyReused).message),
+        submission.public_key, Duration::zero()));
+    return;
+  }
+  context_.feed.Open(submission.caller, submission.key, submission.public_key,
+                     submission.stream);
+  if (known != nullptr) {
+    Join(*known, &submission);
+    return;
+  }
+  EntryRequest& request = context_.requests.Add(submission.key);
+  Fill(request, submission);
+  Begin(request);
+}
+
+void RequestController::Fill(EntryRequest& request, Submission& submission) {
+  request.public_key = submission.public_key;
+  request.minted = submission.minted;
+  request.observer = false;
+  request.terms = std::move(submission.terms);
+  request.body_hash = submission.body_hash;
+  request.payload = std::move(submission.payload);
+  request.arrived = context_.clock.Now();
+  request.deadline.reset();
+  if (submission.deadline.has_value()) {
+    request.deadline = request.arrived + *submission.deadline;
+  }
+}
+
+void RequestController::Begin(EntryRequest& request) {
+  request.attempts = 0;
+  request.sealed_away = 0;
+  request.silent_since.reset();
+  if (request.terms.repeatable) {
+    // Running twice does no harm, so nobody needs to be asked.
+    dispatch_.Admit(request);
+  } else {
+    ownership_.Claim(request);
+  }
+}
+
+void RequestController::Observe(CallerId caller,
+                                const RequestKey& key,
+                                const std::string& public_key,
+                                const std::string& team) {
+  context_.feed.Open(caller, key, public_key, /*stream=*/false);
+  if (EntryRequest* known = context_.requests.Find(key)) {
+    Join(*known, nullptr);
+    return;
+  }
+  EntryRequest& request = context_.requests.Add(key);
+  request.public_key = public_key;
+  request.observer = true;
+  request.terms.team = team;
+  request.arrived = context_.clock.Now();
+  ownership_.Look(request);
+}
+
+void RequestController::Join(EntryRequest& request, Submission* submission) {
+  if (submission != nullptr && request.observer) {
+    Fill(request, *submission);
+  }
+  switch (request.state) {
+    case State::kRunning:
+    case State::kFollowing:
+      dispatch_.Follow(request);
+      return;
+    case State::kDone:
+      break;
+    default:
+      return;
+  }
+  const Outcome outcome = Describe(request.result).outcome;
+  if (outcome == Outcome::kNotRun && submission != nullptr) {
+    Fill(request, *submission);
+    Begin(request);
+    return;
+  }
+  if (outcome == Outcome::kNotRun || request.agent.empty()) {
+    Conclude(request, request.result);
+    return;
+  }
+  // Answered, or unknown with an agent that may have the answer after all.
+  request.state = State::kFollowing;
+  dispatch_.Follow(request);
+}
+
+void RequestController::Conclude(EntryRequest& request, ResultCode code) {
+  const ResultCodeInfo& info = Describe(code);
+  dispatch_.Release(request);
+  request.state = State::kDone;
+  request.result = code;
+  request.silent_since.reset();
+  request.seal_pending.clear();
+  context_.Note(request, "outcome: " + std::string(info.name));
+  context_.log.Info(
+      "request_done",
+      {{"key", request.key.ToString()},
+       {"team", request.terms.team},
+       {"tier", request.terms.tier_name},
+       {"outcome", OutcomeName(info.outcome)},
+       {"code", static_cast<uint32_t>(code)},
+       {"result", info.name},
+       {"took_ms", ToMilliseconds(context_.clock.Now() - request.arrived)}});
+  context_.metrics.Add("requests_total{tier=\"" + request.terms.tier_name +
+                       "\",result=\"" + std::string(info.name) + "\"}");
+  // Told at once: a caller that waits for a request given up long ago would
+  // lose the time in which it could try elsewhere.
+  if (info.outcome != Outcome::kAnswered) {
+    const Duration retry_after = dispatch_.RetryAfter(request, code);
+    for (const SubscriptionId id : context_.feed.Of(request.key)) {
+      context_.feed.Fail(id, code, retry_after);
+    }
+  }
+  context_.NotifyWatchers(request);
+  const bool nothing_to_keep =
+      request.observer || code == ResultCode::kKeyReused ||
+      (request.terms.repeatable && info.outcome == Outcome::kNotRun);
+  request.payload = Payload();
+  // A refused request must not stand in the way of the right one for its key.
+  request.observer |= code == ResultCode::kKeyReused;
+  // Erased by the next Tick: whoever called may still hold the reference.
+  const TimePoint now = context_.clock.Now();
+  context_.requests.SetTimer(
+      request, nothing_to_keep ? now : now + context_.options.keep_ended);
+}
+
+bool RequestController::Cancel(const RequestKey& key) {
+  EntryRequest* request = context_.requests.Find(key);
+  if (request == nullptr) {
+    return false;
+  }
+  lavenderkeel::Cancel cancel;
+  cancel.key = ToWire(key);
+  const bool at_agent =
+      request->at_agent() || request->state == State::kFollowing;
+  if (at_agent) {
+    if (const auto link = context_.members.LinkTo(request->agent)) {
+      context_.outbox.Send(*link, std::move(cancel));
+    }
+  } else if (request->state == State::kLocating) {
+    if (const auto link = context_.members.LinkTo(request->held.owner)) {
+      context_.outbox.Send(*link, std::move(cancel));
+    }
+  } else if (request->waiting()) {
+    Conclude(*request, ResultCode::kCancelledWaiting);
+  }
+  return true;
+}
+
+void RequestController::OnCallerGone(CallerId caller) {
+  const std::optional<RequestKey> key = context_.feed.OnCallerGone(caller);
+  EntryRequest* request =
+      key.has_value() ? context_.requests.Find(*key) : nullptr;
+  if (request == nullptr || !context_.feed.Of(*key).empty()) {
+    return;
+  }
+  // The caller of work that may not be repeated comes back for its answer;
+  // repeatable work that nobody waits for is given up.
+  if (request->terms.repeatable && !request->observer) {
+    Cancel(*key);
+  }
+}
+
+EntryRequest* RequestController::FindFor(LinkId link,
+                                         const fbs::Key& key,
+                                         PeerId& peer) {
+  const Member* member = context_.members.FindByLink(link);
+  if (member == nullptr) {
+    return nullptr;
+  }
+  peer = member->info.id;
+  return context_.requests.Find(FromWire(key));
+}
+
+void RequestController::OnMessage(LinkId link, const Message& message) {
+  PeerId peer;
+  if (const auto* offer = std::get_if<SlotOffer>(&message)) {
+    dispatch_.OnSlotOffer(link, *offer);
+  } else if (const auto* started = std::get_if<Started>(&message)) {
+    if (EntryRequest* request = FindFor(link, started->key, peer)) {
+      if (request->state == State::kSealing) {
+        ownership_.OnFound(*request, peer);
+      } else {
+        dispatch_.OnStarted(*request, peer);
+      }
+    }
+  } else if (const auto* rejected = std::get_if<Rejected>(&message)) {
+    if (EntryRequest* request = FindFor(link, rejected->key, peer)) {
+      dispatch_.OnRejected(*request, peer,
+                           Describe(static_cast<ResultCode>(rejected->code)).code);
+    }
+  } else if (const auto* not_here = std::get_if<NotHere>(&message)) {
+    OnNotHere(link, *not_here);
+  } else if (const auto* chunk = std::get_if<Chunk>(&message)) {
+    context_.feed.OnChunk(link, *chunk);
+  } else if (const auto* finish = std::get_if<Finished>(&message)) {
+    OnFinish(link, *finish);
+  } else if (const auto* locate = std::get_if<Locate>(&message)) {
+    ownership_.OnLocate(link, *locate);
+  } else if (const auto* located = std::get_if<Located>(&message)) {
+    ownership_.OnLocated(link, *located);
+  } else if (const auto* cancel = std::get_if<lavenderkeel::Cancel>(&message)) {
+    Cancel(FromWire(cancel->key));
+  }
+}
+
+void RequestController::OnNotHere(LinkId link, const NotHere& reply) {
+  PeerId peer;
+  EntryRequest* request = FindFor(link, reply.key, peer);
+  if (request == nullptr) {
+    return;
+  }
+  if (request->state == State::kSealing) {
+    ownership_.OnNotHere(*request, peer);
+  } else if (request->at_agent() && request->agent == peer &&
+             reply.subscription == 0) {
+    dispatch_.OnNeverArrived(*request);
+  } else if (reply.subscription != 0 && !request->at_agent()) {
+    context_.feed.Fail(reply.subscription, ResultCode::kAnswerGone,
+                       Duration::zero());
+    if (request->state == State::kFollowing) {
+      Conclude(*request, ResultCode::kAnswerGone);
+    }
+  }
+}
+
+void RequestController::OnFinish(LinkId link, const Finished& finish) {
+  PeerId peer;
+  EntryRequest* request = FindFor(link, finish.key, peer);
+  const auto code = Describe(static_cast<ResultCode>(finish.code)).code;
+  if (finish.subscription != 0) {
+    context_.feed.OnFinish(finish);
+    const bool follows = request == nullptr ||
+                         request->state == State::kFollowing ||
+                         request->state == State::kDone;
+    if (follows && code != ResultCode::kAnswered) {
+      context_.feed.Fail(finish.subscription, code, Duration::zero());
+    }
+    if (request != nullptr && request->state == State::kFollowing &&
+        request->agent == peer && context_.feed.Of(request->key).empty()) {
+      Conclude(*request, code);
+    }
+    return;
+  }
+  if (request == nullptr) {
+    return;
+  }
+  if (request->state == State::kSealing) {
+    // It ran there, and the answer is not kept any more.
+    request->agent = peer;
+    Conclude(*request, code);
+  } else if (request->at_agent() && request->agent == peer) {
+    dispatch_.OnRunEnded(*request, code);
+  }
+}
+
+void RequestController::OnAgentUp(const PeerId& agent) {
+  ownership_.OnAgentUp(agent);
+  dispatch_.OnAgentUp(agent);
+}
+
+void RequestController::OnAgentLost(const PeerId& agent) {
+  dispatch_.OnAgentLost(agent);
+}
+
+void RequestController::OnEntryUp(const PeerId& entry) {
+  ownership_.OnEntryUp(entry);
+}
+
+void RequestController::OnEntryLost(const PeerId& entry) {
+  ownership_.OnEntryLost(entry);
+}
+
+void RequestController::Tick() {
+  for (const RequestKey& key :
+       context_.requests.TakeDue(context_.clock.Now())) {
+    EntryRequest* request = context_.requests.Find(key);
+    if (request == nullptr) {
+      continue;
+    }
+    if (request->state == State::kDone) {
+      if (context_.feed.Of(key).empty()) {
+        context_.requests.Erase(key);
+      } else {
+        context_.requests.SetTimer(
+            *request, context_.clock.Now() + context_.options.keep_ended);
+      }
+    } else if (request->state == State::kSealing) {
+      ownership_.OnSealTimer(*request);
+    } else {
+      dispatch_.OnTimer(*request);
+    }
+  }
+}
+
+size_t RequestController::active() const {
+  return context_.requests
+      .Select([](const EntryRequest& request) {
+        return request.state != State::kDone;
+      })
+      .size();
+}
+
+bool RequestController::Idle() const {
+  return active() == 0 && context_.feed.size() == 0;
+}
+
+const EntryRequest* RequestController::Explain(
+    const std::string& public_key) const {
+  const std::vector<RequestKey> keys =
+      context_.requests.Select([&public_key](const EntryRequest& request) {
+        return request.public_key == public_key;
+      });
+  return keys.empty() ? nullptr : context_.requests.Find(keys.front());
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/gate.h
@@ -0,0 +1,10 @@
+// Module gate: the agent's side of a request, from reservation to kept answer.
+#ifndef LAVENDERKEEL_GATE_H_
+#define LAVENDERKEEL_GATE_H_
+
+#include "lavenderkeel/gate/agent_node.h"
+#include "lavenderkeel/gate/answer_feed.h"
+#include "lavenderkeel/gate/gate_controller.h"
+#include "lavenderkeel/gate/run_table.h"
+
+#endif  // LAVENDERKEEL_GATE_H_
--- /dev/null
+++ b/lavenderkeel/gate/agent_node.cc
@@ -0,0 +1,173 @@
+#include "lavenderkeel/gate/agent_node.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace lavenderkeel {
+
+namespace json = boost::json;
+
+AgentNode::AgentNode(Options options,
+                     InstanceInfo self,
+                     const Clock& clock,
+                     uint64_t random_seed,
+                     const EventLog& log,
+                     Metrics& metrics)
+    : options_(std::move(options)),
+      clock_(clock),
+      log_(log),
+      random_(random_seed),
+      platform_(outbox_),
+      members_(options_.members,
+               std::move(self),
+               clock,
+               random_,
+               outbox_,
+               [this] {
+                 Heartbeat heartbeat;
+                 heartbeat.leaving = leaving_;
+                 heartbeat.serves = {options_.serves};
+                 gate_.FillLoad(heartbeat);
+                 return heartbeat;
+               }),
+      gate_(options_.gate, clock, members_, log, metrics, outbox_),
+      registration_(options_.registration,
+                    members_.self(),
+                    clock,
+                    random_,
+                    platform_,
+                    [](const std::vector<InstanceInfo>&) {}),
+      fence_update_(
+          {.object = "lavenderkeel/servers/" + members_.self().id.instance,
+           .next = [this](const std::optional<std::string>&
+                              present) { return NextFence(present); },
+           .done = nullptr},
+          clock,
+          random_,
+          platform_),
+      gap_(options_.members.heartbeat_timeout) {}
+
+void AgentNode::Start(const std::string& address) {
+  members_.set_address(address);
+  for (const std::string& seed : options_.seeds) {
+    members_.AddSeed(seed);
+  }
+  registration_.Start();
+  fence_update_.Start();
+}
+
+std::optional<std::string> AgentNode::NextFence(
+    const std::optional<std::string>& present) {
+  uint64_t fence = 0;
+  uint64_t incarnation = 0;
+  if (present.has_value()) {
+    boost::system::error_code error;
+    const json::value value = json::parse(*present, error);
+    if (!error && value.is_object()) {
+      const json::object& object = value.get_object();
+      const json::value* old_fence = object.if_contains("fence");
+      const json::value* holder = object.if_contains("incarnation");
+      fence = old_fence != nullptr ? old_fence->to_number<uint64_t>(error) : 0;
+      incarnation = holder != nullptr ? holder->to_number<uint64_t>(error) : 0;
+    }
+  }
+  const uint64_t own = members_.self().id.incarnation;
+  if (incarnation == own) {
+    fence_ = fence;
+    return std::nullopt;
+  }
+  fence_ = fence + 1;
+  return json::serialize(
+      json::object{{"fence", fence + 1}, {"incarnation", own}});
+}
+
+void AgentNode::CheckGap() {
+  if (gap_.Check(clock_.Now())) {
+    log_.Warn("gap_noticed", {{"instance", members_.self().id.instance}});
+    members_.ForgiveSilence();
+  }
+}
+
+void AgentNode::Tick() {
+  CheckGap();
+  members_.Tick();
+  registration_.Tick();
+  fence_update_.Tick();
+  gate_.Tick();
+}
+
+bool AgentNode::OnLinkUp(LinkId link,
+                         const InstanceInfo& peer,
+                         const std::string& dialed) {
+  CheckGap();
+  return members_.OnLinkUp(link, peer, dialed);
+}
+
+void AgentNode::OnLinkDown(LinkId link) {
+  CheckGap();
+  gate_.OnLinkDown(link);
+  members_.OnLinkDown(link);
+}
+
+void AgentNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
+}
+
+void AgentNode::OnMessage(LinkId link, Message message) {
+  CheckGap();
+  const Member* peer = members_.FindByLink(link);
+  if (peer == nullptr) {
+    // A replaced link of the peer: what still comes on it is of the past.
+    return;
+  }
+  members_.OnHeard(link);
+  std::visit(
+      [this, link](auto& body) {
+        using T = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<T, Heartbeat>) {
+          members_.OnHeartbeat(link, body);
+        } else if constexpr (std::is_same_v<T, Reserve>) {
+          gate_.OnReserve(link, body);
+        } else if constexpr (std::is_same_v<T, Withdraw>) {
+          gate_.OnWithdraw(link, body);
+        } else if constexpr (std::is_same_v<T, Go>) {
+          gate_.OnGo(link, std::move(body));
+        } else if constexpr (std::is_same_v<T, Attach>) {
+          gate_.OnAttach(link, body);
+        } else if constexpr (std::is_same_v<T, Ack>) {
+          gate_.OnAck(link, body);
+        } else if constexpr (std::is_same_v<T, Detach>) {
+          gate_.OnDetach(link, body);
+        } else if constexpr (std::is_same_v<T, Cancel>) {
+          gate_.OnCancel(body);
+        } else if constexpr (std::is_same_v<T, AgentPolicy>) {
+          gate_.OnPolicy(body);
+        }
+      },
+      message);
+}
+
+void AgentNode::OnPlatformReply(PlatformCallId call,
+                                const PlatformReply& reply) {
+  platform_.OnReply(call, reply);
+}
+
+void AgentNode::Leave() {
+  if (std::exchange(leaving_, true)) {
+    return;
+  }
+  log_.Info("leaving", {{"instance", members_.self().id.instance}});
+  left_at_ = clock_.Now();
+  members_.set_leaving();
+  gate_.Leave();
+  members_.AnnounceNow();
+  registration_.Leave();
+}
+
+bool AgentNode::CanExit() const {
+  // The notice has to reach the entries before the sockets close.
+  constexpr auto kNoticeTime = std::chrono::milliseconds(100);
+  return leaving_ && gate_.Idle() && clock_.Now() - left_at_ > kNoticeTime;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/gate/agent_node.h
@@ -0,0 +1,85 @@
+#ifndef LAVENDERKEEL_GATE_AGENT_NODE_H_
+#define LAVENDERKEEL_GATE_AGENT_NODE_H_
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/base.h"
+#include "lavenderkeel/gate/gate_controller.h"
+#include "lavenderkeel/membership.h"
+#include "lavenderkeel/platform.h"
+
+namespace lavenderkeel {
+
+/// Everything that an agent process decides, without its sockets.
+///
+/// Whoever drives it hands in events and carries out the actions that it then
+/// finds in the outbox.
+class AgentNode {
+ public:
+  struct Options {
+    MemberTable::Options members;
+    GateController::Options gate;
+    Registration::Options registration = {.read_list = false};
+    std::vector<std::string> seeds;
+    /// What the backend server offers: "engine" or "service/NAME".
+    std::string serves = "engine";
+  };
+
+  AgentNode(Options options,
+            InstanceInfo self,
+            const Clock& clock,
+            uint64_t random_seed,
+            const EventLog& log,
+            Metrics& metrics);
+
+  Outbox& outbox() { return outbox_; }
+  GateController& gate() { return gate_; }
+  MemberTable& members() { return members_; }
+
+  /// @param address the peer address really bound
+  void Start(const std::string& address);
+  void Tick();
+  bool OnLinkUp(LinkId link,
+                const InstanceInfo& peer,
+                const std::string& dialed);
+  void OnLinkDown(LinkId link);
+  void OnDialFailed(const std::string& address);
+  void OnMessage(LinkId link, Message message);
+  void OnPlatformReply(PlatformCallId call, const PlatformReply& reply);
+
+  /// Begins the graceful shutdown.
+  void Leave();
+  /// True once nothing would be cut by the end of the process.
+  bool CanExit() const;
+
+  /// The fencing number of this incarnation; 0 while the platform has not
+  /// given one.
+  uint64_t fence() const { return fence_; }
+
+ private:
+  void CheckGap();
+  std::optional<std::string> NextFence(
+      const std::optional<std::string>& present);
+
+  Options options_;
+  const Clock& clock_;
+  const EventLog& log_;
+  std::mt19937_64 random_;
+  Outbox outbox_;
+  PlatformPort platform_;
+  MemberTable members_;
+  GateController gate_;
+  Registration registration_;
+  ConditionalUpdate fence_update_;
+  GapDetector gap_;
+  uint64_t fence_ = 0;
+  bool leaving_ = false;
+  TimePoint left_at_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_GATE_AGENT_NODE_H_
--- /dev/null
+++ b/lavenderkeel/gate/answer_feed.cc
@@ -0,0 +1,115 @@
+#include "lavenderkeel/gate/answer_feed.h"
+
+#include <algorithm>
+
+#include "lavenderkeel/base/rendezvous.h"
+
+namespace lavenderkeel {
+
+AnswerFeed::ReaderId AnswerFeed::MakeId(LinkId link,
+                                        uint64_t subscription,
+                                        const RequestKey& key) {
+  return {link, {subscription, subscription == 0 ? key : RequestKey()}};
+}
+
+void AnswerFeed::Subscribe(LinkId link,
+                           uint64_t subscription,
+                           const RequestKey& key,
+                           uint64_t offset) {
+  const ReaderId id = MakeId(link, subscription, key);
+  const auto [position, inserted] = readers_.try_emplace(id);
+  position->second = {.key = key, .sent = offset, .acked = offset};
+  if (inserted) {
+    by_key_.emplace(key, id);
+  }
+  OnProgress(key);
+}
+
+void AnswerFeed::Ack(LinkId link, uint64_t subscription, uint64_t offset) {
+  const auto found = readers_.find(MakeId(link, subscription, {}));
+  if (found == readers_.end()) {
+    return;
+  }
+  Reader& reader = found->second;
+  reader.acked = std::clamp(offset, reader.acked, reader.sent);
+  OnProgress(RequestKey(reader.key));
+}
+
+void AnswerFeed::Unsubscribe(LinkId link, uint64_t subscription) {
+  const auto found = readers_.find(MakeId(link, subscription, {}));
+  if (found == readers_.end()) {
+    return;
+  }
+  const auto [first, last] = by_key_.equal_range(found->second.key);
+  const auto entry = std::find_if(
+      first, last, [&](const auto& item) { return item.second == found->first; });
+  if (entry != last) {
+    by_key_.erase(entry);
+  }
+  readers_.erase(found);
+}
+
+void AnswerFeed::DropLink(LinkId link) {
+  std::erase_if(by_key_,
+                [link](const auto& item) { return item.second.first == link; });
+  std::erase_if(readers_,
+                [link](const auto& item) { return item.first.first == link; });
+}
+
+void AnswerFeed::OnProgress(const RequestKey& key) {
+  auto [position, last] = by_key_.equal_range(key);
+  while (position != last) {
+    const auto reader = readers_.find(position->second);
+    if (Pump(reader->first, reader->second)) {
+      readers_.erase(reader);
+      position = by_key_.erase(position);
+    } else {
+      ++position;
+    }
+  }
+}
+
+bool AnswerFeed::Pump(const ReaderId& id, Reader& reader) {
+  const auto& [link, name] = id;
+  const uint64_t subscription = name.first;
+  const Run* run = runs_.Find(reader.key);
+  if (run == nullptr) {
+    return true;
+  }
+  const uint64_t length = run->answer.size();
+  const bool ended = run->state == Run::State::kFinished ||
+                     run->state == Run::State::kGone;
+  // Nobody needs the rest of what will never be whole.
+  const bool failed = ended && run->code != ResultCode::kAnswered;
+  while (subscription != 0 && !failed && reader.sent < length &&
+         reader.sent - reader.acked < kWindow) {
+    const size_t count =
+        std::min({static_cast<size_t>(length - reader.sent), kMaxChunk,
+                  static_cast<size_t>(kWindow - (reader.sent - reader.acked))});
+    Chunk chunk;
+    chunk.subscription = subscription;
+    chunk.offset = reader.sent;
+    const auto begin =
+        run->answer.begin() + static_cast<ptrdiff_t>(reader.sent);
+    chunk.bytes.assign(begin, begin + static_cast<ptrdiff_t>(count));
+    outbox_.Send(link, std::move(chunk));
+    reader.sent += count;
+  }
+  if (!ended || (subscription != 0 && !failed && reader.sent < length)) {
+    return false;
+  }
+  Finished finish;
+  finish.key = ToWire(reader.key);
+  finish.subscription = subscription;
+  const bool gone = run->state == Run::State::kGone && subscription != 0;
+  finish.code = static_cast<uint32_t>(gone ? ResultCode::kAnswerGone
+                                           : run->code);
+  finish.length = length;
+  // Failure: bytes are lost or mixed on the way. Symptom: a cut answer that
+  // looks whole. The reader compares both before it ends the caller's answer.
+  finish.checksum = HashBytes(run->answer);
+  outbox_.Send(link, std::move(finish));
+  return true;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/gate/answer_feed.h
@@ -0,0 +1,60 @@
+#ifndef LAVENDERKEEL_GATE_ANSWER_FEED_H_
+#define LAVENDERKEEL_GATE_ANSWER_FEED_H_
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/gate/run_table.h"
+
+namespace lavenderkeel {
+
+/// Sends answers to the entries that subscribed, each from its own offset.
+///
+/// At most a window of bytes is on the way to a subscriber: a slow caller
+/// costs the entry one window of memory, not the whole answer.
+class AnswerFeed {
+ public:
+  static constexpr size_t kWindow = size_t{256} << 10;
+  static constexpr size_t kMaxChunk = size_t{64} << 10;
+
+  AnswerFeed(RunTable& runs, Outbox& outbox) : runs_(runs), outbox_(outbox) {}
+
+  /// Subscription 0 gets no bytes, only the end.
+  void Subscribe(LinkId link,
+                 uint64_t subscription,
+                 const RequestKey& key,
+                 uint64_t offset);
+  void Ack(LinkId link, uint64_t subscription, uint64_t offset);
+  void Unsubscribe(LinkId link, uint64_t subscription);
+  void DropLink(LinkId link);
+  /// The answer grew or ended.
+  void OnProgress(const RequestKey& key);
+  bool HasReaders() const { return !readers_.empty(); }
+  bool HasReaders(const RequestKey& key) const { return by_key_.contains(key); }
+
+ private:
+  /// Control subscriptions are per key, others are unique in a link.
+  using ReaderId = std::pair<LinkId, std::pair<uint64_t, RequestKey>>;
+  struct Reader {
+    RequestKey key;
+    uint64_t sent = 0;
+    uint64_t acked = 0;
+  };
+
+  static ReaderId MakeId(LinkId link,
+                         uint64_t subscription,
+                         const RequestKey& key);
+  /// Sends what the window allows; true once the end was sent.
+  bool Pump(const ReaderId& id, Reader& reader);
+
+  RunTable& runs_;
+  Outbox& outbox_;
+  std::map<ReaderId, Reader> readers_;
+  std::multimap<RequestKey, ReaderId> by_key_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_GATE_ANSWER_FEED_H_
--- /dev/null
+++ b/lavenderkeel/gate/answer_lines.cc
@@ -0,0 +1,31 @@
+#include "lavenderkeel/gate/answer_lines.h"
+
+#include <boost/json.hpp>
+
+namespace lavenderkeel::internal {
+
+namespace json = boost::json;
+
+std::string TextLine(std::string_view text) {
+  return json::serialize(json::object{{"text", text}}) + "\n";
+}
+
+std::string ServiceLine(int status, std::string_view content_type) {
+  return json::serialize(json::object{{"status", status},
+                                      {"content_type", content_type}}) +
+         "\n";
+}
+
+std::string WithRequestId(const std::string& body,
+                          const std::string& request_id) {
+  boost::system::error_code error;
+  json::value document = json::parse(body, error);
+  if (error || !document.is_object()) {
+    return body;
+  }
+  document.get_object()["request_id"] = request_id;
+  document.get_object()["stream"] = true;
+  return json::serialize(document);
+}
+
+}  // namespace lavenderkeel::internal
--- /dev/null
+++ b/lavenderkeel/gate/gate_controller.h
@@ -0,0 +1,145 @@
+#ifndef LAVENDERKEEL_GATE_GATE_CONTROLLER_H_
+#define LAVENDERKEEL_GATE_GATE_CONTROLLER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/admission.h"
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/base/metrics.h"
+#include "lavenderkeel/gate/answer_feed.h"
+#include "lavenderkeel/gate/run_table.h"
+#include "lavenderkeel/membership/member_table.h"
+
+namespace lavenderkeel {
+
+/// How a run's connection to the backend server ended before the answer did.
+enum class ServerEnd {
+  /// No connection came about, so nothing ran.
+  kUnreachable,
+  /// The connection broke; the run may go on.
+  kBroken,
+  /// The server does not know the stream (any more) or refused the request.
+  kRefused,
+};
+
+/// The only path to one backend server.
+///
+/// Engines know no priorities and admit requests as they arrive, and several
+/// entries can't order work between them. Here every request of the server is
+/// seen, so tier order, the in-flight limit, cancelling, and "was it started?"
+/// are exact and local.
+class GateController {
+ public:
+  struct Options {
+    ReservationQueue::Options queue;
+    InFlightLimit::Options in_flight;
+    RunTable::Options runs;
+    /// Reservations asked for their body before a slot is free: hides the
+    /// round trip to the entry.
+    uint32_t lookahead = 1;
+    /// How long an entry may take to send the body it was asked for.
+    Duration offer_timeout = std::chrono::seconds(1);
+    /// How long a deadline-bound reservation waits before it preempts.
+    Duration preempt_after = std::chrono::milliseconds(30);
+    /// Without an event for so long an engine's stream is read anew.
+    Duration stream_silence = std::chrono::seconds(5);
+    uint32_t max_resumes = 20;
+    size_t max_answer_bytes = size_t{8} << 20;
+    size_t max_waiting = 20'000;
+  };
+
+  GateController(Options options,
+                 const Clock& clock,
+                 const MemberTable& members,
+                 const EventLog& log,
+                 Metrics& metrics,
+                 Outbox& outbox);
+
+  // From entries.
+  void OnReserve(LinkId link, const Reserve& reserve);
+  void OnWithdraw(LinkId link, const Withdraw& withdraw);
+  void OnGo(LinkId link, Go go);
+  void OnAttach(LinkId link, const Attach& attach);
+  void OnAck(LinkId link, const Ack& ack);
+  void OnDetach(LinkId link, const Detach& detach);
+  void OnCancel(const Cancel& cancel);
+  void OnPolicy(const AgentPolicy& policy);
+  void OnLinkDown(LinkId link);
+
+  // From the backend server.
+  void OnServerText(RunId run, uint64_t index, std::string_view text);
+  void OnServerFinish(RunId run, std::string_view finish_json);
+  void OnServiceReply(RunId run,
+                      int status,
+                      std::string_view content_type,
+                      std::string_view body);
+  void OnServerEnd(RunId run, ServerEnd end);
+  /// The server confirmed that a cancelled run is over, or can't be asked.
+  void OnServerCancelled(RunId run);
+
+  void Tick();
+  /// Takes no new work; what waits is sent back to its entries at once.
+  void Leave();
+  /// True when nothing runs and no answer is on its way.
+  bool Idle() const;
+
+  void FillLoad(Heartbeat& heartbeat) const;
+  uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
+  const RunTable& runs() const { return runs_; }
+
+ private:
+  struct Offered {
+    Reservation reservation;
+    TimePoint expires;
+  };
+
+  void Reject(LinkId link,
+              const RequestKey& key,
+              uint64_t subscription,
+              ResultCode code);
+  void OfferSlots();
+  bool TierOpen(uint32_t tier) const;
+  uint32_t InFlightOfTier(uint32_t tier) const;
+  uint32_t committed() const;
+  void StartReady();
+  void Start(const RequestKey& key, Run& run);
+  void FinishRun(const RequestKey& key, ResultCode code);
+  void Resume(RunId id, Run& run);
+  void CancelAtServer(Run& run);
+  void PreemptFor(const Reservation& reservation);
+  const Run* CheapestVictim(uint32_t tier) const;
+  void ExpireOffers(TimePoint now);
+  void ResumeSilent(TimePoint now);
+  void RejectWaiting(const std::vector<RequestKey>& keys, ResultCode code);
+  std::optional<PeerId> PeerOf(LinkId link) const;
+
+  Options options_;
+  const Clock& clock_;
+  const MemberTable& members_;
+  const EventLog& log_;
+  Metrics& metrics_;
+  Outbox& outbox_;
+  ReservationQueue queue_;
+  InFlightLimit limit_;
+  SpeedModel speed_;
+  RunTable runs_;
+  AnswerFeed feed_;
+  std::map<RequestKey, Offered> offered_;
+  std::map<uint64_t, RequestKey> ready_;
+  uint64_t last_ready_ = 0;
+  std::set<RunId> running_;
+  std::map<RunId, uint32_t> cancelling_;
+  RunId last_run_ = 0;
+  AgentPolicy policy_;
+  bool leaving_ = false;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_GATE_GATE_CONTROLLER_H_
--- /dev/null
+++ b/lavenderkeel/gate/run_table.h
@@ -0,0 +1,108 @@
+#ifndef LAVENDERKEEL_GATE_RUN_TABLE_H_
+#define LAVENDERKEEL_GATE_RUN_TABLE_H_
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/admission/reservation.h"
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/result_code.h"
+
+namespace lavenderkeel {
+
+/// What an agent knows of one request key.
+struct Run {
+  enum class State {
+    /// Not here; later starts are refused to all but `allowed`.
+    kSealed,
+    /// Accepted, waits for a slot at the server.
+    kReady,
+    kRunning,
+    kFinished,
+    /// Ran here, the answer is no longer kept.
+    kGone,
+  };
+
+  State state = State::kSealed;
+  /// The entry incarnation that may start it.
+  PeerId allowed;
+  Reservation reservation;
+  Go go;
+  RunId run = 0;
+  std::string request_id;
+  ResultCode code = ResultCode::kAnswered;
+  std::string answer;
+  uint64_t next_index = 0;
+  TimePoint started;
+  std::optional<TimePoint> first_token;
+  TimePoint last_event;
+  uint32_t resumes = 0;
+
+  bool started_here() const {
+    return state == State::kReady || state == State::kRunning ||
+           state == State::kFinished || state == State::kGone;
+  }
+};
+
+/// The runs of an agent by key, bounded in time and bytes.
+class RunTable {
+ public:
+  struct Options {
+    /// How long a key is remembered; at least the claims' retention.
+    Duration retention = std::chrono::minutes(11);
+    size_t kept_answer_bytes = size_t{16} << 20;
+    size_t remembered_keys = 200'000;
+  };
+
+  /// True while somebody still reads the answer of the key.
+  using InUse = std::function<bool(const RequestKey&)>;
+
+  explicit RunTable(Options options) : options_(options) {}
+
+  void set_in_use(InUse in_use) { in_use_ = std::move(in_use); }
+
+  Run* Find(const RequestKey& key);
+  const Run* Find(const RequestKey& key) const;
+  Run* FindByRun(RunId run);
+  const Run* FindByRun(RunId run) const;
+  const RequestKey* KeyOf(RunId run) const;
+  Run& Add(const RequestKey& key, TimePoint now);
+  void BindRun(const RequestKey& key, RunId run);
+  void UnbindRun(RunId run);
+  void Erase(const RequestKey& key);
+  /// Counts the answer of a finished run and drops the oldest over the bound.
+  void Keep(const RequestKey& key);
+  void Tick(TimePoint now);
+
+  /// True if the key may have been here and was forgotten: then nobody may
+  /// hear "not here" for it.
+  bool MayHaveForgotten(const RequestKey& key) const {
+    return key.first_sent() <= forgotten_until_;
+  }
+  size_t size() const { return runs_.size(); }
+  size_t kept_bytes() const { return kept_bytes_; }
+
+ private:
+  void DropOverBound();
+  void DropAnswer(Run& run);
+  void ForgetOldest();
+
+  Options options_;
+  InUse in_use_;
+  std::unordered_map<RequestKey, Run, RequestKeyHash> runs_;
+  std::unordered_map<RunId, RequestKey> by_run_;
+  std::deque<std::pair<TimePoint, RequestKey>> by_age_;
+  std::deque<RequestKey> kept_;
+  size_t kept_bytes_ = 0;
+  WallTime forgotten_until_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_GATE_RUN_TABLE_H_
--- /dev/null
+++ b/lavenderkeel/io/address.cc
@@ -0,0 +1,73 @@
+#include "lavenderkeel/io/address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+
+namespace lavenderkeel {
+
+std::optional<Address> Address::Parse(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  Address address{.host = text.substr(0, colon), .port = 0};
+  const bool bracketed = address.host.size() > 2 &&
+                         address.host.front() == '[' &&
+                         address.host.back() == ']';
+  if (bracketed) {
+    address.host = address.host.substr(1, address.host.size() - 2);
+  }
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data() + colon + 1, end, address.port);
+  in6_addr number{};
+  const int family = bracketed ? AF_INET6 : AF_INET;
+  const bool valid = error == std::errc() && stop == end &&
+                     inet_pton(family, address.host.c_str(), &number) == 1;
+  return valid ? std::optional(address) : std::nullopt;
+}
+
+socklen_t Address::ToSocketAddress(sockaddr_storage& storage) const {
+  storage = {};
+  if (host.find(':') != std::string::npos) {
+    auto* v6 = reinterpret_cast<sockaddr_in6*>(&storage);
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(port);
+    inet_pton(AF_INET6, host.c_str(), &v6->sin6_addr);
+    return sizeof(sockaddr_in6);
+  }
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&storage);
+  v4->sin_family = AF_INET;
+  v4->sin_port = htons(port);
+  inet_pton(AF_INET, host.c_str(), &v4->sin_addr);
+  return sizeof(sockaddr_in);
+}
+
+std::string Address::ToString() const {
+  const bool is_v6 = host.find(':') != std::string::npos;
+  return (is_v6 ? "[" + host + "]" : host) + ":" + std::to_string(port);
+}
+
+std::string BoundAddress(int socket) {
+  sockaddr_storage storage{};
+  socklen_t length = sizeof(storage);
+  auto* address = reinterpret_cast<sockaddr*>(&storage);
+  if (getsockname(socket, address, &length) != 0) {
+    return {};
+  }
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  const bool is_v6 = storage.ss_family == AF_INET6;
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(address);
+  auto* v4 = reinterpret_cast<sockaddr_in*>(address);
+  const void* number = is_v6 ? static_cast<const void*>(&v6->sin6_addr)
+                             : static_cast<const void*>(&v4->sin_addr);
+  inet_ntop(storage.ss_family, number, text.data(), text.size());
+  const uint16_t port = ntohs(is_v6 ? v6->sin6_port : v4->sin_port);
+  return Address{.host = text.data(), .port = port}.ToString();
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -0,0 +1,148 @@
+#include "lavenderkeel/io/entry_daemon.h"
+
+#include <csignal>
+#include <type_traits>
+#include <utility>
+
+#include "lavenderkeel/io/daemon_main.h"
+
+namespace lavenderkeel {
+
+EntryDaemon::EntryDaemon(EntrySettings settings, const EventLog& log)
+    : settings_(std::move(settings)),
+      log_(log),
+      http_client_(loop_),
+      node_(settings_.node,
+            settings_.common.self,
+            clock_,
+            settings_.common.self.id.incarnation,
+            log,
+            metrics_),
+      peers_(loop_, {}, node_.members().self(), log),
+      callers_(loop_,
+               settings_.http,
+               {.on_request =
+                    [this](const HttpRequest& request) { OnRequest(request); },
+                .on_drained =
+                    [this](CallerId caller) {
+                      node_.OnCallerDrained(caller);
+                      Settle();
+                    },
+                .on_gone =
+                    [this](CallerId caller) {
+                      node_.OnCallerGone(caller);
+                      Settle();
+                    },
+                .on_too_large =
+                    [this](CallerId caller) {
+                      callers_.Handle(CallerFeed::ErrorReply(
+                          caller, ResultCode::kBodyTooLarge,
+                          std::string(
+                              Describe(ResultCode::kBodyTooLarge).message),
+                          "", Duration::zero()));
+                    }}),
+      platform_(http_client_,
+                settings_.common.platform,
+                [this](PlatformCallId call, const PlatformReply& reply) {
+                  node_.OnPlatformReply(call, reply);
+                  Settle();
+                }) {
+  peers_.signal_up().connect([this](LinkId link, const InstanceInfo& peer,
+                                    const std::string& dialed) {
+    if (!node_.OnLinkUp(link, peer, dialed) && !dialed.empty()) {
+      node_.OnDialFailed(dialed);
+    }
+    Settle();
+  });
+  peers_.signal_message().connect([this](LinkId link, Message& message) {
+    node_.OnMessage(link, std::move(message));
+    Settle();
+  });
+  peers_.signal_down().connect([this](LinkId link) {
+    node_.OnLinkDown(link);
+    Settle();
+  });
+  peers_.signal_dial_failed().connect([this](const std::string& address) {
+    node_.OnDialFailed(address);
+    Settle();
+  });
+}
+
+int EntryDaemon::Run(const std::string& ready_file) {
+  constexpr int kCannotListenStatus = 1;
+  const auto peers = peers_.Listen(settings_.common.listen_peers);
+  const auto callers = callers_.Listen(settings_.listen_callers);
+  if (!peers.has_value() || !callers.has_value()) {
+    log_.Write(LogLevel::kError, "cannot_listen",
+               {{"peers", settings_.common.listen_peers},
+                {"callers", settings_.listen_callers}});
+    return kCannotListenStatus;
+  }
+  const std::string& advertised = settings_.common.self.address;
+  node_.Start(advertised.empty() ? *peers : advertised);
+  loop_.OnSignal(SIGTERM, [this] { node_.Leave(); });
+  loop_.OnSignal(SIGINT, [this] { node_.Leave(); });
+  loop_.Every(std::chrono::milliseconds(kTickMilliseconds),
+              [this] { OnTick(); });
+  log_.Info("listening", {{"instance", settings_.common.self.id.instance},
+                          {"callers", *callers},
+                          {"peers", *peers}});
+  WriteReadyFile(ready_file, {{"callers", *callers}, {"peers", *peers}});
+  Settle();
+  loop_.Run();
+  log_.Info("stopped", {{"instance", settings_.common.self.id.instance}});
+  return 0;
+}
+
+void EntryDaemon::OnTick() {
+  node_.Tick();
+  peers_.Tick(clock_.Now());
+  Settle();
+  if (node_.CanExit() && callers_.open() == 0) {
+    loop_.Stop();
+  }
+}
+
+void EntryDaemon::OnRequest(const HttpRequest& request) {
+  constexpr std::string_view kBearer = "Bearer ";
+  CallerRequest read{.caller = request.id,
+                     .method = request.method,
+                     .path = request.path,
+                     .query = request.query,
+                     .bearer = std::nullopt,
+                     .idempotency_key = request.header("Idempotency-Key"),
+                     .work = request.header("Lavenderkeel-Work"),
+                     .deadline_ms = request.header("Lavenderkeel-Deadline-Ms"),
+                     .body = request.body};
+  const auto authorization = request.header("Authorization");
+  if (authorization.has_value() && authorization->starts_with(kBearer)) {
+    read.bearer = authorization->substr(kBearer.size());
+  }
+  if (read.path == "/metrics") {
+    metrics_.Set("peer_bytes_sent", static_cast<double>(peers_.bytes_sent()));
+    metrics_.Set("peer_bytes_received",
+                 static_cast<double>(peers_.bytes_received()));
+  }
+  node_.OnCallerRequest(std::move(read));
+  Settle();
+}
+
+void EntryDaemon::Settle() {
+  runner_.Run(node_.outbox(), [this](auto& action) {
+    using T = std::decay_t<decltype(action)>;
+    if constexpr (std::is_same_v<T, SendMessage> ||
+                  std::is_same_v<T, CloseLink> || std::is_same_v<T, Dial>) {
+      peers_.Handle(action);
+    } else if constexpr (std::is_same_v<T, PlatformCall>) {
+      platform_.Handle(action);
+    } else if constexpr (std::is_same_v<T, ReplyWhole> ||
+                         std::is_same_v<T, ReplyHead> ||
+                         std::is_same_v<T, ReplyData> ||
+                         std::is_same_v<T, ReplyEnd> ||
+                         std::is_same_v<T, ReplyAbort>) {
+      callers_.Handle(std::move(action));
+    }
+  });
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/entry_daemon.h
@@ -0,0 +1,49 @@
+#ifndef LAVENDERKEEL_IO_ENTRY_DAEMON_H_
+#define LAVENDERKEEL_IO_ENTRY_DAEMON_H_
+
+#include <string>
+
+#include "lavenderkeel/base.h"
+#include "lavenderkeel/dispatch.h"
+#include "lavenderkeel/io/action_runner.h"
+#include "lavenderkeel/io/event_loop.h"
+#include "lavenderkeel/io/http_client.h"
+#include "lavenderkeel/io/http_server.h"
+#include "lavenderkeel/io/peer_port.h"
+#include "lavenderkeel/io/platform_client.h"
+#include "lavenderkeel/io/settings.h"
+
+namespace lavenderkeel {
+
+/// The entry process: an EntryNode with its sockets.
+class EntryDaemon {
+ public:
+  EntryDaemon(EntrySettings settings, const EventLog& log);
+
+  /// Binds, then runs until the graceful shutdown is over.
+  ///
+  /// @param ready_file written once the sockets are bound; may be empty
+  /// @return the exit status
+  int Run(const std::string& ready_file);
+
+ private:
+  void Settle();
+  void OnRequest(const HttpRequest& request);
+  void OnTick();
+
+  EntrySettings settings_;
+  const EventLog& log_;
+  SystemClock clock_;
+  Metrics metrics_;
+  EventLoop loop_;
+  HttpClient http_client_;
+  EntryNode node_;
+  PeerPort peers_;
+  HttpServer callers_;
+  PlatformClient platform_;
+  ActionRunner runner_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_IO_ENTRY_DAEMON_H_
--- /dev/null
+++ b/lavenderkeel/io/http_client.cc
@@ -0,0 +1,159 @@
+#include "lavenderkeel/io/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+evhttp_cmd_type MethodOf(const std::string& name) {
+  if (name == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (name == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (name == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  if (name == "PATCH") {
+    return EVHTTP_REQ_PATCH;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+std::string HeaderOf(evhttp_request* request, const char* name) {
+  const char* value =
+      evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  return value == nullptr ? "" : value;
+}
+
+std::string TakeInput(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  return bytes;
+}
+
+}  // namespace
+
+struct HttpClient::Pending {
+  HttpClient* client = nullptr;
+  CallId id = 0;
+  Call call;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;
+  bool done = false;
+};
+
+HttpClient::HttpClient(EventLoop& loop) : loop_(loop) {}
+
+HttpClient::~HttpClient() {
+  for (const auto& [id, pending] : pending_) {
+    pending->done = true;
+    evhttp_connection_free(pending->connection);
+  }
+}
+
+HttpClient::CallId HttpClient::Start(Call call) {
+  const CallId id = ++last_;
+  const std::optional<Address> address = Address::Parse(call.address);
+  if (!address.has_value()) {
+    loop_.Defer([on_done = std::move(call.on_done)] {
+      on_done({.kind = HttpResult::Kind::kNotSent});
+    });
+    return id;
+  }
+  auto pending = std::make_unique<Pending>();
+  Pending* raw = pending.get();
+  raw->client = this;
+  raw->id = id;
+  raw->call = std::move(call);
+  raw->connection = evhttp_connection_base_bufferevent_new(
+      loop_.base(), nullptr, nullptr, address->host.c_str(), address->port);
+  const int64_t seconds =
+      std::chrono::ceil<std::chrono::seconds>(raw->call.timeout).count();
+  evhttp_connection_set_timeout(raw->connection,
+                                static_cast<int>(std::max<int64_t>(1, seconds)));
+  raw->request = evhttp_request_new(
+      [](evhttp_request* request, void* arg) {
+        auto* self = static_cast<Pending*>(arg);
+        self->client->OnDoneInLibrary(*self, request);
+      },
+      raw);
+  if (raw->call.on_data) {
+    evhttp_request_set_chunked_cb(
+        raw->request, [](evhttp_request* request, void* arg) {
+          auto* self = static_cast<Pending*>(arg);
+          constexpr int kOk = 200;
+          if (!self->done &&
+              evhttp_request_get_response_code(request) == kOk) {
+            self->call.on_data(TakeInput(request));
+          }
+        });
+  }
+  evkeyvalq* headers = evhttp_request_get_output_headers(raw->request);
+  evhttp_add_header(headers, "Host", raw->call.address.c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  for (const auto& [name, value] : raw->call.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(raw->request),
+               raw->call.body.data(), raw->call.body.size());
+  pending_[id] = std::move(pending);
+  evhttp_make_request(raw->connection, raw->request,
+                      MethodOf(raw->call.method), raw->call.path.c_str());
+  return id;
+}
+
+void HttpClient::OnDoneInLibrary(Pending& pending, evhttp_request* request) {
+  if (pending.done) {
+    return;
+  }
+  pending.done = true;
+  HttpResult result;
+  if (request != nullptr) {
+    result.status = evhttp_request_get_response_code(request);
+    // The library reports a connection that never came about as status 0.
+    result.kind = result.status == 0 ? HttpResult::Kind::kNotSent
+                                     : HttpResult::Kind::kAnswered;
+    if (result.status != 0) {
+      result.etag = HeaderOf(request, "ETag");
+      result.content_type = HeaderOf(request, "Content-Type");
+      result.body = TakeInput(request);
+    }
+  }
+  pending.request = nullptr;
+  loop_.Defer([this, id = pending.id, result = std::move(result)] {
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+      return;
+    }
+    const std::unique_ptr<Pending> ended = std::move(found->second);
+    pending_.erase(found);
+    evhttp_connection_free(ended->connection);
+    ended->call.on_done(result);
+  });
+}
+
+void HttpClient::Cancel(CallId id) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) {
+    return;
+  }
+  // Freed later: this may be called from a hook of the call itself.
+  std::shared_ptr<Pending> ended = std::move(found->second);
+  pending_.erase(found);
+  ended->done = true;
+  loop_.Defer([ended] { evhttp_connection_free(ended->connection); });
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/http_server.cc
@@ -0,0 +1,237 @@
+#include "lavenderkeel/io/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <utility>
+
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+const char* MethodName(evhttp_cmd_type type) {
+  switch (type) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "HEAD";
+  }
+}
+
+std::string TakeBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+void AddHeaders(evhttp_request* request, const HttpHeaders& headers) {
+  evkeyvalq* out = evhttp_request_get_output_headers(request);
+  for (const auto& [name, value] : headers) {
+    evhttp_add_header(out, name.c_str(), value.c_str());
+  }
+}
+
+}  // namespace
+
+struct HttpServer::Exchange {
+  ~Exchange() {
+    if (hangup != nullptr) {
+      event_free(hangup);
+    }
+  }
+
+  HttpServer* server = nullptr;
+  CallerId id = 0;
+  evhttp_request* request = nullptr;
+  evhttp_connection* connection = nullptr;
+  event* hangup = nullptr;
+};
+
+HttpServer::HttpServer(EventLoop& loop, Options options, Hooks hooks)
+    : loop_(loop),
+      options_(options),
+      hooks_(std::move(hooks)),
+      http_(evhttp_new(loop.base())) {
+  // The library cuts off at twice the bound, so that up to there the caller
+  // gets our numbered refusal.
+  evhttp_set_max_body_size(http_,
+                           static_cast<ev_ssize_t>(2 * options_.max_body_bytes));
+  evhttp_set_max_headers_size(
+      http_, static_cast<ev_ssize_t>(options_.max_header_bytes));
+  evhttp_set_timeout(http_, options_.idle_seconds);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                        EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(
+      http_,
+      [](evhttp_request* request, void* self) {
+        static_cast<HttpServer*>(self)->OnHttp(request);
+      },
+      this);
+}
+
+HttpServer::~HttpServer() {
+  for (const auto& [id, exchange] : exchanges_) {
+    evhttp_connection_set_closecb(exchange->connection, nullptr, nullptr);
+  }
+  exchanges_.clear();
+  evhttp_free(http_);
+}
+
+std::optional<std::string> HttpServer::Listen(const std::string& text) {
+  const std::optional<Address> address = Address::Parse(text);
+  if (!address.has_value()) {
+    return std::nullopt;
+  }
+  socket_ = evhttp_bind_socket_with_handle(http_, address->host.c_str(),
+                                           address->port);
+  if (socket_ == nullptr) {
+    return std::nullopt;
+  }
+  return BoundAddress(evhttp_bound_socket_get_fd(socket_));
+}
+
+void HttpServer::StopListening() {
+  if (socket_ != nullptr) {
+    evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
+  }
+}
+
+void HttpServer::OnHttp(evhttp_request* request) {
+  const CallerId id = ++last_;
+  auto exchange = std::make_unique<Exchange>();
+  exchange->server = this;
+  exchange->id = id;
+  exchange->request = request;
+  exchange->connection = evhttp_request_get_connection(request);
+  evhttp_connection_set_closecb(
+      exchange->connection,
+      [](evhttp_connection*, void* arg) {
+        auto* gone = static_cast<Exchange*>(arg);
+        gone->server->OnClosed(gone->id);
+      },
+      exchange.get());
+  // While an answer is pending the library does not read, so it would not see
+  // the caller hang up; the hang-up itself is watched.
+  const int fd = bufferevent_getfd(
+      evhttp_connection_get_bufferevent(exchange->connection));
+  exchange->hangup = event_new(
+      loop_.base(), fd, EV_CLOSED,
+      [](evutil_socket_t, short, void* arg) {
+        auto* gone = static_cast<Exchange*>(arg);
+        evhttp_connection_free(gone->connection);
+      },
+      exchange.get());
+  event_add(exchange->hangup, nullptr);
+  exchanges_[id] = std::move(exchange);
+
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* path = evhttp_uri_get_path(uri);
+  const char* query = evhttp_uri_get_query(uri);
+  HttpRequest read{.id = id,
+                   .method = MethodName(evhttp_request_get_command(request)),
+                   .path = path == nullptr ? "" : path,
+                   .query = query == nullptr ? "" : query,
+                   .body = TakeBody(request),
+                   .header = nullptr};
+  read.header = [request](const char* name) -> std::optional<std::string> {
+    const char* value = evhttp_find_header(
+        evhttp_request_get_input_headers(request), name);
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  };
+  if (read.body.size() > options_.max_body_bytes) {
+    hooks_.on_too_large(id);
+    return;
+  }
+  hooks_.on_request(read);
+}
+
+HttpServer::Exchange* HttpServer::Find(CallerId id) {
+  const auto found = exchanges_.find(id);
+  return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::OnClosed(CallerId id) {
+  if (exchanges_.erase(id) > 0) {
+    hooks_.on_gone(id);
+  }
+}
+
+void HttpServer::Finish(CallerId id) {
+  const auto found = exchanges_.find(id);
+  evhttp_connection_set_closecb(found->second->connection, nullptr, nullptr);
+  exchanges_.erase(found);
+}
+
+void HttpServer::Handle(ReplyWhole reply) {
+  Exchange* exchange = Find(reply.caller);
+  if (exchange == nullptr) {
+    return;
+  }
+  evhttp_request* request = exchange->request;
+  Finish(reply.caller);
+  AddHeaders(request, reply.headers);
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, reply.body.data(), reply.body.size());
+  evhttp_send_reply(request, reply.status, nullptr, body);
+  evbuffer_free(body);
+}
+
+void HttpServer::Handle(const ReplyHead& reply) {
+  if (Exchange* exchange = Find(reply.caller)) {
+    AddHeaders(exchange->request, reply.headers);
+    evhttp_send_reply_start(exchange->request, reply.status, nullptr);
+  }
+}
+
+void HttpServer::Handle(const ReplyData& reply) {
+  Exchange* exchange = Find(reply.caller);
+  if (exchange == nullptr) {
+    return;
+  }
+  evbuffer* bytes = evbuffer_new();
+  evbuffer_add(bytes, reply.bytes.data(), reply.bytes.size());
+  evhttp_send_reply_chunk_with_cb(
+      exchange->request, bytes,
+      [](evhttp_connection*, void* arg) {
+        const auto* drained = static_cast<Exchange*>(arg);
+        drained->server->hooks_.on_drained(drained->id);
+      },
+      exchange);
+  evbuffer_free(bytes);
+}
+
+void HttpServer::Handle(const ReplyEnd& reply) {
+  if (Exchange* exchange = Find(reply.caller)) {
+    evhttp_request* request = exchange->request;
+    Finish(reply.caller);
+    evhttp_send_reply_end(request);
+  }
+}
+
+void HttpServer::Handle(const ReplyAbort& reply) {
+  Exchange* exchange = Find(reply.caller);
+  if (exchange == nullptr) {
+    return;
+  }
+  evhttp_connection* connection = exchange->connection;
+  Finish(reply.caller);
+  loop_.Defer([connection] { evhttp_connection_free(connection); });
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/peer_port.cc
@@ -0,0 +1,278 @@
+#include "lavenderkeel/io/peer_port.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "lavenderkeel/io/address.h"
+#include "lavenderkeel/wire.h"
+
+namespace lavenderkeel {
+
+struct PeerPort::Connection {
+  ~Connection() { bufferevent_free(events); }
+
+  PeerPort* port = nullptr;
+  LinkId id = 0;
+  bufferevent* events = nullptr;
+  /// Empty for an accepted connection.
+  std::string dialed;
+  bool greeted = false;
+  /// Set while frames are handed out; then freeing waits.
+  bool dropped = false;
+  TimePoint opened;
+};
+
+PeerPort::PeerPort(EventLoop& loop,
+                   Options options,
+                   const InstanceInfo& self,
+                   const EventLog& log)
+    : loop_(loop), options_(options), self_(self), log_(log) {}
+
+PeerPort::~PeerPort() {
+  connections_.clear();
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+  }
+}
+
+std::optional<std::string> PeerPort::Listen(const std::string& text) {
+  const std::optional<Address> parsed = Address::Parse(text);
+  if (!parsed.has_value()) {
+    return std::nullopt;
+  }
+  sockaddr_storage storage{};
+  const auto length = static_cast<int>(parsed->ToSocketAddress(storage));
+  auto* address = reinterpret_cast<sockaddr*>(&storage);
+  constexpr int kBacklog = 512;
+  listener_ = evconnlistener_new_bind(
+      loop_.base(),
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+        static_cast<PeerPort*>(self)->Accept(socket);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog, address,
+      length);
+  if (listener_ == nullptr) {
+    return std::nullopt;
+  }
+  return BoundAddress(evconnlistener_get_fd(listener_));
+}
+
+void PeerPort::Accept(int socket) {
+  if (ungreeted_ >= options_.max_ungreeted) {
+    // Peers that connect and say nothing must not use up the descriptors.
+    evutil_closesocket(socket);
+    return;
+  }
+  Open(bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE), "");
+}
+
+PeerPort::Connection& PeerPort::Open(bufferevent* events,
+                                     const std::string& dialed) {
+  const LinkId id = ++last_;
+  auto connection = std::make_unique<Connection>();
+  Connection& opened = *connection;
+  opened.port = this;
+  opened.id = id;
+  opened.events = events;
+  opened.dialed = dialed;
+  opened.opened = SystemClock().Now();
+  connections_[id] = std::move(connection);
+  ++ungreeted_;
+  bufferevent_setcb(
+      events,
+      [](bufferevent*, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        self->port->OnReadable(*self);
+      },
+      nullptr,
+      [](bufferevent* source, short what, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+          constexpr int kOn = 1;
+          setsockopt(bufferevent_getfd(source), IPPROTO_TCP, TCP_NODELAY, &kOn,
+                     sizeof(kOn));
+          self->port->SendHello(*self);
+          return;
+        }
+        self->port->Drop(self->id, "closed");
+      },
+      &opened);
+  bufferevent_setwatermark(events, EV_READ, 0, kMaxFrameSize + kFrameHeaderSize);
+  bufferevent_enable(events, EV_READ | EV_WRITE);
+  if (dialed.empty()) {
+    constexpr int kOn = 1;
+    setsockopt(bufferevent_getfd(events), IPPROTO_TCP, TCP_NODELAY, &kOn,
+               sizeof(kOn));
+    SendHello(opened);
+  }
+  return opened;
+}
+
+void PeerPort::SendHello(Connection& connection) {
+  Hello hello;
+  hello.protocol = kProtocolVersion;
+  hello.instance = self_.id.instance;
+  hello.incarnation = self_.id.incarnation;
+  hello.role = static_cast<uint8_t>(self_.role);
+  hello.data_centre = self_.data_centre;
+  hello.region = self_.region;
+  hello.address = self_.address;
+  const std::string frame = EncodeFrame(hello);
+  bufferevent_write(connection.events, frame.data(), frame.size());
+}
+
+void PeerPort::OnReadable(Connection& connection) {
+  const LinkId link = connection.id;
+  evbuffer* input = bufferevent_get_input(connection.events);
+  while (!connection.dropped) {
+    std::array<uint8_t, kFrameHeaderSize> header{};
+    if (evbuffer_copyout(input, header.data(), header.size()) <
+        static_cast<ev_ssize_t>(header.size())) {
+      return;
+    }
+    const auto length = Catch([&] { return DecodeFrameLength(header); });
+    if (!length) {
+      Drop(link, std::string(Describe(length.failure.code).name));
+      return;
+    }
+    const size_t whole = kFrameHeaderSize + *length.value;
+    if (evbuffer_get_length(input) < whole) {
+      return;
+    }
+    std::vector<uint8_t> frame(whole);
+    evbuffer_remove(input, frame.data(), frame.size());
+    bytes_received_ += whole;
+    if (!OnFrame(connection, frame)) {
+      return;
+    }
+  }
+}
+
+bool PeerPort::OnFrame(Connection& connection,
+                       const std::vector<uint8_t>& frame) {
+  const LinkId link = connection.id;
+  auto message = Catch([&] { return DecodeFrame(frame); });
+  if (!message) {
+    Drop(link, std::string(Describe(message.failure.code).name));
+    return false;
+  }
+  if (!connection.greeted) {
+    return OnHello(connection, *message.value);
+  }
+  signal_message_.emit(link, *message.value);
+  return connections_.contains(link) && !connection.dropped;
+}
+
+bool PeerPort::OnHello(Connection& connection, const Message& message) {
+  const LinkId link = connection.id;
+  const auto* hello = std::get_if<Hello>(&message);
+  const bool usable = hello != nullptr && !hello->instance.empty() &&
+                      hello->role <= static_cast<uint8_t>(Role::kAgent);
+  if (!usable || hello->protocol != kProtocolVersion) {
+    Drop(link, usable ? "protocol_version" : "bad_frame");
+    return false;
+  }
+  connection.greeted = true;
+  --ungreeted_;
+  const InstanceInfo peer{.id = {.instance = hello->instance,
+                                 .incarnation = hello->incarnation},
+                          .role = static_cast<Role>(hello->role),
+                          .data_centre = hello->data_centre,
+                          .region = hello->region,
+                          .address = hello->address};
+  signal_up_.emit(link, peer, connection.dialed);
+  return connections_.contains(link) && !connection.dropped;
+}
+
+void PeerPort::Handle(const SendMessage& send) {
+  const auto found = connections_.find(send.link);
+  if (found == connections_.end() || found->second->dropped) {
+    return;
+  }
+  const std::string frame = EncodeFrame(send.message);
+  bufferevent* events = found->second->events;
+  bufferevent_write(events, frame.data(), frame.size());
+  bytes_sent_ += frame.size();
+  const size_t unsent = evbuffer_get_length(bufferevent_get_output(events));
+  if (unsent > options_.max_unsent_bytes) {
+    Drop(send.link, "too much unsent");
+  }
+}
+
+void PeerPort::Handle(const CloseLink& close) {
+  const auto found = connections_.find(close.link);
+  if (found == connections_.end() || found->second->dropped) {
+    return;
+  }
+  // The node knows already; it hears no signal_down.
+  Connection& connection = *found->second;
+  ungreeted_ -= connection.greeted ? 0 : 1;
+  connection.dropped = true;
+  bufferevent_disable(connection.events, EV_READ | EV_WRITE);
+  loop_.Defer([this, link = close.link] { connections_.erase(link); });
+}
+
+void PeerPort::Handle(const Dial& dial) {
+  const std::optional<Address> address = Address::Parse(dial.address);
+  if (!address.has_value()) {
+    loop_.Defer([this, text = dial.address] {
+      signal_dial_failed_.emit(text);
+    });
+    return;
+  }
+  sockaddr_storage storage{};
+  const auto length = static_cast<int>(address->ToSocketAddress(storage));
+  auto* target = reinterpret_cast<sockaddr*>(&storage);
+  bufferevent* events =
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  const LinkId link = Open(events, dial.address).id;
+  if (bufferevent_socket_connect(events, target, length) != 0) {
+    loop_.Defer([this, link] { Drop(link, "connect"); });
+  }
+}
+
+void PeerPort::Drop(LinkId link, const std::string& why) {
+  const auto found = connections_.find(link);
+  if (found == connections_.end() || found->second->dropped) {
+    return;
+  }
+  Connection& connection = *found->second;
+  connection.dropped = true;
+  const bool greeted = connection.greeted;
+  const std::string dialed = connection.dialed;
+  ungreeted_ -= greeted ? 0 : 1;
+  bufferevent_disable(connection.events, EV_READ | EV_WRITE);
+  loop_.Defer([this, link] { connections_.erase(link); });
+  if (why != "closed") {
+    log_.Warn("peer_dropped",
+              {{"link", link}, {"dialed", dialed}, {"reason", why}});
+  }
+  if (greeted) {
+    signal_down_.emit(link);
+  } else if (!dialed.empty()) {
+    signal_dial_failed_.emit(dialed);
+  }
+}
+
+void PeerPort::Tick(TimePoint now) {
+  std::vector<LinkId> overdue;
+  for (const auto& [link, connection] : connections_) {
+    if (!connection->greeted && !connection->dropped &&
+        now - connection->opened > options_.greeting_timeout) {
+      overdue.push_back(link);
+    }
+  }
+  for (const LinkId link : overdue) {
+    Drop(link, "no greeting");
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/peer_port.h
@@ -0,0 +1,95 @@
+#ifndef LAVENDERKEEL_IO_PEER_PORT_H_
+#define LAVENDERKEEL_IO_PEER_PORT_H_
+
+#include <sigc++/sigc++.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "lavenderkeel/action/action.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/io/event_loop.h"
+#include "lavenderkeel/membership/instance_info.h"
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace lavenderkeel {
+
+/// The framed TCP connections to other processes: listens, dials, greets.
+class PeerPort {
+ public:
+  struct Options {
+    Duration greeting_timeout = std::chrono::seconds(3);
+    /// Bytes that may wait to be written to one peer before it is dropped.
+    size_t max_unsent_bytes = size_t{64} << 20;
+    size_t max_ungreeted = 1024;
+  };
+
+  /// @param self what this process says in its greeting
+  PeerPort(EventLoop& loop,
+           Options options,
+           const InstanceInfo& self,
+           const EventLog& log);
+  ~PeerPort();
+  PeerPort(const PeerPort&) = delete;
+  PeerPort& operator=(const PeerPort&) = delete;
+
+  std::optional<std::string> Listen(const std::string& address);
+
+  void Handle(const SendMessage& send);
+  void Handle(const CloseLink& close);
+  void Handle(const Dial& dial);
+  /// Drops connections whose greeting is overdue.
+  void Tick(TimePoint now);
+
+  /// Greetings are exchanged. The last argument is the address dialled.
+  sigc::signal<void(LinkId, const InstanceInfo&, const std::string&)>&
+  signal_up() {
+    return signal_up_;
+  }
+  sigc::signal<void(LinkId, Message&)>& signal_message() {
+    return signal_message_;
+  }
+  /// After signal_up only, and not after CloseLink.
+  sigc::signal<void(LinkId)>& signal_down() { return signal_down_; }
+  sigc::signal<void(const std::string&)>& signal_dial_failed() {
+    return signal_dial_failed_;
+  }
+
+  uint64_t bytes_sent() const { return bytes_sent_; }
+  uint64_t bytes_received() const { return bytes_received_; }
+
+ private:
+  struct Connection;
+
+  void Accept(int socket);
+  Connection& Open(bufferevent* events, const std::string& dialed);
+  void SendHello(Connection& connection);
+  void OnReadable(Connection& connection);
+  bool OnFrame(Connection& connection, const std::vector<uint8_t>& frame);
+  bool OnHello(Connection& connection, const Message& message);
+  void Drop(LinkId link, const std::string& why);
+
+  EventLoop& loop_;
+  Options options_;
+  const InstanceInfo& self_;
+  const EventLog& log_;
+  evconnlistener* listener_ = nullptr;
+  LinkId last_ = 0;
+  size_t ungreeted_ = 0;
+  std::unordered_map<LinkId, std::unique_ptr<Connection>> connections_;
+  uint64_t bytes_sent_ = 0;
+  uint64_t bytes_received_ = 0;
+  sigc::signal<void(LinkId, const InstanceInfo&, const std::string&)>
+      signal_up_;
+  sigc::signal<void(LinkId, Message&)> signal_message_;
+  sigc::signal<void(LinkId)> signal_down_;
+  sigc::signal<void(const std::string&)> signal_dial_failed_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_IO_PEER_PORT_H_
--- /dev/null
+++ b/lavenderkeel/io/server_client.cc
@@ -0,0 +1,170 @@
+#include "lavenderkeel/io/server_client.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace lavenderkeel {
+
+namespace json = boost::json;
+
+namespace {
+
+/// The gate watches for silence itself; this only ends what it forgot.
+constexpr Duration kStreamTimeout = std::chrono::hours(12);
+constexpr Duration kServiceTimeout = std::chrono::minutes(10);
+constexpr Duration kCancelTimeout = std::chrono::seconds(3);
+constexpr std::string_view kEventPrefix = "data: ";
+
+}  // namespace
+
+ServerClient::ServerClient(HttpClient& http,
+                           std::string address,
+                           GateController& gate,
+                           std::function<void()> settle)
+    : http_(http),
+      address_(std::move(address)),
+      gate_(gate),
+      settle_(std::move(settle)) {}
+
+void ServerClient::Handle(const ServerStart& start) {
+  if (start.service) {
+    CallService(start);
+    return;
+  }
+  OpenStream(start.run, {.address = address_,
+                         .method = "POST",
+                         .path = start.path,
+                         .headers = {{"Content-Type", "application/json"}},
+                         .body = start.body});
+}
+
+void ServerClient::Handle(const ServerResume& resume) {
+  OpenStream(resume.run, {.address = address_,
+                          .method = "GET",
+                          .path = "/v1/streams/" + resume.request_id +
+                                  "?from=" + std::to_string(resume.from)});
+}
+
+void ServerClient::OpenStream(RunId run, HttpClient::Call call) {
+  Drop(run);
+  call.timeout = kStreamTimeout;
+  call.on_data = [this, run](std::string_view bytes) { OnBytes(run, bytes); };
+  call.on_done = [this, run](const HttpResult& result) {
+    OnStreamDone(run, result);
+  };
+  streams_[run].call = http_.Start(std::move(call));
+}
+
+void ServerClient::OnBytes(RunId run, std::string_view bytes) {
+  const auto found = streams_.find(run);
+  if (found == streams_.end()) {
+    return;
+  }
+  Stream& stream = found->second;
+  for (const char c : bytes) {
+    if (c != '\n') {
+      stream.line += c;
+      continue;
+    }
+    const std::string line = std::exchange(stream.line, {});
+    if (std::string_view(line).starts_with(kEventPrefix)) {
+      OnEvent(run, stream, std::string_view(line).substr(kEventPrefix.size()));
+    }
+  }
+  settle_();
+}
+
+void ServerClient::OnEvent(RunId run, Stream& stream, std::string_view event) {
+  if (event == "[DONE]") {
+    return;
+  }
+  boost::system::error_code error;
+  const json::value value = json::parse(event, error);
+  const json::object* object = value.if_object();
+  if (error || object == nullptr) {
+    return;
+  }
+  const json::value* index = object->if_contains("index");
+  const json::value* text = object->if_contains("text");
+  if (object->contains("finish_reason")) {
+    stream.finished = true;
+    gate_.OnServerFinish(run, event);
+  } else if (index != nullptr && index->is_int64() && text != nullptr &&
+             text->is_string()) {
+    gate_.OnServerText(run, static_cast<uint64_t>(index->get_int64()),
+                       text->get_string());
+  }
+}
+
+void ServerClient::OnStreamDone(RunId run, const HttpResult& result) {
+  const auto found = streams_.find(run);
+  if (found == streams_.end()) {
+    return;
+  }
+  const bool finished = found->second.finished;
+  streams_.erase(found);
+  if (!finished) {
+    constexpr int kOk = 200;
+    const bool refused = result.kind == HttpResult::Kind::kAnswered &&
+                         result.status != kOk;
+    const bool not_sent = result.kind == HttpResult::Kind::kNotSent;
+    gate_.OnServerEnd(run, refused    ? ServerEnd::kRefused
+                           : not_sent ? ServerEnd::kUnreachable
+                                      : ServerEnd::kBroken);
+  }
+  settle_();
+}
+
+void ServerClient::CallService(const ServerStart& start) {
+  const RunId run = start.run;
+  HttpClient::Call call{.address = address_,
+                        .method = start.method,
+                        .path = start.path,
+                        .headers = {{"Content-Type", "application/json"}},
+                        .body = start.body,
+                        .timeout = kServiceTimeout};
+  call.on_done = [this, run](const HttpResult& result) {
+    if (streams_.erase(run) == 0) {
+      return;
+    }
+    if (result.kind == HttpResult::Kind::kAnswered) {
+      gate_.OnServiceReply(run, result.status, result.content_type,
+                           result.body);
+    } else {
+      gate_.OnServerEnd(run, result.kind == HttpResult::Kind::kNotSent
+                                 ? ServerEnd::kUnreachable
+                                 : ServerEnd::kBroken);
+    }
+    settle_();
+  };
+  streams_[run].call = http_.Start(std::move(call));
+}
+
+void ServerClient::Handle(const ServerCancel& cancel) {
+  Drop(cancel.run);
+  if (cancel.service) {
+    gate_.OnServerCancelled(cancel.run);
+    return;
+  }
+  http_.Start({.address = address_,
+               .method = "POST",
+               .path = "/v1/streams/" + cancel.request_id + "/cancel",
+               .headers = {},
+               .body = "",
+               .timeout = kCancelTimeout,
+               .on_data = nullptr,
+               .on_done = [this, run = cancel.run](const HttpResult&) {
+                 gate_.OnServerCancelled(run);
+                 settle_();
+               }});
+}
+
+void ServerClient::Drop(RunId run) {
+  const auto found = streams_.find(run);
+  if (found != streams_.end()) {
+    http_.Cancel(found->second.call);
+    streams_.erase(found);
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/server_client.h
@@ -0,0 +1,52 @@
+#ifndef LAVENDERKEEL_IO_SERVER_CLIENT_H_
+#define LAVENDERKEEL_IO_SERVER_CLIENT_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "lavenderkeel/gate/gate_controller.h"
+#include "lavenderkeel/io/http_client.h"
+
+namespace lavenderkeel {
+
+/// Carries out ServerStart, ServerResume and ServerCancel actions at one
+/// backend server over HTTP, and reads its event streams.
+class ServerClient {
+ public:
+  /// @param settle called after events were handed to the gate
+  ServerClient(HttpClient& http,
+               std::string address,
+               GateController& gate,
+               std::function<void()> settle);
+
+  void Handle(const ServerStart& start);
+  void Handle(const ServerResume& resume);
+  void Handle(const ServerCancel& cancel);
+
+ private:
+  struct Stream {
+    HttpClient::CallId call = 0;
+    /// The part of a line that has come so far.
+    std::string line;
+    bool finished = false;
+  };
+
+  void OpenStream(RunId run, HttpClient::Call call);
+  void OnBytes(RunId run, std::string_view bytes);
+  void OnEvent(RunId run, Stream& stream, std::string_view event);
+  void OnStreamDone(RunId run, const HttpResult& result);
+  void CallService(const ServerStart& start);
+  void Drop(RunId run);
+
+  HttpClient& http_;
+  std::string address_;
+  GateController& gate_;
+  std::function<void()> settle_;
+  std::unordered_map<RunId, Stream> streams_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_IO_SERVER_CLIENT_H_
--- /dev/null
+++ b/lavenderkeel/io/settings.cc
@@ -0,0 +1,203 @@
+#include "lavenderkeel/io/settings.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+#include "lavenderkeel/config/json_reader.h"
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr uint64_t kDayMs = 24 * 3600 * 1000;
+
+/// Nested objects that may be missing altogether.
+const json::value& ObjectOrEmpty(JsonReader& reader, const std::string& name) {
+  static const json::value empty = json::object();
+  const json::value* value = reader.Raw(name);
+  return value == nullptr ? empty : *value;
+}
+
+std::string ReadAddress(JsonReader& reader,
+                        const std::string& name,
+                        bool required = true) {
+  std::string text = reader.String(name, {.required = required});
+  if (!text.empty() && !Address::Parse(text).has_value()) {
+    reader.Fault(name, "must be an IP number and a port");
+  }
+  return text;
+}
+
+void ReadDuration(JsonReader& reader,
+                  const std::string& name,
+                  Duration& target,
+                  uint64_t least_ms = 1) {
+  const uint64_t milliseconds =
+      reader.Number(name, {.otherwise = static_cast<uint64_t>(
+                               ToMilliseconds(target)),
+                           .least = least_ms,
+                           .most = kDayMs});
+  target = std::chrono::milliseconds(milliseconds);
+}
+
+template <typename Number>
+void ReadCount(JsonReader& reader,
+               const std::string& name,
+               Number& target,
+               uint64_t least = 1) {
+  constexpr uint64_t kMost = 1'000'000'000;
+  target = static_cast<Number>(reader.Number(
+      name, {.otherwise = target, .least = least, .most = kMost}));
+}
+
+void ReadLog(JsonReader& reader, CommonSettings& common, Faults& faults) {
+  JsonReader log(ObjectOrEmpty(reader, "log"), "/log", faults);
+  const std::string level = log.String("level", {.otherwise = "info"});
+  if (level == "debug") {
+    common.log_level = LogLevel::kDebug;
+  } else if (level == "info") {
+    common.log_level = LogLevel::kInfo;
+  } else if (level == "warning") {
+    common.log_level = LogLevel::kWarning;
+  } else if (level == "error") {
+    common.log_level = LogLevel::kError;
+  } else {
+    log.Fault("level", "must be debug, info, warning or error");
+  }
+  common.log_file = log.String("file");
+  log.RejectUnknown();
+}
+
+CommonSettings ReadCommon(JsonReader& reader, Role role, Faults& faults) {
+  CommonSettings common;
+  common.self.id.instance = reader.String("instance", {.required = true});
+  common.self.role = role;
+  common.self.data_centre = reader.String("data_centre", {.required = true});
+  common.self.region = reader.String("region");
+  common.platform = ReadAddress(reader, "platform", /*required=*/false);
+  ReadLog(reader, common, faults);
+  return common;
+}
+
+std::vector<std::string> ReadSeeds(JsonReader& reader) {
+  std::vector<std::string> seeds = reader.Strings("seeds");
+  for (size_t i = 0; i < seeds.size(); ++i) {
+    if (!Address::Parse(seeds[i]).has_value()) {
+      reader.Fault("seeds/" + std::to_string(i),
+                   "must be an IP number and a port");
+    }
+  }
+  return seeds;
+}
+
+void ReadMemberTuning(JsonReader& tuning, MemberTable::Options& members) {
+  ReadDuration(tuning, "heartbeat_period_ms", members.heartbeat_period);
+  ReadDuration(tuning, "heartbeat_timeout_ms", members.heartbeat_timeout);
+  ReadDuration(tuning, "dial_longest_ms", members.dial.longest);
+  if (members.heartbeat_timeout < 2 * members.heartbeat_period) {
+    tuning.Fault("heartbeat_timeout_ms",
+                 "must be at least twice heartbeat_period_ms");
+  }
+}
+
+void ReadEntryTuning(JsonReader& tuning, EntrySettings& settings) {
+  EntryNode::Options& node = settings.node;
+  ReadMemberTuning(tuning, node.members);
+  ReadCount(tuning, "agents_per_entry", node.members.agents_per_entry);
+  ReadCount(tuning, "candidates", node.dispatch.candidates);
+  ReadDuration(tuning, "widen_after_ms", node.dispatch.widen_after);
+  ReadDuration(tuning, "server_patience_ms", node.dispatch.server_patience);
+  ReadDuration(tuning, "seal_patience_ms", node.dispatch.seal_patience);
+  ReadDuration(tuning, "keep_ended_ms", node.dispatch.keep_ended);
+  ReadCount(tuning, "max_waiting", node.dispatch.max_waiting);
+  ReadDuration(tuning, "claim_retention_ms", node.claims.retention);
+  ReadDuration(tuning, "clock_skew_ms", node.claims.clock_skew, 0);
+  ReadDuration(tuning, "list_period_ms", node.registration.list_period);
+  ReadDuration(tuning, "poll_period_ms", node.spread.poll_period);
+  ReadCount(tuning, "max_body_bytes", settings.http.max_body_bytes);
+}
+
+void ReadAgentTuning(JsonReader& tuning, AgentNode::Options& node) {
+  ReadMemberTuning(tuning, node.members);
+  GateController::Options& gate = node.gate;
+  ReadCount(tuning, "first_in_flight", gate.in_flight.first);
+  ReadCount(tuning, "most_in_flight", gate.in_flight.most);
+  ReadDuration(tuning, "between_tokens_ms", gate.in_flight.between_tokens);
+  ReadCount(tuning, "lookahead", gate.lookahead, 0);
+  ReadDuration(tuning, "offer_timeout_ms", gate.offer_timeout);
+  ReadDuration(tuning, "preempt_after_ms", gate.preempt_after, 0);
+  ReadDuration(tuning, "stream_silence_ms", gate.stream_silence);
+  ReadCount(tuning, "max_answer_bytes", gate.max_answer_bytes);
+  ReadCount(tuning, "kept_answer_bytes", gate.runs.kept_answer_bytes);
+  ReadDuration(tuning, "key_retention_ms", gate.runs.retention);
+}
+
+leaf::result<void> Check(const Faults& faults) {
+  if (!faults.empty()) {
+    return leaf::new_error(
+        Failure{ResultCode::kSettingsInvalid, JoinFaults(faults)});
+  }
+  return {};
+}
+
+}  // namespace
+
+leaf::result<EntrySettings> ParseEntrySettings(const std::string& text) {
+  BOOST_LEAF_AUTO(value, ParseJson(text));
+  Faults faults;
+  JsonReader reader(value, "", faults);
+  EntrySettings settings;
+  settings.common = ReadCommon(reader, Role::kEntry, faults);
+  JsonReader listen(ObjectOrEmpty(reader, "listen"), "/listen", faults);
+  settings.listen_callers = ReadAddress(listen, "callers");
+  settings.common.listen_peers = ReadAddress(listen, "peers");
+  settings.common.self.address =
+      ReadAddress(listen, "advertise", /*required=*/false);
+  listen.RejectUnknown();
+  settings.node.seeds = ReadSeeds(reader);
+  settings.node.operator_key_sha256 = reader.String("operator_key_sha256");
+  JsonReader tuning(ObjectOrEmpty(reader, "tuning"), "/tuning", faults);
+  ReadEntryTuning(tuning, settings);
+  tuning.RejectUnknown();
+  reader.RejectUnknown();
+  BOOST_LEAF_CHECK(Check(faults));
+  return settings;
+}
+
+leaf::result<AgentSettings> ParseAgentSettings(const std::string& text) {
+  BOOST_LEAF_AUTO(value, ParseJson(text));
+  Faults faults;
+  JsonReader reader(value, "", faults);
+  AgentSettings settings;
+  settings.common = ReadCommon(reader, Role::kAgent, faults);
+  JsonReader listen(ObjectOrEmpty(reader, "listen"), "/listen", faults);
+  settings.common.listen_peers = ReadAddress(listen, "peers");
+  settings.common.self.address =
+      ReadAddress(listen, "advertise", /*required=*/false);
+  listen.RejectUnknown();
+  JsonReader server(ObjectOrEmpty(reader, "server"), "/server", faults);
+  const std::string kind = server.String("kind", {.required = true});
+  settings.server_address = ReadAddress(server, "address");
+  settings.checks_fence = server.Bool("checks_fence", false);
+  const std::string service = server.String("service");
+  if (kind == "service" && !service.empty()) {
+    settings.node.serves = "service/" + service;
+  } else if (kind == "service") {
+    server.Fault("service", "is missing");
+  } else if (kind != "engine" && !kind.empty()) {
+    server.Fault("kind", "must be engine or service");
+  }
+  server.RejectUnknown();
+  settings.node.seeds = ReadSeeds(reader);
+  JsonReader tuning(ObjectOrEmpty(reader, "tuning"), "/tuning", faults);
+  ReadAgentTuning(tuning, settings.node);
+  tuning.RejectUnknown();
+  reader.RejectUnknown();
+  BOOST_LEAF_CHECK(Check(faults));
+  return settings;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/membership.h
@@ -0,0 +1,12 @@
+// Module membership: who is there, by heartbeats on our own connections.
+#ifndef LAVENDERKEEL_MEMBERSHIP_H_
+#define LAVENDERKEEL_MEMBERSHIP_H_
+
+#include "lavenderkeel/membership/backoff.h"
+#include "lavenderkeel/membership/gap_detector.h"
+#include "lavenderkeel/membership/holder_ranking.h"
+#include "lavenderkeel/membership/instance_info.h"
+#include "lavenderkeel/membership/member_table.h"
+#include "lavenderkeel/membership/registration.h"
+
+#endif  // LAVENDERKEEL_MEMBERSHIP_H_
--- /dev/null
+++ b/lavenderkeel/membership/backoff.h
@@ -0,0 +1,44 @@
+#ifndef LAVENDERKEEL_MEMBERSHIP_BACKOFF_H_
+#define LAVENDERKEEL_MEMBERSHIP_BACKOFF_H_
+
+#include <algorithm>
+#include <random>
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel {
+
+/// Exponential backoff with full jitter.
+///
+/// Without jitter everything that an outage disconnected comes back in the
+/// same instant and takes the restarted side down again.
+class Backoff {
+ public:
+  struct Options {
+    Duration first = std::chrono::milliseconds(50);
+    Duration longest = std::chrono::seconds(2);
+  };
+
+  Backoff() = default;
+  explicit Backoff(Options options) : options_(options) {}
+
+  /// The wait before the next try: uniform between half and the whole step.
+  Duration Next(std::mt19937_64& random) {
+    const Duration step = std::min(options_.longest, options_.first * factor_);
+    if (step < options_.longest) {
+      factor_ *= 2;
+    }
+    std::uniform_int_distribution<int64_t> pick(step.count() / 2, step.count());
+    return Duration(pick(random));
+  }
+
+  void Reset() { factor_ = 1; }
+
+ private:
+  Options options_;
+  int64_t factor_ = 1;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_MEMBERSHIP_BACKOFF_H_
--- /dev/null
+++ b/lavenderkeel/membership/instance_info.cc
@@ -0,0 +1,77 @@
+#include "lavenderkeel/membership/instance_info.h"
+
+#include <boost/json.hpp>
+#include <optional>
+
+namespace lavenderkeel {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string StringOr(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
+std::optional<InstanceInfo> ParseInstance(const json::value& value) {
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  const json::object& object = value.get_object();
+  InstanceInfo info;
+  info.id.instance = StringOr(object, "instance");
+  info.address = StringOr(object, "address");
+  info.data_centre = StringOr(object, "data_centre");
+  info.region = StringOr(object, "region");
+  info.leaving = StringOr(object, "state") == "leaving";
+  const std::string role = StringOr(object, "role");
+  info.role = role == "agent" ? Role::kAgent : Role::kEntry;
+  const json::value* incarnation = object.if_contains("incarnation");
+  if (incarnation != nullptr && incarnation->is_number()) {
+    boost::system::error_code error;
+    info.id.incarnation = incarnation->to_number<uint64_t>(error);
+  }
+  const bool usable = !info.id.instance.empty() && !info.address.empty() &&
+                      (role == "agent" || role == "entry");
+  return usable ? std::optional(info) : std::nullopt;
+}
+
+}  // namespace
+
+leaf::result<std::vector<InstanceInfo>> ParseInstanceList(
+    const std::string& text) {
+  boost::system::error_code error;
+  const json::value document = json::parse(text, error);
+  if (error || !document.is_object()) {
+    return leaf::new_error(
+        Failure{ResultCode::kMalformedJson, "instance list"});
+  }
+  const json::value* list = document.get_object().if_contains("instances");
+  if (list == nullptr || !list->is_array()) {
+    return leaf::new_error(Failure{ResultCode::kWrongType, "/instances"});
+  }
+  std::vector<InstanceInfo> instances;
+  for (const json::value& value : list->get_array()) {
+    if (std::optional<InstanceInfo> info = ParseInstance(value)) {
+      instances.push_back(*std::move(info));
+    }
+  }
+  return instances;
+}
+
+std::string RegistrationBody(const InstanceInfo& info) {
+  return json::serialize(json::object{
+      {"instance", info.id.instance},
+      {"role", info.role == Role::kAgent ? "agent" : "entry"},
+      {"data_centre", info.data_centre},
+      {"region", info.region},
+      {"address", info.address},
+      {"state", info.leaving ? "leaving" : "live"},
+      {"incarnation", info.id.incarnation},
+  });
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/membership/instance_info.h
@@ -0,0 +1,34 @@
+#ifndef LAVENDERKEEL_MEMBERSHIP_INSTANCE_INFO_H_
+#define LAVENDERKEEL_MEMBERSHIP_INSTANCE_INFO_H_
+
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/failure.h"
+#include "lavenderkeel/base/peer_id.h"
+
+namespace lavenderkeel {
+
+/// What one process says of itself, in greetings and in the instance list.
+struct InstanceInfo {
+  PeerId id;
+  Role role = Role::kEntry;
+  std::string data_centre;
+  std::string region;
+  std::string address;
+  bool leaving = false;
+
+  friend bool operator==(const InstanceInfo&, const InstanceInfo&) = default;
+};
+
+/// Reads the platform's `GET /instances`; entries it can't read are skipped,
+/// since the list is a hint only.
+leaf::result<std::vector<InstanceInfo>> ParseInstanceList(
+    const std::string& json);
+
+/// The body of a daemon's own registration object.
+std::string RegistrationBody(const InstanceInfo& info);
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_MEMBERSHIP_INSTANCE_INFO_H_
--- /dev/null
+++ b/lavenderkeel/membership/member_table.cc
@@ -0,0 +1,374 @@
+#include "lavenderkeel/membership/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lavenderkeel/base/rendezvous.h"
+
+namespace lavenderkeel {
+
+MemberTable::MemberTable(Options options,
+                         InstanceInfo self,
+                         const Clock& clock,
+                         std::mt19937_64& random,
+                         Outbox& outbox,
+                         MakeHeartbeat make_heartbeat)
+    : options_(options),
+      self_(std::move(self)),
+      clock_(clock),
+      random_(random),
+      outbox_(outbox),
+      make_heartbeat_(std::move(make_heartbeat)) {}
+
+bool MemberTable::OnLinkUp(LinkId link,
+                           const InstanceInfo& peer,
+                           const std::string& dialed) {
+  const bool outbound = !dialed.empty();
+  const auto known = members_.find(peer.id.instance);
+  const bool is_self = peer.id.instance == self_.id.instance;
+  // Failure: a frozen predecessor wakes and dials again under the same name.
+  // Symptom: state of a dead incarnation is taken for that of the living one.
+  // Incarnations grow, so the lower number is refused.
+  const bool is_dead =
+      known != members_.end() &&
+      peer.id.incarnation < known->second.info.id.incarnation;
+  if (is_self) {
+    targets_.erase(dialed);
+  }
+  if (is_self || is_dead) {
+    outbox_.Push(CloseLink{.link = link});
+    return false;
+  }
+  Member& member = Admit(peer);
+  std::optional<LinkId>& slot = outbound ? member.outbound : member.inbound;
+  if (slot.has_value()) {
+    Close(*slot);
+  }
+  const TimePoint now = clock_.Now();
+  links_[link] = {.instance = peer.id.instance,
+                  .outbound = outbound,
+                  .last_heard = now,
+                  .last_sent = now};
+  slot = link;
+  if (!outbound) {
+    return true;
+  }
+  member.silent_since.reset();
+  member.lost = false;
+  DialTarget& target = targets_[dialed];
+  target.dialing = false;
+  target.instance = peer.id.instance;
+  target.backoff.Reset();
+  signal_up_.emit(member);
+  return true;
+}
+
+Member& MemberTable::Admit(const InstanceInfo& peer) {
+  const auto found = members_.find(peer.id.instance);
+  if (found != members_.end() && found->second.info.id != peer.id) {
+    const PeerId dead = found->second.info.id;
+    const bool already_lost = found->second.lost;
+    const Role role = found->second.info.role;
+    if (found->second.outbound.has_value()) {
+      Close(*found->second.outbound);
+    }
+    if (found->second.inbound.has_value()) {
+      Close(*found->second.inbound);
+    }
+    members_.erase(peer.id.instance);
+    if (!already_lost) {
+      signal_lost_.emit(dead, role);
+    }
+  }
+  Member& member = members_[peer.id.instance];
+  const bool leaving = member.info.leaving;
+  member.info = peer;
+  member.info.leaving = leaving;
+  if (!member.outbound.has_value() && !member.silent_since.has_value()) {
+    member.silent_since = clock_.Now();
+  }
+  if (!peer.address.empty()) {
+    Target(peer);
+  }
+  return member;
+}
+
+void MemberTable::OnLinkDown(LinkId link) {
+  DropLink(link);
+}
+
+void MemberTable::Close(LinkId link) {
+  outbox_.Push(CloseLink{.link = link});
+  DropLink(link);
+}
+
+void MemberTable::DropLink(LinkId link) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) {
+    return;
+  }
+  const std::string instance = found->second.instance;
+  const bool outbound = found->second.outbound;
+  links_.erase(found);
+  const auto member = members_.find(instance);
+  if (member == members_.end()) {
+    return;
+  }
+  if (outbound && member->second.outbound == link) {
+    member->second.outbound.reset();
+    member->second.silent_since = clock_.Now();
+  }
+  if (!outbound && member->second.inbound == link) {
+    member->second.inbound.reset();
+  }
+}
+
+void MemberTable::OnDialFailed(const std::string& address) {
+  const auto found = targets_.find(address);
+  if (found == targets_.end()) {
+    return;
+  }
+  found->second.dialing = false;
+  found->second.next = clock_.Now() + found->second.backoff.Next(random_);
+}
+
+void MemberTable::OnHeard(LinkId link) {
+  const auto found = links_.find(link);
+  if (found != links_.end()) {
+    found->second.last_heard = clock_.Now();
+  }
+}
+
+void MemberTable::OnHeartbeat(LinkId link, const Heartbeat& heartbeat) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) {
+    return;
+  }
+  Member& member = members_.at(found->second.instance);
+  member.config_version = heartbeat.config_version;
+  member.load = heartbeat;
+  if (heartbeat.leaving && !member.info.leaving) {
+    member.info.leaving = true;
+    signal_leaving_.emit(member.info.id, member.info.role);
+  }
+}
+
+void MemberTable::OnInstanceList(const std::vector<InstanceInfo>& instances) {
+  std::set<std::string> addresses;
+  for (const InstanceInfo& info : instances) {
+    addresses.insert(info.address);
+    const Member* member = Find(info.id.instance);
+    const bool known =
+        member != nullptr && member->info.id.incarnation >= info.id.incarnation;
+    const bool is_self = info.id.instance == self_.id.instance;
+    if (!info.leaving && !known && !is_self) {
+      Target(info);
+    }
+  }
+  // An address that neither a seed nor the list names any more, and that does
+  // not answer, belongs to an instance that was replaced.
+  std::erase_if(targets_, [&](const auto& item) {
+    const auto& [address, target] = item;
+    const Member* member = Find(target.instance);
+    const bool linked = member != nullptr && member->outbound.has_value();
+    return !target.seed && !linked && !addresses.contains(address);
+  });
+}
+
+void MemberTable::AddSeed(const std::string& address) {
+  targets_[address].seed = true;
+}
+
+void MemberTable::Target(const InstanceInfo& info) {
+  // A restarted instance has a new address; the old one must not be dialled
+  // for it any more.
+  std::erase_if(targets_, [&](const auto& item) {
+    return item.second.instance == info.id.instance &&
+           item.first != info.address && !item.second.seed;
+  });
+  DialTarget& target = targets_[info.address];
+  target.instance = info.id.instance;
+  target.role = info.role;
+  target.data_centre = info.data_centre;
+  target.region = info.region;
+}
+
+void MemberTable::Tick() {
+  const TimePoint now = clock_.Now();
+  std::vector<LinkId> silent;
+  const Heartbeat heartbeat = make_heartbeat_();
+  for (auto& [link, state] : links_) {
+    // Failure: something between the two ends lost track of the connection;
+    // no error ever comes. Symptom: requests on it hang for good while new
+    // connections work. Heartbeats go both ways, so either side notices within
+    // the timeout and drops it, and what was on it is attached again.
+    if (now - state.last_heard > options_.heartbeat_timeout) {
+      silent.push_back(link);
+    } else if (now - state.last_sent >= options_.heartbeat_period) {
+      SendHeartbeat(link, state, heartbeat);
+    }
+  }
+  for (const LinkId link : silent) {
+    Close(link);
+  }
+  JudgeSilent(now);
+  ForgetGone(now);
+  DialDue(now);
+}
+
+void MemberTable::ForgetGone(TimePoint now) {
+  std::erase_if(members_, [&](const auto& item) {
+    const Member& member = item.second;
+    return member.lost && !member.inbound.has_value() &&
+           now - *member.silent_since > options_.forget_after;
+  });
+}
+
+void MemberTable::SendHeartbeat(LinkId link,
+                                Link& state,
+                                const Heartbeat& heartbeat) {
+  state.last_sent = clock_.Now();
+  outbox_.Send(link, heartbeat);
+}
+
+void MemberTable::JudgeSilent(TimePoint now) {
+  std::vector<std::pair<PeerId, Role>> lost;
+  for (auto& [instance, member] : members_) {
+    const bool overdue =
+        member.silent_since.has_value() &&
+        now - *member.silent_since > options_.heartbeat_timeout;
+    if (overdue && !member.lost) {
+      member.lost = true;
+      lost.emplace_back(member.info.id, member.info.role);
+    }
+  }
+  for (const auto& [peer, role] : lost) {
+    signal_lost_.emit(peer, role);
+  }
+}
+
+void MemberTable::DialDue(TimePoint now) {
+  if (std::ranges::none_of(targets_, [now](const auto& item) {
+        return !item.second.dialing && item.second.next <= now;
+      })) {
+    return;
+  }
+  std::set<std::string> wanted = WantedAgents();
+  wanted.merge(WantedEntries());
+  for (auto& [address, target] : targets_) {
+    if (target.dialing || target.next > now || !Wants(target, wanted)) {
+      continue;
+    }
+    target.dialing = true;
+    outbox_.Push(Dial{.address = address});
+  }
+}
+
+bool MemberTable::Wants(const DialTarget& target,
+                        const std::set<std::string>& wanted) const {
+  if (self_.role == Role::kAgent) {
+    // An agent only makes itself known; the entries then dial it.
+    const bool known = std::ranges::any_of(members_, [](const auto& item) {
+      return item.second.inbound.has_value();
+    });
+    return target.seed && !known;
+  }
+  const Member* member = Find(target.instance);
+  if (member != nullptr && member->outbound.has_value()) {
+    return false;
+  }
+  return !target.role.has_value() || wanted.contains(target.instance) ||
+         also_wanted_.contains(target.instance);
+}
+
+std::set<std::string> MemberTable::WantedAgents() const {
+  std::vector<std::string> own;
+  std::vector<std::string> other;
+  for (const auto& [address, target] : targets_) {
+    if (target.role == Role::kAgent) {
+      const bool near = target.data_centre == self_.data_centre;
+      (near ? own : other).push_back(target.instance);
+    }
+  }
+  std::set<std::string> wanted;
+  const uint64_t hash = HashBytes(self_.id.instance);
+  for (std::string& name :
+       RendezvousTop(hash, own, options_.agents_per_entry)) {
+    wanted.insert(std::move(name));
+  }
+  const size_t rest = options_.agents_per_entry - wanted.size();
+  for (std::string& name : RendezvousTop(hash, other, rest)) {
+    wanted.insert(std::move(name));
+  }
+  return wanted;
+}
+
+std::set<std::string> MemberTable::WantedEntries() const {
+  std::set<std::string> wanted;
+  std::map<std::string, std::vector<std::string>> other_regions;
+  for (const auto& [address, target] : targets_) {
+    if (target.role != Role::kEntry) {
+      continue;
+    }
+    if (target.region == self_.region) {
+      wanted.insert(target.instance);
+    } else {
+      other_regions[target.region].push_back(target.instance);
+    }
+  }
+  const uint64_t hash = HashBytes(self_.id.instance);
+  for (const auto& [region, names] : other_regions) {
+    for (std::string& name :
+         RendezvousTop(hash, names, options_.entries_per_other_region)) {
+      wanted.insert(std::move(name));
+    }
+  }
+  return wanted;
+}
+
+void MemberTable::ForgiveSilence() {
+  const TimePoint now = clock_.Now();
+  for (auto& [link, state] : links_) {
+    state.last_heard = now;
+  }
+  for (auto& [instance, member] : members_) {
+    if (member.silent_since.has_value() && !member.lost) {
+      member.silent_since = now;
+    }
+  }
+}
+
+void MemberTable::AnnounceNow() {
+  const Heartbeat heartbeat = make_heartbeat_();
+  for (auto& [link, state] : links_) {
+    SendHeartbeat(link, state, heartbeat);
+  }
+}
+
+const Member* MemberTable::Find(const std::string& instance) const {
+  const auto found = members_.find(instance);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+const Member* MemberTable::FindByLink(LinkId link) const {
+  const auto found = links_.find(link);
+  return found == links_.end() ? nullptr : Find(found->second.instance);
+}
+
+std::optional<LinkId> MemberTable::LinkTo(const PeerId& peer) const {
+  const Member* member = Find(peer.instance);
+  const bool same = member != nullptr && member->info.id == peer;
+  return same ? member->outbound : std::nullopt;
+}
+
+std::vector<const Member*> MemberTable::Members(Role role) const {
+  std::vector<const Member*> result;
+  for (const auto& [instance, member] : members_) {
+    if (member.info.role == role) {
+      result.push_back(&member);
+    }
+  }
+  return result;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/membership/registration.h
@@ -0,0 +1,57 @@
+#ifndef LAVENDERKEEL_MEMBERSHIP_REGISTRATION_H_
+#define LAVENDERKEEL_MEMBERSHIP_REGISTRATION_H_
+
+#include <functional>
+#include <random>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/membership/instance_info.h"
+#include "lavenderkeel/platform.h"
+
+namespace lavenderkeel {
+
+/// Keeps this process's own registration at the platform, and reads the
+/// instance list now and then as a hint whom to dial.
+class Registration {
+ public:
+  using OnInstances = std::function<void(const std::vector<InstanceInfo>&)>;
+
+  struct Options {
+    /// Between two reads of the list; each process adds jitter of its own, so
+    /// that a fleet's reads spread evenly over the platform's budget.
+    Duration list_period = std::chrono::seconds(10);
+    /// Shorter until the first list came.
+    Duration first_list_period = std::chrono::milliseconds(500);
+    bool read_list = true;
+  };
+
+  Registration(Options options,
+               const InstanceInfo& self,
+               const Clock& clock,
+               std::mt19937_64& random,
+               PlatformPort& port,
+               OnInstances on_instances);
+
+  void Start();
+  void Tick();
+  /// Writes the state `leaving` into the registration.
+  void Leave();
+
+ private:
+  void ReadList();
+
+  Options options_;
+  const InstanceInfo& self_;
+  const Clock& clock_;
+  std::mt19937_64& random_;
+  PlatformPort& port_;
+  OnInstances on_instances_;
+  ConditionalUpdate update_;
+  TimePoint next_list_;
+  bool reading_ = false;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_MEMBERSHIP_REGISTRATION_H_
--- /dev/null
+++ b/lavenderkeel/platform/platform_port.h
@@ -0,0 +1,77 @@
+#ifndef LAVENDERKEEL_PLATFORM_PLATFORM_PORT_H_
+#define LAVENDERKEEL_PLATFORM_PLATFORM_PORT_H_
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "lavenderkeel/action.h"
+
+namespace lavenderkeel {
+
+/// What came back from the platform. An object's version is its ETag.
+struct PlatformReply {
+  /// The status for "no answer": the call may or may not have taken effect.
+  static constexpr int kNoAnswer = 0;
+
+  int status = kNoAnswer;
+  std::string etag;
+  std::string body;
+
+  bool ok() const { return status == 200 || status == 201; }
+  /// The platform said that it did not do it; trying again later may help.
+  bool refused() const { return status == 429 || status == 503; }
+
+  friend bool operator==(const PlatformReply&, const PlatformReply&) = default;
+};
+
+/// Numbers calls on the platform and hands each reply to whoever asked.
+class PlatformPort {
+ public:
+  using Handler = std::function<void(const PlatformReply&)>;
+
+  explicit PlatformPort(Outbox& outbox) : outbox_(outbox) {}
+
+  /// The call number in `call` is overwritten.
+  void Call(PlatformCall call, Handler handler) {
+    call.call = ++last_call_;
+    handlers_[call.call] = std::move(handler);
+    outbox_.Push(std::move(call));
+  }
+
+  /// @param call of a PlatformCall action; an unknown one is ignored
+  void OnReply(PlatformCallId call, const PlatformReply& reply) {
+    const auto found = handlers_.find(call);
+    if (found == handlers_.end()) {
+      return;
+    }
+    const Handler handler = std::move(found->second);
+    handlers_.erase(found);
+    handler(reply);
+  }
+
+ private:
+  Outbox& outbox_;
+  PlatformCallId last_call_ = 0;
+  std::unordered_map<PlatformCallId, Handler> handlers_;
+};
+
+/// Reads an object: `GET /objects/{name}`.
+inline PlatformCall ReadObject(const std::string& name) {
+  return {.method = "GET", .path = "/objects/" + name};
+}
+
+/// Writes an object conditionally; see PlatformCall::if_match.
+inline PlatformCall WriteObject(const std::string& name,
+                                std::string body,
+                                std::string if_match) {
+  return {.method = "PUT",
+          .path = "/objects/" + name,
+          .body = std::move(body),
+          .if_match = std::move(if_match)};
+}
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_PLATFORM_PLATFORM_PORT_H_
--- /dev/null
+++ b/lavenderkeel/routing/router.cc
@@ -0,0 +1,70 @@
+#include "lavenderkeel/routing/router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderkeel {
+
+Router::Router(const MemberTable& members,
+               std::mt19937_64& random,
+               Excluded excluded,
+               Estimate estimate)
+    : members_(members),
+      random_(random),
+      excluded_(std::move(excluded)),
+      estimate_(std::move(estimate)) {}
+
+std::vector<const Member*> Router::Usable(const RouteRequest& request) const {
+  std::vector<const Member*> usable;
+  for (const Member* agent : members_.Members(Role::kAgent)) {
+    const bool serves = std::ranges::find(agent->load.serves, request.needs) !=
+                        agent->load.serves.end();
+    if (agent->live() && !agent->info.leaving && serves && !excluded_(*agent)) {
+      usable.push_back(agent);
+    }
+  }
+  return usable;
+}
+
+std::vector<Candidate> Router::Choose(const RouteRequest& request,
+                                      size_t count) const {
+  std::vector<const Member*> usable = Usable(request);
+  std::ranges::shuffle(usable, random_);
+  std::vector<Candidate> candidates;
+  candidates.reserve(usable.size());
+  for (const Member* agent : usable) {
+    candidates.push_back({.agent = agent->info.id,
+                          .first_token = estimate_(*agent, request)});
+  }
+  std::ranges::stable_sort(candidates, {}, &Candidate::first_token);
+  if (candidates.size() > count) {
+    candidates.resize(count);
+  }
+  return candidates;
+}
+
+bool Router::LowerTierRuns(const RouteRequest& request) const {
+  return std::ranges::any_of(
+      Usable(request), [&request](const Member* agent) {
+        return agent->load.lower_repeatable > static_cast<int>(request.tier);
+      });
+}
+
+Duration Router::EstimateFirstToken(const Member& agent,
+                                    const RouteRequest& request) {
+  const Heartbeat& load = agent.load;
+  uint64_t ahead = 0;
+  for (size_t tier = 0; tier < load.waiting.size() && tier <= request.tier;
+       ++tier) {
+    ahead += load.waiting[tier];
+  }
+  const uint64_t slots = std::max<uint64_t>(1, load.slots);
+  const uint64_t busy = load.running + ahead + 1;
+  const uint64_t queued = busy > slots ? busy - slots : 0;
+  const double wait_us =
+      static_cast<double>(queued) * load.run_us / static_cast<double>(slots);
+  const double prefill_us = load.prefill_us * request.prompt_tokens;
+  return Duration(static_cast<int64_t>(wait_us + prefill_us));
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/wire/codec.h
@@ -0,0 +1,42 @@
+#ifndef LAVENDERKEEL_WIRE_CODEC_H_
+#define LAVENDERKEEL_WIRE_CODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/failure.h"
+#include "lavenderkeel/wire/message.h"
+
+namespace lavenderkeel {
+
+/// Peers with another number are refused at the greeting.
+inline constexpr uint32_t kProtocolVersion = 1;
+
+/// Bytes before each frame: its length, little endian.
+inline constexpr size_t kFrameHeaderSize = 4;
+
+/// A frame above this is refused before any of it is buffered, so that a
+/// hostile length can't make a daemon allocate gigabytes.
+inline constexpr size_t kMaxFrameSize = size_t{9} << 20;
+
+/// Length header and FlatBuffers frame of a message.
+std::string EncodeFrame(const Message& message);
+
+/// Verifies and unpacks a frame with its header.
+///
+/// @param frame the whole frame, aligned to 8 bytes: FlatBuffers aligns
+///     against the start of the header.
+/// @return the message, or kBadFrame: the buffer does not verify, or its body
+///     is of a type that this version does not know.
+leaf::result<Message> DecodeFrame(std::span<const uint8_t> frame);
+
+/// Reads the length header; kFrameTooLarge above kMaxFrameSize.
+leaf::result<size_t> DecodeFrameLength(
+    std::span<const uint8_t, kFrameHeaderSize> header);
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_WIRE_CODEC_H_
--- /dev/null
+++ b/test/fakes/engine_core.h
@@ -0,0 +1,93 @@
+#ifndef LAVENDERKEEL_TEST_FAKES_ENGINE_CORE_H_
+#define LAVENDERKEEL_TEST_FAKES_ENGINE_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel::fakes {
+
+/// A model engine without sockets: continuous batch, prefix cache of limited
+/// size, load reports and cache events that lag, streams that can be resumed
+/// and cancelled. It knows no priorities and admits whatever it is sent.
+class EngineCore {
+ public:
+  struct Options {
+    /// Time of one step with one request in the batch.
+    Duration step = std::chrono::milliseconds(4);
+    /// Each further request in the batch adds this share to the step.
+    double batch_slowdown = 0.05;
+    uint32_t prefill_tokens_per_step = 512;
+    size_t prefix_blocks = 256;
+    Duration report_lag = std::chrono::seconds(1);
+    bool checks_fence = true;
+  };
+
+  struct Stream {
+    uint32_t prompt_tokens = 0;
+    uint32_t cached_tokens = 0;
+    uint32_t prefill_left = 0;
+    uint32_t max_tokens = 0;
+    std::vector<std::string> events;
+    bool finished = false;
+    bool cancelled = false;
+  };
+
+  explicit EngineCore(Options options) : options_(options) {}
+
+  /// @return false if the id is known already; a second start changes nothing
+  bool Start(const std::string& request_id,
+             const std::string& prompt,
+             uint32_t max_tokens);
+  std::string Cancel(const std::string& request_id);
+  const Stream* Find(const std::string& request_id) const;
+  /// Generates what the time allows.
+  void Advance(TimePoint now);
+  void set_speed(double factor) { speed_ = factor; }
+
+  std::string Load(TimePoint now) const;
+  std::string CacheEvents(uint64_t after) const;
+  /// @return the status: 202, or 409 with the newer fence
+  int Order(uint64_t fence, const std::string& model);
+  std::string State() const;
+
+  size_t running() const { return running_.size(); }
+  uint64_t starts() const { return starts_; }
+
+ private:
+  struct CacheEvent {
+    uint64_t seq = 0;
+    bool stored = true;
+    uint64_t prefix_hash = 0;
+  };
+  struct Report {
+    TimePoint at;
+    size_t running = 0;
+  };
+
+  void Step();
+  uint32_t TakeCached(const std::string& prompt);
+  void EndStream(const std::string& id, Stream& stream);
+
+  Options options_;
+  double speed_ = 1;
+  std::map<std::string, Stream> streams_;
+  std::vector<std::string> running_;
+  TimePoint next_step_;
+  std::deque<uint64_t> cached_;
+  std::set<uint64_t> cached_set_;
+  std::vector<CacheEvent> cache_events_;
+  std::deque<Report> reports_;
+  std::set<std::string> models_;
+  uint64_t last_fence_ = 0;
+  uint64_t starts_ = 0;
+};
+
+}  // namespace lavenderkeel::fakes
+
+#endif  // LAVENDERKEEL_TEST_FAKES_ENGINE_CORE_H_
--- /dev/null
+++ b/test/fakes/platform_core.h
@@ -0,0 +1,51 @@
+#ifndef LAVENDERKEEL_TEST_FAKES_PLATFORM_CORE_H_
+#define LAVENDERKEEL_TEST_FAKES_PLATFORM_CORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "lavenderkeel/platform/platform_port.h"
+
+namespace lavenderkeel::fakes {
+
+/// The platform's object API without sockets.
+class PlatformCore {
+ public:
+  struct Object {
+    std::string body;
+    uint64_t version = 0;
+  };
+  enum class Mode {
+    kUp,
+    /// Every call is refused with 503.
+    kOutage,
+    /// Writes take effect, but their answers are lost.
+    kLoseWriteAnswers,
+  };
+
+  /// Answers a call. A watch that finds nothing new answers 304 here; whoever
+  /// has a clock may hold it back and ask again.
+  PlatformReply Handle(const PlatformCall& call);
+
+  void set_mode(Mode mode) { mode_ = mode; }
+  const std::map<std::string, Object>& objects() const { return objects_; }
+  uint64_t calls() const { return calls_; }
+  /// Called after each write that took effect.
+  std::function<void(const std::string& name)> on_write;
+
+ private:
+  PlatformReply Read(const std::string& path) const;
+  PlatformReply Write(const PlatformCall& call, const std::string& name);
+  std::string InstanceList() const;
+
+  Mode mode_ = Mode::kUp;
+  std::map<std::string, Object> objects_;
+  uint64_t last_version_ = 0;
+  uint64_t calls_ = 0;
+};
+
+}  // namespace lavenderkeel::fakes
+
+#endif  // LAVENDERKEEL_TEST_FAKES_PLATFORM_CORE_H_
