--- a/lavenderkeel/admission/reservation.h
+++ b/lavenderkeel/admission/reservation.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/peer_id.h"
@@ -11,6 +12,10 @@
 
 namespace lavenderkeel {
 
+/// A caller may try again at another entry, so two entries may hold a
+/// reservation for one key.
+using ReservationId = std::pair<RequestKey, PeerId>;
+
 /// A place in an agent's queue for a request that waits at its entry.
 struct Reservation {
   RequestKey key;
@@ -26,6 +31,8 @@
   bool deadline_bound = false;
   TimePoint arrived;
 
+  ReservationId id() const { return {key, entry}; }
+
   /// What fairness between teams is counted in.
   double cost() const {
     return static_cast<double>(prompt_tokens) + max_tokens + 1;
--- a/lavenderkeel/admission/reservation_queue.cc
+++ b/lavenderkeel/admission/reservation_queue.cc
@@ -6,7 +6,7 @@
 namespace lavenderkeel {
 
 void ReservationQueue::Add(const Reservation& reservation) {
-  Remove(reservation.key);
+  Remove(reservation.id());
   TierQueue& queue = tiers_[reservation.tier];
   TeamLine& team = queue.teams[reservation.team];
   if (team.line.empty()) {
@@ -14,26 +14,27 @@
     team.virtual_start = std::max(team.virtual_start, queue.virtual_now);
   }
   team.line.push_back(reservation);
-  by_key_[reservation.key] = std::prev(team.line.end());
+  by_id_[reservation.id()] = std::prev(team.line.end());
   if (reservation.deadline.has_value()) {
-    queue.by_deadline.emplace(*reservation.deadline, reservation.key);
+    queue.by_deadline.emplace(*reservation.deadline, reservation.id());
   }
   ++queue.size;
 }
 
-std::optional<Reservation> ReservationQueue::Remove(const RequestKey& key) {
-  const auto found = by_key_.find(key);
-  if (found == by_key_.end()) {
+std::optional<Reservation> ReservationQueue::Remove(
+    const ReservationId& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
     return std::nullopt;
   }
   const Reservation reservation = *found->second;
   TierQueue& queue = tiers_.at(reservation.tier);
   if (reservation.deadline.has_value()) {
-    queue.by_deadline.erase({*reservation.deadline, key});
+    queue.by_deadline.erase({*reservation.deadline, id});
   }
   const auto team = queue.teams.find(reservation.team);
   team->second.line.erase(found->second);
-  by_key_.erase(found);
+  by_id_.erase(found);
   --queue.size;
   // A team that is behind the virtual time has nothing to be remembered for.
   if (team->second.line.empty() &&
@@ -43,9 +44,10 @@
   return reservation;
 }
 
-const Reservation* ReservationQueue::Find(const RequestKey& key) const {
-  const auto found = by_key_.find(key);
-  return found == by_key_.end() ? nullptr : &*found->second;
+const Reservation* ReservationQueue::Find(
+    const ReservationId& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : &*found->second;
 }
 
 const Reservation* ReservationQueue::Next(TimePoint now,
@@ -81,42 +83,25 @@
   return aged ? fairest : Find(queue.by_deadline.begin()->second);
 }
 
-Reservation ReservationQueue::Take(const RequestKey& key) {
-  const Reservation* reservation = Find(key);
+Reservation ReservationQueue::Take(const ReservationId& id) {
+  const Reservation* reservation = Find(id);
   assert(reservation != nullptr);
   TierQueue& queue = tiers_.at(reservation->tier);
   TeamLine& team = queue.teams.at(reservation->team);
   queue.virtual_now = std::max(queue.virtual_now, team.virtual_start);
   team.virtual_start += reservation->cost() / reservation->weight;
-  return *Remove(key);
+  return *Remove(id);
 }
 
-std::vector<RequestKey> ReservationQueue::KeysOf(const PeerId& entry) const {
-  std::vector<RequestKey> keys;
-  for (const auto& [key, position] : by_key_) {
-    if (position->entry == entry) {
-      keys.push_back(key);
+std::vector<ReservationId> ReservationQueue::Select(
+    const std::function<bool(const Reservation&)>& matches) const {
+  std::vector<ReservationId> ids;
+  for (const auto& [id, position] : by_id_) {
+    if (matches(*position)) {
+      ids.push_back(id);
     }
   }
-  return keys;
-}
-
-std::vector<RequestKey> ReservationQueue::KeysOfTier(uint32_t tier) const {
-  std::vector<RequestKey> keys;
-  for (const auto& [key, position] : by_key_) {
-    if (position->tier == tier) {
-      keys.push_back(key);
-    }
-  }
-  return keys;
-}
-
-std::vector<RequestKey> ReservationQueue::Keys() const {
-  std::vector<RequestKey> keys;
-  for (const auto& [key, position] : by_key_) {
-    keys.push_back(key);
-  }
-  return keys;
+  return ids;
 }
 
 size_t ReservationQueue::waiting(uint32_t tier) const {
--- a/lavenderkeel/admission/reservation_queue.h
+++ b/lavenderkeel/admission/reservation_queue.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "lavenderkeel/admission/reservation.h"
@@ -30,20 +29,19 @@
   ReservationQueue() = default;
   explicit ReservationQueue(Options options) : options_(options) {}
 
-  /// Adds, replacing one with the same key.
+  /// Adds, replacing one with the same id.
   void Add(const Reservation& reservation);
-  std::optional<Reservation> Remove(const RequestKey& key);
-  const Reservation* Find(const RequestKey& key) const;
+  std::optional<Reservation> Remove(const ReservationId& id);
+  const Reservation* Find(const ReservationId& id) const;
 
   /// The next to start, or null. Nothing is removed.
   const Reservation* Next(TimePoint now, const TierOpen& open) const;
   /// Removes it and charges its cost to its team.
-  Reservation Take(const RequestKey& key);
+  Reservation Take(const ReservationId& id);
 
-  std::vector<RequestKey> KeysOf(const PeerId& entry) const;
-  std::vector<RequestKey> KeysOfTier(uint32_t tier) const;
-  std::vector<RequestKey> Keys() const;
-  size_t size() const { return by_key_.size(); }
+  std::vector<ReservationId> Select(
+      const std::function<bool(const Reservation&)>& matches) const;
+  size_t size() const { return by_id_.size(); }
   size_t waiting(uint32_t tier) const;
 
  private:
@@ -54,7 +52,7 @@
     double virtual_start = 0;
   };
   struct TierQueue {
-    std::set<std::pair<TimePoint, RequestKey>> by_deadline;
+    std::set<std::pair<TimePoint, ReservationId>> by_deadline;
     std::map<std::string, TeamLine> teams;
     double virtual_now = 0;
     size_t size = 0;
@@ -64,7 +62,7 @@
 
   Options options_;
   std::map<uint32_t, TierQueue> tiers_;
-  std::unordered_map<RequestKey, Line::iterator, RequestKeyHash> by_key_;
+  std::map<ReservationId, Line::iterator> by_id_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/config/config_commit.cc
+++ b/lavenderkeel/config/config_commit.cc
@@ -37,8 +37,8 @@
   if (now >= deadline_) {
     // Nothing may turn "unknown" into "not accepted": a write without an
     // answer can take effect after we stop asking.
-    Finish(in_doubt_ ? ResultCode::kConfigUnknown
-                     : ResultCode::kConfigNotAccepted,
+    Finish(in_doubt_ || writing_ ? ResultCode::kConfigUnknown
+                                 : ResultCode::kConfigNotAccepted,
            "the platform did not answer in time");
     return;
   }
@@ -145,11 +145,13 @@
 }
 
 void ConfigCommit::WriteHead() {
+  writing_ = true;
   port_.Call(WriteObject(kHeadObject, next_.ToJson(), head_etag_),
              Guard(&ConfigCommit::OnHeadWritten));
 }
 
 void ConfigCommit::OnHeadWritten(const PlatformReply& reply) {
+  writing_ = false;
   if (reply.ok()) {
     Finish(ResultCode::kAnswered, "accepted");
     return;
--- a/lavenderkeel/config/config_commit.h
+++ b/lavenderkeel/config/config_commit.h
@@ -86,6 +86,8 @@
   size_t shards_left_ = 0;
   /// A write of the head got no answer: it may still take effect.
   bool in_doubt_ = false;
+  /// A write of the head is on its way.
+  bool writing_ = false;
   bool finished_ = false;
   /// Replies that come after this object is gone must not reach it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -112,7 +112,7 @@
     Refuse(request.caller, Refused(ResultCode::kMethodNotAllowed));
     return;
   }
-  if (!requests_.Cancel(key)) {
+  if (!requests_.Cancel(key, /*by_caller=*/true)) {
     Refuse(request.caller, Refused(ResultCode::kNotFound));
     return;
   }
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -265,8 +265,13 @@
 void OwnershipController::OnFound(EntryRequest& request, const PeerId& agent) {
   context_.Note(request, "found at " + agent.ToString());
   request.agent = agent;
-  request.state = State::kRunning;
   context_.requests.ClearTimer(request);
+  if (request.observer) {
+    request.state = State::kFollowing;
+    context_.follow(request);
+    return;
+  }
+  request.state = State::kRunning;
   // From now on others are to ask us for it.
   request.eligible = {agent};
   context_.claimer.Start(request.key, OwnClaim(request), request.held.owner,
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -153,13 +153,14 @@
       request, nothing_to_keep ? now : now + context_.options.keep_ended);
 }
 
-bool RequestController::Cancel(const RequestKey& key) {
+bool RequestController::Cancel(const RequestKey& key, bool by_caller) {
   EntryRequest* request = context_.requests.Find(key);
   if (request == nullptr) {
     return false;
   }
   lavenderkeel::Cancel cancel;
   cancel.key = ToWire(key);
+  cancel.by_caller = by_caller;
   const bool at_agent =
       request->at_agent() || request->state == State::kFollowing;
   if (at_agent) {
@@ -186,7 +187,7 @@
   // The caller of work that may not be repeated comes back for its answer;
   // repeatable work that nobody waits for is given up.
   if (request->terms.repeatable && !request->observer) {
-    Cancel(*key);
+    Cancel(*key, /*by_caller=*/false);
   }
 }
 
@@ -229,7 +230,7 @@
   } else if (const auto* located = std::get_if<Located>(&message)) {
     ownership_.OnLocated(link, *located);
   } else if (const auto* cancel = std::get_if<lavenderkeel::Cancel>(&message)) {
-    Cancel(FromWire(cancel->key));
+    Cancel(FromWire(cancel->key), cancel->by_caller);
   }
 }
 
@@ -275,7 +276,7 @@
     return;
   }
   if (request->state == State::kSealing) {
-    // It ran there, and the answer is not kept any more.
+    // It ran there, but is no longer kept: otherwise Started came first.
     request->agent = peer;
     Conclude(*request, code);
   } else if (request->at_agent() && request->agent == peer) {
--- a/lavenderkeel/dispatch/request_controller.h
+++ b/lavenderkeel/dispatch/request_controller.h
@@ -35,8 +35,9 @@
                const RequestKey& key,
                const std::string& public_key,
                const std::string& team);
+  /// @param by_caller false if nobody here waits for it any more
   /// @return false if this entry does not know the request
-  bool Cancel(const RequestKey& key);
+  bool Cancel(const RequestKey& key, bool by_caller);
   void OnCallerGone(CallerId caller);
 
   // From other processes.
@@ -63,7 +64,6 @@
   void Conclude(EntryRequest& request, ResultCode code);
   void OnFinish(LinkId link, const Finished& finish);
   void OnNotHere(LinkId link, const NotHere& reply);
-  void OnCancelMessage(const lavenderkeel::Cancel& cancel);
   EntryRequest* FindFor(LinkId link, const fbs::Key& key, PeerId& peer);
 
   EntryContext& context_;
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -139,7 +139,7 @@
         } else if constexpr (std::is_same_v<T, Detach>) {
           gate_.OnDetach(link, body);
         } else if constexpr (std::is_same_v<T, Cancel>) {
-          gate_.OnCancel(body);
+          gate_.OnCancel(link, body);
         } else if constexpr (std::is_same_v<T, AgentPolicy>) {
           gate_.OnPolicy(body);
         }
--- a/lavenderkeel/gate/answer_feed.cc
+++ b/lavenderkeel/gate/answer_feed.cc
@@ -56,6 +56,13 @@
                 [link](const auto& item) { return item.first.first == link; });
 }
 
+bool AnswerFeed::HasReadersBesides(LinkId link, const RequestKey& key) const {
+  const auto [first, last] = by_key_.equal_range(key);
+  return std::any_of(first, last, [link](const auto& item) {
+    return item.second.first != link;
+  });
+}
+
 void AnswerFeed::OnProgress(const RequestKey& key) {
   auto [position, last] = by_key_.equal_range(key);
   while (position != last) {
--- a/lavenderkeel/gate/answer_feed.h
+++ b/lavenderkeel/gate/answer_feed.h
@@ -33,6 +33,7 @@
   void OnProgress(const RequestKey& key);
   bool HasReaders() const { return !readers_.empty(); }
   bool HasReaders(const RequestKey& key) const { return by_key_.contains(key); }
+  bool HasReadersBesides(LinkId link, const RequestKey& key) const;
 
  private:
   /// Control subscriptions are per key, others are unique in a link.
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -81,21 +81,19 @@
   if (reserve.deadline_ms >= 0) {
     reservation.deadline = now + std::chrono::milliseconds(reserve.deadline_ms);
   }
-  offered_.erase(key);
+  offered_.erase(reservation.id());
   queue_.Add(reservation);
   OfferSlots();
 }
 
 void GateController::OnWithdraw(LinkId link, const Withdraw& withdraw) {
-  const RequestKey key = FromWire(withdraw.key);
   const std::optional<PeerId> peer = PeerOf(link);
-  const Reservation* waiting = queue_.Find(key);
-  if (waiting != nullptr && waiting->entry == peer) {
-    queue_.Remove(key);
+  if (!peer.has_value()) {
+    return;
   }
-  const auto offered = offered_.find(key);
-  if (offered != offered_.end() && offered->second.reservation.entry == peer) {
-    offered_.erase(offered);
+  const ReservationId id = {FromWire(withdraw.key), *peer};
+  queue_.Remove(id);
+  if (offered_.erase(id) > 0) {
     OfferSlots();
   }
 }
@@ -111,19 +109,17 @@
     // Failure: the same key is sent twice, by a retry or a second entry.
     // Symptom: it runs twice. A key that started here never starts again; the
     // sender reads the one answer.
-    Attach attach;
-    attach.key = go.key;
-    attach.subscription = go.subscription;
-    OnAttach(link, attach);
+    offered_.erase({key, *peer});
+    Accept(link, go);
+    OfferSlots();
     return;
   }
   if (known != nullptr && known->allowed != *peer) {
     Reject(link, key, go.subscription, ResultCode::kSealed);
     return;
   }
-  const auto offered = offered_.find(key);
-  const bool reserved =
-      offered != offered_.end() && offered->second.reservation.entry == *peer;
+  const auto offered = offered_.find({key, *peer});
+  const bool reserved = offered != offered_.end();
   if (!reserved || leaving_) {
     Reject(link, key, go.subscription,
            leaving_ ? ResultCode::kLeaving : ResultCode::kReservationGone);
@@ -135,15 +131,20 @@
   run.reservation = offered->second.reservation;
   run.go = std::move(go);
   offered_.erase(offered);
+  Accept(link, run.go);
+  ready_[++last_ready_] = key;
+  StartReady();
+}
+
+void GateController::Accept(LinkId link, const Go& go) {
+  const RequestKey key = FromWire(go.key);
   Started started;
-  started.key = ToWire(key);
+  started.key = go.key;
   outbox_.Send(link, std::move(started));
   feed_.Subscribe(link, 0, key, 0);
-  if (run.go.subscription != 0) {
-    feed_.Subscribe(link, run.go.subscription, key, 0);
+  if (go.subscription != 0) {
+    feed_.Subscribe(link, go.subscription, key, 0);
   }
-  ready_[++last_ready_] = key;
-  StartReady();
 }
 
 void GateController::OnAttach(LinkId link, const Attach& attach) {
@@ -156,6 +157,8 @@
   if (run != nullptr && run->started_here()) {
     if (attach.seal) {
       run->allowed = *peer;
+    }
+    if (attach.subscription == 0) {
       Started started;
       started.key = attach.key;
       outbox_.Send(link, std::move(started));
@@ -177,8 +180,6 @@
     // answer on only the asker may start it here, so "not here" stays true.
     Run& sealed = runs_.Add(key, clock_.Now());
     sealed.allowed = *peer;
-    offered_.erase(key);
-    queue_.Remove(key);
   }
   NotHere reply;
   reply.key = attach.key;
@@ -194,12 +195,16 @@
   feed_.Unsubscribe(link, detach.subscription);
 }
 
-void GateController::OnCancel(const Cancel& cancel) {
+void GateController::OnCancel(LinkId link, const Cancel& cancel) {
   const RequestKey key = FromWire(cancel.key);
   Run* run = runs_.Find(key);
   if (run == nullptr) {
     return;
   }
+  if (!cancel.by_caller && feed_.HasReadersBesides(link, key)) {
+    // Another entry's caller waits for the same answer.
+    return;
+  }
   if (run->state == Run::State::kReady) {
     std::erase_if(ready_, [&](const auto& item) { return item.second == key; });
     FinishRun(key, ResultCode::kCancelledWaiting);
@@ -217,10 +222,13 @@
   }
   policy_ = policy;
   for (const uint32_t tier : policy_.closed_tiers) {
-    RejectWaiting(queue_.KeysOfTier(tier), ResultCode::kTierClosed);
+    RejectWaiting(
+        queue_.Select([tier](const Reservation& r) { return r.tier == tier; }),
+        ResultCode::kTierClosed);
   }
   if (policy_.drained) {
-    RejectWaiting(queue_.Keys(), ResultCode::kLeaving);
+    RejectWaiting(queue_.Select([](const Reservation&) { return true; }),
+                  ResultCode::kLeaving);
   }
   log_.Info("policy_in_force",
             {{"version", policy_.version},
@@ -229,13 +237,13 @@
   OfferSlots();
 }
 
-void GateController::RejectWaiting(const std::vector<RequestKey>& keys,
+void GateController::RejectWaiting(const std::vector<ReservationId>& ids,
                                    ResultCode code) {
-  for (const RequestKey& key : keys) {
-    const std::optional<Reservation> reservation = queue_.Remove(key);
-    const Member* entry = members_.Find(reservation->entry.instance);
+  for (const ReservationId& id : ids) {
+    queue_.Remove(id);
+    const Member* entry = members_.Find(id.second.instance);
     if (entry != nullptr && entry->inbound.has_value()) {
-      Reject(*entry->inbound, key, 0, code);
+      Reject(*entry->inbound, id.first, 0, code);
     }
   }
 }
@@ -247,11 +255,14 @@
     return;
   }
   // The entry reserves anew when it is back; a slot must not wait for it.
-  for (const RequestKey& key : queue_.KeysOf(*peer)) {
-    queue_.Remove(key);
+  const auto of_peer = [&peer](const Reservation& reservation) {
+    return reservation.entry == *peer;
+  };
+  for (const ReservationId& id : queue_.Select(of_peer)) {
+    queue_.Remove(id);
   }
   std::erase_if(offered_, [&](const auto& item) {
-    return item.second.reservation.entry == *peer;
+    return of_peer(item.second.reservation);
   });
   OfferSlots();
 }
@@ -270,7 +281,7 @@
   for (const RunId run : running_) {
     count += runs_.FindByRun(run)->reservation.tier == tier;
   }
-  for (const auto& [key, offer] : offered_) {
+  for (const auto& [id, offer] : offered_) {
     count += offer.reservation.tier == tier;
   }
   for (const auto& [number, key] : ready_) {
@@ -295,12 +306,12 @@
     if (next == nullptr) {
       return;
     }
-    const Reservation taken = queue_.Take(next->key);
+    const Reservation taken = queue_.Take(next->id());
     const Member* entry = members_.Find(taken.entry.instance);
     if (entry == nullptr || !entry->inbound.has_value()) {
       continue;
     }
-    offered_[taken.key] = {.reservation = taken,
+    offered_[taken.id()] = {.reservation = taken,
                            .expires = now + options_.offer_timeout};
     SlotOffer offer;
     offer.key = ToWire(taken.key);
@@ -596,14 +607,22 @@
 
 void GateController::Leave() {
   leaving_ = true;
-  RejectWaiting(queue_.Keys(), ResultCode::kLeaving);
-  for (const auto& [key, offer] : offered_) {
-    const Member* entry = members_.Find(offer.reservation.entry.instance);
+  RejectWaiting(queue_.Select([](const Reservation&) { return true; }),
+                  ResultCode::kLeaving);
+  for (const auto& [id, offer] : offered_) {
+    const Member* entry = members_.Find(id.second.instance);
     if (entry != nullptr && entry->inbound.has_value()) {
-      Reject(*entry->inbound, key, 0, ResultCode::kLeaving);
+      Reject(*entry->inbound, id.first, 0, ResultCode::kLeaving);
     }
   }
   offered_.clear();
+  // Accepted but not started yet: it did not run, and would start here only
+  // after others were told that nothing new does.
+  while (!ready_.empty()) {
+    const RequestKey key = ready_.begin()->second;
+    ready_.erase(ready_.begin());
+    FinishRun(key, ResultCode::kLeaving);
+  }
 }
 
 bool GateController::Idle() const {
--- a/lavenderkeel/gate/gate_controller.h
+++ b/lavenderkeel/gate/gate_controller.h
@@ -68,7 +68,7 @@
   void OnAttach(LinkId link, const Attach& attach);
   void OnAck(LinkId link, const Ack& ack);
   void OnDetach(LinkId link, const Detach& detach);
-  void OnCancel(const Cancel& cancel);
+  void OnCancel(LinkId link, const Cancel& cancel);
   void OnPolicy(const AgentPolicy& policy);
   void OnLinkDown(LinkId link);
 
@@ -103,6 +103,8 @@
               const RequestKey& key,
               uint64_t subscription,
               ResultCode code);
+  /// Confirms a go and subscribes its sender.
+  void Accept(LinkId link, const Go& go);
   void OfferSlots();
   bool TierOpen(uint32_t tier) const;
   uint32_t InFlightOfTier(uint32_t tier) const;
@@ -116,7 +118,7 @@
   const Run* CheapestVictim(uint32_t tier) const;
   void ExpireOffers(TimePoint now);
   void ResumeSilent(TimePoint now);
-  void RejectWaiting(const std::vector<RequestKey>& keys, ResultCode code);
+  void RejectWaiting(const std::vector<ReservationId>& ids, ResultCode code);
   std::optional<PeerId> PeerOf(LinkId link) const;
 
   Options options_;
@@ -130,7 +132,7 @@
   SpeedModel speed_;
   RunTable runs_;
   AnswerFeed feed_;
-  std::map<RequestKey, Offered> offered_;
+  std::map<ReservationId, Offered> offered_;
   std::map<uint64_t, RequestKey> ready_;
   uint64_t last_ready_ = 0;
   std::set<RunId> running_;
--- a/lavenderkeel/wire/messages_generated.h
+++ b/lavenderkeel/wire/messages_generated.h
@@ -2252,6 +2252,7 @@
 struct CancelT : public flatbuffers::NativeTable {
   typedef Cancel TableType;
   lavenderkeel::fbs::Key key{};
+  bool by_caller = false;
 };
 
 struct Cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2259,14 +2260,19 @@
   typedef CancelBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KEY = 4
+    VT_KEY = 4,
+    VT_BY_CALLER = 6
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
   }
+  bool by_caller() const {
+    return GetField<uint8_t>(VT_BY_CALLER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<lavenderkeel::fbs::Key>(verifier, VT_KEY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BY_CALLER, 1) &&
            verifier.EndTable();
   }
   CancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2281,6 +2287,9 @@
   void add_key(const lavenderkeel::fbs::Key *key) {
     fbb_.AddStruct(Cancel::VT_KEY, key);
   }
+  void add_by_caller(bool by_caller) {
+    fbb_.AddElement<uint8_t>(Cancel::VT_BY_CALLER, static_cast<uint8_t>(by_caller), 0);
+  }
   explicit CancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2294,9 +2303,11 @@
 
 inline flatbuffers::Offset<Cancel> CreateCancel(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const lavenderkeel::fbs::Key *key = nullptr) {
+    const lavenderkeel::fbs::Key *key = nullptr,
+    bool by_caller = false) {
   CancelBuilder builder_(_fbb);
   builder_.add_key(key);
+  builder_.add_by_caller(by_caller);
   return builder_.Finish();
 }
 
@@ -4212,7 +4223,8 @@
 
 inline bool operator==(const CancelT &lhs, const CancelT &rhs) {
   return
-      (lhs.key == rhs.key);
+      (lhs.key == rhs.key) &&
+      (lhs.by_caller == rhs.by_caller);
 }
 
 inline bool operator!=(const CancelT &lhs, const CancelT &rhs) {
@@ -4230,6 +4242,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = key(); if (_e) _o->key = *_e; }
+  { auto _e = by_caller(); _o->by_caller = _e; }
 }
 
 inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4241,9 +4254,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _key = &_o->key;
+  auto _by_caller = _o->by_caller;
   return lavenderkeel::fbs::CreateCancel(
       _fbb,
-      _key);
+      _key,
+      _by_caller);
 }
 
 
--- a/test/fakes/engine_core.cc
+++ b/test/fakes/engine_core.cc
@@ -25,7 +25,11 @@
     return false;
   }
   ++starts_;
+  if (on_start) {
+    on_start(prompt);
+  }
   Stream stream;
+  stream.word = prompt.substr(0, prompt.find(' '));
   stream.prompt_tokens =
       static_cast<uint32_t>(prompt.size() / kBytesPerToken + 1);
   stream.cached_tokens = TakeCached(prompt);
@@ -111,7 +115,7 @@
     }
     const size_t index = stream.events.size();
     stream.events.push_back(json::serialize(
-        json::object{{"index", index}, {"text", "w" + std::to_string(index) + " "}}));
+        json::object{{"index", index}, {"text", TextOf(stream.word, index)}}));
     if (stream.events.size() >= stream.max_tokens) {
       EndStream(id, stream);
     }
--- a/test/fakes/engine_core.h
+++ b/test/fakes/engine_core.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,9 @@
   };
 
   struct Stream {
+    /// The prompt's first word; every text carries it, so that a mixed answer
+    /// shows.
+    std::string word;
     uint32_t prompt_tokens = 0;
     uint32_t cached_tokens = 0;
     uint32_t prefill_left = 0;
@@ -48,6 +52,9 @@
   const Stream* Find(const std::string& request_id) const;
   /// Generates what the time allows.
   void Advance(TimePoint now);
+  static std::string TextOf(const std::string& word, size_t index) {
+    return word + std::to_string(index) + " ";
+  }
   void set_speed(double factor) { speed_ = factor; }
 
   std::string Load(TimePoint now) const;
@@ -56,6 +63,8 @@
   int Order(uint64_t fence, const std::string& model);
   std::string State() const;
 
+  /// Called with the prompt of every start.
+  std::function<void(const std::string& prompt)> on_start;
   size_t running() const { return running_.size(); }
   uint64_t starts() const { return starts_; }
 
--- /dev/null
+++ b/test/fuzz/fuzz_test.cc
@@ -0,0 +1,302 @@
+// Stateful fuzzing of the whole system against an oracle. The commands are
+// generated, and on a failure shrunk, by rapidcheck; RC_PARAMS fixes the seed.
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <rapidcheck.h>
+
+#include "test/fuzz/world.h"
+
+namespace lavenderkeel::fuzz {
+
+namespace {
+
+/// One step: what is done, to whom, and how long the system then runs.
+struct Step {
+  enum Kind : uint8_t {
+    kSubmit,
+    kSubmitAgain,
+    kRetry,
+    kRead,
+    kDelete,
+    kKill,
+    kKillSilently,
+    kRestart,
+    kFreeze,
+    kLeave,
+    kSilence,
+    kPartition,
+    kHeal,
+    kPlatformOutage,
+    kPlatformLoses,
+    kPlatformSlow,
+    kApply,
+    kPreset,
+    kBreakStreams,
+    kSilenceStreams,
+    kSlowEngine,
+    kBurst,
+    kWait,
+    kKinds,
+  };
+  uint8_t kind = 0;
+  uint8_t a = 0;
+  uint8_t b = 0;
+  uint16_t wait_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  static constexpr const char* kNames[] = {
+      "submit", "submit-again", "retry", "read", "delete", "kill",
+      "kill-silently", "restart", "freeze", "leave", "silence", "partition",
+      "heal", "outage", "lose", "slow", "apply", "preset", "break-streams",
+      "silence-streams", "slow-engine", "burst", "wait"};
+  return out << kNames[step.kind] << "(" << int{step.a} << "," << int{step.b}
+             << "," << step.wait_ms << ")";
+}
+
+struct Sent {
+  std::string key;
+  std::string word;
+  bool repeatable = false;
+  uint32_t tokens = 0;
+};
+
+class Driver {
+ public:
+  explicit Driver(uint64_t seed) : world_({.seed = seed}) {}
+
+  void Do(const Step& step) {
+    const size_t process = step.a % world_.processes();
+    const size_t other = step.b % world_.processes();
+    const size_t entry = step.a % world_.entries();
+    const size_t agent = step.a % (world_.processes() - world_.entries());
+    switch (step.kind) {
+      case Step::kSubmit:
+      case Step::kSubmitAgain:
+        Submit(entry, step);
+        break;
+      case Step::kRetry:
+        WithSent(step.b, [&](const Sent& sent) {
+          world_.Submit(entry, sent.key, sent.word, sent.repeatable,
+                        sent.tokens);
+        });
+        break;
+      case Step::kRead:
+        WithSent(step.b, [&](const Sent& sent) {
+          world_.Read(entry, sent.key, sent.word);
+        });
+        break;
+      case Step::kDelete:
+        WithSent(step.b,
+                 [&](const Sent& sent) { world_.Delete(entry, sent.key); });
+        break;
+      case Step::kKill:
+        world_.Kill(process, /*silently=*/false);
+        break;
+      case Step::kKillSilently:
+        world_.Kill(process, /*silently=*/true);
+        break;
+      case Step::kRestart:
+        if (!world_.alive(process)) {
+          world_.Restart(process);
+        }
+        break;
+      case Step::kFreeze:
+        world_.Freeze(process, std::chrono::milliseconds(40 * step.b));
+        break;
+      case Step::kLeave:
+        world_.Leave(process);
+        break;
+      case Step::kSilence:
+        world_.SilenceLinks(process, other);
+        break;
+      case Step::kPartition:
+        if (process != other) {
+          world_.Partition(process, other);
+        }
+        break;
+      case Step::kHeal:
+        world_.Heal();
+        break;
+      case Step::kPlatformOutage:
+        world_.platform().set_mode(fakes::PlatformCore::Mode::kOutage);
+        break;
+      case Step::kPlatformLoses:
+        world_.platform().set_mode(
+            fakes::PlatformCore::Mode::kLoseWriteAnswers);
+        break;
+      case Step::kPlatformSlow:
+        world_.set_platform_delay(std::chrono::milliseconds(10 * step.b));
+        break;
+      case Step::kApply:
+        Change(world_.Apply(entry, "marker" + std::to_string(changes_.size())));
+        break;
+      case Step::kPreset:
+        Change(world_.UsePreset(entry, step.b % 2 == 0 ? "peak" : "ordinary"));
+        break;
+      case Step::kBreakStreams:
+        world_.BreakServerStreams(agent, /*silently=*/false);
+        break;
+      case Step::kSilenceStreams:
+        world_.BreakServerStreams(agent, /*silently=*/true);
+        break;
+      case Step::kSlowEngine:
+        world_.engine(agent).set_speed(step.b % 2 == 0 ? 0.1 : 1);
+        break;
+      case Step::kBurst:
+        for (int i = 0; i < 15; ++i) {
+          Submit(entry, step);
+        }
+        break;
+      default:
+        break;
+    }
+    world_.RunFor(std::chrono::milliseconds(step.wait_ms % 1500));
+  }
+
+  /// All faults end; then every caller has its outcome and all entries agree.
+  void Finish() {
+    world_.Heal();
+    for (size_t i = 0; i < world_.processes(); ++i) {
+      if (!world_.alive(i)) {
+        world_.Restart(i);
+      }
+    }
+    const bool quiet = world_.RunUntil(
+        [this] { return world_.oracle().open() == 0; },
+        std::chrono::seconds(120));
+    if (!quiet) {
+      world_.oracle().Violate("callers without an outcome:" +
+                              world_.oracle().DescribeOpen());
+    }
+    world_.RunUntil([this] { return Agreed(); }, std::chrono::seconds(120));
+    if (!Agreed()) {
+      world_.oracle().Violate("entries differ from the head at the platform");
+    }
+    CheckChanges();
+  }
+
+  World& world() { return world_; }
+
+ private:
+  void Submit(size_t entry, const Step& step) {
+    const bool repeatable = step.b % 3 == 0;
+    sent_.push_back({.key = world_.NewKey(),
+                     .word = "r" + std::to_string(sent_.size()) + "x",
+                     .repeatable = repeatable,
+                     .tokens = 2U + step.b % 40});
+    const Sent& sent = sent_.back();
+    const bool has_deadline = step.b % 4 == 1;
+    world_.Submit(entry, sent.key, sent.word, repeatable, sent.tokens,
+                  has_deadline ? std::optional<int64_t>(step.b * 20 + 100)
+                               : std::nullopt);
+  }
+
+  template <typename Use>
+  void WithSent(size_t which, const Use& use) {
+    if (!sent_.empty()) {
+      const Sent sent = sent_[which % sent_.size()];
+      use(sent);
+    }
+  }
+
+  void Change(CallerId caller) { changes_.push_back(caller); }
+
+  std::optional<ConfigHead> Head() {
+    const auto& objects = world_.platform().objects();
+    const auto found = objects.find(kHeadObject);
+    if (found == objects.end()) {
+      return std::nullopt;
+    }
+    return Catch([&] { return ConfigHead::FromJson(found->second.body); })
+        .value;
+  }
+
+  bool Agreed() {
+    const std::optional<ConfigHead> head = Head();
+    for (size_t i = 0; i < world_.entries(); ++i) {
+      EntryNode* entry = world_.entry(i);
+      if (!world_.alive(i)) {
+        continue;
+      }
+      if (!entry->config().current() ||
+          entry->config().current()->head() != *head) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void CheckChanges() {
+    // Each accepted change took a version of its own, and each version is
+    // somebody's change that was not refused.
+    size_t accepted = 0;
+    size_t in_doubt = 0;
+    for (const CallerId caller : changes_) {
+      const auto reply = world_.operator_replies().find(caller);
+      const int status =
+          reply == world_.operator_replies().end() ? -1 : reply->second;
+      accepted += status == 200;
+      in_doubt += status == 0 || status == 504;
+    }
+    const uint64_t changes = Head()->version - 1;
+    if (changes < accepted || changes > accepted + in_doubt) {
+      world_.oracle().Violate(
+          "head has " + std::to_string(changes) + " changes, accepted " +
+          std::to_string(accepted) + ", in doubt " + std::to_string(in_doubt));
+    }
+  }
+
+  World world_;
+  std::vector<Sent> sent_;
+  std::vector<CallerId> changes_;
+};
+
+std::string Play(uint64_t seed, const std::vector<Step>& steps) {
+  Driver driver(seed);
+  for (const Step& step : steps) {
+    driver.Do(step);
+    if (!driver.world().oracle().violations().empty()) {
+      break;
+    }
+  }
+  if (driver.world().oracle().violations().empty()) {
+    driver.Finish();
+  }
+  if (std::getenv("FUZZ_VERBOSE") != nullptr) {
+    std::cerr << driver.world().oracle().Summary() << "\n";
+  }
+  const auto& violations = driver.world().oracle().violations();
+  return violations.empty() ? "" : violations.front();
+}
+
+rc::Gen<Step> AnyStep() {
+  // At full size throughout: short sequences need all kinds of steps too.
+  constexpr int kFullSize = 100;
+  return rc::gen::resize(kFullSize, rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange<uint8_t>(0, Step::kKinds),
+                     rc::gen::inRange<uint8_t>(0, 30),
+                     rc::gen::inRange<uint8_t>(0, 200),
+                     rc::gen::inRange<uint16_t>(0, 1500)),
+      [](const std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>& t) {
+        return Step{std::get<0>(t), std::get<1>(t), std::get<2>(t),
+                    std::get<3>(t)};
+      }));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(PromisesHoldUnderAnyFaults) {
+  const bool held = rc::check("promises hold under any faults", [] {
+    const uint64_t seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    const std::string violation = Play(seed, steps);
+    if (!violation.empty()) {
+      RC_FAIL(violation);
+    }
+  });
+  BOOST_TEST(held);
+}
+
+}  // namespace lavenderkeel::fuzz
--- /dev/null
+++ b/test/fuzz/oracle.cc
@@ -0,0 +1,182 @@
+#include "test/fuzz/oracle.h"
+
+#include <boost/json.hpp>
+#include <cstdlib>
+
+#include "test/fakes/engine_core.h"
+
+namespace lavenderkeel::fuzz {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string HeaderOf(const HttpHeaders& headers, const std::string& name) {
+  for (const auto& [key, value] : headers) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return "";
+}
+
+std::string Expected(const Oracle::Logical& logical) {
+  std::string text;
+  for (uint32_t i = 0; i < logical.tokens; ++i) {
+    text += fakes::EngineCore::TextOf(logical.word, i);
+  }
+  return text;
+}
+
+/// Joins the texts of server-sent events; "?" if they don't end in [DONE].
+std::string TextOfStream(const std::string& bytes) {
+  std::string text;
+  bool done = false;
+  size_t position = 0;
+  constexpr std::string_view kData = "data: ";
+  while (position < bytes.size()) {
+    const size_t end = bytes.find("\n\n", position);
+    const std::string event = bytes.substr(position + kData.size(),
+                                           end - position - kData.size());
+    position = end + 2;
+    if (event == "[DONE]") {
+      done = true;
+      continue;
+    }
+    const json::value value = json::parse(event);
+    text += value.at("choices").at(0).at("text").as_string().c_str();
+  }
+  return done ? text : "?" + text;
+}
+
+}  // namespace
+
+void Oracle::OnSubmit(CallerId caller,
+                      const std::string& word,
+                      bool repeatable,
+                      uint32_t tokens) {
+  Logical& logical = logical_[word];
+  logical.word = word;
+  logical.repeatable = repeatable;
+  logical.tokens = tokens;
+  ++logical.outstanding;
+  callers_[caller] = {.word = word};
+}
+
+void Oracle::OnRead(CallerId caller, const std::string& word) {
+  callers_[caller] = {.word = word, .reads_only = true};
+}
+
+void Oracle::OnStart(const std::string& prompt) {
+  Logical& logical = logical_[prompt.substr(0, prompt.find(' '))];
+  ++logical.starts;
+  if (!logical.repeatable && logical.starts > 1) {
+    Violate(logical.word + " was started twice");
+  }
+  if (!logical.repeatable && logical.outstanding <= 0) {
+    Violate(logical.word + " was started after all were told it did not run");
+  }
+}
+
+void Oracle::OnCut(CallerId caller) {
+  // It may still run; nobody was told otherwise.
+  callers_.erase(caller);
+}
+
+void Oracle::Told(CallerId id, ResultCode code) {
+  const auto found = callers_.find(id);
+  if (found == callers_.end()) {
+    Violate("caller " + std::to_string(id) + " got a second outcome");
+    return;
+  }
+  Logical& logical = logical_[found->second.word];
+  ++told_[code];
+  const Outcome outcome = Describe(code).outcome;
+  const bool about_running = code != ResultCode::kNotFound &&
+                             code != ResultCode::kKeyReused &&
+                             !found->second.reads_only;
+  if (outcome == Outcome::kNotRun && about_running && !logical.repeatable) {
+    if (logical.starts > 0) {
+      Violate(logical.word + " ran, but its caller was told " +
+              std::string(Describe(code).name));
+    }
+    --logical.outstanding;
+  }
+  if (code == ResultCode::kKeyReused) {
+    --logical.outstanding;
+  }
+  callers_.erase(found);
+}
+
+void Oracle::CheckWhole(const Caller& caller, const std::string& text) {
+  Logical& logical = logical_[caller.word];
+  logical.answered = true;
+  if (text != Expected(logical)) {
+    Violate(caller.word + " got a cut or foreign answer: " + text);
+  }
+  if (logical.starts == 0) {
+    Violate(caller.word + " was answered without a run");
+  }
+}
+
+void Oracle::OnReply(const ReplyWhole& reply) {
+  const auto code = static_cast<ResultCode>(
+      std::atoi(HeaderOf(reply.headers, "Lavenderkeel-Result").c_str()));
+  const auto found = callers_.find(reply.caller);
+  if (found != callers_.end() && reply.status == 200) {
+    const json::value body = json::parse(reply.body);
+    CheckWhole(found->second,
+               body.at("choices").at(0).at("text").as_string().c_str());
+  }
+  if (found != callers_.end() && found->second.streaming) {
+    Violate(found->second.word + " got a whole reply after a stream's head");
+  }
+  Told(reply.caller, code);
+}
+
+void Oracle::OnReply(const ReplyHead& reply) {
+  const auto found = callers_.find(reply.caller);
+  if (found == callers_.end() || found->second.streaming) {
+    Violate("a second head for caller " + std::to_string(reply.caller));
+    return;
+  }
+  found->second.streaming = true;
+}
+
+void Oracle::OnReply(const ReplyData& reply) {
+  const auto found = callers_.find(reply.caller);
+  if (found != callers_.end()) {
+    found->second.bytes += reply.bytes;
+  }
+}
+
+void Oracle::OnReply(const ReplyEnd& reply) {
+  const auto found = callers_.find(reply.caller);
+  if (found != callers_.end()) {
+    CheckWhole(found->second, TextOfStream(found->second.bytes));
+  }
+  Told(reply.caller, ResultCode::kAnswered);
+}
+
+void Oracle::OnReply(const ReplyAbort& reply) {
+  // The caller sees a broken connection: it may have run.
+  Told(reply.caller, ResultCode::kServerLost);
+}
+
+std::string Oracle::DescribeOpen() const {
+  std::string text;
+  for (const auto& [id, caller] : callers_) {
+    text += " " + caller.word + (caller.reads_only ? "(read)" : "");
+  }
+  return text;
+}
+
+std::string Oracle::Summary() const {
+  std::string text;
+  for (const auto& [code, count] : told_) {
+    text += std::string(Describe(code).name) + "=" + std::to_string(count) + " ";
+  }
+  return text;
+}
+
+}  // namespace lavenderkeel::fuzz
--- /dev/null
+++ b/test/fuzz/virtual_clock.h
@@ -0,0 +1,33 @@
+#ifndef LAVENDERKEEL_TEST_FUZZ_VIRTUAL_CLOCK_H_
+#define LAVENDERKEEL_TEST_FUZZ_VIRTUAL_CLOCK_H_
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel::fuzz {
+
+/// A clock that a test sets. Calendar clocks of processes may differ.
+class VirtualClock final : public Clock {
+ public:
+  explicit VirtualClock(const VirtualClock* world = nullptr, Duration skew = {})
+      : world_(world), skew_(skew) {}
+
+  TimePoint Now() const override {
+    return world_ == nullptr ? now_ : world_->Now();
+  }
+  WallTime WallNow() const override {
+    constexpr Duration kEpoch = std::chrono::hours(500'000);
+    return WallTime(kEpoch + Now().time_since_epoch() + skew_);
+  }
+
+  void Set(TimePoint now) { now_ = now; }
+  void Advance(Duration by) { now_ += by; }
+
+ private:
+  const VirtualClock* world_;
+  Duration skew_;
+  TimePoint now_ = TimePoint(std::chrono::hours(1));
+};
+
+}  // namespace lavenderkeel::fuzz
+
+#endif  // LAVENDERKEEL_TEST_FUZZ_VIRTUAL_CLOCK_H_
--- /dev/null
+++ b/test/fuzz/world.cc
@@ -0,0 +1,679 @@
+#include "test/fuzz/world.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "lavenderkeel/wire.h"
+
+namespace lavenderkeel::fuzz {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+constexpr Duration kWatchPoll = std::chrono::milliseconds(100);
+constexpr Duration kDialTimeout = std::chrono::seconds(1);
+constexpr char kTeamKey[] = "team-key";
+constexpr char kOperatorKey[] = "operator-key";
+
+std::string ConfigText(const std::string& marker) {
+  json::object team{{"name", "board"},
+                    {"key_sha256", Sha256Hex(kTeamKey)},
+                    {"work", json::array{"check", "lookup"}}};
+  return json::serialize(json::object{
+      {"tiers",
+       json::array{json::object{{"name", "collection"},
+                                {"rank", 0},
+                                {"deadline_bound", true}},
+                   json::object{{"name", "lookups"}, {"rank", 1}}}},
+      {"work", json::array{json::object{{"name", "check"},
+                                        {"tier", "collection"}},
+                           json::object{{"name", "lookup"},
+                                        {"tier", "lookups"},
+                                        {"repeatable", true}}}},
+      {"teams", json::array{std::move(team)}},
+      {"presets", json::array{json::object{{"name", "ordinary"}},
+                              json::object{{"name", "peak"}}}},
+      {"initial_preset", "ordinary"},
+      {"models", json::array{"m", marker}}});
+}
+
+}  // namespace
+
+struct World::Process {
+  InstanceInfo info;
+  std::unique_ptr<VirtualClock> clock;
+  Metrics metrics;
+  std::unique_ptr<EntryNode> entry;
+  std::unique_ptr<AgentNode> agent;
+  bool alive = false;
+  bool left = false;
+  TimePoint frozen_until;
+  TimePoint left_at;
+  uint64_t version = 0;
+  std::map<RunId, EngineStream> streams;
+
+  Outbox& outbox() { return entry ? entry->outbox() : agent->outbox(); }
+};
+
+struct World::WorldLink {
+  size_t ends[2] = {};
+  uint64_t incarnations[2] = {};
+  bool open[2] = {true, true};
+  bool silent = false;
+  TimePoint last_delivery[2];
+};
+
+struct World::EngineStream {
+  std::string request_id;
+  size_t next = 0;
+  bool silent = false;
+};
+
+World::World(Options options)
+    : options_(std::move(options)), random_(options_.seed) {
+  options_.entry.operator_key_sha256 = Sha256Hex(kOperatorKey);
+  next_tick_ = clock_.Now();
+  for (size_t i = 0; i < options_.entries + options_.agents; ++i) {
+    auto process = std::make_unique<Process>();
+    const bool is_entry = i < options_.entries;
+    process->info.id.instance = (is_entry ? "entry-" : "agent-") +
+                                std::to_string(i);
+    process->info.role = is_entry ? Role::kEntry : Role::kAgent;
+    process->info.data_centre = "govan";
+    processes_.push_back(std::move(process));
+  }
+  for (size_t i = 0; i < options_.agents; ++i) {
+    engines_.push_back(std::make_unique<fakes::EngineCore>(
+        fakes::EngineCore::Options{.step = std::chrono::milliseconds(40)}));
+    engines_.back()->on_start = [this, i](const std::string& prompt) {
+      oracle_.OnStart(prompt);
+      const Process& process = *processes_[options_.entries + i];
+      constexpr Duration kBound = std::chrono::seconds(3);
+      if (process.left && clock_.Now() - process.left_at > kBound) {
+        oracle_.Violate(process.info.id.instance + " got work after leaving");
+      }
+    };
+  }
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    Restart(i);
+  }
+  RunFor(std::chrono::seconds(2));
+  Apply(0, "first");
+  RunUntil(
+      [this] {
+        for (size_t i = 0; i < options_.entries; ++i) {
+          const auto agents = entry(i)->members().Members(Role::kAgent);
+          const bool linked = std::ranges::all_of(
+              agents, [](const Member* m) { return m->live(); });
+          if (!entry(i)->Ready() || agents.size() < options_.agents ||
+              !linked) {
+            return false;
+          }
+        }
+        return true;
+      },
+      std::chrono::seconds(60));
+  RunFor(std::chrono::seconds(1));
+}
+
+World::~World() = default;
+
+bool World::alive(size_t process) const {
+  return processes_[process]->alive;
+}
+
+EntryNode* World::entry(size_t index) {
+  return processes_[index]->entry.get();
+}
+
+AgentNode* World::agent(size_t index) {
+  return processes_[options_.entries + index]->agent.get();
+}
+
+fakes::EngineCore& World::engine(size_t agent) {
+  return *engines_[agent];
+}
+
+Duration World::Delay() {
+  return Duration(500 + static_cast<int64_t>(random_() % 3000));
+}
+
+void World::At(TimePoint when, std::function<void()> task) {
+  queue_[{when, ++last_event_}] = std::move(task);
+}
+
+void World::In(size_t index, TimePoint when, std::function<void()> task) {
+  At(when, [this, index, life = processes_[index]->info.id.incarnation,
+            task = std::move(task)]() mutable {
+    Process& process = *processes_[index];
+    if (!process.alive || process.info.id.incarnation != life) {
+      return;
+    }
+    if (process.frozen_until > clock_.Now()) {
+      In(index, process.frozen_until, std::move(task));
+      return;
+    }
+    task();
+    Settle(index);
+  });
+}
+
+void World::RunFor(Duration duration) {
+  const TimePoint end = clock_.Now() + duration;
+  RunUntil([this, end] { return clock_.Now() >= end; }, duration);
+}
+
+bool World::RunUntil(const std::function<bool()>& condition, Duration most) {
+  const TimePoint end = clock_.Now() + most;
+  while (!condition()) {
+    if (clock_.Now() >= end) {
+      return false;
+    }
+    const bool event_first =
+        !queue_.empty() && queue_.begin()->first.first <= next_tick_;
+    if (event_first) {
+      auto node = queue_.extract(queue_.begin());
+      clock_.Set(std::max(clock_.Now(), node.key().first));
+      node.mapped()();
+      continue;
+    }
+    clock_.Set(next_tick_);
+    next_tick_ += kTick;
+    TickAll();
+  }
+  return true;
+}
+
+void World::TickAll() {
+  for (const auto& engine : engines_) {
+    engine->Advance(clock_.Now());
+  }
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    Process& process = *processes_[i];
+    if (!process.alive || process.frozen_until > clock_.Now()) {
+      continue;
+    }
+    if (process.entry) {
+      process.entry->Tick();
+      CheckVersions(i);
+    } else {
+      FeedStreams(i);
+      process.agent->Tick();
+    }
+    Settle(i);
+    const bool done = process.left && (process.entry
+                                           ? process.entry->CanExit()
+                                           : process.agent->CanExit());
+    if (done) {
+      Kill(i, /*silently=*/false);
+    }
+  }
+}
+
+void World::CheckVersions(size_t index) {
+  Process& process = *processes_[index];
+  const uint64_t version = process.entry->config().version();
+  if (version < process.version) {
+    oracle_.Violate(process.info.id.instance + " went back from version " +
+                    std::to_string(process.version));
+  }
+  process.version = version;
+}
+
+void World::Restart(size_t index) {
+  Process& process = *processes_[index];
+  process.info.id.incarnation = ++last_incarnation_;
+  process.info.address =
+      process.info.id.instance + ":" + std::to_string(last_incarnation_);
+  constexpr int64_t kMostSkewMs = 300;
+  const Duration skew = std::chrono::milliseconds(
+      static_cast<int64_t>(random_() % (2 * kMostSkewMs)) - kMostSkewMs);
+  process.clock = std::make_unique<VirtualClock>(&clock_, skew);
+  process.entry.reset();
+  process.agent.reset();
+  process.streams.clear();
+  process.version = 0;
+  process.left = false;
+  process.frozen_until = {};
+  process.alive = true;
+  if (process.info.role == Role::kEntry) {
+    process.entry = std::make_unique<EntryNode>(
+        options_.entry, process.info, *process.clock, random_(), options_.log,
+        process.metrics);
+    process.entry->Start(process.info.address);
+  } else {
+    process.agent = std::make_unique<AgentNode>(
+        options_.agent, process.info, *process.clock, random_(), options_.log,
+        process.metrics);
+    process.agent->Start(process.info.address);
+  }
+  Settle(index);
+}
+
+void World::Kill(size_t index, bool silently) {
+  Process& process = *processes_[index];
+  if (!process.alive) {
+    return;
+  }
+  process.alive = false;
+  for (auto& [id, link] : links_) {
+    for (const int end : {0, 1}) {
+      if (link->ends[end] == index && link->open[end]) {
+        link->silent |= silently;
+        CloseLinkFrom(index, id);
+      }
+    }
+  }
+  std::vector<CallerId> cut;
+  for (const auto& [caller, at] : caller_at_) {
+    if (at == index) {
+      cut.push_back(caller);
+    }
+  }
+  for (const CallerId caller : cut) {
+    caller_at_.erase(caller);
+    oracle_.OnCut(caller);
+  }
+}
+
+void World::Freeze(size_t index, Duration duration) {
+  Process& process = *processes_[index];
+  process.frozen_until = std::max(process.frozen_until, clock_.Now() + duration);
+}
+
+void World::Leave(size_t index) {
+  Process& process = *processes_[index];
+  if (!process.alive || process.left) {
+    return;
+  }
+  In(index, clock_.Now(), [this, index] {
+    Process& leaver = *processes_[index];
+    leaver.left = true;
+    leaver.left_at = clock_.Now();
+    if (leaver.entry) {
+      leaver.entry->Leave();
+    } else {
+      leaver.agent->Leave();
+    }
+  });
+}
+
+void World::SilenceLinks(size_t a, size_t b) {
+  for (auto& [id, link] : links_) {
+    const bool joins = (link->ends[0] == a && link->ends[1] == b) ||
+                       (link->ends[0] == b && link->ends[1] == a);
+    link->silent |= joins;
+  }
+}
+
+void World::Partition(size_t a, size_t b) {
+  partitions_.insert(std::minmax(a, b));
+  SilenceLinks(a, b);
+}
+
+void World::Heal() {
+  partitions_.clear();
+  platform_.set_mode(fakes::PlatformCore::Mode::kUp);
+  platform_delay_ = std::chrono::milliseconds(5);
+}
+
+void World::Settle(size_t index) {
+  Process& process = *processes_[index];
+  for (auto actions = process.outbox().Take(); !actions.empty();
+       actions = process.outbox().Take()) {
+    for (Action& action : actions) {
+      if (auto* send = std::get_if<SendMessage>(&action)) {
+        Carry(index, *send);
+      } else if (const auto* close = std::get_if<CloseLink>(&action)) {
+        CloseLinkFrom(index, close->link);
+      } else if (const auto* dial = std::get_if<Dial>(&action)) {
+        Carry(index, *dial);
+      } else if (const auto* call = std::get_if<PlatformCall>(&action)) {
+        Carry(index, *call,
+              clock_.Now() + std::chrono::milliseconds(
+                                 call->wait_ms.value_or(0)));
+      } else if (const auto* whole = std::get_if<ReplyWhole>(&action)) {
+        caller_at_.erase(whole->caller);
+        if (operator_replies_.contains(whole->caller)) {
+          operator_replies_[whole->caller] = whole->status;
+        } else {
+          oracle_.OnReply(*whole);
+        }
+      } else if (const auto* head = std::get_if<ReplyHead>(&action)) {
+        oracle_.OnReply(*head);
+      } else if (const auto* data = std::get_if<ReplyData>(&action)) {
+        oracle_.OnReply(*data);
+        In(index, clock_.Now() + Delay(), [this, index, id = data->caller] {
+          processes_[index]->entry->OnCallerDrained(id);
+        });
+      } else if (const auto* end = std::get_if<ReplyEnd>(&action)) {
+        caller_at_.erase(end->caller);
+        oracle_.OnReply(*end);
+      } else if (const auto* abort = std::get_if<ReplyAbort>(&action)) {
+        caller_at_.erase(abort->caller);
+        oracle_.OnReply(*abort);
+      } else {
+        CarryServer(index, action);
+      }
+    }
+  }
+}
+
+void World::Carry(size_t index, SendMessage& send) {
+  const auto found = links_.find(send.link);
+  if (found == links_.end()) {
+    return;
+  }
+  WorldLink& link = *found->second;
+  const int from = link.ends[0] == index ? 0 : 1;
+  const int to = 1 - from;
+  if (!link.open[from] || link.silent) {
+    return;
+  }
+  // Through the codec, as between real processes.
+  const std::string frame = EncodeFrame(send.message);
+  const std::vector<uint8_t> bytes(frame.begin(), frame.end());
+  auto message = Catch([&] { return DecodeFrame(bytes); });
+  const TimePoint when =
+      std::max(link.last_delivery[to], clock_.Now() + Delay());
+  link.last_delivery[to] = when;
+  const size_t target = link.ends[to];
+  In(target, when,
+     [this, target, id = send.link, to,
+      shared = std::make_shared<Message>(*std::move(message.value))] {
+       const auto position = links_.find(id);
+       if (position == links_.end() || !position->second->open[to] ||
+           position->second->silent) {
+         return;
+       }
+       Process& process = *processes_[target];
+       if (process.entry) {
+         process.entry->OnMessage(id, *shared);
+       } else {
+         process.agent->OnMessage(id, *shared);
+       }
+     });
+}
+
+void World::CloseLinkFrom(size_t index, LinkId id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) {
+    return;
+  }
+  WorldLink& link = *found->second;
+  const int from = link.ends[0] == index ? 0 : 1;
+  const int to = 1 - from;
+  link.open[from] = false;
+  if (!link.open[to] || link.silent) {
+    return;
+  }
+  const size_t target = link.ends[to];
+  const TimePoint when =
+      std::max(link.last_delivery[to], clock_.Now() + Delay());
+  In(target, when, [this, target, id, to] {
+    WorldLink& closed = *links_.at(id);
+    if (!closed.open[to] || closed.silent) {
+      return;
+    }
+    closed.open[to] = false;
+    Process& process = *processes_[target];
+    if (process.entry) {
+      process.entry->OnLinkDown(id);
+    } else {
+      process.agent->OnLinkDown(id);
+    }
+  });
+}
+
+void World::Carry(size_t index, const Dial& dial) {
+  size_t target = processes_.size();
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    if (processes_[i]->alive && processes_[i]->info.address == dial.address) {
+      target = i;
+    }
+  }
+  const bool reachable = target < processes_.size() &&
+                         !partitions_.contains(std::minmax(index, target)) &&
+                         processes_[target]->frozen_until <= clock_.Now();
+  if (!reachable) {
+    In(index, clock_.Now() + kDialTimeout, [this, index, to = dial.address] {
+      Process& process = *processes_[index];
+      if (process.entry) {
+        process.entry->OnDialFailed(to);
+      } else {
+        process.agent->OnDialFailed(to);
+      }
+    });
+    return;
+  }
+  LinkUp(index, target, dial.address);
+}
+
+void World::LinkUp(size_t from, size_t to, const std::string& address) {
+  const LinkId id = ++last_link_;
+  auto link = std::make_unique<WorldLink>();
+  link->ends[0] = from;
+  link->ends[1] = to;
+  const TimePoint when = clock_.Now() + Delay();
+  link->last_delivery[0] = when;
+  link->last_delivery[1] = when;
+  links_[id] = std::move(link);
+  const auto up = [this, id](size_t at, const InstanceInfo& peer,
+                             const std::string& dialed) {
+    Process& process = *processes_[at];
+    if (process.entry) {
+      if (!process.entry->OnLinkUp(id, peer, dialed) && !dialed.empty()) {
+        process.entry->OnDialFailed(dialed);
+      }
+    } else {
+      process.agent->OnLinkUp(id, peer, dialed);
+    }
+  };
+  In(to, when, [up, to, peer = processes_[from]->info] { up(to, peer, ""); });
+  In(from, when, [up, from, peer = processes_[to]->info, address] {
+    up(from, peer, address);
+  });
+}
+
+void World::Carry(size_t index,
+                  const PlatformCall& call,
+                  TimePoint watch_until) {
+  const Duration delay = platform_delay_ + Delay();
+  At(clock_.Now() + delay, [this, index, call, watch_until, delay] {
+    const PlatformReply reply = platform_.Handle(call);
+    const bool hold = reply.status == 304 && clock_.Now() < watch_until;
+    if (hold) {
+      At(clock_.Now() + kWatchPoll, [this, index, call, watch_until] {
+        Carry(index, call, watch_until);
+      });
+      return;
+    }
+    // A slow platform takes the write, but its answer comes too late.
+    const bool late = 2 * delay > kCallTimeout && !call.wait_ms.has_value();
+    In(index, clock_.Now() + delay, [this, index, call, reply, late] {
+      ReplyToPlatformCall(index, call.call, late ? PlatformReply() : reply);
+    });
+  });
+}
+
+void World::ReplyToPlatformCall(size_t index,
+                                PlatformCallId call,
+                                const PlatformReply& reply) {
+  Process& process = *processes_[index];
+  if (process.entry) {
+    process.entry->OnPlatformReply(call, reply);
+  } else {
+    process.agent->OnPlatformReply(call, reply);
+  }
+}
+
+void World::CarryServer(size_t index, const Action& action) {
+  Process& process = *processes_[index];
+  fakes::EngineCore& engine = *engines_[index - options_.entries];
+  if (const auto* start = std::get_if<ServerStart>(&action)) {
+    const json::value body = json::parse(start->body);
+    const std::string id(body.at("request_id").as_string());
+    engine.Start(id, std::string(body.at("prompt").as_string()),
+                 body.at("max_tokens").to_number<uint32_t>());
+    process.streams[start->run] = {.request_id = id};
+  } else if (const auto* resume = std::get_if<ServerResume>(&action)) {
+    process.streams[resume->run] = {.request_id = resume->request_id,
+                                    .next = resume->from};
+  } else if (const auto* cancel = std::get_if<ServerCancel>(&action)) {
+    process.streams.erase(cancel->run);
+    engine.Cancel(cancel->request_id);
+    In(index, clock_.Now() + Delay(), [this, index, run = cancel->run] {
+      processes_[index]->agent->gate().OnServerCancelled(run);
+    });
+  }
+}
+
+void World::FeedStreams(size_t index) {
+  Process& process = *processes_[index];
+  const fakes::EngineCore& engine = *engines_[index - options_.entries];
+  std::vector<RunId> ended;
+  for (auto& [run, stream] : process.streams) {
+    const fakes::EngineCore::Stream* source = engine.Find(stream.request_id);
+    if (stream.silent || source == nullptr) {
+      continue;
+    }
+    for (; stream.next < source->events.size(); ++stream.next) {
+      const std::string& event = source->events[stream.next];
+      const json::value value = json::parse(event);
+      if (value.as_object().contains("finish_reason")) {
+        process.agent->gate().OnServerFinish(run, event);
+        ended.push_back(run);
+      } else {
+        process.agent->gate().OnServerText(
+            run, stream.next, std::string(value.at("text").as_string()));
+      }
+    }
+  }
+  for (const RunId run : ended) {
+    process.streams.erase(run);
+  }
+}
+
+void World::BreakServerStreams(size_t agent, bool silently) {
+  const size_t index = options_.entries + agent;
+  Process& process = *processes_[index];
+  if (!process.alive) {
+    return;
+  }
+  for (auto& [run, stream] : process.streams) {
+    stream.silent = true;
+    if (!silently) {
+      In(index, clock_.Now(), [this, index, id = run] {
+        processes_[index]->agent->gate().OnServerEnd(id, ServerEnd::kBroken);
+      });
+    }
+  }
+}
+
+std::string World::NewKey() {
+  return RequestKey::Mint(clock_.WallNow(), random_).ToString();
+}
+
+CallerRequest World::MakeRequest(const std::string& key) const {
+  CallerRequest request;
+  request.method = "POST";
+  request.path = "/v1/completions";
+  request.bearer = kTeamKey;
+  request.idempotency_key = key;
+  return request;
+}
+
+CallerId World::Submit(size_t index,
+                       const std::string& key,
+                       const std::string& word,
+                       bool repeatable,
+                       uint32_t tokens,
+                       std::optional<int64_t> deadline_ms) {
+  const CallerId caller = ++last_caller_;
+  if (!alive(index)) {
+    return caller;
+  }
+  CallerRequest request = MakeRequest(key);
+  request.caller = caller;
+  request.work = repeatable ? "lookup" : "check";
+  if (deadline_ms.has_value()) {
+    request.deadline_ms = std::to_string(*deadline_ms);
+  }
+  request.body = json::serialize(
+      json::object{{"model", "m"},
+                   {"prompt", word + " letter"},
+                   {"max_tokens", tokens},
+                   {"stream", HashBytes(word) % 2 == 0}});
+  oracle_.OnSubmit(caller, word, repeatable, tokens);
+  caller_at_[caller] = index;
+  In(index, clock_.Now() + Delay(), [this, index, request] {
+    processes_[index]->entry->OnCallerRequest(request);
+  });
+  return caller;
+}
+
+CallerId World::Read(size_t index,
+                     const std::string& key,
+                     const std::string& word) {
+  const CallerId caller = ++last_caller_;
+  if (!alive(index)) {
+    return caller;
+  }
+  CallerRequest request = MakeRequest(key);
+  request.caller = caller;
+  request.method = "GET";
+  request.path = "/v1/requests/" + key;
+  oracle_.OnRead(caller, word);
+  caller_at_[caller] = index;
+  In(index, clock_.Now() + Delay(), [this, index, request] {
+    processes_[index]->entry->OnCallerRequest(request);
+  });
+  return caller;
+}
+
+void World::Delete(size_t index, const std::string& key) {
+  if (!alive(index)) {
+    return;
+  }
+  CallerRequest request = MakeRequest(key);
+  request.method = "DELETE";
+  request.path = "/v1/requests/" + key;
+  SendOperator(index, request);
+}
+
+CallerId World::SendOperator(size_t index, CallerRequest request) {
+  const CallerId caller = ++last_caller_;
+  request.caller = caller;
+  if (!alive(index)) {
+    return caller;
+  }
+  operator_replies_[caller] = 0;
+  In(index, clock_.Now() + Delay(), [this, index, request] {
+    processes_[index]->entry->OnCallerRequest(request);
+  });
+  return caller;
+}
+
+CallerId World::Apply(size_t index, const std::string& marker) {
+  CallerRequest request;
+  request.method = "POST";
+  request.path = "/admin/v1/config";
+  request.bearer = kOperatorKey;
+  request.body = ConfigText(marker);
+  return SendOperator(index, request);
+}
+
+CallerId World::UsePreset(size_t index, const std::string& preset) {
+  CallerRequest request;
+  request.method = "POST";
+  request.path = "/admin/v1/preset";
+  request.bearer = kOperatorKey;
+  request.body = json::serialize(json::object{{"name", preset}});
+  return SendOperator(index, request);
+}
+
+}  // namespace lavenderkeel::fuzz
