Remember lost holders by incarnation

Cause: a restarted entry that then left in order erased the record that its predecessor had been lost with its claims, so the next in rank vouched for a key that it had never held (submit, kill two holders, restart and leave one, retry: 'ran, but its caller was told leaving'). Ruled out: the claim itself, which both dead holders had taken. Change: a loss is kept with its incarnation until the same incarnation is back, counts only for keys first sent before it, and a hand-over that is not confirmed is not announced.

--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -28,6 +28,7 @@
                  heartbeat.leaving = announced_;
                  return heartbeat;
                }),
+      ranking_(options_.claims.clock_skew),
       claims_(options_.claims,
               clock,
               [this](const RequestKey& key) {
@@ -82,7 +83,7 @@
                  platform_,
                  options_.operator_key_sha256),
       gap_(options_.members.heartbeat_timeout) {
-  ranking_.SetPresent(members_.self().id.instance);
+  ranking_.SetPresent(members_.self().id);
   members_.signal_up().connect(
       [this](const Member& member) { OnPeerUp(member); });
   members_.signal_lost().connect(
@@ -149,7 +150,7 @@
   const PeerId id = member.info.id;
   if (member.info.role == Role::kEntry) {
     if (IsSameRegion(id.instance) && !member.info.leaving) {
-      ranking_.SetPresent(id.instance);
+      ranking_.SetPresent(id);
     }
     claimer_.OnUp(id);
     requests_.OnEntryUp(id);
@@ -169,7 +170,7 @@
   const Member* member = members_.Find(peer.instance);
   const bool left = member != nullptr && member->info.leaving;
   if (!left) {
-    ranking_.SetLost(peer.instance, clock_.WallNow());
+    ranking_.SetLost(peer, clock_.WallNow());
   }
   claimer_.OnLost(peer);
   requests_.OnEntryLost(peer);
@@ -353,18 +354,19 @@
 }
 
 void EntryNode::AdvanceLeaving() {
-  const bool settled =
-      hand_over_pending_ == 0 || clock_.Now() >= hand_over_deadline_;
-  if (context_.leaving && !announced_ && settled) {
+  if (context_.leaving && !announced_ && hand_over_pending_ == 0) {
     announced_ = true;
     members_.AnnounceNow();
   }
 }
 
 bool EntryNode::CanExit() const {
+  // Without every confirmation the others must take this entry for lost, not
+  // left: then nobody vouches on the strength of claims that never arrived.
   const bool settled =
-      hand_over_pending_ == 0 || clock_.Now() >= hand_over_deadline_;
-  return announced_ && settled && requests_.Idle() && operators_.Idle();
+      hand_over_pending_ == 0 ? announced_
+                              : clock_.Now() >= hand_over_deadline_;
+  return context_.leaving && settled && requests_.Idle() && operators_.Idle();
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/membership/holder_ranking.h
+++ b/lavenderkeel/membership/holder_ranking.h
@@ -1,11 +1,13 @@
 #ifndef LAVENDERKEEL_MEMBERSHIP_HOLDER_RANKING_H_
 #define LAVENDERKEEL_MEMBERSHIP_HOLDER_RANKING_H_
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/peer_id.h"
 #include "lavenderkeel/base/request_key.h"
 
 namespace lavenderkeel {
@@ -22,11 +24,15 @@
  public:
   static constexpr size_t kHolders = 2;
 
+  /// @param clock_skew between any two calendar clocks
+  explicit HolderRanking(Duration clock_skew) : clock_skew_(clock_skew) {}
+
   /// Present: linked, or not heard of for less than the heartbeat timeout.
-  void SetPresent(const std::string& instance);
+  void SetPresent(const PeerId& peer);
   /// Lost without a hand-over of its claims.
-  void SetLost(const std::string& instance, WallTime when);
-  /// Left in order, its claims handed over: nobody needs to remember it.
+  void SetLost(const PeerId& peer, WallTime when);
+  /// Left in order, its claims handed over. An earlier incarnation that was
+  /// lost stays remembered: its claims are gone all the same.
   void SetLeft(const std::string& instance);
 
   /// The holders of a key among the present, first holder first.
@@ -45,10 +51,20 @@
   size_t present() const { return present_.size(); }
 
  private:
-  std::vector<std::string> TopWithLost(const RequestKey& key) const;
+  struct Loss {
+    uint64_t incarnation = 0;
+    WallTime when;
+    /// Cut off rather than dead, for all that is known.
+    bool may_live = true;
+  };
+  using Counts = std::function<bool(const Loss&)>;
+
+  std::vector<std::string> TopWithLost(const RequestKey& key,
+                                       const Counts& counts) const;
 
+  Duration clock_skew_;
   std::vector<std::string> present_;
-  std::map<std::string, WallTime> lost_;
+  std::map<std::string, Loss> lost_;
 };
 
 }  // namespace lavenderkeel
