A stopping process flushes before it ends

Ruled out: the agent's run and the relay of its answer, both whole in the log. Change: an exchange counts as open until the library has written it; both daemons wait for unsent peer bytes; a leaving entry answers 'leaving' for a quiet half second; what was here before the stop is not refused.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -42,7 +42,8 @@
 std::optional<ResultCode> DispatchController::Refusal(
     const EntryRequest& request) {
   const auto& config = context_.config.current();
-  if (context_.leaving) {
+  // What was here before the stop is finished, not refused.
+  if (context_.leaving && request.arrived >= context_.left_at) {
     return ResultCode::kLeaving;
   }
   if (config->IsClosed(request.terms.tier_name)) {
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -58,6 +58,7 @@
   /// The final outcome; every caller is told at once.
   std::function<void(EntryRequest&, ResultCode)> conclude;
   bool leaving = false;
+  TimePoint left_at = TimePoint::max();
 
   /// Notes a decision for `explain`.
   void Note(EntryRequest& request, std::string what) const {
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -318,6 +318,7 @@
   if (std::exchange(context_.leaving, true)) {
     return;
   }
+  context_.left_at = clock_.Now();
   log_.Info("leaving", {{"instance", members_.self().id.instance},
                         {"active", requests_.active()}});
   members_.set_leaving();
--- a/lavenderkeel/io/agent_daemon.cc
+++ b/lavenderkeel/io/agent_daemon.cc
@@ -77,7 +77,9 @@
   node_.Tick();
   peers_.Tick(clock_.Now());
   Settle();
-  if (node_.CanExit()) {
+  // The ends of answers must have left; a silent peer's link is dropped by its
+  // heartbeats, so this does not wait for good.
+  if (node_.CanExit() && peers_.unsent() == 0) {
     loop_.Stop();
   }
 }
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -80,8 +80,12 @@
   }
   const std::string& advertised = settings_.common.self.address;
   node_.Start(advertised.empty() ? *peers : advertised);
-  loop_.OnSignal(SIGTERM, [this] { node_.Leave(); });
-  loop_.OnSignal(SIGINT, [this] { node_.Leave(); });
+  const auto leave = [this] {
+    last_request_ = clock_.Now();
+    node_.Leave();
+  };
+  loop_.OnSignal(SIGTERM, leave);
+  loop_.OnSignal(SIGINT, leave);
   loop_.Every(std::chrono::milliseconds(kTickMilliseconds),
               [this] { OnTick(); });
   log_.Info("listening", {{"instance", settings_.common.self.id.instance},
@@ -98,7 +102,13 @@
   node_.Tick();
   peers_.Tick(clock_.Now());
   Settle();
-  if (node_.CanExit() && callers_.open() == 0) {
+  // Failure: the process ends while connections made before the stop are still
+  // unread. Symptom: their callers see a reset and can't tell whether they ran.
+  // It goes on answering "leaving" until the balancer has stopped sending.
+  constexpr Duration kQuietTime = std::chrono::milliseconds(500);
+  const bool quiet = clock_.Now() - last_request_ > kQuietTime;
+  if (node_.CanExit() && callers_.open() == 0 && peers_.unsent() == 0 &&
+      quiet) {
     loop_.Stop();
   }
 }
@@ -123,6 +133,7 @@
     metrics_.Set("peer_bytes_received",
                  static_cast<double>(peers_.bytes_received()));
   }
+  last_request_ = clock_.Now();
   node_.OnCallerRequest(std::move(read));
   Settle();
 }
--- a/lavenderkeel/io/entry_daemon.h
+++ b/lavenderkeel/io/entry_daemon.h
@@ -42,6 +42,7 @@
   HttpServer callers_;
   PlatformClient platform_;
   ActionRunner runner_;
+  TimePoint last_request_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -49,9 +49,10 @@
 }  // namespace
 
 struct HttpServer::Exchange {
-  ~Exchange() {
+  ~Exchange() { StopWatching(); }
+  void StopWatching() {
     if (hangup != nullptr) {
-      event_free(hangup);
+      event_free(std::exchange(hangup, nullptr));
     }
   }
 
@@ -60,6 +61,7 @@
   evhttp_request* request = nullptr;
   evhttp_connection* connection = nullptr;
   event* hangup = nullptr;
+  bool finished = false;
 };
 
 HttpServer::HttpServer(EventLoop& loop, Options options, Hooks hooks)
@@ -163,19 +165,43 @@
 
 HttpServer::Exchange* HttpServer::Find(CallerId id) {
   const auto found = exchanges_.find(id);
-  return found == exchanges_.end() ? nullptr : found->second.get();
+  const bool usable = found != exchanges_.end() && !found->second->finished;
+  return usable ? found->second.get() : nullptr;
 }
 
 void HttpServer::OnClosed(CallerId id) {
-  if (exchanges_.erase(id) > 0) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  const bool finished = found->second->finished;
+  exchanges_.erase(found);
+  if (!finished) {
     hooks_.on_gone(id);
   }
 }
 
-void HttpServer::Finish(CallerId id) {
+void HttpServer::Finish(Exchange& exchange) {
+  // Failure: the process ends once all is answered, but the end of an answer
+  // is still in a buffer here. Symptom: an answer cut at its last events. The
+  // exchange counts as open until the library has written everything.
+  exchange.finished = true;
+  exchange.StopWatching();
+  evhttp_request_set_on_complete_cb(
+      exchange.request,
+      [](evhttp_request*, void* arg) {
+        auto* written = static_cast<Exchange*>(arg);
+        written->server->OnWritten(written->id);
+      },
+      &exchange);
+}
+
+void HttpServer::OnWritten(CallerId id) {
   const auto found = exchanges_.find(id);
-  evhttp_connection_set_closecb(found->second->connection, nullptr, nullptr);
-  exchanges_.erase(found);
+  if (found != exchanges_.end()) {
+    evhttp_connection_set_closecb(found->second->connection, nullptr, nullptr);
+    exchanges_.erase(found);
+  }
 }
 
 void HttpServer::Handle(ReplyWhole reply) {
@@ -184,7 +210,7 @@
     return;
   }
   evhttp_request* request = exchange->request;
-  Finish(reply.caller);
+  Finish(*exchange);
   AddHeaders(request, reply.headers);
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, reply.body.data(), reply.body.size());
@@ -219,7 +245,7 @@
 void HttpServer::Handle(const ReplyEnd& reply) {
   if (Exchange* exchange = Find(reply.caller)) {
     evhttp_request* request = exchange->request;
-    Finish(reply.caller);
+    Finish(*exchange);
     evhttp_send_reply_end(request);
   }
 }
@@ -230,7 +256,8 @@
     return;
   }
   evhttp_connection* connection = exchange->connection;
-  Finish(reply.caller);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  exchanges_.erase(reply.caller);
   loop_.Defer([connection] { evhttp_connection_free(connection); });
 }
 
--- a/lavenderkeel/io/http_server.h
+++ b/lavenderkeel/io/http_server.h
@@ -65,6 +65,7 @@
   void Handle(const ReplyEnd& reply);
   void Handle(const ReplyAbort& reply);
 
+  /// Exchanges whose answer has not left this process whole.
   size_t open() const { return exchanges_.size(); }
 
  private:
@@ -72,7 +73,9 @@
 
   void OnHttp(evhttp_request* request);
   void OnClosed(CallerId id);
-  void Finish(CallerId id);
+  /// No more replies follow; the exchange stays until all is written.
+  void Finish(Exchange& exchange);
+  void OnWritten(CallerId id);
   Exchange* Find(CallerId id);
 
   EventLoop& loop_;
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -262,6 +262,17 @@
   }
 }
 
+size_t PeerPort::unsent() const {
+  size_t bytes = 0;
+  for (const auto& [link, connection] : connections_) {
+    bytes +=
+        connection->dropped
+            ? 0
+            : evbuffer_get_length(bufferevent_get_output(connection->events));
+  }
+  return bytes;
+}
+
 void PeerPort::Tick(TimePoint now) {
   std::vector<LinkId> overdue;
   for (const auto& [link, connection] : connections_) {
--- a/lavenderkeel/io/peer_port.h
+++ b/lavenderkeel/io/peer_port.h
@@ -59,6 +59,8 @@
     return signal_dial_failed_;
   }
 
+  /// Bytes that peers have not taken yet.
+  size_t unsent() const;
   uint64_t bytes_sent() const { return bytes_sent_; }
   uint64_t bytes_received() const { return bytes_received_; }
 
