--- /dev/null
+++ b/bench/path_bench.cc
@@ -0,0 +1,102 @@
+// The path's added latency to the first token against talking straight to the
+// engine stand-in, in one run, and requests a second through one entry and one
+// agent. Real processes on loopback. JSON on standard output.
+#include <algorithm>
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "lavenderkeel/base.h"
+#include "test/process/cluster.h"
+
+namespace lavenderkeel::bench {
+
+namespace {
+
+namespace json = boost::json;
+using test::Cluster;
+
+constexpr int kSamples = 300;
+constexpr int kAtOnce = 32;
+constexpr int kRequests = 2000;
+
+double Microseconds(Duration duration) {
+  return static_cast<double>(duration.count());
+}
+
+/// Time to the first bytes of a stream.
+Duration FirstToken(Cluster& cluster, bool straight, int number) {
+  Duration first{};
+  const TimePoint begin = SystemClock().Now();
+  HttpClient::Call call{
+      .address = straight ? cluster.Engine(0) : cluster.Entry(0),
+      .method = "POST",
+      .path = "/v1/completions",
+      .headers = {{"Authorization", "Bearer board-key"},
+                  {"Lavenderkeel-Work", "check"}},
+      .body = json::serialize(
+          json::object{{"model", "m"},
+                       {"prompt", "bench " + std::to_string(number)},
+                       {"max_tokens", 2},
+                       {"stream", true}})};
+  call.on_data = [&first, begin](std::string_view) {
+    if (first == Duration()) {
+      first = SystemClock().Now() - begin;
+    }
+  };
+  const auto exchange = cluster.Send(std::move(call));
+  cluster.Wait([&] { return exchange->done; });
+  return first;
+}
+
+json::object Percentiles(std::vector<Duration> samples) {
+  std::ranges::sort(samples);
+  return {{"p50_us", Microseconds(samples[samples.size() / 2])},
+          {"p99_us", Microseconds(samples[samples.size() * 99 / 100])}};
+}
+
+double Throughput(Cluster& cluster) {
+  const TimePoint begin = SystemClock().Now();
+  std::vector<std::shared_ptr<test::Exchange>> open;
+  int sent = 0;
+  int done = 0;
+  cluster.Wait([&] {
+    done += static_cast<int>(
+        std::erase_if(open, [](const auto& e) { return e->done; }));
+    while (sent < kRequests && open.size() < kAtOnce) {
+      open.push_back(cluster.Ask(0, "", "check", 1));
+      ++sent;
+    }
+    return done >= kRequests;
+  });
+  const Duration took = SystemClock().Now() - begin;
+  return kRequests * 1e6 / Microseconds(took);
+}
+
+json::object MeasurePath() {
+  Cluster cluster({.entries = 1,
+                   .agents = 1,
+                   .step_ms = 1,
+                   .agent_tuning = R"("first_in_flight": 64)"});
+  std::vector<Duration> straight;
+  std::vector<Duration> path;
+  for (int i = 0; i < kSamples; ++i) {
+    // In turn, so that both see the same machine.
+    straight.push_back(FirstToken(cluster, true, i));
+    path.push_back(FirstToken(cluster, false, i));
+  }
+  return {{"samples", kSamples},
+          {"straight", Percentiles(straight)},
+          {"path", Percentiles(path)},
+          {"requests_per_second", Throughput(cluster)},
+          {"at_once", kAtOnce}};
+}
+
+}  // namespace
+
+}  // namespace lavenderkeel::bench
+
+int main() {
+  std::cout << boost::json::serialize(lavenderkeel::bench::MeasurePath())
+            << "\n";
+  return 0;
+}
--- /dev/null
+++ b/bench/slopes.cc
@@ -0,0 +1,418 @@
+// Measures how state, messages, bytes, processor time and memory grow with the
+// sizes that a fleet has, on the daemons' own components. JSON on standard
+// output; scripts/capacity-tables turns it into docs/CAPACITY.md's tables.
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <boost/json.hpp>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include "bench/slope.h"
+#include "lavenderkeel/dispatch.h"
+#include "lavenderkeel/gate.h"
+#include "lavenderkeel/wire.h"
+#include "test/fuzz/virtual_clock.h"
+#include "test/fuzz/world.h"
+
+namespace lavenderkeel::bench {
+
+namespace {
+
+namespace json = boost::json;
+using fuzz::VirtualClock;
+using fuzz::World;
+
+double HeapBytes() {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// User time of this process, in microseconds.
+double UserMicroseconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_utime.tv_sec) * 1e6 +
+         static_cast<double>(usage.ru_utime.tv_usec);
+}
+
+using Measure = std::function<double(size_t size)>;
+
+Slope MeasureLine(const std::string& name,
+                  const std::string& per,
+                  const std::string& unit,
+                  const std::vector<size_t>& sizes,
+                  const Measure& measure) {
+  Slope line{.name = name, .per = per, .unit = unit, .sizes = {}, .values = {}};
+  for (const size_t size : sizes) {
+    line.sizes.push_back(static_cast<double>(size));
+    line.values.push_back(measure(size));
+  }
+  Fit(line);
+  std::cerr << name << ": " << line.slope << " " << unit << " per " << per
+            << ", residual " << line.residual << "\n";
+  return line;
+}
+
+std::vector<RequestKey> Keys(size_t count) {
+  std::mt19937_64 random(1);
+  std::vector<RequestKey> keys;
+  keys.reserve(count);
+  const VirtualClock clock;
+  for (size_t i = 0; i < count; ++i) {
+    keys.push_back(RequestKey::Mint(clock.WallNow(), random));
+  }
+  return keys;
+}
+
+Claim SampleClaim() {
+  Claim claim{.owner = {.instance = "entry-govan-001", .incarnation = 1},
+              .team = "health-board-1",
+              .body_hash = 7,
+              .agents = {}};
+  for (int i = 0; i < 8; ++i) {
+    claim.agents.push_back(
+        {.instance = "agent-govan-00" + std::to_string(i), .incarnation = 9});
+  }
+  return claim;
+}
+
+double ClaimBytes(size_t count) {
+  const VirtualClock clock;
+  ClaimTable table({}, clock, [](const RequestKey&) { return true; });
+  const std::vector<RequestKey> keys = Keys(count);
+  const double before = HeapBytes();
+  for (const RequestKey& key : keys) {
+    table.Request(key, SampleClaim(), {});
+  }
+  return HeapBytes() - before;
+}
+
+double ClaimTime(size_t count) {
+  const VirtualClock clock;
+  ClaimTable table({}, clock, [](const RequestKey&) { return true; });
+  const std::vector<RequestKey> keys = Keys(count);
+  const double before = UserMicroseconds();
+  for (const RequestKey& key : keys) {
+    ClaimRequest request;
+    request.key = ToWire(key);
+    PutClaim(SampleClaim(), request);
+    const std::string frame = EncodeFrame(request);
+    const std::vector<uint8_t> bytes(frame.begin(), frame.end());
+    const auto message = Catch([&] { return DecodeFrame(bytes); });
+    const auto& read = std::get<ClaimRequest>(*message.value);
+    table.Request(FromWire(read.key), TakeClaim(read), {});
+  }
+  return UserMicroseconds() - before;
+}
+
+std::string TeamsDocument(size_t teams) {
+  ConfigDocument document;
+  document.base.tiers = {{.name = "collection", .rank = 0}};
+  document.base.work = {{.name = "check", .tier = "collection"}};
+  document.base.presets = {{.name = "ordinary"}};
+  document.base.initial_preset = "ordinary";
+  for (size_t i = 0; i < teams; ++i) {
+    const std::string name = "team-" + std::to_string(i);
+    document.teams.push_back({.name = name,
+                              .key_sha256 = Sha256Hex(name),
+                              .work = {"check"},
+                              .limits = {.running = 40, .waiting = 400}});
+  }
+  return ToJson(document);
+}
+
+/// A store with a configuration of so many teams in force.
+struct LoadedStore {
+  EventLog log;
+  ConfigStore store{log};
+  ShardedConfig sharded;
+  ConfigHead head;
+
+  explicit LoadedStore(size_t teams) {
+    const std::string text = TeamsDocument(teams);
+    const auto document = Catch([&] { return ParseConfigDocument(text); });
+    sharded = CutIntoShards(*document.value);
+    head.version = 1;
+    head.preset = "ordinary";
+    head.base = sharded.base.name;
+    for (const ConfigShard& shard : sharded.teams) {
+      head.teams.push_back(shard.name);
+    }
+    Load();
+  }
+  void Load() {
+    store.Offer(head);
+    store.AddShard(sharded.base.name, sharded.base.body);
+    for (const ConfigShard& shard : sharded.teams) {
+      store.AddShard(shard.name, shard.body);
+    }
+  }
+};
+
+double TeamBytes(size_t teams) {
+  const double before = HeapBytes();
+  const auto loaded = std::make_unique<LoadedStore>(teams);
+  loaded->sharded = {};
+  malloc_trim(0);
+  return HeapBytes() - before;
+}
+
+double TeamLookupTime(size_t teams) {
+  const LoadedStore loaded(teams);
+  constexpr size_t kLookups = 200'000;
+  std::vector<std::string> hashes;
+  for (size_t i = 0; i < 1000; ++i) {
+    hashes.push_back(Sha256Hex("team-" + std::to_string(i % teams)));
+  }
+  size_t found = 0;
+  const double before = UserMicroseconds();
+  for (size_t i = 0; i < kLookups; ++i) {
+    found +=
+        loaded.store.current()->FindTeamByKeyHash(hashes[i % 1000]) != nullptr;
+  }
+  return found == kLookups ? (UserMicroseconds() - before) / kLookups : -1;
+}
+
+double ChangeTime(size_t teams) {
+  LoadedStore loaded(teams);
+  constexpr int kChanges = 50;
+  const double before = UserMicroseconds();
+  for (int i = 0; i < kChanges; ++i) {
+    ++loaded.head.version;
+    loaded.store.Offer(loaded.head);
+  }
+  return (UserMicroseconds() - before) / kChanges;
+}
+
+/// Bytes that one changed team sends to one entry: the head and a shard.
+double ChangeBytes(size_t teams) {
+  const LoadedStore loaded(teams);
+  ConfigHead head = loaded.head;
+  head.recent.assign(ConfigHead::kRecentChanges,
+                     "entry-govan-001@1796234408507898-1234567890123456789");
+  ConfigHeadNotice notice;
+  notice.head = head.ToJson();
+  ConfigShards shards;
+  shards.names = {loaded.sharded.teams[0].name};
+  shards.bodies = {loaded.sharded.teams[0].body};
+  return static_cast<double>(EncodeFrame(notice).size() +
+                             EncodeFrame(shards).size());
+}
+
+Reserve SampleReserve(const RequestKey& key) {
+  Reserve reserve;
+  reserve.key = ToWire(key);
+  reserve.team = "health-board-1";
+  reserve.prompt_tokens = 800;
+  reserve.max_tokens = 200;
+  reserve.deadline_ms = 1000;
+  return reserve;
+}
+
+/// An agent with one entry linked.
+struct LoneAgent {
+  VirtualClock clock;
+  EventLog log;
+  Metrics metrics;
+  AgentNode node{
+      {}, {.id = {"agent-1", 1}, .role = Role::kAgent}, clock, 1, log, metrics};
+
+  LoneAgent() {
+    node.Start("a:1");
+    node.OnLinkUp(1, {.id = {"entry-1", 1}, .address = "e:1"}, "");
+    node.outbox().Take();
+  }
+};
+
+double ReservationBytes(size_t count) {
+  LoneAgent agent;
+  const std::vector<RequestKey> keys = Keys(count);
+  const double before = HeapBytes();
+  for (const RequestKey& key : keys) {
+    agent.node.OnMessage(1, SampleReserve(key));
+    agent.node.outbox().Take();
+  }
+  return HeapBytes() - before;
+}
+
+double ReservationTime(size_t count) {
+  LoneAgent agent;
+  const std::vector<RequestKey> keys = Keys(count);
+  const double before = UserMicroseconds();
+  for (const RequestKey& key : keys) {
+    agent.node.OnMessage(1, SampleReserve(key));
+  }
+  for (const RequestKey& key : keys) {
+    Withdraw withdraw;
+    withdraw.key = ToWire(key);
+    agent.node.OnMessage(1, withdraw);
+    agent.node.outbox().Take();
+  }
+  return UserMicroseconds() - before;
+}
+
+double RememberedKeyBytes(size_t count) {
+  RunTable table({});
+  const std::vector<RequestKey> keys = Keys(count);
+  const double before = HeapBytes();
+  for (const RequestKey& key : keys) {
+    Run& run = table.Add(key, TimePoint());
+    run.state = Run::State::kGone;
+    run.allowed = {.instance = "entry-govan-001", .incarnation = 1};
+    run.reservation.team = "health-board-1";
+    run.request_id = key.ToString() + ".1";
+  }
+  return HeapBytes() - before;
+}
+
+enum class Fleet { kBytes, kMessages, kTime, kCalls };
+
+/// A fleet at rest for a minute of virtual time; per second and entry, or for
+/// the whole platform.
+double AtRest(size_t entries, size_t agents, Fleet what) {
+  World world({.entries = entries, .agents = agents});
+  constexpr double kSeconds = 60;
+  const uint64_t bytes = world.bytes_sent(0);
+  const uint64_t messages = world.messages_sent(0);
+  const uint64_t calls = world.platform().calls();
+  const double before = UserMicroseconds();
+  world.RunFor(std::chrono::seconds(static_cast<int>(kSeconds)));
+  switch (what) {
+    case Fleet::kBytes:
+      return static_cast<double>(world.bytes_sent(0) - bytes) / kSeconds;
+    case Fleet::kMessages:
+      return static_cast<double>(world.messages_sent(0) - messages) / kSeconds;
+    case Fleet::kCalls:
+      return static_cast<double>(world.platform().calls() - calls) / kSeconds;
+    case Fleet::kTime:
+      return (UserMicroseconds() - before) / kSeconds /
+             static_cast<double>(entries + agents);
+  }
+  return 0;
+}
+
+enum class Work { kEntryBytes, kAgentBytes, kMessages, kTime, kMemory };
+
+/// So many checks of ten tokens through one entry and two agents.
+double Requests(size_t count, Work what) {
+  World world({.entries = 1, .agents = 2});
+  world.RunFor(std::chrono::seconds(1));
+  const uint64_t entry_bytes = world.bytes_sent(0);
+  const uint64_t agent_bytes = world.bytes_sent(1) + world.bytes_sent(2);
+  const uint64_t messages =
+      world.messages_sent(0) + world.messages_sent(1) + world.messages_sent(2);
+  const double before = UserMicroseconds();
+  const double heap = HeapBytes();
+  for (size_t i = 0; i < count; ++i) {
+    world.Submit(0, world.NewKey(), "r" + std::to_string(i) + "x", false, 10);
+  }
+  if (what == Work::kMemory) {
+    world.RunFor(std::chrono::milliseconds(20));
+    return HeapBytes() - heap;
+  }
+  world.RunUntil([&] { return world.oracle().open() == 0; },
+                 std::chrono::hours(1));
+  switch (what) {
+    case Work::kEntryBytes:
+      return static_cast<double>(world.bytes_sent(0) - entry_bytes);
+    case Work::kAgentBytes:
+      return static_cast<double>(world.bytes_sent(1) + world.bytes_sent(2) -
+                                 agent_bytes);
+    case Work::kMessages:
+      return static_cast<double>(world.messages_sent(0) +
+                                 world.messages_sent(1) +
+                                 world.messages_sent(2) - messages);
+    default:
+      return UserMicroseconds() - before;
+  }
+}
+
+double CallsPerStart(size_t starts, bool entry) {
+  World world({.entries = 3, .agents = 2});
+  const size_t process = entry ? 2 : 3;
+  const auto calls_of = [&](size_t count) {
+    const uint64_t before = world.platform().calls();
+    for (size_t i = 0; i < 8; ++i) {
+      if (i < count) {
+        world.Kill(process, false);
+        world.Restart(process);
+      }
+      world.RunFor(std::chrono::seconds(3));
+    }
+    return static_cast<double>(world.platform().calls() - before);
+  };
+  const double quiet = calls_of(0);
+  return calls_of(starts) - quiet;
+}
+
+json::object ToJson(const Slope& line) {
+  return {{"name", line.name},
+          {"per", line.per},
+          {"unit", line.unit},
+          {"sizes", json::value_from(line.sizes)},
+          {"values", json::value_from(line.values)},
+          {"slope", line.slope},
+          {"intercept", line.intercept},
+          {"residual", line.residual}};
+}
+
+std::vector<Slope> MeasureAll() {
+  const std::vector<size_t> many = {5'000, 10'000, 20'000, 40'000};
+  const std::vector<size_t> teams = {1'250, 2'500, 5'000, 10'000};
+  const std::vector<size_t> few = {2, 4, 8, 16};
+  const std::vector<size_t> requests = {50, 100, 200, 400};
+  const std::vector<size_t> starts = {1, 2, 4, 8};
+  std::vector<Slope> lines;
+  const auto add = [&lines](Slope line) { lines.push_back(std::move(line)); };
+  add(MeasureLine("claim_memory", "claim", "B", many, ClaimBytes));
+  add(MeasureLine("claim_time", "claim", "us", many, ClaimTime));
+  add(MeasureLine("team_memory", "team", "B", teams, TeamBytes));
+  add(MeasureLine("team_lookup_time", "team", "us", teams, TeamLookupTime));
+  add(MeasureLine("config_change_time", "team", "us", teams, ChangeTime));
+  add(MeasureLine("config_change_bytes", "team", "B", teams, ChangeBytes));
+  add(MeasureLine("reservation_memory", "reservation", "B", many,
+                  ReservationBytes));
+  add(MeasureLine("reservation_time", "reservation", "us", many,
+                  ReservationTime));
+  add(MeasureLine("remembered_key_memory", "key", "B", many,
+                  RememberedKeyBytes));
+  add(MeasureLine("entry_link_bytes", "entry", "B/s", few,
+                  [](size_t n) { return AtRest(n, 1, Fleet::kBytes); }));
+  add(MeasureLine("agent_link_bytes", "agent", "B/s", few,
+                  [](size_t n) { return AtRest(1, n, Fleet::kBytes); }));
+  add(MeasureLine("agent_link_messages", "agent", "1/s", few,
+                  [](size_t n) { return AtRest(1, n, Fleet::kMessages); }));
+  add(MeasureLine("platform_calls_at_rest", "entry", "1/s", few,
+                  [](size_t n) { return AtRest(n, 1, Fleet::kCalls); }));
+  add(MeasureLine("entry_rest_time", "entry", "us/s", few,
+                  [](size_t n) { return AtRest(n, 2, Fleet::kTime); }));
+  add(MeasureLine("request_entry_bytes", "request", "B", requests,
+                  [](size_t n) { return Requests(n, Work::kEntryBytes); }));
+  add(MeasureLine("request_agent_bytes", "request", "B", requests,
+                  [](size_t n) { return Requests(n, Work::kAgentBytes); }));
+  add(MeasureLine("request_messages", "request", "1", requests,
+                  [](size_t n) { return Requests(n, Work::kMessages); }));
+  add(MeasureLine("request_time", "request", "us", requests,
+                  [](size_t n) { return Requests(n, Work::kTime); }));
+  add(MeasureLine("waiting_memory", "request", "B", requests,
+                  [](size_t n) { return Requests(n, Work::kMemory); }));
+  add(MeasureLine("entry_start_calls", "start", "1", starts,
+                  [](size_t n) { return CallsPerStart(n, true); }));
+  add(MeasureLine("agent_start_calls", "start", "1", starts,
+                  [](size_t n) { return CallsPerStart(n, false); }));
+  return lines;
+}
+
+}  // namespace
+
+}  // namespace lavenderkeel::bench
+
+int main() {
+  boost::json::array array;
+  for (const auto& line : lavenderkeel::bench::MeasureAll()) {
+    array.push_back(lavenderkeel::bench::ToJson(line));
+  }
+  std::cout << boost::json::serialize(array) << "\n";
+  return 0;
+}
--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -6,6 +6,9 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -132,6 +135,10 @@
   // the caller hang up; the hang-up itself is watched.
   const int fd = bufferevent_getfd(
       evhttp_connection_get_bufferevent(exchange->connection));
+  // Else each token waits for the caller's delayed acknowledgement of the one
+  // before.
+  constexpr int kOn = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
   exchange->hangup = event_new(
       loop_.base(), fd, EV_CLOSED,
       [](evutil_socket_t, short, void* arg) {
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -53,6 +53,8 @@
   TimePoint frozen_until;
   TimePoint left_at;
   uint64_t version = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t messages_sent = 0;
   std::map<RunId, EngineStream> streams;
 
   Outbox& outbox() { return entry ? entry->outbox() : agent->outbox(); }
@@ -121,6 +123,14 @@
 
 World::~World() = default;
 
+uint64_t World::bytes_sent(size_t process) const {
+  return processes_[process]->bytes_sent;
+}
+
+uint64_t World::messages_sent(size_t process) const {
+  return processes_[process]->messages_sent;
+}
+
 bool World::alive(size_t process) const {
   return processes_[process]->alive;
 }
@@ -377,6 +387,8 @@
   // Through the codec, as between real processes.
   const std::string frame = EncodeFrame(send.message);
   const std::vector<uint8_t> bytes(frame.begin(), frame.end());
+  processes_[index]->bytes_sent += frame.size();
+  ++processes_[index]->messages_sent;
   auto message = Catch([&] { return DecodeFrame(bytes); });
   const TimePoint when =
       std::max(link.last_delivery[to], clock_.Now() + Delay());
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -75,6 +75,9 @@
   Oracle& oracle() { return oracle_; }
   VirtualClock& clock() { return clock_; }
   /// What an operator was told: accepted (200), or the status.
+  /// Bytes and messages that a process has sent to its peers.
+  uint64_t bytes_sent(size_t process) const;
+  uint64_t messages_sent(size_t process) const;
   const std::map<CallerId, int>& operator_replies() const {
     return operator_replies_;
   }
--- a/test/process/cluster.cc
+++ b/test/process/cluster.cc
@@ -96,6 +96,7 @@
                     const std::vector<std::string>& command) {
   std::filesystem::remove(directory_ + "/" + name + ".ready");
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/test/process/cluster.h
+++ b/test/process/cluster.h
@@ -54,6 +54,7 @@
   /// @return the exit status, waiting for the process to end
   int Join(const std::string& name);
   bool Running(const std::string& name) const;
+  pid_t Pid(const std::string& name) const { return processes_.at(name); }
 
   std::string NewKey();
   /// Sends a request of the test's team. A key of "" has the entry mint one.
--- a/test/process/failure_test.cc
+++ b/test/process/failure_test.cc
@@ -173,6 +173,7 @@
   Cluster cluster({.entries = 1, .agents = 2});
   cluster.Call(cluster.Engine(0), "POST", "/fault/speed?factor=0.1");
   std::vector<std::shared_ptr<Exchange>> checks;
+  checks.reserve(60);
   for (int i = 0; i < 60; ++i) {
     checks.push_back(cluster.Ask(0, cluster.NewKey(), "check", 10));
   }
