Smaller claims, fewer acks, slower heartbeats between entries

Change: claims keep agents as numbers of a pool and name four agents, not eight; a granted claim is not echoed, and has no team, since the key belongs to its team by itself; heartbeats between entries every 950 ms; acks per quarter window.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -67,10 +67,9 @@
 
 Claim SampleClaim() {
   Claim claim{.owner = {.instance = "entry-govan-001", .incarnation = 1},
-              .team = "health-board-1",
               .body_hash = 7,
               .agents = {}};
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < 4; ++i) {
     claim.agents.push_back(
         {.instance = "agent-govan-00" + std::to_string(i), .incarnation = 9});
   }
@@ -106,6 +105,22 @@
   return UserMicroseconds() - before;
 }
 
+/// What a claim of a request sends, at both holders and back.
+double ClaimWireBytes(size_t count) {
+  size_t bytes = 0;
+  for (const RequestKey& key : Keys(count)) {
+    ClaimRequest request;
+    request.key = ToWire(key);
+    PutClaim(SampleClaim(), request);
+    ClaimReply reply;
+    reply.key = request.key;
+    reply.granted = true;
+    bytes += HolderRanking::kHolders *
+             (EncodeFrame(request).size() + EncodeFrame(reply).size());
+  }
+  return static_cast<double>(bytes);
+}
+
 std::string TeamsDocument(size_t teams) {
   ConfigDocument document;
   document.base.tiers = {{.name = "collection", .rank = 0}};
@@ -275,7 +290,7 @@
   constexpr double kSeconds = 60;
   const uint64_t bytes = world.bytes_sent(0);
   const uint64_t messages = world.messages_sent(0);
-  const uint64_t calls = world.platform().calls();
+  const uint64_t calls = world.platform_calls();
   const double before = UserMicroseconds();
   world.RunFor(std::chrono::seconds(static_cast<int>(kSeconds)));
   switch (what) {
@@ -284,7 +299,7 @@
     case Fleet::kMessages:
       return static_cast<double>(world.messages_sent(0) - messages) / kSeconds;
     case Fleet::kCalls:
-      return static_cast<double>(world.platform().calls() - calls) / kSeconds;
+      return static_cast<double>(world.platform_calls() - calls) / kSeconds;
     case Fleet::kTime:
       return (UserMicroseconds() - before) / kSeconds /
              static_cast<double>(entries + agents);
@@ -332,7 +347,7 @@
   World world({.entries = 3, .agents = 2});
   const size_t process = entry ? 2 : 3;
   const auto calls_of = [&](size_t count) {
-    const uint64_t before = world.platform().calls();
+    const uint64_t before = world.platform_calls();
     for (size_t i = 0; i < 8; ++i) {
       if (i < count) {
         world.Kill(process, false);
@@ -340,7 +355,7 @@
       }
       world.RunFor(std::chrono::seconds(3));
     }
-    return static_cast<double>(world.platform().calls() - before);
+    return static_cast<double>(world.platform_calls() - before);
   };
   const double quiet = calls_of(0);
   return calls_of(starts) - quiet;
@@ -367,6 +382,8 @@
   const auto add = [&lines](Slope line) { lines.push_back(std::move(line)); };
   add(MeasureLine("claim_memory", "claim", "B", many, ClaimBytes));
   add(MeasureLine("claim_time", "claim", "us", many, ClaimTime));
+  add(MeasureLine("claim_wire_bytes", "claim", "B", {50, 100, 200, 400},
+                  ClaimWireBytes));
   add(MeasureLine("team_memory", "team", "B", teams, TeamBytes));
   add(MeasureLine("team_lookup_time", "team", "us", teams, TeamLookupTime));
   add(MeasureLine("config_change_time", "team", "us", teams, ChangeTime));
--- a/lavenderkeel/claim/claim.h
+++ b/lavenderkeel/claim/claim.h
@@ -2,7 +2,6 @@
 #define LAVENDERKEEL_CLAIM_CLAIM_H_
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 #include "lavenderkeel/base/peer_id.h"
@@ -10,10 +9,10 @@
 
 namespace lavenderkeel {
 
-/// A request key given to one entry incarnation.
+/// A request key given to one entry incarnation. The key belongs to its team by
+/// itself, see CallerApi.
 struct Claim {
   PeerId owner;
-  std::string team;
   /// Of the request as sent; the same key with another body is refused.
   uint64_t body_hash = 0;
   /// The agents that the owner may send the request to; after its death they
@@ -28,7 +27,6 @@
 void PutClaim(const Claim& claim, ClaimMessage& message) {
   message.owner_instance = claim.owner.instance;
   message.owner_incarnation = claim.owner.incarnation;
-  message.team = claim.team;
   message.body_hash = claim.body_hash;
   for (const PeerId& agent : claim.agents) {
     message.agents.push_back(agent.instance);
@@ -41,7 +39,6 @@
 Claim TakeClaim(const ClaimMessage& message) {
   Claim claim{.owner = {.instance = message.owner_instance,
                         .incarnation = message.owner_incarnation},
-              .team = message.team,
               .body_hash = message.body_hash,
               .agents = {}};
   const size_t agents =
--- a/lavenderkeel/claim/claim_table.cc
+++ b/lavenderkeel/claim/claim_table.cc
@@ -15,24 +15,24 @@
                                        const PeerId& replaces) {
   const auto found = claims_.find(key);
   if (found != claims_.end()) {
-    Claim& held = found->second;
-    const bool same_request =
-        held.team == wanted.team && held.body_hash == wanted.body_hash;
-    const bool may_take = held.owner == wanted.owner || held.owner == replaces;
+    Held& held = found->second;
+    const PeerId& owner = peers_.Get(held.owner);
+    const bool same_request = held.body_hash == wanted.body_hash;
+    const bool may_take = owner == wanted.owner || owner == replaces;
     if (!same_request || !may_take) {
-      return {.granted = false, .vouched = false, .claim = held};
-    }
-    held.owner = wanted.owner;
-    for (const PeerId& agent : wanted.agents) {
-      if (std::ranges::find(held.agents, agent) == held.agents.end()) {
-        held.agents.push_back(agent);
-      }
+      return {.granted = false, .vouched = false, .claim = Unpack(held)};
     }
+    const PeerPool::Index former = held.owner;
+    held.owner = peers_.Take(wanted.owner);
+    peers_.Release(former);
+    AddAgents(held, wanted.agents);
     // The claim was here, so whoever takes it over has been told all there is.
-    return {.granted = true, .vouched = true, .claim = held};
+    return {.granted = true, .vouched = true, .claim = Unpack(held)};
   }
   const bool vouched = Vouches(key);
-  claims_.emplace(key, wanted);
+  Held held{.owner = peers_.Take(wanted.owner), .body_hash = wanted.body_hash};
+  AddAgents(held, wanted.agents);
+  claims_.emplace(key, held);
   by_age_.emplace_back(clock_.Now(), key);
   if (claims_.size() > options_.capacity) {
     DropOldest();
@@ -40,10 +40,43 @@
   return {.granted = true, .vouched = vouched, .claim = wanted};
 }
 
+Claim ClaimTable::Unpack(const Held& held) const {
+  Claim claim{.owner = peers_.Get(held.owner),
+              .body_hash = held.body_hash,
+              .agents = {}};
+  claim.agents.reserve(held.agents.size());
+  for (const PeerPool::Index agent : held.agents) {
+    claim.agents.push_back(peers_.Get(agent));
+  }
+  return claim;
+}
+
+void ClaimTable::AddAgents(Held& held, const std::vector<PeerId>& agents) {
+  for (const PeerId& agent : agents) {
+    const PeerPool::Index index = peers_.Take(agent);
+    if (std::ranges::find(held.agents, index) == held.agents.end()) {
+      held.agents.push_back(index);
+    } else {
+      peers_.Release(index);
+    }
+  }
+}
+
+void ClaimTable::Erase(const RequestKey& key) {
+  const auto found = claims_.find(key);
+  if (found == claims_.end()) {
+    return;
+  }
+  peers_.Release(found->second.owner);
+  for (const PeerPool::Index agent : found->second.agents) {
+    peers_.Release(agent);
+  }
+  claims_.erase(found);
+}
 ClaimTable::Answer ClaimTable::Lookup(const RequestKey& key) const {
   const auto found = claims_.find(key);
   if (found != claims_.end()) {
-    return {.granted = false, .vouched = false, .claim = found->second};
+    return {.granted = false, .vouched = false, .claim = Unpack(found->second)};
   }
   return {.granted = true, .vouched = Vouches(key), .claim = {}};
 }
@@ -67,7 +100,7 @@
   // no for it from then on.
   const TimePoint oldest = clock_.Now() - options_.retention;
   while (!by_age_.empty() && by_age_.front().first < oldest) {
-    claims_.erase(by_age_.front().second);
+    Erase(by_age_.front().second);
     by_age_.pop_front();
   }
 }
@@ -75,14 +108,14 @@
 void ClaimTable::DropOldest() {
   // A claim dropped early may be that of any key up to now.
   CannotVouchUntilNow();
-  claims_.erase(by_age_.front().second);
+  Erase(by_age_.front().second);
   by_age_.pop_front();
 }
 
 void ClaimTable::ForEach(
     const std::function<void(const RequestKey&, const Claim&)>& visit) const {
   for (const auto& [key, claim] : claims_) {
-    visit(key, claim);
+    visit(key, Unpack(claim));
   }
 }
 
--- a/lavenderkeel/claim/claim_table.h
+++ b/lavenderkeel/claim/claim_table.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/request_key.h"
 #include "lavenderkeel/claim/claim.h"
+#include "lavenderkeel/claim/peer_pool.h"
 
 namespace lavenderkeel {
 
@@ -67,13 +69,24 @@
   const Options& options() const { return options_; }
 
  private:
+  /// A claim as it is kept: a fleet's names repeat in every one of them.
+  struct Held {
+    PeerPool::Index owner = 0;
+    uint64_t body_hash = 0;
+    std::vector<PeerPool::Index> agents;
+  };
+
+  Claim Unpack(const Held& held) const;
+  void AddAgents(Held& held, const std::vector<PeerId>& agents);
+  void Erase(const RequestKey& key);
   void DropOldest();
 
   Options options_;
   const Clock& clock_;
   MetEveryClaim met_;
   WallTime blind_until_;
-  std::unordered_map<RequestKey, Claim, RequestKeyHash> claims_;
+  std::unordered_map<RequestKey, Held, RequestKeyHash> claims_;
+  PeerPool peers_;
   std::deque<std::pair<TimePoint, RequestKey>> by_age_;
 };
 
--- a/lavenderkeel/dispatch/caller_feed.cc
+++ b/lavenderkeel/dispatch/caller_feed.cc
@@ -41,6 +41,7 @@
   const auto found = subscriptions_.find(id);
   if (found != subscriptions_.end()) {
     found->second->subscription.link = link;
+    found->second->subscription.acked = found->second->subscription.offset;
   }
 }
 
@@ -87,10 +88,15 @@
       ReplyData{.caller = subscription.caller, .bytes = std::move(bytes)});
 }
 
-void CallerFeed::AckConsumed(const Subscription& subscription) {
-  if (!subscription.link.has_value()) {
+void CallerFeed::AckConsumed(Subscription& subscription) {
+  // A quarter of the agent's window; an ack per token would double the
+  // messages for nothing.
+  constexpr uint64_t kAckBytes = uint64_t{64} << 10;
+  if (!subscription.link.has_value() ||
+      subscription.offset - subscription.acked < kAckBytes) {
     return;
   }
+  subscription.acked = subscription.offset;
   Ack ack;
   ack.subscription = subscription.id;
   ack.offset = subscription.offset;
@@ -107,6 +113,7 @@
     subscription.renderer = AnswerRenderer(
         subscription.public_key, subscription.renderer.wants_stream());
     subscription.offset = 0;
+    subscription.acked = 0;
     subscription.link.reset();
     XXH3_64bits_reset(entry.hash.get());
   }
--- a/lavenderkeel/dispatch/caller_feed.h
+++ b/lavenderkeel/dispatch/caller_feed.h
@@ -30,6 +30,8 @@
     AnswerRenderer renderer;
     /// Bytes of the answer taken in so far.
     uint64_t offset = 0;
+    /// Of those, what the source was told of.
+    uint64_t acked = 0;
     bool head_sent = false;
     /// Where the answer comes from; it gets the acks.
     std::optional<LinkId> link;
@@ -77,7 +79,7 @@
   struct Entry;
 
   void Emit(Subscription& subscription, std::string bytes);
-  void AckConsumed(const Subscription& subscription);
+  void AckConsumed(Subscription& subscription);
   void Remove(SubscriptionId id);
   static HttpHeaders Headers(const std::string& public_key, ResultCode code);
 
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -21,7 +21,7 @@
   /// Agents that hold a reservation at first.
   size_t candidates = 3;
   /// Agents named in a claim.
-  size_t eligible = 8;
+  size_t eligible = 4;
   /// Without an offer for so long, further agents get a reservation.
   Duration widen_after = std::chrono::milliseconds(500);
   /// How long a silent agent may take to come back before its requests are
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -230,7 +230,9 @@
   reply.call = request.call;
   reply.granted = answer.granted;
   reply.vouched = answer.vouched;
-  PutClaim(answer.claim, reply);
+  if (!answer.granted) {
+    PutClaim(answer.claim, reply);
+  }
   outbox_.Send(link, std::move(reply));
   if (context_.leaving && !request.lookup && answer.granted) {
     HandOver(key, answer.claim);
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -8,7 +8,6 @@
 
 Claim OwnershipController::OwnClaim(const EntryRequest& request) const {
   return {.owner = context_.members.self().id,
-          .team = request.terms.team,
           .body_hash = request.body_hash,
           .agents = request.eligible};
 }
--- a/lavenderkeel/io/settings.cc
+++ b/lavenderkeel/io/settings.cc
@@ -94,11 +94,15 @@
 
 void ReadMemberTuning(JsonReader& tuning, MemberTable::Options& members) {
   ReadDuration(tuning, "heartbeat_period_ms", members.heartbeat_period);
+  ReadDuration(tuning, "entry_heartbeat_period_ms",
+               members.entry_heartbeat_period);
   ReadDuration(tuning, "heartbeat_timeout_ms", members.heartbeat_timeout);
   ReadDuration(tuning, "dial_longest_ms", members.dial.longest);
-  if (members.heartbeat_timeout < 2 * members.heartbeat_period) {
+  const Duration longest =
+      std::max(members.heartbeat_period, members.entry_heartbeat_period);
+  if (members.heartbeat_timeout < 2 * longest) {
     tuning.Fault("heartbeat_timeout_ms",
-                 "must be at least twice heartbeat_period_ms");
+                 "must be at least twice the heartbeat periods");
   }
 }
 
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -206,7 +206,7 @@
     // the timeout and drops it, and what was on it is attached again.
     if (now - state.last_heard > options_.heartbeat_timeout) {
       silent.push_back(link);
-    } else if (now - state.last_sent >= options_.heartbeat_period) {
+    } else if (now - state.last_sent >= PeriodOf(state)) {
       SendHeartbeat(link, state, heartbeat);
     }
   }
@@ -226,6 +226,14 @@
   });
 }
 
+Duration MemberTable::PeriodOf(const Link& state) const {
+  const Member& peer = members_.at(state.instance);
+  const bool between_entries =
+      self_.role == Role::kEntry && peer.info.role == Role::kEntry;
+  return between_entries ? options_.entry_heartbeat_period
+                         : options_.heartbeat_period;
+}
+
 void MemberTable::SendHeartbeat(LinkId link,
                                 Link& state,
                                 const Heartbeat& heartbeat) {
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -46,6 +46,8 @@
  public:
   struct Options {
     Duration heartbeat_period = std::chrono::milliseconds(500);
+    /// Between two entries, of which each knows a whole region.
+    Duration entry_heartbeat_period = std::chrono::milliseconds(950);
     Duration heartbeat_timeout = std::chrono::seconds(2);
     Backoff::Options dial;
     /// Agents that an entry keeps a connection to.
@@ -135,6 +137,7 @@
   void DialDue(TimePoint now);
   void JudgeSilent(TimePoint now);
   void ForgetGone(TimePoint now);
+  Duration PeriodOf(const Link& state) const;
   void SendHeartbeat(LinkId link, Link& state, const Heartbeat& heartbeat);
   std::set<std::string> WantedAgents() const;
   std::set<std::string> WantedEntries() const;
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -2327,7 +2327,6 @@
   uint64_t replaces_incarnation = 0;
   std::string owner_instance{};
   uint64_t owner_incarnation = 0;
-  std::string team{};
   uint64_t body_hash = 0;
   std::vector<std::string> agents{};
   std::vector<uint64_t> agent_incarnations{};
@@ -2345,10 +2344,9 @@
     VT_REPLACES_INCARNATION = 12,
     VT_OWNER_INSTANCE = 14,
     VT_OWNER_INCARNATION = 16,
-    VT_TEAM = 18,
-    VT_BODY_HASH = 20,
-    VT_AGENTS = 22,
-    VT_AGENT_INCARNATIONS = 24
+    VT_BODY_HASH = 18,
+    VT_AGENTS = 20,
+    VT_AGENT_INCARNATIONS = 22
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -2371,9 +2369,6 @@
   uint64_t owner_incarnation() const {
     return GetField<uint64_t>(VT_OWNER_INCARNATION, 0);
   }
-  const flatbuffers::String *team() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEAM);
-  }
   uint64_t body_hash() const {
     return GetField<uint64_t>(VT_BODY_HASH, 0);
   }
@@ -2394,8 +2389,6 @@
            VerifyOffset(verifier, VT_OWNER_INSTANCE) &&
            verifier.VerifyString(owner_instance()) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_INCARNATION, 8) &&
-           VerifyOffset(verifier, VT_TEAM) &&
-           verifier.VerifyString(team()) &&
            VerifyField<uint64_t>(verifier, VT_BODY_HASH, 8) &&
            VerifyOffset(verifier, VT_AGENTS) &&
            verifier.VerifyVector(agents()) &&
@@ -2434,9 +2427,6 @@
   void add_owner_incarnation(uint64_t owner_incarnation) {
     fbb_.AddElement<uint64_t>(ClaimRequest::VT_OWNER_INCARNATION, owner_incarnation, 0);
   }
-  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
-    fbb_.AddOffset(ClaimRequest::VT_TEAM, team);
-  }
   void add_body_hash(uint64_t body_hash) {
     fbb_.AddElement<uint64_t>(ClaimRequest::VT_BODY_HASH, body_hash, 0);
   }
@@ -2466,7 +2456,6 @@
     uint64_t replaces_incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> owner_instance = 0,
     uint64_t owner_incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> team = 0,
     uint64_t body_hash = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> agents = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0) {
@@ -2477,7 +2466,6 @@
   builder_.add_call(call);
   builder_.add_agent_incarnations(agent_incarnations);
   builder_.add_agents(agents);
-  builder_.add_team(team);
   builder_.add_owner_instance(owner_instance);
   builder_.add_replaces_instance(replaces_instance);
   builder_.add_key(key);
@@ -2499,13 +2487,11 @@
     uint64_t replaces_incarnation = 0,
     const char *owner_instance = nullptr,
     uint64_t owner_incarnation = 0,
-    const char *team = nullptr,
     uint64_t body_hash = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *agents = nullptr,
     const std::vector<uint64_t> *agent_incarnations = nullptr) {
   auto replaces_instance__ = replaces_instance ? _fbb.CreateString(replaces_instance) : 0;
   auto owner_instance__ = owner_instance ? _fbb.CreateString(owner_instance) : 0;
-  auto team__ = team ? _fbb.CreateString(team) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*agents) : 0;
   auto agent_incarnations__ = agent_incarnations ? _fbb.CreateVector<uint64_t>(*agent_incarnations) : 0;
   return lavenderkeel::fbs::CreateClaimRequest(
@@ -2517,7 +2503,6 @@
       replaces_incarnation,
       owner_instance__,
       owner_incarnation,
-      team__,
       body_hash,
       agents__,
       agent_incarnations__);
@@ -2533,7 +2518,6 @@
   bool vouched = false;
   std::string owner_instance{};
   uint64_t owner_incarnation = 0;
-  std::string team{};
   uint64_t body_hash = 0;
   std::vector<std::string> agents{};
   std::vector<uint64_t> agent_incarnations{};
@@ -2550,10 +2534,9 @@
     VT_VOUCHED = 10,
     VT_OWNER_INSTANCE = 12,
     VT_OWNER_INCARNATION = 14,
-    VT_TEAM = 16,
-    VT_BODY_HASH = 18,
-    VT_AGENTS = 20,
-    VT_AGENT_INCARNATIONS = 22
+    VT_BODY_HASH = 16,
+    VT_AGENTS = 18,
+    VT_AGENT_INCARNATIONS = 20
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -2573,9 +2556,6 @@
   uint64_t owner_incarnation() const {
     return GetField<uint64_t>(VT_OWNER_INCARNATION, 0);
   }
-  const flatbuffers::String *team() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEAM);
-  }
   uint64_t body_hash() const {
     return GetField<uint64_t>(VT_BODY_HASH, 0);
   }
@@ -2594,8 +2574,6 @@
            VerifyOffset(verifier, VT_OWNER_INSTANCE) &&
            verifier.VerifyString(owner_instance()) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_INCARNATION, 8) &&
-           VerifyOffset(verifier, VT_TEAM) &&
-           verifier.VerifyString(team()) &&
            VerifyField<uint64_t>(verifier, VT_BODY_HASH, 8) &&
            VerifyOffset(verifier, VT_AGENTS) &&
            verifier.VerifyVector(agents()) &&
@@ -2631,9 +2609,6 @@
   void add_owner_incarnation(uint64_t owner_incarnation) {
     fbb_.AddElement<uint64_t>(ClaimReply::VT_OWNER_INCARNATION, owner_incarnation, 0);
   }
-  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
-    fbb_.AddOffset(ClaimReply::VT_TEAM, team);
-  }
   void add_body_hash(uint64_t body_hash) {
     fbb_.AddElement<uint64_t>(ClaimReply::VT_BODY_HASH, body_hash, 0);
   }
@@ -2662,7 +2637,6 @@
     bool vouched = false,
     flatbuffers::Offset<flatbuffers::String> owner_instance = 0,
     uint64_t owner_incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> team = 0,
     uint64_t body_hash = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> agents = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0) {
@@ -2672,7 +2646,6 @@
   builder_.add_call(call);
   builder_.add_agent_incarnations(agent_incarnations);
   builder_.add_agents(agents);
-  builder_.add_team(team);
   builder_.add_owner_instance(owner_instance);
   builder_.add_key(key);
   builder_.add_vouched(vouched);
@@ -2693,12 +2666,10 @@
     bool vouched = false,
     const char *owner_instance = nullptr,
     uint64_t owner_incarnation = 0,
-    const char *team = nullptr,
     uint64_t body_hash = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *agents = nullptr,
     const std::vector<uint64_t> *agent_incarnations = nullptr) {
   auto owner_instance__ = owner_instance ? _fbb.CreateString(owner_instance) : 0;
-  auto team__ = team ? _fbb.CreateString(team) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*agents) : 0;
   auto agent_incarnations__ = agent_incarnations ? _fbb.CreateVector<uint64_t>(*agent_incarnations) : 0;
   return lavenderkeel::fbs::CreateClaimReply(
@@ -2709,7 +2680,6 @@
       vouched,
       owner_instance__,
       owner_incarnation,
-      team__,
       body_hash,
       agents__,
       agent_incarnations__);
@@ -4271,7 +4241,6 @@
       (lhs.replaces_incarnation == rhs.replaces_incarnation) &&
       (lhs.owner_instance == rhs.owner_instance) &&
       (lhs.owner_incarnation == rhs.owner_incarnation) &&
-      (lhs.team == rhs.team) &&
       (lhs.body_hash == rhs.body_hash) &&
       (lhs.agents == rhs.agents) &&
       (lhs.agent_incarnations == rhs.agent_incarnations);
@@ -4298,7 +4267,6 @@
   { auto _e = replaces_incarnation(); _o->replaces_incarnation = _e; }
   { auto _e = owner_instance(); if (_e) _o->owner_instance = _e->str(); }
   { auto _e = owner_incarnation(); _o->owner_incarnation = _e; }
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
   { auto _e = body_hash(); _o->body_hash = _e; }
   { auto _e = agents(); if (_e) { _o->agents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agents[_i] = _e->Get(_i)->str(); } } }
   { auto _e = agent_incarnations(); if (_e) { _o->agent_incarnations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agent_incarnations[_i] = _e->Get(_i); } } }
@@ -4319,7 +4287,6 @@
   auto _replaces_incarnation = _o->replaces_incarnation;
   auto _owner_instance = _o->owner_instance.empty() ? 0 : _fbb.CreateString(_o->owner_instance);
   auto _owner_incarnation = _o->owner_incarnation;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
   auto _body_hash = _o->body_hash;
   auto _agents = _o->agents.size() ? _fbb.CreateVectorOfStrings(_o->agents) : 0;
   auto _agent_incarnations = _o->agent_incarnations.size() ? _fbb.CreateVector(_o->agent_incarnations) : 0;
@@ -4332,7 +4299,6 @@
       _replaces_incarnation,
       _owner_instance,
       _owner_incarnation,
-      _team,
       _body_hash,
       _agents,
       _agent_incarnations);
@@ -4347,7 +4313,6 @@
       (lhs.vouched == rhs.vouched) &&
       (lhs.owner_instance == rhs.owner_instance) &&
       (lhs.owner_incarnation == rhs.owner_incarnation) &&
-      (lhs.team == rhs.team) &&
       (lhs.body_hash == rhs.body_hash) &&
       (lhs.agents == rhs.agents) &&
       (lhs.agent_incarnations == rhs.agent_incarnations);
@@ -4373,7 +4338,6 @@
   { auto _e = vouched(); _o->vouched = _e; }
   { auto _e = owner_instance(); if (_e) _o->owner_instance = _e->str(); }
   { auto _e = owner_incarnation(); _o->owner_incarnation = _e; }
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
   { auto _e = body_hash(); _o->body_hash = _e; }
   { auto _e = agents(); if (_e) { _o->agents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agents[_i] = _e->Get(_i)->str(); } } }
   { auto _e = agent_incarnations(); if (_e) { _o->agent_incarnations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agent_incarnations[_i] = _e->Get(_i); } } }
@@ -4393,7 +4357,6 @@
   auto _vouched = _o->vouched;
   auto _owner_instance = _o->owner_instance.empty() ? 0 : _fbb.CreateString(_o->owner_instance);
   auto _owner_incarnation = _o->owner_incarnation;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
   auto _body_hash = _o->body_hash;
   auto _agents = _o->agents.size() ? _fbb.CreateVectorOfStrings(_o->agents) : 0;
   auto _agent_incarnations = _o->agent_incarnations.size() ? _fbb.CreateVector(_o->agent_incarnations) : 0;
@@ -4405,7 +4368,6 @@
       _vouched,
       _owner_instance,
       _owner_incarnation,
-      _team,
       _body_hash,
       _agents,
       _agent_incarnations);
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -343,6 +343,7 @@
       } else if (const auto* dial = std::get_if<Dial>(&action)) {
         Carry(index, *dial);
       } else if (const auto* call = std::get_if<PlatformCall>(&action)) {
+        ++platform_calls_;
         Carry(index, *call,
               clock_.Now() +
                   std::chrono::milliseconds(call->wait_ms.value_or(0)));
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -78,6 +78,8 @@
   /// Bytes and messages that a process has sent to its peers.
   uint64_t bytes_sent(size_t process) const;
   uint64_t messages_sent(size_t process) const;
+  /// Calls made on the platform; a waiting watch is one.
+  uint64_t platform_calls() const { return platform_calls_; }
   const std::map<CallerId, int>& operator_replies() const {
     return operator_replies_;
   }
@@ -123,6 +125,7 @@
   CallerId last_caller_ = 0;
   uint64_t last_incarnation_ = 0;
   TimePoint next_tick_;
+  uint64_t platform_calls_ = 0;
   std::map<CallerId, size_t> caller_at_;
   std::map<CallerId, int> operator_replies_;
 };
