--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -338,7 +338,13 @@
   const TimePoint now = clock_.Now();
   run.state = Run::State::kRunning;
   run.run = ++last_run_;
-  run.request_id = key.ToString() + "." + std::to_string(run.run);
+  // Failure: a restarted agent counts its runs from one again and repeats the
+  // id that its predecessor used for the same key. Symptom: the engine takes
+  // the start for a repetition and serves the old, cancelled stream. With the
+  // incarnation in it, no id comes twice.
+  run.request_id = key.ToString() + "." +
+                   std::to_string(members_.self().id.incarnation) + "." +
+                   std::to_string(run.run);
   run.started = now;
   run.last_event = now;
   run.answer = run.go.head.empty() ? "" : run.go.head + "\n";
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -89,6 +89,22 @@
   CheckHeld(world);
 }
 
+// A lookup runs at an agent that dies at once, silently, and starts again; the
+// lookup is sent to its successor. The engine must not take that for the
+// predecessor's start, whose stream was cancelled.
+BOOST_AUTO_TEST_CASE(RestartedAgentStartsAnew) {
+  World world({.entries = 1, .agents = 1, .seed = 2});
+  world.Submit(0, world.NewKey(), "r0x", true, 20);
+  BOOST_REQUIRE(world.RunUntil([&] { return world.engine(0).starts() == 1; },
+                               std::chrono::seconds(5)));
+  world.engine(0).CancelAll();
+  world.Kill(1, /*silently=*/true);
+  world.Restart(1);
+  BOOST_TEST(AllTold(world));
+  BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == 1U);
+  CheckHeld(world);
+}
+
 // An entry is frozen past the heartbeat timeout and wakes with its old view.
 // It can't vouch for keys sent meanwhile; the other holder can.
 BOOST_AUTO_TEST_CASE(FrozenHolderDoesNotVouch) {
--- a/test/fakes/engine_core.cc
+++ b/test/fakes/engine_core.cc
@@ -79,6 +79,13 @@
   return "cancelled";
 }
 
+void EngineCore::CancelAll() {
+  const std::vector<std::string> ids = running_;
+  for (const std::string& id : ids) {
+    Cancel(id);
+  }
+}
+
 const EngineCore::Stream* EngineCore::Find(
     const std::string& request_id) const {
   const auto found = streams_.find(request_id);
--- a/test/fakes/engine_core.h
+++ b/test/fakes/engine_core.h
@@ -49,6 +49,8 @@
              const std::string& prompt,
              uint32_t max_tokens);
   std::string Cancel(const std::string& request_id);
+  /// As if the engine had been told to stop everything.
+  void CancelAll();
   const Stream* Find(const std::string& request_id) const;
   /// Generates what the time allows.
   void Advance(TimePoint now);
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -66,7 +66,7 @@
 
 class Driver {
  public:
-  explicit Driver(uint64_t seed) : world_({.seed = seed}) {}
+  explicit Driver(uint64_t seed) : world_({.seed = seed, .log = Log()}) {}
 
   void Do(const Step& step) {
     const size_t process = step.a % world_.processes();
@@ -195,6 +195,15 @@
                                : std::nullopt);
   }
 
+  /// With FUZZ_LOG set, what the components log goes to standard error.
+  static EventLog Log() {
+    if (std::getenv("FUZZ_LOG") == nullptr) {
+      return {};
+    }
+    return EventLog(
+        [](LogLevel, const std::string& line) { std::cerr << line << "\n"; });
+  }
+
   template <typename Use>
   void WithSent(size_t which, const Use& use) {
     if (!sent_.empty()) {
