Claims say whether their holder could vouch

Change: a claim carries whether its holder could vouch; one that could not does not end the asking and proves nothing by itself. Two entries that each hold the other's unconfirmed claim end as cannot_vouch instead of waiting for each other.

--- a/lavenderkeel/claim/claim.h
+++ b/lavenderkeel/claim/claim.h
@@ -18,6 +18,9 @@
   /// The agents that the owner may send the request to; after its death they
   /// are asked whether they have it.
   std::vector<PeerId> agents;
+  /// The holder could vouch that it was the first. Otherwise an earlier claim
+  /// may exist elsewhere, and "no agent of this one has it" proves nothing.
+  bool confirmed = false;
 
   friend bool operator==(const Claim&, const Claim&) = default;
 };
@@ -28,6 +31,7 @@
   message.owner_instance = claim.owner.instance;
   message.owner_incarnation = claim.owner.incarnation;
   message.body_hash = claim.body_hash;
+  message.confirmed = claim.confirmed;
   for (const PeerId& agent : claim.agents) {
     message.agents.push_back(agent.instance);
     message.agent_incarnations.push_back(agent.incarnation);
@@ -40,7 +44,8 @@
   Claim claim{.owner = {.instance = message.owner_instance,
                         .incarnation = message.owner_incarnation},
               .body_hash = message.body_hash,
-              .agents = {}};
+              .agents = {},
+              .confirmed = message.confirmed};
   const size_t agents =
       std::min(message.agents.size(), message.agent_incarnations.size());
   for (size_t i = 0; i < agents; ++i) {
--- a/lavenderkeel/claim/claim_table.cc
+++ b/lavenderkeel/claim/claim_table.cc
@@ -26,11 +26,14 @@
     held.owner = peers_.Take(wanted.owner);
     peers_.Release(former);
     AddAgents(held, wanted.agents);
-    // The claim was here, so whoever takes it over has been told all there is.
-    return {.granted = true, .vouched = true, .claim = Unpack(held)};
+    held.confirmed |= wanted.confirmed;
+    return {.granted = true, .vouched = held.confirmed, .claim = Unpack(held)};
   }
   const bool vouched = Vouches(key);
-  Held held{.owner = peers_.Take(wanted.owner), .body_hash = wanted.body_hash};
+  Held held{.owner = peers_.Take(wanted.owner),
+            .body_hash = wanted.body_hash,
+            .agents = {},
+            .confirmed = vouched || wanted.confirmed};
   AddAgents(held, wanted.agents);
   claims_.emplace(key, held);
   by_age_.emplace_back(clock_.Now(), key);
@@ -43,7 +46,8 @@
 Claim ClaimTable::Unpack(const Held& held) const {
   Claim claim{.owner = peers_.Get(held.owner),
               .body_hash = held.body_hash,
-              .agents = {}};
+              .agents = {},
+              .confirmed = held.confirmed};
   claim.agents.reserve(held.agents.size());
   for (const PeerPool::Index agent : held.agents) {
     claim.agents.push_back(peers_.Get(agent));
--- a/lavenderkeel/claim/claim_table.h
+++ b/lavenderkeel/claim/claim_table.h
@@ -74,6 +74,7 @@
     PeerPool::Index owner = 0;
     uint64_t body_hash = 0;
     std::vector<PeerPool::Index> agents;
+    bool confirmed = false;
   };
 
   Claim Unpack(const Held& held) const;
--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -35,8 +35,9 @@
   if (found == processes_.end() || !Advance(call, found->second)) {
     return;
   }
-  const Process process = std::move(found->second);
+  Process process = std::move(found->second);
   processes_.erase(found);
+  Conclude(process);
   process.done(process.key, process.verdict);
 }
 
@@ -82,12 +83,27 @@
   process.asked = false;
   ++process.next;
   if (answer.granted) {
+    process.granted = true;
     process.verdict.vouched |= answer.vouched;
     return false;
   }
-  process.verdict.kind = ClaimVerdict::Kind::kHeld;
+  // Failure: an entry is granted the key by a holder that lost its state, then
+  // learns from the other of the earlier claim, and dies. Symptom: its claim
+  // hides the earlier one, and the key runs again. A claim that its holder
+  // could not vouch for does not end the asking.
   process.verdict.claim = answer.claim;
-  return true;
+  process.verdict.kind = ClaimVerdict::Kind::kHeld;
+  return answer.claim.confirmed;
+}
+
+void Claimer::Conclude(Process& process) {
+  ClaimVerdict& verdict = process.verdict;
+  const bool held_for_certain =
+      verdict.kind == ClaimVerdict::Kind::kHeld && verdict.claim.confirmed;
+  if (!held_for_certain && process.granted && verdict.vouched) {
+    // A holder that met every claim met none before ours.
+    verdict.kind = ClaimVerdict::Kind::kOurs;
+  }
 }
 
 void Claimer::OnReply(LinkId link, const ClaimReply& reply) {
--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -73,6 +73,8 @@
     std::vector<std::string> holders;
     size_t next = 0;
     bool asked = false;
+    /// Some holder gave us the key.
+    bool granted = false;
     ClaimVerdict verdict;
   };
 
@@ -80,6 +82,8 @@
   bool Advance(uint64_t call, Process& process);
   void Run(uint64_t call);
   bool Take(Process& process, const ClaimTable::Answer& answer);
+  /// What the answers come to once all holders were asked.
+  static void Conclude(Process& process);
 
   ClaimTable& own_table_;
   const HolderRanking& ranking_;
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -124,6 +124,13 @@
     context_.outbox.Send(link, std::move(located));
     return;
   }
+  const Member* asker = context_.members.FindByLink(link);
+  if (request->state == State::kLocating && asker != nullptr &&
+      request->held.owner == asker->info.id) {
+    // Each took the other's unconfirmed claim for the earlier one. Both would
+    // wait for good; neither can say whether the key is unused.
+    context_.conclude(*request, ResultCode::kCannotVouch);
+  }
   const bool known = request->state == State::kDone ||
                      request->state == State::kRunning ||
                      request->state == State::kFollowing;
@@ -227,6 +234,10 @@
     context_.conclude(request, ResultCode::kOwnerSilent);
     return;
   }
+  if (!request.held.owner.empty() && !request.held.confirmed) {
+    context_.conclude(request, ResultCode::kCannotVouch);
+    return;
+  }
   context_.Note(request, "no agent has it; it did not run");
   if (request.held.owner.empty()) {
     context_.admit(request);
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -2330,6 +2330,7 @@
   uint64_t body_hash = 0;
   std::vector<std::string> agents{};
   std::vector<uint64_t> agent_incarnations{};
+  bool confirmed = false;
 };
 
 struct ClaimRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2346,7 +2347,8 @@
     VT_OWNER_INCARNATION = 16,
     VT_BODY_HASH = 18,
     VT_AGENTS = 20,
-    VT_AGENT_INCARNATIONS = 22
+    VT_AGENT_INCARNATIONS = 22,
+    VT_CONFIRMED = 24
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -2378,6 +2380,9 @@
   const flatbuffers::Vector<uint64_t> *agent_incarnations() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AGENT_INCARNATIONS);
   }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<lavenderkeel::fbs::Key>(verifier, VT_KEY, 8) &&
@@ -2395,6 +2400,7 @@
            verifier.VerifyVectorOfStrings(agents()) &&
            VerifyOffset(verifier, VT_AGENT_INCARNATIONS) &&
            verifier.VerifyVector(agent_incarnations()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            verifier.EndTable();
   }
   ClaimRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2436,6 +2442,9 @@
   void add_agent_incarnations(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations) {
     fbb_.AddOffset(ClaimRequest::VT_AGENT_INCARNATIONS, agent_incarnations);
   }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(ClaimRequest::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
   explicit ClaimRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2458,7 +2467,8 @@
     uint64_t owner_incarnation = 0,
     uint64_t body_hash = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> agents = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0,
+    bool confirmed = false) {
   ClaimRequestBuilder builder_(_fbb);
   builder_.add_body_hash(body_hash);
   builder_.add_owner_incarnation(owner_incarnation);
@@ -2469,6 +2479,7 @@
   builder_.add_owner_instance(owner_instance);
   builder_.add_replaces_instance(replaces_instance);
   builder_.add_key(key);
+  builder_.add_confirmed(confirmed);
   builder_.add_lookup(lookup);
   return builder_.Finish();
 }
@@ -2489,7 +2500,8 @@
     uint64_t owner_incarnation = 0,
     uint64_t body_hash = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *agents = nullptr,
-    const std::vector<uint64_t> *agent_incarnations = nullptr) {
+    const std::vector<uint64_t> *agent_incarnations = nullptr,
+    bool confirmed = false) {
   auto replaces_instance__ = replaces_instance ? _fbb.CreateString(replaces_instance) : 0;
   auto owner_instance__ = owner_instance ? _fbb.CreateString(owner_instance) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*agents) : 0;
@@ -2505,7 +2517,8 @@
       owner_incarnation,
       body_hash,
       agents__,
-      agent_incarnations__);
+      agent_incarnations__,
+      confirmed);
 }
 
 flatbuffers::Offset<ClaimRequest> CreateClaimRequest(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2521,6 +2534,7 @@
   uint64_t body_hash = 0;
   std::vector<std::string> agents{};
   std::vector<uint64_t> agent_incarnations{};
+  bool confirmed = false;
 };
 
 struct ClaimReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2536,7 +2550,8 @@
     VT_OWNER_INCARNATION = 14,
     VT_BODY_HASH = 16,
     VT_AGENTS = 18,
-    VT_AGENT_INCARNATIONS = 20
+    VT_AGENT_INCARNATIONS = 20,
+    VT_CONFIRMED = 22
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -2565,6 +2580,9 @@
   const flatbuffers::Vector<uint64_t> *agent_incarnations() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AGENT_INCARNATIONS);
   }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<lavenderkeel::fbs::Key>(verifier, VT_KEY, 8) &&
@@ -2580,6 +2598,7 @@
            verifier.VerifyVectorOfStrings(agents()) &&
            VerifyOffset(verifier, VT_AGENT_INCARNATIONS) &&
            verifier.VerifyVector(agent_incarnations()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            verifier.EndTable();
   }
   ClaimReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2618,6 +2637,9 @@
   void add_agent_incarnations(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations) {
     fbb_.AddOffset(ClaimReply::VT_AGENT_INCARNATIONS, agent_incarnations);
   }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(ClaimReply::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
   explicit ClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2639,7 +2661,8 @@
     uint64_t owner_incarnation = 0,
     uint64_t body_hash = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> agents = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> agent_incarnations = 0,
+    bool confirmed = false) {
   ClaimReplyBuilder builder_(_fbb);
   builder_.add_body_hash(body_hash);
   builder_.add_owner_incarnation(owner_incarnation);
@@ -2648,6 +2671,7 @@
   builder_.add_agents(agents);
   builder_.add_owner_instance(owner_instance);
   builder_.add_key(key);
+  builder_.add_confirmed(confirmed);
   builder_.add_vouched(vouched);
   builder_.add_granted(granted);
   return builder_.Finish();
@@ -2668,7 +2692,8 @@
     uint64_t owner_incarnation = 0,
     uint64_t body_hash = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *agents = nullptr,
-    const std::vector<uint64_t> *agent_incarnations = nullptr) {
+    const std::vector<uint64_t> *agent_incarnations = nullptr,
+    bool confirmed = false) {
   auto owner_instance__ = owner_instance ? _fbb.CreateString(owner_instance) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*agents) : 0;
   auto agent_incarnations__ = agent_incarnations ? _fbb.CreateVector<uint64_t>(*agent_incarnations) : 0;
@@ -2682,7 +2707,8 @@
       owner_incarnation,
       body_hash,
       agents__,
-      agent_incarnations__);
+      agent_incarnations__,
+      confirmed);
 }
 
 flatbuffers::Offset<ClaimReply> CreateClaimReply(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4243,7 +4269,8 @@
       (lhs.owner_incarnation == rhs.owner_incarnation) &&
       (lhs.body_hash == rhs.body_hash) &&
       (lhs.agents == rhs.agents) &&
-      (lhs.agent_incarnations == rhs.agent_incarnations);
+      (lhs.agent_incarnations == rhs.agent_incarnations) &&
+      (lhs.confirmed == rhs.confirmed);
 }
 
 inline bool operator!=(const ClaimRequestT &lhs, const ClaimRequestT &rhs) {
@@ -4270,6 +4297,7 @@
   { auto _e = body_hash(); _o->body_hash = _e; }
   { auto _e = agents(); if (_e) { _o->agents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agents[_i] = _e->Get(_i)->str(); } } }
   { auto _e = agent_incarnations(); if (_e) { _o->agent_incarnations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agent_incarnations[_i] = _e->Get(_i); } } }
+  { auto _e = confirmed(); _o->confirmed = _e; }
 }
 
 inline flatbuffers::Offset<ClaimRequest> ClaimRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4290,6 +4318,7 @@
   auto _body_hash = _o->body_hash;
   auto _agents = _o->agents.size() ? _fbb.CreateVectorOfStrings(_o->agents) : 0;
   auto _agent_incarnations = _o->agent_incarnations.size() ? _fbb.CreateVector(_o->agent_incarnations) : 0;
+  auto _confirmed = _o->confirmed;
   return lavenderkeel::fbs::CreateClaimRequest(
       _fbb,
       _key,
@@ -4301,7 +4330,8 @@
       _owner_incarnation,
       _body_hash,
       _agents,
-      _agent_incarnations);
+      _agent_incarnations,
+      _confirmed);
 }
 
 
@@ -4315,7 +4345,8 @@
       (lhs.owner_incarnation == rhs.owner_incarnation) &&
       (lhs.body_hash == rhs.body_hash) &&
       (lhs.agents == rhs.agents) &&
-      (lhs.agent_incarnations == rhs.agent_incarnations);
+      (lhs.agent_incarnations == rhs.agent_incarnations) &&
+      (lhs.confirmed == rhs.confirmed);
 }
 
 inline bool operator!=(const ClaimReplyT &lhs, const ClaimReplyT &rhs) {
@@ -4341,6 +4372,7 @@
   { auto _e = body_hash(); _o->body_hash = _e; }
   { auto _e = agents(); if (_e) { _o->agents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agents[_i] = _e->Get(_i)->str(); } } }
   { auto _e = agent_incarnations(); if (_e) { _o->agent_incarnations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->agent_incarnations[_i] = _e->Get(_i); } } }
+  { auto _e = confirmed(); _o->confirmed = _e; }
 }
 
 inline flatbuffers::Offset<ClaimReply> ClaimReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4360,6 +4392,7 @@
   auto _body_hash = _o->body_hash;
   auto _agents = _o->agents.size() ? _fbb.CreateVectorOfStrings(_o->agents) : 0;
   auto _agent_incarnations = _o->agent_incarnations.size() ? _fbb.CreateVector(_o->agent_incarnations) : 0;
+  auto _confirmed = _o->confirmed;
   return lavenderkeel::fbs::CreateClaimReply(
       _fbb,
       _key,
@@ -4370,7 +4403,8 @@
       _owner_incarnation,
       _body_hash,
       _agents,
-      _agent_incarnations);
+      _agent_incarnations,
+      _confirmed);
 }
 
 
