An entry joins before it vouches; repeatable work is never sealed away

Found by the fuzzer: a restarted entry that nobody had dialled yet took itself for the only holder and vouched (: no_server for what ran): it now vouches only for keys sent after every known entry has dialled it. A preempted lookup stayed bound to the entry that had sent it, so the same lookup at another entry waited for good.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -393,7 +393,7 @@
   }
   context_.Note(request, "refused by " + agent.ToString() + ": " +
                              std::string(Describe(code).name));
-  if (code != ResultCode::kSealed) {
+  if (code != ResultCode::kSealed || request.terms.repeatable) {
     Requeue(request);
     return;
   }
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -112,8 +112,22 @@
   claims_.CannotVouchUntilNow();
 }
 
+void EntryNode::Join() {
+  // Failure: an entry that has just started knows nobody, takes itself for the
+  // only holder and vouches for keys that the others claimed. Symptom: "not
+  // run" for what ran. It can't vouch for keys sent before all others count it
+  // in; whom there is it learns from the instance list or from another entry.
+  const std::vector<const Member*> entries = members_.Members(Role::kEntry);
+  const bool knows_others = registration_.has_list() || !entries.empty();
+  joined_ = joined_ || (knows_others && members_.MetByAllEntries());
+  if (!joined_) {
+    claims_.CannotVouchUntilNow();
+  }
+}
+
 void EntryNode::Tick() {
   CheckGap();
+  Join();
   members_.Tick();
   registration_.Tick();
   claims_.Tick();
@@ -321,7 +335,7 @@
 bool EntryNode::Ready() const {
   const bool drained = config_.current() && config_.current()->IsDrained(
                                                 members_.self().id.instance);
-  return config_.current() && !context_.leaving && !drained &&
+  return config_.current() && !context_.leaving && !drained && joined_ &&
          clock_.WallNow() > claims_.vouches_from();
 }
 
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -77,6 +77,7 @@
 
  private:
   void CheckGap();
+  void Join();
   void OnPeerUp(const Member& member);
   void OnPeerLost(const PeerId& peer, Role role);
   void OnPeerLeaving(const PeerId& peer, Role role);
@@ -111,6 +112,8 @@
   CallerApi callers_;
   OperatorApi operators_;
   GapDetector gap_;
+  /// All other entries count this one among the holders.
+  bool joined_ = false;
   /// The peers were told that this entry leaves.
   bool announced_ = false;
   size_t hand_over_pending_ = 0;
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -512,8 +512,11 @@
   feed_.OnProgress(key);
   const bool may_run_again =
       Describe(code).outcome == Outcome::kNotRun || run.reservation.repeatable;
-  if (code != ResultCode::kAnswered && may_run_again) {
-    // Its entry may send it again; only the entry that had it.
+  if (code != ResultCode::kAnswered && run.reservation.repeatable) {
+    // Any entry may send it again.
+    runs_.Erase(key);
+  } else if (code != ResultCode::kAnswered && may_run_again) {
+    // It did not run; only the entry that had it may send it again.
     const PeerId allowed = run.allowed;
     run = Run();
     run.allowed = allowed;
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -179,6 +179,7 @@
 
 void MemberTable::AddSeed(const std::string& address) {
   targets_[address].seed = true;
+  targets_[address].since = clock_.Now();
 }
 
 void MemberTable::Target(const InstanceInfo& info) {
@@ -188,7 +189,11 @@
     return item.second.instance == info.id.instance &&
            item.first != info.address && !item.second.seed;
   });
-  DialTarget& target = targets_[info.address];
+  const auto [position, inserted] = targets_.try_emplace(info.address);
+  DialTarget& target = position->second;
+  if (inserted) {
+    target.since = clock_.Now();
+  }
   target.instance = info.id.instance;
   target.role = info.role;
   target.data_centre = info.data_centre;
@@ -336,6 +341,20 @@
   return wanted;
 }
 
+bool MemberTable::MetByAllEntries() const {
+  const TimePoint now = clock_.Now();
+  return std::ranges::all_of(targets_, [&](const auto& item) {
+    const DialTarget& target = item.second;
+    const bool counts = !target.role.has_value() ||
+                        (target.role == Role::kEntry &&
+                         target.region == self_.region);
+    const Member* member = Find(target.instance);
+    const bool met = member != nullptr && member->inbound.has_value();
+    return !counts || met ||
+           now - target.since > 2 * options_.heartbeat_timeout;
+  });
+}
+
 void MemberTable::ForgiveSilence() {
   const TimePoint now = clock_.Now();
   for (auto& [link, state] : links_) {
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -88,6 +88,9 @@
   void ForgiveSilence();
   /// Wants a link to an agent outside this entry's subset as well.
   void AlsoWant(const std::string& instance) { also_wanted_.insert(instance); }
+  /// True if each entry of this region that is known of has dialled us, or has
+  /// not been reachable for long: then each counts us in.
+  bool MetByAllEntries() const;
   /// Tells every peer at once, so that none waits for the instance list.
   void AnnounceNow();
 
@@ -123,6 +126,8 @@
     TimePoint next;
     bool dialing = false;
     bool seed = false;
+    /// When the address was first heard of.
+    TimePoint since;
     std::string instance;
     /// From the instance list; a seed's role is learnt from its greeting.
     std::optional<Role> role;
--- a/lavenderkeel/membership/registration.cc
+++ b/lavenderkeel/membership/registration.cc
@@ -59,6 +59,7 @@
                                                            period.count());
                next_list_ = clock_.Now() + Duration(pick(random_));
                if (usable) {
+                 has_list_ = true;
                  on_instances_(*list.value);
                }
              });
--- a/lavenderkeel/membership/registration.h
+++ b/lavenderkeel/membership/registration.h
@@ -37,6 +37,8 @@
   void Tick();
   /// Writes the state `leaving` into the registration.
   void Leave();
+  /// The instance list was read at least once.
+  bool has_list() const { return has_list_; }
 
  private:
   void ReadList();
@@ -50,6 +52,7 @@
   ConditionalUpdate update_;
   TimePoint next_list_;
   bool reading_ = false;
+  bool has_list_ = false;
 };
 
 }  // namespace lavenderkeel
