--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -8,7 +8,7 @@
 using State = EntryRequest::State;
 
 DispatchController::DispatchController(EntryContext& context)
-    : context_(context), retries_(context.options.retries) {}
+    : context_(context), placer_(context), retries_(context.options.retries) {}
 
 void DispatchController::Admit(EntryRequest& request) {
   if (const std::optional<ResultCode> refusal = Refusal(request)) {
@@ -126,80 +126,10 @@
   }
   request.counted_running = true;
   request.state = State::kWaiting;
-  PlaceReservations(request, context_.options.candidates);
+  placer_.Place(request, context_.options.candidates);
   SetWaitingTimer(request);
 }
 
-void DispatchController::PlaceReservations(EntryRequest& request,
-                                           size_t count) {
-  size_t placed = 0;
-  std::vector<Candidate> candidates =
-      context_.router.Choose(request.route(), SIZE_MAX);
-  std::erase_if(candidates, [&request](const Candidate& candidate) {
-    const bool named = request.terms.repeatable ||
-                       std::ranges::find(request.eligible, candidate.agent) !=
-                           request.eligible.end();
-    return !named || request.reserved.contains(candidate.agent);
-  });
-  for (const Candidate& candidate : candidates) {
-    const std::optional<LinkId> link = context_.members.LinkTo(candidate.agent);
-    if (placed >= count || !link.has_value()) {
-      break;
-    }
-    request.reserved.insert(candidate.agent);
-    SendReserve(request, *link);
-    ++placed;
-  }
-  LogRoute(request, candidates, placed);
-}
-
-void DispatchController::LogRoute(const EntryRequest& request,
-                                  const std::vector<Candidate>& candidates,
-                                  size_t placed) const {
-  if (!context_.log.enabled(LogLevel::kInfo)) {
-    return;
-  }
-  constexpr size_t kMostShown = 8;
-  std::string weighed;
-  for (size_t i = 0; i < std::min(candidates.size(), kMostShown); ++i) {
-    weighed += weighed.empty() ? "" : ",";
-    weighed += candidates[i].agent.instance + ":" +
-               std::to_string(ToMilliseconds(candidates[i].first_token)) + "ms";
-  }
-  std::string chosen;
-  for (const PeerId& agent : request.reserved) {
-    chosen += chosen.empty() ? "" : ",";
-    chosen += agent.instance;
-  }
-  context_.log.Info("route", {{"key", request.key.ToString()},
-                              {"tier", request.terms.tier_name},
-                              {"team", request.terms.team},
-                              {"work", request.terms.work},
-                              {"weighed", weighed},
-                              {"reserved", chosen},
-                              {"placed", placed},
-                              {"attempt", request.attempts}});
-}
-
-void DispatchController::SendReserve(EntryRequest& request, LinkId link) {
-  const TimePoint now = context_.clock.Now();
-  Reserve reserve;
-  reserve.key = ToWire(request.key);
-  reserve.team = request.terms.team;
-  reserve.weight = static_cast<float>(request.terms.weight);
-  reserve.tier = request.terms.tier;
-  reserve.prompt_tokens = request.payload.prompt_tokens;
-  reserve.max_tokens = request.payload.max_tokens;
-  reserve.repeatable = request.terms.repeatable;
-  reserve.deadline_bound = request.terms.deadline_bound;
-  reserve.prefix = request.payload.prefix;
-  if (request.deadline.has_value()) {
-    reserve.deadline_ms =
-        std::max<int64_t>(0, ToMilliseconds(*request.deadline - now));
-  }
-  context_.outbox.Send(link, std::move(reserve));
-}
-
 void DispatchController::SetWaitingTimer(EntryRequest& request) {
   TimePoint when = context_.clock.Now() + context_.options.widen_after;
   if (request.deadline.has_value()) {
@@ -250,7 +180,7 @@
 
 void DispatchController::Widen(EntryRequest& request) {
   const size_t before = request.reserved.size();
-  PlaceReservations(request, 1);
+  placer_.Place(request, 1);
   const bool widened = request.reserved.size() > before;
   if (widened || request.terms.repeatable) {
     return;
@@ -264,24 +194,12 @@
            request.eligible.end();
   });
   if (others) {
-    Withdraw(request, PeerId());
+    placer_.Withdraw(request, PeerId());
     UncountWaiting(request);
     reclaim(request);
   }
 }
 
-void DispatchController::Withdraw(EntryRequest& request, const PeerId& except) {
-  for (const PeerId& agent : request.reserved) {
-    const std::optional<LinkId> link = context_.members.LinkTo(agent);
-    if (agent != except && link.has_value()) {
-      lavenderkeel::Withdraw withdraw;
-      withdraw.key = ToWire(request.key);
-      context_.outbox.Send(*link, withdraw);
-    }
-  }
-  request.reserved.clear();
-}
-
 void DispatchController::OnSlotOffer(LinkId link, const SlotOffer& offer) {
   EntryRequest* request = context_.requests.Find(FromWire(offer.key));
   const Member* agent = context_.members.FindByLink(link);
@@ -301,7 +219,7 @@
   ++request->attempts;
   UncountWaiting(*request);
   context_.requests.ClearTimer(*request);
-  Withdraw(*request, agent->info.id);
+  placer_.Withdraw(*request, agent->info.id);
   const std::vector<SubscriptionId> readers = context_.feed.Of(request->key);
   Go go;
   go.key = offer.key;
@@ -384,7 +302,7 @@
     if (code == ResultCode::kTierClosed) {
       context_.conclude(request, code);
     } else if (request.reserved.empty()) {
-      PlaceReservations(request, context_.options.candidates);
+      placer_.Place(request, context_.options.candidates);
     }
     return;
   }
@@ -456,7 +374,7 @@
   for (const RequestKey& key : context_.requests.Select(concerns)) {
     EntryRequest& request = *context_.requests.Find(key);
     if (request.state == State::kWaiting) {
-      SendReserve(request, link);
+      placer_.Send(request, link);
       continue;
     }
     request.silent_since.reset();
@@ -484,7 +402,7 @@
     EntryRequest& request = *context_.requests.Find(key);
     request.reserved.erase(agent);
     if (request.state == State::kWaiting && request.reserved.empty()) {
-      PlaceReservations(request, context_.options.candidates);
+      placer_.Place(request, context_.options.candidates);
       continue;
     }
     if (request.state == State::kDone && !context_.feed.Of(key).empty()) {
@@ -524,7 +442,7 @@
   if (request.waiting()) {
     UncountWaiting(request);
   }
-  Withdraw(request, PeerId());
+  placer_.Withdraw(request, PeerId());
   const std::string team = request.terms.team;
   if (std::exchange(request.counted_running, false)) {
     usage_.EndRun(team);
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "lavenderkeel/dispatch/entry_context.h"
+#include "lavenderkeel/dispatch/reservation_placer.h"
 
 namespace lavenderkeel {
 
@@ -48,21 +49,16 @@
   void CountWaiting(const EntryRequest& request);
   void UncountWaiting(const EntryRequest& request);
   void Wait(EntryRequest& request);
-  void PlaceReservations(EntryRequest& request, size_t count);
-  void SendReserve(EntryRequest& request, LinkId link);
   void Widen(EntryRequest& request);
   bool NoServerForLong(EntryRequest& request);
-  void Withdraw(EntryRequest& request, const PeerId& except);
   void Requeue(EntryRequest& request);
   void ReleaseHeldBack(const std::string& team);
   void AttachAll(EntryRequest& request, LinkId link);
   void SetWaitingTimer(EntryRequest& request);
-  void LogRoute(const EntryRequest& request,
-                const std::vector<Candidate>& candidates,
-                size_t placed) const;
   bool MayRunAgain(const EntryRequest& request);
 
   EntryContext& context_;
+  ReservationPlacer placer_;
   TeamUsage usage_;
   RetryBudget retries_;
   size_t waiting_ = 0;
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/io/daemon_main.h"
+#include "lavenderkeel/io/node_wiring.h"
 
 namespace lavenderkeel {
 
@@ -47,25 +48,7 @@
                   node_.OnPlatformReply(call, reply);
                   Settle();
                 }) {
-  peers_.signal_up().connect(
-      [this](LinkId link, const InstanceInfo& peer, const std::string& dialed) {
-        if (!node_.OnLinkUp(link, peer, dialed) && !dialed.empty()) {
-          node_.OnDialFailed(dialed);
-        }
-        Settle();
-      });
-  peers_.signal_message().connect([this](LinkId link, Message& message) {
-    node_.OnMessage(link, std::move(message));
-    Settle();
-  });
-  peers_.signal_down().connect([this](LinkId link) {
-    node_.OnLinkDown(link);
-    Settle();
-  });
-  peers_.signal_dial_failed().connect([this](const std::string& address) {
-    node_.OnDialFailed(address);
-    Settle();
-  });
+  WirePeers(peers_, node_, [this] { Settle(); });
 }
 
 int EntryDaemon::Run(const std::string& ready_file) {
--- /dev/null
+++ b/test/claim/claim_table_test.cc
@@ -0,0 +1,66 @@
+#include "lavenderkeel/claim/claim_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test/fuzz/virtual_clock.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+struct Holder {
+  fuzz::VirtualClock clock;
+  bool met = true;
+  ClaimTable table{{}, clock, [this](const RequestKey&) { return met; }};
+  std::mt19937_64 random{1};
+
+  RequestKey KeySentNow() { return RequestKey::Mint(clock.WallNow(), random); }
+};
+
+Claim ClaimOf(const std::string& entry) {
+  return {.owner = {.instance = entry, .incarnation = 1}, .body_hash = 7};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(VouchesOnlyForKeysSentSinceItCould) {
+  Holder holder;
+  const RequestKey before = holder.KeySentNow();
+  holder.clock.Advance(std::chrono::seconds(5));
+  BOOST_TEST(!holder.table.Request(before, ClaimOf("a"), {}).vouched);
+  BOOST_TEST(
+      holder.table.Request(holder.KeySentNow(), ClaimOf("a"), {}).vouched);
+  holder.met = false;
+  BOOST_TEST(
+      !holder.table.Request(holder.KeySentNow(), ClaimOf("a"), {}).vouched);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyTheNamedOwnerIsReplaced) {
+  Holder holder;
+  const RequestKey key = holder.KeySentNow();
+  holder.table.Request(key, ClaimOf("a"), {});
+  BOOST_TEST(!holder.table.Request(key, ClaimOf("b"), {}).granted);
+  BOOST_TEST(
+      !holder.table.Request(key, ClaimOf("b"), ClaimOf("c").owner).granted);
+  BOOST_TEST(
+      holder.table.Request(key, ClaimOf("b"), ClaimOf("a").owner).granted);
+  Claim other_body = ClaimOf("b");
+  other_body.body_hash = 8;
+  BOOST_TEST(!holder.table.Request(key, other_body, {}).granted);
+}
+
+// The table is full and drops a claim early: it may be that of any key up to
+// now, so none of them is vouched for any more.
+BOOST_AUTO_TEST_CASE(DroppedClaimsAreNotVouchedFor) {
+  Holder holder;
+  ClaimTable table({.capacity = 2}, holder.clock,
+                   [](const RequestKey&) { return true; });
+  holder.clock.Advance(std::chrono::seconds(5));
+  const RequestKey first = holder.KeySentNow();
+  table.Request(first, ClaimOf("a"), {});
+  table.Request(holder.KeySentNow(), ClaimOf("a"), {});
+  table.Request(holder.KeySentNow(), ClaimOf("a"), {});
+  BOOST_TEST(!table.Request(first, ClaimOf("b"), {}).vouched);
+}
+
+}  // namespace lavenderkeel
--- a/test/process/cluster.cc
+++ b/test/process/cluster.cc
@@ -214,8 +214,13 @@
   return RequestKey::Mint(SystemClock().WallNow(), random_).ToString();
 }
 
-std::shared_ptr<Exchange> Cluster::Send(HttpClient::Call call) {
+std::shared_ptr<Exchange> Cluster::Send(HttpClient::Call call, bool stream) {
   auto exchange = std::make_shared<Exchange>();
+  if (stream) {
+    call.on_data = [exchange](std::string_view bytes) {
+      exchange->stream += bytes;
+    };
+  }
   if (call.timeout < kLongStop) {
     call.timeout = kLongStop;
   }
@@ -246,19 +251,7 @@
   if (!key.empty()) {
     call.headers.emplace_back("Idempotency-Key", key);
   }
-  auto exchange = std::make_shared<Exchange>();
-  if (stream) {
-    call.on_data = [exchange](std::string_view bytes) {
-      exchange->stream += bytes;
-    };
-  }
-  call.timeout = kLongStop;
-  call.on_done = [exchange](const HttpResult& result) {
-    exchange->done = true;
-    exchange->result = result;
-  };
-  http_.Start(std::move(call));
-  return exchange;
+  return Send(std::move(call), stream);
 }
 
 HttpResult Cluster::Call(const std::string& address,
--- a/test/process/cluster.h
+++ b/test/process/cluster.h
@@ -64,7 +64,8 @@
                                 int tokens,
                                 bool stream = false,
                                 const std::string& prompt = "Letter one");
-  std::shared_ptr<Exchange> Send(HttpClient::Call call);
+  /// @param stream collect the bytes as they come
+  std::shared_ptr<Exchange> Send(HttpClient::Call call, bool stream = false);
   HttpResult Call(const std::string& address,
                   const std::string& method,
                   const std::string& path,
