The runs at a server have a controller of their own

GateController had 665 lines and two jobs: ordering what comes from entries, and what runs at the server. RunController has the second now; code moved, not changed.

--- a/lavenderkeel/gate.h
+++ b/lavenderkeel/gate.h
@@ -5,6 +5,7 @@
 #include "lavenderkeel/gate/agent_node.h"
 #include "lavenderkeel/gate/answer_feed.h"
 #include "lavenderkeel/gate/gate_controller.h"
+#include "lavenderkeel/gate/run_controller.h"
 #include "lavenderkeel/gate/run_table.h"
 
 #endif  // LAVENDERKEEL_GATE_H_
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -4,8 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "lavenderkeel/gate/answer_lines.h"
-
 namespace lavenderkeel {
 
 GateController::GateController(Options options,
@@ -21,9 +19,20 @@
       metrics_(metrics),
       outbox_(outbox),
       queue_(options.queue),
-      limit_(options.in_flight),
       runs_(options.runs),
-      feed_(runs_, outbox) {
+      feed_(runs_, outbox),
+      server_(options.server,
+              clock,
+              members.self(),
+              log,
+              metrics,
+              outbox,
+              runs_,
+              feed_,
+              [this] {
+                StartReady();
+                OfferSlots();
+              }) {
   runs_.set_in_use(
       [this](const RequestKey& key) { return feed_.HasReaders(key); });
 }
@@ -207,12 +216,12 @@
   }
   if (run->state == Run::State::kReady) {
     std::erase_if(ready_, [&](const auto& item) { return item.second == key; });
-    FinishRun(key, ResultCode::kCancelledWaiting);
+    server_.Finish(key, ResultCode::kCancelledWaiting);
   } else if (run->state == Run::State::kRunning) {
     metrics_.Add("wasted_prefill_tokens{cause=\"cancelled\"}",
                  run->reservation.prompt_tokens);
-    CancelAtServer(*run);
-    FinishRun(key, ResultCode::kCancelledRunning);
+    server_.Cancel(*run);
+    server_.Finish(key, ResultCode::kCancelledRunning);
   }
 }
 
@@ -278,7 +287,7 @@
 
 uint32_t GateController::InFlightOfTier(uint32_t tier) const {
   uint32_t count = 0;
-  for (const RunId run : running_) {
+  for (const RunId run : server_.running()) {
     count += runs_.FindByRun(run)->reservation.tier == tier;
   }
   for (const auto& [id, offer] : offered_) {
@@ -291,8 +300,8 @@
 }
 
 uint32_t GateController::committed() const {
-  return static_cast<uint32_t>(running_.size() + cancelling_.size() +
-                               ready_.size() + offered_.size());
+  return static_cast<uint32_t>(server_.occupied() + ready_.size() +
+                               offered_.size());
 }
 
 void GateController::OfferSlots() {
@@ -300,7 +309,7 @@
     return;
   }
   const TimePoint now = clock_.Now();
-  while (committed() < limit_.limit() + options_.lookahead) {
+  while (committed() < server_.limit() + options_.lookahead) {
     const Reservation* next =
         queue_.Next(now, [this](uint32_t tier) { return TierOpen(tier); });
     if (next == nullptr) {
@@ -322,8 +331,7 @@
 }
 
 void GateController::StartReady() {
-  while (!ready_.empty() &&
-         running_.size() + cancelling_.size() < limit_.limit()) {
+  while (!ready_.empty() && server_.occupied() < server_.limit()) {
     // Of those accepted the most urgent first, in order of arrival in a tier.
     const auto first =
         std::ranges::min_element(ready_, {}, [this](const auto& item) {
@@ -332,235 +340,8 @@
         });
     const RequestKey key = first->second;
     ready_.erase(first);
-    Start(key, *runs_.Find(key));
-  }
-}
-
-void GateController::Start(const RequestKey& key, Run& run) {
-  const TimePoint now = clock_.Now();
-  run.state = Run::State::kRunning;
-  run.run = ++last_run_;
-  // Failure: a restarted agent counts its runs from one again and repeats the
-  // id that its predecessor used for the same key. Symptom: the engine takes
-  // the start for a repetition and serves the old, cancelled stream. With the
-  // incarnation in it, no id comes twice.
-  run.request_id = key.ToString() + "." +
-                   std::to_string(members_.self().id.incarnation) + "." +
-                   std::to_string(run.run);
-  run.started = now;
-  run.last_event = now;
-  run.answer = run.go.head.empty() ? "" : run.go.head + "\n";
-  runs_.BindRun(key, run.run);
-  running_.insert(run.run);
-  log_.Info("run_started",
-            {{"key", key.ToString()},
-             {"tier", run.reservation.tier},
-             {"team", run.reservation.team},
-             {"waited_ms", ToMilliseconds(now - run.reservation.arrived)},
-             {"running", running_.size()},
-             {"limit", limit_.limit()}});
-  metrics_.Add("runs_started_total");
-  std::string body(run.go.body.begin(), run.go.body.end());
-  if (!run.go.service) {
-    body = internal::WithRequestId(body, run.request_id);
-  }
-  outbox_.Push(ServerStart{.run = run.run,
-                           .service = run.go.service,
-                           .method = run.go.method,
-                           .path = run.go.path,
-                           .body = std::move(body)});
-  run.go.body = {};
-}
-
-void GateController::OnServerText(RunId id,
-                                  uint64_t index,
-                                  std::string_view text) {
-  Run* run = runs_.FindByRun(id);
-  if (run == nullptr || run->state != Run::State::kRunning) {
-    return;
-  }
-  const RequestKey key = *runs_.KeyOf(id);
-  const TimePoint now = clock_.Now();
-  if (index < run->next_index) {
-    // A resumed stream may repeat what the broken one had brought.
-    return;
-  }
-  if (index > run->next_index) {
-    Resume(id, *run);
-    return;
-  }
-  if (!run->first_token.has_value()) {
-    run->first_token = now;
-    speed_.ObserveFirstToken(run->reservation.prompt_tokens,
-                             now - run->started);
-    metrics_.Observe("first_token_seconds",
-                     std::chrono::duration<double>(now - run->started).count());
-  } else {
-    speed_.ObserveGap(now - run->last_event);
-    limit_.Observe(now - run->last_event);
-  }
-  run->last_event = now;
-  run->resumes = 0;
-  ++run->next_index;
-  run->answer += internal::TextLine(text);
-  if (run->answer.size() > options_.max_answer_bytes) {
-    CancelAtServer(*run);
-    FinishRun(key, ResultCode::kAnswerTooLarge);
-    return;
-  }
-  feed_.OnProgress(key);
-}
-
-void GateController::OnServerFinish(RunId id, std::string_view finish_json) {
-  Run* run = runs_.FindByRun(id);
-  if (run == nullptr || run->state != Run::State::kRunning) {
-    return;
-  }
-  run->answer += finish_json;
-  run->answer += '\n';
-  speed_.ObserveRun(clock_.Now() - run->started);
-  FinishRun(RequestKey(*runs_.KeyOf(id)), ResultCode::kAnswered);
-}
-
-void GateController::OnServiceReply(RunId id,
-                                    int status,
-                                    std::string_view content_type,
-                                    std::string_view body) {
-  Run* run = runs_.FindByRun(id);
-  if (run == nullptr || run->state != Run::State::kRunning) {
-    return;
-  }
-  const RequestKey key = *runs_.KeyOf(id);
-  if (body.size() > options_.max_answer_bytes) {
-    FinishRun(key, ResultCode::kAnswerTooLarge);
-    return;
-  }
-  run->answer += internal::ServiceLine(status, content_type);
-  run->answer += body;
-  speed_.ObserveRun(clock_.Now() - run->started);
-  FinishRun(key, ResultCode::kAnswered);
-}
-
-void GateController::OnServerEnd(RunId id, ServerEnd end) {
-  Run* run = runs_.FindByRun(id);
-  if (run == nullptr || run->state != Run::State::kRunning) {
-    return;
-  }
-  const RequestKey key = *runs_.KeyOf(id);
-  const bool fresh = run->next_index == 0 && run->resumes == 0;
-  if (end == ServerEnd::kUnreachable && fresh) {
-    FinishRun(key, ResultCode::kServerUnreachable);
-    return;
+    server_.Start(key, *runs_.Find(key));
   }
-  const bool resumable = !run->go.service && end != ServerEnd::kRefused &&
-                         run->resumes < options_.max_resumes;
-  if (!resumable) {
-    metrics_.Add("wasted_prefill_tokens{cause=\"server_failed\"}",
-                 run->reservation.prompt_tokens);
-    FinishRun(key, ResultCode::kServerFailed);
-    return;
-  }
-  // Retried from Tick, so that a server that is down is not hammered.
-  run->last_event =
-      clock_.Now() - options_.stream_silence +
-      std::chrono::milliseconds(50) * (1 << std::min(run->resumes, 6U));
-}
-
-void GateController::Resume(RunId id, Run& run) {
-  // Failure: the stream broke or went silent; the engine runs on. Symptom: a
-  // cut answer, or the prompt computed twice. The engine keeps the stream, so
-  // it is read on from the next event and nothing runs again.
-  ++run.resumes;
-  run.last_event = clock_.Now();
-  metrics_.Add("stream_resumes_total");
-  log_.Info("stream_resumed", {{"key", runs_.KeyOf(id)->ToString()},
-                               {"from", run.next_index},
-                               {"resumes", run.resumes}});
-  outbox_.Push(ServerResume{
-      .run = id, .request_id = run.request_id, .from = run.next_index});
-}
-
-void GateController::CancelAtServer(Run& run) {
-  cancelling_[run.run] = run.reservation.tier;
-  outbox_.Push(ServerCancel{
-      .run = run.run, .service = run.go.service, .request_id = run.request_id});
-}
-
-void GateController::OnServerCancelled(RunId run) {
-  cancelling_.erase(run);
-  StartReady();
-  OfferSlots();
-}
-
-void GateController::FinishRun(const RequestKey& key, ResultCode code) {
-  Run& run = *runs_.Find(key);
-  const RunId id = run.run;
-  const bool was_running = run.state == Run::State::kRunning;
-  run.state = Run::State::kFinished;
-  run.code = code;
-  log_.Info("run_finished",
-            {{"key", key.ToString()},
-             {"code", static_cast<uint32_t>(code)},
-             {"result", Describe(code).name},
-             {"bytes", run.answer.size()},
-             {"ran_ms",
-              was_running ? ToMilliseconds(clock_.Now() - run.started) : 0}});
-  metrics_.Add("runs_finished_total{result=\"" +
-               std::string(Describe(code).name) + "\"}");
-  if (was_running) {
-    running_.erase(id);
-    runs_.UnbindRun(id);
-  }
-  feed_.OnProgress(key);
-  const bool may_run_again =
-      Describe(code).outcome == Outcome::kNotRun || run.reservation.repeatable;
-  if (code != ResultCode::kAnswered && run.reservation.repeatable) {
-    // Any entry may send it again.
-    runs_.Erase(key);
-  } else if (code != ResultCode::kAnswered && may_run_again) {
-    // It did not run; only the entry that had it may send it again.
-    const PeerId allowed = run.allowed;
-    run = Run();
-    run.allowed = allowed;
-  } else {
-    runs_.Keep(key);
-  }
-  StartReady();
-  OfferSlots();
-}
-
-const Run* GateController::CheapestVictim(uint32_t tier) const {
-  const Run* victim = nullptr;
-  const auto cost = [](const Run& run) {
-    // Lowest tier first, then without output yet, then least prefill.
-    return std::tuple(-static_cast<int64_t>(run.reservation.tier),
-                      run.next_index, run.reservation.prompt_tokens);
-  };
-  for (const RunId id : running_) {
-    const Run* run = runs_.FindByRun(id);
-    const bool eligible =
-        run->reservation.repeatable && run->reservation.tier > tier;
-    if (eligible && (victim == nullptr || cost(*run) < cost(*victim))) {
-      victim = run;
-    }
-  }
-  return victim;
-}
-
-void GateController::PreemptFor(const Reservation& reservation) {
-  const Run* victim = CheapestVictim(reservation.tier);
-  if (victim == nullptr) {
-    return;
-  }
-  const RequestKey key = *runs_.KeyOf(victim->run);
-  log_.Info("run_preempted", {{"key", key.ToString()},
-                              {"tier", victim->reservation.tier},
-                              {"for", reservation.key.ToString()},
-                              {"for_tier", reservation.tier}});
-  metrics_.Add("wasted_prefill_tokens{cause=\"preempted\"}",
-               victim->reservation.prompt_tokens);
-  CancelAtServer(*runs_.Find(key));
-  FinishRun(key, ResultCode::kPreempted);
 }
 
 void GateController::ExpireOffers(TimePoint now) {
@@ -581,28 +362,11 @@
   }
 }
 
-void GateController::ResumeSilent(TimePoint now) {
-  const std::vector<RunId> ids(running_.begin(), running_.end());
-  for (const RunId id : ids) {
-    Run* run = runs_.FindByRun(id);
-    const bool silent = now - run->last_event > options_.stream_silence;
-    if (!silent || run->go.service) {
-      continue;
-    }
-    if (run->resumes >= options_.max_resumes) {
-      FinishRun(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
-    } else {
-      Resume(id, *run);
-    }
-  }
-}
-
 void GateController::Tick() {
   const TimePoint now = clock_.Now();
   runs_.Tick(now);
   ExpireOffers(now);
-  ResumeSilent(now);
-  limit_.Tick(now, running());
+  server_.Tick(now);
   StartReady();
   OfferSlots();
   // Failure: lookups fill every slot when a letter check with a deadline
@@ -612,9 +376,9 @@
   const bool urgent = next != nullptr && next->deadline_bound &&
                       TierOpen(next->tier) &&
                       now - next->arrived >= options_.preempt_after;
-  if (urgent && cancelling_.empty() &&
+  if (urgent && !server_.cancelling() &&
       offered_.size() + ready_.size() <= options_.lookahead) {
-    PreemptFor(*next);
+    server_.PreemptFor(*next);
   }
 }
 
@@ -634,22 +398,17 @@
   while (!ready_.empty()) {
     const RequestKey key = ready_.begin()->second;
     ready_.erase(ready_.begin());
-    FinishRun(key, ResultCode::kLeaving);
+    server_.Finish(key, ResultCode::kLeaving);
   }
 }
 
 bool GateController::Idle() const {
-  return running_.empty() && ready_.empty() && cancelling_.empty() &&
-         !feed_.HasReaders();
+  return server_.occupied() == 0 && ready_.empty() && !feed_.HasReaders();
 }
 
 void GateController::FillLoad(Heartbeat& heartbeat) const {
   constexpr uint32_t kTiersReported = 16;
-  heartbeat.running = running();
-  heartbeat.slots = limit_.limit();
-  heartbeat.prefill_us = static_cast<float>(speed_.prefill_us());
-  heartbeat.decode_us = static_cast<float>(speed_.decode_us());
-  heartbeat.run_us = static_cast<float>(speed_.run_us());
+  server_.FillLoad(heartbeat);
   for (uint32_t tier = 0; tier < kTiersReported; ++tier) {
     const auto waiting = static_cast<uint32_t>(queue_.waiting(tier));
     if (waiting > 0) {
@@ -657,9 +416,6 @@
       heartbeat.waiting[tier] = waiting;
     }
   }
-  const Run* lowest = CheapestVictim(0);
-  heartbeat.lower_repeatable =
-      lowest == nullptr ? -1 : static_cast<int32_t>(lowest->reservation.tier);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/gate/gate_controller.h
+++ b/lavenderkeel/gate/gate_controller.h
@@ -3,9 +3,7 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <string_view>
 
 #include "lavenderkeel/action.h"
 #include "lavenderkeel/admission.h"
@@ -13,21 +11,12 @@
 #include "lavenderkeel/base/event_log.h"
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/gate/answer_feed.h"
+#include "lavenderkeel/gate/run_controller.h"
 #include "lavenderkeel/gate/run_table.h"
 #include "lavenderkeel/membership/member_table.h"
 
 namespace lavenderkeel {
 
-/// How a run's connection to the backend server ended before the answer did.
-enum class ServerEnd {
-  /// No connection came about, so nothing ran.
-  kUnreachable,
-  /// The connection broke; the run may go on.
-  kBroken,
-  /// The server does not know the stream (any more) or refused the request.
-  kRefused,
-};
-
 /// The only path to one backend server.
 ///
 /// Engines know no priorities and admit requests as they arrive, and several
@@ -38,7 +27,7 @@
  public:
   struct Options {
     ReservationQueue::Options queue;
-    InFlightLimit::Options in_flight;
+    RunController::Options server;
     RunTable::Options runs;
     /// Reservations asked for their body before a slot is free: hides the
     /// round trip to the entry.
@@ -47,10 +36,6 @@
     Duration offer_timeout = std::chrono::seconds(1);
     /// How long a deadline-bound reservation waits before it preempts.
     Duration preempt_after = std::chrono::milliseconds(30);
-    /// Without an event for so long an engine's stream is read anew.
-    Duration stream_silence = std::chrono::seconds(5);
-    uint32_t max_resumes = 20;
-    size_t max_answer_bytes = size_t{8} << 20;
     size_t max_waiting = 20'000;
   };
 
@@ -72,16 +57,8 @@
   void OnPolicy(const AgentPolicy& policy);
   void OnLinkDown(LinkId link);
 
-  // From the backend server.
-  void OnServerText(RunId run, uint64_t index, std::string_view text);
-  void OnServerFinish(RunId run, std::string_view finish_json);
-  void OnServiceReply(RunId run,
-                      int status,
-                      std::string_view content_type,
-                      std::string_view body);
-  void OnServerEnd(RunId run, ServerEnd end);
-  /// The server confirmed that a cancelled run is over, or can't be asked.
-  void OnServerCancelled(RunId run);
+  /// What runs at the server, and what comes from it.
+  RunController& server() { return server_; }
 
   void Tick();
   /// Takes no new work; what waits is sent back to its entries at once.
@@ -90,7 +67,6 @@
   bool Idle() const;
 
   void FillLoad(Heartbeat& heartbeat) const;
-  uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
   const RunTable& runs() const { return runs_; }
 
  private:
@@ -110,14 +86,7 @@
   uint32_t InFlightOfTier(uint32_t tier) const;
   uint32_t committed() const;
   void StartReady();
-  void Start(const RequestKey& key, Run& run);
-  void FinishRun(const RequestKey& key, ResultCode code);
-  void Resume(RunId id, Run& run);
-  void CancelAtServer(Run& run);
-  void PreemptFor(const Reservation& reservation);
-  const Run* CheapestVictim(uint32_t tier) const;
   void ExpireOffers(TimePoint now);
-  void ResumeSilent(TimePoint now);
   void RejectWaiting(const std::vector<ReservationId>& ids, ResultCode code);
   std::optional<PeerId> PeerOf(LinkId link) const;
 
@@ -128,16 +97,12 @@
   Metrics& metrics_;
   Outbox& outbox_;
   ReservationQueue queue_;
-  InFlightLimit limit_;
-  SpeedModel speed_;
   RunTable runs_;
   AnswerFeed feed_;
+  RunController server_;
   std::map<ReservationId, Offered> offered_;
   std::map<uint64_t, RequestKey> ready_;
   uint64_t last_ready_ = 0;
-  std::set<RunId> running_;
-  std::map<RunId, uint32_t> cancelling_;
-  RunId last_run_ = 0;
   AgentPolicy policy_;
   bool leaving_ = false;
 };
--- /dev/null
+++ b/lavenderkeel/gate/run_controller.cc
@@ -0,0 +1,289 @@
+#include "lavenderkeel/gate/run_controller.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "lavenderkeel/gate/answer_lines.h"
+
+namespace lavenderkeel {
+
+RunController::RunController(Options options,
+                             const Clock& clock,
+                             const InstanceInfo& self,
+                             const EventLog& log,
+                             Metrics& metrics,
+                             Outbox& outbox,
+                             RunTable& runs,
+                             AnswerFeed& feed,
+                             std::function<void()> on_slot_free)
+    : options_(options),
+      clock_(clock),
+      self_(self),
+      log_(log),
+      metrics_(metrics),
+      outbox_(outbox),
+      runs_(runs),
+      feed_(feed),
+      on_slot_free_(std::move(on_slot_free)),
+      limit_(options.in_flight) {}
+
+void RunController::Start(const RequestKey& key, Run& run) {
+  const TimePoint now = clock_.Now();
+  run.state = Run::State::kRunning;
+  run.run = ++last_run_;
+  // Failure: a restarted agent counts its runs from one again and repeats the
+  // id that its predecessor used for the same key. Symptom: the engine takes
+  // the start for a repetition and serves the old, cancelled stream. With the
+  // incarnation in it, no id comes twice.
+  run.request_id = key.ToString() + "." + std::to_string(self_.id.incarnation) +
+                   "." + std::to_string(run.run);
+  run.started = now;
+  run.last_event = now;
+  run.answer = run.go.head.empty() ? "" : run.go.head + "\n";
+  runs_.BindRun(key, run.run);
+  running_.insert(run.run);
+  log_.Info("run_started",
+            {{"key", key.ToString()},
+             {"tier", run.reservation.tier},
+             {"team", run.reservation.team},
+             {"waited_ms", ToMilliseconds(now - run.reservation.arrived)},
+             {"running", running_.size()},
+             {"limit", limit_.limit()}});
+  metrics_.Add("runs_started_total");
+  std::string body(run.go.body.begin(), run.go.body.end());
+  if (!run.go.service) {
+    body = internal::WithRequestId(body, run.request_id);
+  }
+  outbox_.Push(ServerStart{.run = run.run,
+                           .service = run.go.service,
+                           .method = run.go.method,
+                           .path = run.go.path,
+                           .body = std::move(body)});
+  run.go.body = {};
+}
+
+void RunController::OnServerText(RunId id,
+                                 uint64_t index,
+                                 std::string_view text) {
+  Run* run = runs_.FindByRun(id);
+  if (run == nullptr || run->state != Run::State::kRunning) {
+    return;
+  }
+  const RequestKey key = *runs_.KeyOf(id);
+  const TimePoint now = clock_.Now();
+  if (index < run->next_index) {
+    // A resumed stream may repeat what the broken one had brought.
+    return;
+  }
+  if (index > run->next_index) {
+    Resume(id, *run);
+    return;
+  }
+  if (!run->first_token.has_value()) {
+    run->first_token = now;
+    speed_.ObserveFirstToken(run->reservation.prompt_tokens,
+                             now - run->started);
+    metrics_.Observe("first_token_seconds",
+                     std::chrono::duration<double>(now - run->started).count());
+  } else {
+    speed_.ObserveGap(now - run->last_event);
+    limit_.Observe(now - run->last_event);
+  }
+  run->last_event = now;
+  run->resumes = 0;
+  ++run->next_index;
+  run->answer += internal::TextLine(text);
+  if (run->answer.size() > options_.max_answer_bytes) {
+    Cancel(*run);
+    Finish(key, ResultCode::kAnswerTooLarge);
+    return;
+  }
+  feed_.OnProgress(key);
+}
+
+void RunController::OnServerFinish(RunId id, std::string_view finish_json) {
+  Run* run = runs_.FindByRun(id);
+  if (run == nullptr || run->state != Run::State::kRunning) {
+    return;
+  }
+  run->answer += finish_json;
+  run->answer += '\n';
+  speed_.ObserveRun(clock_.Now() - run->started);
+  Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kAnswered);
+}
+
+void RunController::OnServiceReply(RunId id,
+                                   int status,
+                                   std::string_view content_type,
+                                   std::string_view body) {
+  Run* run = runs_.FindByRun(id);
+  if (run == nullptr || run->state != Run::State::kRunning) {
+    return;
+  }
+  const RequestKey key = *runs_.KeyOf(id);
+  if (body.size() > options_.max_answer_bytes) {
+    Finish(key, ResultCode::kAnswerTooLarge);
+    return;
+  }
+  run->answer += internal::ServiceLine(status, content_type);
+  run->answer += body;
+  speed_.ObserveRun(clock_.Now() - run->started);
+  Finish(key, ResultCode::kAnswered);
+}
+
+void RunController::OnServerEnd(RunId id, ServerEnd end) {
+  Run* run = runs_.FindByRun(id);
+  if (run == nullptr || run->state != Run::State::kRunning) {
+    return;
+  }
+  const RequestKey key = *runs_.KeyOf(id);
+  const bool fresh = run->next_index == 0 && run->resumes == 0;
+  if (end == ServerEnd::kUnreachable && fresh) {
+    Finish(key, ResultCode::kServerUnreachable);
+    return;
+  }
+  const bool resumable = !run->go.service && end != ServerEnd::kRefused &&
+                         run->resumes < options_.max_resumes;
+  if (!resumable) {
+    metrics_.Add("wasted_prefill_tokens{cause=\"server_failed\"}",
+                 run->reservation.prompt_tokens);
+    Finish(key, ResultCode::kServerFailed);
+    return;
+  }
+  // Retried from Tick, so that a server that is down is not hammered.
+  run->last_event =
+      clock_.Now() - options_.stream_silence +
+      std::chrono::milliseconds(50) * (1 << std::min(run->resumes, 6U));
+}
+
+void RunController::Resume(RunId id, Run& run) {
+  // Failure: the stream broke or went silent; the engine runs on. Symptom: a
+  // cut answer, or the prompt computed twice. The engine keeps the stream, so
+  // it is read on from the next event and nothing runs again.
+  ++run.resumes;
+  run.last_event = clock_.Now();
+  metrics_.Add("stream_resumes_total");
+  log_.Info("stream_resumed", {{"key", runs_.KeyOf(id)->ToString()},
+                               {"from", run.next_index},
+                               {"resumes", run.resumes}});
+  outbox_.Push(ServerResume{
+      .run = id, .request_id = run.request_id, .from = run.next_index});
+}
+
+void RunController::Cancel(Run& run) {
+  cancelling_[run.run] = run.reservation.tier;
+  outbox_.Push(ServerCancel{
+      .run = run.run, .service = run.go.service, .request_id = run.request_id});
+}
+
+void RunController::OnServerCancelled(RunId run) {
+  cancelling_.erase(run);
+  on_slot_free_();
+}
+
+void RunController::Finish(const RequestKey& key, ResultCode code) {
+  Run& run = *runs_.Find(key);
+  const RunId id = run.run;
+  const bool was_running = run.state == Run::State::kRunning;
+  run.state = Run::State::kFinished;
+  run.code = code;
+  log_.Info("run_finished",
+            {{"key", key.ToString()},
+             {"code", static_cast<uint32_t>(code)},
+             {"result", Describe(code).name},
+             {"bytes", run.answer.size()},
+             {"ran_ms",
+              was_running ? ToMilliseconds(clock_.Now() - run.started) : 0}});
+  metrics_.Add("runs_finished_total{result=\"" +
+               std::string(Describe(code).name) + "\"}");
+  if (was_running) {
+    running_.erase(id);
+    runs_.UnbindRun(id);
+  }
+  feed_.OnProgress(key);
+  const bool may_run_again =
+      Describe(code).outcome == Outcome::kNotRun || run.reservation.repeatable;
+  if (code != ResultCode::kAnswered && run.reservation.repeatable) {
+    // Any entry may send it again.
+    runs_.Erase(key);
+  } else if (code != ResultCode::kAnswered && may_run_again) {
+    // It did not run; only the entry that had it may send it again.
+    const PeerId allowed = run.allowed;
+    run = Run();
+    run.allowed = allowed;
+  } else {
+    runs_.Keep(key);
+  }
+  on_slot_free_();
+}
+
+const Run* RunController::CheapestVictim(uint32_t tier) const {
+  const Run* victim = nullptr;
+  const auto cost = [](const Run& run) {
+    // Lowest tier first, then without output yet, then least prefill.
+    return std::tuple(-static_cast<int64_t>(run.reservation.tier),
+                      run.next_index, run.reservation.prompt_tokens);
+  };
+  for (const RunId id : running_) {
+    const Run* run = runs_.FindByRun(id);
+    const bool eligible =
+        run->reservation.repeatable && run->reservation.tier > tier;
+    if (eligible && (victim == nullptr || cost(*run) < cost(*victim))) {
+      victim = run;
+    }
+  }
+  return victim;
+}
+
+void RunController::PreemptFor(const Reservation& reservation) {
+  const Run* victim = CheapestVictim(reservation.tier);
+  if (victim == nullptr) {
+    return;
+  }
+  const RequestKey key = *runs_.KeyOf(victim->run);
+  log_.Info("run_preempted", {{"key", key.ToString()},
+                              {"tier", victim->reservation.tier},
+                              {"for", reservation.key.ToString()},
+                              {"for_tier", reservation.tier}});
+  metrics_.Add("wasted_prefill_tokens{cause=\"preempted\"}",
+               victim->reservation.prompt_tokens);
+  Cancel(*runs_.Find(key));
+  Finish(key, ResultCode::kPreempted);
+}
+
+void RunController::ResumeSilent(TimePoint now) {
+  const std::vector<RunId> ids(running_.begin(), running_.end());
+  for (const RunId id : ids) {
+    Run* run = runs_.FindByRun(id);
+    const bool silent = now - run->last_event > options_.stream_silence;
+    if (!silent || run->go.service) {
+      continue;
+    }
+    if (run->resumes >= options_.max_resumes) {
+      Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
+    } else {
+      Resume(id, *run);
+    }
+  }
+}
+
+void RunController::Tick(TimePoint now) {
+  ResumeSilent(now);
+  limit_.Tick(now, static_cast<uint32_t>(running_.size()));
+}
+
+void RunController::FillLoad(Heartbeat& heartbeat) const {
+  heartbeat.running = static_cast<uint32_t>(running_.size());
+  heartbeat.slots = limit_.limit();
+  heartbeat.prefill_us = static_cast<float>(speed_.prefill_us());
+  heartbeat.decode_us = static_cast<float>(speed_.decode_us());
+  heartbeat.run_us = static_cast<float>(speed_.run_us());
+  const Run* lowest = CheapestVictim(0);
+  heartbeat.lower_repeatable =
+      lowest == nullptr ? -1 : static_cast<int32_t>(lowest->reservation.tier);
+}
+
+}  // namespace lavenderkeel
--- a/lavenderkeel/io/agent_daemon.cc
+++ b/lavenderkeel/io/agent_daemon.cc
@@ -26,9 +26,10 @@
                   node_.OnPlatformReply(call, reply);
                   Settle();
                 }),
-      server_(http_client_, settings_.server_address, node_.gate(), [this] {
-        Settle();
-      }) {
+      server_(http_client_,
+              settings_.server_address,
+              node_.gate().server(),
+              [this] { Settle(); }) {
   WirePeers(peers_, node_, [this] { Settle(); });
 }
 
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -19,11 +19,11 @@
 
 ServerClient::ServerClient(HttpClient& http,
                            std::string address,
-                           GateController& gate,
+                           RunController& runs,
                            std::function<void()> settle)
     : http_(http),
       address_(std::move(address)),
-      gate_(gate),
+      runs_(runs),
       settle_(std::move(settle)) {}
 
 void ServerClient::Handle(const ServerStart& start) {
@@ -88,10 +88,10 @@
   const json::value* text = object->if_contains("text");
   if (object->contains("finish_reason")) {
     stream.finished = true;
-    gate_.OnServerFinish(run, event);
+    runs_.OnServerFinish(run, event);
   } else if (index != nullptr && index->is_int64() && text != nullptr &&
              text->is_string()) {
-    gate_.OnServerText(run, static_cast<uint64_t>(index->get_int64()),
+    runs_.OnServerText(run, static_cast<uint64_t>(index->get_int64()),
                        text->get_string());
   }
 }
@@ -108,7 +108,7 @@
     const bool refused =
         result.kind == HttpResult::Kind::kAnswered && result.status != kOk;
     const bool not_sent = result.kind == HttpResult::Kind::kNotSent;
-    gate_.OnServerEnd(run, refused    ? ServerEnd::kRefused
+    runs_.OnServerEnd(run, refused    ? ServerEnd::kRefused
                            : not_sent ? ServerEnd::kUnreachable
                                       : ServerEnd::kBroken);
   }
@@ -128,10 +128,10 @@
       return;
     }
     if (result.kind == HttpResult::Kind::kAnswered) {
-      gate_.OnServiceReply(run, result.status, result.content_type,
+      runs_.OnServiceReply(run, result.status, result.content_type,
                            result.body);
     } else {
-      gate_.OnServerEnd(run, result.kind == HttpResult::Kind::kNotSent
+      runs_.OnServerEnd(run, result.kind == HttpResult::Kind::kNotSent
                                  ? ServerEnd::kUnreachable
                                  : ServerEnd::kBroken);
     }
@@ -143,7 +143,7 @@
 void ServerClient::Handle(const ServerCancel& cancel) {
   Drop(cancel.run);
   if (cancel.service) {
-    gate_.OnServerCancelled(cancel.run);
+    runs_.OnServerCancelled(cancel.run);
     return;
   }
   http_.Start({.address = address_,
@@ -154,7 +154,7 @@
                .timeout = kCancelTimeout,
                .on_data = nullptr,
                .on_done = [this, run = cancel.run](const HttpResult&) {
-                 gate_.OnServerCancelled(run);
+                 runs_.OnServerCancelled(run);
                  settle_();
                }});
 }
--- a/lavenderkeel/io/server_client.h
+++ b/lavenderkeel/io/server_client.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "lavenderkeel/gate/gate_controller.h"
+#include "lavenderkeel/gate/run_controller.h"
 #include "lavenderkeel/io/http_client.h"
 
 namespace lavenderkeel {
@@ -15,10 +15,10 @@
 /// backend server over HTTP, and reads its event streams.
 class ServerClient {
  public:
-  /// @param settle called after events were handed to the gate
+  /// @param settle called after events were handed on
   ServerClient(HttpClient& http,
                std::string address,
-               GateController& gate,
+               RunController& runs,
                std::function<void()> settle);
 
   void Handle(const ServerStart& start);
@@ -42,7 +42,7 @@
 
   HttpClient& http_;
   std::string address_;
-  GateController& gate_;
+  RunController& runs_;
   std::function<void()> settle_;
   std::unordered_map<RunId, Stream> streams_;
 };
--- a/lavenderkeel/io/settings.cc
+++ b/lavenderkeel/io/settings.cc
@@ -126,14 +126,15 @@
 void ReadAgentTuning(JsonReader& tuning, AgentNode::Options& node) {
   ReadMemberTuning(tuning, node.members);
   GateController::Options& gate = node.gate;
-  ReadCount(tuning, "first_in_flight", gate.in_flight.first);
-  ReadCount(tuning, "most_in_flight", gate.in_flight.most);
-  ReadDuration(tuning, "between_tokens_ms", gate.in_flight.between_tokens);
+  ReadCount(tuning, "first_in_flight", gate.server.in_flight.first);
+  ReadCount(tuning, "most_in_flight", gate.server.in_flight.most);
+  ReadDuration(tuning, "between_tokens_ms",
+               gate.server.in_flight.between_tokens);
   ReadCount(tuning, "lookahead", gate.lookahead, 0);
   ReadDuration(tuning, "offer_timeout_ms", gate.offer_timeout);
   ReadDuration(tuning, "preempt_after_ms", gate.preempt_after, 0);
-  ReadDuration(tuning, "stream_silence_ms", gate.stream_silence);
-  ReadCount(tuning, "max_answer_bytes", gate.max_answer_bytes);
+  ReadDuration(tuning, "stream_silence_ms", gate.server.stream_silence);
+  ReadCount(tuning, "max_answer_bytes", gate.server.max_answer_bytes);
   ReadCount(tuning, "kept_answer_bytes", gate.runs.kept_answer_bytes);
   ReadDuration(tuning, "key_retention_ms", gate.runs.retention);
 }
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -544,7 +544,7 @@
     process.streams.erase(cancel->run);
     engine.Cancel(cancel->request_id);
     In(index, clock_.Now() + Delay(), [this, index, run = cancel->run] {
-      processes_[index]->agent->gate().OnServerCancelled(run);
+      processes_[index]->agent->gate().server().OnServerCancelled(run);
     });
   }
 }
@@ -562,10 +562,10 @@
       const std::string& event = source->events[stream.next];
       const json::value value = json::parse(event);
       if (value.as_object().contains("finish_reason")) {
-        process.agent->gate().OnServerFinish(run, event);
+        process.agent->gate().server().OnServerFinish(run, event);
         ended.push_back(run);
       } else {
-        process.agent->gate().OnServerText(
+        process.agent->gate().server().OnServerText(
             run, stream.next, std::string(value.at("text").as_string()));
       }
     }
@@ -585,7 +585,8 @@
     stream.silent = true;
     if (!silently) {
       In(index, clock_.Now(), [this, index, id = run] {
-        processes_[index]->agent->gate().OnServerEnd(id, ServerEnd::kBroken);
+        processes_[index]->agent->gate().server().OnServerEnd(
+            id, ServerEnd::kBroken);
       });
     }
   }
