--- a/cli/main.cc
+++ b/cli/main.cc
@@ -46,6 +46,7 @@
     "  preset use NAME        put a preset in force\n"
     "  status                 instances, versions, queues\n"
     "  drain INSTANCE         give an instance no new work\n"
+    "  undrain INSTANCE       give it work again\n"
     "  explain KEY            why a request went where it went\n"
     "\n"
     "  --if_version N         accept only if version N is in force\n"
@@ -116,8 +117,9 @@
   if (first == "status" && words.size() == 1) {
     return Call{"GET", "/admin/v1/status", "", false};
   }
-  if (first == "drain" && words.size() == 2) {
-    return Call{"POST", "/admin/v1/drain",
+  const bool drains = first == "drain" || first == "undrain";
+  if (drains && words.size() == 2) {
+    return Call{"POST", "/admin/v1/" + first,
                 json::serialize(json::object{{"name", second}}), true};
   }
   if (first == "explain" && words.size() == 2) {
--- a/lavenderkeel/dispatch/operator_api.cc
+++ b/lavenderkeel/dispatch/operator_api.cc
@@ -79,7 +79,9 @@
   } else if (what == "preset" && post) {
     UsePreset(request);
   } else if (what == "drain" && post) {
-    Drain(request);
+    Drain(request, /*drain=*/true);
+  } else if (what == "undrain" && post) {
+    Drain(request, /*drain=*/false);
   } else if (what == "status" && get) {
     ShowStatus(request.caller);
   } else if (request.path.starts_with(kExplainPath) && get) {
@@ -163,14 +165,15 @@
           .if_version = *if_version});
 }
 
-void OperatorApi::Drain(const CallerRequest& request) {
+void OperatorApi::Drain(const CallerRequest& request, bool drain) {
   const auto name = Catch([&] { return ReadName(request.body); });
   if (!name) {
     Refuse(request.caller, name.failure.code, name.failure.message);
     return;
   }
   const bool is_self = *name.value == context_.members.self().id.instance;
-  if (!is_self && context_.members.Find(*name.value) == nullptr) {
+  // An instance that is gone may be taken off the list all the same.
+  if (drain && !is_self && context_.members.Find(*name.value) == nullptr) {
     Refuse(request.caller, ResultCode::kUnknownInstance, *name.value);
     return;
   }
@@ -180,10 +183,11 @@
   }
   Commit(request.caller,
          {.change_id = "",
-          .change = [name = *name.value](
+          .change = [name = *name.value, drain](
                         const ConfigHead& present) -> leaf::result<ConfigHead> {
             ConfigHead head = present;
-            if (std::ranges::find(head.drained, name) == head.drained.end()) {
+            std::erase(head.drained, name);
+            if (drain) {
               head.drained.push_back(name);
             }
             return head;
--- a/lavenderkeel/dispatch/operator_api.h
+++ b/lavenderkeel/dispatch/operator_api.h
@@ -28,7 +28,8 @@
  private:
   void ApplyConfig(const CallerRequest& request);
   void UsePreset(const CallerRequest& request);
-  void Drain(const CallerRequest& request);
+  /// @param drain false to give the instance work again
+  void Drain(const CallerRequest& request, bool drain);
   void ShowConfig(CallerId caller);
   void ShowPresets(CallerId caller);
   void ShowStatus(CallerId caller);
--- a/test/process/configuration_test.cc
+++ b/test/process/configuration_test.cc
@@ -87,4 +87,27 @@
   BOOST_TEST(cluster.WaitReady(1));
 }
 
+// An agent is drained: its engine gets nothing new while the other does all the
+// work, until it is undrained.
+BOOST_AUTO_TEST_CASE(DrainedAgentGetsNothing) {
+  Cluster cluster({.entries = 1, .agents = 2});
+  const std::string body = R"({"name": "agent-0"})";
+  const auto starts_at_first = [&] {
+    return cluster.Call(cluster.Engine(0), "GET", "/starts").body;
+  };
+  BOOST_TEST(cluster.Admin(0, "POST", "/admin/v1/drain", body).status == 200);
+  for (int i = 0; i < 10; ++i) {
+    const auto check = cluster.Ask(0, cluster.NewKey(), "check", 2);
+    BOOST_REQUIRE(cluster.Wait([&] { return check->done; }));
+    BOOST_TEST(check->result.status == 200);
+  }
+  BOOST_TEST(starts_at_first() == "0");
+  BOOST_TEST(cluster.Admin(0, "POST", "/admin/v1/undrain", body).status == 200);
+  BOOST_TEST(cluster.Wait([&] {
+    const auto check = cluster.Ask(0, cluster.NewKey(), "check", 2);
+    cluster.Wait([&] { return check->done; });
+    return starts_at_first() != "0";
+  }));
+}
+
 }  // namespace lavenderkeel::test
