Less work per tick, and no state that follows from other state

Claimer's granted flag followed from vouched, which only a grant sets. Join() listed the members on every tick after joining too. A waiting request asked the router for a sorted and shuffled list only to learn whether any agent is usable; AnyUsable says that. The map of cancelled runs held a tier that nobody read; RunTable::kept_bytes had no caller.

--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -83,7 +83,6 @@
   process.asked = false;
   ++process.next;
   if (answer.granted) {
-    process.granted = true;
     process.verdict.vouched |= answer.vouched;
     return false;
   }
@@ -100,7 +99,7 @@
   ClaimVerdict& verdict = process.verdict;
   const bool held_for_certain =
       verdict.kind == ClaimVerdict::Kind::kHeld && verdict.claim.confirmed;
-  if (!held_for_certain && process.granted && verdict.vouched) {
+  if (!held_for_certain && verdict.vouched) {
     // A holder that met every claim met none before ours.
     verdict.kind = ClaimVerdict::Kind::kOurs;
   }
--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -73,8 +73,6 @@
     std::vector<std::string> holders;
     size_t next = 0;
     bool asked = false;
-    /// Some holder gave us the key.
-    bool granted = false;
     ClaimVerdict verdict;
   };
 
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -166,8 +166,7 @@
 }
 
 bool DispatchController::NoServerForLong(EntryRequest& request) {
-  const bool any = !context_.router.Choose(request.route(), 1).empty();
-  if (any || !request.waiting()) {
+  if (!request.waiting() || context_.router.AnyUsable(request.route())) {
     request.silent_since.reset();
     return false;
   }
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -113,13 +113,16 @@
 }
 
 void EntryNode::Join() {
+  if (joined_) {
+    return;
+  }
   // Failure: an entry that has just started knows nobody, takes itself for the
   // only holder and vouches for keys that the others claimed. Symptom: "not
   // run" for what ran. It can't vouch for keys sent before all others count it
   // in; whom there is it learns from the instance list or from another entry.
   const std::vector<const Member*> entries = members_.Members(Role::kEntry);
   const bool knows_others = registration_.has_list() || !entries.empty();
-  joined_ = joined_ || (knows_others && members_.MetByAllEntries());
+  joined_ = knows_others && members_.MetByAllEntries();
   if (!joined_) {
     claims_.CannotVouchUntilNow();
   }
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -174,7 +174,7 @@
 }
 
 void RunController::Cancel(Run& run) {
-  cancelling_[run.run] = run.reservation.tier;
+  cancelling_.insert(run.run);
   outbox_.Push(ServerCancel{
       .run = run.run, .service = run.go.service, .request_id = run.request_id});
 }
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -2,7 +2,6 @@
 #define LAVENDERKEEL_GATE_RUN_CONTROLLER_H_
 
 #include <functional>
-#include <map>
 #include <set>
 #include <string_view>
 
@@ -91,7 +90,7 @@
   InFlightLimit limit_;
   SpeedModel speed_;
   std::set<RunId> running_;
-  std::map<RunId, uint32_t> cancelling_;
+  std::set<RunId> cancelling_;
   RunId last_run_ = 0;
 };
 
--- a/lavenderkeel/gate/run_table.h
+++ b/lavenderkeel/gate/run_table.h
@@ -86,7 +86,6 @@
     return key.first_sent() <= forgotten_until_;
   }
   size_t size() const { return runs_.size(); }
-  size_t kept_bytes() const { return kept_bytes_; }
 
  private:
   void DropOverBound();
--- a/lavenderkeel/routing/router.h
+++ b/lavenderkeel/routing/router.h
@@ -45,6 +45,11 @@
   std::vector<Candidate> Choose(const RouteRequest& request,
                                 size_t count) const;
 
+  /// True if any agent can take the request.
+  bool AnyUsable(const RouteRequest& request) const {
+    return !Usable(request).empty();
+  }
+
   /// True while repeatable work of a lower tier runs where the request could
   /// go.
   bool LowerTierRuns(const RouteRequest& request) const;
