--- a/lavenderkeel/base/result_code.h
+++ b/lavenderkeel/base/result_code.h
@@ -29,6 +29,10 @@
   kKeyReused = 1009,
   kNotFound = 1010,
   kMethodNotAllowed = 1011,
+  kNoRoute = 1012,
+  kMalformedRequest = 1013,
+  kHeadTooLarge = 1014,
+  kHeadTooSlow = 1015,
 
   kNoConfiguration = 2001,
   kLeaving = 2002,
--- /dev/null
+++ b/lavenderkeel/forward.h
@@ -0,0 +1,13 @@
+#ifndef LAVENDERKEEL_FORWARD_H_
+#define LAVENDERKEEL_FORWARD_H_
+
+/// Forwarding of clients' requests to backend servers: routes, teams and their
+/// rates, the queue, placing, attempts, resuming, and what a client is told.
+#include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/forward/forward_port.h"
+#include "lavenderkeel/forward/placement.h"
+#include "lavenderkeel/forward/request_terms.h"
+#include "lavenderkeel/forward/route_table.h"
+#include "lavenderkeel/forward/server_directory.h"
+
+#endif  // LAVENDERKEEL_FORWARD_H_
--- /dev/null
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -0,0 +1,775 @@
+#include "lavenderkeel/forward/forward_controller.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "lavenderkeel/base/rendezvous.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kMisdirected = 421;
+
+/// Sendings of one request that found no connection, before it is given up:
+/// each costs a connect timeout, and a request has time for few of these.
+constexpr size_t kMostServersTried = 6;
+
+/// With less time than this a further attempt can't be answered in time.
+constexpr Duration kLeastTimeForAttempt = std::chrono::milliseconds(30);
+
+/// How long a broken stream may wait for a server to resume at. Clients give a
+/// pause of two seconds, and a pause beyond a few hundred ms is late anyway.
+constexpr Duration kResumeWait = std::chrono::milliseconds(800);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+bool IsEventStream(const ResponseHead& head) {
+  const std::string* type = FindField(head.fields, "Content-Type");
+  constexpr std::string_view kEventStream = "text/event-stream";
+  return type != nullptr &&
+         SameFieldName(std::string_view(*type).substr(0, kEventStream.size()),
+                       kEventStream);
+}
+
+/// The server's head as the client gets it.
+ResponseHead ForClient(const ResponseHead& head) {
+  ResponseHead passed = head;
+  passed.fields = WithoutConnectionFields(head.fields);
+  return passed;
+}
+
+std::string RefusalBody(const ResultCodeInfo& info, Duration retry_after) {
+  std::string body = R"({"error":{"code":)";
+  body += std::to_string(static_cast<uint32_t>(info.code));
+  body += R"(,"name":")";
+  body += info.name;
+  body += R"(","outcome":")";
+  body += OutcomeName(info.outcome);
+  body += R"(","message":")";
+  body += info.message;
+  body += R"(","retry_after_ms":)";
+  body += std::to_string(ToMilliseconds(retry_after));
+  body += "}}\n";
+  return body;
+}
+
+/// Seconds with three decimals; clients read fractions.
+std::string RetryAfterValue(Duration wait) {
+  constexpr int64_t kMillisecondsPerSecond = 1000;
+  const int64_t ms = std::max<int64_t>(1, ToMilliseconds(wait));
+  std::string fraction = std::to_string(ms % kMillisecondsPerSecond);
+  constexpr size_t kDecimals = 3;
+  fraction.insert(0, kDecimals - fraction.size(), '0');
+  return std::to_string(ms / kMillisecondsPerSecond) + "." + fraction;
+}
+
+}  // namespace
+
+using State = ForwardedRequest::State;
+
+ForwardController::ForwardController(Options options,
+                                     ForwardCodec codec,
+                                     ForwardPort& port,
+                                     const Clock& clock,
+                                     const EventLog& log,
+                                     Metrics& metrics)
+    : options_(std::move(options)),
+      codec_(std::move(codec)),
+      port_(port),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      placement_(options_.placement) {
+  options_.retries.extra = options_.retry_extra;
+}
+
+void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
+  assert(table != nullptr);
+  // Failure: a late answer brings a version that a newer one has replaced.
+  // Symptom: a route that was dropped is served again. Versions only go up.
+  if (table_ != nullptr && table->version() <= table_->version()) {
+    return;
+  }
+  log_.Info("config_in_force",
+            {{"version", table->version()},
+             {"former", table_ == nullptr ? 0 : table_->version()},
+             {"routes", table->content().routes.size()},
+             {"teams", table->content().teams.size()}});
+  table_ = std::move(table);
+}
+
+void ForwardController::OnServersChanged() {
+  loads_.Forget([this](const std::string& server) {
+    return directory_.Find(server) != nullptr;
+  });
+  DispatchAll();
+}
+
+void ForwardController::OnRequest(ExchangeId exchange,
+                                  RequestHead head,
+                                  std::string body) {
+  if (table_ == nullptr) {
+    Refuse(exchange, {}, {.code = ResultCode::kNoConfiguration});
+    return;
+  }
+  std::optional<RequestTerms> terms = codec_.read_request(head);
+  if (!terms.has_value()) {
+    Refuse(exchange, {}, {.code = ResultCode::kMalformedRequest});
+    return;
+  }
+  const std::string* host = FindField(head.fields, "Host");
+  auto request = std::make_unique<ForwardedRequest>();
+  request->exchange = exchange;
+  request->terms = *std::move(terms);
+  request->table = table_;
+  request->route =
+      host == nullptr ? nullptr : table_->FindRoute(*host, head.target);
+  request->head = std::move(head);
+  request->body = std::move(body);
+  request->arrived = clock_.Now();
+  if (const std::optional<Refusal> refusal = Admit(*request)) {
+    LogEnd(*request, Describe(refusal->code).name,
+           Describe(refusal->code).http_status);
+    Refuse(exchange, request->terms.request_id, *refusal);
+    return;
+  }
+  held_body_bytes_ += request->body.size();
+  ForwardedRequest& admitted = *request;
+  requests_[exchange] = std::move(request);
+  retries_.try_emplace(admitted.service, options_.retries)
+      .first->second.OnRequest(admitted.arrived);
+  Wait(admitted);
+}
+
+std::optional<ForwardController::Refusal> ForwardController::Admit(
+    ForwardedRequest& request) {
+  if (request.route == nullptr) {
+    return Refusal{.code = ResultCode::kNoRoute};
+  }
+  const Route& route = *request.route;
+  request.service =
+      RouteTable::PickService(route, request.terms.request_id);
+  const Service* service = table_->FindService(request.service);
+  request.model_server = service != nullptr && service->batch_slots > 0;
+  request.priority = route.priority;
+  if (table_->has_teams()) {
+    const TeamTerms* team =
+        request.terms.api_key.has_value()
+            ? table_->FindTeamByKey(*request.terms.api_key)
+            : nullptr;
+    if (team == nullptr && !route.is_public) {
+      return Refusal{.code = ResultCode::kUnknownTeam};
+    }
+    if (team != nullptr) {
+      request.team = team->name;
+      request.priority = team->priority.value_or(route.priority);
+    }
+  }
+  constexpr Duration kLongest = std::chrono::hours(1);
+  request.due = request.arrived +
+                std::min(request.terms.time_left.value_or(kLongest),
+                         route.timeout > Duration::zero() ? route.timeout
+                                                          : kLongest);
+  request.last_event_id = request.terms.last_event_id;
+  if (held_body_bytes_ + request.body.size() > options_.held_body_bytes) {
+    return Refusal{.code = ResultCode::kOverloaded};
+  }
+  return TakeRate(request);
+}
+
+std::optional<ForwardController::Refusal> ForwardController::TakeRate(
+    ForwardedRequest& request) {
+  const TeamTerms* team =
+      request.team.empty() ? nullptr : table_->FindTeam(request.team);
+  if (team == nullptr) {
+    return std::nullopt;
+  }
+  const uint64_t tokens =
+      request.terms.prompt_tokens + request.terms.output_tokens;
+  const double units = !team->rate.in_tokens ? 1
+                       : tokens > 0 ? static_cast<double>(tokens)
+                                    : team->rate.tokens_if_unknown;
+  TeamBucket& bucket = buckets_[HashBytes(team->name)];
+  const std::optional<Duration> wait =
+      bucket.Take(team->rate, units, rate_share_, request.arrived);
+  if (!wait.has_value()) {
+    return std::nullopt;
+  }
+  return Refusal{.code = ResultCode::kTeamTokenRate, .retry_after = *wait};
+}
+
+void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
+  Refuse(exchange, {}, {.code = code});
+}
+
+void ForwardController::Wait(ForwardedRequest& request) {
+  request.state = State::kWaiting;
+  request.waiting_since = clock_.Now();
+  queues_[request.service].Add({.priority = request.priority,
+                                .due = request.due,
+                                .exchange = request.exchange});
+  Dispatch(request.service);
+}
+
+void ForwardController::Dispatch(const std::string& service) {
+  WaitingQueue& queue = queues_[service];
+  while (const std::optional<ExchangeId> first = queue.First()) {
+    ForwardedRequest& request = *requests_.at(*first);
+    if (!Start(request)) {
+      return;
+    }
+  }
+}
+
+void ForwardController::DispatchAll() {
+  for (auto& [service, queue] : queues_) {
+    if (!queue.empty()) {
+      Dispatch(service);
+    }
+  }
+}
+
+bool ForwardController::Start(ForwardedRequest& request) {
+  const BackendServer* server =
+      placement_.Choose({.service = request.service,
+                         .model_server = request.model_server,
+                         .tried = request.tried},
+                        directory_, loads_, clock_.Now());
+  if (server == nullptr) {
+    return false;
+  }
+  queues_[request.service].Remove(request.exchange);
+  SendTo(request, *server);
+  return true;
+}
+
+void ForwardController::SendTo(ForwardedRequest& request,
+                               const BackendServer& server) {
+  const TimePoint now = clock_.Now();
+  ServerLoad& load = loads_.Of(server.id);
+  log_.Info("send",
+            {{"id", request.terms.request_id},
+             {"server", server.id},
+             {"attempt", request.tried.size() + 1},
+             {"config_version", request.table->version()},
+             {"priority", request.priority},
+             {"in_flight", load.in_flight()},
+             {"pace_ms", load.pace().value_or(0)},
+             {"waited_ms", ToMilliseconds(now - request.waiting_since)},
+             {"left_ms", ToMilliseconds(request.due - now)}});
+  load.OnSent();
+  request.state = State::kSent;
+  request.attempt = ++last_attempt_;
+  request.server = server.id;
+  request.tried.push_back(server.id);
+  request.sent_at = now;
+  request.heard_at = now;
+  request.answer_head.reset();
+  request.answer_body.clear();
+  request.rejected = false;
+  request.events = EventStreamReader();
+  request.event_count = 0;
+  attempts_[request.attempt] = request.exchange;
+  const RequestHead head =
+      codec_.write_request(request.head, {.server_id = server.id,
+                                          .team = request.team,
+                                          .time_left = request.due - now,
+                                          .last_event_id =
+                                              request.last_event_id});
+  port_.Send(request.attempt,
+             {.address = server.address,
+              .bytes = EncodeRequest(head, request.body),
+              .reuse_within = request.may_repeat()
+                                  ? options_.reuse_within
+                                  : options_.reuse_once_within});
+}
+
+ForwardedRequest* ForwardController::FindByAttempt(AttemptId attempt) {
+  const auto found = attempts_.find(attempt);
+  return found == attempts_.end() ? nullptr
+                                  : requests_.at(found->second).get();
+}
+
+void ForwardController::EndAttempt(ForwardedRequest& request) {
+  attempts_.erase(request.attempt);
+  request.attempt = 0;
+  loads_.Of(request.server).OnEnded();
+}
+
+ForwardController::HeadVerdict ForwardController::OnAnswerHead(
+    AttemptId attempt,
+    const ResponseHead& head,
+    bool fresh) {
+  ForwardedRequest* request = FindByAttempt(attempt);
+  if (request == nullptr) {
+    return HeadVerdict::kDrop;
+  }
+  const AnswerTerms terms = codec_.read_answer(head);
+  // Failure: a server answers an earlier request twice, and the second copy
+  // comes where this answer is due. Symptom: a client gets another's answer.
+  // The echoed id tells them apart; the copy is read past.
+  const bool other = !terms.request_id.empty() &&
+                     terms.request_id != request->terms.request_id;
+  if (other) {
+    log_.Warn("foreign_answer", {{"id", request->terms.request_id},
+                                 {"server", request->server},
+                                 {"answers", terms.request_id}});
+    return HeadVerdict::kSkip;
+  }
+  const bool rejected = terms.not_run || head.status == kMisdirected;
+  const bool encoded = FindField(head.fields, "Content-Encoding") != nullptr;
+  // Without an id a refusal can only be for the one request on a connection.
+  const bool matched = !terms.request_id.empty() || (rejected && fresh);
+  const bool genuine = rejected || (terms.sealed && !encoded);
+  // A stream that the client has a part of goes on with nothing but a stream.
+  const bool continues =
+      !request->head_sent || (IsSuccess(head.status) && IsEventStream(head));
+  if (!matched || !genuine || (!continues && !rejected)) {
+    AfterFailure(*request, AttemptFailure::kBroken);
+    return HeadVerdict::kDrop;
+  }
+  request->rejected = rejected;
+  request->answer_head = head;
+  return HeadVerdict::kTake;
+}
+
+bool ForwardController::OnAnswerPart(AttemptId attempt, std::string bytes) {
+  ForwardedRequest* request = FindByAttempt(attempt);
+  if (request == nullptr) {
+    return false;
+  }
+  request->heard_at = clock_.Now();
+  if (request->rejected) {
+    return true;
+  }
+  const ResponseHead& head = *request->answer_head;
+  if (request->streams() && IsSuccess(head.status) && IsEventStream(head)) {
+    request->events.Feed(bytes);
+    PassEvents(*request);
+    return true;
+  }
+  if (request->head_sent) {
+    port_.RespondPart(request->exchange, bytes);
+    return true;
+  }
+  request->answer_body += bytes;
+  if (request->answer_body.size() > options_.held_answer_bytes) {
+    request->head_sent = true;
+    port_.RespondHead(request->exchange, ForClient(head));
+    port_.RespondPart(request->exchange,
+                      std::exchange(request->answer_body, {}));
+  }
+  return true;
+}
+
+void ForwardController::PassEvents(ForwardedRequest& request) {
+  const TimePoint now = clock_.Now();
+  std::string passed;
+  while (std::optional<StreamEvent> event = request.events.Next()) {
+    if (request.event_count++ == 0) {
+      request.first_event_at = now;
+    }
+    request.last_event_at = now;
+    if (!event->id.empty()) {
+      request.last_event_id = event->id;
+    }
+    passed += event->bytes;
+  }
+  if (passed.empty()) {
+    return;
+  }
+  // The head waits for the first event: until then a broken stream can be
+  // started anew or told as failed.
+  if (!std::exchange(request.head_sent, true)) {
+    port_.RespondHead(request.exchange, ForClient(*request.answer_head));
+    metrics_.Observe("first_event_seconds{priority=\"" +
+                         std::to_string(request.priority) + "\"}",
+                     Seconds(now - request.arrived));
+  }
+  port_.RespondPart(request.exchange, passed);
+}
+
+void ForwardController::OnAnswerEnd(AttemptId attempt) {
+  ForwardedRequest* request = FindByAttempt(attempt);
+  if (request == nullptr) {
+    return;
+  }
+  if (request->rejected) {
+    const bool wrong = request->answer_head->status == kMisdirected;
+    AfterFailure(*request, wrong ? AttemptFailure::kWrongServer
+                                 : AttemptFailure::kRejected);
+    return;
+  }
+  const std::string service = request->service;
+  const bool stream = request->streams() &&
+                      IsSuccess(request->answer_head->status) &&
+                      IsEventStream(*request->answer_head);
+  if (stream) {
+    FinishStream(*request);
+  } else {
+    FinishWhole(*request);
+  }
+  Dispatch(service);
+}
+
+void ForwardController::FinishStream(ForwardedRequest& request) {
+  // A server may stop in the middle of an event and end its answer in order.
+  if (request.events.has_part() || !request.head_sent) {
+    AfterFailure(request, AttemptFailure::kBroken);
+    return;
+  }
+  NotePace(request);
+  loads_.Of(request.server).OnAnswered(/*error=*/false, clock_.Now());
+  EndAttempt(request);
+  port_.RespondEnd(request.exchange);
+  LogEnd(request, "answered", request.answer_head->status);
+  Drop(request.exchange);
+}
+
+void ForwardController::FinishWhole(ForwardedRequest& request) {
+  const int status = request.answer_head->status;
+  const bool error = status >= kFirstServerError;
+  loads_.Of(request.server).OnAnswered(error, clock_.Now());
+  EndAttempt(request);
+  ++request.runs;
+  ++request.arrivals;
+  if (error && !request.head_sent &&
+      MayRetry(request, RunState::kMayHaveRun)) {
+    log_.Info("retry", {{"id", request.terms.request_id},
+                        {"server", request.server},
+                        {"status", status}});
+    Wait(request);
+    return;
+  }
+  if (!error) {
+    NotePace(request);
+  }
+  if (request.head_sent) {
+    port_.RespondEnd(request.exchange);
+  } else {
+    port_.Respond(request.exchange, ForClient(*request.answer_head),
+                  request.answer_body);
+  }
+  LogEnd(request, "answered", status);
+  Drop(request.exchange);
+}
+
+void ForwardController::NotePace(ForwardedRequest& request) {
+  ServerLoad& load = loads_.Of(request.server);
+  if (!request.model_server) {
+    load.OnPace(clock_.Now() - request.sent_at);
+    return;
+  }
+  // The pace of a few events says more of other requests' prompts than of the
+  // server.
+  constexpr int kFewestEvents = 5;
+  if (request.event_count >= kFewestEvents) {
+    load.OnPace((request.last_event_at - request.first_event_at) /
+                (request.event_count - 1));
+  }
+}
+
+void ForwardController::OnAttemptFailed(AttemptId attempt,
+                                        AttemptFailure failure) {
+  if (ForwardedRequest* request = FindByAttempt(attempt)) {
+    AfterFailure(*request,
+                 request->rejected ? AttemptFailure::kRejected : failure);
+  }
+}
+
+void ForwardController::AfterFailure(ForwardedRequest& request,
+                                     AttemptFailure failure) {
+  const TimePoint now = clock_.Now();
+  const std::string service = request.service;
+  log_.Info("attempt_failed",
+            {{"id", request.terms.request_id},
+             {"server", request.server},
+             {"failure", AttemptFailureName(failure)},
+             {"after_ms", ToMilliseconds(now - request.sent_at)},
+             {"events", request.event_count}});
+  metrics_.Add(std::string("attempts_failed{failure=\"") +
+               AttemptFailureName(failure) + "\"}");
+  ServerLoad& load = loads_.Of(request.server);
+  if (failure == AttemptFailure::kRejected) {
+    load.OnFull(now);
+  } else {
+    load.OnFailed(now);
+  }
+  EndAttempt(request);
+  const RunState state = RunStateAfter(failure);
+  request.arrivals += state == RunState::kUnsent ? 0 : 1;
+  request.runs += state == RunState::kMayHaveRun ? 1 : 0;
+  if (MayRetry(request, state)) {
+    Wait(request);
+  } else {
+    GiveUp(request, state);
+  }
+  Dispatch(service);
+}
+
+bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
+  const TimePoint now = clock_.Now();
+  if (request.due - now < kLeastTimeForAttempt ||
+      request.tried.size() >= kMostServersTried) {
+    return false;
+  }
+  const bool repeated = request.runs > 0;
+  if (repeated && (!request.may_repeat() ||
+                   request.runs >= request.route->max_attempts)) {
+    return false;
+  }
+  // Behind an event without an id nothing can be resumed.
+  if (request.head_sent &&
+      (!request.streams() || request.last_event_id.empty())) {
+    return false;
+  }
+  return state == RunState::kUnsent ||
+         retries_.at(request.service).TryRetry(now);
+}
+
+void ForwardController::GiveUp(ForwardedRequest& request, RunState state) {
+  if (request.head_sent) {
+    port_.Abort(request.exchange);
+    LogEnd(request, "cut", 0);
+    Drop(request.exchange);
+    return;
+  }
+  if (request.runs > 0) {
+    RefuseRequest(request, {.code = ResultCode::kServerLost});
+  } else if (state == RunState::kUnsent) {
+    RefuseRequest(request, {.code = ResultCode::kServerUnreachable});
+  } else {
+    RefuseRequest(request, {.code = ResultCode::kOverloaded});
+  }
+}
+
+void ForwardController::OnClientGone(ExchangeId exchange) {
+  const auto found = requests_.find(exchange);
+  if (found == requests_.end()) {
+    return;
+  }
+  ForwardedRequest& request = *found->second;
+  const std::string service = request.service;
+  if (request.state == State::kSent) {
+    port_.Cancel(request.attempt);
+    EndAttempt(request);
+  }
+  LogEnd(request, "client_gone", 0);
+  Drop(exchange);
+  Dispatch(service);
+}
+
+TimePoint ForwardController::WaitsUntil(const ForwardedRequest& request) const {
+  if (request.head_sent) {
+    return std::min(request.due, request.waiting_since + kResumeWait);
+  }
+  const double target = Seconds(request.route->latency_target);
+  const double whole = Seconds(request.due - request.arrived);
+  const double wait = std::min(target * options_.wait_per_target,
+                               whole * options_.wait_per_time_left);
+  const Duration longest = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(wait > 0 ? wait : whole));
+  return std::min(request.due, request.arrived + longest);
+}
+
+Duration ForwardController::LongestSilence(
+    const ForwardedRequest& request) const {
+  const Route& route = *request.route;
+  Duration longest;
+  if (request.streams() && request.event_count > 0) {
+    longest = std::chrono::duration_cast<Duration>(route.event_gap_target *
+                                                   options_.silence_per_gap);
+  } else {
+    longest = std::chrono::duration_cast<Duration>(
+        route.latency_target * options_.silence_per_target);
+    const double prompt_ms = static_cast<double>(request.terms.prompt_tokens) /
+                             options_.slow_prompt_tokens_per_ms;
+    longest += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(
+            request.model_server ? prompt_ms : 0));
+  }
+  return std::max(longest, options_.least_silence);
+}
+
+void ForwardController::CheckTime(ForwardedRequest& request, TimePoint now) {
+  if (now >= request.due) {
+    if (request.state == State::kSent) {
+      port_.Cancel(request.attempt);
+      EndAttempt(request);
+      ++request.runs;
+    }
+    if (request.runs == 0) {
+      RefuseRequest(request, {.code = ResultCode::kDeadlinePassed});
+    } else {
+      GiveUp(request, RunState::kMayHaveRun);
+    }
+    return;
+  }
+  if (request.state == State::kWaiting) {
+    if (now < WaitsUntil(request)) {
+      return;
+    }
+    if (request.runs > 0 || request.head_sent) {
+      GiveUp(request, RunState::kMayHaveRun);
+    } else {
+      const bool none = directory_.Usable(request.service).empty();
+      RefuseRequest(request, {.code = none ? ResultCode::kNoServer
+                                           : ResultCode::kOverloaded});
+    }
+    return;
+  }
+  const bool silent = now - request.heard_at >= LongestSilence(request);
+  if (silent && request.may_repeat() &&
+      request.runs + 1 < request.route->max_attempts) {
+    // The former server's connection is closed before another gets the
+    // request, so that two never work on it side by side for long.
+    port_.Cancel(request.attempt);
+    AfterFailure(request, AttemptFailure::kSilent);
+  }
+}
+
+void ForwardController::Tick() {
+  const TimePoint now = clock_.Now();
+  const uint64_t before = directory_.revision();
+  directory_.Tick(now);
+  if (directory_.revision() != before) {
+    OnServersChanged();
+  }
+  std::vector<ExchangeId> all;
+  all.reserve(requests_.size());
+  for (const auto& [exchange, request] : requests_) {
+    all.push_back(exchange);
+  }
+  for (const ExchangeId exchange : all) {
+    const auto found = requests_.find(exchange);
+    if (found == requests_.end()) {
+      continue;
+    }
+    const std::string service = found->second->service;
+    CheckTime(*found->second, now);
+    if (!requests_.contains(exchange)) {
+      Dispatch(service);
+    }
+  }
+  DispatchAll();
+}
+
+void ForwardController::RefuseRequest(ForwardedRequest& request,
+                                      const Refusal& refusal) {
+  LogEnd(request, Describe(refusal.code).name,
+         Describe(refusal.code).http_status);
+  Refuse(request.exchange, request.terms.request_id, refusal);
+  Drop(request.exchange);
+}
+
+void ForwardController::Refuse(ExchangeId exchange,
+                               const std::string& request_id,
+                               const Refusal& refusal) {
+  const ResultCodeInfo& info = Describe(refusal.code);
+  const Duration wait = refusal.retry_after.value_or(options_.retry_after);
+  ResponseHead head{.status = info.http_status,
+                    .fields = codec_.own_answer_fields(request_id)};
+  head.fields.push_back({.name = "Content-Type", .value = "application/json"});
+  constexpr int kTooManyRequests = 429;
+  constexpr int kUnavailable = 503;
+  if (info.http_status == kTooManyRequests ||
+      info.http_status == kUnavailable) {
+    head.fields.push_back(
+        {.name = "Retry-After", .value = RetryAfterValue(wait)});
+  }
+  metrics_.Add("refused{result=\"" + std::string(info.name) + "\"}");
+  if (request_id.empty()) {
+    log_.Info("refused", {{"exchange", exchange}, {"result", info.name}});
+  }
+  port_.Respond(exchange, head, RefusalBody(info, wait));
+}
+
+void ForwardController::LogEnd(const ForwardedRequest& request,
+                               std::string_view outcome,
+                               int status) {
+  const TimePoint now = clock_.Now();
+  log_.Info("end",
+            {{"id", request.terms.request_id},
+             {"outcome", outcome},
+             {"status", status},
+             {"route", request.route == nullptr ? "" : request.route->name},
+             {"team", request.team},
+             {"config_version", request.table->version()},
+             {"attempts", request.tried.size()},
+             {"runs", request.runs},
+             {"events", request.event_count},
+             {"server", request.server},
+             {"took_ms", ToMilliseconds(now - request.arrived)}});
+  metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
+  metrics_.Observe("request_seconds", Seconds(now - request.arrived));
+}
+
+void ForwardController::Drop(ExchangeId exchange) {
+  const auto found = requests_.find(exchange);
+  held_body_bytes_ -= found->second->body.size();
+  queues_[found->second->service].Remove(exchange);
+  requests_.erase(found);
+}
+
+size_t ForwardController::waiting() const {
+  size_t sum = 0;
+  for (const auto& [service, queue] : queues_) {
+    sum += queue.size();
+  }
+  return sum;
+}
+
+ForwardReport ForwardController::Report() const {
+  ForwardReport report;
+  report.table_version = table_ == nullptr ? 0 : table_->version();
+  report.in_flight = loads_.Report();
+  for (const auto& [team, bucket] : buckets_) {
+    if (bucket.used() > 0) {
+      report.team_totals.emplace_back(team, bucket.used());
+    }
+  }
+  return report;
+}
+
+void ForwardController::OnPeerReport(const std::string& peer,
+                                     const ForwardReport& report) {
+  loads_.OnPeerReport(peer, report.in_flight);
+  for (const auto& [team, total] : report.team_totals) {
+    buckets_[team].OnPeerTotal(peer, total);
+  }
+  DispatchAll();
+}
+
+void ForwardController::OnPeerLost(const std::string& peer) {
+  loads_.ForgetPeer(peer);
+  for (auto& [team, bucket] : buckets_) {
+    bucket.ForgetPeer(peer);
+  }
+  DispatchAll();
+}
+
+void ForwardController::OnPeerCount(size_t known, size_t heard) {
+  assert(known >= heard && heard >= 1);
+  rate_share_ = static_cast<double>(heard) / static_cast<double>(known);
+  if (std::exchange(entries_, known) == known) {
+    return;
+  }
+  options_.retries.extra =
+      options_.retry_extra / static_cast<double>(entries_);
+  for (auto& [service, window] : retries_) {
+    window.set_extra(options_.retries.extra);
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/forward_controller.h
@@ -0,0 +1,191 @@
+#ifndef LAVENDERKEEL_FORWARD_FORWARD_CONTROLLER_H_
+#define LAVENDERKEEL_FORWARD_FORWARD_CONTROLLER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/base/metrics.h"
+#include "lavenderkeel/base/result_code.h"
+#include "lavenderkeel/forward/forward_port.h"
+#include "lavenderkeel/forward/forwarded_request.h"
+#include "lavenderkeel/forward/placement.h"
+#include "lavenderkeel/forward/request_terms.h"
+#include "lavenderkeel/forward/retry_window.h"
+#include "lavenderkeel/forward/route_table.h"
+#include "lavenderkeel/forward/server_directory.h"
+#include "lavenderkeel/forward/server_load.h"
+#include "lavenderkeel/forward/team_bucket.h"
+#include "lavenderkeel/forward/waiting_queue.h"
+
+namespace lavenderkeel {
+
+/// What one entry tells the others, some times a second.
+struct ForwardReport {
+  uint64_t table_version = 0;
+  ServerLoads::PeerCounts in_flight;
+  /// Units that each team drew from its rate here since this entry's start, by
+  /// the hash of the team's name.
+  std::vector<std::pair<uint64_t, double>> team_totals;
+
+  friend bool operator==(const ForwardReport&, const ForwardReport&) = default;
+};
+
+/// Brings clients' requests to backend servers and the answers back.
+///
+/// Holds every request from arrival to its one final answer: route, team and
+/// rate, the queue, one attempt after another, resuming of streams, and what
+/// the client is told when there is no answer. Steps without sockets.
+class ForwardController {
+ public:
+  struct Options {
+    Placement::Options placement;
+    RetryWindow::Options retries;
+    /// Extra sendings of all entries together, see RetryWindow.
+    double retry_extra = 52;
+    /// A request waits for a place this part of its latency target, then is
+    /// refused: a later start would earn little, and the client can come back.
+    double wait_per_target = 1.0;
+    /// The same as a part of the time until its answer is due, as a bound.
+    double wait_per_time_left = 0.4;
+    /// A repeatable request is sent anew if the server stays silent for this
+    /// multiple of the target. Three times the target is past the slowest of a
+    /// hundred sound answers.
+    double silence_per_target = 3.0;
+    /// A stream is resumed elsewhere if it pauses for this multiple of the
+    /// gap that clients find fluent.
+    double silence_per_gap = 3.0;
+    /// The shortest silence that counts, for targets that are very tight.
+    Duration least_silence = std::chrono::milliseconds(300);
+    /// Prompt tokens that a slow model server reads in a millisecond; a long
+    /// prompt is allowed its time before a server counts as silent.
+    double slow_prompt_tokens_per_ms = 15;
+    /// Idle connections to servers are used again up to this age.
+    Duration reuse_within = std::chrono::seconds(8);
+    /// The same for work that may run once only: a connection that the server
+    /// is closing would leave in doubt whether it ran.
+    Duration reuse_once_within = std::chrono::milliseconds(400);
+    /// Answers that are not streams are held back until whole up to this size,
+    /// so that one cut short can be fetched again or told as failed.
+    size_t held_answer_bytes = size_t{256} << 10;
+    /// Bodies of waiting and running requests together; above it new ones are
+    /// refused. Set from the memory of the instance.
+    size_t held_body_bytes = size_t{64} << 20;
+    /// Retry-After where nothing better is known.
+    Duration retry_after = std::chrono::milliseconds(300);
+  };
+
+  ForwardController(Options options,
+                    ForwardCodec codec,
+                    ForwardPort& port,
+                    const Clock& clock,
+                    const EventLog& log,
+                    Metrics& metrics);
+
+  // Configuration and servers.
+  void OnRouteTable(std::shared_ptr<const RouteTable> table);
+  const std::shared_ptr<const RouteTable>& table() const { return table_; }
+  ServerDirectory& directory() { return directory_; }
+  /// After changes of the directory.
+  void OnServersChanged();
+
+  // Clients.
+  void OnRequest(ExchangeId exchange, RequestHead head, std::string body);
+  /// A request that could not be read; answered with that code.
+  void OnBadRequest(ExchangeId exchange, ResultCode code);
+  void OnClientGone(ExchangeId exchange);
+
+  // Servers. The first two return false if the attempt is to be dropped.
+  enum class HeadVerdict { kTake, kSkip, kDrop };
+  /// @param fresh nothing was answered on this connection before
+  HeadVerdict OnAnswerHead(AttemptId attempt,
+                           const ResponseHead& head,
+                           bool fresh);
+  bool OnAnswerPart(AttemptId attempt, std::string bytes);
+  void OnAnswerEnd(AttemptId attempt);
+  void OnAttemptFailed(AttemptId attempt, AttemptFailure failure);
+
+  // Other entries.
+  ForwardReport Report() const;
+  void OnPeerReport(const std::string& peer, const ForwardReport& report);
+  void OnPeerLost(const std::string& peer);
+  /// How many entries share the bounds, this one included, and how many of
+  /// these are heard of.
+  void OnPeerCount(size_t known, size_t heard);
+
+  void Tick();
+
+  size_t open() const { return requests_.size(); }
+  size_t waiting() const;
+
+ private:
+  using RequestPtr = std::unique_ptr<ForwardedRequest>;
+
+  struct Refusal {
+    ResultCode code;
+    std::optional<Duration> retry_after;
+  };
+
+  std::optional<Refusal> Admit(ForwardedRequest& request);
+  std::optional<Refusal> TakeRate(ForwardedRequest& request);
+  void Wait(ForwardedRequest& request);
+  void Dispatch(const std::string& service);
+  void DispatchAll();
+  bool Start(ForwardedRequest& request);
+  void SendTo(ForwardedRequest& request, const BackendServer& server);
+  TimePoint WaitsUntil(const ForwardedRequest& request) const;
+  Duration LongestSilence(const ForwardedRequest& request) const;
+  void CheckTime(ForwardedRequest& request, TimePoint now);
+
+  ForwardedRequest* FindByAttempt(AttemptId attempt);
+  /// The attempt is over; its place at the server is free again.
+  void EndAttempt(ForwardedRequest& request);
+  void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
+  bool MayRetry(ForwardedRequest& request, RunState state);
+  void GiveUp(ForwardedRequest& request, RunState state);
+  void PassEvents(ForwardedRequest& request);
+  void FinishWhole(ForwardedRequest& request);
+  void FinishStream(ForwardedRequest& request);
+  void NotePace(ForwardedRequest& request);
+
+  void Refuse(ExchangeId exchange,
+              const std::string& request_id,
+              const Refusal& refusal);
+  void RefuseRequest(ForwardedRequest& request, const Refusal& refusal);
+  void LogEnd(const ForwardedRequest& request,
+              std::string_view outcome,
+              int status);
+  void Drop(ExchangeId exchange);
+
+  Options options_;
+  ForwardCodec codec_;
+  ForwardPort& port_;
+  const Clock& clock_;
+  const EventLog& log_;
+  Metrics& metrics_;
+  Placement placement_;
+  std::shared_ptr<const RouteTable> table_;
+  ServerDirectory directory_;
+  ServerLoads loads_;
+  std::unordered_map<ExchangeId, RequestPtr> requests_;
+  std::unordered_map<AttemptId, ExchangeId> attempts_;
+  std::map<std::string, WaitingQueue> queues_;
+  std::map<std::string, RetryWindow> retries_;
+  /// By the hash of the team's name.
+  std::map<uint64_t, TeamBucket> buckets_;
+  double rate_share_ = 1;
+  size_t entries_ = 1;
+  size_t held_body_bytes_ = 0;
+  AttemptId last_attempt_ = 0;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_FORWARD_CONTROLLER_H_
--- /dev/null
+++ b/lavenderkeel/forward/forward_node.cc
@@ -0,0 +1,434 @@
+#include "lavenderkeel/forward/forward_node.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace lavenderkeel {
+
+namespace {
+
+/// The name under which entries ask each other for the configuration.
+constexpr char kRoutesDocument[] = "routes";
+
+/// A tick that comes this late means that the process stood still. Loaded
+/// machines delay ticks by some hundred milliseconds.
+constexpr Duration kLongestGap = std::chrono::milliseconds(900);
+
+Hello ToHello(const InstanceInfo& info) {
+  Hello hello;
+  hello.instance = info.id.instance;
+  hello.incarnation = info.id.incarnation;
+  hello.role = static_cast<uint8_t>(info.role);
+  hello.data_centre = info.data_centre;
+  hello.region = info.region;
+  hello.address = info.address;
+  return hello;
+}
+
+InstanceInfo FromHello(const Hello& hello) {
+  return {.id = {.instance = hello.instance, .incarnation = hello.incarnation},
+          .role = static_cast<Role>(hello.role),
+          .data_centre = hello.data_centre,
+          .region = hello.region,
+          .address = hello.address};
+}
+
+ForwardStatus ToWire(const ForwardReport& report) {
+  ForwardStatus status;
+  status.table_version = report.table_version;
+  for (const ServerLoads::PeerCount& count : report.in_flight) {
+    status.servers.push_back(count.server_hash);
+    status.in_flight.push_back(static_cast<uint32_t>(count.in_flight));
+  }
+  for (const auto& [team, drawn] : report.team_totals) {
+    status.teams.push_back(team);
+    status.drawn.push_back(drawn);
+  }
+  return status;
+}
+
+ForwardReport FromWire(const ForwardStatus& status) {
+  ForwardReport report{.table_version = status.table_version};
+  // A peer that lies about its lists' lengths is read as far as they agree.
+  const size_t servers =
+      std::min(status.servers.size(), status.in_flight.size());
+  for (size_t i = 0; i < servers; ++i) {
+    report.in_flight.push_back(
+        {.server_hash = status.servers[i],
+         .in_flight = static_cast<int>(status.in_flight[i])});
+  }
+  const size_t teams = std::min(status.teams.size(), status.drawn.size());
+  for (size_t i = 0; i < teams; ++i) {
+    report.team_totals.emplace_back(status.teams[i], status.drawn[i]);
+  }
+  return report;
+}
+
+ObjectWatch::Options WithKind(ObjectWatch::Options options, std::string kind) {
+  options.object_kind = std::move(kind);
+  return options;
+}
+
+}  // namespace
+
+ForwardNode::ForwardNode(Options options,
+                         InstanceInfo self,
+                         ForwardSource source,
+                         ForwardCodec codec,
+                         ForwardPort& port,
+                         const Clock& clock,
+                         uint64_t random_seed,
+                         const EventLog& log,
+                         Metrics& metrics)
+    : options_(std::move(options)),
+      source_(std::move(source)),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      random_(random_seed),
+      members_(options_.members,
+               std::move(self),
+               clock,
+               random_,
+               outbox_,
+               [this] {
+                 Heartbeat heartbeat;
+                 heartbeat.leaving = leaving_;
+                 return heartbeat;
+               }),
+      controller_(options_.controller,
+                  std::move(codec),
+                  port,
+                  clock,
+                  log,
+                  metrics),
+      config_watch_(WithKind(options_.watch, source_.config_kind),
+                    ConfigHooks(),
+                    clock,
+                    random_,
+                    log),
+      server_watch_(WithKind(options_.watch, source_.server_kind),
+                    ServerHooks(),
+                    clock,
+                    random_,
+                    log),
+      gaps_(kLongestGap) {
+  members_.signal_lost().connect([this](const PeerId& peer, Role) {
+    log_.Warn("peer_lost", {{"peer", peer.ToString()}});
+    known_by_peer_.erase(peer.instance);
+    controller_.OnPeerLost(peer.ToString());
+    CountPeers();
+  });
+  members_.signal_up().connect([this](const Member& member) {
+    log_.Info("peer_up", {{"peer", member.info.id.ToString()}});
+    status_due_ = {};
+    known_due_ = {};
+  });
+  for (const std::string& seed : options_.seeds) {
+    members_.AddSeed(seed);
+  }
+}
+
+void ForwardNode::Start() {
+  config_watch_.Start();
+  server_watch_.Start();
+}
+
+ObjectWatch::Hooks ForwardNode::ConfigHooks() {
+  return {
+      .read = [this](uint64_t call,
+                     const ObjectRead& read) { Read(config_watch_, call, read); },
+      .on_list =
+          [this](const std::vector<StoredObject>& objects) {
+            for (const StoredObject& object : objects) {
+              if (object.name == source_.config_object) {
+                OnConfig(object.content, "store");
+              }
+            }
+          },
+      .on_change =
+          [this](const StoredObject& object) {
+            if (object.name == source_.config_object && !object.removed) {
+              OnConfig(object.content, "store");
+            }
+          },
+      .on_outage = [] {},
+      .on_return = [] {}};
+}
+
+ObjectWatch::Hooks ForwardNode::ServerHooks() {
+  return {.read = [this](uint64_t call, const ObjectRead& read) {
+            Read(server_watch_, call, read);
+          },
+          .on_list =
+              [this](const std::vector<StoredObject>& objects) {
+                OnServerList(objects);
+              },
+          .on_change =
+              [this](const StoredObject& object) {
+                OnServer(object);
+                controller_.OnServersChanged();
+              },
+          .on_outage = [this] { controller_.directory().OnOutage(); },
+          .on_return =
+              [this] { controller_.directory().OnReturn(clock_.Now()); }};
+}
+
+void ForwardNode::Read(ObjectWatch& watch,
+                       uint64_t call,
+                       const ObjectRead& read) {
+  source_.read(read, [&watch, call](const ObjectReadResult& result) {
+    watch.OnResult(call, result);
+  });
+}
+
+void ForwardNode::OnConfig(const std::string& content, const char* from) {
+  auto decoded = Catch([&] { return source_.decode_table(content); });
+  if (!decoded) {
+    log_.Write(LogLevel::kError, "config_unreadable",
+               {{"from", from},
+                {"code", static_cast<uint32_t>(decoded.failure.code)},
+                {"faults", decoded.failure.message}});
+    return;
+  }
+  const uint64_t before =
+      controller_.table() == nullptr ? 0 : controller_.table()->version();
+  if (controller_.table() != nullptr && decoded.value->version <= before) {
+    return;
+  }
+  log_.Info("config_read",
+            {{"from", from}, {"version", decoded.value->version}});
+  controller_.OnRouteTable(
+      std::make_shared<const RouteTable>(*std::move(decoded.value)));
+  config_content_ = content;
+  newer_at_.reset();
+  status_due_ = {};
+}
+
+void ForwardNode::OnServer(const StoredObject& object) {
+  ServerDirectory& directory = controller_.directory();
+  if (object.removed) {
+    log_.Info("server_removed",
+              {{"server", object.name}, {"revision", object.revision}});
+    directory.Remove(object.name, clock_.Now());
+    return;
+  }
+  const auto server = Catch([&] { return source_.decode_server(object); });
+  if (!server) {
+    log_.Warn("server_unreadable", {{"server", object.name},
+                                    {"faults", server.failure.message}});
+    return;
+  }
+  log_.Info("server_listed", {{"server", object.name},
+                              {"revision", object.revision},
+                              {"service", server.value->service},
+                              {"address", server.value->address},
+                              {"slots", server.value->slots},
+                              {"draining", server.value->draining}});
+  directory.Apply(*server.value);
+}
+
+void ForwardNode::OnServerList(const std::vector<StoredObject>& objects) {
+  std::vector<BackendServer> servers;
+  for (const StoredObject& object : objects) {
+    if (auto server = Catch([&] { return source_.decode_server(object); })) {
+      servers.push_back(*std::move(server.value));
+    } else {
+      log_.Warn("server_unreadable", {{"server", object.name},
+                                      {"faults", server.failure.message}});
+    }
+  }
+  log_.Info("servers_listed", {{"servers", servers.size()},
+                               {"revision", server_watch_.revision()}});
+  servers_listed_ = true;
+  controller_.directory().ApplyList(servers, clock_.Now());
+  controller_.OnServersChanged();
+}
+
+void ForwardNode::Tick() {
+  if (gaps_.Check(clock_.Now())) {
+    OnFreeze();
+  }
+  members_.Tick();
+  config_watch_.Tick();
+  server_watch_.Tick();
+  CountPeers();
+  controller_.Tick();
+  PullNewer();
+  SendStatus();
+  SendKnown();
+}
+
+void ForwardNode::OnFreeze() {
+  log_.Warn("woke_up", {});
+  members_.ForgiveSilence();
+  config_watch_.Restart();
+  server_watch_.Restart();
+}
+
+void ForwardNode::Leave() {
+  if (std::exchange(leaving_, true)) {
+    return;
+  }
+  members_.set_leaving();
+  members_.AnnounceNow();
+}
+
+bool ForwardNode::ready() const {
+  return !leaving_ && servers_listed_ && controller_.table() != nullptr;
+}
+
+bool ForwardNode::OnLinkUp(LinkId link,
+                           const InstanceInfo& peer,
+                           const std::string& dialed) {
+  return members_.OnLinkUp(link, peer, dialed);
+}
+
+void ForwardNode::OnLinkDown(LinkId link) {
+  members_.OnLinkDown(link);
+}
+
+void ForwardNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
+}
+
+void ForwardNode::OnMessage(LinkId link, Message message) {
+  const Member* member = members_.FindByLink(link);
+  if (member == nullptr) {
+    return;
+  }
+  members_.OnHeard(link);
+  std::visit(
+      [&](auto& body) {
+        using T = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<T, Heartbeat>) {
+          members_.OnHeartbeat(link, body);
+        } else if constexpr (std::is_same_v<T, ForwardStatus>) {
+          OnStatus(*member, body);
+        } else if constexpr (std::is_same_v<T, KnownEntries>) {
+          OnKnownEntries(*member, body);
+        } else if constexpr (std::is_same_v<T, ConfigPull>) {
+          OnPull(link);
+        } else if constexpr (std::is_same_v<T, ConfigShards>) {
+          for (const std::string& content : body.bodies) {
+            OnConfig(content, "peer");
+          }
+        }
+      },
+      message);
+}
+
+void ForwardNode::OnStatus(const Member& member, const ForwardStatus& status) {
+  const uint64_t own =
+      controller_.table() == nullptr ? 0 : controller_.table()->version();
+  if (status.table_version > own && !newer_at_.has_value()) {
+    newer_at_ = member.info.id;
+    newer_since_ = clock_.Now();
+  }
+  controller_.OnPeerReport(member.info.id.ToString(), FromWire(status));
+}
+
+void ForwardNode::PullNewer() {
+  if (!newer_at_.has_value() ||
+      clock_.Now() - newer_since_ < options_.pull_after) {
+    return;
+  }
+  const std::optional<LinkId> link = members_.LinkTo(*newer_at_);
+  // Asked again, of whoever tells of it next, unless the answer comes.
+  newer_at_.reset();
+  if (link.has_value()) {
+    ConfigPull pull;
+    pull.names.emplace_back(kRoutesDocument);
+    outbox_.Send(*link, std::move(pull));
+  }
+}
+
+void ForwardNode::OnPull(LinkId link) {
+  if (config_content_.empty()) {
+    return;
+  }
+  ConfigShards shards;
+  shards.names.emplace_back(kRoutesDocument);
+  shards.bodies.push_back(config_content_);
+  outbox_.Send(link, std::move(shards));
+}
+
+void ForwardNode::OnKnownEntries(const Member& member,
+                                 const KnownEntries& known) {
+  std::vector<InstanceInfo>& told = known_by_peer_[member.info.id.instance];
+  told.clear();
+  for (const auto& entry : known.entries) {
+    if (entry != nullptr) {
+      told.push_back(FromHello(*entry));
+    }
+  }
+  // Of several incarnations that are told of, the latest is dialled.
+  std::map<std::string, InstanceInfo> latest;
+  for (const auto& [peer, infos] : known_by_peer_) {
+    for (const InstanceInfo& info : infos) {
+      const auto [position, inserted] =
+          latest.try_emplace(info.id.instance, info);
+      if (!inserted &&
+          position->second.id.incarnation < info.id.incarnation) {
+        position->second = info;
+      }
+    }
+  }
+  std::vector<InstanceInfo> all;
+  all.reserve(latest.size());
+  for (auto& [instance, info] : latest) {
+    all.push_back(std::move(info));
+  }
+  members_.OnInstanceList(all);
+}
+
+void ForwardNode::SendStatus() {
+  const TimePoint now = clock_.Now();
+  if (now < status_due_) {
+    return;
+  }
+  status_due_ = now + options_.status_period;
+  const ForwardStatus status = ToWire(controller_.Report());
+  for (const Member* member : members_.Members(Role::kEntry)) {
+    if (member->outbound.has_value()) {
+      outbox_.Send(*member->outbound, status);
+    }
+  }
+}
+
+void ForwardNode::SendKnown() {
+  const TimePoint now = clock_.Now();
+  if (now < known_due_) {
+    return;
+  }
+  known_due_ = now + options_.known_period;
+  const std::vector<const Member*> all = members_.Members(Role::kEntry);
+  for (const Member* target : all) {
+    if (!target->outbound.has_value()) {
+      continue;
+    }
+    KnownEntries known;
+    for (const Member* member : all) {
+      if (member != target && member->live()) {
+        known.entries.push_back(
+            std::make_unique<Hello>(ToHello(member->info)));
+      }
+    }
+    outbox_.Send(*target->outbound, std::move(known));
+  }
+}
+
+void ForwardNode::CountPeers() {
+  size_t known = 1;
+  size_t heard = 1;
+  for (const Member* member : members_.Members(Role::kEntry)) {
+    if (!member->info.leaving) {
+      ++known;
+      heard += member->live() ? 1 : 0;
+    }
+  }
+  controller_.OnPeerCount(known, heard);
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/forward_node.h
@@ -0,0 +1,134 @@
+#ifndef LAVENDERKEEL_FORWARD_FORWARD_NODE_H_
+#define LAVENDERKEEL_FORWARD_FORWARD_NODE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/base.h"
+#include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/membership.h"
+#include "lavenderkeel/watch.h"
+
+namespace lavenderkeel {
+
+/// Where the configuration and the list of servers are kept, and how to read
+/// them. Filled in by an adapter for one platform.
+struct ForwardSource {
+  std::string config_kind;
+  /// The object of that kind that counts.
+  std::string config_object;
+  std::string server_kind;
+  std::function<leaf::result<RouteTableContent>(const std::string& content)>
+      decode_table;
+  std::function<leaf::result<BackendServer>(const StoredObject&)>
+      decode_server;
+  /// Makes a read; `done` is called later, once.
+  std::function<void(const ObjectRead&,
+                     std::function<void(const ObjectReadResult&)> done)>
+      read;
+};
+
+/// One forwarding entry without its sockets: the controller of requests, the
+/// watches on the platform's store, and the links to the other entries.
+class ForwardNode {
+ public:
+  struct Options {
+    ForwardController::Options controller;
+    MemberTable::Options members = {
+        .dial = {.longest = std::chrono::seconds(1)},
+        // Its rate share and its report are reckoned with until then.
+        .forget_after = std::chrono::seconds(10)};
+    ObjectWatch::Options watch;
+    std::vector<std::string> seeds;
+    /// How often an entry tells the others what it has in flight. Others place
+    /// on reports this old; a request lasts some 300 ms.
+    Duration status_period = std::chrono::milliseconds(100);
+    /// How often it tells them whom it is connected to.
+    Duration known_period = std::chrono::seconds(1);
+    /// A version that another entry has and the store has not told us is asked
+    /// for after this time.
+    Duration pull_after = std::chrono::milliseconds(150);
+  };
+
+  ForwardNode(Options options,
+              InstanceInfo self,
+              ForwardSource source,
+              ForwardCodec codec,
+              ForwardPort& port,
+              const Clock& clock,
+              uint64_t random_seed,
+              const EventLog& log,
+              Metrics& metrics);
+
+  void Start();
+  void Tick();
+  /// This process stood still: what it believes may be out of date.
+  void OnFreeze();
+  /// Not ready from now on; what is here is finished.
+  void Leave();
+
+  bool OnLinkUp(LinkId link,
+                const InstanceInfo& peer,
+                const std::string& dialed);
+  void OnLinkDown(LinkId link);
+  void OnDialFailed(const std::string& address);
+  void OnMessage(LinkId link, Message message);
+
+  /// New requests can be served here.
+  bool ready() const;
+  bool leaving() const { return leaving_; }
+  ForwardController& controller() { return controller_; }
+  MemberTable& members() { return members_; }
+  Outbox& outbox() { return outbox_; }
+  uint64_t store_calls() const {
+    return config_watch_.calls() + server_watch_.calls();
+  }
+
+ private:
+  ObjectWatch::Hooks ConfigHooks();
+  ObjectWatch::Hooks ServerHooks();
+  void Read(ObjectWatch& watch, uint64_t call, const ObjectRead& read);
+  void OnConfig(const std::string& content, const char* from);
+  void OnServer(const StoredObject& object);
+  void OnServerList(const std::vector<StoredObject>& objects);
+
+  void OnStatus(const Member& member, const ForwardStatus& status);
+  void OnKnownEntries(const Member& member, const KnownEntries& known);
+  void OnPull(LinkId link);
+  void PullNewer();
+  void SendStatus();
+  void SendKnown();
+  void CountPeers();
+
+  Options options_;
+  ForwardSource source_;
+  const Clock& clock_;
+  const EventLog& log_;
+  Metrics& metrics_;
+  std::mt19937_64 random_;
+  Outbox outbox_;
+  MemberTable members_;
+  ForwardController controller_;
+  ObjectWatch config_watch_;
+  ObjectWatch server_watch_;
+  GapDetector gaps_;
+  /// The text of the configuration in force, for entries that lack it.
+  std::string config_content_;
+  bool servers_listed_ = false;
+  bool leaving_ = false;
+  TimePoint status_due_;
+  TimePoint known_due_;
+  /// A peer that has a newer configuration, and since when we know.
+  std::optional<PeerId> newer_at_;
+  TimePoint newer_since_;
+  std::map<std::string, std::vector<InstanceInfo>> known_by_peer_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_FORWARD_NODE_H_
--- /dev/null
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -0,0 +1,76 @@
+#ifndef LAVENDERKEEL_FORWARD_FORWARDED_REQUEST_H_
+#define LAVENDERKEEL_FORWARD_FORWARDED_REQUEST_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/attempt.h"
+#include "lavenderkeel/forward/request_terms.h"
+#include "lavenderkeel/forward/route_table.h"
+#include "lavenderkeel/http/event_stream.h"
+#include "lavenderkeel/http/message_head.h"
+
+namespace lavenderkeel {
+
+/// One request of a client from its arrival to its final answer.
+struct ForwardedRequest {
+  enum class State {
+    /// For a place at a server.
+    kWaiting,
+    /// An attempt is under way.
+    kSent,
+  };
+
+  ExchangeId exchange = 0;
+  RequestHead head;
+  std::string body;
+  RequestTerms terms;
+  /// The version that was in force on arrival; keeps `route` alive.
+  std::shared_ptr<const RouteTable> table;
+  const Route* route = nullptr;
+  std::string service;
+  bool model_server = false;
+  std::string team;
+  int priority = 0;
+  TimePoint arrived;
+  /// The final answer is due: the client's or the route's bound.
+  TimePoint due;
+
+  State state = State::kWaiting;
+  TimePoint waiting_since;
+
+  AttemptId attempt = 0;
+  std::string server;
+  TimePoint sent_at;
+  /// When the last byte of the answer came, or the attempt was sent.
+  TimePoint heard_at;
+  std::optional<ResponseHead> answer_head;
+  std::string answer_body;
+  /// The server said in the head of its answer that it did not run this.
+  bool rejected = false;
+  EventStreamReader events;
+  /// Events of this attempt, and when the first came.
+  int event_count = 0;
+  TimePoint first_event_at;
+
+  /// Servers that were sent it, in order.
+  std::vector<std::string> tried;
+  /// Sendings that reached a server, and of these the ones that may have run.
+  int arrivals = 0;
+  int runs = 0;
+  /// The client has the head of a streamed answer.
+  bool head_sent = false;
+  /// The last event that the client was sent.
+  std::string last_event_id;
+  TimePoint last_event_at;
+
+  bool streams() const { return route->streaming; }
+  bool may_repeat() const { return route->may_repeat(); }
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/lavenderkeel/forward/route_table.h
@@ -0,0 +1,150 @@
+#ifndef LAVENDERKEEL_FORWARD_ROUTE_TABLE_H_
+#define LAVENDERKEEL_FORWARD_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel {
+
+/// A service that takes a share of a route's requests.
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+
+  friend bool operator==(const WeightedService&,
+                         const WeightedService&) = default;
+};
+
+/// Requests of one host below one path prefix, and how they are treated.
+struct Route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  std::vector<WeightedService> services;
+  /// The answer is a stream of events.
+  bool streaming = false;
+  /// A second run does no harm.
+  bool idempotent = false;
+  /// A stream may go on at another server behind the last event received.
+  bool resumable = false;
+  /// No API key is needed.
+  bool is_public = false;
+  /// The final answer is due this long after arrival; zero: no bound.
+  Duration timeout{};
+  /// An answer (of a stream: its first event) within this time counts in full.
+  Duration latency_target{};
+  /// The longest pause between two events that a client takes for fluent.
+  Duration event_gap_target{};
+  /// Rank of urgency, 0 first.
+  int priority = 0;
+  /// Servers that may run one request; at least 1.
+  int max_attempts = 1;
+
+  /// True if a request that may have run can be sent again.
+  bool may_repeat() const { return idempotent || (streaming && resumable); }
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+struct Service {
+  std::string name;
+  /// Model servers run requests in batches; zero for a plain service.
+  int batch_slots = 0;
+
+  friend bool operator==(const Service&, const Service&) = default;
+};
+
+/// A team's bound over all entries together.
+struct TeamRate {
+  /// Units a second; zero: no bound.
+  double per_second = 0;
+  /// Units above the rate that may come at once.
+  double burst = 0;
+  /// Counted in tokens, else in requests.
+  bool in_tokens = false;
+  /// What a request without a token count counts as.
+  double tokens_if_unknown = 1;
+
+  friend bool operator==(const TeamRate&, const TeamRate&) = default;
+};
+
+/// A team as the forwarding path knows it.
+struct TeamTerms {
+  std::string name;
+  std::vector<std::string> api_keys;
+  /// Goes before the priority of a route.
+  std::optional<int> priority;
+  TeamRate rate;
+
+  friend bool operator==(const TeamTerms&, const TeamTerms&) = default;
+};
+
+/// Bounds on what a client may send.
+struct ClientLimits {
+  uint64_t head_bytes = uint64_t{16} << 10;
+  uint64_t body_bytes = uint64_t{4} << 20;
+  /// From the first byte of a request to the end of its head.
+  Duration head_time = std::chrono::seconds(3);
+  /// A connection without a request is closed after this time.
+  Duration idle_time = std::chrono::seconds(15);
+
+  friend bool operator==(const ClientLimits&, const ClientLimits&) = default;
+};
+
+/// What a RouteTable is made from.
+struct RouteTableContent {
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  std::vector<TeamTerms> teams;
+  ClientLimits limits;
+
+  friend bool operator==(const RouteTableContent&,
+                         const RouteTableContent&) = default;
+};
+
+/// One version of the configuration of forwarding. Immutable; requests keep
+/// the version that was in force when they came.
+class RouteTable {
+ public:
+  explicit RouteTable(RouteTableContent content);
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
+  uint64_t version() const { return content_.version; }
+  const RouteTableContent& content() const { return content_; }
+  const ClientLimits& limits() const { return content_.limits; }
+  bool has_teams() const { return !content_.teams.empty(); }
+
+  /// The route of the host with the longest prefix that begins the path.
+  /// @param host the Host field; a port is ignored
+  /// @param target path and query
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+  const TeamTerms* FindTeamByKey(const std::string& api_key) const;
+  const TeamTerms* FindTeam(const std::string& name) const;
+  const Service* FindService(const std::string& name) const;
+
+  /// The service for a request; the same for all its attempts.
+  static const std::string& PickService(const Route& route,
+                                        std::string_view request_id);
+
+ private:
+  RouteTableContent content_;
+  /// By host, routes with longer prefixes first.
+  std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
+  std::unordered_map<std::string_view, const TeamTerms*> by_key_;
+  std::unordered_map<std::string_view, const TeamTerms*> teams_;
+  std::unordered_map<std::string_view, const Service*> services_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_ROUTE_TABLE_H_
--- /dev/null
+++ b/lavenderkeel/forward/server_directory.cc
@@ -0,0 +1,90 @@
+#include "lavenderkeel/forward/server_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace lavenderkeel {
+
+void ServerDirectory::ApplyList(const std::vector<BackendServer>& servers,
+                                TimePoint now) {
+  std::set<std::string> listed;
+  for (const BackendServer& server : servers) {
+    listed.insert(server.id);
+    Apply(server);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : servers_) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Remove(id, now);
+  }
+}
+
+void ServerDirectory::Apply(const BackendServer& server) {
+  Entry& entry = servers_[server.id];
+  if (entry.server != server) {
+    ++revision_;
+  }
+  entry = {.server = server, .drop_at = std::nullopt};
+}
+
+void ServerDirectory::Remove(const std::string& id, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return;
+  }
+  if (!after_outage(now) || found->second.server.draining) {
+    servers_.erase(found);
+    ++revision_;
+    return;
+  }
+  if (!found->second.drop_at.has_value()) {
+    const TimePoint since = outage_ ? now : *returned_;
+    found->second.drop_at = since + options_.relist_time;
+    ++revision_;
+  }
+}
+
+void ServerDirectory::OnOutage() {
+  outage_ = true;
+}
+
+void ServerDirectory::OnReturn(TimePoint now) {
+  if (std::exchange(outage_, false)) {
+    returned_ = now;
+  }
+}
+
+void ServerDirectory::Tick(TimePoint now) {
+  const size_t dropped = std::erase_if(servers_, [now](const auto& item) {
+    const std::optional<TimePoint>& drop_at = item.second.drop_at;
+    return drop_at.has_value() && now >= *drop_at;
+  });
+  revision_ += dropped;
+}
+
+const BackendServer* ServerDirectory::Find(const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second.server;
+}
+
+std::vector<const BackendServer*> ServerDirectory::Usable(
+    const std::string& service) const {
+  std::vector<const BackendServer*> result;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.server.service == service && !entry.server.draining) {
+      result.push_back(&entry.server);
+    }
+  }
+  return result;
+}
+
+bool ServerDirectory::IsUnconfirmed(const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && found->second.drop_at.has_value();
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/server_directory.h
@@ -0,0 +1,89 @@
+#ifndef LAVENDERKEEL_FORWARD_SERVER_DIRECTORY_H_
+#define LAVENDERKEEL_FORWARD_SERVER_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+
+namespace lavenderkeel {
+
+/// One incarnation of a backend server, as the instance list has it.
+struct BackendServer {
+  /// New at each start of the server.
+  std::string id;
+  std::string service;
+  std::string address;
+  std::string data_centre;
+  /// Requests that it works on at once.
+  int slots = 1;
+  bool draining = false;
+
+  friend bool operator==(const BackendServer&, const BackendServer&) = default;
+};
+
+/// The backend servers that may be used, from a list that has outages.
+///
+/// Failure: while the list's store is away the entries of live servers lapse.
+/// Symptom: with its return all servers are missing for a moment, and every
+/// request is refused. Live servers are listed again within about two seconds,
+/// so a server that is missing after an outage is kept for that long.
+class ServerDirectory {
+ public:
+  struct Options {
+    /// How long after an outage a missing server may be listed again. The
+    /// platform promises about two seconds; a server that has left takes
+    /// requests for at least as long.
+    Duration relist_time = std::chrono::milliseconds(1900);
+  };
+
+  ServerDirectory() = default;
+  explicit ServerDirectory(Options options) : options_(options) {}
+
+  /// The whole list. Servers that it lacks are gone, after an outage only
+  /// once the relist time is over.
+  void ApplyList(const std::vector<BackendServer>& servers, TimePoint now);
+  void Apply(const BackendServer& server);
+  void Remove(const std::string& id, TimePoint now);
+  /// The list can't be read; what it said last holds.
+  void OnOutage();
+  /// The list can be read again.
+  void OnReturn(TimePoint now);
+  /// Drops servers that were not listed again in time.
+  void Tick(TimePoint now);
+
+  const BackendServer* Find(const std::string& id) const;
+  /// Servers that may get requests: listed and not draining.
+  std::vector<const BackendServer*> Usable(const std::string& service) const;
+  /// A server that was missing after an outage and is not listed again yet.
+  bool IsUnconfirmed(const std::string& id) const;
+  bool empty() const { return servers_.empty(); }
+  size_t size() const { return servers_.size(); }
+  /// Counts changes, so that a reader can tell whether to look again.
+  uint64_t revision() const { return revision_; }
+
+ private:
+  struct Entry {
+    BackendServer server;
+    /// When it is dropped unless it is listed again.
+    std::optional<TimePoint> drop_at;
+  };
+
+  bool after_outage(TimePoint now) const {
+    return outage_ ||
+           (returned_.has_value() && now - *returned_ < options_.relist_time);
+  }
+
+  Options options_;
+  std::map<std::string, Entry> servers_;
+  bool outage_ = false;
+  std::optional<TimePoint> returned_;
+  uint64_t revision_ = 0;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_SERVER_DIRECTORY_H_
--- /dev/null
+++ b/lavenderkeel/http/message_head.h
@@ -0,0 +1,78 @@
+#ifndef LAVENDERKEEL_HTTP_MESSAGE_HEAD_H_
+#define LAVENDERKEEL_HTTP_MESSAGE_HEAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lavenderkeel {
+
+struct HttpField {
+  std::string name;
+  std::string value;
+
+  friend bool operator==(const HttpField&, const HttpField&) = default;
+};
+
+using HttpFields = std::vector<HttpField>;
+
+/// Compares field names as HTTP does, without regard to case.
+bool SameFieldName(std::string_view left, std::string_view right);
+
+/// The first field of that name, or null.
+const std::string* FindField(const HttpFields& fields, std::string_view name);
+
+/// True if the comma-separated list of a field's values has the token.
+bool FieldHasToken(const HttpFields& fields,
+                   std::string_view name,
+                   std::string_view token);
+
+/// Fields that concern one connection only and are never forwarded, the ones
+/// that `Connection` names included.
+HttpFields WithoutConnectionFields(const HttpFields& fields);
+
+struct RequestHead {
+  std::string method;
+  std::string target;
+  HttpFields fields;
+  bool keep_alive = true;
+
+  friend bool operator==(const RequestHead&, const RequestHead&) = default;
+};
+
+/// How the end of a body is known.
+enum class BodyFraming { kNone, kLength, kChunked, kUntilClose };
+
+struct ResponseHead {
+  int status = 0;
+  std::string reason;
+  HttpFields fields;
+  BodyFraming framing = BodyFraming::kNone;
+  bool keep_alive = true;
+
+  friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
+};
+
+/// The head on the wire with `Content-Length: body_size`.
+std::string EncodeRequest(const RequestHead& head, std::string_view body);
+
+/// The head on the wire with a length.
+std::string EncodeResponse(const ResponseHead& head, std::string_view body);
+
+/// The head on the wire of a chunked response.
+std::string EncodeChunkedHead(const ResponseHead& head);
+
+/// One chunk; empty for no bytes, since an empty chunk would end the body.
+std::string EncodeChunk(std::string_view bytes);
+
+/// The chunk that ends a body.
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+/// The customary reason phrase of a status.
+std::string_view ReasonOf(int status);
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_HTTP_MESSAGE_HEAD_H_
--- /dev/null
+++ b/lavenderkeel/http/message_reader.cc
@@ -0,0 +1,248 @@
+#include "lavenderkeel/http/message_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+#include <type_traits>
+#include <utility>
+
+namespace lavenderkeel {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kHttp11 = 11;
+
+std::string_view View(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+template <typename Head>
+class MessageReader<Head>::Parser final
+    : public http::basic_parser<std::is_same_v<Head, RequestHead>> {
+ public:
+  static constexpr bool kIsRequest = std::is_same_v<Head, RequestHead>;
+  using Base = http::basic_parser<kIsRequest>;
+
+  explicit Parser(ReadLimits limits) : body_limit_(limits.body_bytes) {
+    this->eager(true);
+    this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    // Counted here, so that a body over the limit is told from a bad one.
+    this->body_limit(boost::none);
+  }
+
+  size_t Feed(std::string_view bytes) {
+    if (fault_ != ReadFault::kNone || this->is_done() || bytes.empty()) {
+      return 0;
+    }
+    started_ = true;
+    beast::error_code error;
+    const size_t consumed =
+        this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    Note(error);
+    return consumed;
+  }
+
+  void FeedEnd() {
+    if (this->is_done() || fault_ != ReadFault::kNone) {
+      return;
+    }
+    beast::error_code error;
+    if (this->got_some() && this->need_eof()) {
+      this->put_eof(error);
+      Note(error);
+      return;
+    }
+    fault_ = ReadFault::kCutShort;
+  }
+
+  ReadFault fault() const { return fault_; }
+  bool started() const { return started_; }
+  const Head& head() const { return head_; }
+  std::string TakeBody() { return std::exchange(body_, {}); }
+  size_t body_size() const { return body_total_; }
+
+ private:
+  void Note(const beast::error_code& error) {
+    if (!error || error == http::error::need_more ||
+        fault_ != ReadFault::kNone) {
+      return;
+    }
+    fault_ = error == http::error::header_limit ? ReadFault::kHeadTooLarge
+             : error == http::error::partial_message ? ReadFault::kCutShort
+                                                     : ReadFault::kMalformed;
+  }
+
+  void on_request_impl(http::verb,
+                       beast::string_view method,
+                       beast::string_view target,
+                       int version,
+                       beast::error_code& error) override {
+    if constexpr (kIsRequest) {
+      head_.method = View(method);
+      head_.target = View(target);
+    }
+    OnVersion(version, error);
+  }
+
+  void on_response_impl(int code,
+                        beast::string_view reason,
+                        int version,
+                        beast::error_code& error) override {
+    if constexpr (!kIsRequest) {
+      head_.status = code;
+      head_.reason = View(reason);
+    }
+    OnVersion(version, error);
+  }
+
+  void OnVersion(int version, beast::error_code& error) {
+    version_ = version;
+    if (kIsRequest && version != kHttp11) {
+      error = http::error::bad_version;
+    }
+  }
+
+  void on_field_impl(http::field field,
+                     beast::string_view name,
+                     beast::string_view value,
+                     beast::error_code& error) override {
+    if (head_done_) {
+      return;  // A trailer; what it says is not part of the head.
+    }
+    hosts_ += field == http::field::host ? 1 : 0;
+    lengths_ += field == http::field::content_length ? 1 : 0;
+    if (field == http::field::transfer_encoding) {
+      ++codings_;
+      if (!SameFieldName(View(value), "chunked")) {
+        error = http::error::bad_transfer_encoding;
+      }
+    }
+    head_.fields.push_back(
+        {.name = std::string(View(name)), .value = std::string(View(value))});
+  }
+
+  void on_header_impl(beast::error_code& error) override {
+    head_done_ = true;
+    const bool ambiguous =
+        lengths_ > 1 || codings_ > 1 || (lengths_ > 0 && codings_ > 0);
+    if (ambiguous || (kIsRequest && hosts_ != 1)) {
+      error = http::error::bad_field;
+      return;
+    }
+    head_.keep_alive = this->keep_alive();
+  }
+
+  void on_body_init_impl(boost::optional<std::uint64_t> const& length,
+                         beast::error_code& error) override {
+    if (length.has_value() && *length > body_limit_) {
+      fault_ = ReadFault::kBodyTooLarge;
+      error = http::error::body_limit;
+      return;
+    }
+    if constexpr (!kIsRequest) {
+      head_.framing = this->chunked()   ? BodyFraming::kChunked
+                      : this->need_eof() ? BodyFraming::kUntilClose
+                      : length.has_value() ? BodyFraming::kLength
+                                           : BodyFraming::kNone;
+    }
+  }
+
+  size_t on_body_impl(beast::string_view body,
+                      beast::error_code& error) override {
+    return OnBody(body, error);
+  }
+
+  void on_chunk_header_impl(std::uint64_t,
+                            beast::string_view,
+                            beast::error_code&) override {}
+
+  size_t on_chunk_body_impl(std::uint64_t,
+                            beast::string_view body,
+                            beast::error_code& error) override {
+    return OnBody(body, error);
+  }
+
+  void on_finish_impl(beast::error_code&) override {}
+
+  size_t OnBody(beast::string_view body, beast::error_code& error) {
+    body_total_ += body.size();
+    if (body_total_ > body_limit_) {
+      fault_ = ReadFault::kBodyTooLarge;
+      error = http::error::body_limit;
+      return 0;
+    }
+    body_.append(body.data(), body.size());
+    return body.size();
+  }
+
+  uint64_t body_limit_;
+  Head head_;
+  std::string body_;
+  size_t body_total_ = 0;
+  int version_ = 0;
+  int hosts_ = 0;
+  int lengths_ = 0;
+  int codings_ = 0;
+  bool head_done_ = false;
+  bool started_ = false;
+  ReadFault fault_ = ReadFault::kNone;
+};
+
+template <typename Head>
+MessageReader<Head>::MessageReader(ReadLimits limits)
+    : parser_(std::make_unique<Parser>(limits)) {}
+template <typename Head>
+MessageReader<Head>::~MessageReader() = default;
+template <typename Head>
+MessageReader<Head>::MessageReader(MessageReader&&) noexcept = default;
+template <typename Head>
+MessageReader<Head>& MessageReader<Head>::operator=(MessageReader&&) noexcept =
+    default;
+
+template <typename Head>
+size_t MessageReader<Head>::Feed(std::string_view bytes) {
+  return parser_->Feed(bytes);
+}
+template <typename Head>
+void MessageReader<Head>::FeedEnd() {
+  parser_->FeedEnd();
+}
+template <typename Head>
+bool MessageReader<Head>::head_done() const {
+  return parser_->is_header_done() && fault() == ReadFault::kNone;
+}
+template <typename Head>
+bool MessageReader<Head>::done() const {
+  return parser_->is_done() && fault() == ReadFault::kNone;
+}
+template <typename Head>
+ReadFault MessageReader<Head>::fault() const {
+  return parser_->fault();
+}
+template <typename Head>
+bool MessageReader<Head>::started() const {
+  return parser_->started();
+}
+template <typename Head>
+const Head& MessageReader<Head>::head() const {
+  return parser_->head();
+}
+template <typename Head>
+std::string MessageReader<Head>::TakeBody() {
+  return parser_->TakeBody();
+}
+template <typename Head>
+size_t MessageReader<Head>::body_size() const {
+  return parser_->body_size();
+}
+
+template class MessageReader<RequestHead>;
+template class MessageReader<ResponseHead>;
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -0,0 +1,254 @@
+#include "lavenderkeel/io/forward_daemon.h"
+
+#include <sys/time.h>
+
+#include <csignal>
+#include <ctime>
+#include <random>
+#include <utility>
+
+#include "lavenderkeel/io/daemon_main.h"
+#include "lavenderkeel/io/node_wiring.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+/// A suspended machine's steady clock stands still; boot time goes on. Shorter
+/// pauses change nothing that is believed here.
+constexpr Duration kLeastSuspension = std::chrono::milliseconds(300);
+
+/// How long the balancer goes on sending new clients after the first refused
+/// readiness question: it asks once a second and needs two refusals.
+constexpr Duration kRotationTime = std::chrono::milliseconds(2700);
+
+/// Before the process would be killed, what is left is ended in order.
+constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+
+Duration BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::nanoseconds(now.tv_nsec));
+}
+
+}  // namespace
+
+class ForwardDaemon::Port final : public ForwardPort {
+ public:
+  explicit Port(ForwardDaemon& daemon) : daemon_(daemon) {}
+
+  void Respond(ExchangeId exchange,
+               const ResponseHead& head,
+               std::string_view body) override {
+    daemon_.clients_.Respond(exchange, head, body);
+  }
+  void RespondHead(ExchangeId exchange, const ResponseHead& head) override {
+    daemon_.clients_.RespondHead(exchange, head);
+  }
+  void RespondPart(ExchangeId exchange, std::string_view bytes) override {
+    daemon_.clients_.RespondPart(exchange, bytes);
+  }
+  void RespondEnd(ExchangeId exchange) override {
+    daemon_.clients_.RespondEnd(exchange);
+  }
+  void Abort(ExchangeId exchange) override { daemon_.clients_.Abort(exchange); }
+  void Send(AttemptId attempt, Sending sending) override {
+    daemon_.upstream_.Send(attempt, sending);
+  }
+  void Cancel(AttemptId attempt) override { daemon_.upstream_.Cancel(attempt); }
+
+ private:
+  ForwardDaemon& daemon_;
+};
+
+ForwardDaemon::ForwardDaemon(ForwardSettings settings,
+                             const MakeSource& make_source,
+                             ForwardCodec codec,
+                             const EventLog& log)
+    : settings_(std::move(settings)),
+      log_(log),
+      http_client_(loop_),
+      port_(std::make_unique<Port>(*this)),
+      node_(settings_.node,
+            settings_.self,
+            make_source(http_client_),
+            std::move(codec),
+            *port_,
+            clock_,
+            std::random_device()(),
+            log,
+            metrics_),
+      peers_(loop_, {}, node_.members().self(), log),
+      clients_(
+          loop_,
+          clock_,
+          {.on_request =
+               [this](ExchangeId exchange, RequestHead head,
+                      std::string body) {
+                 node_.controller().OnRequest(exchange, std::move(head),
+                                              std::move(body));
+               },
+           .on_bad_request =
+               [this](ExchangeId exchange, ResultCode code) {
+                 node_.controller().OnBadRequest(exchange, code);
+               },
+           .on_gone =
+               [this](ExchangeId exchange) {
+                 node_.controller().OnClientGone(exchange);
+               },
+           .limits =
+               [this] {
+                 const auto& table = node_.controller().table();
+                 return table == nullptr ? ClientLimits() : table->limits();
+               }}),
+      upstream_(loop_,
+                {},
+                clock_,
+                {.on_head =
+                     [this](AttemptId attempt, const ResponseHead& head,
+                            bool fresh) {
+                       return node_.controller().OnAnswerHead(attempt, head,
+                                                              fresh);
+                     },
+                 .on_part =
+                     [this](AttemptId attempt, std::string bytes) {
+                       return node_.controller().OnAnswerPart(
+                           attempt, std::move(bytes));
+                     },
+                 .on_end =
+                     [this](AttemptId attempt) {
+                       node_.controller().OnAnswerEnd(attempt);
+                     },
+                 .on_failed =
+                     [this](AttemptId attempt, AttemptFailure failure) {
+                       node_.controller().OnAttemptFailed(attempt, failure);
+                     }}),
+      status_(loop_,
+              {},
+              {.on_request =
+                   [this](const HttpRequest& request) {
+                     OnStatusRequest(request);
+                   },
+               .on_drained = [](CallerId) {},
+               .on_gone = [](CallerId) {},
+               .on_too_large = [](CallerId) {}}) {
+  WirePeers(peers_, node_, [this] { Settle(); });
+}
+
+ForwardDaemon::~ForwardDaemon() = default;
+
+int ForwardDaemon::Run(const std::string& ready_file) {
+  const auto peers = peers_.Listen(settings_.listen_peers);
+  const auto clients = clients_.Listen(settings_.listen_clients);
+  const auto status = status_.Listen(settings_.listen_status);
+  if (!peers.has_value() || !clients.has_value() || !status.has_value()) {
+    log_.Write(LogLevel::kError, "cannot_listen",
+               {{"clients", settings_.listen_clients},
+                {"status", settings_.listen_status},
+                {"peers", settings_.listen_peers}});
+    return 1;
+  }
+  if (node_.members().self().address.empty()) {
+    node_.members().set_address(*peers);
+  }
+  suspended_ = BootTime() - clock_.Now().time_since_epoch();
+  loop_.OnSignal(SIGTERM, [this] { OnLeave(); });
+  loop_.OnSignal(SIGINT, [this] { OnLeave(); });
+  // The settings are read at start only; a change of them must not end us.
+  loop_.OnSignal(SIGHUP, [this] { log_.Info("reload", {{"changed", "no"}}); });
+  loop_.Every(std::chrono::milliseconds(kTickMilliseconds),
+              [this] { OnTick(); });
+  log_.Info("start", {{"instance", settings_.self.id.ToString()},
+                      {"data_centre", settings_.self.data_centre},
+                      {"clients", *clients},
+                      {"status", *status},
+                      {"peers", *peers},
+                      {"version", kVersion}});
+  WriteReadyFile(ready_file, {{"clients", *clients},
+                              {"status", *status},
+                              {"peers", *peers}});
+  node_.Start();
+  Settle();
+  loop_.Run();
+  log_.Info("stop", {{"instance", settings_.self.id.ToString()},
+                     {"open", node_.controller().open()}});
+  return 0;
+}
+
+void ForwardDaemon::OnLeave() {
+  if (node_.leaving()) {
+    return;
+  }
+  log_.Info("leave", {{"open", node_.controller().open()},
+                      {"connections", clients_.connections()}});
+  left_at_ = clock_.Now();
+  clients_.set_leaving();
+  node_.Leave();
+  Settle();
+}
+
+void ForwardDaemon::NoticeFreeze() {
+  const Duration suspended = BootTime() - clock_.Now().time_since_epoch();
+  if (suspended - suspended_ > kLeastSuspension) {
+    node_.OnFreeze();
+  }
+  suspended_ = suspended;
+}
+
+void ForwardDaemon::OnTick() {
+  NoticeFreeze();
+  clients_.Tick();
+  upstream_.Tick();
+  node_.Tick();
+  peers_.Tick(clock_.Now());
+  Settle();
+  if (!node_.leaving()) {
+    return;
+  }
+  const Duration since = clock_.Now() - left_at_;
+  const bool idle = clients_.busy() == 0 && node_.controller().open() == 0;
+  if ((idle && since > kRotationTime) ||
+      since > settings_.stop_time - kStopMargin) {
+    clients_.StopListening();
+    loop_.Stop();
+  }
+}
+
+void ForwardDaemon::OnStatusRequest(const HttpRequest& request) {
+  ReplyWhole reply{.caller = request.id};
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  if (request.path == "/metrics") {
+    metrics_.Set("open_requests",
+                 static_cast<double>(node_.controller().open()));
+    metrics_.Set("waiting_requests",
+                 static_cast<double>(node_.controller().waiting()));
+    metrics_.Set("client_connections",
+                 static_cast<double>(clients_.connections()));
+    metrics_.Set("server_connects", static_cast<double>(upstream_.connects()));
+    metrics_.Set("server_connection_reuses",
+                 static_cast<double>(upstream_.reuses()));
+    metrics_.Set("store_calls", static_cast<double>(node_.store_calls()));
+    reply.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    reply.body = metrics_.ToPrometheus();
+  } else if (request.path == settings_.ready_path) {
+    reply.status = node_.ready() ? 200 : kUnavailable;
+  } else {
+    reply.status = kNotFound;
+  }
+  status_.Handle(std::move(reply));
+}
+
+void ForwardDaemon::Settle() {
+  runner_.Run(node_.outbox(), [this](auto& action) {
+    using T = std::decay_t<decltype(action)>;
+    if constexpr (std::is_same_v<T, SendMessage> ||
+                  std::is_same_v<T, CloseLink> || std::is_same_v<T, Dial>) {
+      peers_.Handle(action);
+    }
+  });
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/forward_settings.cc
@@ -0,0 +1,113 @@
+#include "lavenderkeel/io/forward_settings.h"
+
+#include <algorithm>
+
+#include "lavenderkeel/config/json_reader.h"
+#include "lavenderkeel/io/internal/settings_fields.h"
+
+namespace lavenderkeel {
+
+using internal::CheckFaults;
+using internal::ObjectOrEmpty;
+using internal::ReadAddress;
+using internal::ReadCount;
+using internal::ReadDuration;
+using internal::ReadLogLevel;
+using internal::ReadSeeds;
+
+namespace {
+
+/// Seconds, which may have a fraction; what `target` has is the default.
+void ReadSeconds(JsonReader& reader,
+                 const std::string& name,
+                 Duration& target) {
+  const double seconds =
+      reader.Real(name, std::chrono::duration<double>(target).count());
+  if (seconds <= 0) {
+    reader.Fault(name, "must be above zero");
+    return;
+  }
+  target = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+void ReadListen(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
+  JsonReader listen(ObjectOrEmpty(reader, "listen"), "/listen", faults);
+  settings.listen_clients = ReadAddress(listen, "clients");
+  settings.listen_status = ReadAddress(listen, "status");
+  settings.listen_peers = ReadAddress(listen, "peers");
+  settings.self.address =
+      ReadAddress(listen, "advertise", /*required=*/false);
+  settings.ready_path =
+      listen.String("ready_path", {.otherwise = settings.ready_path});
+  listen.RejectUnknown();
+}
+
+void ReadLimits(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
+  JsonReader limits(ObjectOrEmpty(reader, "limits"), "/limits", faults);
+  uint64_t memory_mb = 0;
+  ReadCount(limits, "memory_mb", memory_mb, 0);
+  if (memory_mb > 0) {
+    // The same bytes stand up to twice in socket buffers beside the copy kept
+    // for a retry, and the process itself needs some 20 MB.
+    constexpr uint64_t kPartForBodies = 6;
+    settings.node.controller.held_body_bytes =
+        (memory_mb << 20) / kPartForBodies;
+  }
+  limits.RejectUnknown();
+}
+
+void ReadBounds(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
+  JsonReader bounds(ObjectOrEmpty(reader, "bounds"), "/bounds", faults);
+  ReadSeconds(bounds, "stop_s", settings.stop_time);
+  ForwardController::Options& controller = settings.node.controller;
+  ReadSeconds(bounds, "retry_window_s", controller.retries.window);
+  controller.retries.ratio =
+      bounds.Real("retry_ratio", controller.retries.ratio);
+  controller.retry_extra =
+      bounds.Real("retry_extra", controller.retry_extra);
+  bounds.RejectUnknown();
+}
+
+void ReadTuning(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
+  JsonReader tuning(ObjectOrEmpty(reader, "tuning"), "/tuning", faults);
+  ForwardNode::Options& node = settings.node;
+  ReadDuration(tuning, "status_period_ms", node.status_period);
+  ReadDuration(tuning, "watch_wait_ms", node.watch.wait);
+  Placement::Options& placement = node.controller.placement;
+  placement.places_per_slot =
+      tuning.Real("places_per_slot", placement.places_per_slot);
+  placement.places_per_plain_slot =
+      tuning.Real("places_per_plain_slot", placement.places_per_plain_slot);
+  tuning.RejectUnknown();
+}
+
+}  // namespace
+
+leaf::result<ForwardSettings> ParseForwardSettings(const std::string& text) {
+  BOOST_LEAF_AUTO(value, ParseJson(text));
+  Faults faults;
+  JsonReader reader(value, "", faults);
+  ForwardSettings settings;
+  settings.self.id.instance = reader.String("instance", {.required = true});
+  settings.self.role = Role::kEntry;
+  settings.self.data_centre =
+      reader.String("data_centre", {.required = true});
+  settings.self.region = reader.String("region");
+  settings.store = ReadAddress(reader, "store");
+  settings.node.seeds = ReadSeeds(reader);
+  ReadListen(reader, settings, faults);
+  ReadLimits(reader, settings, faults);
+  ReadBounds(reader, settings, faults);
+  ReadTuning(reader, settings, faults);
+  JsonReader log(ObjectOrEmpty(reader, "log"), "/log", faults);
+  settings.log_level = ReadLogLevel(log);
+  log.RejectUnknown();
+  reader.RejectUnknown();
+  BOOST_LEAF_CHECK(CheckFaults(faults));
+  settings.node.controller.placement.entry = settings.self.id.instance;
+  settings.node.controller.placement.data_centre = settings.self.data_centre;
+  return settings;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/internal/settings_fields.cc
@@ -0,0 +1,80 @@
+#include "lavenderkeel/io/internal/settings_fields.h"
+
+#include <boost/json.hpp>
+
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel::internal {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr uint64_t kDayMs = uint64_t{24} * 3600 * 1000;
+
+}  // namespace
+
+const json::value& ObjectOrEmpty(JsonReader& reader, const std::string& name) {
+  static const json::value empty = json::object();
+  const json::value* value = reader.Raw(name);
+  return value == nullptr ? empty : *value;
+}
+
+std::string ReadAddress(JsonReader& reader,
+                        const std::string& name,
+                        bool required) {
+  std::string text = reader.String(name, {.required = required});
+  if (!text.empty() && !Address::Parse(text).has_value()) {
+    reader.Fault(name, "must be an IP number and a port");
+  }
+  return text;
+}
+
+void ReadDuration(JsonReader& reader,
+                  const std::string& name,
+                  Duration& target,
+                  uint64_t least_ms) {
+  const uint64_t milliseconds = reader.Number(
+      name, {.otherwise = static_cast<uint64_t>(ToMilliseconds(target)),
+             .least = least_ms,
+             .most = kDayMs});
+  target = std::chrono::milliseconds(milliseconds);
+}
+
+LogLevel ReadLogLevel(JsonReader& log) {
+  const std::string level = log.String("level", {.otherwise = "info"});
+  if (level == "debug") {
+    return LogLevel::kDebug;
+  }
+  if (level == "warning") {
+    return LogLevel::kWarning;
+  }
+  if (level == "error") {
+    return LogLevel::kError;
+  }
+  if (level != "info") {
+    log.Fault("level", "must be debug, info, warning or error");
+  }
+  return LogLevel::kInfo;
+}
+
+std::vector<std::string> ReadSeeds(JsonReader& reader) {
+  std::vector<std::string> seeds = reader.Strings("seeds");
+  for (size_t i = 0; i < seeds.size(); ++i) {
+    if (!Address::Parse(seeds[i]).has_value()) {
+      reader.Fault("seeds/" + std::to_string(i),
+                   "must be an IP number and a port");
+    }
+  }
+  return seeds;
+}
+
+leaf::result<void> CheckFaults(const Faults& faults) {
+  if (!faults.empty()) {
+    return leaf::new_error(
+        Failure{ResultCode::kSettingsInvalid, JoinFaults(faults)});
+  }
+  return {};
+}
+
+}  // namespace lavenderkeel::internal
--- /dev/null
+++ b/lavenderkeel/io/internal/settings_fields.h
@@ -0,0 +1,53 @@
+#ifndef LAVENDERKEEL_IO_INTERNAL_SETTINGS_FIELDS_H_
+#define LAVENDERKEEL_IO_INTERNAL_SETTINGS_FIELDS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/config/json_reader.h"
+
+// Fields that several kinds of settings files share.
+namespace lavenderkeel::internal {
+
+/// A nested object; an empty one if it is missing.
+const boost::json::value& ObjectOrEmpty(JsonReader& reader,
+                                        const std::string& name);
+
+/// "IP:PORT"; empty if it is missing and not required.
+std::string ReadAddress(JsonReader& reader,
+                        const std::string& name,
+                        bool required = true);
+
+/// Whole milliseconds; what `target` has is the default.
+void ReadDuration(JsonReader& reader,
+                  const std::string& name,
+                  Duration& target,
+                  uint64_t least_ms = 1);
+
+/// A whole number; what `target` has is the default.
+template <typename Number>
+void ReadCount(JsonReader& reader,
+               const std::string& name,
+               Number& target,
+               uint64_t least = 1) {
+  constexpr uint64_t kMost = 1'000'000'000;
+  target = static_cast<Number>(reader.Number(
+      name, {.otherwise = static_cast<uint64_t>(target),
+             .least = least,
+             .most = kMost}));
+}
+
+/// The field "level" of the object "log".
+LogLevel ReadLogLevel(JsonReader& log);
+
+std::vector<std::string> ReadSeeds(JsonReader& reader);
+
+/// kSettingsInvalid with all faults, if there are any.
+leaf::result<void> CheckFaults(const Faults& faults);
+
+}  // namespace lavenderkeel::internal
+
+#endif  // LAVENDERKEEL_IO_INTERNAL_SETTINGS_FIELDS_H_
--- a/lavenderkeel/io/settings.cc
+++ b/lavenderkeel/io/settings.cc
@@ -1,71 +1,25 @@
 #include "lavenderkeel/io/settings.h"
 
-#include <boost/json.hpp>
 #include <utility>
 
 #include "lavenderkeel/config/json_reader.h"
-#include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/internal/settings_fields.h"
 
 namespace lavenderkeel {
 
-namespace json = boost::json;
+using internal::CheckFaults;
+using internal::ObjectOrEmpty;
+using internal::ReadAddress;
+using internal::ReadCount;
+using internal::ReadDuration;
+using internal::ReadLogLevel;
+using internal::ReadSeeds;
 
 namespace {
 
-constexpr uint64_t kDayMs = uint64_t{24} * 3600 * 1000;
-
-/// Nested objects that may be missing altogether.
-const json::value& ObjectOrEmpty(JsonReader& reader, const std::string& name) {
-  static const json::value empty = json::object();
-  const json::value* value = reader.Raw(name);
-  return value == nullptr ? empty : *value;
-}
-
-std::string ReadAddress(JsonReader& reader,
-                        const std::string& name,
-                        bool required = true) {
-  std::string text = reader.String(name, {.required = required});
-  if (!text.empty() && !Address::Parse(text).has_value()) {
-    reader.Fault(name, "must be an IP number and a port");
-  }
-  return text;
-}
-
-void ReadDuration(JsonReader& reader,
-                  const std::string& name,
-                  Duration& target,
-                  uint64_t least_ms = 1) {
-  const uint64_t milliseconds = reader.Number(
-      name, {.otherwise = static_cast<uint64_t>(ToMilliseconds(target)),
-             .least = least_ms,
-             .most = kDayMs});
-  target = std::chrono::milliseconds(milliseconds);
-}
-
-template <typename Number>
-void ReadCount(JsonReader& reader,
-               const std::string& name,
-               Number& target,
-               uint64_t least = 1) {
-  constexpr uint64_t kMost = 1'000'000'000;
-  target = static_cast<Number>(reader.Number(
-      name, {.otherwise = target, .least = least, .most = kMost}));
-}
-
 void ReadLog(JsonReader& reader, CommonSettings& common, Faults& faults) {
   JsonReader log(ObjectOrEmpty(reader, "log"), "/log", faults);
-  const std::string level = log.String("level", {.otherwise = "info"});
-  if (level == "debug") {
-    common.log_level = LogLevel::kDebug;
-  } else if (level == "info") {
-    common.log_level = LogLevel::kInfo;
-  } else if (level == "warning") {
-    common.log_level = LogLevel::kWarning;
-  } else if (level == "error") {
-    common.log_level = LogLevel::kError;
-  } else {
-    log.Fault("level", "must be debug, info, warning or error");
-  }
+  common.log_level = ReadLogLevel(log);
   common.log_file = log.String("file");
   log.RejectUnknown();
 }
@@ -81,17 +35,6 @@
   return common;
 }
 
-std::vector<std::string> ReadSeeds(JsonReader& reader) {
-  std::vector<std::string> seeds = reader.Strings("seeds");
-  for (size_t i = 0; i < seeds.size(); ++i) {
-    if (!Address::Parse(seeds[i]).has_value()) {
-      reader.Fault("seeds/" + std::to_string(i),
-                   "must be an IP number and a port");
-    }
-  }
-  return seeds;
-}
-
 void ReadMemberTuning(JsonReader& tuning, MemberTable::Options& members) {
   ReadDuration(tuning, "heartbeat_period_ms", members.heartbeat_period);
   ReadDuration(tuning, "entry_heartbeat_period_ms",
@@ -139,14 +82,6 @@
   ReadDuration(tuning, "key_retention_ms", gate.runs.retention);
 }
 
-leaf::result<void> Check(const Faults& faults) {
-  if (!faults.empty()) {
-    return leaf::new_error(
-        Failure{ResultCode::kSettingsInvalid, JoinFaults(faults)});
-  }
-  return {};
-}
-
 }  // namespace
 
 leaf::result<EntrySettings> ParseEntrySettings(const std::string& text) {
@@ -167,7 +102,7 @@
   ReadEntryTuning(tuning, settings);
   tuning.RejectUnknown();
   reader.RejectUnknown();
-  BOOST_LEAF_CHECK(Check(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults));
   return settings;
 }
 
@@ -200,7 +135,7 @@
   ReadAgentTuning(tuning, settings.node);
   tuning.RejectUnknown();
   reader.RejectUnknown();
-  BOOST_LEAF_CHECK(Check(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults));
   return settings;
 }
 
--- /dev/null
+++ b/lavenderkeel/io/upstream_port.cc
@@ -0,0 +1,362 @@
+#include "lavenderkeel/io/upstream_port.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "lavenderkeel/http/message_reader.h"
+#include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/socket_options.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+/// The `timeout` of a Keep-Alive field, in whole seconds.
+std::optional<Duration> KeepAliveTime(const ResponseHead& head) {
+  const std::string* field = FindField(head.fields, "Keep-Alive");
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at =
+      field == nullptr ? std::string::npos : field->find(kTimeout);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const char* begin = field->data() + at + kTimeout.size();
+  int64_t seconds = 0;
+  const auto [end, error] =
+      std::from_chars(begin, field->data() + field->size(), seconds);
+  if (error != std::errc() || end == begin) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+struct UpstreamPort::Connection {
+  Connection(UpstreamPort& port_in, ConnectionId id_in, ReadLimits limits)
+      : port(port_in), id(id_in), reader(limits) {}
+  ~Connection() {
+    if (events != nullptr) {
+      bufferevent_free(events);
+    }
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  UpstreamPort& port;
+  ConnectionId id;
+  std::string address;
+  bufferevent* events = nullptr;
+  ResponseReader reader;
+  AttemptId attempt = 0;
+  bool connected = false;
+  /// No answer has come on it yet.
+  bool fresh = true;
+  bool head_taken = false;
+  /// The present message answers another request and is read past.
+  bool skipping = false;
+  TimePoint connecting_since;
+  TimePoint idle_since;
+  Duration idle_time{};
+};
+
+UpstreamPort::UpstreamPort(EventLoop& loop,
+                           Options options,
+                           const Clock& clock,
+                           Hooks hooks)
+    : loop_(loop),
+      options_(options),
+      clock_(clock),
+      hooks_(std::move(hooks)) {}
+
+UpstreamPort::~UpstreamPort() = default;
+
+void UpstreamPort::Send(AttemptId attempt,
+                        const ForwardPort::Sending& sending) {
+  Connection* connection = TakeIdle(sending.address, sending.reuse_within);
+  if (connection == nullptr) {
+    connection = Connect(sending.address);
+  }
+  if (connection == nullptr) {
+    // Reported later, since the controller is in the middle of sending.
+    loop_.Defer([this, attempt] {
+      hooks_.on_failed(attempt, AttemptFailure::kNotConnected);
+    });
+    return;
+  }
+  connection->attempt = attempt;
+  connection->head_taken = false;
+  connection->skipping = false;
+  connection->reader = ResponseReader({.head_bytes = options_.head_bytes,
+                                       .body_bytes = options_.body_bytes});
+  attempts_[attempt] = connection->id;
+  bufferevent_write(connection->events, sending.bytes.data(),
+                    sending.bytes.size());
+}
+
+UpstreamPort::Connection* UpstreamPort::TakeIdle(const std::string& address,
+                                                 Duration reuse_within) {
+  const auto idle = idle_.find(address);
+  if (idle == idle_.end() || idle->second.empty()) {
+    return nullptr;
+  }
+  Connection& latest = *connections_.at(idle->second.back());
+  const Duration age = clock_.Now() - latest.idle_since;
+  if (age > std::min(reuse_within, latest.idle_time)) {
+    return nullptr;
+  }
+  idle->second.pop_back();
+  ++reuses_;
+  return &latest;
+}
+
+UpstreamPort::Connection* UpstreamPort::Connect(const std::string& text) {
+  const std::optional<Address> address = Address::Parse(text);
+  if (!address.has_value()) {
+    return nullptr;
+  }
+  ++connects_;
+  const ConnectionId id = ++last_;
+  auto connection = std::make_unique<Connection>(*this, id, ReadLimits());
+  connection->address = text;
+  connection->connecting_since = clock_.Now();
+  connection->events =
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      connection->events,
+      [](bufferevent*, void* arg) {
+        auto& self = *static_cast<Connection*>(arg);
+        self.port.OnReadable(self);
+      },
+      nullptr,
+      [](bufferevent*, short what, void* arg) {
+        auto& self = *static_cast<Connection*>(arg);
+        self.port.OnEvent(self, what);
+      },
+      connection.get());
+  sockaddr_storage storage{};
+  const socklen_t length = address->ToSocketAddress(storage);
+  Connection& result = *connection;
+  connections_[id] = std::move(connection);
+  const int started = bufferevent_socket_connect(
+      result.events, reinterpret_cast<sockaddr*>(&storage),
+      static_cast<int>(length));
+  if (started != 0 || !connections_.contains(id)) {
+    connections_.erase(id);
+    return nullptr;
+  }
+  SetStreamOptions(bufferevent_getfd(result.events));
+  bufferevent_enable(result.events, EV_READ | EV_WRITE);
+  return &result;
+}
+
+void UpstreamPort::OnEvent(Connection& connection, short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connection.connected = true;
+    return;
+  }
+  const ConnectionId id = connection.id;
+  if (connection.attempt == 0) {
+    Close(id);
+    return;
+  }
+  if (!connection.connected) {
+    FailAndClose(id, AttemptFailure::kNotConnected);
+    return;
+  }
+  // An orderly close may end an answer without a length; a reset may not.
+  if ((what & BEV_EVENT_EOF) != 0) {
+    OnReadable(connection);
+    if (!connections_.contains(id) || connection.attempt == 0) {
+      return;
+    }
+    connection.reader.FeedEnd();
+    if (connection.head_taken && !connection.skipping &&
+        connection.reader.done()) {
+      const AttemptId attempt = connection.attempt;
+      attempts_.erase(attempt);
+      Close(id);
+      hooks_.on_end(attempt);
+      return;
+    }
+  }
+  FailAndClose(id, AttemptFailure::kBroken);
+}
+
+void UpstreamPort::OnReadable(Connection& connection) {
+  const ConnectionId id = connection.id;
+  if (connection.attempt == 0) {
+    // Bytes that nobody asked for: what follows on it can't be trusted.
+    Close(id);
+    return;
+  }
+  while (ReadOn(connection)) {
+  }
+}
+
+bool UpstreamPort::ReadOn(Connection& connection) {
+  evbuffer* input = bufferevent_get_input(connection.events);
+  const size_t length = evbuffer_get_length(input);
+  if (length == 0) {
+    return false;
+  }
+  const ConnectionId id = connection.id;
+  const std::string_view bytes(
+      reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
+  ResponseReader& reader = connection.reader;
+  const size_t consumed = reader.Feed(bytes);
+  evbuffer_drain(input, consumed);
+  if (reader.fault() != ReadFault::kNone) {
+    FailAndClose(id, AttemptFailure::kBroken);
+    return false;
+  }
+  if (reader.head_done() && !connection.head_taken && !TakeHead(connection)) {
+    return false;
+  }
+  if (std::string part = reader.TakeBody();
+      !part.empty() && !connection.skipping) {
+    if (!hooks_.on_part(connection.attempt, std::move(part))) {
+      Close(id);
+      return false;
+    }
+    if (!connections_.contains(id)) {
+      return false;
+    }
+  }
+  if (!reader.done()) {
+    return consumed > 0 && evbuffer_get_length(input) > 0;
+  }
+  if (connection.skipping) {
+    connection.skipping = false;
+    connection.head_taken = false;
+    connection.fresh = false;
+    reader = ResponseReader({.head_bytes = options_.head_bytes,
+                             .body_bytes = options_.body_bytes});
+    return true;
+  }
+  OnComplete(connection);
+  return false;
+}
+
+bool UpstreamPort::TakeHead(Connection& connection) {
+  const ResponseHead& head = connection.reader.head();
+  connection.head_taken = true;
+  if (head.status < kFirstFinalStatus) {
+    connection.skipping = true;
+    return true;
+  }
+  const ConnectionId id = connection.id;
+  switch (hooks_.on_head(connection.attempt, head, connection.fresh)) {
+    case ForwardController::HeadVerdict::kTake:
+      return connections_.contains(id);
+    case ForwardController::HeadVerdict::kSkip:
+      connection.skipping = true;
+      return true;
+    case ForwardController::HeadVerdict::kDrop:
+      Close(id);
+      return false;
+  }
+  return false;
+}
+
+void UpstreamPort::OnComplete(Connection& connection) {
+  const AttemptId attempt = connection.attempt;
+  const ResponseHead& head = connection.reader.head();
+  evbuffer* input = bufferevent_get_input(connection.events);
+  evbuffer* output = bufferevent_get_output(connection.events);
+  // A server may answer before it has read the whole request; the rest of it
+  // is still due then, so nothing else may be sent on this connection.
+  const bool reusable = head.keep_alive &&
+                        head.framing != BodyFraming::kUntilClose &&
+                        evbuffer_get_length(input) == 0 &&
+                        evbuffer_get_length(output) == 0;
+  attempts_.erase(attempt);
+  if (reusable) {
+    constexpr Duration kMargin = std::chrono::seconds(1);
+    connection.attempt = 0;
+    connection.fresh = false;
+    connection.idle_since = clock_.Now();
+    connection.idle_time = options_.idle_time;
+    if (const std::optional<Duration> bound = KeepAliveTime(head)) {
+      connection.idle_time =
+          std::min(connection.idle_time,
+                   std::max(Duration::zero(), *bound - kMargin));
+    }
+    idle_[connection.address].push_back(connection.id);
+  } else {
+    Close(connection.id);
+  }
+  hooks_.on_end(attempt);
+}
+
+void UpstreamPort::Cancel(AttemptId attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) {
+    Close(found->second);
+  }
+}
+
+void UpstreamPort::FailAndClose(ConnectionId id, AttemptFailure failure) {
+  const AttemptId attempt = connections_.at(id)->attempt;
+  Close(id);
+  hooks_.on_failed(attempt, failure);
+}
+
+void UpstreamPort::Close(ConnectionId id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  Connection& connection = *found->second;
+  if (connection.attempt != 0) {
+    attempts_.erase(connection.attempt);
+  } else if (const auto idle = idle_.find(connection.address);
+             idle != idle_.end()) {
+    std::erase(idle->second, id);
+    if (idle->second.empty()) {
+      idle_.erase(idle);
+    }
+  }
+  // The object lives until the event that led here is over.
+  bufferevent_setcb(connection.events, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_free(std::exchange(connection.events, nullptr));
+  auto dead = std::make_shared<std::unique_ptr<Connection>>(
+      std::move(found->second));
+  connections_.erase(found);
+  loop_.Defer([dead] {});
+}
+
+void UpstreamPort::Tick() {
+  const TimePoint now = clock_.Now();
+  std::vector<ConnectionId> overdue;
+  std::vector<ConnectionId> stale;
+  for (const auto& [id, connection] : connections_) {
+    const bool busy = connection->attempt != 0;
+    if (busy && !connection->connected &&
+        now - connection->connecting_since > options_.connect_timeout) {
+      overdue.push_back(id);
+    } else if (!busy &&
+               now - connection->idle_since > connection->idle_time) {
+      stale.push_back(id);
+    }
+  }
+  for (const ConnectionId id : stale) {
+    Close(id);
+  }
+  for (const ConnectionId id : overdue) {
+    if (connections_.contains(id)) {
+      FailAndClose(id, AttemptFailure::kNotConnected);
+    }
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/io/upstream_port.h
@@ -0,0 +1,98 @@
+#ifndef LAVENDERKEEL_IO_UPSTREAM_PORT_H_
+#define LAVENDERKEEL_IO_UPSTREAM_PORT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/attempt.h"
+#include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/forward/forward_port.h"
+#include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/io/event_loop.h"
+
+struct bufferevent;
+
+namespace lavenderkeel {
+
+/// Connections to backend servers, one request at a time on each.
+///
+/// An idle connection is kept only if nothing about it is in doubt: the answer
+/// ended exactly where its framing said, the request was written whole, and
+/// not a byte came after it.
+class UpstreamPort {
+ public:
+  struct Options {
+    /// A server that has not accepted by then is tried elsewhere. Twice the
+    /// longest round trip and a lost packet sent again.
+    Duration connect_timeout = std::chrono::milliseconds(400);
+    /// Idle connections are closed after this time, or a second before the
+    /// server says that it would.
+    Duration idle_time = std::chrono::seconds(8);
+    /// The most of a server's answer that its head may take, in bytes.
+    size_t head_bytes = size_t{32} << 10;
+    uint64_t body_bytes = uint64_t{64} << 20;
+  };
+
+  struct Hooks {
+    std::function<ForwardController::HeadVerdict(AttemptId,
+                                                 const ResponseHead&,
+                                                 bool fresh)>
+        on_head;
+    /// False if the attempt is not wanted any more.
+    std::function<bool(AttemptId, std::string bytes)> on_part;
+    std::function<void(AttemptId)> on_end;
+    std::function<void(AttemptId, AttemptFailure)> on_failed;
+  };
+
+  UpstreamPort(EventLoop& loop,
+               Options options,
+               const Clock& clock,
+               Hooks hooks);
+  ~UpstreamPort();
+  UpstreamPort(const UpstreamPort&) = delete;
+  UpstreamPort& operator=(const UpstreamPort&) = delete;
+
+  void Send(AttemptId attempt, const ForwardPort::Sending& sending);
+  void Cancel(AttemptId attempt);
+  /// Fails overdue connects and closes what is idle for too long.
+  void Tick();
+
+  uint64_t connects() const { return connects_; }
+  uint64_t reuses() const { return reuses_; }
+
+ private:
+  struct Connection;
+  using ConnectionId = uint64_t;
+
+  Connection* TakeIdle(const std::string& address, Duration reuse_within);
+  Connection* Connect(const std::string& address);
+  void OnReadable(Connection& connection);
+  /// False once the connection is gone or needs more bytes.
+  bool ReadOn(Connection& connection);
+  bool TakeHead(Connection& connection);
+  void OnComplete(Connection& connection);
+  void OnEvent(Connection& connection, short what);
+  void FailAndClose(ConnectionId id, AttemptFailure failure);
+  void Close(ConnectionId id);
+
+  EventLoop& loop_;
+  Options options_;
+  const Clock& clock_;
+  Hooks hooks_;
+  ConnectionId last_ = 0;
+  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<AttemptId, ConnectionId> attempts_;
+  /// By address, the latest used last.
+  std::map<std::string, std::vector<ConnectionId>> idle_;
+  uint64_t connects_ = 0;
+  uint64_t reuses_ = 0;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_IO_UPSTREAM_PORT_H_
--- /dev/null
+++ b/lavenderkeel/watch/object_watch.cc
@@ -0,0 +1,137 @@
+#include "lavenderkeel/watch/object_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderkeel {
+
+ObjectWatch::ObjectWatch(Options options,
+                         Hooks hooks,
+                         const Clock& clock,
+                         std::mt19937_64& random,
+                         const EventLog& log)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      clock_(clock),
+      random_(random),
+      log_(log),
+      backoff_(options_.retry) {}
+
+void ObjectWatch::Start() {
+  List({});
+}
+
+void ObjectWatch::Restart() {
+  must_list_ = true;
+  List({});
+}
+
+void ObjectWatch::List(const std::string& after_name) {
+  if (after_name.empty()) {
+    listed_.clear();
+  }
+  Read({.kind = ObjectRead::Kind::kList,
+        .object_kind = options_.object_kind,
+        .after_name = after_name,
+        .timeout = options_.list_timeout});
+}
+
+void ObjectWatch::Watch() {
+  Read({.kind = ObjectRead::Kind::kWatch,
+        .object_kind = options_.object_kind,
+        .revision = revision_,
+        .wait = options_.wait,
+        .timeout = options_.wait + options_.grace});
+}
+
+void ObjectWatch::Read(ObjectRead read) {
+  pending_ = ++last_call_;
+  pending_kind_ = read.kind;
+  hooks_.read(pending_, read);
+}
+
+void ObjectWatch::OnResult(uint64_t call, const ObjectReadResult& result) {
+  // Failure: the answer to a read from before a freeze or a reconnect comes
+  // after a newer one. Symptom: an object goes back to a former state. Only
+  // the answer to the last read counts.
+  if (call != pending_) {
+    return;
+  }
+  pending_ = 0;
+  switch (result.outcome) {
+    case ObjectReadResult::Outcome::kOk:
+      NoteAnswer();
+      if (pending_kind_ == ObjectRead::Kind::kList) {
+        OnListed(result);
+      } else {
+        OnChanges(result);
+      }
+      return;
+    case ObjectReadResult::Outcome::kHistoryGone:
+      log_.Info("watch_history_gone", {{"kind", options_.object_kind},
+                                       {"revision", revision_}});
+      must_list_ = true;
+      List({});
+      return;
+    case ObjectReadResult::Outcome::kRefused:
+      RetryLater("refused");
+      return;
+    case ObjectReadResult::Outcome::kNoAnswer:
+      RetryLater("no_answer");
+      return;
+  }
+}
+
+void ObjectWatch::NoteAnswer() {
+  backoff_.Reset();
+  if (std::exchange(outage_, false)) {
+    log_.Info("store_regained", {{"kind", options_.object_kind}});
+    hooks_.on_return();
+  }
+}
+
+void ObjectWatch::OnListed(const ObjectReadResult& result) {
+  const bool first_page = listed_.empty();
+  listed_.insert(listed_.end(), result.objects.begin(), result.objects.end());
+  // Later pages may show later changes; the watch goes on from the first, so
+  // that a change to an object of a page already read is not missed.
+  revision_ = first_page ? result.revision : revision_;
+  if (result.more && !result.objects.empty()) {
+    List(result.objects.back().name);
+    return;
+  }
+  must_list_ = false;
+  hooks_.on_list(std::exchange(listed_, {}));
+  Watch();
+}
+
+void ObjectWatch::OnChanges(const ObjectReadResult& result) {
+  for (const StoredObject& object : result.objects) {
+    hooks_.on_change(object);
+  }
+  revision_ = std::max(revision_, result.revision);
+  Watch();
+}
+
+void ObjectWatch::RetryLater(const char* why) {
+  if (!std::exchange(outage_, true)) {
+    log_.Warn("store_lost", {{"kind", options_.object_kind},
+                             {"why", why},
+                             {"revision", revision_}});
+    hooks_.on_outage();
+  }
+  retry_at_ = clock_.Now() + backoff_.Next(random_);
+}
+
+void ObjectWatch::Tick() {
+  if (pending_ != 0 || last_call_ == 0 || clock_.Now() < retry_at_) {
+    return;
+  }
+  if (must_list_) {
+    List({});
+  } else {
+    Watch();
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/watch/object_watch.h
@@ -0,0 +1,141 @@
+#ifndef LAVENDERKEEL_WATCH_OBJECT_WATCH_H_
+#define LAVENDERKEEL_WATCH_OBJECT_WATCH_H_
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/membership/backoff.h"
+
+namespace lavenderkeel {
+
+/// One object of the platform's store.
+struct StoredObject {
+  std::string name;
+  uint64_t revision = 0;
+  bool removed = false;
+  /// What its writer put there, as JSON text.
+  std::string content;
+
+  friend bool operator==(const StoredObject&, const StoredObject&) = default;
+};
+
+/// A read that an ObjectWatch wants made.
+struct ObjectRead {
+  enum class Kind {
+    /// A page of all objects, those behind `after_name`.
+    kList,
+    /// Changes after `revision`, waiting up to `wait` for one.
+    kWatch,
+  };
+
+  Kind kind = Kind::kList;
+  std::string object_kind;
+  std::string after_name;
+  uint64_t revision = 0;
+  Duration wait{};
+  /// Without an answer by then the connection counts as silent.
+  Duration timeout{};
+
+  friend bool operator==(const ObjectRead&, const ObjectRead&) = default;
+};
+
+struct ObjectReadResult {
+  enum class Outcome {
+    kOk,
+    /// The changes asked for are not kept any more.
+    kHistoryGone,
+    /// The store said no, for now.
+    kRefused,
+    kNoAnswer,
+  };
+
+  Outcome outcome = Outcome::kNoAnswer;
+  std::vector<StoredObject> objects;
+  /// Of a list: there are further pages.
+  bool more = false;
+  /// The store's revision as of this answer.
+  uint64_t revision = 0;
+
+  friend bool operator==(const ObjectReadResult&,
+                         const ObjectReadResult&) = default;
+};
+
+/// Follows all objects of one kind: lists them, then watches for changes, and
+/// lists anew whenever changes may have been missed. Steps without sockets.
+class ObjectWatch {
+ public:
+  struct Options {
+    std::string object_kind;
+    /// How long the store may hold a watch. A watch whose connection went
+    /// silent is noticed only this long (and the grace) after the last answer,
+    /// and each answer costs a call.
+    Duration wait = std::chrono::milliseconds(2000);
+    /// Beyond the wait, for the way and a slow store.
+    Duration grace = std::chrono::milliseconds(800);
+    Duration list_timeout = std::chrono::milliseconds(1500);
+    Backoff::Options retry = {.first = std::chrono::milliseconds(100),
+                              .longest = std::chrono::milliseconds(1000)};
+  };
+
+  struct Hooks {
+    /// Makes the read; the answer comes through OnResult with the same number.
+    std::function<void(uint64_t call, const ObjectRead&)> read;
+    /// All objects, after which only changes are told.
+    std::function<void(const std::vector<StoredObject>&)> on_list;
+    std::function<void(const StoredObject&)> on_change;
+    /// The store does not answer; what was told last may be out of date.
+    std::function<void()> on_outage;
+    /// It answers again; told before the list or changes that it brings.
+    std::function<void()> on_return;
+  };
+
+  ObjectWatch(Options options,
+              Hooks hooks,
+              const Clock& clock,
+              std::mt19937_64& random,
+              const EventLog& log);
+
+  void Start();
+  /// Reads everything anew, as after a freeze; a pending answer is ignored.
+  void Restart();
+  void OnResult(uint64_t call, const ObjectReadResult& result);
+  void Tick();
+
+  bool in_outage() const { return outage_; }
+  uint64_t revision() const { return revision_; }
+  uint64_t calls() const { return last_call_; }
+
+ private:
+  void List(const std::string& after_name);
+  void Watch();
+  void Read(ObjectRead read);
+  void OnListed(const ObjectReadResult& result);
+  void OnChanges(const ObjectReadResult& result);
+  void RetryLater(const char* why);
+  void NoteAnswer();
+
+  Options options_;
+  Hooks hooks_;
+  const Clock& clock_;
+  std::mt19937_64& random_;
+  const EventLog& log_;
+  Backoff backoff_;
+  uint64_t last_call_ = 0;
+  /// The call whose answer counts; zero while waiting to try again.
+  uint64_t pending_ = 0;
+  ObjectRead::Kind pending_kind_ = ObjectRead::Kind::kList;
+  TimePoint retry_at_;
+  bool must_list_ = true;
+  bool outage_ = false;
+  uint64_t revision_ = 0;
+  std::vector<StoredObject> listed_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_WATCH_OBJECT_WATCH_H_
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -110,6 +110,14 @@
 struct AgentPolicyBuilder;
 struct AgentPolicyT;
 
+struct ForwardStatus;
+struct ForwardStatusBuilder;
+struct ForwardStatusT;
+
+struct KnownEntries;
+struct KnownEntriesBuilder;
+struct KnownEntriesT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -162,6 +170,10 @@
 bool operator!=(const ConfigShardsT &lhs, const ConfigShardsT &rhs);
 bool operator==(const AgentPolicyT &lhs, const AgentPolicyT &rhs);
 bool operator!=(const AgentPolicyT &lhs, const AgentPolicyT &rhs);
+bool operator==(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
+bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
+bool operator==(const KnownEntriesT &lhs, const KnownEntriesT &rhs);
+bool operator!=(const KnownEntriesT &lhs, const KnownEntriesT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -190,11 +202,13 @@
   ConfigPull = 21,
   ConfigShards = 22,
   AgentPolicy = 23,
+  ForwardStatus = 24,
+  KnownEntries = 25,
   MIN = NONE,
-  MAX = AgentPolicy
+  MAX = KnownEntries
 };
 
-inline const Body (&EnumValuesBody())[24] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -219,13 +233,15 @@
     Body::ConfigHead,
     Body::ConfigPull,
     Body::ConfigShards,
-    Body::AgentPolicy
+    Body::AgentPolicy,
+    Body::ForwardStatus,
+    Body::KnownEntries
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[25] = {
+  static const char * const names[27] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -250,13 +266,15 @@
     "ConfigPull",
     "ConfigShards",
     "AgentPolicy",
+    "ForwardStatus",
+    "KnownEntries",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AgentPolicy)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::KnownEntries)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -357,6 +375,14 @@
   static const Body enum_value = Body::AgentPolicy;
 };
 
+template<> struct BodyTraits<lavenderkeel::fbs::ForwardStatus> {
+  static const Body enum_value = Body::ForwardStatus;
+};
+
+template<> struct BodyTraits<lavenderkeel::fbs::KnownEntries> {
+  static const Body enum_value = Body::KnownEntries;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -453,6 +479,14 @@
   static const Body enum_value = Body::AgentPolicy;
 };
 
+template<> struct BodyUnionTraits<lavenderkeel::fbs::ForwardStatusT> {
+  static const Body enum_value = Body::ForwardStatus;
+};
+
+template<> struct BodyUnionTraits<lavenderkeel::fbs::KnownEntriesT> {
+  static const Body enum_value = Body::KnownEntries;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -667,6 +701,22 @@
     return type == Body::AgentPolicy ?
       reinterpret_cast<const lavenderkeel::fbs::AgentPolicyT *>(value) : nullptr;
   }
+  lavenderkeel::fbs::ForwardStatusT *AsForwardStatus() {
+    return type == Body::ForwardStatus ?
+      reinterpret_cast<lavenderkeel::fbs::ForwardStatusT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::ForwardStatusT *AsForwardStatus() const {
+    return type == Body::ForwardStatus ?
+      reinterpret_cast<const lavenderkeel::fbs::ForwardStatusT *>(value) : nullptr;
+  }
+  lavenderkeel::fbs::KnownEntriesT *AsKnownEntries() {
+    return type == Body::KnownEntries ?
+      reinterpret_cast<lavenderkeel::fbs::KnownEntriesT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::KnownEntriesT *AsKnownEntries() const {
+    return type == Body::KnownEntries ?
+      reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(value) : nullptr;
+  }
 };
 
 
@@ -768,6 +818,14 @@
       return *(reinterpret_cast<const lavenderkeel::fbs::AgentPolicyT *>(lhs.value)) ==
              *(reinterpret_cast<const lavenderkeel::fbs::AgentPolicyT *>(rhs.value));
     }
+    case Body::ForwardStatus: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::ForwardStatusT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::ForwardStatusT *>(rhs.value));
+    }
+    case Body::KnownEntries: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -3291,6 +3349,205 @@
 
 flatbuffers::Offset<AgentPolicy> CreateAgentPolicy(flatbuffers::FlatBufferBuilder &_fbb, const AgentPolicyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ForwardStatusT : public flatbuffers::NativeTable {
+  typedef ForwardStatus TableType;
+  uint64_t table_version = 0;
+  std::vector<uint64_t> servers{};
+  std::vector<uint32_t> in_flight{};
+  std::vector<uint64_t> teams{};
+  std::vector<double> drawn{};
+};
+
+struct ForwardStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardStatusT NativeTableType;
+  typedef ForwardStatusBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TABLE_VERSION = 4,
+    VT_SERVERS = 6,
+    VT_IN_FLIGHT = 8,
+    VT_TEAMS = 10,
+    VT_DRAWN = 12
+  };
+  uint64_t table_version() const {
+    return GetField<uint64_t>(VT_TABLE_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *servers() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SERVERS);
+  }
+  const flatbuffers::Vector<uint32_t> *in_flight() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_IN_FLIGHT);
+  }
+  const flatbuffers::Vector<uint64_t> *teams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TEAMS);
+  }
+  const flatbuffers::Vector<double> *drawn() const {
+    return GetPointer<const flatbuffers::Vector<double> *>(VT_DRAWN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           VerifyOffset(verifier, VT_IN_FLIGHT) &&
+           verifier.VerifyVector(in_flight()) &&
+           VerifyOffset(verifier, VT_TEAMS) &&
+           verifier.VerifyVector(teams()) &&
+           VerifyOffset(verifier, VT_DRAWN) &&
+           verifier.VerifyVector(drawn()) &&
+           verifier.EndTable();
+  }
+  ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ForwardStatusT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ForwardStatus> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ForwardStatusBuilder {
+  typedef ForwardStatus Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_table_version(uint64_t table_version) {
+    fbb_.AddElement<uint64_t>(ForwardStatus::VT_TABLE_VERSION, table_version, 0);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> servers) {
+    fbb_.AddOffset(ForwardStatus::VT_SERVERS, servers);
+  }
+  void add_in_flight(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_flight) {
+    fbb_.AddOffset(ForwardStatus::VT_IN_FLIGHT, in_flight);
+  }
+  void add_teams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams) {
+    fbb_.AddOffset(ForwardStatus::VT_TEAMS, teams);
+  }
+  void add_drawn(flatbuffers::Offset<flatbuffers::Vector<double>> drawn) {
+    fbb_.AddOffset(ForwardStatus::VT_DRAWN, drawn);
+  }
+  explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardStatus> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardStatus>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardStatus> CreateForwardStatus(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t table_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_flight = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<double>> drawn = 0) {
+  ForwardStatusBuilder builder_(_fbb);
+  builder_.add_table_version(table_version);
+  builder_.add_drawn(drawn);
+  builder_.add_teams(teams);
+  builder_.add_in_flight(in_flight);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct ForwardStatus::Traits {
+  using type = ForwardStatus;
+  static auto constexpr Create = CreateForwardStatus;
+};
+
+inline flatbuffers::Offset<ForwardStatus> CreateForwardStatusDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t table_version = 0,
+    const std::vector<uint64_t> *servers = nullptr,
+    const std::vector<uint32_t> *in_flight = nullptr,
+    const std::vector<uint64_t> *teams = nullptr,
+    const std::vector<double> *drawn = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
+  auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
+  auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
+  auto drawn__ = drawn ? _fbb.CreateVector<double>(*drawn) : 0;
+  return lavenderkeel::fbs::CreateForwardStatus(
+      _fbb,
+      table_version,
+      servers__,
+      in_flight__,
+      teams__,
+      drawn__);
+}
+
+flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct KnownEntriesT : public flatbuffers::NativeTable {
+  typedef KnownEntries TableType;
+  std::vector<std::unique_ptr<lavenderkeel::fbs::HelloT>> entries{};
+  KnownEntriesT() = default;
+  KnownEntriesT(const KnownEntriesT &o);
+  KnownEntriesT(KnownEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
+  KnownEntriesT &operator=(KnownEntriesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct KnownEntries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KnownEntriesT NativeTableType;
+  typedef KnownEntriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+  KnownEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(KnownEntriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<KnownEntries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct KnownEntriesBuilder {
+  typedef KnownEntries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>> entries) {
+    fbb_.AddOffset(KnownEntries::VT_ENTRIES, entries);
+  }
+  explicit KnownEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KnownEntries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KnownEntries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KnownEntries> CreateKnownEntries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>> entries = 0) {
+  KnownEntriesBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct KnownEntries::Traits {
+  using type = KnownEntries;
+  static auto constexpr Create = CreateKnownEntries;
+};
+
+inline flatbuffers::Offset<KnownEntries> CreateKnownEntriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>(*entries) : 0;
+  return lavenderkeel::fbs::CreateKnownEntries(
+      _fbb,
+      entries__);
+}
+
+flatbuffers::Offset<KnownEntries> CreateKnownEntries(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   lavenderkeel::fbs::BodyUnion body{};
@@ -3380,6 +3637,12 @@
   const lavenderkeel::fbs::AgentPolicy *body_as_AgentPolicy() const {
     return body_type() == lavenderkeel::fbs::Body::AgentPolicy ? static_cast<const lavenderkeel::fbs::AgentPolicy *>(body()) : nullptr;
   }
+  const lavenderkeel::fbs::ForwardStatus *body_as_ForwardStatus() const {
+    return body_type() == lavenderkeel::fbs::Body::ForwardStatus ? static_cast<const lavenderkeel::fbs::ForwardStatus *>(body()) : nullptr;
+  }
+  const lavenderkeel::fbs::KnownEntries *body_as_KnownEntries() const {
+    return body_type() == lavenderkeel::fbs::Body::KnownEntries ? static_cast<const lavenderkeel::fbs::KnownEntries *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3484,6 +3747,14 @@
   return body_as_AgentPolicy();
 }
 
+template<> inline const lavenderkeel::fbs::ForwardStatus *Frame::body_as<lavenderkeel::fbs::ForwardStatus>() const {
+  return body_as_ForwardStatus();
+}
+
+template<> inline const lavenderkeel::fbs::KnownEntries *Frame::body_as<lavenderkeel::fbs::KnownEntries>() const {
+  return body_as_KnownEntries();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4682,6 +4953,106 @@
 }
 
 
+inline bool operator==(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
+  return
+      (lhs.table_version == rhs.table_version) &&
+      (lhs.servers == rhs.servers) &&
+      (lhs.in_flight == rhs.in_flight) &&
+      (lhs.teams == rhs.teams) &&
+      (lhs.drawn == rhs.drawn);
+}
+
+inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ForwardStatusT *ForwardStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ForwardStatusT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ForwardStatus::UnPackTo(ForwardStatusT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = table_version(); _o->table_version = _e; }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i); } } }
+  { auto _e = in_flight(); if (_e) { _o->in_flight.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_flight[_i] = _e->Get(_i); } } }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = _e->Get(_i); } } }
+  { auto _e = drawn(); if (_e) { _o->drawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->drawn[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateForwardStatus(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ForwardStatusT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _table_version = _o->table_version;
+  auto _servers = _o->servers.size() ? _fbb.CreateVector(_o->servers) : 0;
+  auto _in_flight = _o->in_flight.size() ? _fbb.CreateVector(_o->in_flight) : 0;
+  auto _teams = _o->teams.size() ? _fbb.CreateVector(_o->teams) : 0;
+  auto _drawn = _o->drawn.size() ? _fbb.CreateVector(_o->drawn) : 0;
+  return lavenderkeel::fbs::CreateForwardStatus(
+      _fbb,
+      _table_version,
+      _servers,
+      _in_flight,
+      _teams,
+      _drawn);
+}
+
+
+inline bool operator==(const KnownEntriesT &lhs, const KnownEntriesT &rhs) {
+  return
+      (lhs.entries.size() == rhs.entries.size() && std::equal(lhs.entries.cbegin(), lhs.entries.cend(), rhs.entries.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::HelloT> const &a, std::unique_ptr<lavenderkeel::fbs::HelloT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const KnownEntriesT &lhs, const KnownEntriesT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline KnownEntriesT::KnownEntriesT(const KnownEntriesT &o) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new lavenderkeel::fbs::HelloT(*entries_) : nullptr); }
+}
+
+inline KnownEntriesT &KnownEntriesT::operator=(KnownEntriesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entries, o.entries);
+  return *this;
+}
+
+inline KnownEntriesT *KnownEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<KnownEntriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void KnownEntries::UnPackTo(KnownEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<lavenderkeel::fbs::HelloT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<KnownEntries> KnownEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateKnownEntries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<KnownEntries> CreateKnownEntries(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const KnownEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateHello(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return lavenderkeel::fbs::CreateKnownEntries(
+      _fbb,
+      _entries);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -4818,6 +5189,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::AgentPolicy *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ForwardStatus: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::ForwardStatus *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::KnownEntries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntries *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4929,6 +5308,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::AgentPolicy *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ForwardStatus: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::ForwardStatus *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::KnownEntries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntries *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5028,6 +5415,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::AgentPolicyT *>(value);
       return CreateAgentPolicy(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ForwardStatus: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::ForwardStatusT *>(value);
+      return CreateForwardStatus(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::KnownEntries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(value);
+      return CreateKnownEntries(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5126,6 +5521,14 @@
       value = new lavenderkeel::fbs::AgentPolicyT(*reinterpret_cast<lavenderkeel::fbs::AgentPolicyT *>(u.value));
       break;
     }
+    case Body::ForwardStatus: {
+      value = new lavenderkeel::fbs::ForwardStatusT(*reinterpret_cast<lavenderkeel::fbs::ForwardStatusT *>(u.value));
+      break;
+    }
+    case Body::KnownEntries: {
+      value = new lavenderkeel::fbs::KnownEntriesT(*reinterpret_cast<lavenderkeel::fbs::KnownEntriesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5248,6 +5651,16 @@
       delete ptr;
       break;
     }
+    case Body::ForwardStatus: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::ForwardStatusT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::KnownEntries: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::KnownEntriesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/lavenderkeel/wire/message.h
+++ b/lavenderkeel/wire/message.h
@@ -33,6 +33,8 @@
 using ConfigPull = fbs::ConfigPullT;
 using ConfigShards = fbs::ConfigShardsT;
 using AgentPolicy = fbs::AgentPolicyT;
+using ForwardStatus = fbs::ForwardStatusT;
+using KnownEntries = fbs::KnownEntriesT;
 
 using Message = std::variant<Hello,
                              Heartbeat,
@@ -56,7 +58,9 @@
                              ConfigHeadNotice,
                              ConfigPull,
                              ConfigShards,
-                             AgentPolicy>;
+                             AgentPolicy,
+                             ForwardStatus,
+                             KnownEntries>;
 
 inline fbs::Key ToWire(const RequestKey& key) {
   return {key.hi, key.lo};
