No new requests once they could not be finished before the kill

Ruled out: readiness (503 at once). Now it takes new ones for 2.7 s, then closes the port and idle connections and finishes what is there.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -123,6 +123,10 @@
     Refuse(exchange, {}, {.code = ResultCode::kNoConfiguration});
     return;
   }
+  if (refuses_new_) {
+    Refuse(exchange, {}, {.code = ResultCode::kLeaving});
+    return;
+  }
   std::optional<RequestTerms> terms = codec_.read_request(head);
   if (!terms.has_value()) {
     Refuse(exchange, {}, {.code = ResultCode::kMalformedRequest});
@@ -201,11 +205,21 @@
                        : tokens > 0 ? static_cast<double>(tokens)
                                     : team->rate.tokens_if_unknown;
   TeamBucket& bucket = buckets_[HashBytes(team->name)];
+  const TeamRate aim = TeamBucket::Aim(team->rate, options_.rate_tolerance);
   const std::optional<Duration> wait =
-      bucket.Take(team->rate, units, rate_share_, request.arrived);
+      bucket.Take(aim, units, rate_share_, request.arrived);
   if (!wait.has_value()) {
     return std::nullopt;
   }
+  log_.Info("rate_refused", {{"id", request.terms.request_id},
+                             {"team", team->name},
+                             {"units", units},
+                             {"level", bucket.level()},
+                             {"drawn_here", bucket.used()},
+                             {"per_second", team->rate.per_second},
+                             {"burst", team->rate.burst},
+                             {"share", rate_share_},
+                             {"config_version", table_->version()}});
   return Refusal{.code = ResultCode::kTeamTokenRate, .retry_after = *wait};
 }
 
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -48,6 +48,7 @@
   struct Options {
     Placement::Options placement;
     RetryWindow::Options retries;
+    TeamBucket::Tolerance rate_tolerance;
     /// Extra sendings of all entries together, see RetryWindow.
     double retry_extra = 52;
     /// A request waits for a place this part of its latency target, then is
@@ -101,6 +102,8 @@
   /// A request that could not be read; answered with that code.
   void OnBadRequest(ExchangeId exchange, ResultCode code);
   void OnClientGone(ExchangeId exchange);
+  /// From now on new requests are refused; those that are here go on.
+  void RefuseNew() { refuses_new_ = true; }
 
   // Servers. The first two return false if the attempt is to be dropped.
   enum class HeadVerdict { kTake, kSkip, kDrop };
@@ -184,6 +187,7 @@
   size_t entries_ = 1;
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
+  bool refuses_new_ = false;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -20,6 +20,30 @@
 /// only, so that separated entries can't spend the rate several times over.
 class TeamBucket {
  public:
+  /// How far above a rate is still allowed, and how much of that is used.
+  ///
+  /// A team near its rate is refused if the count errs high, and its rate is
+  /// passed if it errs low. The count therefore aims between the rate and the
+  /// end of what is tolerated; the rest is for reports that are late.
+  struct Tolerance {
+    /// Part of the rate and of the burst.
+    double over = 0;
+    /// Units in any window.
+    double slack = 0;
+    double used_over = 0.5;
+    double used_slack = 0.6;
+  };
+
+  /// The rate that the count aims at.
+  static TeamRate Aim(const TeamRate& rate, const Tolerance& tolerance) {
+    TeamRate aim = rate;
+    const double factor = 1 + tolerance.over * tolerance.used_over;
+    aim.per_second *= factor;
+    aim.burst =
+        aim.burst * factor + tolerance.slack * tolerance.used_slack;
+    return aim;
+  }
+
   /// Takes the units, or says when they will be there.
   /// @param share part of the rate that this entry may count on, 0 to 1
   std::optional<Duration> Take(const TeamRate& rate,
@@ -32,7 +56,7 @@
     Fill(rate, share, now);
     // A request larger than the burst passes with a full bucket and is paid
     // off afterwards; else it could never pass.
-    const double needed = std::min(units, rate.burst);
+    const double needed = std::min(units, rate.burst * share);
     if (level_ < needed) {
       const double seconds = (needed - level_) / (rate.per_second * share);
       return std::chrono::duration_cast<Duration>(
@@ -71,7 +95,7 @@
     }
     // Debt is bounded, so that a flood at other entries does not lock the team
     // out here for longer than its own burst.
-    level_ = std::clamp(level_, -rate.burst, rate.burst);
+    level_ = std::clamp(level_, -rate.burst, rate.burst * share);
     filled_ = now;
   }
 
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -120,6 +120,20 @@
   }
 }
 
+void ClientPort::CloseIdle() {
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->state == Connection::State::kReading &&
+        !connection->reader.started() &&
+        InputOf(connection->events).empty()) {
+      idle.push_back(id);
+    }
+  }
+  for (const ConnectionId id : idle) {
+    Close(id);
+  }
+}
+
 void ClientPort::Accept(int socket) {
   evutil_make_socket_nonblocking(socket);
   SetStreamOptions(socket);
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -42,6 +42,9 @@
   /// @return the address bound, nothing on failure
   std::optional<std::string> Listen(const std::string& address);
   void StopListening();
+  /// Closes connections on which no request has begun; those of a request that
+  /// crosses the close are not read, so its client may send it elsewhere.
+  void CloseIdle();
   /// From now on each answer closes its connection.
   void set_leaving() { leaving_ = true; }
 
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <sys/time.h>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <random>
@@ -18,9 +19,12 @@
 /// pauses change nothing that is believed here.
 constexpr Duration kLeastSuspension = std::chrono::milliseconds(300);
 
-/// How long the balancer goes on sending new clients after the first refused
-/// readiness question: it asks once a second and needs two refusals.
-constexpr Duration kRotationTime = std::chrono::milliseconds(2700);
+/// How long new requests are taken after the request to stop. The balancer
+/// asks for readiness once a second and needs two refusals; where no other
+/// entry is near it goes on sending until the port is closed. Streams last up
+/// to several seconds, so what comes later could not be finished before the
+/// process is killed.
+constexpr Duration kTakesNewTime = std::chrono::milliseconds(2700);
 
 /// Before the process would be killed, what is left is ended in order.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
@@ -207,11 +211,22 @@
   if (!node_.leaving()) {
     return;
   }
+  ContinueLeaving();
+}
+
+void ForwardDaemon::ContinueLeaving() {
   const Duration since = clock_.Now() - left_at_;
-  const bool idle = clients_.busy() == 0 && node_.controller().open() == 0;
-  if ((idle && since > kRotationTime) ||
-      since > settings_.stop_time - kStopMargin) {
+  if (since < std::min(kTakesNewTime, settings_.stop_time / 2)) {
+    return;
+  }
+  if (!std::exchange(closed_, true)) {
+    log_.Info("closing", {{"open", node_.controller().open()}});
+    node_.controller().RefuseNew();
     clients_.StopListening();
+  }
+  clients_.CloseIdle();
+  const bool idle = clients_.busy() == 0 && node_.controller().open() == 0;
+  if (idle || since > settings_.stop_time - kStopMargin) {
     loop_.Stop();
   }
 }
--- a/lavenderkeel/io/forward_daemon.h
+++ b/lavenderkeel/io/forward_daemon.h
@@ -40,6 +40,7 @@
   void OnTick();
   void OnStatusRequest(const HttpRequest& request);
   void OnLeave();
+  void ContinueLeaving();
   void Settle();
   void NoticeFreeze();
 
@@ -57,6 +58,8 @@
   HttpServer status_;
   ActionRunner runner_;
   TimePoint left_at_;
+  /// No new requests are taken.
+  bool closed_ = false;
   /// Boot time less steady time: what the machine spent suspended.
   Duration suspended_{};
 };
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -66,6 +66,9 @@
       bounds.Real("retry_ratio", controller.retries.ratio);
   controller.retry_extra =
       bounds.Real("retry_extra", controller.retry_extra);
+  TeamBucket::Tolerance& tolerance = controller.rate_tolerance;
+  tolerance.over = bounds.Real("rate_over", tolerance.over);
+  tolerance.slack = bounds.Real("rate_slack", tolerance.slack);
   bounds.RejectUnknown();
 }
 
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -169,11 +169,15 @@
     }
   }
   // An address that neither a seed nor the list names any more, and that does
-  // not answer, belongs to an instance that was replaced.
+  // not answer, belongs to an instance that was replaced. One that dialled us
+  // lives, whatever the list says: forgotten before it was dialled back, it
+  // would count as lost for good, since no other would tell of it either.
   std::erase_if(targets_, [&](const auto& item) {
     const auto& [address, target] = item;
     const Member* member = Find(target.instance);
-    const bool linked = member != nullptr && member->outbound.has_value();
+    const bool linked =
+        member != nullptr &&
+        (member->outbound.has_value() || member->inbound.has_value());
     return !target.seed && !linked && !addresses.contains(address);
   });
 }
