--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -166,16 +166,14 @@
     return Refusal{.code = ResultCode::kNoRoute};
   }
   const Route& route = *request.route;
-  request.service =
-      RouteTable::PickService(route, request.terms.request_id);
+  request.service = RouteTable::PickService(route, request.terms.request_id);
   const Service* service = table_->FindService(request.service);
   request.model_server = service != nullptr && service->batch_slots > 0;
   request.priority = route.priority;
   if (table_->has_teams()) {
-    const TeamTerms* team =
-        request.terms.api_key.has_value()
-            ? table_->FindTeamByKey(*request.terms.api_key)
-            : nullptr;
+    const TeamTerms* team = request.terms.api_key.has_value()
+                                ? table_->FindTeamByKey(*request.terms.api_key)
+                                : nullptr;
     if (team == nullptr && !route.is_public) {
       return Refusal{.code = ResultCode::kUnknownTeam};
     }
@@ -185,10 +183,10 @@
     }
   }
   constexpr Duration kLongest = std::chrono::hours(1);
-  request.due = request.arrived +
-                std::min(request.terms.time_left.value_or(kLongest),
-                         route.timeout > Duration::zero() ? route.timeout
-                                                          : kLongest);
+  request.due =
+      request.arrived +
+      std::min(request.terms.time_left.value_or(kLongest),
+               route.timeout > Duration::zero() ? route.timeout : kLongest);
   request.last_event_id = request.terms.last_event_id;
   if (held_body_bytes_ + request.body.size() > options_.held_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
@@ -206,8 +204,8 @@
   const uint64_t tokens =
       request.terms.prompt_tokens + request.terms.output_tokens;
   const double units = !team->rate.in_tokens ? 1
-                       : tokens > 0 ? static_cast<double>(tokens)
-                                    : team->rate.tokens_if_unknown;
+                       : tokens > 0          ? static_cast<double>(tokens)
+                                             : team->rate.tokens_if_unknown;
   TeamBucket& bucket = buckets_[HashBytes(team->name)];
   const TeamRate aim = TeamBucket::Aim(team->rate, options_.rate_tolerance);
   const std::optional<Duration> wait =
@@ -235,6 +233,7 @@
   request.state = State::kWaiting;
   request.waiting_since = clock_.Now();
   queues_[request.service].Add({.priority = request.priority,
+                                .route_priority = request.route->priority,
                                 .due = request.due,
                                 .exchange = request.exchange});
   Dispatch(request.service);
@@ -276,16 +275,15 @@
                                const BackendServer& server) {
   const TimePoint now = clock_.Now();
   ServerLoad& load = loads_.Of(server.id);
-  log_.Info("send",
-            {{"id", request.terms.request_id},
-             {"server", server.id},
-             {"attempt", request.tried.size() + 1},
-             {"config_version", request.table->version()},
-             {"priority", request.priority},
-             {"in_flight", load.in_flight()},
-             {"pace_ms", load.pace().value_or(0)},
-             {"waited_ms", ToMilliseconds(now - request.waiting_since)},
-             {"left_ms", ToMilliseconds(request.due - now)}});
+  log_.Info("send", {{"id", request.terms.request_id},
+                     {"server", server.id},
+                     {"attempt", request.tried.size() + 1},
+                     {"config_version", request.table->version()},
+                     {"priority", request.priority},
+                     {"in_flight", load.in_flight()},
+                     {"pace_ms", load.pace().value_or(0)},
+                     {"waited_ms", ToMilliseconds(now - request.waiting_since)},
+                     {"left_ms", ToMilliseconds(request.due - now)}});
   load.OnSent();
   request.state = State::kSent;
   request.attempt = ++last_attempt_;
@@ -299,24 +297,22 @@
   request.events = EventStreamReader();
   request.event_count = 0;
   attempts_[request.attempt] = request.exchange;
-  const RequestHead head =
-      codec_.write_request(request.head, {.server_id = server.id,
-                                          .team = request.team,
-                                          .time_left = request.due - now,
-                                          .last_event_id =
-                                              request.last_event_id});
-  port_.Send(request.attempt,
-             {.address = server.address,
-              .bytes = EncodeRequest(head, request.body),
-              .reuse_within = request.may_repeat()
-                                  ? options_.reuse_within
-                                  : options_.reuse_once_within});
+  const RequestHead head = codec_.write_request(
+      request.head, {.server_id = server.id,
+                     .team = request.team,
+                     .time_left = request.due - now,
+                     .last_event_id = request.last_event_id});
+  port_.Send(
+      request.attempt,
+      {.address = server.address,
+       .bytes = EncodeRequest(head, request.body),
+       .reuse_within = request.may_repeat() ? options_.reuse_within
+                                            : options_.reuse_once_within});
 }
 
 ForwardedRequest* ForwardController::FindByAttempt(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
-  return found == attempts_.end() ? nullptr
-                                  : requests_.at(found->second).get();
+  return found == attempts_.end() ? nullptr : requests_.at(found->second).get();
 }
 
 void ForwardController::EndAttempt(ForwardedRequest& request) {
@@ -462,8 +458,7 @@
   EndAttempt(request);
   ++request.runs;
   ++request.arrivals;
-  if (error && !request.head_sent &&
-      MayRetry(request, RunState::kMayHaveRun)) {
+  if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
     log_.Info("retry", {{"id", request.terms.request_id},
                         {"server", request.server},
                         {"status", status}});
@@ -543,8 +538,8 @@
     return false;
   }
   const bool repeated = request.runs > 0;
-  if (repeated && (!request.may_repeat() ||
-                   request.runs >= request.route->max_attempts)) {
+  if (repeated &&
+      (!request.may_repeat() || request.runs >= request.route->max_attempts)) {
     return false;
   }
   // Behind an event without an id nothing can be resumed.
@@ -609,8 +604,8 @@
     longest = std::chrono::duration_cast<Duration>(route.event_gap_target *
                                                    options_.silence_per_gap);
   } else {
-    longest = std::chrono::duration_cast<Duration>(
-        route.latency_target * options_.silence_per_target);
+    longest = std::chrono::duration_cast<Duration>(route.latency_target *
+                                                   options_.silence_per_target);
     const double prompt_ms = static_cast<double>(request.terms.prompt_tokens) /
                              options_.slow_prompt_tokens_per_ms;
     longest += std::chrono::duration_cast<Duration>(
@@ -717,6 +712,11 @@
                                std::string_view outcome,
                                int status) {
   const TimePoint now = clock_.Now();
+  // From the last sending; -1 if there was none.
+  const int64_t first_event_ms =
+      request.event_count == 0
+          ? -1
+          : ToMilliseconds(request.first_event_at - request.sent_at);
   log_.Info("end",
             {{"id", request.terms.request_id},
              {"outcome", outcome},
@@ -727,7 +727,9 @@
              {"attempts", request.tried.size()},
              {"runs", request.runs},
              {"events", request.event_count},
+             {"prompt_tokens", request.terms.prompt_tokens},
              {"server", request.server},
+             {"first_event_ms", first_event_ms},
              {"took_ms", ToMilliseconds(now - request.arrived)}});
   metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
   metrics_.Observe("request_seconds", Seconds(now - request.arrived));
@@ -783,8 +785,7 @@
   if (std::exchange(entries_, known) == known) {
     return;
   }
-  options_.retries.extra =
-      options_.retry_extra / static_cast<double>(entries_);
+  options_.retries.extra = options_.retry_extra / static_cast<double>(entries_);
   for (auto& [service, window] : retries_) {
     window.set_extra(options_.retries.extra);
   }
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -136,43 +136,44 @@
 }
 
 ObjectWatch::Hooks ForwardNode::ConfigHooks() {
+  return {.read =
+              [this](uint64_t call, const ObjectRead& read) {
+                Read(config_watch_, call, read);
+              },
+          .on_list =
+              [this](const std::vector<StoredObject>& objects) {
+                for (const StoredObject& object : objects) {
+                  if (object.name == source_.config_object) {
+                    OnConfig(object.content, "store");
+                  }
+                }
+              },
+          .on_change =
+              [this](const StoredObject& object) {
+                if (object.name == source_.config_object && !object.removed) {
+                  OnConfig(object.content, "store");
+                }
+              },
+          .on_outage = [] {},
+          .on_return = [] {}};
+}
+
+ObjectWatch::Hooks ForwardNode::ServerHooks() {
   return {
-      .read = [this](uint64_t call,
-                     const ObjectRead& read) { Read(config_watch_, call, read); },
+      .read = [this](
+                  uint64_t call,
+                  const ObjectRead& read) { Read(server_watch_, call, read); },
       .on_list =
           [this](const std::vector<StoredObject>& objects) {
-            for (const StoredObject& object : objects) {
-              if (object.name == source_.config_object) {
-                OnConfig(object.content, "store");
-              }
-            }
+            OnServerList(objects);
           },
       .on_change =
           [this](const StoredObject& object) {
-            if (object.name == source_.config_object && !object.removed) {
-              OnConfig(object.content, "store");
-            }
+            OnServer(object);
+            controller_.OnServersChanged();
           },
-      .on_outage = [] {},
-      .on_return = [] {}};
-}
-
-ObjectWatch::Hooks ForwardNode::ServerHooks() {
-  return {.read = [this](uint64_t call, const ObjectRead& read) {
-            Read(server_watch_, call, read);
-          },
-          .on_list =
-              [this](const std::vector<StoredObject>& objects) {
-                OnServerList(objects);
-              },
-          .on_change =
-              [this](const StoredObject& object) {
-                OnServer(object);
-                controller_.OnServersChanged();
-              },
-          .on_outage = [this] { controller_.directory().OnOutage(); },
-          .on_return =
-              [this] { controller_.directory().OnReturn(clock_.Now()); }};
+      .on_outage = [this] { controller_.directory().OnOutage(); },
+      .on_return = [this] { controller_.directory().OnReturn(clock_.Now()); }};
 }
 
 void ForwardNode::Read(ObjectWatch& watch,
@@ -216,8 +217,8 @@
   }
   const auto server = Catch([&] { return source_.decode_server(object); });
   if (!server) {
-    log_.Warn("server_unreadable", {{"server", object.name},
-                                    {"faults", server.failure.message}});
+    log_.Warn("server_unreadable",
+              {{"server", object.name}, {"faults", server.failure.message}});
     return;
   }
   log_.Info("server_listed", {{"server", object.name},
@@ -235,8 +236,8 @@
     if (auto server = Catch([&] { return source_.decode_server(object); })) {
       servers.push_back(*std::move(server.value));
     } else {
-      log_.Warn("server_unreadable", {{"server", object.name},
-                                      {"faults", server.failure.message}});
+      log_.Warn("server_unreadable",
+                {{"server", object.name}, {"faults", server.failure.message}});
     }
   }
   log_.Info("servers_listed", {{"servers", servers.size()},
@@ -369,8 +370,7 @@
     for (const InstanceInfo& info : infos) {
       const auto [position, inserted] =
           latest.try_emplace(info.id.instance, info);
-      if (!inserted &&
-          position->second.id.incarnation < info.id.incarnation) {
+      if (!inserted && position->second.id.incarnation < info.id.incarnation) {
         position->second = info;
       }
     }
@@ -411,8 +411,7 @@
     KnownEntries known;
     for (const Member* member : all) {
       if (member != target && member->live()) {
-        known.entries.push_back(
-            std::make_unique<Hello>(ToHello(member->info)));
+        known.entries.push_back(std::make_unique<Hello>(ToHello(member->info)));
       }
     }
     outbox_.Send(*target->outbound, std::move(known));
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -25,8 +25,7 @@
   std::string server_kind;
   std::function<leaf::result<RouteTableContent>(const std::string& content)>
       decode_table;
-  std::function<leaf::result<BackendServer>(const StoredObject&)>
-      decode_server;
+  std::function<leaf::result<BackendServer>(const StoredObject&)> decode_server;
   /// Makes a read; `done` is called later, once.
   std::function<void(const ObjectRead&,
                      std::function<void(const ObjectReadResult&)> done)>
--- a/lavenderkeel/forward/retry_window.h
+++ b/lavenderkeel/forward/retry_window.h
@@ -36,9 +36,9 @@
   /// True if one more sending fits, and counts it.
   bool TryRetry(TimePoint now) {
     Forget(now);
-    const double bound = kCountedPart * options_.ratio *
-                             static_cast<double>(Sum(requests_)) +
-                         options_.extra;
+    const double bound =
+        kCountedPart * options_.ratio * static_cast<double>(Sum(requests_)) +
+        options_.extra;
     if (static_cast<double>(Sum(retries_)) + 1 > bound) {
       return false;
     }
--- a/lavenderkeel/forward/route_table.cc
+++ b/lavenderkeel/forward/route_table.cc
@@ -15,9 +15,8 @@
   // An IPv6 literal keeps its colons; only what follows the bracket is a port.
   const size_t bracket = host.rfind(']');
   const size_t colon = host.rfind(':');
-  const bool has_port =
-      colon != std::string_view::npos &&
-      (bracket == std::string_view::npos || colon > bracket);
+  const bool has_port = colon != std::string_view::npos &&
+                        (bracket == std::string_view::npos || colon > bracket);
   std::string result(has_port ? host.substr(0, colon) : host);
   std::ranges::transform(result, result.begin(), [](unsigned char c) {
     return static_cast<char>(std::tolower(c));
@@ -33,9 +32,9 @@
     by_host_[LowerCaseHost(route.host)].push_back(&route);
   }
   for (auto& [host, routes] : by_host_) {
-    std::ranges::stable_sort(
-        routes, std::greater<>(),
-        [](const Route* route) { return route->path_prefix.size(); });
+    std::ranges::stable_sort(routes, std::greater<>(), [](const Route* route) {
+      return route->path_prefix.size();
+    });
   }
   for (const Service& service : content_.services) {
     services_[service.name] = &service;
--- a/lavenderkeel/forward/server_load.h
+++ b/lavenderkeel/forward/server_load.h
@@ -147,8 +147,8 @@
     PeerCounts counts;
     for (const auto& [server, load] : loads_) {
       if (load.own() > 0) {
-        counts.push_back({.server_hash = HashBytes(server),
-                          .in_flight = load.own()});
+        counts.push_back(
+            {.server_hash = HashBytes(server), .in_flight = load.own()});
       }
     }
     return counts;
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -39,8 +39,7 @@
     TeamRate aim = rate;
     const double factor = 1 + tolerance.over * tolerance.used_over;
     aim.per_second *= factor;
-    aim.burst =
-        aim.burst * factor + tolerance.slack * tolerance.used_slack;
+    aim.burst = aim.burst * factor + tolerance.slack * tolerance.used_slack;
     return aim;
   }
 
--- a/lavenderkeel/forward/waiting_queue.h
+++ b/lavenderkeel/forward/waiting_queue.h
@@ -18,8 +18,11 @@
 class WaitingQueue {
  public:
   struct Place {
-    /// Rank of urgency, 0 first.
+    /// Rank of urgency, 0 first: the team's, or the route's without one.
     int priority = 0;
+    /// Rank of the route: most teams have the same rank, and their requests
+    /// differ twentyfold in what they are worth to them.
+    int route_priority = 0;
     TimePoint due;
     ExchangeId exchange = 0;
 
@@ -41,17 +44,6 @@
     return places_.empty() ? std::nullopt
                            : std::optional(places_.begin()->exchange);
   }
-  /// Requests that would go before a new one of this priority.
-  size_t AheadOf(int priority) const {
-    size_t ahead = 0;
-    for (const Place& place : places_) {
-      if (place.priority > priority) {
-        break;
-      }
-      ++ahead;
-    }
-    return ahead;
-  }
   size_t size() const { return places_.size(); }
   bool empty() const { return places_.empty(); }
 
--- a/lavenderkeel/http/message_head.cc
+++ b/lavenderkeel/http/message_head.cc
@@ -24,10 +24,15 @@
 }
 
 bool IsConnectionField(std::string_view name) {
-  constexpr std::array<std::string_view, 9> kNames = {
-      "Connection",       "Keep-Alive",          "Proxy-Connection",
-      "Proxy-Authenticate", "Proxy-Authorization", "TE",
-      "Trailer",          "Transfer-Encoding",   "Upgrade"};
+  constexpr std::array<std::string_view, 9> kNames = {"Connection",
+                                                      "Keep-Alive",
+                                                      "Proxy-Connection",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade"};
   return std::ranges::any_of(kNames, [name](std::string_view known) {
     return SameFieldName(name, known);
   });
@@ -152,9 +157,8 @@
   }
   std::array<char, 2 * sizeof(size_t)> digits{};
   constexpr int kHexadecimal = 16;
-  const auto [end, error] =
-      std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(),
-                    kHexadecimal);
+  const auto [end, error] = std::to_chars(
+      digits.data(), digits.data() + digits.size(), bytes.size(), kHexadecimal);
   std::string out(digits.data(), end);
   out += "\r\n";
   out += bytes;
--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -44,8 +44,7 @@
     // chunk that it has seen without its end, so a client that sends it byte
     // by byte would end the process. Nothing shorter can end a body anyway.
     constexpr size_t kLeastLastChunk = 5;
-    if (stalled_ && this->is_header_done() &&
-        bytes.size() < kLeastLastChunk) {
+    if (stalled_ && this->is_header_done() && bytes.size() < kLeastLastChunk) {
       return 0;
     }
     started_ = true;
@@ -82,7 +81,7 @@
         fault_ != ReadFault::kNone) {
       return;
     }
-    fault_ = error == http::error::header_limit ? ReadFault::kHeadTooLarge
+    fault_ = error == http::error::header_limit      ? ReadFault::kHeadTooLarge
              : error == http::error::partial_message ? ReadFault::kCutShort
                                                      : ReadFault::kMalformed;
   }
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -124,8 +124,7 @@
   std::vector<ConnectionId> idle;
   for (const auto& [id, connection] : connections_) {
     if (connection->state == Connection::State::kReading &&
-        !connection->reader.started() &&
-        InputOf(connection->events).empty()) {
+        !connection->reader.started() && InputOf(connection->events).empty()) {
       idle.push_back(id);
     }
   }
@@ -139,10 +138,10 @@
   SetStreamOptions(socket);
   const ClientLimits limits = hooks_.limits();
   const ConnectionId id = ++last_connection_;
-  auto connection = std::make_unique<Connection>(
-      *this, id,
-      ReadLimits{.head_bytes = limits.head_bytes,
-                 .body_bytes = limits.body_bytes});
+  auto connection =
+      std::make_unique<Connection>(*this, id,
+                                   ReadLimits{.head_bytes = limits.head_bytes,
+                                              .body_bytes = limits.body_bytes});
   connection->events =
       bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
   connection->since = clock_.Now();
@@ -400,9 +399,8 @@
 size_t ClientPort::busy() const {
   size_t count = 0;
   for (const auto& [id, connection] : connections_) {
-    const bool partly_read =
-        connection->state == Connection::State::kReading &&
-        connection->reader.started();
+    const bool partly_read = connection->state == Connection::State::kReading &&
+                             connection->reader.started();
     count += partly_read || connection->state == Connection::State::kBusy ||
                      connection->state == Connection::State::kFlushing
                  ? 1
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -89,8 +89,7 @@
           loop_,
           clock_,
           {.on_request =
-               [this](ExchangeId exchange, RequestHead head,
-                      std::string body) {
+               [this](ExchangeId exchange, RequestHead head, std::string body) {
                  node_.controller().OnRequest(exchange, std::move(head),
                                               std::move(body));
                },
@@ -107,37 +106,35 @@
                  const auto& table = node_.controller().table();
                  return table == nullptr ? ClientLimits() : table->limits();
                }}),
-      upstream_(loop_,
-                {},
-                clock_,
-                {.on_head =
-                     [this](AttemptId attempt, const ResponseHead& head,
-                            bool fresh) {
-                       return node_.controller().OnAnswerHead(attempt, head,
-                                                              fresh);
-                     },
-                 .on_part =
-                     [this](AttemptId attempt, std::string bytes) {
-                       return node_.controller().OnAnswerPart(
-                           attempt, std::move(bytes));
-                     },
-                 .on_end =
-                     [this](AttemptId attempt) {
-                       node_.controller().OnAnswerEnd(attempt);
-                     },
-                 .on_failed =
-                     [this](AttemptId attempt, AttemptFailure failure) {
-                       node_.controller().OnAttemptFailed(attempt, failure);
-                     }}),
-      status_(loop_,
-              {},
-              {.on_request =
-                   [this](const HttpRequest& request) {
-                     OnStatusRequest(request);
-                   },
-               .on_drained = [](CallerId) {},
-               .on_gone = [](CallerId) {},
-               .on_too_large = [](CallerId) {}}) {
+      upstream_(
+          loop_,
+          {},
+          clock_,
+          {.on_head =
+               [this](AttemptId attempt, const ResponseHead& head, bool fresh) {
+                 return node_.controller().OnAnswerHead(attempt, head, fresh);
+               },
+           .on_part =
+               [this](AttemptId attempt, std::string bytes) {
+                 return node_.controller().OnAnswerPart(attempt,
+                                                        std::move(bytes));
+               },
+           .on_end =
+               [this](AttemptId attempt) {
+                 node_.controller().OnAnswerEnd(attempt);
+               },
+           .on_failed =
+               [this](AttemptId attempt, AttemptFailure failure) {
+                 node_.controller().OnAttemptFailed(attempt, failure);
+               }}),
+      status_(
+          loop_,
+          {},
+          {.on_request =
+               [this](const HttpRequest& request) { OnStatusRequest(request); },
+           .on_drained = [](CallerId) {},
+           .on_gone = [](CallerId) {},
+           .on_too_large = [](CallerId) {}}) {
   WirePeers(peers_, node_, [this] { Settle(); });
 }
 
@@ -170,9 +167,9 @@
                       {"status", *status},
                       {"peers", *peers},
                       {"version", kVersion}});
-  WriteReadyFile(ready_file, {{"clients", *clients},
-                              {"status", *status},
-                              {"peers", *peers}});
+  WriteReadyFile(
+      ready_file,
+      {{"clients", *clients}, {"status", *status}, {"peers", *peers}});
   node_.Start();
   Settle();
   loop_.Run();
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -36,8 +36,7 @@
   settings.listen_clients = ReadAddress(listen, "clients");
   settings.listen_status = ReadAddress(listen, "status");
   settings.listen_peers = ReadAddress(listen, "peers");
-  settings.self.address =
-      ReadAddress(listen, "advertise", /*required=*/false);
+  settings.self.address = ReadAddress(listen, "advertise", /*required=*/false);
   settings.ready_path =
       listen.String("ready_path", {.otherwise = settings.ready_path});
   listen.RejectUnknown();
@@ -94,8 +93,7 @@
   ForwardSettings settings;
   settings.self.id.instance = reader.String("instance", {.required = true});
   settings.self.role = Role::kEntry;
-  settings.self.data_centre =
-      reader.String("data_centre", {.required = true});
+  settings.self.data_centre = reader.String("data_centre", {.required = true});
   settings.self.region = reader.String("region");
   settings.store = ReadAddress(reader, "store");
   settings.node.seeds = ReadSeeds(reader);
--- a/lavenderkeel/io/internal/settings_fields.h
+++ b/lavenderkeel/io/internal/settings_fields.h
@@ -34,10 +34,10 @@
                Number& target,
                uint64_t least = 1) {
   constexpr uint64_t kMost = 1'000'000'000;
-  target = static_cast<Number>(reader.Number(
-      name, {.otherwise = static_cast<uint64_t>(target),
-             .least = least,
-             .most = kMost}));
+  target = static_cast<Number>(
+      reader.Number(name, {.otherwise = static_cast<uint64_t>(target),
+                           .least = least,
+                           .most = kMost}));
 }
 
 /// The field "level" of the object "log".
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -73,10 +73,7 @@
                            Options options,
                            const Clock& clock,
                            Hooks hooks)
-    : loop_(loop),
-      options_(options),
-      clock_(clock),
-      hooks_(std::move(hooks)) {}
+    : loop_(loop), options_(options), clock_(clock), hooks_(std::move(hooks)) {}
 
 UpstreamPort::~UpstreamPort() = default;
 
@@ -96,8 +93,8 @@
   connection->attempt = attempt;
   connection->head_taken = false;
   connection->skipping = false;
-  connection->reader = ResponseReader({.head_bytes = options_.head_bytes,
-                                       .body_bytes = options_.body_bytes});
+  connection->reader = ResponseReader(
+      {.head_bytes = options_.head_bytes, .body_bytes = options_.body_bytes});
   attempts_[attempt] = connection->id;
   bufferevent_write(connection->events, sending.bytes.data(),
                     sending.bytes.size());
@@ -239,8 +236,8 @@
     connection.skipping = false;
     connection.head_taken = false;
     connection.fresh = false;
-    reader = ResponseReader({.head_bytes = options_.head_bytes,
-                             .body_bytes = options_.body_bytes});
+    reader = ResponseReader(
+        {.head_bytes = options_.head_bytes, .body_bytes = options_.body_bytes});
     return true;
   }
   OnComplete(connection);
@@ -275,10 +272,9 @@
   evbuffer* output = bufferevent_get_output(connection.events);
   // A server may answer before it has read the whole request; the rest of it
   // is still due then, so nothing else may be sent on this connection.
-  const bool reusable = head.keep_alive &&
-                        head.framing != BodyFraming::kUntilClose &&
-                        evbuffer_get_length(input) == 0 &&
-                        evbuffer_get_length(output) == 0;
+  const bool reusable =
+      head.keep_alive && head.framing != BodyFraming::kUntilClose &&
+      evbuffer_get_length(input) == 0 && evbuffer_get_length(output) == 0;
   attempts_.erase(attempt);
   if (reusable) {
     constexpr Duration kMargin = std::chrono::seconds(1);
@@ -287,9 +283,8 @@
     connection.idle_since = clock_.Now();
     connection.idle_time = options_.idle_time;
     if (const std::optional<Duration> bound = KeepAliveTime(head)) {
-      connection.idle_time =
-          std::min(connection.idle_time,
-                   std::max(Duration::zero(), *bound - kMargin));
+      connection.idle_time = std::min(
+          connection.idle_time, std::max(Duration::zero(), *bound - kMargin));
     }
     idle_[connection.address].push_back(connection.id);
   } else {
@@ -329,8 +324,8 @@
   // The object lives until the event that led here is over.
   bufferevent_setcb(connection.events, nullptr, nullptr, nullptr, nullptr);
   bufferevent_free(std::exchange(connection.events, nullptr));
-  auto dead = std::make_shared<std::unique_ptr<Connection>>(
-      std::move(found->second));
+  auto dead =
+      std::make_shared<std::unique_ptr<Connection>>(std::move(found->second));
   connections_.erase(found);
   loop_.Defer([dead] {});
 }
@@ -344,8 +339,7 @@
     if (busy && !connection->connected &&
         now - connection->connecting_since > options_.connect_timeout) {
       overdue.push_back(id);
-    } else if (!busy &&
-               now - connection->idle_since > connection->idle_time) {
+    } else if (!busy && now - connection->idle_since > connection->idle_time) {
       stale.push_back(id);
     }
   }
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -175,9 +175,8 @@
   std::erase_if(targets_, [&](const auto& item) {
     const auto& [address, target] = item;
     const Member* member = Find(target.instance);
-    const bool linked =
-        member != nullptr &&
-        (member->outbound.has_value() || member->inbound.has_value());
+    const bool linked = member != nullptr && (member->outbound.has_value() ||
+                                              member->inbound.has_value());
     return !target.seed && !linked && !addresses.contains(address);
   });
 }
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -68,8 +68,8 @@
       }
       return;
     case ObjectReadResult::Outcome::kHistoryGone:
-      log_.Info("watch_history_gone", {{"kind", options_.object_kind},
-                                       {"revision", revision_}});
+      log_.Info("watch_history_gone",
+                {{"kind", options_.object_kind}, {"revision", revision_}});
       must_list_ = true;
       List({});
       return;
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -31,8 +31,8 @@
   BOOST_TEST(
       *w.client(w.Request("once", {{"Authorization", "Bearer x"}})).status ==
       401);
-  BOOST_TEST(
-      *w.client(w.Request("once", {{"Deadline-Ms", "soon"}})).status == 400);
+  BOOST_TEST(*w.client(w.Request("once", {{"Deadline-Ms", "soon"}})).status ==
+             400);
   BOOST_TEST(w.port.sent.empty());
 }
 
@@ -126,8 +126,7 @@
 // for, no id. The client gets a 504 of ours, never a success.
 BOOST_AUTO_TEST_CASE(DoubtfulAnswersAreNotPassedOn) {
   for (const HttpFields& fields :
-       {HttpFields{{"Request-Id", "r1"}},
-        HttpFields{{"Response-Seal", "seal"}},
+       {HttpFields{{"Request-Id", "r1"}}, HttpFields{{"Response-Seal", "seal"}},
         HttpFields{{"Request-Id", "r1"},
                    {"Response-Seal", "seal"},
                    {"Content-Encoding", "gzip"}}}) {
@@ -217,6 +216,34 @@
   BOOST_TEST(*w.client(lookup).status == 503);
 }
 
+// All teams have the same rank. A lookup and a stream wait; the route's rank
+// decides, or cheap lookups would hold the places of what callers wait for.
+BOOST_AUTO_TEST_CASE(TeamsOfEqualRankAreOrderedByTheirRoutes) {
+  ForwardWorld w({.servers = 1, .slots = 1});
+  RouteTableContent ranked = ForwardWorld::Table(2);
+  ranked.teams[0].priority = 1;
+  w.controller.OnRouteTable(std::make_shared<const RouteTable>(ranked));
+  w.Request("once");
+  w.Request("lookup");
+  const ExchangeId stream = w.Request("stream");
+  w.Answer(w.last(), 200, "done");
+  BOOST_TEST(w.last().Field("Request-Id") == "r" + std::to_string(stream));
+}
+
+// One server crashed, the other is full. Requests wait for the sound one; sent
+// to the crashed one they would only use up their attempts.
+BOOST_AUTO_TEST_CASE(RestingServerIsNotUsedWhileAnotherIsSound) {
+  ForwardWorld w({.servers = 2, .slots = 1});
+  w.Request("once");
+  w.controller.OnAttemptFailed(w.last().attempt, AttemptFailure::kNotConnected);
+  BOOST_TEST(w.port.sent.size() == 2U);
+  w.Request("once");
+  BOOST_TEST(w.port.sent.size() == 2U);
+  w.Answer(w.last(), 200, "done");
+  BOOST_TEST(w.port.sent.size() == 3U);
+  BOOST_TEST(w.last().address == w.port.sent[1].address);
+}
+
 BOOST_AUTO_TEST_CASE(FinalAnswerComesAtTheRoutesTimeout) {
   ForwardWorld w;
   const ExchangeId request = w.Request("once", {{"Deadline-Ms", "60000"}});
@@ -253,8 +280,8 @@
 BOOST_AUTO_TEST_CASE(PlacesThatOtherEntriesTookAreCounted) {
   ForwardWorld w({.servers = 2, .slots = 1});
   w.controller.OnPeerReport(
-      "peer", {.in_flight = {{.server_hash = HashBytes("server-1"),
-                              .in_flight = 1}}});
+      "peer",
+      {.in_flight = {{.server_hash = HashBytes("server-1"), .in_flight = 1}}});
   w.Request("once");
   BOOST_TEST(w.last().Field("Expect-Instance") == "server-2");
   w.Request("once");
--- a/test/forward/route_table_test.cc
+++ b/test/forward/route_table_test.cc
@@ -7,16 +7,21 @@
 namespace {
 
 RouteTable MakeTable() {
-  return RouteTable(
-      {.version = 3,
-       .routes = {{.name = "short", .host = "a.example", .path_prefix = "/x/",
-                   .services = {{.service = "s"}}},
-                  {.name = "long", .host = "a.example", .path_prefix = "/x/y/",
-                   .services = {{.service = "s"}}},
-                  {.name = "other", .host = "b.example", .path_prefix = "/",
-                   .services = {{.service = "s", .weight = 9},
-                                {.service = "t", .weight = 1}}}},
-       .teams = {{.name = "one", .api_keys = {"k1", "k2"}}}});
+  return RouteTable({.version = 3,
+                     .routes = {{.name = "short",
+                                 .host = "a.example",
+                                 .path_prefix = "/x/",
+                                 .services = {{.service = "s"}}},
+                                {.name = "long",
+                                 .host = "a.example",
+                                 .path_prefix = "/x/y/",
+                                 .services = {{.service = "s"}}},
+                                {.name = "other",
+                                 .host = "b.example",
+                                 .path_prefix = "/",
+                                 .services = {{.service = "s", .weight = 9},
+                                              {.service = "t", .weight = 1}}}},
+                     .teams = {{.name = "one", .api_keys = {"k1", "k2"}}}});
 }
 
 std::string NameOf(const Route* route) {
--- a/test/forward/server_directory_test.cc
+++ b/test/forward/server_directory_test.cc
@@ -11,8 +11,12 @@
 const TimePoint kStart = TimePoint(std::chrono::hours(1));
 
 BackendServer Server(const std::string& id, bool draining = false) {
-  return {.id = id, .service = "s", .address = "127.0.0.1:1",
-          .data_centre = "govan", .slots = 5, .draining = draining};
+  return {.id = id,
+          .service = "s",
+          .address = "127.0.0.1:1",
+          .data_centre = "govan",
+          .slots = 5,
+          .draining = draining};
 }
 
 }  // namespace
--- a/test/forward/team_bucket_test.cc
+++ b/test/forward/team_bucket_test.cc
@@ -10,8 +10,9 @@
 namespace {
 
 const TimePoint kStart = TimePoint(std::chrono::hours(1));
-constexpr TeamRate kRate = {
-    .per_second = 1000, .burst = 2000, .in_tokens = true};
+constexpr TeamRate kRate = {.per_second = 1000,
+                            .burst = 2000,
+                            .in_tokens = true};
 
 }  // namespace
 
--- a/test/http/message_reader_test.cc
+++ b/test/http/message_reader_test.cc
@@ -2,8 +2,8 @@
 
 #include <rapidcheck.h>
 
-#include <boost/test/unit_test.hpp>
 #include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
 
@@ -34,8 +34,9 @@
 
 BOOST_AUTO_TEST_CASE(RequestWithLengthIsReadAndTheNextOneLeft) {
   RequestReader reader({});
-  const std::string rest = FeedAll(
-      reader, "POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+  const std::string rest =
+      FeedAll(reader,
+              "POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
               "abcGET / HTTP/1.1\r\n");
   BOOST_TEST(reader.done());
   BOOST_TEST(reader.head().method == "POST");
@@ -73,19 +74,17 @@
         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
-        "GET / HTTP/1.1\r\n\r\n",
-        "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
-        "GET /\r\nHost: h\r\n\r\n",
-        "GET / HTTP/1.1\nHost: h\n\n",
+        "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+        "GET /\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\nHost: h\n\n",
         "garbage\r\n\r\n"}),
     request) {
   BOOST_TEST((FaultOf(request) != ReadFault::kNone), request);
 }
 
 BOOST_AUTO_TEST_CASE(TooLargeIsToldFromMalformed) {
-  BOOST_TEST((FaultOf("GET / HTTP/1.1\r\nHost: h\r\nX: " +
-                      std::string(600, 'x') + "\r\n\r\n") ==
-              ReadFault::kHeadTooLarge));
+  BOOST_TEST(
+      (FaultOf("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') +
+               "\r\n\r\n") == ReadFault::kHeadTooLarge));
   BOOST_TEST((FaultOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n"
                       "\r\n") == ReadFault::kBodyTooLarge));
   BOOST_TEST((FaultOf("POST / HTTP/1.1\r\nHost: h\r\n"
@@ -156,12 +155,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(FieldsOfOneConnectionAreNotForwarded) {
-  const HttpFields kept = WithoutConnectionFields({{"Host", "h"},
-                                                   {"Connection", "X-Hop, close"},
-                                                   {"X-Hop", "1"},
-                                                   {"Keep-Alive", "timeout=5"},
-                                                   {"Transfer-Encoding", "chunked"},
-                                                   {"X-Kept", "2"}});
+  const HttpFields kept =
+      WithoutConnectionFields({{"Host", "h"},
+                               {"Connection", "X-Hop, close"},
+                               {"X-Hop", "1"},
+                               {"Keep-Alive", "timeout=5"},
+                               {"Transfer-Encoding", "chunked"},
+                               {"X-Kept", "2"}});
   BOOST_TEST((kept == HttpFields{{"Host", "h"}, {"X-Kept", "2"}}));
 }
 
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -41,9 +41,10 @@
 
 BOOST_AUTO_TEST_CASE(UnreadableFieldsAreRefusedNotGuessed) {
   const ForwardCodec codec = hybrid::MakeHeaderCodec();
-  for (const HttpField& bad :
-       HttpFields{{"Deadline-Ms", "soon"}, {"Token-Count", "12"},
-                  {"Token-Count", "a,b"}, {"Deadline-Ms", "10 "}}) {
+  for (const HttpField& bad : HttpFields{{"Deadline-Ms", "soon"},
+                                         {"Token-Count", "12"},
+                                         {"Token-Count", "a,b"},
+                                         {"Deadline-Ms", "10 "}}) {
     RequestHead head{.method = "GET", .target = "/", .fields = {{"Host", "h"}}};
     head.fields.push_back({"Request-Id", "1"});
     head.fields.push_back(bad);
@@ -60,16 +61,15 @@
                      .team = "hule",
                      .time_left = std::chrono::milliseconds(9000),
                      .last_event_id = "15"});
-  BOOST_TEST(
-      (sent.fields == HttpFields{{"Host", "h.example"},
-                                 {"Request-Id", "9c41"},
-                                 {"Model", "m"},
-                                 {"Token-Count", "1460,80"},
-                                 {"Prompt-Prefix", "5c1e:800"},
-                                 {"Deadline-Ms", "9000"},
-                                 {"Expect-Instance", "i-7f"},
-                                 {"Tenant", "hule"},
-                                 {"Last-Event-Id", "15"}}));
+  BOOST_TEST((sent.fields == HttpFields{{"Host", "h.example"},
+                                        {"Request-Id", "9c41"},
+                                        {"Model", "m"},
+                                        {"Token-Count", "1460,80"},
+                                        {"Prompt-Prefix", "5c1e:800"},
+                                        {"Deadline-Ms", "9000"},
+                                        {"Expect-Instance", "i-7f"},
+                                        {"Tenant", "hule"},
+                                        {"Last-Event-Id", "15"}}));
 }
 
 BOOST_AUTO_TEST_CASE(AnswersAreReadIntoTerms) {
@@ -78,9 +78,9 @@
                                  .fields = {{"request-id", "9c41"},
                                             {"Response-Seal", "3e"}}}) ==
               AnswerTerms{.request_id = "9c41", .sealed = true}));
-  BOOST_TEST((codec.read_answer({.status = 503,
-                                 .fields = {{"Not-Executed", "1"}}}) ==
-              AnswerTerms{.not_run = true}));
+  BOOST_TEST(
+      (codec.read_answer({.status = 503, .fields = {{"Not-Executed", "1"}}}) ==
+       AnswerTerms{.not_run = true}));
 }
 
 }  // namespace lavenderkeel
--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -12,9 +12,9 @@
 BOOST_AUTO_TEST_CASE(ReadsAreSpelledAsTheStoreWants) {
   BOOST_TEST(StoreReader::PathOf({.object_kind = "servers"}) ==
              "/objects/servers");
-  BOOST_TEST(StoreReader::PathOf({.object_kind = "servers",
-                                  .after_name = "i-7"}) ==
-             "/objects/servers?afterRev=i-7");
+  BOOST_TEST(
+      StoreReader::PathOf({.object_kind = "servers", .after_name = "i-7"}) ==
+      "/objects/servers?afterRev=i-7");
   BOOST_TEST(StoreReader::PathOf({.kind = ObjectRead::Kind::kWatch,
                                   .object_kind = "config",
                                   .revision = 530,
@@ -23,16 +23,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(ListsAndChangesAreDecoded) {
-  const ObjectReadResult list = StoreReader::Decode(
-      ObjectRead::Kind::kList, 200,
-      R"({"items":[{"metadata":{"name":"i-1","revision":7},
+  const ObjectReadResult list =
+      StoreReader::Decode(ObjectRead::Kind::kList, 200,
+                          R"({"items":[{"metadata":{"name":"i-1","revision":7},
           "spec":{"slots":5},"status":null}],"hasMore":true,"currentRev":9})");
-  BOOST_TEST((list == ObjectReadResult{
-                          .outcome = ReadOutcome::kOk,
-                          .objects = {{.name = "i-1", .revision = 7,
-                                       .content = R"({"slots":5})"}},
-                          .more = true,
-                          .revision = 9}));
+  BOOST_TEST(
+      (list == ObjectReadResult{.outcome = ReadOutcome::kOk,
+                                .objects = {{.name = "i-1",
+                                             .revision = 7,
+                                             .content = R"({"slots":5})"}},
+                                .more = true,
+                                .revision = 9}));
   const ObjectReadResult changes = StoreReader::Decode(
       ObjectRead::Kind::kWatch, 200,
       R"({"events":[{"tombstone":true,"object":{"metadata":{"name":"i-1",
@@ -45,11 +46,12 @@
 // An answer that can't be read whole is no answer: taken in part it could hide
 // a change for good.
 BOOST_AUTO_TEST_CASE(UnreadableAnswersAreNoAnswer) {
-  for (const char* body : {"", "[]", "{", R"({"items":[{}],"currentRev":1})",
-                           R"({"items":[]})"}) {
-    BOOST_TEST((StoreReader::Decode(ObjectRead::Kind::kList, 200, body)
-                    .outcome == ReadOutcome::kNoAnswer),
-               body);
+  for (const char* body :
+       {"", "[]", "{", R"({"items":[{}],"currentRev":1})", R"({"items":[]})"}) {
+    BOOST_TEST(
+        (StoreReader::Decode(ObjectRead::Kind::kList, 200, body).outcome ==
+         ReadOutcome::kNoAnswer),
+        body);
   }
   BOOST_TEST((StoreReader::Decode(ObjectRead::Kind::kWatch, 410, "").outcome ==
               ReadOutcome::kHistoryGone));
@@ -73,33 +75,43 @@
         "plainTokens":200,"ratePerS":10.5,"burst":20}],"unknown":1})");
   });
   BOOST_REQUIRE(table);
-  BOOST_TEST((*table.value ==
-              RouteTableContent{
-                  .version = 7,
-                  .routes = {{.name = "r", .host = "h", .path_prefix = "/p/",
-                              .services = {{.service = "s"}},
-                              .streaming = true, .resumable = true,
-                              .timeout = std::chrono::seconds(5),
-                              .latency_target = std::chrono::milliseconds(500),
-                              .event_gap_target = std::chrono::milliseconds(300),
-                              .priority = 1, .max_attempts = 2},
-                             {.name = "q", .host = "h", .path_prefix = "/q/",
-                              .services = {{.service = "s", .weight = 90}},
-                              .idempotent = true}},
-                  .services = {{.name = "s", .batch_slots = 5}, {.name = "t"}},
-                  .teams = {{.name = "one", .api_keys = {"k"}, .priority = 1,
-                             .rate = {.per_second = 10.5, .burst = 20,
-                                      .in_tokens = true,
-                                      .tokens_if_unknown = 200}}},
-                  .limits = {.head_bytes = 100, .body_bytes = 200,
-                             .head_time = std::chrono::milliseconds(300),
-                             .idle_time = std::chrono::milliseconds(400)}}));
+  BOOST_TEST(
+      (*table.value ==
+       RouteTableContent{
+           .version = 7,
+           .routes = {{.name = "r",
+                       .host = "h",
+                       .path_prefix = "/p/",
+                       .services = {{.service = "s"}},
+                       .streaming = true,
+                       .resumable = true,
+                       .timeout = std::chrono::seconds(5),
+                       .latency_target = std::chrono::milliseconds(500),
+                       .event_gap_target = std::chrono::milliseconds(300),
+                       .priority = 1,
+                       .max_attempts = 2},
+                      {.name = "q",
+                       .host = "h",
+                       .path_prefix = "/q/",
+                       .services = {{.service = "s", .weight = 90}},
+                       .idempotent = true}},
+           .services = {{.name = "s", .batch_slots = 5}, {.name = "t"}},
+           .teams = {{.name = "one",
+                      .api_keys = {"k"},
+                      .priority = 1,
+                      .rate = {.per_second = 10.5,
+                               .burst = 20,
+                               .in_tokens = true,
+                               .tokens_if_unknown = 200}}},
+           .limits = {.head_bytes = 100,
+                      .body_bytes = 200,
+                      .head_time = std::chrono::milliseconds(300),
+                      .idle_time = std::chrono::milliseconds(400)}}));
 }
 
 BOOST_AUTO_TEST_CASE(FaultsOfAConfigurationAreNamedWithTheirPath) {
-  const auto table = Catch([] {
-    return hybrid::DecodeConfig(R"({"routes":[{"host":"h"}]})");
-  });
+  const auto table = Catch(
+      [] { return hybrid::DecodeConfig(R"({"routes":[{"host":"h"}]})"); });
   BOOST_TEST(!table);
   for (const char* fault : {"/version: is missing", "/routes/0/pathPrefix",
                             "/routes/0/kind", "/routes/0/service"}) {
@@ -114,10 +126,12 @@
           "zone":"govan","slots":5,"state":"draining","sequence":4})"});
   });
   BOOST_REQUIRE(server);
-  BOOST_TEST((*server.value ==
-              BackendServer{.id = "i-1", .service = "s",
-                            .address = "10.0.0.1:80", .data_centre = "govan",
-                            .slots = 5, .draining = true}));
+  BOOST_TEST((*server.value == BackendServer{.id = "i-1",
+                                             .service = "s",
+                                             .address = "10.0.0.1:80",
+                                             .data_centre = "govan",
+                                             .slots = 5,
+                                             .draining = true}));
 }
 
 }  // namespace lavenderkeel
--- a/test/watch/object_watch_test.cc
+++ b/test/watch/object_watch_test.cc
@@ -28,8 +28,10 @@
   std::vector<std::string> told;
   ObjectWatch watch{
       {.object_kind = "servers"},
-      {.read = [this](uint64_t call,
-                      const ObjectRead& read) { calls.push_back({call, read}); },
+      {.read =
+           [this](uint64_t call, const ObjectRead& read) {
+             calls.push_back({call, read});
+           },
        .on_list =
            [this](const std::vector<StoredObject>& objects) {
              std::string text = "list";
@@ -73,12 +75,15 @@
 BOOST_AUTO_TEST_CASE(PagesAreJoinedAndTheWatchGoesOnFromTheFirst) {
   Harness h;
   h.watch.Start();
-  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .objects = {Object("a")},
-                      .more = true, .revision = 10});
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
+                      .objects = {Object("a")},
+                      .more = true,
+                      .revision = 10});
   const Harness::Call second = h.Take();
   BOOST_TEST(second.read.after_name == "a");
-  h.Answer(second, {.outcome = ReadOutcome::kOk, .objects = {Object("b")},
-                    .revision = 12});
+  h.Answer(
+      second,
+      {.outcome = ReadOutcome::kOk, .objects = {Object("b")}, .revision = 12});
   BOOST_TEST((h.told == std::vector<std::string>{"list a b"}));
   const Harness::Call watch = h.Take();
   BOOST_TEST((watch.read.kind == Kind::kWatch));
@@ -99,8 +104,9 @@
   h.Answer(h.Take(), {.outcome = ReadOutcome::kHistoryGone});
   const Harness::Call list = h.Take();
   BOOST_TEST((list.read.kind == Kind::kList));
-  h.Answer(list, {.outcome = ReadOutcome::kOk, .objects = {Object("c")},
-                  .revision = 40});
+  h.Answer(
+      list,
+      {.outcome = ReadOutcome::kOk, .objects = {Object("c")}, .revision = 40});
   BOOST_TEST(h.told.back() == "list c");
 }
 
@@ -129,9 +135,11 @@
   h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 10});
   const Harness::Call old = h.Take();
   h.watch.Restart();
-  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .objects = {Object("new")},
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
+                      .objects = {Object("new")},
                       .revision = 20});
-  h.Answer(old, {.outcome = ReadOutcome::kOk, .objects = {Object("old")},
+  h.Answer(old, {.outcome = ReadOutcome::kOk,
+                 .objects = {Object("old")},
                  .revision = 11});
   BOOST_TEST((h.told == std::vector<std::string>{"list", "list new"}));
 }
