--- a/lavenderkeel/forward.h
+++ b/lavenderkeel/forward.h
@@ -9,5 +9,8 @@
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
+#include "lavenderkeel/forward/slot.h"
+#include "lavenderkeel/forward/slot_gate.h"
+#include "lavenderkeel/forward/slot_router.h"
 
 #endif  // LAVENDERKEEL_FORWARD_H_
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -49,6 +49,17 @@
   return passed;
 }
 
+SlotResult::Kind ResultKindOf(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kRejected:
+      return SlotResult::Kind::kFull;
+    case AttemptFailure::kWrongServer:
+      return SlotResult::Kind::kReplaced;
+    default:
+      return SlotResult::Kind::kFailed;
+  }
+}
+
 std::string RefusalBody(const ResultCodeInfo& info, Duration retry_after) {
   std::string body = R"({"error":{"code":)";
   body += std::to_string(static_cast<uint32_t>(info.code));
@@ -81,16 +92,19 @@
 ForwardController::ForwardController(Options options,
                                      ForwardCodec codec,
                                      ForwardPort& port,
+                                     const ServerDirectory& directory,
+                                     SlotRouter& slots,
                                      const Clock& clock,
                                      const EventLog& log,
                                      Metrics& metrics)
     : options_(std::move(options)),
       codec_(std::move(codec)),
       port_(port),
+      directory_(directory),
+      slots_(slots),
       clock_(clock),
       log_(log),
-      metrics_(metrics),
-      placement_(options_.placement) {
+      metrics_(metrics) {
   options_.retries.extra = options_.retry_extra;
 }
 
@@ -109,17 +123,6 @@
   table_ = std::move(table);
 }
 
-void ForwardController::OnServersChanged() {
-  loads_.Forget([this](const std::string& server) {
-    return directory_.Find(server) != nullptr;
-  });
-  // A server that only other entries have used so far has its load as well.
-  for (const std::string& server : directory_.Ids()) {
-    loads_.Of(server);
-  }
-  DispatchAll();
-}
-
 void ForwardController::OnRequest(ExchangeId exchange,
                                   RequestHead head,
                                   std::string body) {
@@ -232,61 +235,56 @@
 void ForwardController::Wait(ForwardedRequest& request) {
   request.state = State::kWaiting;
   request.waiting_since = clock_.Now();
-  queues_[request.service].Add({.priority = request.priority,
-                                .route_priority = request.route->priority,
-                                .due = request.due,
-                                .exchange = request.exchange});
-  Dispatch(request.service);
-}
-
-void ForwardController::Dispatch(const std::string& service) {
-  WaitingQueue& queue = queues_[service];
-  while (const std::optional<ExchangeId> first = queue.First()) {
-    ForwardedRequest& request = *requests_.at(*first);
-    if (!Start(request)) {
-      return;
-    }
-  }
-}
-
-void ForwardController::DispatchAll() {
-  for (auto& [service, queue] : queues_) {
-    if (!queue.empty()) {
-      Dispatch(service);
-    }
-  }
-}
-
-bool ForwardController::Start(ForwardedRequest& request) {
-  const BackendServer* server =
-      placement_.Choose({.service = request.service,
-                         .model_server = request.model_server,
-                         .tried = request.tried},
-                        directory_, loads_, clock_.Now());
-  if (server == nullptr) {
+  request.attempt = ++last_attempt_;
+  attempts_[request.attempt] = request.exchange;
+  SlotAsk ask = {.attempt = request.attempt,
+                 .service = request.service,
+                 .model_server = request.model_server,
+                 .priority = request.priority,
+                 .route_priority = request.route->priority,
+                 .due = request.due,
+                 .prompt_tokens = request.terms.prompt_tokens};
+  for (const std::string& server : request.tried) {
+    ask.tried.push_back(HashBytes(server));
+  }
+  // The slot may be granted before this returns.
+  slots_.Ask(std::move(ask));
+}
+
+bool ForwardController::OnSlot(const std::string& gate,
+                               const SlotGrant& grant) {
+  ForwardedRequest* request = FindByAttempt(grant.attempt);
+  if (request == nullptr || request->state != State::kWaiting) {
     return false;
   }
-  queues_[request.service].Remove(request.exchange);
-  SendTo(request, *server);
+  const BackendServer* server = directory_.Find(grant.server);
+  if (server == nullptr || server->draining) {
+    // Our list is newer than the gate's.
+    EndAttempt(*request, {.kind = SlotResult::Kind::kReplaced});
+    Wait(*request);
+    return true;
+  }
+  SendTo(*request, *server, gate, grant);
   return true;
 }
 
 void ForwardController::SendTo(ForwardedRequest& request,
-                               const BackendServer& server) {
+                               const BackendServer& server,
+                               const std::string& gate,
+                               const SlotGrant& grant) {
   const TimePoint now = clock_.Now();
-  ServerLoad& load = loads_.Of(server.id);
-  log_.Info("send", {{"id", request.terms.request_id},
-                     {"server", server.id},
-                     {"attempt", request.tried.size() + 1},
-                     {"config_version", request.table->version()},
-                     {"priority", request.priority},
-                     {"in_flight", load.in_flight()},
-                     {"pace_ms", load.pace().value_or(0)},
-                     {"waited_ms", ToMilliseconds(now - request.waiting_since)},
-                     {"left_ms", ToMilliseconds(request.due - now)}});
-  load.OnSent();
+  log_.Info("send",
+            {{"id", request.terms.request_id},
+             {"server", server.id},
+             {"attempt", request.tried.size() + 1},
+             {"gate", gate},
+             {"config_version", request.table->version()},
+             {"priority", request.priority},
+             {"in_flight", grant.in_flight},
+             {"pace_ms", grant.pace_ms},
+             {"waited_ms", ToMilliseconds(now - request.waiting_since)},
+             {"left_ms", ToMilliseconds(request.due - now)}});
   request.state = State::kSent;
-  request.attempt = ++last_attempt_;
   request.server = server.id;
   request.tried.push_back(server.id);
   request.sent_at = now;
@@ -296,18 +294,18 @@
   request.rejected = false;
   request.events = EventStreamReader();
   request.event_count = 0;
-  attempts_[request.attempt] = request.exchange;
-  const RequestHead head = codec_.write_request(
-      request.head, {.server_id = server.id,
-                     .team = request.team,
-                     .time_left = request.due - now,
-                     .last_event_id = request.last_event_id});
-  port_.Send(
-      request.attempt,
-      {.address = server.address,
-       .bytes = EncodeRequest(head, request.body),
-       .reuse_within = request.may_repeat() ? options_.reuse_within
-                                            : options_.reuse_once_within});
+  const RequestHead head =
+      codec_.write_request(request.head, {.server_id = server.id,
+                                          .team = request.team,
+                                          .time_left = request.due - now,
+                                          .last_event_id =
+                                              request.last_event_id});
+  port_.Send(request.attempt,
+             {.address = server.address,
+              .bytes = EncodeRequest(head, request.body),
+              .reuse_within = request.may_repeat()
+                                  ? options_.reuse_within
+                                  : options_.reuse_once_within});
 }
 
 ForwardedRequest* ForwardController::FindByAttempt(AttemptId attempt) {
@@ -315,10 +313,12 @@
   return found == attempts_.end() ? nullptr : requests_.at(found->second).get();
 }
 
-void ForwardController::EndAttempt(ForwardedRequest& request) {
-  attempts_.erase(request.attempt);
-  request.attempt = 0;
-  loads_.Of(request.server).OnEnded();
+void ForwardController::EndAttempt(ForwardedRequest& request,
+                                   const SlotResult& result) {
+  const AttemptId attempt = std::exchange(request.attempt, 0);
+  attempts_.erase(attempt);
+  request.state = State::kWaiting;
+  slots_.Done(attempt, result);
 }
 
 ForwardController::HeadVerdict ForwardController::OnAnswerHead(
@@ -425,7 +425,6 @@
                                  : AttemptFailure::kRejected);
     return;
   }
-  const std::string service = request->service;
   const bool stream = request->streams() &&
                       IsSuccess(request->answer_head->status) &&
                       IsEventStream(*request->answer_head);
@@ -434,7 +433,6 @@
   } else {
     FinishWhole(*request);
   }
-  Dispatch(service);
 }
 
 void ForwardController::FinishStream(ForwardedRequest& request) {
@@ -443,9 +441,8 @@
     AfterFailure(request, AttemptFailure::kBroken);
     return;
   }
-  NotePace(request);
-  loads_.Of(request.server).OnAnswered(/*error=*/false, clock_.Now());
-  EndAttempt(request);
+  EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
+                       .pace_ms = PaceOf(request)});
   port_.RespondEnd(request.exchange);
   LogEnd(request, "answered", request.answer_head->status);
   Drop(request.exchange);
@@ -454,8 +451,9 @@
 void ForwardController::FinishWhole(ForwardedRequest& request) {
   const int status = request.answer_head->status;
   const bool error = status >= kFirstServerError;
-  loads_.Of(request.server).OnAnswered(error, clock_.Now());
-  EndAttempt(request);
+  EndAttempt(request, {.kind = error ? SlotResult::Kind::kErrored
+                                     : SlotResult::Kind::kAnswered,
+                       .pace_ms = PaceOf(request)});
   ++request.runs;
   ++request.arrivals;
   if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
@@ -465,9 +463,6 @@
     Wait(request);
     return;
   }
-  if (!error) {
-    NotePace(request);
-  }
   if (request.head_sent) {
     port_.RespondEnd(request.exchange);
   } else {
@@ -478,19 +473,20 @@
   Drop(request.exchange);
 }
 
-void ForwardController::NotePace(ForwardedRequest& request) {
-  ServerLoad& load = loads_.Of(request.server);
+std::optional<double> ForwardController::PaceOf(
+    const ForwardedRequest& request) const {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
   if (!request.model_server) {
-    load.OnPace(clock_.Now() - request.sent_at);
-    return;
+    return Milliseconds(clock_.Now() - request.sent_at).count();
   }
   // The pace of a few events says more of other requests' prompts than of the
   // server.
   constexpr int kFewestEvents = 5;
-  if (request.event_count >= kFewestEvents) {
-    load.OnPace((request.last_event_at - request.first_event_at) /
-                (request.event_count - 1));
+  if (request.event_count < kFewestEvents) {
+    return std::nullopt;
   }
+  return Milliseconds(request.last_event_at - request.first_event_at).count() /
+         (request.event_count - 1);
 }
 
 void ForwardController::OnAttemptFailed(AttemptId attempt,
@@ -504,7 +500,6 @@
 void ForwardController::AfterFailure(ForwardedRequest& request,
                                      AttemptFailure failure) {
   const TimePoint now = clock_.Now();
-  const std::string service = request.service;
   log_.Info("attempt_failed",
             {{"id", request.terms.request_id},
              {"server", request.server},
@@ -513,13 +508,7 @@
              {"events", request.event_count}});
   metrics_.Add(std::string("attempts_failed{failure=\"") +
                AttemptFailureName(failure) + "\"}");
-  ServerLoad& load = loads_.Of(request.server);
-  if (failure == AttemptFailure::kRejected) {
-    load.OnFull(now);
-  } else {
-    load.OnFailed(now);
-  }
-  EndAttempt(request);
+  EndAttempt(request, {.kind = ResultKindOf(failure)});
   const RunState state = RunStateAfter(failure);
   request.arrivals += state == RunState::kUnsent ? 0 : 1;
   request.runs += state == RunState::kMayHaveRun ? 1 : 0;
@@ -528,7 +517,6 @@
   } else {
     GiveUp(request, state);
   }
-  Dispatch(service);
 }
 
 bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
@@ -573,14 +561,11 @@
     return;
   }
   ForwardedRequest& request = *found->second;
-  const std::string service = request.service;
   if (request.state == State::kSent) {
     port_.Cancel(request.attempt);
-    EndAttempt(request);
   }
   LogEnd(request, "client_gone", 0);
   Drop(exchange);
-  Dispatch(service);
 }
 
 TimePoint ForwardController::WaitsUntil(const ForwardedRequest& request) const {
@@ -619,7 +604,7 @@
   if (now >= request.due) {
     if (request.state == State::kSent) {
       port_.Cancel(request.attempt);
-      EndAttempt(request);
+      EndAttempt(request, {});
       ++request.runs;
     }
     if (request.runs == 0) {
@@ -654,11 +639,6 @@
 
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
-  const uint64_t before = directory_.revision();
-  directory_.Tick(now);
-  if (directory_.revision() != before) {
-    OnServersChanged();
-  }
   std::vector<ExchangeId> all;
   all.reserve(requests_.size());
   for (const auto& [exchange, request] : requests_) {
@@ -666,16 +646,10 @@
   }
   for (const ExchangeId exchange : all) {
     const auto found = requests_.find(exchange);
-    if (found == requests_.end()) {
-      continue;
-    }
-    const std::string service = found->second->service;
-    CheckTime(*found->second, now);
-    if (!requests_.contains(exchange)) {
-      Dispatch(service);
+    if (found != requests_.end()) {
+      CheckTime(*found->second, now);
     }
   }
-  DispatchAll();
 }
 
 void ForwardController::RefuseRequest(ForwardedRequest& request,
@@ -738,22 +712,31 @@
 void ForwardController::Drop(ExchangeId exchange) {
   const auto found = requests_.find(exchange);
   held_body_bytes_ -= found->second->body.size();
-  queues_[found->second->service].Remove(exchange);
+  if (found->second->attempt != 0) {
+    EndAttempt(*found->second, {});
+  }
   requests_.erase(found);
 }
 
 size_t ForwardController::waiting() const {
-  size_t sum = 0;
-  for (const auto& [service, queue] : queues_) {
-    sum += queue.size();
-  }
-  return sum;
+  return static_cast<size_t>(
+      std::ranges::count_if(requests_, [](const auto& item) {
+        return item.second->state == State::kWaiting;
+      }));
 }
 
 ForwardReport ForwardController::Report() const {
   ForwardReport report;
   report.table_version = table_ == nullptr ? 0 : table_->version();
-  report.in_flight = loads_.Report();
+  std::map<uint64_t, int> in_flight;
+  for (const auto& [exchange, request] : requests_) {
+    if (request->state == State::kSent) {
+      ++in_flight[HashBytes(request->server)];
+    }
+  }
+  for (const auto& [server, count] : in_flight) {
+    report.in_flight.push_back({.server_hash = server, .in_flight = count});
+  }
   for (const auto& [team, bucket] : buckets_) {
     if (bucket.used() > 0) {
       report.team_totals.emplace_back(team, bucket.used());
@@ -764,19 +747,15 @@
 
 void ForwardController::OnPeerReport(const std::string& peer,
                                      const ForwardReport& report) {
-  loads_.OnPeerReport(peer, report.in_flight);
   for (const auto& [team, total] : report.team_totals) {
     buckets_[team].OnPeerTotal(peer, total);
   }
-  DispatchAll();
 }
 
 void ForwardController::OnPeerLost(const std::string& peer) {
-  loads_.ForgetPeer(peer);
   for (auto& [team, bucket] : buckets_) {
     bucket.ForgetPeer(peer);
   }
-  DispatchAll();
 }
 
 void ForwardController::OnPeerCount(size_t known, size_t heard) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -16,21 +16,20 @@
 #include "lavenderkeel/base/result_code.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
-#include "lavenderkeel/forward/placement.h"
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/retry_window.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
-#include "lavenderkeel/forward/server_load.h"
+#include "lavenderkeel/forward/slot_gate.h"
+#include "lavenderkeel/forward/slot_router.h"
 #include "lavenderkeel/forward/team_bucket.h"
-#include "lavenderkeel/forward/waiting_queue.h"
 
 namespace lavenderkeel {
 
 /// What one entry tells the others, some times a second.
 struct ForwardReport {
   uint64_t table_version = 0;
-  ServerLoads::PeerCounts in_flight;
+  std::vector<ServerCount> in_flight;
   /// Units that each team drew from its rate here since this entry's start, by
   /// the hash of the team's name.
   std::vector<std::pair<uint64_t, double>> team_totals;
@@ -46,7 +45,6 @@
 class ForwardController {
  public:
   struct Options {
-    Placement::Options placement;
     RetryWindow::Options retries;
     TeamBucket::Tolerance rate_tolerance;
     /// Extra sendings of all entries together, see RetryWindow.
@@ -83,9 +81,13 @@
     Duration retry_after = std::chrono::milliseconds(300);
   };
 
+  /// @param slots where this controller asks for slots; its grants come back
+  ///     through OnSlot
   ForwardController(Options options,
                     ForwardCodec codec,
                     ForwardPort& port,
+                    const ServerDirectory& directory,
+                    SlotRouter& slots,
                     const Clock& clock,
                     const EventLog& log,
                     Metrics& metrics);
@@ -93,9 +95,6 @@
   // Configuration and servers.
   void OnRouteTable(std::shared_ptr<const RouteTable> table);
   const std::shared_ptr<const RouteTable>& table() const { return table_; }
-  ServerDirectory& directory() { return directory_; }
-  /// After changes of the directory.
-  void OnServersChanged();
 
   // Clients.
   void OnRequest(ExchangeId exchange, RequestHead head, std::string body);
@@ -105,6 +104,9 @@
   /// From now on new requests are refused; those that are here go on.
   void RefuseNew() { refuses_new_ = true; }
 
+  /// A slot for an attempt. @return false if it is not wanted
+  bool OnSlot(const std::string& gate, const SlotGrant& grant);
+
   // Servers. The first two return false if the attempt is to be dropped.
   enum class HeadVerdict { kTake, kSkip, kDrop };
   /// @param fresh nothing was answered on this connection before
@@ -126,6 +128,7 @@
   void Tick();
 
   size_t open() const { return requests_.size(); }
+  /// Those that are not at a server.
   size_t waiting() const;
 
  private:
@@ -139,24 +142,24 @@
   std::optional<Refusal> Admit(ForwardedRequest& request);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
   void Wait(ForwardedRequest& request);
-  void Dispatch(const std::string& service);
-  void DispatchAll();
-  bool Start(ForwardedRequest& request);
-  void SendTo(ForwardedRequest& request, const BackendServer& server);
+  void SendTo(ForwardedRequest& request,
+              const BackendServer& server,
+              const std::string& gate,
+              const SlotGrant& grant);
   TimePoint WaitsUntil(const ForwardedRequest& request) const;
   Duration LongestSilence(const ForwardedRequest& request) const;
   void CheckTime(ForwardedRequest& request, TimePoint now);
 
   ForwardedRequest* FindByAttempt(AttemptId attempt);
-  /// The attempt is over; its place at the server is free again.
-  void EndAttempt(ForwardedRequest& request);
+  /// The attempt is over, sent or not; its slot is free again.
+  void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
   bool MayRetry(ForwardedRequest& request, RunState state);
   void GiveUp(ForwardedRequest& request, RunState state);
   void PassEvents(ForwardedRequest& request);
   void FinishWhole(ForwardedRequest& request);
   void FinishStream(ForwardedRequest& request);
-  void NotePace(ForwardedRequest& request);
+  std::optional<double> PaceOf(const ForwardedRequest& request) const;
 
   void Refuse(ExchangeId exchange,
               const std::string& request_id,
@@ -170,16 +173,14 @@
   Options options_;
   ForwardCodec codec_;
   ForwardPort& port_;
+  const ServerDirectory& directory_;
+  SlotRouter& slots_;
   const Clock& clock_;
   const EventLog& log_;
   Metrics& metrics_;
-  Placement placement_;
   std::shared_ptr<const RouteTable> table_;
-  ServerDirectory directory_;
-  ServerLoads loads_;
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
-  std::map<std::string, WaitingQueue> queues_;
   std::map<std::string, RetryWindow> retries_;
   /// By the hash of the team's name.
   std::map<uint64_t, TeamBucket> buckets_;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -34,10 +34,81 @@
           .address = hello.address};
 }
 
-ForwardStatus ToWire(const ForwardReport& report) {
+/// A group that no wish came for in this time has another gate now.
+constexpr Duration kGateForgotten = std::chrono::seconds(2);
+
+SlotRouter::Options WithSelf(SlotRouter::Options options, std::string self) {
+  options.self = std::move(self);
+  return options;
+}
+
+WantSlot ToWire(const SlotAsk& ask, TimePoint now) {
+  WantSlot want;
+  want.attempt = ask.attempt;
+  want.service = ask.service;
+  want.model_server = ask.model_server;
+  want.group = ask.group.index;
+  want.groups = ask.group.count;
+  want.priority = ask.priority;
+  want.route_priority = ask.route_priority;
+  // Clocks differ between machines, so what crosses is the time that is left.
+  want.left_us = (ask.due - now).count();
+  want.prompt_tokens = ask.prompt_tokens;
+  want.tried = ask.tried;
+  return want;
+}
+
+SlotAsk FromWire(const WantSlot& want, TimePoint now) {
+  return {.attempt = want.attempt,
+          .service = want.service,
+          .model_server = want.model_server,
+          .group = {.index = want.group,
+                    .count = std::max<uint32_t>(1, want.groups)},
+          .priority = want.priority,
+          .route_priority = want.route_priority,
+          .due = now + Duration(want.left_us),
+          .prompt_tokens = want.prompt_tokens,
+          .tried = want.tried};
+}
+
+HaveSlot ToWire(const SlotGrant& grant) {
+  HaveSlot have;
+  have.attempt = grant.attempt;
+  have.server = grant.server;
+  have.in_flight = static_cast<uint32_t>(std::max(0, grant.in_flight));
+  have.pace_ms = grant.pace_ms;
+  return have;
+}
+
+SlotGrant FromWire(const HaveSlot& have) {
+  return {.attempt = have.attempt,
+          .server = have.server,
+          .in_flight = static_cast<int>(have.in_flight),
+          .pace_ms = have.pace_ms};
+}
+
+SlotEnd ToWire(AttemptId attempt, const SlotResult& result) {
+  SlotEnd end;
+  end.attempt = attempt;
+  end.kind = static_cast<uint8_t>(result.kind);
+  end.pace_ms = result.pace_ms.value_or(-1);
+  return end;
+}
+
+SlotResult FromWire(const SlotEnd& end) {
+  // A kind that a newer entry knows says nothing of the server here.
+  constexpr auto kLast = static_cast<uint8_t>(SlotResult::Kind::kReplaced);
+  return {.kind = end.kind <= kLast ? static_cast<SlotResult::Kind>(end.kind)
+                                    : SlotResult::Kind::kUnused,
+          .pace_ms = end.pace_ms < 0 ? std::nullopt
+                                     : std::optional(end.pace_ms)};
+}
+
+ForwardStatus ToWire(const ForwardReport& report,
+                     const std::vector<GateReport>& gates) {
   ForwardStatus status;
   status.table_version = report.table_version;
-  for (const ServerLoads::PeerCount& count : report.in_flight) {
+  for (const ServerCount& count : report.in_flight) {
     status.servers.push_back(count.server_hash);
     status.in_flight.push_back(static_cast<uint32_t>(count.in_flight));
   }
@@ -45,9 +116,31 @@
     status.teams.push_back(team);
     status.drawn.push_back(drawn);
   }
+  for (const GateReport& gate : gates) {
+    auto told = std::make_unique<GateStatus>();
+    told->service = gate.service_hash;
+    told->group = gate.group.index;
+    told->groups = gate.group.count;
+    told->free = gate.free;
+    told->waiting = static_cast<uint32_t>(gate.waiting);
+    status.gates.push_back(std::move(told));
+  }
   return status;
 }
 
+std::vector<GateReport> GatesFromWire(const ForwardStatus& status) {
+  std::vector<GateReport> gates;
+  for (const auto& told : status.gates) {
+    if (told != nullptr) {
+      gates.push_back({.service_hash = told->service,
+                       .group = {.index = told->group, .count = told->groups},
+                       .free = told->free,
+                       .waiting = static_cast<int>(told->waiting)});
+    }
+  }
+  return gates;
+}
+
 ForwardReport FromWire(const ForwardStatus& status) {
   ForwardReport report{.table_version = status.table_version};
   // A peer that lies about its lists' lengths is read as far as they agree.
@@ -97,9 +190,31 @@
                  heartbeat.leaving = leaving_;
                  return heartbeat;
                }),
+      self_(members_.self().id.ToString()),
+      gate_({.placement = options_.placement},
+            directory_,
+            clock,
+            [this](const std::string& asker, const SlotGrant& grant) {
+              OnGrant(asker, grant);
+            }),
+      slots_(WithSelf(options_.slots, self_),
+             directory_,
+             clock,
+             log,
+             {.ask =
+                  [this](const std::string& gate, const SlotAsk& ask) {
+                    TakeAsk(gate, ask);
+                  },
+              .done =
+                  [this](const std::string& gate, AttemptId attempt,
+                         const SlotResult& result) {
+                    TakeDone(gate, attempt, result);
+                  }}),
       controller_(options_.controller,
                   std::move(codec),
                   port,
+                  directory_,
+                  slots_,
                   clock,
                   log,
                   metrics),
@@ -117,11 +232,19 @@
   members_.signal_lost().connect([this](const PeerId& peer, Role) {
     log_.Warn("peer_lost", {{"peer", peer.ToString()}});
     known_by_peer_.erase(peer.instance);
+    peers_.erase(peer.ToString());
+    slots_.OnGone(peer.ToString());
+    gate_.ForgetAsker(peer.ToString());
     controller_.OnPeerLost(peer.ToString());
     CountPeers();
   });
+  members_.signal_leaving().connect([this](const PeerId& peer, Role) {
+    slots_.OnGone(peer.ToString());
+  });
   members_.signal_up().connect([this](const Member& member) {
     log_.Info("peer_up", {{"peer", member.info.id.ToString()}});
+    peers_[member.info.id.ToString()] = member.info.id;
+    slots_.OnReconnected(member.info.id.ToString());
     status_due_ = {};
     known_due_ = {};
   });
@@ -159,21 +282,21 @@
 }
 
 ObjectWatch::Hooks ForwardNode::ServerHooks() {
-  return {
-      .read = [this](
-                  uint64_t call,
-                  const ObjectRead& read) { Read(server_watch_, call, read); },
-      .on_list =
-          [this](const std::vector<StoredObject>& objects) {
-            OnServerList(objects);
-          },
-      .on_change =
-          [this](const StoredObject& object) {
-            OnServer(object);
-            controller_.OnServersChanged();
-          },
-      .on_outage = [this] { controller_.directory().OnOutage(); },
-      .on_return = [this] { controller_.directory().OnReturn(clock_.Now()); }};
+  return {.read =
+              [this](uint64_t call, const ObjectRead& read) {
+                Read(server_watch_, call, read);
+              },
+          .on_list =
+              [this](const std::vector<StoredObject>& objects) {
+                OnServerList(objects);
+              },
+          .on_change =
+              [this](const StoredObject& object) {
+                OnServer(object);
+                gate_.Dispatch();
+              },
+          .on_outage = [this] { directory_.OnOutage(); },
+          .on_return = [this] { directory_.OnReturn(clock_.Now()); }};
 }
 
 void ForwardNode::Read(ObjectWatch& watch,
@@ -208,11 +331,10 @@
 }
 
 void ForwardNode::OnServer(const StoredObject& object) {
-  ServerDirectory& directory = controller_.directory();
   if (object.removed) {
     log_.Info("server_removed",
               {{"server", object.name}, {"revision", object.revision}});
-    directory.Remove(object.name, clock_.Now());
+    directory_.Remove(object.name, clock_.Now());
     return;
   }
   const auto server = Catch([&] { return source_.decode_server(object); });
@@ -227,7 +349,7 @@
                               {"address", server.value->address},
                               {"slots", server.value->slots},
                               {"draining", server.value->draining}});
-  directory.Apply(*server.value);
+  directory_.Apply(*server.value);
 }
 
 void ForwardNode::OnServerList(const std::vector<StoredObject>& objects) {
@@ -243,8 +365,8 @@
   log_.Info("servers_listed", {{"servers", servers.size()},
                                {"revision", server_watch_.revision()}});
   servers_listed_ = true;
-  controller_.directory().ApplyList(servers, clock_.Now());
-  controller_.OnServersChanged();
+  directory_.ApplyList(servers, clock_.Now());
+  gate_.Dispatch();
 }
 
 void ForwardNode::Tick() {
@@ -255,6 +377,9 @@
   config_watch_.Tick();
   server_watch_.Tick();
   CountPeers();
+  directory_.Tick(clock_.Now());
+  slots_.Tick();
+  gate_.Dispatch();
   controller_.Tick();
   PullNewer();
   SendStatus();
@@ -272,6 +397,7 @@
   if (std::exchange(leaving_, true)) {
     return;
   }
+  slots_.set_leaving();
   members_.set_leaving();
   members_.AnnounceNow();
 }
@@ -307,6 +433,13 @@
           members_.OnHeartbeat(link, body);
         } else if constexpr (std::is_same_v<T, ForwardStatus>) {
           OnStatus(*member, body);
+        } else if constexpr (std::is_same_v<T, WantSlot>) {
+          OnWantSlot(*member, body);
+        } else if constexpr (std::is_same_v<T, HaveSlot>) {
+          OnHaveSlot(*member, body);
+        } else if constexpr (std::is_same_v<T, SlotEnd>) {
+          gate_.Done(member->info.id.ToString(), body.attempt,
+                     FromWire(body));
         } else if constexpr (std::is_same_v<T, KnownEntries>) {
           OnKnownEntries(*member, body);
         } else if constexpr (std::is_same_v<T, ConfigPull>) {
@@ -327,7 +460,91 @@
     newer_at_ = member.info.id;
     newer_since_ = clock_.Now();
   }
-  controller_.OnPeerReport(member.info.id.ToString(), FromWire(status));
+  const std::string peer = member.info.id.ToString();
+  const ForwardReport report = FromWire(status);
+  controller_.OnPeerReport(peer, report);
+  gate_.OnReport(peer, report.in_flight);
+  if (!member.info.leaving) {
+    slots_.OnHeard(peer, GatesFromWire(status));
+  }
+}
+
+std::optional<LinkId> ForwardNode::LinkTo(const std::string& entry) const {
+  const auto found = peers_.find(entry);
+  return found == peers_.end() ? std::nullopt : members_.LinkTo(found->second);
+}
+
+void ForwardNode::TakeAsk(const std::string& gate, const SlotAsk& ask) {
+  if (gate == self_) {
+    NoteGated(ask);
+    gate_.Ask(self_, ask);
+    return;
+  }
+  // Without a link the wish waits until the gate counts as silent.
+  if (const std::optional<LinkId> link = LinkTo(gate)) {
+    outbox_.Send(*link, ToWire(ask, clock_.Now()));
+  }
+}
+
+void ForwardNode::TakeDone(const std::string& gate,
+                           AttemptId attempt,
+                           const SlotResult& result) {
+  if (gate == self_) {
+    gate_.Done(self_, attempt, result);
+    return;
+  }
+  if (const std::optional<LinkId> link = LinkTo(gate)) {
+    outbox_.Send(*link, ToWire(attempt, result));
+  }
+}
+
+void ForwardNode::OnGrant(const std::string& asker, const SlotGrant& grant) {
+  if (asker != self_) {
+    if (const std::optional<LinkId> link = LinkTo(asker)) {
+      outbox_.Send(*link, ToWire(grant));
+    }
+    return;
+  }
+  const bool wanted = slots_.OnGrant(self_, grant.attempt) &&
+                      controller_.OnSlot(self_, grant);
+  if (!wanted) {
+    gate_.Done(self_, grant.attempt, {});
+  }
+}
+
+void ForwardNode::NoteGated(const SlotAsk& ask) {
+  if (ask.model_server) {
+    gated_[{ask.service, ask.group}] = clock_.Now();
+  }
+}
+
+void ForwardNode::OnWantSlot(const Member& member, const WantSlot& want) {
+  const SlotAsk ask = FromWire(want, clock_.Now());
+  NoteGated(ask);
+  gate_.Ask(member.info.id.ToString(), ask);
+}
+
+void ForwardNode::OnHaveSlot(const Member& member, const HaveSlot& have) {
+  const std::string gate = member.info.id.ToString();
+  const SlotGrant grant = FromWire(have);
+  const bool wanted = slots_.OnGrant(gate, grant.attempt) &&
+                      controller_.OnSlot(gate, grant);
+  if (!wanted) {
+    TakeDone(gate, grant.attempt, {});
+  }
+}
+
+std::vector<GateReport> ForwardNode::ReportGates() const {
+  std::vector<GateReport> reports;
+  for (const auto& [line, last] : gated_) {
+    const auto& [service, group] = line;
+    reports.push_back({.service_hash = HashBytes(service),
+                       .group = group,
+                       .free = gate_.Free(service, group),
+                       .waiting =
+                           static_cast<int>(gate_.waiting(service, group))});
+  }
+  return reports;
 }
 
 void ForwardNode::PullNewer() {
@@ -389,7 +606,14 @@
     return;
   }
   status_due_ = now + options_.status_period;
-  const ForwardStatus status = ToWire(controller_.Report());
+  const ForwardReport report = controller_.Report();
+  gate_.OnReport(self_, report.in_flight);
+  std::erase_if(gated_, [now](const auto& item) {
+    return now - item.second > kGateForgotten;
+  });
+  const std::vector<GateReport> gates = ReportGates();
+  slots_.OnHeard(self_, gates);
+  const ForwardStatus status = ToWire(report, gates);
   for (const Member* member : members_.Members(Role::kEntry)) {
     if (member->outbound.has_value()) {
       outbox_.Send(*member->outbound, status);
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -38,6 +38,8 @@
  public:
   struct Options {
     ForwardController::Options controller;
+    Placement::Options placement;
+    SlotRouter::Options slots;
     MemberTable::Options members = {
         .dial = {.longest = std::chrono::seconds(1)},
         // Its rate share and its report are reckoned with until then.
@@ -82,6 +84,7 @@
   bool ready() const;
   bool leaving() const { return leaving_; }
   ForwardController& controller() { return controller_; }
+  const SlotGate& gate() const { return gate_; }
   MemberTable& members() { return members_; }
   Outbox& outbox() { return outbox_; }
   uint64_t store_calls() const {
@@ -96,7 +99,17 @@
   void OnServer(const StoredObject& object);
   void OnServerList(const std::vector<StoredObject>& objects);
 
+  void TakeAsk(const std::string& gate, const SlotAsk& ask);
+  void TakeDone(const std::string& gate,
+                AttemptId attempt,
+                const SlotResult& result);
+  void OnGrant(const std::string& asker, const SlotGrant& grant);
   void OnStatus(const Member& member, const ForwardStatus& status);
+  void OnWantSlot(const Member& member, const WantSlot& want);
+  void OnHaveSlot(const Member& member, const HaveSlot& have);
+  std::vector<GateReport> ReportGates() const;
+  std::optional<LinkId> LinkTo(const std::string& entry) const;
+  void NoteGated(const SlotAsk& ask);
   void OnKnownEntries(const Member& member, const KnownEntries& known);
   void OnPull(LinkId link);
   void PullNewer();
@@ -112,6 +125,11 @@
   std::mt19937_64 random_;
   Outbox outbox_;
   MemberTable members_;
+  /// This entry's name among the gates: its instance and incarnation.
+  std::string self_;
+  ServerDirectory directory_;
+  SlotGate gate_;
+  SlotRouter slots_;
   ForwardController controller_;
   ObjectWatch config_watch_;
   ObjectWatch server_watch_;
@@ -126,6 +144,10 @@
   std::optional<PeerId> newer_at_;
   TimePoint newer_since_;
   std::map<std::string, std::vector<InstanceInfo>> known_by_peer_;
+  /// The latest incarnation heard of, by its name among the gates.
+  std::map<std::string, PeerId> peers_;
+  /// Groups that wishes came for, and when the last one did.
+  std::map<std::pair<std::string, SlotGroup>, TimePoint> gated_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -18,7 +18,7 @@
 /// One request of a client from its arrival to its final answer.
 struct ForwardedRequest {
   enum class State {
-    /// For a place at a server.
+    /// For a slot at a server.
     kWaiting,
     /// An attempt is under way.
     kSent,
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -3,26 +3,15 @@
 #include <algorithm>
 #include <cmath>
 
+#include "lavenderkeel/base/rendezvous.h"
+
 namespace lavenderkeel {
 
 namespace {
 
-/// The middle pace of the servers, for one that has no sample yet.
-double TypicalPace(std::span<const BackendServer* const> servers,
-                   const ServerLoads& loads) {
-  std::vector<double> paces;
-  for (const BackendServer* server : servers) {
-    const ServerLoad* load = loads.Find(server->id);
-    if (load != nullptr && load->pace().has_value()) {
-      paces.push_back(*load->pace());
-    }
-  }
-  if (paces.empty()) {
-    return 1;
-  }
-  const auto middle = paces.begin() + static_cast<ptrdiff_t>(paces.size() / 2);
-  std::ranges::nth_element(paces, middle);
-  return *middle;
+const ServerLoad* FindLoad(const ServerLoads& loads, const std::string& id) {
+  const auto found = loads.find(id);
+  return found == loads.end() ? nullptr : &found->second;
 }
 
 }  // namespace
@@ -33,57 +22,106 @@
   return std::max(1, static_cast<int>(std::lround(server.slots * per_slot)));
 }
 
-double Placement::Cost(const BackendServer& server,
-                       const ServerLoad* load,
-                       int places,
-                       double typical_pace) const {
-  const double pace =
-      load == nullptr ? typical_pace : load->pace().value_or(typical_pace);
-  const int in_flight = load == nullptr ? 0 : load->in_flight();
+std::vector<Placement::Candidate> Placement::Candidates(
+    const std::string& service,
+    bool model_server,
+    const SlotGroup& group,
+    const ServerDirectory& directory,
+    const ServerLoads& loads,
+    const SlotOccupancy& occupancy,
+    TimePoint now) const {
+  std::vector<Candidate> all;
+  for (const BackendServer* server : directory.Usable(service)) {
+    const uint64_t hash = HashBytes(server->id);
+    if (group.Has(hash)) {
+      all.push_back({.server = server,
+                     .load = FindLoad(loads, server->id),
+                     .hash = hash,
+                     .in_flight = occupancy.At(hash),
+                     .places = Places(*server, model_server)});
+    }
+  }
+  // Failure: a quarter of the servers crash while the rest are full. Symptom:
+  // requests run through the crashed ones, which always have places, and are
+  // given up. While one server is sound the others are left alone.
+  const auto resting = [now](const Candidate& candidate) {
+    return candidate.load != nullptr && candidate.load->resting(now);
+  };
+  if (!std::ranges::all_of(all, resting)) {
+    std::erase_if(all, resting);
+  }
+  return all;
+}
+
+double Placement::Cost(const Candidate& candidate, double typical_pace) const {
+  const double pace = candidate.load == nullptr
+                          ? typical_pace
+                          : candidate.load->pace().value_or(typical_pace);
   double cost = pace / typical_pace;
-  cost *= 1 + options_.full_cost * in_flight / places;
-  if (server.data_centre != options_.data_centre) {
+  cost *= 1 + options_.full_cost * candidate.in_flight / candidate.places;
+  if (candidate.server->data_centre != options_.data_centre) {
     cost *= 1 + options_.other_data_centre_cost;
   }
   constexpr uint64_t kSteps = 1024;
-  const uint64_t lot = HashBytes(server.id, HashBytes(options_.entry)) % kSteps;
+  const uint64_t lot =
+      HashBytes(candidate.server->id, HashBytes(options_.entry)) % kSteps;
   return cost * (1 + options_.spread * static_cast<double>(lot) / kSteps);
 }
 
-const BackendServer* Placement::Choose(const Request& request,
+const BackendServer* Placement::Choose(const SlotAsk& ask,
+                                       const SlotGroup& group,
                                        const ServerDirectory& directory,
                                        const ServerLoads& loads,
+                                       const SlotOccupancy& occupancy,
                                        TimePoint now) const {
-  const std::vector<const BackendServer*> usable =
-      directory.Usable(request.service);
-  const double typical_pace = TypicalPace(usable, loads);
+  const std::vector<Candidate> candidates =
+      Candidates(ask.service, ask.model_server, group, directory, loads,
+                 occupancy, now);
+  // The middle pace stands for a server that has no sample yet.
+  std::vector<double> paces;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.load != nullptr && candidate.load->pace().has_value()) {
+      paces.push_back(*candidate.load->pace());
+    }
+  }
+  std::ranges::sort(paces);
+  const double typical_pace = paces.empty() ? 1 : paces[paces.size() / 2];
   const BackendServer* best = nullptr;
   double best_cost = 0;
-  for (const BackendServer* server : usable) {
-    const ServerLoad* load = loads.Find(server->id);
-    const int places = Places(*server, request.model_server);
-    if (load != nullptr && load->in_flight() >= places) {
+  for (const Candidate& candidate : candidates) {
+    if (candidate.in_flight >= candidate.places) {
       continue;
     }
-    double cost = Cost(*server, load, places, typical_pace);
-    // Last resorts, but better than no server: resting ones, those that may be
-    // gone, and those where this request failed.
+    double cost = Cost(candidate, typical_pace);
+    // Last resorts: those that may be gone, and where this request failed.
     constexpr double kLastResort = 1000;
-    if (load != nullptr && load->resting(now)) {
+    if (directory.IsUnconfirmed(candidate.server->id)) {
       cost *= kLastResort;
     }
-    if (directory.IsUnconfirmed(server->id)) {
-      cost *= kLastResort;
-    }
-    if (std::ranges::find(request.tried, server->id) != request.tried.end()) {
+    if (std::ranges::find(ask.tried, candidate.hash) != ask.tried.end()) {
       cost *= kLastResort * kLastResort;
     }
     if (best == nullptr || cost < best_cost) {
-      best = server;
+      best = candidate.server;
       best_cost = cost;
     }
   }
   return best;
 }
 
+int Placement::Free(const std::string& service,
+                    const SlotGroup& group,
+                    const ServerDirectory& directory,
+                    const ServerLoads& loads,
+                    const SlotOccupancy& occupancy,
+                    TimePoint now) const {
+  int free = 0;
+  for (const Candidate& candidate :
+       Candidates(service, /*model_server=*/true, group, directory, loads,
+                  occupancy, now)) {
+    free += std::max(0, candidate.places - candidate.in_flight);
+  }
+  return free;
+}
+
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -1,20 +1,25 @@
 #ifndef LAVENDERKEEL_FORWARD_PLACEMENT_H_
 #define LAVENDERKEEL_FORWARD_PLACEMENT_H_
 
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/server_load.h"
+#include "lavenderkeel/forward/slot.h"
+#include "lavenderkeel/forward/slot_occupancy.h"
 
 namespace lavenderkeel {
 
+/// Speed and health by server id.
+using ServerLoads = std::map<std::string, ServerLoad>;
+
 /// Chooses the backend server for a request among those with a free place.
 ///
 /// Load it answers: servers of one service differ in speed by a factor of four
-/// and some are in another data centre, while several entries place at once on
-/// reports that are a heartbeat old.
+/// and some are in another data centre.
 class Placement {
  public:
   struct Options {
@@ -38,29 +43,42 @@
     double spread = 0.1;
   };
 
-  struct Request {
-    std::string service;
-    bool model_server = false;
-    /// Servers that failed this request before.
-    std::vector<std::string> tried;
-  };
-
   explicit Placement(Options options) : options_(std::move(options)) {}
 
-  /// @return the best server with a free place, or null
-  const BackendServer* Choose(const Request& request,
+  /// @return the best server of the group with a free place, or null
+  const BackendServer* Choose(const SlotAsk& ask,
+                              const SlotGroup& group,
                               const ServerDirectory& directory,
                               const ServerLoads& loads,
+                              const SlotOccupancy& occupancy,
                               TimePoint now) const;
 
-  /// Requests that may be in flight at the server, over all entries.
-  int Places(const BackendServer& server, bool model_server) const;
+  /// Free places at the sound servers of a group of model servers.
+  int Free(const std::string& service,
+           const SlotGroup& group,
+           const ServerDirectory& directory,
+           const ServerLoads& loads,
+           const SlotOccupancy& occupancy,
+           TimePoint now) const;
 
  private:
-  double Cost(const BackendServer& server,
-              const ServerLoad* load,
-              int places,
-              double typical_pace) const;
+  struct Candidate {
+    const BackendServer* server = nullptr;
+    const ServerLoad* load = nullptr;
+    uint64_t hash = 0;
+    int in_flight = 0;
+    int places = 1;
+  };
+
+  std::vector<Candidate> Candidates(const std::string& service,
+                                    bool model_server,
+                                    const SlotGroup& group,
+                                    const ServerDirectory& directory,
+                                    const ServerLoads& loads,
+                                    const SlotOccupancy& occupancy,
+                                    TimePoint now) const;
+  int Places(const BackendServer& server, bool model_server) const;
+  double Cost(const Candidate& candidate, double typical_pace) const;
 
   Options options_;
 };
--- /dev/null
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -0,0 +1,169 @@
+#include "lavenderkeel/forward/slot_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lavenderkeel/base/rendezvous.h"
+
+namespace lavenderkeel {
+
+SlotGate::SlotGate(Options options,
+                   const ServerDirectory& directory,
+                   const Clock& clock,
+                   OnGrant on_grant)
+    : options_(std::move(options)),
+      directory_(directory),
+      clock_(clock),
+      on_grant_(std::move(on_grant)),
+      placement_(options_.placement) {}
+
+void SlotGate::Ask(const std::string& asker, const SlotAsk& ask) {
+  const AskId id = {asker, ask.attempt};
+  // Asked again after a change of links: the slot that it has is offered anew.
+  if (const auto granted = grants_.find(id); granted != grants_.end()) {
+    on_grant_(asker, {.attempt = ask.attempt, .server = granted->second.server});
+    return;
+  }
+  Remove(id);
+  const Line line = {.service = ask.service, .group = ask.group};
+  const Place place = {.priority = ask.priority,
+                       .route_priority = ask.route_priority,
+                       .due = ask.due,
+                       .ask = id};
+  by_attempt_[id] = {.ask = ask, .line = line, .place = place};
+  lines_[line].insert(place);
+  Dispatch();
+}
+
+void SlotGate::Remove(const AskId& id) {
+  const auto found = by_attempt_.find(id);
+  if (found == by_attempt_.end()) {
+    return;
+  }
+  const auto line = lines_.find(found->second.line);
+  line->second.erase(found->second.place);
+  by_attempt_.erase(found);
+}
+
+void SlotGate::Done(const std::string& asker,
+                    AttemptId attempt,
+                    const SlotResult& result) {
+  const AskId id = {asker, attempt};
+  Remove(id);
+  const auto granted = grants_.find(id);
+  if (granted == grants_.end()) {
+    return;
+  }
+  const std::string server = granted->second.server;
+  grants_.erase(granted);
+  occupancy_.RemoveGrant(asker, HashBytes(server));
+  if (directory_.Find(server) != nullptr) {
+    loads_[server].OnEnd(result, clock_.Now());
+  }
+  Dispatch();
+}
+
+void SlotGate::OnReport(const std::string& asker,
+                        const std::vector<ServerCount>& counts) {
+  occupancy_.SetReport(asker, counts);
+  SettleGrants(asker);
+  Dispatch();
+}
+
+void SlotGate::SettleGrants(const std::string& asker) {
+  // Failure: a connection breaks with a grant or an end on it. Symptom: a slot
+  // that nobody uses and that is never free again. The entry's reports tell
+  // what it really has; grants beyond that, once old enough to show, are void.
+  const TimePoint now = clock_.Now();
+  std::map<uint64_t, int> settled;
+  std::vector<AskId> lost;
+  for (auto grant = grants_.lower_bound({asker, 0});
+       grant != grants_.end() && grant->first.first == asker; ++grant) {
+    if (now - grant->second.at < options_.grant_settles) {
+      continue;
+    }
+    const uint64_t server = HashBytes(grant->second.server);
+    if (++settled[server] > occupancy_.Reported(asker, server)) {
+      lost.push_back(grant->first);
+    }
+  }
+  for (const AskId& id : lost) {
+    const uint64_t server = HashBytes(grants_.at(id).server);
+    // The report stands as it is: it never had this one.
+    const int reported = occupancy_.Reported(asker, server);
+    grants_.erase(id);
+    occupancy_.RemoveGrant(asker, server);
+    occupancy_.RestoreReport(asker, server, reported);
+  }
+}
+
+void SlotGate::ForgetAsker(const std::string& asker) {
+  occupancy_.Forget(asker);
+  std::erase_if(grants_, [&](const auto& item) {
+    return item.first.first == asker;
+  });
+  std::vector<AskId> asks;
+  for (const auto& [id, waiting] : by_attempt_) {
+    if (id.first == asker) {
+      asks.push_back(id);
+    }
+  }
+  for (const AskId& id : asks) {
+    Remove(id);
+  }
+  Dispatch();
+}
+
+void SlotGate::Dispatch() {
+  // A grant may end at once and so lead back here; the outer call goes on.
+  if (std::exchange(dispatching_, true)) {
+    return;
+  }
+  for (auto& [line, places] : lines_) {
+    DispatchLine(line, places);
+  }
+  std::erase_if(lines_, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(loads_, [this](const auto& item) {
+    return directory_.Find(item.first) == nullptr;
+  });
+  dispatching_ = false;
+}
+
+void SlotGate::DispatchLine(const Line& line, std::set<Place>& places) {
+  while (!places.empty()) {
+    const AskId id = places.begin()->ask;
+    const SlotAsk& ask = by_attempt_.at(id).ask;
+    const BackendServer* server = placement_.Choose(
+        ask, line.group, directory_, loads_, occupancy_, clock_.Now());
+    if (server == nullptr) {
+      return;
+    }
+    Grant(id, *server);
+  }
+}
+
+void SlotGate::Grant(const AskId& id, const BackendServer& server) {
+  const uint64_t hash = HashBytes(server.id);
+  const ServerLoad& load = loads_[server.id];
+  const SlotGrant grant = {.attempt = id.second,
+                           .server = server.id,
+                           .in_flight = occupancy_.At(hash),
+                           .pace_ms = load.pace().value_or(0)};
+  Remove(id);
+  grants_[id] = {.server = server.id, .at = clock_.Now()};
+  occupancy_.AddGrant(id.first, hash);
+  on_grant_(id.first, grant);
+}
+
+size_t SlotGate::waiting(const std::string& service,
+                         const SlotGroup& group) const {
+  const auto found = lines_.find({.service = service, .group = group});
+  return found == lines_.end() ? 0 : found->second.size();
+}
+
+int SlotGate::Free(const std::string& service, const SlotGroup& group) const {
+  return placement_.Free(service, group, directory_, loads_, occupancy_,
+                         clock_.Now());
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/slot_gate.h
@@ -0,0 +1,121 @@
+#ifndef LAVENDERKEEL_FORWARD_SLOT_GATE_H_
+#define LAVENDERKEEL_FORWARD_SLOT_GATE_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/placement.h"
+#include "lavenderkeel/forward/server_directory.h"
+#include "lavenderkeel/forward/server_load.h"
+#include "lavenderkeel/forward/slot.h"
+#include "lavenderkeel/forward/slot_occupancy.h"
+
+namespace lavenderkeel {
+
+/// Requests that one entry has at one server.
+struct ServerCount {
+  uint64_t server_hash = 0;
+  int in_flight = 0;
+
+  friend bool operator==(const ServerCount&, const ServerCount&) = default;
+};
+
+/// Hands out the slots of backend servers to all entries, urgent work first.
+///
+/// Load it answers: entries that place on each other's reports, each a
+/// heartbeat old, all take the same free slot. With 26 entries before 47
+/// servers half of the requests went to servers that were full already, some
+/// ten deep, where urgent work waits behind whatever came first. One gate for
+/// a group of servers has no stale view and one line for all entries.
+///
+/// It holds nothing that has to last: an entry whose gate is gone asks another,
+/// which starts from the entries' reports. At most once does not rest on it.
+class SlotGate {
+ public:
+  struct Options {
+    Placement::Options placement;
+    /// A grant that its entry's reports do not show after this time was lost
+    /// on the way, or its end was. Twice the period of reports and a way.
+    Duration grant_settles = std::chrono::milliseconds(260);
+  };
+
+  /// Hands a slot out. May lead back to Done and Ask.
+  using OnGrant =
+      std::function<void(const std::string& asker, const SlotGrant& grant)>;
+
+  SlotGate(Options options,
+           const ServerDirectory& directory,
+           const Clock& clock,
+           OnGrant on_grant);
+
+  void Ask(const std::string& asker, const SlotAsk& ask);
+  /// The attempt is over, granted or not.
+  void Done(const std::string& asker,
+            AttemptId attempt,
+            const SlotResult& result);
+  void OnReport(const std::string& asker,
+                const std::vector<ServerCount>& counts);
+  void ForgetAsker(const std::string& asker);
+  /// Grants what can be granted, as after a change of servers or with time.
+  void Dispatch();
+
+  size_t waiting() const { return by_attempt_.size(); }
+  size_t waiting(const std::string& service, const SlotGroup& group) const;
+  /// Free places at sound servers of the group.
+  int Free(const std::string& service, const SlotGroup& group) const;
+
+ private:
+  using AskId = std::pair<std::string, AttemptId>;
+  struct Line {
+    std::string service;
+    SlotGroup group;
+
+    friend auto operator<=>(const Line&, const Line&) = default;
+  };
+  struct Place {
+    int priority = 0;
+    int route_priority = 0;
+    TimePoint due;
+    AskId ask;
+
+    friend auto operator<=>(const Place&, const Place&) = default;
+  };
+  struct Waiting {
+    SlotAsk ask;
+    Line line;
+    Place place;
+  };
+  struct Granted {
+    std::string server;
+    TimePoint at;
+  };
+
+  void DispatchLine(const Line& line, std::set<Place>& places);
+  void Remove(const AskId& id);
+  void Grant(const AskId& id, const BackendServer& server);
+  void SettleGrants(const std::string& asker);
+
+  Options options_;
+  const ServerDirectory& directory_;
+  const Clock& clock_;
+  OnGrant on_grant_;
+  Placement placement_;
+  SlotOccupancy occupancy_;
+  ServerLoads loads_;
+  std::map<Line, std::set<Place>> lines_;
+  std::map<AskId, Waiting> by_attempt_;
+  std::map<AskId, Granted> grants_;
+  bool dispatching_ = false;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_SLOT_GATE_H_
--- /dev/null
+++ b/lavenderkeel/forward/slot_occupancy.h
@@ -0,0 +1,106 @@
+#ifndef LAVENDERKEEL_FORWARD_SLOT_OCCUPANCY_H_
+#define LAVENDERKEEL_FORWARD_SLOT_OCCUPANCY_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace lavenderkeel {
+
+/// How many requests are at each server, from what a gate granted and from
+/// what the entries report.
+///
+/// A grant counts at once, a report is a heartbeat old. An entry's part is the
+/// larger of the two: the report also has what another gate granted, as after
+/// a change of gates, and the grants have what was sent since the report.
+class SlotOccupancy {
+ public:
+  void AddGrant(const std::string& asker, uint64_t server) {
+    Part& part = parts_[asker][server];
+    Change(server, part, {.granted = part.granted + 1,
+                          .reported = part.reported});
+  }
+
+  /// A granted request has ended, and with it its place in the last report.
+  void RemoveGrant(const std::string& asker, uint64_t server) {
+    Part& part = parts_[asker][server];
+    Change(server, part, {.granted = std::max(0, part.granted - 1),
+                          .reported = std::max(0, part.reported - 1)});
+  }
+
+  /// Replaces the asker's report. Servers that it leaves out have none.
+  template <typename Counts>
+  void SetReport(const std::string& asker, const Counts& counts) {
+    auto& parts = parts_[asker];
+    std::unordered_map<uint64_t, int> reported;
+    for (const auto& count : counts) {
+      reported[count.server_hash] = count.in_flight;
+      parts.try_emplace(count.server_hash);
+    }
+    for (auto& [server, part] : parts) {
+      const auto found = reported.find(server);
+      Change(server, part,
+             {.granted = part.granted,
+              .reported = found == reported.end() ? 0 : found->second});
+    }
+  }
+
+  /// Sets one server's part of the asker's report.
+  void RestoreReport(const std::string& asker, uint64_t server, int reported) {
+    Part& part = parts_[asker][server];
+    Change(server, part, {.granted = part.granted, .reported = reported});
+  }
+
+  void Forget(const std::string& asker) {
+    const auto found = parts_.find(asker);
+    if (found == parts_.end()) {
+      return;
+    }
+    for (auto& [server, part] : found->second) {
+      Change(server, part, {});
+    }
+    parts_.erase(found);
+  }
+
+  int At(uint64_t server) const {
+    const auto found = totals_.find(server);
+    return found == totals_.end() ? 0 : found->second;
+  }
+
+  /// What the asker's last report says of the server.
+  int Reported(const std::string& asker, uint64_t server) const {
+    const auto parts = parts_.find(asker);
+    if (parts == parts_.end()) {
+      return 0;
+    }
+    const auto found = parts->second.find(server);
+    return found == parts->second.end() ? 0 : found->second.reported;
+  }
+
+ private:
+  struct Part {
+    int granted = 0;
+    int reported = 0;
+
+    int count() const { return std::max(granted, reported); }
+  };
+
+  void Change(uint64_t server, Part& part, const Part& next) {
+    int& total = totals_[server];
+    total += next.count() - part.count();
+    if (total == 0) {
+      totals_.erase(server);
+    }
+    part = next;
+  }
+
+  std::map<std::string, std::unordered_map<uint64_t, Part>> parts_;
+  std::unordered_map<uint64_t, int> totals_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_SLOT_OCCUPANCY_H_
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -76,7 +76,7 @@
   ForwardNode::Options& node = settings.node;
   ReadDuration(tuning, "status_period_ms", node.status_period);
   ReadDuration(tuning, "watch_wait_ms", node.watch.wait);
-  Placement::Options& placement = node.controller.placement;
+  Placement::Options& placement = node.placement;
   placement.places_per_slot =
       tuning.Real("places_per_slot", placement.places_per_slot);
   placement.places_per_plain_slot =
@@ -106,8 +106,8 @@
   log.RejectUnknown();
   reader.RejectUnknown();
   BOOST_LEAF_CHECK(CheckFaults(faults));
-  settings.node.controller.placement.entry = settings.self.id.instance;
-  settings.node.controller.placement.data_centre = settings.self.data_centre;
+  settings.node.placement.entry = settings.self.id.instance;
+  settings.node.placement.data_centre = settings.self.data_centre;
   return settings;
 }
 
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -114,6 +114,22 @@
 struct ForwardStatusBuilder;
 struct ForwardStatusT;
 
+struct GateStatus;
+struct GateStatusBuilder;
+struct GateStatusT;
+
+struct WantSlot;
+struct WantSlotBuilder;
+struct WantSlotT;
+
+struct HaveSlot;
+struct HaveSlotBuilder;
+struct HaveSlotT;
+
+struct SlotEnd;
+struct SlotEndBuilder;
+struct SlotEndT;
+
 struct KnownEntries;
 struct KnownEntriesBuilder;
 struct KnownEntriesT;
@@ -172,6 +188,14 @@
 bool operator!=(const AgentPolicyT &lhs, const AgentPolicyT &rhs);
 bool operator==(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
 bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
+bool operator==(const GateStatusT &lhs, const GateStatusT &rhs);
+bool operator!=(const GateStatusT &lhs, const GateStatusT &rhs);
+bool operator==(const WantSlotT &lhs, const WantSlotT &rhs);
+bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs);
+bool operator==(const HaveSlotT &lhs, const HaveSlotT &rhs);
+bool operator!=(const HaveSlotT &lhs, const HaveSlotT &rhs);
+bool operator==(const SlotEndT &lhs, const SlotEndT &rhs);
+bool operator!=(const SlotEndT &lhs, const SlotEndT &rhs);
 bool operator==(const KnownEntriesT &lhs, const KnownEntriesT &rhs);
 bool operator!=(const KnownEntriesT &lhs, const KnownEntriesT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
@@ -204,11 +228,14 @@
   AgentPolicy = 23,
   ForwardStatus = 24,
   KnownEntries = 25,
+  WantSlot = 26,
+  HaveSlot = 27,
+  SlotEnd = 28,
   MIN = NONE,
-  MAX = KnownEntries
+  MAX = SlotEnd
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[29] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -235,13 +262,16 @@
     Body::ConfigShards,
     Body::AgentPolicy,
     Body::ForwardStatus,
-    Body::KnownEntries
+    Body::KnownEntries,
+    Body::WantSlot,
+    Body::HaveSlot,
+    Body::SlotEnd
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[30] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -268,13 +298,16 @@
     "AgentPolicy",
     "ForwardStatus",
     "KnownEntries",
+    "WantSlot",
+    "HaveSlot",
+    "SlotEnd",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::KnownEntries)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::SlotEnd)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -383,6 +416,18 @@
   static const Body enum_value = Body::KnownEntries;
 };
 
+template<> struct BodyTraits<lavenderkeel::fbs::WantSlot> {
+  static const Body enum_value = Body::WantSlot;
+};
+
+template<> struct BodyTraits<lavenderkeel::fbs::HaveSlot> {
+  static const Body enum_value = Body::HaveSlot;
+};
+
+template<> struct BodyTraits<lavenderkeel::fbs::SlotEnd> {
+  static const Body enum_value = Body::SlotEnd;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -487,6 +532,18 @@
   static const Body enum_value = Body::KnownEntries;
 };
 
+template<> struct BodyUnionTraits<lavenderkeel::fbs::WantSlotT> {
+  static const Body enum_value = Body::WantSlot;
+};
+
+template<> struct BodyUnionTraits<lavenderkeel::fbs::HaveSlotT> {
+  static const Body enum_value = Body::HaveSlot;
+};
+
+template<> struct BodyUnionTraits<lavenderkeel::fbs::SlotEndT> {
+  static const Body enum_value = Body::SlotEnd;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -717,6 +774,30 @@
     return type == Body::KnownEntries ?
       reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(value) : nullptr;
   }
+  lavenderkeel::fbs::WantSlotT *AsWantSlot() {
+    return type == Body::WantSlot ?
+      reinterpret_cast<lavenderkeel::fbs::WantSlotT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::WantSlotT *AsWantSlot() const {
+    return type == Body::WantSlot ?
+      reinterpret_cast<const lavenderkeel::fbs::WantSlotT *>(value) : nullptr;
+  }
+  lavenderkeel::fbs::HaveSlotT *AsHaveSlot() {
+    return type == Body::HaveSlot ?
+      reinterpret_cast<lavenderkeel::fbs::HaveSlotT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::HaveSlotT *AsHaveSlot() const {
+    return type == Body::HaveSlot ?
+      reinterpret_cast<const lavenderkeel::fbs::HaveSlotT *>(value) : nullptr;
+  }
+  lavenderkeel::fbs::SlotEndT *AsSlotEnd() {
+    return type == Body::SlotEnd ?
+      reinterpret_cast<lavenderkeel::fbs::SlotEndT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::SlotEndT *AsSlotEnd() const {
+    return type == Body::SlotEnd ?
+      reinterpret_cast<const lavenderkeel::fbs::SlotEndT *>(value) : nullptr;
+  }
 };
 
 
@@ -826,6 +907,18 @@
       return *(reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(lhs.value)) ==
              *(reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(rhs.value));
     }
+    case Body::WantSlot: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::WantSlotT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::WantSlotT *>(rhs.value));
+    }
+    case Body::HaveSlot: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::HaveSlotT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::HaveSlotT *>(rhs.value));
+    }
+    case Body::SlotEnd: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::SlotEndT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::SlotEndT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -3356,6 +3449,11 @@
   std::vector<uint32_t> in_flight{};
   std::vector<uint64_t> teams{};
   std::vector<double> drawn{};
+  std::vector<std::unique_ptr<lavenderkeel::fbs::GateStatusT>> gates{};
+  ForwardStatusT() = default;
+  ForwardStatusT(const ForwardStatusT &o);
+  ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
+  ForwardStatusT &operator=(ForwardStatusT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct ForwardStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3367,7 +3465,8 @@
     VT_SERVERS = 6,
     VT_IN_FLIGHT = 8,
     VT_TEAMS = 10,
-    VT_DRAWN = 12
+    VT_DRAWN = 12,
+    VT_GATES = 14
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3384,6 +3483,9 @@
   const flatbuffers::Vector<double> *drawn() const {
     return GetPointer<const flatbuffers::Vector<double> *>(VT_DRAWN);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *>(VT_GATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3395,6 +3497,9 @@
            verifier.VerifyVector(teams()) &&
            VerifyOffset(verifier, VT_DRAWN) &&
            verifier.VerifyVector(drawn()) &&
+           VerifyOffset(verifier, VT_GATES) &&
+           verifier.VerifyVector(gates()) &&
+           verifier.VerifyVectorOfTables(gates()) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3421,6 +3526,9 @@
   void add_drawn(flatbuffers::Offset<flatbuffers::Vector<double>> drawn) {
     fbb_.AddOffset(ForwardStatus::VT_DRAWN, drawn);
   }
+  void add_gates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates) {
+    fbb_.AddOffset(ForwardStatus::VT_GATES, gates);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3438,9 +3546,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_flight = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<double>> drawn = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<double>> drawn = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates = 0) {
   ForwardStatusBuilder builder_(_fbb);
   builder_.add_table_version(table_version);
+  builder_.add_gates(gates);
   builder_.add_drawn(drawn);
   builder_.add_teams(teams);
   builder_.add_in_flight(in_flight);
@@ -3459,22 +3569,501 @@
     const std::vector<uint64_t> *servers = nullptr,
     const std::vector<uint32_t> *in_flight = nullptr,
     const std::vector<uint64_t> *teams = nullptr,
-    const std::vector<double> *drawn = nullptr) {
+    const std::vector<double> *drawn = nullptr,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates = nullptr) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
   auto drawn__ = drawn ? _fbb.CreateVector<double>(*drawn) : 0;
+  auto gates__ = gates ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>(*gates) : 0;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       table_version,
       servers__,
       in_flight__,
       teams__,
-      drawn__);
+      drawn__,
+      gates__);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct GateStatusT : public flatbuffers::NativeTable {
+  typedef GateStatus TableType;
+  uint64_t service = 0;
+  uint32_t group = 0;
+  uint32_t groups = 0;
+  int32_t free = 0;
+  uint32_t waiting = 0;
+};
+
+struct GateStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GateStatusT NativeTableType;
+  typedef GateStatusBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_GROUP = 6,
+    VT_GROUPS = 8,
+    VT_FREE = 10,
+    VT_WAITING = 12
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint32_t group() const {
+    return GetField<uint32_t>(VT_GROUP, 0);
+  }
+  uint32_t groups() const {
+    return GetField<uint32_t>(VT_GROUPS, 0);
+  }
+  int32_t free() const {
+    return GetField<int32_t>(VT_FREE, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GROUPS, 4) &&
+           VerifyField<int32_t>(verifier, VT_FREE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           verifier.EndTable();
+  }
+  GateStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GateStatusT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GateStatus> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GateStatusBuilder {
+  typedef GateStatus Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(GateStatus::VT_SERVICE, service, 0);
+  }
+  void add_group(uint32_t group) {
+    fbb_.AddElement<uint32_t>(GateStatus::VT_GROUP, group, 0);
+  }
+  void add_groups(uint32_t groups) {
+    fbb_.AddElement<uint32_t>(GateStatus::VT_GROUPS, groups, 0);
+  }
+  void add_free(int32_t free) {
+    fbb_.AddElement<int32_t>(GateStatus::VT_FREE, free, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(GateStatus::VT_WAITING, waiting, 0);
+  }
+  explicit GateStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GateStatus> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GateStatus>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GateStatus> CreateGateStatus(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint32_t group = 0,
+    uint32_t groups = 0,
+    int32_t free = 0,
+    uint32_t waiting = 0) {
+  GateStatusBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_waiting(waiting);
+  builder_.add_free(free);
+  builder_.add_groups(groups);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct GateStatus::Traits {
+  using type = GateStatus;
+  static auto constexpr Create = CreateGateStatus;
+};
+
+flatbuffers::Offset<GateStatus> CreateGateStatus(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WantSlotT : public flatbuffers::NativeTable {
+  typedef WantSlot TableType;
+  uint64_t attempt = 0;
+  std::string service{};
+  bool model_server = false;
+  uint32_t group = 0;
+  uint32_t groups = 0;
+  int32_t priority = 0;
+  int32_t route_priority = 0;
+  int64_t left_us = 0;
+  uint64_t prompt_tokens = 0;
+  std::vector<uint64_t> tried{};
+};
+
+struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WantSlotT NativeTableType;
+  typedef WantSlotBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_SERVICE = 6,
+    VT_MODEL_SERVER = 8,
+    VT_GROUP = 10,
+    VT_GROUPS = 12,
+    VT_PRIORITY = 14,
+    VT_ROUTE_PRIORITY = 16,
+    VT_LEFT_US = 18,
+    VT_PROMPT_TOKENS = 20,
+    VT_TRIED = 22
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  bool model_server() const {
+    return GetField<uint8_t>(VT_MODEL_SERVER, 0) != 0;
+  }
+  uint32_t group() const {
+    return GetField<uint32_t>(VT_GROUP, 0);
+  }
+  uint32_t groups() const {
+    return GetField<uint32_t>(VT_GROUPS, 0);
+  }
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
+  }
+  int32_t route_priority() const {
+    return GetField<int32_t>(VT_ROUTE_PRIORITY, 0);
+  }
+  int64_t left_us() const {
+    return GetField<int64_t>(VT_LEFT_US, 0);
+  }
+  uint64_t prompt_tokens() const {
+    return GetField<uint64_t>(VT_PROMPT_TOKENS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *tried() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRIED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint8_t>(verifier, VT_MODEL_SERVER, 1) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GROUPS, 4) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_TRIED) &&
+           verifier.VerifyVector(tried()) &&
+           verifier.EndTable();
+  }
+  WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WantSlotT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WantSlot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WantSlotBuilder {
+  typedef WantSlot Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(WantSlot::VT_ATTEMPT, attempt, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(WantSlot::VT_SERVICE, service);
+  }
+  void add_model_server(bool model_server) {
+    fbb_.AddElement<uint8_t>(WantSlot::VT_MODEL_SERVER, static_cast<uint8_t>(model_server), 0);
+  }
+  void add_group(uint32_t group) {
+    fbb_.AddElement<uint32_t>(WantSlot::VT_GROUP, group, 0);
+  }
+  void add_groups(uint32_t groups) {
+    fbb_.AddElement<uint32_t>(WantSlot::VT_GROUPS, groups, 0);
+  }
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(WantSlot::VT_PRIORITY, priority, 0);
+  }
+  void add_route_priority(int32_t route_priority) {
+    fbb_.AddElement<int32_t>(WantSlot::VT_ROUTE_PRIORITY, route_priority, 0);
+  }
+  void add_left_us(int64_t left_us) {
+    fbb_.AddElement<int64_t>(WantSlot::VT_LEFT_US, left_us, 0);
+  }
+  void add_prompt_tokens(uint64_t prompt_tokens) {
+    fbb_.AddElement<uint64_t>(WantSlot::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_tried(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried) {
+    fbb_.AddOffset(WantSlot::VT_TRIED, tried);
+  }
+  explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WantSlot> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WantSlot>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WantSlot> CreateWantSlot(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    bool model_server = false,
+    uint32_t group = 0,
+    uint32_t groups = 0,
+    int32_t priority = 0,
+    int32_t route_priority = 0,
+    int64_t left_us = 0,
+    uint64_t prompt_tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0) {
+  WantSlotBuilder builder_(_fbb);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_left_us(left_us);
+  builder_.add_attempt(attempt);
+  builder_.add_tried(tried);
+  builder_.add_route_priority(route_priority);
+  builder_.add_priority(priority);
+  builder_.add_groups(groups);
+  builder_.add_group(group);
+  builder_.add_service(service);
+  builder_.add_model_server(model_server);
+  return builder_.Finish();
+}
+
+struct WantSlot::Traits {
+  using type = WantSlot;
+  static auto constexpr Create = CreateWantSlot;
+};
+
+inline flatbuffers::Offset<WantSlot> CreateWantSlotDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    const char *service = nullptr,
+    bool model_server = false,
+    uint32_t group = 0,
+    uint32_t groups = 0,
+    int32_t priority = 0,
+    int32_t route_priority = 0,
+    int64_t left_us = 0,
+    uint64_t prompt_tokens = 0,
+    const std::vector<uint64_t> *tried = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
+  return lavenderkeel::fbs::CreateWantSlot(
+      _fbb,
+      attempt,
+      service__,
+      model_server,
+      group,
+      groups,
+      priority,
+      route_priority,
+      left_us,
+      prompt_tokens,
+      tried__);
+}
+
+flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct HaveSlotT : public flatbuffers::NativeTable {
+  typedef HaveSlot TableType;
+  uint64_t attempt = 0;
+  std::string server{};
+  uint32_t in_flight = 0;
+  double pace_ms = 0.0;
+};
+
+struct HaveSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HaveSlotT NativeTableType;
+  typedef HaveSlotBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_SERVER = 6,
+    VT_IN_FLIGHT = 8,
+    VT_PACE_MS = 10
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint32_t in_flight() const {
+    return GetField<uint32_t>(VT_IN_FLIGHT, 0);
+  }
+  double pace_ms() const {
+    return GetField<double>(VT_PACE_MS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint32_t>(verifier, VT_IN_FLIGHT, 4) &&
+           VerifyField<double>(verifier, VT_PACE_MS, 8) &&
+           verifier.EndTable();
+  }
+  HaveSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HaveSlotT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HaveSlot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HaveSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HaveSlotBuilder {
+  typedef HaveSlot Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(HaveSlot::VT_ATTEMPT, attempt, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(HaveSlot::VT_SERVER, server);
+  }
+  void add_in_flight(uint32_t in_flight) {
+    fbb_.AddElement<uint32_t>(HaveSlot::VT_IN_FLIGHT, in_flight, 0);
+  }
+  void add_pace_ms(double pace_ms) {
+    fbb_.AddElement<double>(HaveSlot::VT_PACE_MS, pace_ms, 0.0);
+  }
+  explicit HaveSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HaveSlot> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HaveSlot>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HaveSlot> CreateHaveSlot(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint32_t in_flight = 0,
+    double pace_ms = 0.0) {
+  HaveSlotBuilder builder_(_fbb);
+  builder_.add_pace_ms(pace_ms);
+  builder_.add_attempt(attempt);
+  builder_.add_in_flight(in_flight);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct HaveSlot::Traits {
+  using type = HaveSlot;
+  static auto constexpr Create = CreateHaveSlot;
+};
+
+inline flatbuffers::Offset<HaveSlot> CreateHaveSlotDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    const char *server = nullptr,
+    uint32_t in_flight = 0,
+    double pace_ms = 0.0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return lavenderkeel::fbs::CreateHaveSlot(
+      _fbb,
+      attempt,
+      server__,
+      in_flight,
+      pace_ms);
+}
+
+flatbuffers::Offset<HaveSlot> CreateHaveSlot(flatbuffers::FlatBufferBuilder &_fbb, const HaveSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SlotEndT : public flatbuffers::NativeTable {
+  typedef SlotEnd TableType;
+  uint64_t attempt = 0;
+  uint8_t kind = 0;
+  double pace_ms = -1.0;
+};
+
+struct SlotEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlotEndT NativeTableType;
+  typedef SlotEndBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_KIND = 6,
+    VT_PACE_MS = 8
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  double pace_ms() const {
+    return GetField<double>(VT_PACE_MS, -1.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<double>(verifier, VT_PACE_MS, 8) &&
+           verifier.EndTable();
+  }
+  SlotEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SlotEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SlotEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SlotEndBuilder {
+  typedef SlotEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(SlotEnd::VT_ATTEMPT, attempt, 0);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(SlotEnd::VT_KIND, kind, 0);
+  }
+  void add_pace_ms(double pace_ms) {
+    fbb_.AddElement<double>(SlotEnd::VT_PACE_MS, pace_ms, -1.0);
+  }
+  explicit SlotEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlotEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlotEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlotEnd> CreateSlotEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    uint8_t kind = 0,
+    double pace_ms = -1.0) {
+  SlotEndBuilder builder_(_fbb);
+  builder_.add_pace_ms(pace_ms);
+  builder_.add_attempt(attempt);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct SlotEnd::Traits {
+  using type = SlotEnd;
+  static auto constexpr Create = CreateSlotEnd;
+};
+
+flatbuffers::Offset<SlotEnd> CreateSlotEnd(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct KnownEntriesT : public flatbuffers::NativeTable {
   typedef KnownEntries TableType;
   std::vector<std::unique_ptr<lavenderkeel::fbs::HelloT>> entries{};
@@ -3643,6 +4232,15 @@
   const lavenderkeel::fbs::KnownEntries *body_as_KnownEntries() const {
     return body_type() == lavenderkeel::fbs::Body::KnownEntries ? static_cast<const lavenderkeel::fbs::KnownEntries *>(body()) : nullptr;
   }
+  const lavenderkeel::fbs::WantSlot *body_as_WantSlot() const {
+    return body_type() == lavenderkeel::fbs::Body::WantSlot ? static_cast<const lavenderkeel::fbs::WantSlot *>(body()) : nullptr;
+  }
+  const lavenderkeel::fbs::HaveSlot *body_as_HaveSlot() const {
+    return body_type() == lavenderkeel::fbs::Body::HaveSlot ? static_cast<const lavenderkeel::fbs::HaveSlot *>(body()) : nullptr;
+  }
+  const lavenderkeel::fbs::SlotEnd *body_as_SlotEnd() const {
+    return body_type() == lavenderkeel::fbs::Body::SlotEnd ? static_cast<const lavenderkeel::fbs::SlotEnd *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3755,6 +4353,18 @@
   return body_as_KnownEntries();
 }
 
+template<> inline const lavenderkeel::fbs::WantSlot *Frame::body_as<lavenderkeel::fbs::WantSlot>() const {
+  return body_as_WantSlot();
+}
+
+template<> inline const lavenderkeel::fbs::HaveSlot *Frame::body_as<lavenderkeel::fbs::HaveSlot>() const {
+  return body_as_HaveSlot();
+}
+
+template<> inline const lavenderkeel::fbs::SlotEnd *Frame::body_as<lavenderkeel::fbs::SlotEnd>() const {
+  return body_as_SlotEnd();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4959,7 +5569,8 @@
       (lhs.servers == rhs.servers) &&
       (lhs.in_flight == rhs.in_flight) &&
       (lhs.teams == rhs.teams) &&
-      (lhs.drawn == rhs.drawn);
+      (lhs.drawn == rhs.drawn) &&
+      (lhs.gates.size() == rhs.gates.size() && std::equal(lhs.gates.cbegin(), lhs.gates.cend(), rhs.gates.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &a, std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -4967,6 +5578,26 @@
 }
 
 
+inline ForwardStatusT::ForwardStatusT(const ForwardStatusT &o)
+      : table_version(o.table_version),
+        servers(o.servers),
+        in_flight(o.in_flight),
+        teams(o.teams),
+        drawn(o.drawn) {
+  gates.reserve(o.gates.size());
+  for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
+}
+
+inline ForwardStatusT &ForwardStatusT::operator=(ForwardStatusT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(table_version, o.table_version);
+  std::swap(servers, o.servers);
+  std::swap(in_flight, o.in_flight);
+  std::swap(teams, o.teams);
+  std::swap(drawn, o.drawn);
+  std::swap(gates, o.gates);
+  return *this;
+}
+
 inline ForwardStatusT *ForwardStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ForwardStatusT>();
   UnPackTo(_o.get(), _resolver);
@@ -4981,6 +5612,7 @@
   { auto _e = in_flight(); if (_e) { _o->in_flight.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_flight[_i] = _e->Get(_i); } } }
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = _e->Get(_i); } } }
   { auto _e = drawn(); if (_e) { _o->drawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->drawn[_i] = _e->Get(_i); } } }
+  { auto _e = gates(); if (_e) { _o->gates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gates[_i] = std::unique_ptr<lavenderkeel::fbs::GateStatusT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4996,13 +5628,235 @@
   auto _in_flight = _o->in_flight.size() ? _fbb.CreateVector(_o->in_flight) : 0;
   auto _teams = _o->teams.size() ? _fbb.CreateVector(_o->teams) : 0;
   auto _drawn = _o->drawn.size() ? _fbb.CreateVector(_o->drawn) : 0;
+  auto _gates = _o->gates.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> (_o->gates.size(), [](size_t i, _VectorArgs *__va) { return CreateGateStatus(*__va->__fbb, __va->__o->gates[i].get(), __va->__rehasher); }, &_va ) : 0;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
       _servers,
       _in_flight,
       _teams,
-      _drawn);
+      _drawn,
+      _gates);
+}
+
+
+inline bool operator==(const GateStatusT &lhs, const GateStatusT &rhs) {
+  return
+      (lhs.service == rhs.service) &&
+      (lhs.group == rhs.group) &&
+      (lhs.groups == rhs.groups) &&
+      (lhs.free == rhs.free) &&
+      (lhs.waiting == rhs.waiting);
+}
+
+inline bool operator!=(const GateStatusT &lhs, const GateStatusT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline GateStatusT *GateStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GateStatusT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GateStatus::UnPackTo(GateStatusT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); _o->service = _e; }
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = groups(); _o->groups = _e; }
+  { auto _e = free(); _o->free = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+}
+
+inline flatbuffers::Offset<GateStatus> GateStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGateStatus(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GateStatus> CreateGateStatus(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GateStatusT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service;
+  auto _group = _o->group;
+  auto _groups = _o->groups;
+  auto _free = _o->free;
+  auto _waiting = _o->waiting;
+  return lavenderkeel::fbs::CreateGateStatus(
+      _fbb,
+      _service,
+      _group,
+      _groups,
+      _free,
+      _waiting);
+}
+
+
+inline bool operator==(const WantSlotT &lhs, const WantSlotT &rhs) {
+  return
+      (lhs.attempt == rhs.attempt) &&
+      (lhs.service == rhs.service) &&
+      (lhs.model_server == rhs.model_server) &&
+      (lhs.group == rhs.group) &&
+      (lhs.groups == rhs.groups) &&
+      (lhs.priority == rhs.priority) &&
+      (lhs.route_priority == rhs.route_priority) &&
+      (lhs.left_us == rhs.left_us) &&
+      (lhs.prompt_tokens == rhs.prompt_tokens) &&
+      (lhs.tried == rhs.tried);
+}
+
+inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline WantSlotT *WantSlot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WantSlotT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WantSlot::UnPackTo(WantSlotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = model_server(); _o->model_server = _e; }
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = groups(); _o->groups = _e; }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = route_priority(); _o->route_priority = _e; }
+  { auto _e = left_us(); _o->left_us = _e; }
+  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+  { auto _e = tried(); if (_e) { _o->tried.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tried[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWantSlot(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WantSlotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _model_server = _o->model_server;
+  auto _group = _o->group;
+  auto _groups = _o->groups;
+  auto _priority = _o->priority;
+  auto _route_priority = _o->route_priority;
+  auto _left_us = _o->left_us;
+  auto _prompt_tokens = _o->prompt_tokens;
+  auto _tried = _o->tried.size() ? _fbb.CreateVector(_o->tried) : 0;
+  return lavenderkeel::fbs::CreateWantSlot(
+      _fbb,
+      _attempt,
+      _service,
+      _model_server,
+      _group,
+      _groups,
+      _priority,
+      _route_priority,
+      _left_us,
+      _prompt_tokens,
+      _tried);
+}
+
+
+inline bool operator==(const HaveSlotT &lhs, const HaveSlotT &rhs) {
+  return
+      (lhs.attempt == rhs.attempt) &&
+      (lhs.server == rhs.server) &&
+      (lhs.in_flight == rhs.in_flight) &&
+      (lhs.pace_ms == rhs.pace_ms);
+}
+
+inline bool operator!=(const HaveSlotT &lhs, const HaveSlotT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline HaveSlotT *HaveSlot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HaveSlotT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HaveSlot::UnPackTo(HaveSlotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = in_flight(); _o->in_flight = _e; }
+  { auto _e = pace_ms(); _o->pace_ms = _e; }
+}
+
+inline flatbuffers::Offset<HaveSlot> HaveSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HaveSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHaveSlot(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HaveSlot> CreateHaveSlot(flatbuffers::FlatBufferBuilder &_fbb, const HaveSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HaveSlotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _in_flight = _o->in_flight;
+  auto _pace_ms = _o->pace_ms;
+  return lavenderkeel::fbs::CreateHaveSlot(
+      _fbb,
+      _attempt,
+      _server,
+      _in_flight,
+      _pace_ms);
+}
+
+
+inline bool operator==(const SlotEndT &lhs, const SlotEndT &rhs) {
+  return
+      (lhs.attempt == rhs.attempt) &&
+      (lhs.kind == rhs.kind) &&
+      (lhs.pace_ms == rhs.pace_ms);
+}
+
+inline bool operator!=(const SlotEndT &lhs, const SlotEndT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline SlotEndT *SlotEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SlotEndT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SlotEnd::UnPackTo(SlotEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = pace_ms(); _o->pace_ms = _e; }
+}
+
+inline flatbuffers::Offset<SlotEnd> SlotEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSlotEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SlotEnd> CreateSlotEnd(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SlotEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt;
+  auto _kind = _o->kind;
+  auto _pace_ms = _o->pace_ms;
+  return lavenderkeel::fbs::CreateSlotEnd(
+      _fbb,
+      _attempt,
+      _kind,
+      _pace_ms);
 }
 
 
@@ -5197,6 +6051,18 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntries *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::WantSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantSlot *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::HaveSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveSlot *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::SlotEnd: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::SlotEnd *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5316,6 +6182,18 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntries *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::WantSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantSlot *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::HaveSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveSlot *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::SlotEnd: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::SlotEnd *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5423,6 +6301,18 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::KnownEntriesT *>(value);
       return CreateKnownEntries(_fbb, ptr, _rehasher).Union();
     }
+    case Body::WantSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantSlotT *>(value);
+      return CreateWantSlot(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::HaveSlot: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveSlotT *>(value);
+      return CreateHaveSlot(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::SlotEnd: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::SlotEndT *>(value);
+      return CreateSlotEnd(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5529,6 +6419,18 @@
       value = new lavenderkeel::fbs::KnownEntriesT(*reinterpret_cast<lavenderkeel::fbs::KnownEntriesT *>(u.value));
       break;
     }
+    case Body::WantSlot: {
+      value = new lavenderkeel::fbs::WantSlotT(*reinterpret_cast<lavenderkeel::fbs::WantSlotT *>(u.value));
+      break;
+    }
+    case Body::HaveSlot: {
+      value = new lavenderkeel::fbs::HaveSlotT(*reinterpret_cast<lavenderkeel::fbs::HaveSlotT *>(u.value));
+      break;
+    }
+    case Body::SlotEnd: {
+      value = new lavenderkeel::fbs::SlotEndT(*reinterpret_cast<lavenderkeel::fbs::SlotEndT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5661,6 +6563,21 @@
       delete ptr;
       break;
     }
+    case Body::WantSlot: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::WantSlotT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::HaveSlot: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::HaveSlotT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::SlotEnd: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::SlotEndT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/lavenderkeel/wire/message.h
+++ b/lavenderkeel/wire/message.h
@@ -35,6 +35,10 @@
 using AgentPolicy = fbs::AgentPolicyT;
 using ForwardStatus = fbs::ForwardStatusT;
 using KnownEntries = fbs::KnownEntriesT;
+using GateStatus = fbs::GateStatusT;
+using WantSlot = fbs::WantSlotT;
+using HaveSlot = fbs::HaveSlotT;
+using SlotEnd = fbs::SlotEndT;
 
 using Message = std::variant<Hello,
                              Heartbeat,
@@ -60,7 +64,10 @@
                              ConfigShards,
                              AgentPolicy,
                              ForwardStatus,
-                             KnownEntries>;
+                             KnownEntries,
+                             WantSlot,
+                             HaveSlot,
+                             SlotEnd>;
 
 inline fbs::Key ToWire(const RequestKey& key) {
   return {key.hi, key.lo};
--- a/test/fakes/forward_world.h
+++ b/test/fakes/forward_world.h
@@ -52,7 +52,8 @@
   std::vector<SentAttempt> sent;
 };
 
-/// One controller with a virtual clock, a fake port, and servers by hand.
+/// One controller with its own gate, a virtual clock, a fake port, and servers
+/// by hand.
 class ForwardWorld {
  public:
   struct Options {
@@ -90,6 +91,9 @@
   EventLog log;
   Metrics metrics;
   FakeForwardPort port;
+  ServerDirectory directory;
+  SlotGate gate;
+  SlotRouter slots;
   ForwardController controller;
 
  private:
--- /dev/null
+++ b/test/forward/slot_gate_test.cc
@@ -0,0 +1,164 @@
+#include "lavenderkeel/forward/slot_gate.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/base/rendezvous.h"
+#include "test/fuzz/virtual_clock.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A gate before `servers` servers of two slots, with its grants noted.
+struct Harness {
+  explicit Harness(int servers) {
+    for (int i = 1; i <= servers; ++i) {
+      directory.Apply({.id = "s" + std::to_string(i),
+                       .service = "engines",
+                       .address = "127.0.0.1:1",
+                       .slots = 2});
+    }
+  }
+
+  void Ask(const std::string& asker, AttemptId attempt, int priority = 0) {
+    gate.Ask(asker, {.attempt = attempt,
+                     .service = "engines",
+                     .model_server = true,
+                     .priority = priority,
+                     .due = clock.Now() + std::chrono::seconds(10)});
+  }
+  std::string ServerOf(AttemptId attempt) {
+    return granted.contains(attempt) ? granted[attempt] : "none";
+  }
+
+  fuzz::VirtualClock clock;
+  ServerDirectory directory;
+  std::map<AttemptId, std::string> granted;
+  SlotGate gate{{},
+                directory,
+                clock,
+                [this](const std::string&, const SlotGrant& grant) {
+                  granted[grant.attempt] = grant.server;
+                }};
+};
+
+}  // namespace
+
+// Two entries want a slot while one is left. The more urgent one gets the next
+// that is free, whichever entry it is at.
+BOOST_AUTO_TEST_CASE(SlotsGoToTheMostUrgentOfAllEntries) {
+  Harness h(1);
+  h.Ask("a", 1);
+  h.Ask("b", 2);
+  h.Ask("a", 3, /*priority=*/2);
+  h.Ask("b", 4, /*priority=*/1);
+  BOOST_TEST(h.granted.size() == 2U);
+  h.gate.Done("b", 2, {.kind = SlotResult::Kind::kAnswered});
+  BOOST_TEST(h.ServerOf(4) == "s1");
+  BOOST_TEST(h.ServerOf(3) == "none");
+}
+
+// An entry that was here before this gate was one reports what it has at the
+// servers. That counts, although this gate granted none of it.
+BOOST_AUTO_TEST_CASE(NewGateCountsWhatEntriesReport) {
+  Harness h(1);
+  h.gate.OnReport("a", {{.server_hash = HashBytes("s1"), .in_flight = 2}});
+  h.Ask("b", 1);
+  BOOST_TEST(h.ServerOf(1) == "none");
+  h.gate.OnReport("a", {});
+  BOOST_TEST(h.ServerOf(1) == "s1");
+}
+
+// The end of an attempt is lost with a connection. The entry's reports no
+// longer show it, and the slot is free again.
+BOOST_AUTO_TEST_CASE(SlotWhoseEndWasLostIsFreeAgain) {
+  Harness h(1);
+  h.Ask("a", 1);
+  h.Ask("a", 2);
+  h.Ask("b", 3);
+  h.clock.Advance(milliseconds(200));
+  h.gate.OnReport("a", {});
+  BOOST_TEST(h.ServerOf(3) == "none");
+  h.clock.Advance(milliseconds(100));
+  h.gate.OnReport("a", {});
+  BOOST_TEST(h.ServerOf(3) == "s1");
+}
+
+BOOST_AUTO_TEST_CASE(LostEntryGivesItsSlotsBack) {
+  Harness h(1);
+  h.Ask("a", 1);
+  h.Ask("a", 2);
+  h.Ask("b", 3);
+  h.gate.ForgetAsker("a");
+  BOOST_TEST(h.ServerOf(3) == "s1");
+}
+
+// One server crashed, the other is full. The request waits for the sound one:
+// at the crashed one, which always has places, it would lose an attempt.
+BOOST_AUTO_TEST_CASE(FailedServerRestsWhileAnotherIsSound) {
+  Harness h(2);
+  h.Ask("a", 1);
+  const std::string crashed = h.ServerOf(1);
+  h.gate.Done("a", 1, {.kind = SlotResult::Kind::kFailed});
+  for (AttemptId attempt = 2; attempt <= 4; ++attempt) {
+    h.Ask("a", attempt);
+  }
+  BOOST_TEST(h.ServerOf(2) != crashed);
+  BOOST_TEST(h.ServerOf(3) != crashed);
+  BOOST_TEST(h.ServerOf(4) == "none");
+  h.clock.Advance(milliseconds(260));
+  h.gate.Dispatch();
+  BOOST_TEST(h.ServerOf(4) == crashed);
+}
+
+BOOST_AUTO_TEST_CASE(GroupsShareOutTheServers) {
+  Harness h(8);
+  int free = 0;
+  for (uint32_t index = 0; index < 3; ++index) {
+    free += h.gate.Free("engines", {.index = index, .count = 3});
+  }
+  BOOST_TEST(free == 16);
+}
+
+// Whatever entries ask, end, report and lose: no server has more grants at a
+// time than slots, and every wish is granted once slots are free.
+BOOST_AUTO_TEST_CASE(NoServerIsGrantedBeyondItsSlots) {
+  rc::check([] {
+    constexpr int kServers = 3;
+    Harness h(kServers);
+    std::map<AttemptId, std::string> asked;
+    AttemptId last = 0;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+      const std::string entry = *rc::gen::element<std::string>("a", "b", "c");
+      const int what = *rc::gen::inRange(0, 10);
+      if (what < 6) {
+        h.Ask(entry, ++last, *rc::gen::inRange(0, 3));
+        asked[last] = entry;
+      } else if (!asked.empty()) {
+        const auto ended = std::next(
+            asked.begin(),
+            *rc::gen::inRange<int>(0, static_cast<int>(asked.size())));
+        h.gate.Done(ended->second, ended->first,
+                    {.kind = SlotResult::Kind::kAnswered});
+        h.granted.erase(ended->first);
+        asked.erase(ended);
+      }
+      std::map<std::string, int> at;
+      for (const auto& [attempt, server] : h.granted) {
+        RC_ASSERT(++at[server] <= 2);
+      }
+      RC_ASSERT(h.granted.size() ==
+                std::min<size_t>(asked.size(), 2 * kServers));
+    }
+  });
+}
+
+}  // namespace lavenderkeel
