--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -30,6 +30,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
@@ -121,15 +126,12 @@
              {"routes", table->content().routes.size()},
              {"teams", table->content().teams.size()}});
   table_ = std::move(table);
+  BeginEarly();
 }
 
 void ForwardController::OnRequest(ExchangeId exchange,
                                   RequestHead head,
                                   std::string body) {
-  if (table_ == nullptr) {
-    Refuse(exchange, {}, {.code = ResultCode::kNoConfiguration});
-    return;
-  }
   if (refuses_new_) {
     Refuse(exchange, {}, {.code = ResultCode::kLeaving});
     return;
@@ -139,16 +141,66 @@
     Refuse(exchange, {}, {.code = ResultCode::kMalformedRequest});
     return;
   }
+  const TimePoint now = clock_.Now();
+  if (table_ != nullptr) {
+    Begin(exchange, std::move(head), std::move(body), *std::move(terms), now);
+    return;
+  }
+  // Failure: all entries are killed while the store is away. Symptom: each
+  // client is refused, comes back at once, is refused again and has no further
+  // try. Waiting a little saves the try.
+  const double part = options_.unconfigured_wait_per_time_left *
+                      Seconds(terms->time_left.value_or(Duration::max()));
+  const Duration wait =
+      FromSeconds(std::min(Seconds(options_.unconfigured_wait), part));
+  held_body_bytes_ += body.size();
+  early_[exchange] = {.head = std::move(head),
+                      .body = std::move(body),
+                      .terms = *std::move(terms),
+                      .arrived = now,
+                      .waits_until = now + wait};
+}
+
+void ForwardController::BeginEarly() {
+  while (!early_.empty()) {
+    auto first = early_.extract(early_.begin());
+    EarlyRequest& early = first.mapped();
+    held_body_bytes_ -= early.body.size();
+    Begin(first.key(), std::move(early.head), std::move(early.body),
+          std::move(early.terms), early.arrived);
+  }
+}
+
+void ForwardController::RefuseEarly(TimePoint now) {
+  const bool crowded = held_body_bytes_ > options_.held_body_bytes;
+  for (auto early = early_.begin(); early != early_.end();) {
+    if (now < early->second.waits_until && !crowded) {
+      ++early;
+      continue;
+    }
+    held_body_bytes_ -= early->second.body.size();
+    Refuse(early->first, early->second.terms.request_id,
+           {.code = ResultCode::kNoConfiguration,
+            .retry_after = options_.unconfigured_retry_after});
+    early = early_.erase(early);
+  }
+}
+
+void ForwardController::Begin(ExchangeId exchange,
+                              RequestHead head,
+                              std::string body,
+                              RequestTerms terms,
+                              TimePoint arrived) {
   const std::string* host = FindField(head.fields, "Host");
   auto request = std::make_unique<ForwardedRequest>();
   request->exchange = exchange;
-  request->terms = *std::move(terms);
+  request->terms = std::move(terms);
   request->table = table_;
   request->route =
       host == nullptr ? nullptr : table_->FindRoute(*host, head.target);
   request->head = std::move(head);
   request->body = std::move(body);
-  request->arrived = clock_.Now();
+  request->arrived = arrived;
   if (const std::optional<Refusal> refusal = Admit(*request)) {
     LogEnd(*request, Describe(refusal->code).name,
            Describe(refusal->code).http_status);
@@ -159,7 +211,7 @@
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
   retries_.try_emplace(admitted.service, options_.retries)
-      .first->second.OnRequest(admitted.arrived);
+      .first->second.OnRequest(clock_.Now());
   Wait(admitted);
 }
 
@@ -212,7 +264,7 @@
   TeamBucket& bucket = buckets_[HashBytes(team->name)];
   const TeamRate aim = TeamBucket::Aim(team->rate, options_.rate_tolerance);
   const std::optional<Duration> wait =
-      bucket.Take(aim, units, rate_share_, request.arrived);
+      bucket.Take(aim, units, rate_share_, clock_.Now());
   if (!wait.has_value()) {
     return std::nullopt;
   }
@@ -242,6 +294,7 @@
                  .model_server = request.model_server,
                  .priority = request.priority,
                  .route_priority = request.route->priority,
+                 .in_time_until = InTimeUntil(request),
                  .due = request.due,
                  .prompt_tokens = request.terms.prompt_tokens};
   for (const std::string& server : request.tried) {
@@ -273,17 +326,16 @@
                                const std::string& gate,
                                const SlotGrant& grant) {
   const TimePoint now = clock_.Now();
-  log_.Info("send",
-            {{"id", request.terms.request_id},
-             {"server", server.id},
-             {"attempt", request.tried.size() + 1},
-             {"gate", gate},
-             {"config_version", request.table->version()},
-             {"priority", request.priority},
-             {"in_flight", grant.in_flight},
-             {"pace_ms", grant.pace_ms},
-             {"waited_ms", ToMilliseconds(now - request.waiting_since)},
-             {"left_ms", ToMilliseconds(request.due - now)}});
+  log_.Info("send", {{"id", request.terms.request_id},
+                     {"server", server.id},
+                     {"attempt", request.tried.size() + 1},
+                     {"gate", gate},
+                     {"config_version", request.table->version()},
+                     {"priority", request.priority},
+                     {"in_flight", grant.in_flight},
+                     {"pace_ms", grant.pace_ms},
+                     {"waited_ms", ToMilliseconds(now - request.waiting_since)},
+                     {"left_ms", ToMilliseconds(request.due - now)}});
   request.state = State::kSent;
   request.server = server.id;
   request.tried.push_back(server.id);
@@ -294,18 +346,17 @@
   request.rejected = false;
   request.events = EventStreamReader();
   request.event_count = 0;
-  const RequestHead head =
-      codec_.write_request(request.head, {.server_id = server.id,
-                                          .team = request.team,
-                                          .time_left = request.due - now,
-                                          .last_event_id =
-                                              request.last_event_id});
-  port_.Send(request.attempt,
-             {.address = server.address,
-              .bytes = EncodeRequest(head, request.body),
-              .reuse_within = request.may_repeat()
-                                  ? options_.reuse_within
-                                  : options_.reuse_once_within});
+  const RequestHead head = codec_.write_request(
+      request.head, {.server_id = server.id,
+                     .team = request.team,
+                     .time_left = request.due - now,
+                     .last_event_id = request.last_event_id});
+  port_.Send(
+      request.attempt,
+      {.address = server.address,
+       .bytes = EncodeRequest(head, request.body),
+       .reuse_within = request.may_repeat() ? options_.reuse_within
+                                            : options_.reuse_once_within});
 }
 
 ForwardedRequest* ForwardController::FindByAttempt(AttemptId attempt) {
@@ -441,8 +492,8 @@
     AfterFailure(request, AttemptFailure::kBroken);
     return;
   }
-  EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
-                       .pace_ms = PaceOf(request)});
+  EndAttempt(request,
+             {.kind = SlotResult::Kind::kAnswered, .pace_ms = PaceOf(request)});
   port_.RespondEnd(request.exchange);
   LogEnd(request, "answered", request.answer_head->status);
   Drop(request.exchange);
@@ -556,6 +607,11 @@
 }
 
 void ForwardController::OnClientGone(ExchangeId exchange) {
+  if (const auto early = early_.find(exchange); early != early_.end()) {
+    held_body_bytes_ -= early->second.body.size();
+    early_.erase(early);
+    return;
+  }
   const auto found = requests_.find(exchange);
   if (found == requests_.end()) {
     return;
@@ -572,13 +628,34 @@
   if (request.head_sent) {
     return std::min(request.due, request.waiting_since + kResumeWait);
   }
-  const double target = Seconds(request.route->latency_target);
+  const Route& route = *request.route;
+  const double patience = std::max(
+      {Seconds(options_.client_patience),
+       Seconds(route.latency_target) * options_.client_patience_per_target,
+       Seconds(route.event_gap_target) * options_.client_patience_per_gap});
   const double whole = Seconds(request.due - request.arrived);
-  const double wait = std::min(target * options_.wait_per_target,
+  const double wait = std::min(patience * options_.wait_per_patience,
                                whole * options_.wait_per_time_left);
-  const Duration longest = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(wait > 0 ? wait : whole));
-  return std::min(request.due, request.arrived + longest);
+  return std::min(request.due, request.arrived + FromSeconds(wait));
+}
+
+TimePoint ForwardController::InTimeUntil(
+    const ForwardedRequest& request) const {
+  const Route& route = *request.route;
+  if (request.head_sent || route.latency_target == Duration::zero()) {
+    return request.due;
+  }
+  return request.arrived + route.latency_target - PromptTime(request);
+}
+
+Duration ForwardController::PromptTime(const ForwardedRequest& request) const {
+  if (!request.model_server) {
+    return Duration::zero();
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  return FromSeconds(static_cast<double>(request.terms.prompt_tokens) /
+                     options_.slow_prompt_tokens_per_ms /
+                     kMillisecondsPerSecond);
 }
 
 Duration ForwardController::LongestSilence(
@@ -591,11 +668,7 @@
   } else {
     longest = std::chrono::duration_cast<Duration>(route.latency_target *
                                                    options_.silence_per_target);
-    const double prompt_ms = static_cast<double>(request.terms.prompt_tokens) /
-                             options_.slow_prompt_tokens_per_ms;
-    longest += std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(
-            request.model_server ? prompt_ms : 0));
+    longest += PromptTime(request);
   }
   return std::max(longest, options_.least_silence);
 }
@@ -639,6 +712,7 @@
 
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
+  RefuseEarly(now);
   std::vector<ExchangeId> all;
   all.reserve(requests_.size());
   for (const auto& [exchange, request] : requests_) {
@@ -676,8 +750,11 @@
         {.name = "Retry-After", .value = RetryAfterValue(wait)});
   }
   metrics_.Add("refused{result=\"" + std::string(info.name) + "\"}");
-  if (request_id.empty()) {
-    log_.Info("refused", {{"exchange", exchange}, {"result", info.name}});
+  if (!requests_.contains(exchange)) {
+    log_.Info("refused", {{"exchange", exchange},
+                          {"id", request_id},
+                          {"result", info.name},
+                          {"retry_after_ms", ToMilliseconds(wait)}});
   }
   port_.Respond(exchange, head, RefusalBody(info, wait));
 }
@@ -719,10 +796,9 @@
 }
 
 size_t ForwardController::waiting() const {
-  return static_cast<size_t>(
-      std::ranges::count_if(requests_, [](const auto& item) {
-        return item.second->state == State::kWaiting;
-      }));
+  return static_cast<size_t>(std::ranges::count_if(
+      requests_,
+      [](const auto& item) { return item.second->state == State::kWaiting; }));
 }
 
 ForwardReport ForwardController::Report() const {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -49,10 +49,15 @@
     TeamBucket::Tolerance rate_tolerance;
     /// Extra sendings of all entries together, see RetryWindow.
     double retry_extra = 52;
-    /// A request waits for a place this part of its latency target, then is
-    /// refused: a later start would earn little, and the client can come back.
-    double wait_per_target = 1.0;
-    /// The same as a part of the time until its answer is due, as a bound.
+    /// A client leaves when nothing came for the longest of these three. They
+    /// are what the users' clients do.
+    Duration client_patience = std::chrono::seconds(2);
+    double client_patience_per_target = 4;
+    double client_patience_per_gap = 8;
+    /// A request waits for a slot this part of its client's patience and of the
+    /// time until its answer is due, then is refused; the rest is for the
+    /// server. Most late answers are still worth a third to the client.
+    double wait_per_patience = 0.7;
     double wait_per_time_left = 0.4;
     /// A repeatable request is sent anew if the server stays silent for this
     /// multiple of the target. Three times the target is past the slowest of a
@@ -77,6 +82,13 @@
     /// Bodies of waiting and running requests together; above it new ones are
     /// refused. Set from the memory of the instance.
     size_t held_body_bytes = size_t{64} << 20;
+    /// A request that comes before the first configuration waits for it this
+    /// part of its time, at most that long.
+    double unconfigured_wait_per_time_left = 0.2;
+    Duration unconfigured_wait = std::chrono::milliseconds(1500);
+    /// Retry-After without a configuration: about what a store takes to return
+    /// and an entry to read it.
+    Duration unconfigured_retry_after = std::chrono::milliseconds(1200);
     /// Retry-After where nothing better is known.
     Duration retry_after = std::chrono::milliseconds(300);
   };
@@ -127,19 +139,36 @@
 
   void Tick();
 
-  size_t open() const { return requests_.size(); }
+  size_t open() const { return requests_.size() + early_.size(); }
   /// Those that are not at a server.
   size_t waiting() const;
 
  private:
   using RequestPtr = std::unique_ptr<ForwardedRequest>;
 
+  /// A request that came before the first configuration.
+  struct EarlyRequest {
+    RequestHead head;
+    std::string body;
+    RequestTerms terms;
+    TimePoint arrived;
+    TimePoint waits_until;
+  };
+
   struct Refusal {
     ResultCode code;
     std::optional<Duration> retry_after;
   };
 
+  /// Reads, admits or refuses a request under the configuration in force.
+  void Begin(ExchangeId exchange,
+             RequestHead head,
+             std::string body,
+             RequestTerms terms,
+             TimePoint arrived);
   std::optional<Refusal> Admit(ForwardedRequest& request);
+  void BeginEarly();
+  void RefuseEarly(TimePoint now);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
   void Wait(ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
@@ -147,6 +176,8 @@
               const std::string& gate,
               const SlotGrant& grant);
   TimePoint WaitsUntil(const ForwardedRequest& request) const;
+  TimePoint InTimeUntil(const ForwardedRequest& request) const;
+  Duration PromptTime(const ForwardedRequest& request) const;
   Duration LongestSilence(const ForwardedRequest& request) const;
   void CheckTime(ForwardedRequest& request, TimePoint now);
 
@@ -179,6 +210,7 @@
   const EventLog& log_;
   Metrics& metrics_;
   std::shared_ptr<const RouteTable> table_;
+  std::map<ExchangeId, EarlyRequest> early_;
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
   std::map<std::string, RetryWindow> retries_;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -53,6 +53,7 @@
   want.route_priority = ask.route_priority;
   // Clocks differ between machines, so what crosses is the time that is left.
   want.left_us = (ask.due - now).count();
+  want.in_time_us = (ask.in_time_until - now).count();
   want.prompt_tokens = ask.prompt_tokens;
   want.tried = ask.tried;
   return want;
@@ -66,6 +67,7 @@
                     .count = std::max<uint32_t>(1, want.groups)},
           .priority = want.priority,
           .route_priority = want.route_priority,
+          .in_time_until = now + Duration(want.in_time_us),
           .due = now + Duration(want.left_us),
           .prompt_tokens = want.prompt_tokens,
           .tried = want.tried};
@@ -98,10 +100,10 @@
 SlotResult FromWire(const SlotEnd& end) {
   // A kind that a newer entry knows says nothing of the server here.
   constexpr auto kLast = static_cast<uint8_t>(SlotResult::Kind::kReplaced);
-  return {.kind = end.kind <= kLast ? static_cast<SlotResult::Kind>(end.kind)
-                                    : SlotResult::Kind::kUnused,
-          .pace_ms = end.pace_ms < 0 ? std::nullopt
-                                     : std::optional(end.pace_ms)};
+  return {
+      .kind = end.kind <= kLast ? static_cast<SlotResult::Kind>(end.kind)
+                                : SlotResult::Kind::kUnused,
+      .pace_ms = end.pace_ms < 0 ? std::nullopt : std::optional(end.pace_ms)};
 }
 
 ForwardStatus ToWire(const ForwardReport& report,
@@ -201,12 +203,11 @@
              directory_,
              clock,
              log,
-             {.ask =
-                  [this](const std::string& gate, const SlotAsk& ask) {
-                    TakeAsk(gate, ask);
-                  },
+             {.ask = [this](const std::string& gate,
+                            const SlotAsk& ask) { TakeAsk(gate, ask); },
               .done =
-                  [this](const std::string& gate, AttemptId attempt,
+                  [this](const std::string& gate,
+                         AttemptId attempt,
                          const SlotResult& result) {
                     TakeDone(gate, attempt, result);
                   }}),
@@ -238,9 +239,8 @@
     controller_.OnPeerLost(peer.ToString());
     CountPeers();
   });
-  members_.signal_leaving().connect([this](const PeerId& peer, Role) {
-    slots_.OnGone(peer.ToString());
-  });
+  members_.signal_leaving().connect(
+      [this](const PeerId& peer, Role) { slots_.OnGone(peer.ToString()); });
   members_.signal_up().connect([this](const Member& member) {
     log_.Info("peer_up", {{"peer", member.info.id.ToString()}});
     peers_[member.info.id.ToString()] = member.info.id;
@@ -379,7 +379,7 @@
   CountPeers();
   directory_.Tick(clock_.Now());
   slots_.Tick();
-  gate_.Dispatch();
+  gate_.Tick();
   controller_.Tick();
   PullNewer();
   SendStatus();
@@ -438,8 +438,7 @@
         } else if constexpr (std::is_same_v<T, HaveSlot>) {
           OnHaveSlot(*member, body);
         } else if constexpr (std::is_same_v<T, SlotEnd>) {
-          gate_.Done(member->info.id.ToString(), body.attempt,
-                     FromWire(body));
+          gate_.Done(member->info.id.ToString(), body.attempt, FromWire(body));
         } else if constexpr (std::is_same_v<T, KnownEntries>) {
           OnKnownEntries(*member, body);
         } else if constexpr (std::is_same_v<T, ConfigPull>) {
@@ -505,8 +504,8 @@
     }
     return;
   }
-  const bool wanted = slots_.OnGrant(self_, grant.attempt) &&
-                      controller_.OnSlot(self_, grant);
+  const bool wanted =
+      slots_.OnGrant(self_, grant.attempt) && controller_.OnSlot(self_, grant);
   if (!wanted) {
     gate_.Done(self_, grant.attempt, {});
   }
@@ -527,8 +526,8 @@
 void ForwardNode::OnHaveSlot(const Member& member, const HaveSlot& have) {
   const std::string gate = member.info.id.ToString();
   const SlotGrant grant = FromWire(have);
-  const bool wanted = slots_.OnGrant(gate, grant.attempt) &&
-                      controller_.OnSlot(gate, grant);
+  const bool wanted =
+      slots_.OnGrant(gate, grant.attempt) && controller_.OnSlot(gate, grant);
   if (!wanted) {
     TakeDone(gate, grant.attempt, {});
   }
@@ -538,11 +537,11 @@
   std::vector<GateReport> reports;
   for (const auto& [line, last] : gated_) {
     const auto& [service, group] = line;
-    reports.push_back({.service_hash = HashBytes(service),
-                       .group = group,
-                       .free = gate_.Free(service, group),
-                       .waiting =
-                           static_cast<int>(gate_.waiting(service, group))});
+    reports.push_back(
+        {.service_hash = HashBytes(service),
+         .group = group,
+         .free = gate_.Free(service, group),
+         .waiting = static_cast<int>(gate_.waiting(service, group))});
   }
   return reports;
 }
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "lavenderkeel/base/rendezvous.h"
 
@@ -9,11 +10,36 @@
 
 namespace {
 
+/// Makes a server a last resort: any other is better.
+constexpr double kLastResort = 1000;
+
 const ServerLoad* FindLoad(const ServerLoads& loads, const std::string& id) {
   const auto found = loads.find(id);
   return found == loads.end() ? nullptr : &found->second;
 }
 
+std::optional<double> PaceOf(const ServerLoads& loads, const std::string& id) {
+  const ServerLoad* load = FindLoad(loads, id);
+  return load == nullptr ? std::nullopt : load->pace();
+}
+
+/// The middle pace, which stands for a server that has no sample yet.
+double TypicalPace(const std::vector<const BackendServer*>& servers,
+                   const ServerLoads& loads) {
+  std::vector<double> paces;
+  for (const BackendServer* server : servers) {
+    if (const std::optional<double> pace = PaceOf(loads, server->id)) {
+      paces.push_back(*pace);
+    }
+  }
+  if (paces.empty()) {
+    return 1;
+  }
+  const auto middle = paces.begin() + static_cast<ptrdiff_t>(paces.size() / 2);
+  std::ranges::nth_element(paces, middle);
+  return *middle;
+}
+
 }  // namespace
 
 int Placement::Places(const BackendServer& server, bool model_server) const {
@@ -22,106 +48,80 @@
   return std::max(1, static_cast<int>(std::lround(server.slots * per_slot)));
 }
 
-std::vector<Placement::Candidate> Placement::Candidates(
-    const std::string& service,
-    bool model_server,
-    const SlotGroup& group,
-    const ServerDirectory& directory,
-    const ServerLoads& loads,
-    const SlotOccupancy& occupancy,
-    TimePoint now) const {
-  std::vector<Candidate> all;
-  for (const BackendServer* server : directory.Usable(service)) {
-    const uint64_t hash = HashBytes(server->id);
-    if (group.Has(hash)) {
-      all.push_back({.server = server,
-                     .load = FindLoad(loads, server->id),
-                     .hash = hash,
-                     .in_flight = occupancy.At(hash),
-                     .places = Places(*server, model_server)});
-    }
+double Placement::CostOf(const BackendServer& server,
+                         double pace,
+                         bool unconfirmed) const {
+  double cost = pace;
+  if (server.data_centre != options_.data_centre) {
+    cost *= 1 + options_.other_data_centre_cost;
   }
+  constexpr uint64_t kSteps = 1024;
+  const uint64_t lot = HashBytes(server.id, HashBytes(options_.entry)) % kSteps;
+  cost *= 1 + options_.spread * static_cast<double>(lot) / kSteps;
+  return unconfirmed ? cost * kLastResort : cost;
+}
+
+Placement::Candidates Placement::Find(const std::string& service,
+                                      bool model_server,
+                                      const SlotGroup& group,
+                                      const ServerDirectory& directory,
+                                      const ServerLoads& loads,
+                                      const SlotOccupancy& occupancy,
+                                      TimePoint now) const {
+  std::vector<const BackendServer*> servers = directory.Usable(service);
+  std::erase_if(servers, [&group](const BackendServer* server) {
+    return !group.Has(HashBytes(server->id));
+  });
   // Failure: a quarter of the servers crash while the rest are full. Symptom:
   // requests run through the crashed ones, which always have places, and are
   // given up. While one server is sound the others are left alone.
-  const auto resting = [now](const Candidate& candidate) {
-    return candidate.load != nullptr && candidate.load->resting(now);
+  const auto resting = [&](const BackendServer* server) {
+    const ServerLoad* load = FindLoad(loads, server->id);
+    return load != nullptr && load->resting(now);
   };
-  if (!std::ranges::all_of(all, resting)) {
-    std::erase_if(all, resting);
+  if (!std::ranges::all_of(servers, resting)) {
+    std::erase_if(servers, resting);
   }
-  return all;
-}
-
-double Placement::Cost(const Candidate& candidate, double typical_pace) const {
-  const double pace = candidate.load == nullptr
-                          ? typical_pace
-                          : candidate.load->pace().value_or(typical_pace);
-  double cost = pace / typical_pace;
-  cost *= 1 + options_.full_cost * candidate.in_flight / candidate.places;
-  if (candidate.server->data_centre != options_.data_centre) {
-    cost *= 1 + options_.other_data_centre_cost;
+  const double typical_pace = TypicalPace(servers, loads);
+  Candidates candidates;
+  for (const BackendServer* server : servers) {
+    const double pace = PaceOf(loads, server->id).value_or(typical_pace);
+    const uint64_t hash = HashBytes(server->id);
+    const Candidate candidate = {
+        .server = server,
+        .hash = hash,
+        .cost = CostOf(*server, pace / typical_pace,
+                       directory.IsUnconfirmed(server->id)),
+        .in_flight = occupancy.At(hash),
+        .places = Places(*server, model_server)};
+    candidates.free += std::max(0, candidate.places - candidate.in_flight);
+    candidates.places += candidate.places;
+    candidates.servers.push_back(candidate);
   }
-  constexpr uint64_t kSteps = 1024;
-  const uint64_t lot =
-      HashBytes(candidate.server->id, HashBytes(options_.entry)) % kSteps;
-  return cost * (1 + options_.spread * static_cast<double>(lot) / kSteps);
+  return candidates;
 }
 
-const BackendServer* Placement::Choose(const SlotAsk& ask,
-                                       const SlotGroup& group,
-                                       const ServerDirectory& directory,
-                                       const ServerLoads& loads,
-                                       const SlotOccupancy& occupancy,
-                                       TimePoint now) const {
-  const std::vector<Candidate> candidates =
-      Candidates(ask.service, ask.model_server, group, directory, loads,
-                 occupancy, now);
-  // The middle pace stands for a server that has no sample yet.
-  std::vector<double> paces;
-  for (const Candidate& candidate : candidates) {
-    if (candidate.load != nullptr && candidate.load->pace().has_value()) {
-      paces.push_back(*candidate.load->pace());
-    }
-  }
-  std::ranges::sort(paces);
-  const double typical_pace = paces.empty() ? 1 : paces[paces.size() / 2];
-  const BackendServer* best = nullptr;
+Placement::Candidate* Placement::Choose(const SlotAsk& ask,
+                                        Candidates& candidates) const {
+  Candidate* best = nullptr;
   double best_cost = 0;
-  for (const Candidate& candidate : candidates) {
+  for (Candidate& candidate : candidates.servers) {
     if (candidate.in_flight >= candidate.places) {
       continue;
     }
-    double cost = Cost(candidate, typical_pace);
-    // Last resorts: those that may be gone, and where this request failed.
-    constexpr double kLastResort = 1000;
-    if (directory.IsUnconfirmed(candidate.server->id)) {
-      cost *= kLastResort;
-    }
+    double cost = candidate.cost * (1 + options_.full_cost *
+                                            candidate.in_flight /
+                                            candidate.places);
+    // Where this request failed before comes last of all.
     if (std::ranges::find(ask.tried, candidate.hash) != ask.tried.end()) {
       cost *= kLastResort * kLastResort;
     }
     if (best == nullptr || cost < best_cost) {
-      best = candidate.server;
+      best = &candidate;
       best_cost = cost;
     }
   }
   return best;
 }
 
-int Placement::Free(const std::string& service,
-                    const SlotGroup& group,
-                    const ServerDirectory& directory,
-                    const ServerLoads& loads,
-                    const SlotOccupancy& occupancy,
-                    TimePoint now) const {
-  int free = 0;
-  for (const Candidate& candidate :
-       Candidates(service, /*model_server=*/true, group, directory, loads,
-                  occupancy, now)) {
-    free += std::max(0, candidate.places - candidate.in_flight);
-  }
-  return free;
-}
-
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -2,7 +2,6 @@
 #define LAVENDERKEEL_FORWARD_PLACEMENT_H_
 
 #include <map>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -43,42 +42,48 @@
     double spread = 0.1;
   };
 
-  explicit Placement(Options options) : options_(std::move(options)) {}
-
-  /// @return the best server of the group with a free place, or null
-  const BackendServer* Choose(const SlotAsk& ask,
-                              const SlotGroup& group,
-                              const ServerDirectory& directory,
-                              const ServerLoads& loads,
-                              const SlotOccupancy& occupancy,
-                              TimePoint now) const;
-
-  /// Free places at the sound servers of a group of model servers.
-  int Free(const std::string& service,
-           const SlotGroup& group,
-           const ServerDirectory& directory,
-           const ServerLoads& loads,
-           const SlotOccupancy& occupancy,
-           TimePoint now) const;
-
- private:
+  /// A server that may get a request now.
   struct Candidate {
     const BackendServer* server = nullptr;
-    const ServerLoad* load = nullptr;
     uint64_t hash = 0;
+    /// Speed and distance, without load; see Choose.
+    double cost = 1;
     int in_flight = 0;
     int places = 1;
   };
 
-  std::vector<Candidate> Candidates(const std::string& service,
-                                    bool model_server,
-                                    const SlotGroup& group,
-                                    const ServerDirectory& directory,
-                                    const ServerLoads& loads,
-                                    const SlotOccupancy& occupancy,
-                                    TimePoint now) const;
+  /// The sound servers of a group. Made once for a line of wishes, since a
+  /// burst has hundreds of them and an entry as little as a tenth of a core.
+  struct Candidates {
+    std::vector<Candidate> servers;
+    int free = 0;
+    int places = 0;
+
+    /// One more request goes to the server.
+    void Take(Candidate& candidate) {
+      ++candidate.in_flight;
+      --free;
+    }
+  };
+
+  explicit Placement(Options options) : options_(std::move(options)) {}
+
+  Candidates Find(const std::string& service,
+                  bool model_server,
+                  const SlotGroup& group,
+                  const ServerDirectory& directory,
+                  const ServerLoads& loads,
+                  const SlotOccupancy& occupancy,
+                  TimePoint now) const;
+
+  /// @return the best of the candidates with a free place, or null
+  Candidate* Choose(const SlotAsk& ask, Candidates& candidates) const;
+
+ private:
   int Places(const BackendServer& server, bool model_server) const;
-  double Cost(const Candidate& candidate, double typical_pace) const;
+  double CostOf(const BackendServer& server,
+                double pace,
+                bool unconfirmed) const;
 
   Options options_;
 };
--- a/lavenderkeel/forward/server_directory.cc
+++ b/lavenderkeel/forward/server_directory.cc
@@ -73,22 +73,23 @@
 
 std::vector<const BackendServer*> ServerDirectory::Usable(
     const std::string& service) const {
-  std::vector<const BackendServer*> result;
+  std::vector<const BackendServer*> confirmed;
+  std::vector<const BackendServer*> unconfirmed;
   for (const auto& [id, entry] : servers_) {
     if (entry.server.service == service && !entry.server.draining) {
-      result.push_back(&entry.server);
+      (entry.drop_at.has_value() ? unconfirmed : confirmed)
+          .push_back(&entry.server);
     }
   }
-  return result;
-}
-
-std::vector<std::string> ServerDirectory::Ids() const {
-  std::vector<std::string> ids;
-  ids.reserve(servers_.size());
-  for (const auto& [id, entry] : servers_) {
-    ids.push_back(id);
+  // Failure: this entry alone was cut off from the store while a few servers
+  // left. Symptom: they get requests long after they said so, since they are
+  // taken for lapsed. A lapse takes most entries at once; where most servers
+  // are listed, the missing ones have left.
+  if (confirmed.size() >= unconfirmed.size()) {
+    return confirmed;
   }
-  return ids;
+  confirmed.insert(confirmed.end(), unconfirmed.begin(), unconfirmed.end());
+  return confirmed;
 }
 
 bool ServerDirectory::IsUnconfirmed(const std::string& id) const {
--- a/lavenderkeel/forward/server_directory.h
+++ b/lavenderkeel/forward/server_directory.h
@@ -56,10 +56,9 @@
   void Tick(TimePoint now);
 
   const BackendServer* Find(const std::string& id) const;
-  /// Servers that may get requests: listed and not draining.
+  /// Servers that may get requests: listed and not draining, or lapsed with
+  /// most others.
   std::vector<const BackendServer*> Usable(const std::string& service) const;
-  /// All servers, also those that may not get requests.
-  std::vector<std::string> Ids() const;
   /// A server that was missing after an outage and is not listed again yet.
   bool IsUnconfirmed(const std::string& id) const;
   bool empty() const { return servers_.empty(); }
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -17,9 +17,7 @@
   uint32_t index = 0;
   uint32_t count = 1;
 
-  bool Has(uint64_t server_hash) const {
-    return server_hash % count == index;
-  }
+  bool Has(uint64_t server_hash) const { return server_hash % count == index; }
 
   friend auto operator<=>(const SlotGroup&, const SlotGroup&) = default;
 };
@@ -36,6 +34,10 @@
   /// Rank of the route: most teams have the same rank, and their requests
   /// differ twentyfold in what they are worth to them.
   int route_priority = 0;
+  /// A later start is late for the client; after it, others of the same rank
+  /// that can still be in time go first.
+  TimePoint in_time_until;
+  /// The final answer is due.
   TimePoint due;
   uint64_t prompt_tokens = 0;
   /// Hashes of the servers that failed this request before.
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -21,18 +21,43 @@
   const AskId id = {asker, ask.attempt};
   // Asked again after a change of links: the slot that it has is offered anew.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
-    on_grant_(asker, {.attempt = ask.attempt, .server = granted->second.server});
+    on_grant_(asker,
+              {.attempt = ask.attempt, .server = granted->second.server});
     return;
   }
   Remove(id);
   const Line line = {.service = ask.service, .group = ask.group};
-  const Place place = {.priority = ask.priority,
-                       .route_priority = ask.route_priority,
-                       .due = ask.due,
-                       .ask = id};
+  const Place place = PlaceOf(id, ask);
   by_attempt_[id] = {.ask = ask, .line = line, .place = place};
   lines_[line].insert(place);
-  Dispatch();
+  late_at_.emplace(ask.in_time_until, id);
+  DispatchService(ask.service);
+}
+
+SlotGate::Place SlotGate::PlaceOf(const AskId& id, const SlotAsk& ask) const {
+  const bool late = clock_.Now() >= ask.in_time_until;
+  return {.priority = ask.priority,
+          .route_priority = ask.route_priority,
+          .late = late,
+          .before = late ? ask.due : ask.in_time_until,
+          .ask = id};
+}
+
+void SlotGate::SortOutLate() {
+  // Load it answers: a burst beyond the capacity for some seconds. First come,
+  // first served makes every request of the rank late; in this order as many
+  // as there are slots for are in time, and the late ones, which are still of
+  // use, fill what is left.
+  const TimePoint now = clock_.Now();
+  while (!late_at_.empty() && late_at_.begin()->first <= now) {
+    const AskId id = late_at_.begin()->second;
+    late_at_.erase(late_at_.begin());
+    Waiting& waiting = by_attempt_.at(id);
+    std::set<Place>& places = lines_.at(waiting.line);
+    places.erase(waiting.place);
+    waiting.place = PlaceOf(id, waiting.ask);
+    places.insert(waiting.place);
+  }
 }
 
 void SlotGate::Remove(const AskId& id) {
@@ -42,6 +67,7 @@
   }
   const auto line = lines_.find(found->second.line);
   line->second.erase(found->second.place);
+  late_at_.erase({found->second.ask.in_time_until, id});
   by_attempt_.erase(found);
 }
 
@@ -57,10 +83,10 @@
   const std::string server = granted->second.server;
   grants_.erase(granted);
   occupancy_.RemoveGrant(asker, HashBytes(server));
-  if (directory_.Find(server) != nullptr) {
+  if (const BackendServer* known = directory_.Find(server)) {
     loads_[server].OnEnd(result, clock_.Now());
+    DispatchService(std::string(known->service));
   }
-  Dispatch();
 }
 
 void SlotGate::OnReport(const std::string& asker,
@@ -99,9 +125,8 @@
 
 void SlotGate::ForgetAsker(const std::string& asker) {
   occupancy_.Forget(asker);
-  std::erase_if(grants_, [&](const auto& item) {
-    return item.first.first == asker;
-  });
+  std::erase_if(grants_,
+                [&](const auto& item) { return item.first.first == asker; });
   std::vector<AskId> asks;
   for (const auto& [id, waiting] : by_attempt_) {
     if (id.first == asker) {
@@ -119,26 +144,51 @@
   if (std::exchange(dispatching_, true)) {
     return;
   }
+  SortOutLate();
   for (auto& [line, places] : lines_) {
     DispatchLine(line, places);
   }
+  dispatching_ = false;
+}
+
+void SlotGate::DispatchService(const std::string& service) {
+  if (std::exchange(dispatching_, true)) {
+    return;
+  }
+  SortOutLate();
+  for (auto line = lines_.lower_bound({.service = service, .group = {0, 0}});
+       line != lines_.end() && line->first.service == service; ++line) {
+    DispatchLine(line->first, line->second);
+  }
+  dispatching_ = false;
+}
+
+void SlotGate::Tick() {
   std::erase_if(lines_, [](const auto& item) { return item.second.empty(); });
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
-  dispatching_ = false;
+  Dispatch();
 }
 
 void SlotGate::DispatchLine(const Line& line, std::set<Place>& places) {
-  while (!places.empty()) {
+  if (places.empty()) {
+    return;
+  }
+  const bool model_server =
+      by_attempt_.at(places.begin()->ask).ask.model_server;
+  Placement::Candidates candidates =
+      placement_.Find(line.service, model_server, line.group, directory_,
+                      loads_, occupancy_, clock_.Now());
+  while (!places.empty() && candidates.free > 0) {
     const AskId id = places.begin()->ask;
-    const SlotAsk& ask = by_attempt_.at(id).ask;
-    const BackendServer* server = placement_.Choose(
-        ask, line.group, directory_, loads_, occupancy_, clock_.Now());
-    if (server == nullptr) {
+    Placement::Candidate* chosen =
+        placement_.Choose(by_attempt_.at(id).ask, candidates);
+    if (chosen == nullptr) {
       return;
     }
-    Grant(id, *server);
+    candidates.Take(*chosen);
+    Grant(id, *chosen->server);
   }
 }
 
@@ -162,8 +212,10 @@
 }
 
 int SlotGate::Free(const std::string& service, const SlotGroup& group) const {
-  return placement_.Free(service, group, directory_, loads_, occupancy_,
-                         clock_.Now());
+  return placement_
+      .Find(service, /*model_server=*/true, group, directory_, loads_,
+            occupancy_, clock_.Now())
+      .free;
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -66,6 +66,8 @@
   void ForgetAsker(const std::string& asker);
   /// Grants what can be granted, as after a change of servers or with time.
   void Dispatch();
+  /// Forgets servers that are gone, and does what time asks for.
+  void Tick();
 
   size_t waiting() const { return by_attempt_.size(); }
   size_t waiting(const std::string& service, const SlotGroup& group) const;
@@ -83,7 +85,9 @@
   struct Place {
     int priority = 0;
     int route_priority = 0;
-    TimePoint due;
+    bool late = false;
+    /// When it is late, or due if it is late already.
+    TimePoint before;
     AskId ask;
 
     friend auto operator<=>(const Place&, const Place&) = default;
@@ -98,6 +102,11 @@
     TimePoint at;
   };
 
+  Place PlaceOf(const AskId& id, const SlotAsk& ask) const;
+  /// Puts wishes that can't be in time any more behind those that can.
+  void SortOutLate();
+  /// The same for the lines of one service.
+  void DispatchService(const std::string& service);
   void DispatchLine(const Line& line, std::set<Place>& places);
   void Remove(const AskId& id);
   void Grant(const AskId& id, const BackendServer& server);
@@ -112,6 +121,8 @@
   ServerLoads loads_;
   std::map<Line, std::set<Place>> lines_;
   std::map<AskId, Waiting> by_attempt_;
+  /// Wishes that are not late yet, by when they will be.
+  std::set<std::pair<TimePoint, AskId>> late_at_;
   std::map<AskId, Granted> grants_;
   bool dispatching_ = false;
 };
--- a/lavenderkeel/forward/slot_occupancy.h
+++ b/lavenderkeel/forward/slot_occupancy.h
@@ -20,15 +20,16 @@
  public:
   void AddGrant(const std::string& asker, uint64_t server) {
     Part& part = parts_[asker][server];
-    Change(server, part, {.granted = part.granted + 1,
-                          .reported = part.reported});
+    Change(server, part,
+           {.granted = part.granted + 1, .reported = part.reported});
   }
 
   /// A granted request has ended, and with it its place in the last report.
   void RemoveGrant(const std::string& asker, uint64_t server) {
     Part& part = parts_[asker][server];
-    Change(server, part, {.granted = std::max(0, part.granted - 1),
-                          .reported = std::max(0, part.reported - 1)});
+    Change(server, part,
+           {.granted = std::max(0, part.granted - 1),
+            .reported = std::max(0, part.reported - 1)});
   }
 
   /// Replaces the asker's report. Servers that it leaves out have none.
--- a/lavenderkeel/forward/slot_router.h
+++ b/lavenderkeel/forward/slot_router.h
@@ -45,9 +45,8 @@
 
   struct Hooks {
     std::function<void(const std::string& gate, const SlotAsk&)> ask;
-    std::function<void(const std::string& gate,
-                       AttemptId attempt,
-                       const SlotResult&)>
+    std::function<
+        void(const std::string& gate, AttemptId attempt, const SlotResult&)>
         done;
   };
 
--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -5,7 +5,6 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
-#include <algorithm>
 #include <utility>
 
 #include "lavenderkeel/io/address.h"
@@ -79,10 +78,11 @@
   raw->call = std::move(call);
   raw->connection = evhttp_connection_base_bufferevent_new(
       loop_.base(), nullptr, nullptr, address->host.c_str(), address->port);
-  const int64_t seconds =
-      std::chrono::ceil<std::chrono::seconds>(raw->call.timeout).count();
-  evhttp_connection_set_timeout(
-      raw->connection, static_cast<int>(std::max<int64_t>(1, seconds)));
+  constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+  const timeval timeout = {
+      .tv_sec = raw->call.timeout.count() / kMicrosecondsPerSecond,
+      .tv_usec = raw->call.timeout.count() % kMicrosecondsPerSecond};
+  evhttp_connection_set_timeout_tv(raw->connection, &timeout);
   raw->request = evhttp_request_new(
       [](evhttp_request* request, void* arg) {
         auto* self = static_cast<Pending*>(arg);
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -37,11 +37,14 @@
 }
 
 void ObjectWatch::Watch() {
+  // In an outage the answer itself is the news. A watch that waits would be
+  // told from a dead connection only seconds after the store is back.
+  const Duration wait = outage_ ? Duration::zero() : options_.wait;
   Read({.kind = ObjectRead::Kind::kWatch,
         .object_kind = options_.object_kind,
         .revision = revision_,
-        .wait = options_.wait,
-        .timeout = options_.wait + options_.grace});
+        .wait = wait,
+        .timeout = outage_ ? options_.list_timeout : wait + options_.grace});
 }
 
 void ObjectWatch::Read(ObjectRead read) {
@@ -110,7 +113,11 @@
     hooks_.on_change(object);
   }
   revision_ = std::max(revision_, result.revision);
-  Watch();
+  if (result.objects.empty()) {
+    Watch();
+  } else {
+    retry_at_ = clock_.Now() + options_.gather;
+  }
 }
 
 void ObjectWatch::RetryLater(const char* why) {
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -77,9 +77,15 @@
     Duration wait = std::chrono::milliseconds(2000);
     /// Beyond the wait, for the way and a slow store.
     Duration grace = std::chrono::milliseconds(800);
-    Duration list_timeout = std::chrono::milliseconds(1500);
+    /// Sixty times the store's usual answer; a longer one means that nobody
+    /// listens, and the next try may find it back.
+    Duration list_timeout = std::chrono::milliseconds(700);
+    /// After changes the next watch waits this long, so that a wave of them
+    /// (a release, the servers of a start) costs a call for all, not for each.
+    /// An eighth of the time in which a change has to be in force.
+    Duration gather = std::chrono::milliseconds(250);
     Backoff::Options retry = {.first = std::chrono::milliseconds(100),
-                              .longest = std::chrono::milliseconds(1000)};
+                              .longest = std::chrono::milliseconds(500)};
   };
 
   struct Hooks {
--- /dev/null
+++ b/test/fakes/fake_backend.cc
@@ -0,0 +1,130 @@
+// Stand-in for a backend server on the users' platform. Streams events below
+// /stream/, answers anything else whole. Writes the id of each request that it
+// runs to a file, which is what "it ran" means to a checker.
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "lavenderkeel/io.h"
+
+namespace {
+
+using lavenderkeel::CallerId;
+using lavenderkeel::HttpHeaders;
+using lavenderkeel::HttpRequest;
+
+constexpr int kEvents = 12;
+constexpr int kMisdirected = 421;
+
+class FakeBackend {
+ public:
+  FakeBackend(std::string id, const std::string& runs_file)
+      : id_(std::move(id)),
+        runs_(runs_file, std::ios::app),
+        http_(loop_,
+              {},
+              {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
+               .on_drained = [](CallerId) {},
+               .on_gone = [this](CallerId caller) { running_.erase(caller); },
+               .on_too_large = [](CallerId) {}}) {}
+
+  int Run(const std::string& listen, const std::string& ready_file) {
+    const auto address = http_.Listen(listen);
+    if (!address.has_value()) {
+      return 1;
+    }
+    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
+    loop_.Every(std::chrono::milliseconds(8), [this] { Step(); });
+    lavenderkeel::WriteReadyFile(ready_file, {{"http", *address}});
+    loop_.Run();
+    return 0;
+  }
+
+ private:
+  struct Running {
+    std::string request;
+    bool stream = false;
+    int next = 1;
+  };
+
+  void OnRequest(const HttpRequest& request) {
+    const std::string expected = request.header("Expect-Instance").value_or("");
+    if (expected != id_) {
+      http_.Handle(lavenderkeel::ReplyWhole{.caller = request.id,
+                                            .status = kMisdirected,
+                                            .headers = {{"Instance-Id", id_}}});
+      return;
+    }
+    Running run{.request = request.header("Request-Id").value_or(""),
+                .stream = request.path.starts_with("/stream/")};
+    runs_ << run.request << '\n' << std::flush;
+    const auto last = request.header("Last-Event-Id");
+    run.next = last.has_value() ? std::atoi(last->c_str()) + 1 : 1;
+    if (run.stream) {
+      HttpHeaders headers = Headers(run);
+      headers.emplace_back("Content-Type", "text/event-stream");
+      http_.Handle(
+          lavenderkeel::ReplyHead{.caller = request.id, .headers = headers});
+    }
+    running_[request.id] = run;
+  }
+
+  static HttpHeaders Headers(const Running& run) {
+    return {{"Request-Id", run.request}, {"Response-Seal", "s." + run.request}};
+  }
+
+  void Step() {
+    for (auto run = running_.begin(); run != running_.end();) {
+      const auto current = run++;
+      if (Advance(current->first, current->second)) {
+        running_.erase(current);
+      }
+    }
+  }
+
+  /// True once the run is over.
+  bool Advance(CallerId caller, Running& run) {
+    if (!run.stream) {
+      constexpr int kStepsOfWork = 3;
+      if (run.next++ < kStepsOfWork) {
+        return false;
+      }
+      http_.Handle(
+          lavenderkeel::ReplyWhole{.caller = caller,
+                                   .headers = Headers(run),
+                                   .body = "answer to " + run.request});
+      return true;
+    }
+    if (run.next > kEvents) {
+      http_.Handle(lavenderkeel::ReplyEnd{.caller = caller});
+      return true;
+    }
+    http_.Handle(
+        lavenderkeel::ReplyData{.caller = caller,
+                                .bytes = "id: " + std::to_string(run.next) +
+                                         "\ndata: " + run.request + "\n\n"});
+    ++run.next;
+    return false;
+  }
+
+  std::string id_;
+  std::ofstream runs_;
+  lavenderkeel::EventLoop loop_;
+  lavenderkeel::HttpServer http_;
+  std::map<CallerId, Running> running_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  constexpr int kArguments = 5;
+  if (argc != kArguments) {
+    std::cerr << "use: fake_backend LISTEN READY_FILE ID RUNS_FILE\n";
+    return lavenderkeel::kBadUseStatus;
+  }
+  lavenderkeel::PrepareProcess();
+  return FakeBackend(argv[3], argv[4]).Run(argv[1], argv[2]);
+}
--- a/test/fakes/forward_world.h
+++ b/test/fakes/forward_world.h
@@ -60,6 +60,8 @@
     ForwardController::Options controller;
     int servers = 2;
     int slots = 2;
+    /// Whether Table() is in force from the start.
+    bool configured = true;
   };
 
   ForwardWorld();
--- /dev/null
+++ b/test/forward/forward_promises_test.cc
@@ -0,0 +1,234 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "test/fakes/forward_world.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using fakes::ForwardWorld;
+using fakes::SentAttempt;
+using std::chrono::milliseconds;
+
+constexpr const char* kRoutes[] = {"stream", "once-stream", "once", "lookup"};
+constexpr int kEvents = 6;
+
+/// Servers that do with each attempt whatever the test draws, and an oracle
+/// that knows only what servers ran and what clients were told.
+class Promises {
+ public:
+  void Request() {
+    const std::string route = *rc::gen::elementOf(
+        std::vector<std::string>(std::begin(kRoutes), std::end(kRoutes)));
+    const ExchangeId exchange = world_.Request(route);
+    routes_[exchange] = route;
+    Collect();
+  }
+
+  void AtServer() {
+    Collect();
+    if (open_.empty()) {
+      return;
+    }
+    const auto position = static_cast<size_t>(
+        *rc::gen::inRange<int>(0, static_cast<int>(open_.size())));
+    Attempt& attempt = open_[position];
+    if (!attempt.ran) {
+      Begin(attempt);
+    } else {
+      GoOn(attempt);
+    }
+    std::erase_if(open_, [](const Attempt& ended) { return ended.over; });
+    Collect();
+  }
+
+  void ClientLeaves() {
+    if (routes_.empty()) {
+      return;
+    }
+    const ExchangeId exchange = static_cast<ExchangeId>(
+        *rc::gen::inRange<int>(1, static_cast<int>(routes_.size()) + 1));
+    if (!Over(exchange)) {
+      world_.controller.OnClientGone(exchange);
+      gone_.insert(exchange);
+    }
+  }
+
+  void TimePasses() {
+    world_.Advance(milliseconds(*rc::gen::inRange(1, 1500)));
+    Collect();
+  }
+
+  /// Lets every request come to its end, then checks each.
+  void Check() {
+    world_.Advance(std::chrono::seconds(11));
+    Collect();
+    RC_ASSERT(world_.controller.open() == 0U);
+    for (const auto& [exchange, route] : routes_) {
+      CheckOne(exchange, route);
+    }
+  }
+
+ private:
+  struct Attempt {
+    SentAttempt sent;
+    ExchangeId exchange = 0;
+    bool ran = false;
+    int next_event = 1;
+    bool over = false;
+  };
+
+  bool Over(ExchangeId exchange) {
+    const fakes::ClientView& client = world_.client(exchange);
+    return client.ended || client.aborted || gone_.contains(exchange);
+  }
+
+  /// Takes over what was sent since, and drops what was cancelled.
+  void Collect() {
+    for (; seen_ < world_.port.sent.size(); ++seen_) {
+      const SentAttempt& sent = world_.port.sent[seen_];
+      const std::string id = sent.Field("Request-Id");
+      const std::string last = sent.Field("Last-Event-Id");
+      open_.push_back({.sent = sent,
+                       .exchange = std::stoull(id.substr(1)),
+                       .next_event = last.empty() ? 1 : std::stoi(last) + 1});
+    }
+    std::erase_if(open_, [this](const Attempt& attempt) {
+      return std::ranges::any_of(
+          world_.port.sent, [&attempt](const SentAttempt& sent) {
+            return sent.attempt == attempt.sent.attempt && sent.cancelled;
+          });
+    });
+  }
+
+  void Begin(Attempt& attempt) {
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        attempt.over = true;
+        world_.controller.OnAttemptFailed(attempt.sent.attempt,
+                                          AttemptFailure::kNotConnected);
+        return;
+      case 1:
+        attempt.over = true;
+        world_.Answer(attempt.sent, 503, "", {{"Not-Executed", "1"}});
+        return;
+      case 2:
+        attempt.over = true;
+        world_.Answer(attempt.sent, 421, "");
+        return;
+      default:
+        attempt.ran = true;
+        ++runs_[attempt.exchange];
+    }
+  }
+
+  void GoOn(Attempt& attempt) {
+    const std::string& route = routes_.at(attempt.exchange);
+    const bool stream = route.ends_with("stream");
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        attempt.over = true;
+        world_.controller.OnAttemptFailed(attempt.sent.attempt,
+                                          AttemptFailure::kBroken);
+        return;
+      case 1:
+        // Only an attempt without a part of its answer can say this.
+        if (!Streaming(attempt)) {
+          attempt.over = true;
+          world_.Answer(attempt.sent, 500, "error");
+        }
+        return;
+      default:
+        if (stream) {
+          Stream(attempt);
+        } else {
+          attempt.over = true;
+          world_.Answer(attempt.sent, 200,
+                        "answer to " + std::to_string(attempt.exchange));
+        }
+    }
+  }
+
+  static bool Streaming(const Attempt& attempt) {
+    const std::string last = attempt.sent.Field("Last-Event-Id");
+    return attempt.next_event > (last.empty() ? 1 : std::stoi(last) + 1);
+  }
+
+  void Stream(Attempt& attempt) {
+    if (!Streaming(attempt)) {
+      world_.Head(attempt.sent, 200, {{"Response-Seal", "seal"},
+                                      {"Content-Type", "text/event-stream"}});
+    }
+    if (attempt.next_event > kEvents) {
+      attempt.over = true;
+      world_.controller.OnAnswerEnd(attempt.sent.attempt);
+      return;
+    }
+    const std::string event =
+        ForwardWorld::EventText(attempt.next_event, attempt.next_event);
+    ++attempt.next_event;
+    world_.controller.OnAnswerPart(attempt.sent.attempt, event);
+  }
+
+  void CheckOne(ExchangeId exchange, const std::string& route) {
+    const fakes::ClientView& client = world_.client(exchange);
+    const int runs = runs_[exchange];
+    const bool once = route == "once" || route == "once-stream";
+    RC_ASSERT(runs <= (once ? 1 : 2));
+    RC_ASSERT(Over(exchange));
+    const int status = client.status.value_or(0);
+    if (client.ended && (status == 429 || status == 503)) {
+      RC_ASSERT(runs == 0);
+    }
+    if (client.ended && status == 200 && route.ends_with("stream")) {
+      RC_ASSERT(client.body == ForwardWorld::EventText(1, kEvents));
+    }
+    if (client.ended && status == 200 && !route.ends_with("stream")) {
+      RC_ASSERT(client.body == "answer to " + std::to_string(exchange));
+    }
+    if (client.aborted) {
+      RC_ASSERT(ForwardWorld::EventText(1, kEvents).starts_with(client.body));
+    }
+  }
+
+  ForwardWorld world_{{.servers = 3, .slots = 2}};
+  std::map<ExchangeId, std::string> routes_;
+  std::map<ExchangeId, int> runs_;
+  std::set<ExchangeId> gone_;
+  std::vector<Attempt> open_;
+  size_t seen_ = 0;
+};
+
+}  // namespace
+
+// Servers refuse, break off, go silent and answer in any order; clients leave;
+// time passes. Nothing that may run once runs twice, "not run" is true, every
+// request ends in one answer, and no answer is another's or has a gap.
+BOOST_AUTO_TEST_CASE(PromisesHoldWhateverServersDo) {
+  rc::check([] {
+    Promises promises;
+    const int steps = *rc::gen::inRange(1, 150);
+    for (int step = 0; step < steps; ++step) {
+      const int what = *rc::gen::inRange(0, 20);
+      if (what < 5) {
+        promises.Request();
+      } else if (what < 17) {
+        promises.AtServer();
+      } else if (what < 18) {
+        promises.ClientLeaves();
+      } else {
+        promises.TimePasses();
+      }
+    }
+    promises.Check();
+  });
+}
+
+}  // namespace lavenderkeel
--- a/test/forward/server_directory_test.cc
+++ b/test/forward/server_directory_test.cc
@@ -50,6 +50,17 @@
   BOOST_TEST((directory.Find("b") == nullptr));
 }
 
+// This entry was cut off from the store while one server of three left. Its
+// requests must not go there once the list can be read again.
+BOOST_AUTO_TEST_CASE(ServerThatLeftWhileOnlyWeWereCutOffIsNotUsed) {
+  ServerDirectory directory;
+  directory.ApplyList({Server("a"), Server("b"), Server("c")}, kStart);
+  directory.OnOutage();
+  directory.OnReturn(kStart);
+  directory.ApplyList({Server("a"), Server("b")}, kStart);
+  BOOST_TEST(directory.Usable("s").size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(LapseIsToldByChangesAfterTheOutageToo) {
   ServerDirectory directory({.relist_time = milliseconds(1900)});
   directory.ApplyList({Server("a")}, kStart);
--- /dev/null
+++ b/test/soak/system.cc
@@ -0,0 +1,318 @@
+#include "test/soak/system.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace lavenderkeel::soak {
+
+namespace {
+
+std::string Program(const std::string& name) {
+  return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
+}
+
+}  // namespace
+
+System::System(const Plan& plan, EventLoop& loop)
+    : plan_(plan), loop_(loop), http_(loop) {}
+
+bool System::Wait(const std::function<bool()>& condition) {
+  const TimePoint end = clock_.Now() + std::chrono::seconds(30);
+  while (!condition()) {
+    if (clock_.Now() > end) {
+      return false;
+    }
+    loop_.Run();
+  }
+  return true;
+}
+
+bool System::Start() {
+  processes_.Spawn("store", {Program("fake_store"), "127.0.0.1:0",
+                             processes_.ReadyFile("store")});
+  if (!Wait([this] { return processes_.HasReadyFile("store"); })) {
+    return false;
+  }
+  const std::string store = processes_.Address("store", "http");
+  for (int i = 0; i < plan_.servers; ++i) {
+    servers_.push_back({.name = "server-" + std::to_string(i),
+                        .relay = std::make_unique<test::Relay>(loop_)});
+  }
+  for (Server& server : servers_) {
+    StartServer(server);
+  }
+  PutConfig();
+  for (int i = 0; i < plan_.entries; ++i) {
+    entries_.push_back({.name = "entry-" + std::to_string(i),
+                        .store = std::make_unique<test::Relay>(loop_),
+                        .clients = std::make_unique<test::Relay>(loop_),
+                        .peers = std::make_unique<test::Relay>(loop_)});
+    entries_.back().store->set_target(store);
+  }
+  for (Entry& entry : entries_) {
+    StartEntry(entry);
+  }
+  return Wait([this] {
+    Tick();
+    return std::ranges::all_of(entries_, [this](const Entry& entry) {
+      return processes_.Log(entry.name).find("event=servers_listed") !=
+             std::string::npos;
+    });
+  });
+}
+
+void System::StartEntry(Entry& entry) {
+  std::string seeds;
+  for (const Entry& other : entries_) {
+    seeds += (seeds.empty() ? "\"" : ",\"") + other.peers->address() + "\"";
+  }
+  const std::string settings =
+      processes_.directory() + "/" + entry.name + ".json";
+  std::ofstream(settings) << R"({"instance": ")" << entry.name
+                          << R"(", "data_centre": "here", "listen": {)"
+                          << R"("clients": "127.0.0.1:0", )"
+                          << R"("status": "127.0.0.1:0", )"
+                          << R"("peers": "127.0.0.1:0", "advertise": ")"
+                          << entry.peers->address() << R"("}, "store": ")"
+                          << entry.store->address() << R"(", "seeds": [)"
+                          << seeds << "]}";
+  processes_.Spawn(
+      entry.name,
+      {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
+       "--ready_file=" + processes_.ReadyFile(entry.name)});
+  entry.starting = true;
+}
+
+void System::StartServer(Server& server) {
+  server.id = server.name + "-" + std::to_string(++server.starts);
+  processes_.Spawn(server.name,
+                   {Program("fake_backend"), "127.0.0.1:0",
+                    processes_.ReadyFile(server.name), server.id,
+                    processes_.directory() + "/" + server.name + ".runs"});
+  Wait([&] { return processes_.HasReadyFile(server.name); });
+  server.relay->set_target(processes_.Address(server.name, "http"));
+  ListServer(server, /*draining=*/false);
+}
+
+void System::ListServer(const Server& server, bool draining) {
+  PutObject("/objects/servers/" + server.id,
+            R"({"service": "s", "address": ")" + server.relay->address() +
+                R"(", "zone": "here", "slots": 3, "state": ")" +
+                (draining ? "draining" : "ready") + R"("})");
+}
+
+void System::PutObject(const std::string& path, const std::string& body) {
+  http_.Start({.address = processes_.Address("store", "http"),
+               .method = "PUT",
+               .path = path,
+               .body = body,
+               .timeout = std::chrono::seconds(20),
+               .on_done = [](const HttpResult&) {}});
+}
+
+void System::PutConfig() {
+  std::ostringstream body;
+  const auto route = [](const std::string& name, const std::string& kind) {
+    return R"({"name": ")" + name + R"(", "host": "h", "pathPrefix": "/)" +
+           name + R"(/", "kind": ")" + kind +
+           R"(", "timeoutMs": 4000, "targetLatencyMs": 300, "gapTargetMs": 200,
+              "service": "s", "maxAttempts": 2, "streamResume": true})";
+  };
+  ++config_version_;
+  body << R"({"version": )" << config_version_ << R"(, "routes": [)"
+       << route("stream", "streaming") << "," << route("once", "non_idempotent")
+       << "," << route("lookup", "idempotent") << ","
+       << route("v" + std::to_string(config_version_), "idempotent")
+       << R"(], "services": [{"name": "s", "engine": {"slots": 3}}],
+            "tenants": [{"name": "t", "apiKeys": ["key"]}]})";
+  PutObject("/objects/config/main", body.str());
+}
+
+void System::Later(Duration after, std::function<void()> what) {
+  pending_.push_back({.at = clock_.Now() + after, .what = std::move(what)});
+}
+
+void System::Pause(const std::string& name, Duration lasts) {
+  processes_.Signal(name, SIGSTOP);
+  Later(lasts, [this, name] {
+    if (processes_.Has(name)) {
+      processes_.Signal(name, SIGCONT);
+    }
+  });
+}
+
+void System::Inject(const Step& step) {
+  switch (step.fault) {
+    case Fault::kKillAllEntries:
+      for (Entry& entry : entries_) {
+        InjectAtEntry({.fault = Fault::kKillEntry, .lasts = step.lasts}, entry);
+      }
+      return;
+    case Fault::kPauseStore:
+      Pause("store", step.lasts);
+      return;
+    case Fault::kChangeConfig:
+      PutConfig();
+      return;
+    default:
+      InjectAtEntry(
+          step, entries_[static_cast<size_t>(step.target) % entries_.size()]);
+      InjectAtServer(
+          step, servers_[static_cast<size_t>(step.target) % servers_.size()]);
+  }
+}
+
+void System::InjectAtEntry(const Step& step, Entry& entry) {
+  test::Relay& store = *entry.store;
+  test::Relay& peers = *entry.peers;
+  switch (step.fault) {
+    case Fault::kKillEntry:
+      if (processes_.Has(entry.name)) {
+        processes_.Kill(entry.name);
+      }
+      return;
+    case Fault::kStopEntry:
+      if (processes_.Has(entry.name)) {
+        processes_.Signal(entry.name, SIGTERM);
+      }
+      return;
+    case Fault::kPauseEntry:
+      if (processes_.Has(entry.name)) {
+        Pause(entry.name, step.lasts);
+      }
+      return;
+    case Fault::kResetStoreLinks:
+      store.ResetOpen();
+      return;
+    case Fault::kSilenceStoreLinks:
+      store.ForgetOpen();
+      return;
+    case Fault::kCutStoreOneWay:
+      store.Hold(/*to_target=*/false, /*from_target=*/true);
+      Later(step.lasts, [&store] { store.Hold(false, false); });
+      return;
+    case Fault::kResetPeerLinks:
+      peers.ResetOpen();
+      return;
+    case Fault::kSilencePeerLinks:
+      peers.ForgetOpen();
+      return;
+    case Fault::kCutPeerOneWay:
+      peers.Hold(/*to_target=*/true, /*from_target=*/false);
+      Later(step.lasts, [&peers] { peers.Hold(false, false); });
+      return;
+    default:
+      return;
+  }
+}
+
+void System::InjectAtServer(const Step& step, Server& server) {
+  test::Relay& relay = *server.relay;
+  switch (step.fault) {
+    case Fault::kKillServer:
+      if (processes_.Has(server.name)) {
+        processes_.Kill(server.name);
+        relay.ResetOpen();
+        Later(step.lasts, [this, &server] {
+          http_.Start({.address = processes_.Address("store", "http"),
+                       .method = "DELETE",
+                       .path = "/objects/servers/" + server.id,
+                       .timeout = std::chrono::seconds(20),
+                       .on_done = [](const HttpResult&) {}});
+          StartServer(server);
+        });
+      }
+      return;
+    case Fault::kPauseServer:
+      if (processes_.Has(server.name)) {
+        Pause(server.name, step.lasts);
+      }
+      return;
+    case Fault::kDrainServer:
+      ListServer(server, /*draining=*/true);
+      Later(step.lasts, [this, &server] {
+        if (processes_.Has(server.name)) {
+          ListServer(server, /*draining=*/false);
+        }
+      });
+      return;
+    case Fault::kResetServerLinks:
+      relay.ResetOpen();
+      return;
+    case Fault::kSilenceServerLinks:
+      relay.ForgetOpen();
+      return;
+    case Fault::kDelayServerLinks:
+      relay.set_delay(std::chrono::milliseconds(120));
+      Later(step.lasts, [&relay] { relay.set_delay({}); });
+      return;
+    case Fault::kCutServerOneWay:
+      relay.Hold(/*to_target=*/false, /*from_target=*/true);
+      Later(step.lasts, [&relay] { relay.Hold(false, false); });
+      return;
+    default:
+      return;
+  }
+}
+
+void System::Tick() {
+  std::vector<Pending> due;
+  std::erase_if(pending_, [&](Pending& pending) {
+    const bool now = pending.at <= clock_.Now();
+    if (now) {
+      due.push_back(std::move(pending));
+    }
+    return now;
+  });
+  for (const Pending& pending : due) {
+    pending.what();
+  }
+  // As the platform does: what ended is started again after a short delay.
+  for (Entry& entry : entries_) {
+    if (entry.starting && processes_.HasReadyFile(entry.name)) {
+      entry.starting = false;
+      entry.clients->set_target(processes_.Address(entry.name, "clients"));
+      entry.peers->set_target(processes_.Address(entry.name, "peers"));
+    }
+    const bool ended = !processes_.Has(entry.name) ||
+                       processes_.TryJoin(entry.name).has_value();
+    if (ended && !std::exchange(entry.restarting, true)) {
+      Later(std::chrono::milliseconds(150), [this, &entry] {
+        entry.restarting = false;
+        StartEntry(entry);
+      });
+    }
+  }
+}
+
+void System::Heal() {
+  for (Pending& pending : pending_) {
+    pending.at = {};
+  }
+  Tick();
+}
+
+std::string System::EntryAddress(size_t entry) const {
+  return entries_.at(entry).clients->address();
+}
+
+bool System::EntryUp(size_t entry) const {
+  return processes_.Has(entries_.at(entry).name);
+}
+
+std::multiset<std::string> System::Runs() const {
+  std::multiset<std::string> runs;
+  for (const Server& server : servers_) {
+    std::istringstream lines(
+        test::ReadFile(processes_.directory() + "/" + server.name + ".runs"));
+    for (std::string line; std::getline(lines, line);) {
+      runs.insert(line);
+    }
+  }
+  return runs;
+}
+
+}  // namespace lavenderkeel::soak
--- a/test/watch/object_watch_test.cc
+++ b/test/watch/object_watch_test.cc
@@ -92,6 +92,10 @@
                    .objects = {Object("b", /*removed=*/true)},
                    .revision = 13});
   BOOST_TEST(h.told.back() == "removed b");
+  // Further changes of the same wave come with the next call.
+  h.watch.Tick();
+  BOOST_TEST(h.calls.empty());
+  h.TickLater();
   BOOST_TEST(h.Take().read.revision == 13U);
 }
 
@@ -123,7 +127,10 @@
   const Harness::Call watch = h.Take();
   BOOST_TEST((watch.read.kind == Kind::kWatch));
   BOOST_TEST(watch.read.revision == 10U);
+  // It does not wait for changes, so that the return is seen at once.
+  BOOST_TEST((watch.read.wait == Duration::zero()));
   h.Answer(watch, {.outcome = ReadOutcome::kOk, .revision = 11});
+  BOOST_TEST((h.Take().read.wait > Duration::zero()));
   BOOST_TEST((h.told == std::vector<std::string>{"list", "outage", "return"}));
 }
 
