--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -27,9 +27,16 @@
   bufferevent* in = nullptr;
   bufferevent* out = nullptr;
   bool closed = false;
-  bool silent = false;
+  /// One end closed in order; the other is closed once it has all bytes.
+  bool ending = false;
   std::deque<Held> held;
 
+  bool Drained() const {
+    return held.empty() &&
+           evbuffer_get_length(bufferevent_get_output(in)) == 0 &&
+           evbuffer_get_length(bufferevent_get_output(out)) == 0;
+  }
+
   void Close() {
     closed = true;
     for (bufferevent* end : {in, out}) {
@@ -81,8 +88,13 @@
   };
   const auto ended = [](bufferevent*, short what, void* arg) {
     auto* self = static_cast<Pair*>(arg);
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0 && !self->closed) {
+    if (self->closed) {
+      return;
+    }
+    if ((what & BEV_EVENT_ERROR) != 0) {
       self->Close();
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+      self->ending = true;
     }
   };
   for (bufferevent* end : {pair->in, pair->out}) {
@@ -122,6 +134,9 @@
                         held.bytes.data(), held.bytes.size());
     }
     pair->held.swap(left);
+    if (pair->ending && !pair->closed && pair->Drained()) {
+      pair->Close();
+    }
   }
 }
 
