--- a/lavenderkeel/base/clock.h
+++ b/lavenderkeel/base/clock.h
@@ -41,6 +41,17 @@
       .count();
 }
 
+/// A duration in seconds, with their fraction.
+inline double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// The duration of so many seconds, rounded down to a microsecond.
+inline Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 }  // namespace lavenderkeel
 
 #endif  // LAVENDERKEEL_BASE_CLOCK_H_
--- a/lavenderkeel/base/log_limiter.h
+++ b/lavenderkeel/base/log_limiter.h
@@ -29,7 +29,7 @@
 
   /// True if a line may be written now.
   bool Take(TimePoint now) {
-    const double seconds = std::chrono::duration<double>(now - filled_).count();
+    const double seconds = ToSeconds(now - filled_);
     level_ = std::min(options_.burst, level_ + std::max(0.0, seconds) *
                                                    options_.lines_per_second);
     filled_ = now;
--- a/lavenderkeel/config/config_head.cc
+++ b/lavenderkeel/config/config_head.cc
@@ -39,10 +39,7 @@
   head.teams = reader.Strings("teams");
   head.drained = reader.Strings("drained");
   head.recent = reader.Strings("recent");
-  if (!faults.empty()) {
-    return leaf::new_error(
-        Failure{ResultCode::kConfigInvalid, JoinFaults(faults)});
-  }
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kConfigInvalid));
   return head;
 }
 
--- a/lavenderkeel/config/config_parser.cc
+++ b/lavenderkeel/config/config_parser.cc
@@ -105,10 +105,7 @@
   const Names work = CheckWork(document.base.work, tiers, faults);
   CheckPresets(document.base, tiers, faults);
   CheckTeams(document.teams, work, faults);
-  if (!faults.empty()) {
-    return leaf::new_error(
-        Failure{ResultCode::kConfigInvalid, JoinFaults(faults)});
-  }
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kConfigInvalid));
   return document;
 }
 
--- a/lavenderkeel/config/config_shards.cc
+++ b/lavenderkeel/config/config_shards.cc
@@ -30,14 +30,6 @@
   return {.name = std::move(name), .body = std::move(body)};
 }
 
-leaf::result<void> CheckFaults(const Faults& faults) {
-  if (!faults.empty()) {
-    return leaf::new_error(
-        Failure{ResultCode::kConfigInvalid, JoinFaults(faults)});
-  }
-  return {};
-}
-
 }  // namespace
 
 std::string ContentName(const std::string& body) {
@@ -67,7 +59,7 @@
   JsonReader reader(value, "", faults);
   auto base =
       std::make_shared<const ConfigBase>(internal::ReadBase(reader, faults));
-  BOOST_LEAF_CHECK(CheckFaults(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kConfigInvalid));
   return base;
 }
 
@@ -78,7 +70,7 @@
   JsonReader reader(value, "", faults);
   auto teams =
       std::make_shared<const TeamList>(internal::ReadTeams(reader, faults));
-  BOOST_LEAF_CHECK(CheckFaults(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kConfigInvalid));
   return teams;
 }
 
--- a/lavenderkeel/config/json_reader.cc
+++ b/lavenderkeel/config/json_reader.cc
@@ -16,6 +16,13 @@
   return joined;
 }
 
+leaf::result<void> CheckFaults(const Faults& faults, ResultCode code) {
+  if (!faults.empty()) {
+    return leaf::new_error(Failure{code, JoinFaults(faults)});
+  }
+  return {};
+}
+
 leaf::result<json::value> ParseJson(const std::string& text) {
   json::stream_parser parser;
   boost::system::error_code error;
--- a/lavenderkeel/config/json_reader.h
+++ b/lavenderkeel/config/json_reader.h
@@ -18,6 +18,9 @@
 
 std::string JoinFaults(const Faults& faults);
 
+/// A Failure of that code with all faults, if there are any.
+leaf::result<void> CheckFaults(const Faults& faults, ResultCode code);
+
 /// kMalformedJson with the position of the fault.
 leaf::result<boost::json::value> ParseJson(const std::string& text);
 
--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -130,10 +130,12 @@
 void CallerApi::Refuse(CallerId caller, const Failure& failure) {
   context_.metrics.Add("refused_total{reason=\"" +
                        std::string(Describe(failure.code).name) + "\"}");
-  const bool later = Describe(failure.code).http_status == 503;
-  context_.outbox.Push(CallerFeed::ErrorReply(
-      caller, failure.code, failure.message, "",
-      later ? Duration(std::chrono::seconds(1)) : Duration::zero()));
+  constexpr int kUnavailable = 503;
+  constexpr Duration kRetryAfter = std::chrono::seconds(1);
+  const bool later = Describe(failure.code).http_status == kUnavailable;
+  context_.outbox.Push(
+      CallerFeed::ErrorReply(caller, failure.code, failure.message, "",
+                             later ? kRetryAfter : Duration::zero()));
 }
 
 std::optional<Failure> CallerApi::IdentifyTeam(RequestDraft& draft) const {
--- a/lavenderkeel/dispatch/caller_feed.cc
+++ b/lavenderkeel/dispatch/caller_feed.cc
@@ -264,16 +264,10 @@
     headers.emplace_back("Retry-After",
                          std::to_string((retry_after_ms + 999) / 1000));
   }
-  const json::object body{
-      {"error", json::object{{"code", static_cast<uint32_t>(code)},
-                             {"name", info.name},
-                             {"outcome", OutcomeName(info.outcome)},
-                             {"message", message},
-                             {"retry_after_ms", retry_after_ms}}}};
   return {.caller = caller,
           .status = info.http_status,
           .headers = std::move(headers),
-          .body = json::serialize(body)};
+          .body = RefusalBody(code, message, retry_after)};
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -235,8 +235,7 @@
   context_.Note(*request, "sent to " + agent->info.id.ToString());
   context_.metrics.Observe(
       "wait_seconds{tier=\"" + request->terms.tier_name + "\"}",
-      std::chrono::duration<double>(context_.clock.Now() - request->arrived)
-          .count());
+      ToSeconds(context_.clock.Now() - request->arrived));
   context_.log.Info(
       "dispatch",
       {{"key", request->key.ToString()},
--- a/lavenderkeel/dispatch/operator_api.cc
+++ b/lavenderkeel/dispatch/operator_api.cc
@@ -41,9 +41,7 @@
   JsonReader reader(value, "", faults);
   std::string name = reader.String("name", {.required = true});
   reader.RejectUnknown();
-  if (!faults.empty()) {
-    return leaf::new_error(Failure{ResultCode::kWrongType, JoinFaults(faults)});
-  }
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kWrongType));
   return name;
 }
 
--- a/lavenderkeel/dispatch/request_body.cc
+++ b/lavenderkeel/dispatch/request_body.cc
@@ -65,9 +65,7 @@
       {.otherwise = kDefaultMaxTokens, .least = 1, .most = kMostTokens});
   ParsedBody parsed;
   parsed.stream = reader.Bool("stream", false);
-  if (!faults.empty()) {
-    return leaf::new_error(Failure{ResultCode::kWrongType, JoinFaults(faults)});
-  }
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kWrongType));
   if (!config.HasModel(model)) {
     return leaf::new_error(Failure{ResultCode::kUnknownModel, model});
   }
--- a/lavenderkeel/dispatch/team_usage.h
+++ b/lavenderkeel/dispatch/team_usage.h
@@ -78,8 +78,7 @@
     if (rate == 0) {
       return std::nullopt;
     }
-    const double seconds =
-        std::chrono::duration<double>(now - usage.refilled).count();
+    const double seconds = ToSeconds(now - usage.refilled);
     usage.tokens = usage.refilled == TimePoint()
                        ? rate
                        : std::min(rate, usage.tokens + seconds * rate);
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <utility>
 
+#include "lavenderkeel/base/refusal_body.h"
 #include "lavenderkeel/base/rendezvous.h"
 
 namespace lavenderkeel {
@@ -22,19 +23,6 @@
 /// With less time than this a further attempt can't be answered in time.
 constexpr Duration kLeastTimeForAttempt = std::chrono::milliseconds(30);
 
-/// How long a broken stream may wait for a server to resume at. Clients give a
-/// pause of two seconds, and a pause beyond a few hundred ms is late anyway.
-constexpr Duration kResumeWait = std::chrono::milliseconds(800);
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
@@ -65,21 +53,6 @@
   }
 }
 
-std::string RefusalBody(const ResultCodeInfo& info, Duration retry_after) {
-  std::string body = R"({"error":{"code":)";
-  body += std::to_string(static_cast<uint32_t>(info.code));
-  body += R"(,"name":")";
-  body += info.name;
-  body += R"(","outcome":")";
-  body += OutcomeName(info.outcome);
-  body += R"(","message":")";
-  body += info.message;
-  body += R"(","retry_after_ms":)";
-  body += std::to_string(ToMilliseconds(retry_after));
-  body += "}}\n";
-  return body;
-}
-
 /// Seconds with three decimals; clients read fractions.
 std::string RetryAfterValue(Duration wait) {
   constexpr int64_t kMillisecondsPerSecond = 1000;
@@ -104,6 +77,7 @@
                                      Metrics& metrics)
     : options_(options),
       codec_(std::move(codec)),
+      timing_(options.timing),
       port_(port),
       directory_(directory),
       slots_(slots),
@@ -120,12 +94,17 @@
   if (table_ != nullptr && table->version() <= table_->version()) {
     return;
   }
-  log_.Info("config_in_force",
-            {{"version", table->version()},
-             {"former", table_ == nullptr ? 0 : table_->version()},
-             {"routes", table->content().routes.size()},
-             {"teams", table->content().teams.size()}});
+  log_.Info("config_in_force", {{"version", table->version()},
+                                {"former", table_version()},
+                                {"routes", table->content().routes.size()},
+                                {"teams", table->content().teams.size()}});
   table_ = std::move(table);
+  std::erase_if(ages_, [this](const auto& item) {
+    return std::ranges::none_of(
+        table_->content().routes, [&item](const Route& route) {
+          return item.first == std::pair(route.name, route.timeout);
+        });
+  });
   BeginEarly();
 }
 
@@ -150,9 +129,9 @@
   // client is refused, comes back at once, is refused again and has no further
   // try. Waiting a little saves the try.
   const double part = options_.unconfigured_wait_per_time_left *
-                      Seconds(terms->time_left.value_or(Duration::max()));
+                      ToSeconds(terms->time_left.value_or(Duration::max()));
   const Duration wait =
-      FromSeconds(std::min(Seconds(options_.unconfigured_wait), part));
+      FromSeconds(std::min(ToSeconds(options_.unconfigured_wait), part));
   held_body_bytes_ += body.size();
   early_[exchange] = {.head = std::move(head),
                       .body = std::move(body),
@@ -242,6 +221,10 @@
       request.arrived +
       std::min(request.terms.time_left.value_or(kLongest),
                route.timeout > Duration::zero() ? route.timeout : kLongest);
+  request.first_sent =
+      request.arrived -
+      ages_[{route.name, route.timeout}].OnRequest(
+          std::max(request.due - request.arrived, kLeastTimeForAttempt));
   request.last_event_id = request.terms.last_event_id;
   if (held_body_bytes_ + request.body.size() > options_.held_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
@@ -294,9 +277,8 @@
                  .model_server = request.model_server,
                  .priority = request.priority,
                  .route_priority = request.route->priority,
-                 .in_time_until = InTimeUntil(request),
-                 .due = request.due,
-                 .prompt_tokens = request.terms.prompt_tokens};
+                 .in_time_until = timing_.InTimeUntil(request),
+                 .due = request.due};
   for (const std::string& server : request.tried) {
     ask.tried.push_back(HashBytes(server));
   }
@@ -397,14 +379,16 @@
   // Without an id a refusal can only be for the one request on a connection.
   const bool matched = !terms.request_id.empty() || (rejected && fresh);
   const bool genuine = rejected || (terms.sealed && !encoded);
+  const bool streams =
+      request->streams() && IsSuccess(head.status) && IsEventStream(head);
   // A stream that the client has a part of goes on with nothing but a stream.
-  const bool continues =
-      !request->head_sent || (IsSuccess(head.status) && IsEventStream(head));
-  if (!matched || !genuine || (!continues && !rejected)) {
+  const bool continues = !request->head_sent || streams || rejected;
+  if (!matched || !genuine || !continues) {
     AfterFailure(*request, AttemptFailure::kBroken);
     return HeadVerdict::kDrop;
   }
   request->rejected = rejected;
+  request->answer_streams = streams;
   request->answer_head = head;
   return HeadVerdict::kTake;
 }
@@ -418,8 +402,7 @@
   if (request->rejected) {
     return true;
   }
-  const ResponseHead& head = *request->answer_head;
-  if (request->streams() && IsSuccess(head.status) && IsEventStream(head)) {
+  if (request->answer_streams) {
     request->events.Feed(bytes);
     PassEvents(*request);
     return true;
@@ -431,7 +414,7 @@
   request->answer_body += bytes;
   if (request->answer_body.size() > options_.held_answer_bytes) {
     request->head_sent = true;
-    port_.RespondHead(request->exchange, ForClient(head));
+    port_.RespondHead(request->exchange, ForClient(*request->answer_head));
     port_.RespondPart(request->exchange,
                       std::exchange(request->answer_body, {}));
   }
@@ -460,7 +443,7 @@
     port_.RespondHead(request.exchange, ForClient(*request.answer_head));
     metrics_.Observe("first_event_seconds{priority=\"" +
                          std::to_string(request.priority) + "\"}",
-                     Seconds(now - request.arrived));
+                     ToSeconds(now - request.arrived));
   }
   port_.RespondPart(request.exchange, passed);
 }
@@ -476,10 +459,7 @@
                                  : AttemptFailure::kRejected);
     return;
   }
-  const bool stream = request->streams() &&
-                      IsSuccess(request->answer_head->status) &&
-                      IsEventStream(*request->answer_head);
-  if (stream) {
+  if (request->answer_streams) {
     FinishStream(*request);
   } else {
     FinishWhole(*request);
@@ -506,7 +486,6 @@
                                      : SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request)});
   ++request.runs;
-  ++request.arrivals;
   if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
     log_.Info("retry", {{"id", request.terms.request_id},
                         {"server", request.server},
@@ -561,7 +540,6 @@
                AttemptFailureName(failure) + "\"}");
   EndAttempt(request, {.kind = ResultKindOf(failure)});
   const RunState state = RunStateAfter(failure);
-  request.arrivals += state == RunState::kUnsent ? 0 : 1;
   request.runs += state == RunState::kMayHaveRun ? 1 : 0;
   if (MayRetry(request, state)) {
     Wait(request);
@@ -624,55 +602,6 @@
   Drop(exchange);
 }
 
-TimePoint ForwardController::WaitsUntil(const ForwardedRequest& request) const {
-  if (request.head_sent) {
-    return std::min(request.due, request.waiting_since + kResumeWait);
-  }
-  const Route& route = *request.route;
-  const double patience = std::max(
-      {Seconds(options_.client_patience),
-       Seconds(route.latency_target) * options_.client_patience_per_target,
-       Seconds(route.event_gap_target) * options_.client_patience_per_gap});
-  const double whole = Seconds(request.due - request.arrived);
-  const double wait = std::min(patience * options_.wait_per_patience,
-                               whole * options_.wait_per_time_left);
-  return std::min(request.due, request.arrived + FromSeconds(wait));
-}
-
-TimePoint ForwardController::InTimeUntil(
-    const ForwardedRequest& request) const {
-  const Route& route = *request.route;
-  if (request.head_sent || route.latency_target == Duration::zero()) {
-    return request.due;
-  }
-  return request.arrived + route.latency_target - PromptTime(request);
-}
-
-Duration ForwardController::PromptTime(const ForwardedRequest& request) const {
-  if (!request.model_server) {
-    return Duration::zero();
-  }
-  constexpr double kMillisecondsPerSecond = 1000;
-  return FromSeconds(static_cast<double>(request.terms.prompt_tokens) /
-                     options_.slow_prompt_tokens_per_ms /
-                     kMillisecondsPerSecond);
-}
-
-Duration ForwardController::LongestSilence(
-    const ForwardedRequest& request) const {
-  const Route& route = *request.route;
-  Duration longest;
-  if (request.streams() && request.event_count > 0) {
-    longest = std::chrono::duration_cast<Duration>(route.event_gap_target *
-                                                   options_.silence_per_gap);
-  } else {
-    longest = std::chrono::duration_cast<Duration>(route.latency_target *
-                                                   options_.silence_per_target);
-    longest += PromptTime(request);
-  }
-  return std::max(longest, options_.least_silence);
-}
-
 void ForwardController::CheckTime(ForwardedRequest& request, TimePoint now) {
   if (now >= request.due) {
     if (request.state == State::kSent) {
@@ -688,7 +617,7 @@
     return;
   }
   if (request.state == State::kWaiting) {
-    if (now < WaitsUntil(request)) {
+    if (now < timing_.WaitsUntil(request)) {
       return;
     }
     if (request.runs > 0 || request.head_sent) {
@@ -700,7 +629,7 @@
     }
     return;
   }
-  const bool silent = now - request.heard_at >= LongestSilence(request);
+  const bool silent = now - request.heard_at >= timing_.LongestSilence(request);
   if (silent && request.may_repeat() &&
       request.runs + 1 < request.route->max_attempts) {
     // The former server's connection is closed before another gets the
@@ -756,7 +685,8 @@
                           {"result", info.name},
                           {"retry_after_ms", ToMilliseconds(wait)}});
   }
-  port_.Respond(exchange, head, RefusalBody(info, wait));
+  port_.Respond(exchange, head,
+                RefusalBody(info.code, info.message, wait) + "\n");
 }
 
 void ForwardController::LogEnd(const ForwardedRequest& request,
@@ -783,7 +713,7 @@
              {"first_event_ms", first_event_ms},
              {"took_ms", ToMilliseconds(now - request.arrived)}});
   metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
-  metrics_.Observe("request_seconds", Seconds(now - request.arrived));
+  metrics_.Observe("request_seconds", ToSeconds(now - request.arrived));
 }
 
 void ForwardController::Drop(ExchangeId exchange) {
@@ -803,7 +733,7 @@
 
 ForwardReport ForwardController::Report() const {
   ForwardReport report;
-  report.table_version = table_ == nullptr ? 0 : table_->version();
+  report.table_version = table_version();
   std::map<uint64_t, int> in_flight;
   for (const auto& [exchange, request] : requests_) {
     if (request->state == State::kSent) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -14,9 +14,11 @@
 #include "lavenderkeel/base/event_log.h"
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/base/result_code.h"
+#include "lavenderkeel/forward/client_age.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
 #include "lavenderkeel/forward/request_terms.h"
+#include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/retry_window.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
@@ -49,28 +51,7 @@
     TeamBucket::Tolerance rate_tolerance;
     /// Extra sendings of all entries together, see RetryWindow.
     double retry_extra = 52;
-    /// A client leaves when nothing came for the longest of these three. They
-    /// are what the users' clients do.
-    Duration client_patience = std::chrono::seconds(2);
-    double client_patience_per_target = 4;
-    double client_patience_per_gap = 8;
-    /// A request waits for a slot this part of its client's patience and of the
-    /// time until its answer is due, then is refused; the rest is for the
-    /// server. Most late answers are still worth a third to the client.
-    double wait_per_patience = 0.7;
-    double wait_per_time_left = 0.4;
-    /// A repeatable request is sent anew if the server stays silent for this
-    /// multiple of the target. Three times the target is past the slowest of a
-    /// hundred sound answers.
-    double silence_per_target = 3.0;
-    /// A stream is resumed elsewhere if it pauses for this multiple of the
-    /// gap that clients find fluent.
-    double silence_per_gap = 3.0;
-    /// The shortest silence that counts, for targets that are very tight.
-    Duration least_silence = std::chrono::milliseconds(300);
-    /// Prompt tokens that a slow model server reads in a millisecond; a long
-    /// prompt is allowed its time before a server counts as silent.
-    double slow_prompt_tokens_per_ms = 15;
+    RequestTiming::Options timing;
     /// Idle connections to servers are used again up to this age.
     Duration reuse_within = std::chrono::seconds(8);
     /// The same for work that may run once only: a connection that the server
@@ -107,6 +88,10 @@
   /// Puts a configuration in force, unless a newer one is.
   void OnRouteTable(std::shared_ptr<const RouteTable> table);
   const std::shared_ptr<const RouteTable>& table() const { return table_; }
+  /// Zero before the first.
+  uint64_t table_version() const {
+    return table_ == nullptr ? 0 : table_->version();
+  }
 
   // Clients.
   void OnRequest(ExchangeId exchange, RequestHead head, std::string body);
@@ -186,10 +171,6 @@
               const BackendServer& server,
               const std::string& gate,
               const SlotGrant& grant);
-  TimePoint WaitsUntil(const ForwardedRequest& request) const;
-  TimePoint InTimeUntil(const ForwardedRequest& request) const;
-  Duration PromptTime(const ForwardedRequest& request) const;
-  Duration LongestSilence(const ForwardedRequest& request) const;
   void CheckTime(ForwardedRequest& request, TimePoint now);
 
   ForwardedRequest* FindByAttempt(AttemptId attempt);
@@ -214,6 +195,7 @@
 
   Options options_;
   ForwardCodec codec_;
+  RequestTiming timing_;
   ForwardPort& port_;
   const ServerDirectory& directory_;
   SlotRouter& slots_;
@@ -225,6 +207,8 @@
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
   std::map<std::string, RetryWindow> retries_;
+  /// By route and its timeout, which bounds the time that clients have left.
+  std::map<std::pair<std::string, Duration>, ClientAge> ages_;
   /// By the hash of the team's name.
   std::map<uint64_t, TeamBucket> buckets_;
   double rate_share_ = 1;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -194,9 +194,8 @@
                 {"faults", decoded.failure.message}});
     return;
   }
-  const uint64_t before =
-      controller_.table() == nullptr ? 0 : controller_.table()->version();
-  if (controller_.table() != nullptr && decoded.value->version <= before) {
+  if (controller_.table() != nullptr &&
+      decoded.value->version <= controller_.table_version()) {
     return;
   }
   log_.Info("config_read",
@@ -208,6 +207,16 @@
   status_due_ = {};
 }
 
+std::optional<BackendServer> ForwardNode::ReadServer(
+    const StoredObject& object) const {
+  auto server = Catch([&] { return source_.decode_server(object); });
+  if (!server) {
+    log_.Warn("server_unreadable",
+              {{"server", object.name}, {"faults", server.failure.message}});
+  }
+  return std::move(server.value);
+}
+
 void ForwardNode::OnServer(const StoredObject& object) {
   if (object.removed) {
     log_.Info("server_removed",
@@ -215,29 +224,24 @@
     directory_.Remove(object.name, clock_.Now());
     return;
   }
-  const auto server = Catch([&] { return source_.decode_server(object); });
-  if (!server) {
-    log_.Warn("server_unreadable",
-              {{"server", object.name}, {"faults", server.failure.message}});
+  const std::optional<BackendServer> server = ReadServer(object);
+  if (!server.has_value()) {
     return;
   }
   log_.Info("server_listed", {{"server", object.name},
                               {"revision", object.revision},
-                              {"service", server.value->service},
-                              {"address", server.value->address},
-                              {"slots", server.value->slots},
-                              {"draining", server.value->draining}});
-  directory_.Apply(*server.value);
+                              {"service", server->service},
+                              {"address", server->address},
+                              {"slots", server->slots},
+                              {"draining", server->draining}});
+  directory_.Apply(*server);
 }
 
 void ForwardNode::OnServerList(const std::vector<StoredObject>& objects) {
   std::vector<BackendServer> servers;
   for (const StoredObject& object : objects) {
-    if (auto server = Catch([&] { return source_.decode_server(object); })) {
-      servers.push_back(*std::move(server.value));
-    } else {
-      log_.Warn("server_unreadable",
-                {{"server", object.name}, {"faults", server.failure.message}});
+    if (std::optional<BackendServer> server = ReadServer(object)) {
+      servers.push_back(*std::move(server));
     }
   }
   log_.Info("servers_listed", {{"servers", servers.size()},
@@ -331,9 +335,8 @@
 }
 
 void ForwardNode::OnStatus(const Member& member, const ForwardStatus& status) {
-  const uint64_t own =
-      controller_.table() == nullptr ? 0 : controller_.table()->version();
-  if (status.table_version > own && !newer_at_.has_value()) {
+  if (status.table_version > controller_.table_version() &&
+      !newer_at_.has_value()) {
     newer_at_ = member.info.id;
     newer_since_ = clock_.Now();
   }
@@ -382,10 +385,14 @@
     }
     return;
   }
+  TakeGrant(self_, grant);
+}
+
+void ForwardNode::TakeGrant(const std::string& gate, const SlotGrant& grant) {
   const bool wanted =
-      slots_.OnGrant(self_, grant.attempt) && controller_.OnSlot(self_, grant);
+      slots_.OnGrant(gate, grant.attempt) && controller_.OnSlot(gate, grant);
   if (!wanted) {
-    gate_.Done(self_, grant.attempt, {});
+    TakeDone(gate, grant.attempt, {});
   }
 }
 
@@ -402,13 +409,7 @@
 }
 
 void ForwardNode::OnHaveSlot(const Member& member, const HaveSlot& have) {
-  const std::string gate = member.info.id.ToString();
-  const SlotGrant grant = FromWire(have);
-  const bool wanted =
-      slots_.OnGrant(gate, grant.attempt) && controller_.OnSlot(gate, grant);
-  if (!wanted) {
-    TakeDone(gate, grant.attempt, {});
-  }
+  TakeGrant(member.info.id.ToString(), FromWire(have));
 }
 
 std::vector<GateReport> ForwardNode::ReportGates() const {
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -84,7 +84,6 @@
   bool ready() const;
   bool leaving() const { return leaving_; }
   ForwardController& controller() { return controller_; }
-  const SlotGate& gate() const { return gate_; }
   MemberTable& members() { return members_; }
   Outbox& outbox() { return outbox_; }
   uint64_t store_calls() const {
@@ -96,6 +95,8 @@
   ObjectWatch::Hooks ServerHooks();
   void Read(ObjectWatch& watch, uint64_t call, const ObjectRead& read);
   void OnConfig(const std::string& content, const char* from);
+  /// Nothing, and a log line, if it can't be read.
+  std::optional<BackendServer> ReadServer(const StoredObject& object) const;
   void OnServer(const StoredObject& object);
   void OnServerList(const std::vector<StoredObject>& objects);
 
@@ -104,6 +105,8 @@
                 AttemptId attempt,
                 const SlotResult& result);
   void OnGrant(const std::string& asker, const SlotGrant& grant);
+  /// A slot for a wish of this entry; it goes back if it is not wanted.
+  void TakeGrant(const std::string& gate, const SlotGrant& grant);
   void OnStatus(const Member& member, const ForwardStatus& status);
   void OnWantSlot(const Member& member, const WantSlot& want);
   void OnHaveSlot(const Member& member, const HaveSlot& have);
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -36,6 +36,9 @@
   std::string team;
   int priority = 0;
   TimePoint arrived;
+  /// When the client first sent it, by estimate: earlier than `arrived` if it
+  /// was refused before and came back.
+  TimePoint first_sent;
   /// The final answer is due: the client's or the route's bound.
   TimePoint due;
 
@@ -51,6 +54,8 @@
   std::string answer_body;
   /// The server said in the head of its answer that it did not run this.
   bool rejected = false;
+  /// The answer is a stream of events.
+  bool answer_streams = false;
   EventStreamReader events;
   /// Events of this attempt, and when the first came.
   int event_count = 0;
@@ -58,8 +63,7 @@
 
   /// Servers that were sent it, in order.
   std::vector<std::string> tried;
-  /// Sendings that reached a server, and of these the ones that may have run.
-  int arrivals = 0;
+  /// Sendings after which it may have run.
   int runs = 0;
   /// The client has the head of a streamed answer.
   bool head_sent = false;
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -36,7 +36,6 @@
   // Clocks differ between machines, so what crosses is the time that is left.
   want.left_us = (ask.due - now).count();
   want.in_time_us = (ask.in_time_until - now).count();
-  want.prompt_tokens = ask.prompt_tokens;
   want.tried = ask.tried;
   return want;
 }
@@ -51,7 +50,6 @@
           .route_priority = want.route_priority,
           .in_time_until = now + Duration(want.in_time_us),
           .due = now + Duration(want.left_us),
-          .prompt_tokens = want.prompt_tokens,
           .tried = want.tried};
 }
 
--- a/lavenderkeel/forward/request_terms.h
+++ b/lavenderkeel/forward/request_terms.h
@@ -48,8 +48,6 @@
   bool sealed = false;
   /// The server states that it did not run the request and never will.
   bool not_run = false;
-  /// How long the server keeps the connection open when idle.
-  std::optional<Duration> keep_alive;
 
   friend bool operator==(const AnswerTerms&, const AnswerTerms&) = default;
 };
--- /dev/null
+++ b/lavenderkeel/forward/request_timing.h
@@ -0,0 +1,56 @@
+#ifndef LAVENDERKEEL_FORWARD_REQUEST_TIMING_H_
+#define LAVENDERKEEL_FORWARD_REQUEST_TIMING_H_
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/forwarded_request.h"
+
+namespace lavenderkeel {
+
+/// How long a request waits for a slot, until when it can be in time, and how
+/// long its server may be silent. Pure: the request and the options decide.
+class RequestTiming {
+ public:
+  struct Options {
+    /// A client leaves when nothing came for the longest of these three. They
+    /// are what the users' clients do.
+    Duration client_patience = std::chrono::seconds(2);
+    double client_patience_per_target = 4;
+    double client_patience_per_gap = 8;
+    /// A request waits for a slot this part of its client's patience and of the
+    /// time until its answer is due, then is refused; the rest is for the
+    /// server. Most late answers are still worth a third to the client.
+    double wait_per_patience = 0.7;
+    double wait_per_time_left = 0.4;
+    /// A repeatable request is sent anew if the server stays silent for this
+    /// multiple of the target. Three times the target is past the slowest of a
+    /// hundred sound answers.
+    double silence_per_target = 3.0;
+    /// A stream is resumed elsewhere if it pauses for this multiple of the
+    /// gap that clients find fluent.
+    double silence_per_gap = 3.0;
+    /// The shortest silence that counts, for targets that are very tight.
+    Duration least_silence = std::chrono::milliseconds(300);
+    /// Prompt tokens that a slow model server reads in a millisecond; a long
+    /// prompt is allowed its time before a server counts as silent.
+    double slow_prompt_tokens_per_ms = 15;
+  };
+
+  explicit RequestTiming(const Options& options) : options_(options) {}
+
+  /// When a wait for a slot ends without one.
+  TimePoint WaitsUntil(const ForwardedRequest& request) const;
+  /// A start at a server after this is late for the client.
+  TimePoint InTimeUntil(const ForwardedRequest& request) const;
+  /// After such a silence the server is given up.
+  Duration LongestSilence(const ForwardedRequest& request) const;
+
+ private:
+  /// What a slow model server needs to read the prompt.
+  Duration PromptTime(const ForwardedRequest& request) const;
+
+  Options options_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_REQUEST_TIMING_H_
--- a/lavenderkeel/forward/server_directory.cc
+++ b/lavenderkeel/forward/server_directory.cc
@@ -24,11 +24,7 @@
 }
 
 void ServerDirectory::Apply(const BackendServer& server) {
-  Entry& entry = servers_[server.id];
-  if (entry.server != server) {
-    ++revision_;
-  }
-  entry = {.server = server, .drop_at = std::nullopt};
+  servers_[server.id] = {.server = server, .drop_at = std::nullopt};
 }
 
 void ServerDirectory::Remove(const std::string& id, TimePoint now) {
@@ -38,13 +34,11 @@
   }
   if (!after_outage(now) || found->second.server.draining) {
     servers_.erase(found);
-    ++revision_;
     return;
   }
   if (!found->second.drop_at.has_value()) {
     const TimePoint since = outage_ ? now : *returned_;
     found->second.drop_at = since + options_.relist_time;
-    ++revision_;
   }
 }
 
@@ -59,11 +53,10 @@
 }
 
 void ServerDirectory::Tick(TimePoint now) {
-  const size_t dropped = std::erase_if(servers_, [now](const auto& item) {
+  std::erase_if(servers_, [now](const auto& item) {
     const std::optional<TimePoint>& drop_at = item.second.drop_at;
     return drop_at.has_value() && now >= *drop_at;
   });
-  revision_ += dropped;
 }
 
 const BackendServer* ServerDirectory::Find(const std::string& id) const {
--- a/lavenderkeel/forward/server_directory.h
+++ b/lavenderkeel/forward/server_directory.h
@@ -61,10 +61,6 @@
   std::vector<const BackendServer*> Usable(const std::string& service) const;
   /// A server that was missing after an outage and is not listed again yet.
   bool IsUnconfirmed(const std::string& id) const;
-  bool empty() const { return servers_.empty(); }
-  size_t size() const { return servers_.size(); }
-  /// Counts changes, so that a reader can tell whether to look again.
-  uint64_t revision() const { return revision_; }
 
  private:
   struct Entry {
@@ -82,7 +78,6 @@
   std::map<std::string, Entry> servers_;
   bool outage_ = false;
   std::optional<TimePoint> returned_;
-  uint64_t revision_ = 0;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -39,7 +39,6 @@
   TimePoint in_time_until;
   /// The final answer is due.
   TimePoint due;
-  uint64_t prompt_tokens = 0;
   /// Hashes of the servers that failed this request before.
   std::vector<uint64_t> tried;
 
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -26,10 +26,9 @@
     return;
   }
   Remove(id);
-  const Line line = {.service = ask.service, .group = ask.group};
   const Place place = PlaceOf(id, ask);
-  by_attempt_[id] = {.ask = ask, .line = line, .place = place};
-  lines_[line].insert(place);
+  by_attempt_[id] = {.ask = ask, .place = place};
+  lines_[LineOf(ask)].insert(place);
   late_at_.emplace(ask.in_time_until, id);
   DispatchService(ask.service);
 }
@@ -53,7 +52,7 @@
     const AskId id = late_at_.begin()->second;
     late_at_.erase(late_at_.begin());
     Waiting& waiting = by_attempt_.at(id);
-    std::set<Place>& places = lines_.at(waiting.line);
+    std::set<Place>& places = lines_.at(LineOf(waiting.ask));
     places.erase(waiting.place);
     waiting.place = PlaceOf(id, waiting.ask);
     places.insert(waiting.place);
@@ -65,7 +64,7 @@
   if (found == by_attempt_.end()) {
     return;
   }
-  const auto line = lines_.find(found->second.line);
+  const auto line = lines_.find(LineOf(found->second.ask));
   line->second.erase(found->second.place);
   late_at_.erase({found->second.ask.in_time_until, id});
   by_attempt_.erase(found);
@@ -114,12 +113,8 @@
     }
   }
   for (const AskId& id : lost) {
-    const uint64_t server = HashBytes(grants_.at(id).server);
-    // The report stands as it is: it never had this one.
-    const int reported = occupancy_.Reported(asker, server);
+    occupancy_.VoidGrant(asker, HashBytes(grants_.at(id).server));
     grants_.erase(id);
-    occupancy_.RemoveGrant(asker, server);
-    occupancy_.RestoreReport(asker, server, reported);
   }
 }
 
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -69,7 +69,6 @@
   /// Forgets servers that are gone, and does what time asks for.
   void Tick();
 
-  size_t waiting() const { return by_attempt_.size(); }
   size_t waiting(const std::string& service, const SlotGroup& group) const;
   /// Free places at sound servers of the group.
   int Free(const std::string& service, const SlotGroup& group) const;
@@ -94,7 +93,6 @@
   };
   struct Waiting {
     SlotAsk ask;
-    Line line;
     Place place;
   };
   struct Granted {
@@ -102,6 +100,9 @@
     TimePoint at;
   };
 
+  static Line LineOf(const SlotAsk& ask) {
+    return {.service = ask.service, .group = ask.group};
+  }
   Place PlaceOf(const AskId& id, const SlotAsk& ask) const;
   /// Puts wishes that can't be in time any more behind those that can.
   void SortOutLate();
--- a/lavenderkeel/forward/slot_occupancy.h
+++ b/lavenderkeel/forward/slot_occupancy.h
@@ -32,6 +32,14 @@
             .reported = std::max(0, part.reported - 1)});
   }
 
+  /// A grant that its asker never had, so that no report counts it.
+  void VoidGrant(const std::string& asker, uint64_t server) {
+    Part& part = parts_[asker][server];
+    Change(
+        server, part,
+        {.granted = std::max(0, part.granted - 1), .reported = part.reported});
+  }
+
   /// Replaces the asker's report. Servers that it leaves out have none.
   template <typename Counts>
   void SetReport(const std::string& asker, const Counts& counts) {
@@ -49,12 +57,6 @@
     }
   }
 
-  /// Sets one server's part of the asker's report.
-  void RestoreReport(const std::string& asker, uint64_t server, int reported) {
-    Part& part = parts_[asker][server];
-    Change(server, part, {.granted = part.granted, .reported = reported});
-  }
-
   void Forget(const std::string& asker) {
     const auto found = parts_.find(asker);
     if (found == parts_.end()) {
--- a/lavenderkeel/forward/slot_router.h
+++ b/lavenderkeel/forward/slot_router.h
@@ -74,9 +74,6 @@
   /// Takes wishes away from gates that fell silent.
   void Tick();
 
-  /// Wishes that are not over, granted or not.
-  size_t pending() const { return pending_.size(); }
-
  private:
   struct Pending {
     SlotAsk ask;
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -58,8 +58,7 @@
     const double needed = std::min(units, rate.burst * share);
     if (level_ < needed) {
       const double seconds = (needed - level_) / (rate.per_second * share);
-      return std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(seconds));
+      return FromSeconds(seconds);
     }
     level_ -= units;
     used_ += units;
@@ -88,9 +87,7 @@
     if (filled_ == TimePoint()) {
       level_ += rate.burst;
     } else {
-      const double seconds =
-          std::chrono::duration<double>(now - filled_).count();
-      level_ += seconds * rate.per_second * share;
+      level_ += ToSeconds(now - filled_) * rate.per_second * share;
     }
     // Debt is bounded, so that a flood at other entries does not lock the team
     // out here for longer than its own burst.
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -86,8 +86,7 @@
     run->first_token = now;
     speed_.ObserveFirstToken(run->reservation.prompt_tokens,
                              now - run->started);
-    metrics_.Observe("first_token_seconds",
-                     std::chrono::duration<double>(now - run->started).count());
+    metrics_.Observe("first_token_seconds", ToSeconds(now - run->started));
   } else {
     speed_.ObserveGap(now - run->last_event);
     limit_.Observe(now - run->last_event);
@@ -154,9 +153,10 @@
     return;
   }
   // Retried from Tick, so that a server that is down is not hammered.
-  run->last_event =
-      clock_.Now() - options_.stream_silence +
-      std::chrono::milliseconds(50) * (1 << std::min(run->resumes, 6U));
+  constexpr Duration kFirstPause = std::chrono::milliseconds(50);
+  constexpr uint32_t kMostDoublings = 6;
+  run->last_event = clock_.Now() - options_.stream_silence +
+                    kFirstPause * (1 << std::min(run->resumes, kMostDoublings));
 }
 
 void RunController::Resume(RunId id, Run& run) {
--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -73,7 +73,6 @@
   bool started() const { return started_; }
   const Head& head() const { return head_; }
   std::string TakeBody() { return std::exchange(body_, {}); }
-  size_t body_size() const { return body_total_; }
 
  private:
   void Note(const beast::error_code& error) {
@@ -255,10 +254,6 @@
 std::string MessageReader<Head>::TakeBody() {
   return parser_->TakeBody();
 }
-template <typename Head>
-size_t MessageReader<Head>::body_size() const {
-  return parser_->body_size();
-}
 
 template class MessageReader<RequestHead>;
 template class MessageReader<ResponseHead>;
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -58,7 +58,6 @@
   const Head& head() const;
   /// Body bytes since the last call, without framing.
   std::string TakeBody();
-  size_t body_size() const;
 
  private:
   class Parser;
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "lavenderkeel/http/message_reader.h"
-#include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/internal/listener.h"
 #include "lavenderkeel/io/socket_options.h"
 
 namespace lavenderkeel {
@@ -42,6 +42,10 @@
   return evbuffer_get_length(bufferevent_get_output(events));
 }
 
+ReadLimits LimitsOf(const ClientLimits& limits) {
+  return {.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes};
+}
+
 ResultCode CodeOf(ReadFault fault) {
   switch (fault) {
     case ReadFault::kHeadTooLarge:
@@ -93,25 +97,11 @@
 }
 
 std::optional<std::string> ClientPort::Listen(const std::string& text) {
-  const std::optional<Address> address = Address::Parse(text);
-  if (!address.has_value()) {
-    return std::nullopt;
-  }
-  sockaddr_storage storage{};
-  const socklen_t length = address->ToSocketAddress(storage);
   /// Connections that may wait to be accepted; a burst of all clients at once.
   constexpr int kBacklog = 1024;
-  listener_ = evconnlistener_new_bind(
-      loop_.base(),
-      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-        static_cast<ClientPort*>(self)->Accept(socket);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
-      reinterpret_cast<sockaddr*>(&storage), static_cast<int>(length));
-  if (listener_ == nullptr) {
-    return std::nullopt;
-  }
-  return BoundAddress(evconnlistener_get_fd(listener_));
+  listener_ = internal::NewListener<ClientPort, &ClientPort::Accept>(
+      loop_.base(), text, kBacklog, *this);
+  return internal::AddressOf(listener_);
 }
 
 void ClientPort::StopListening() {
@@ -136,12 +126,9 @@
 void ClientPort::Accept(int socket) {
   evutil_make_socket_nonblocking(socket);
   SetStreamOptions(socket);
-  const ClientLimits limits = hooks_.limits();
   const ConnectionId id = ++last_connection_;
   auto connection =
-      std::make_unique<Connection>(*this, id,
-                                   ReadLimits{.head_bytes = limits.head_bytes,
-                                              .body_bytes = limits.body_bytes});
+      std::make_unique<Connection>(*this, id, LimitsOf(hooks_.limits()));
   connection->events =
       bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
   connection->since = clock_.Now();
@@ -315,12 +302,10 @@
     BeginLinger(connection);
     return;
   }
-  const ClientLimits limits = hooks_.limits();
   connection.state = Connection::State::kReading;
   connection.continue_sent = false;
   connection.since = clock_.Now();
-  connection.reader = RequestReader(
-      {.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes});
+  connection.reader = RequestReader(LimitsOf(hooks_.limits()));
   bufferevent_enable(connection.events, EV_READ);
   ReadRequest(connection);
 }
@@ -406,11 +391,4 @@
   return count;
 }
 
-size_t ClientPort::Unsent(ExchangeId exchange) const {
-  const auto found = exchanges_.find(exchange);
-  return found == exchanges_.end()
-             ? 0
-             : UnsentOf(connections_.at(found->second)->events);
-}
-
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -62,8 +62,6 @@
   /// Requests that are not answered and written whole.
   size_t busy() const;
   size_t connections() const { return connections_.size(); }
-  /// Bytes of the exchange's answer that the client has not taken.
-  size_t Unsent(ExchangeId exchange) const;
 
  private:
   struct Connection;
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -7,7 +7,6 @@
 
 namespace lavenderkeel {
 
-using internal::CheckFaults;
 using internal::ObjectOrEmpty;
 using internal::ReadAddress;
 using internal::ReadCount;
@@ -21,14 +20,12 @@
 void ReadSeconds(JsonReader& reader,
                  const std::string& name,
                  Duration& target) {
-  const double seconds =
-      reader.Real(name, std::chrono::duration<double>(target).count());
+  const double seconds = reader.Real(name, ToSeconds(target));
   if (seconds <= 0) {
     reader.Fault(name, "must be above zero");
     return;
   }
-  target = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  target = FromSeconds(seconds);
 }
 
 void ReadListen(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
@@ -105,7 +102,7 @@
   settings.log_level = ReadLogLevel(log);
   log.RejectUnknown();
   reader.RejectUnknown();
-  BOOST_LEAF_CHECK(CheckFaults(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kSettingsInvalid));
   settings.node.placement.entry = settings.self.id.instance;
   settings.node.placement.data_centre = settings.self.data_centre;
   return settings;
--- /dev/null
+++ b/lavenderkeel/io/internal/listener.h
@@ -0,0 +1,47 @@
+#ifndef LAVENDERKEEL_IO_INTERNAL_LISTENER_H_
+#define LAVENDERKEEL_IO_INTERNAL_LISTENER_H_
+
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel::internal {
+
+/// Listens at an address and hands each connection to a member function.
+///
+/// @param backlog connections that may wait to be accepted
+/// @return null if the address can't be read or bound
+template <typename Owner, void (Owner::*kAccept)(int socket)>
+evconnlistener* NewListener(event_base* base,
+                            const std::string& text,
+                            int backlog,
+                            Owner& owner) {
+  const std::optional<Address> address = Address::Parse(text);
+  if (!address.has_value()) {
+    return nullptr;
+  }
+  sockaddr_storage storage{};
+  const socklen_t length = address->ToSocketAddress(storage);
+  return evconnlistener_new_bind(
+      base,
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+        (static_cast<Owner*>(self)->*kAccept)(socket);
+      },
+      &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+      reinterpret_cast<sockaddr*>(&storage), static_cast<int>(length));
+}
+
+/// Where it listens; nothing for null.
+inline std::optional<std::string> AddressOf(evconnlistener* listener) {
+  return listener == nullptr
+             ? std::nullopt
+             : std::optional(BoundAddress(evconnlistener_get_fd(listener)));
+}
+
+}  // namespace lavenderkeel::internal
+
+#endif  // LAVENDERKEEL_IO_INTERNAL_LISTENER_H_
--- a/lavenderkeel/io/internal/settings_fields.cc
+++ b/lavenderkeel/io/internal/settings_fields.cc
@@ -69,12 +69,4 @@
   return seeds;
 }
 
-leaf::result<void> CheckFaults(const Faults& faults) {
-  if (!faults.empty()) {
-    return leaf::new_error(
-        Failure{ResultCode::kSettingsInvalid, JoinFaults(faults)});
-  }
-  return {};
-}
-
 }  // namespace lavenderkeel::internal
--- a/lavenderkeel/io/internal/settings_fields.h
+++ b/lavenderkeel/io/internal/settings_fields.h
@@ -45,9 +45,6 @@
 
 std::vector<std::string> ReadSeeds(JsonReader& reader);
 
-/// kSettingsInvalid with all faults, if there are any.
-leaf::result<void> CheckFaults(const Faults& faults);
-
 }  // namespace lavenderkeel::internal
 
 #endif  // LAVENDERKEEL_IO_INTERNAL_SETTINGS_FIELDS_H_
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/internal/listener.h"
 #include "lavenderkeel/wire.h"
 
 namespace lavenderkeel {
@@ -44,25 +45,10 @@
 }
 
 std::optional<std::string> PeerPort::Listen(const std::string& text) {
-  const std::optional<Address> parsed = Address::Parse(text);
-  if (!parsed.has_value()) {
-    return std::nullopt;
-  }
-  sockaddr_storage storage{};
-  const auto length = static_cast<int>(parsed->ToSocketAddress(storage));
-  auto* address = reinterpret_cast<sockaddr*>(&storage);
   constexpr int kBacklog = 512;
-  listener_ = evconnlistener_new_bind(
-      loop_.base(),
-      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-        static_cast<PeerPort*>(self)->Accept(socket);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog, address,
-      length);
-  if (listener_ == nullptr) {
-    return std::nullopt;
-  }
-  return BoundAddress(evconnlistener_get_fd(listener_));
+  listener_ = internal::NewListener<PeerPort, &PeerPort::Accept>(
+      loop_.base(), text, kBacklog, *this);
+  return internal::AddressOf(listener_);
 }
 
 void PeerPort::Accept(int socket) {
--- a/lavenderkeel/io/settings.cc
+++ b/lavenderkeel/io/settings.cc
@@ -7,7 +7,6 @@
 
 namespace lavenderkeel {
 
-using internal::CheckFaults;
 using internal::ObjectOrEmpty;
 using internal::ReadAddress;
 using internal::ReadCount;
@@ -102,7 +101,7 @@
   ReadEntryTuning(tuning, settings);
   tuning.RejectUnknown();
   reader.RejectUnknown();
-  BOOST_LEAF_CHECK(CheckFaults(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kSettingsInvalid));
   return settings;
 }
 
@@ -135,7 +134,7 @@
   ReadAgentTuning(tuning, settings.node);
   tuning.RejectUnknown();
   reader.RejectUnknown();
-  BOOST_LEAF_CHECK(CheckFaults(faults));
+  BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kSettingsInvalid));
   return settings;
 }
 
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -10,7 +10,6 @@
 #include <optional>
 #include <utility>
 
-#include "lavenderkeel/http/message_reader.h"
 #include "lavenderkeel/io/address.h"
 #include "lavenderkeel/io/socket_options.h"
 
@@ -93,8 +92,7 @@
   connection->attempt = attempt;
   connection->head_taken = false;
   connection->skipping = false;
-  connection->reader = ResponseReader(
-      {.head_bytes = options_.head_bytes, .body_bytes = options_.body_bytes});
+  connection->reader = ResponseReader(options_.answer);
   attempts_[attempt] = connection->id;
   bufferevent_write(connection->events, sending.bytes.data(),
                     sending.bytes.size());
@@ -123,7 +121,7 @@
   }
   ++connects_;
   const ConnectionId id = ++last_;
-  auto connection = std::make_unique<Connection>(*this, id, ReadLimits());
+  auto connection = std::make_unique<Connection>(*this, id, options_.answer);
   connection->address = text;
   connection->connecting_since = clock_.Now();
   connection->events =
@@ -236,8 +234,7 @@
     connection.skipping = false;
     connection.head_taken = false;
     connection.fresh = false;
-    reader = ResponseReader(
-        {.head_bytes = options_.head_bytes, .body_bytes = options_.body_bytes});
+    reader = ResponseReader(options_.answer);
     return true;
   }
   OnComplete(connection);
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -13,6 +13,7 @@
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/http/message_reader.h"
 #include "lavenderkeel/io/event_loop.h"
 
 struct bufferevent;
@@ -33,9 +34,9 @@
     /// Idle connections are closed after this time, or a second before the
     /// server says that it would.
     Duration idle_time = std::chrono::seconds(8);
-    /// The most of a server's answer that its head may take, in bytes.
-    size_t head_bytes = size_t{32} << 10;
-    uint64_t body_bytes = uint64_t{64} << 20;
+    /// Bounds on a server's answer.
+    ReadLimits answer = {.head_bytes = size_t{32} << 10,
+                         .body_bytes = uint64_t{64} << 20};
   };
 
   struct Hooks {
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -112,7 +112,6 @@
   void OnResult(uint64_t call, const ObjectReadResult& result);
   void Tick();
 
-  bool in_outage() const { return outage_; }
   uint64_t revision() const { return revision_; }
   uint64_t calls() const { return last_call_; }
 
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -3700,9 +3700,8 @@
   int32_t priority = 0;
   int32_t route_priority = 0;
   int64_t left_us = 0;
-  uint64_t prompt_tokens = 0;
-  std::vector<uint64_t> tried{};
   int64_t in_time_us = 0;
+  std::vector<uint64_t> tried{};
 };
 
 struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3718,9 +3717,8 @@
     VT_PRIORITY = 14,
     VT_ROUTE_PRIORITY = 16,
     VT_LEFT_US = 18,
-    VT_PROMPT_TOKENS = 20,
-    VT_TRIED = 22,
-    VT_IN_TIME_US = 24
+    VT_IN_TIME_US = 20,
+    VT_TRIED = 22
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -3746,15 +3744,12 @@
   int64_t left_us() const {
     return GetField<int64_t>(VT_LEFT_US, 0);
   }
-  uint64_t prompt_tokens() const {
-    return GetField<uint64_t>(VT_PROMPT_TOKENS, 0);
+  int64_t in_time_us() const {
+    return GetField<int64_t>(VT_IN_TIME_US, 0);
   }
   const flatbuffers::Vector<uint64_t> *tried() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRIED);
   }
-  int64_t in_time_us() const {
-    return GetField<int64_t>(VT_IN_TIME_US, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -3766,10 +3761,9 @@
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<int32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
            VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_IN_TIME_US, 8) &&
            VerifyOffset(verifier, VT_TRIED) &&
            verifier.VerifyVector(tried()) &&
-           VerifyField<int64_t>(verifier, VT_IN_TIME_US, 8) &&
            verifier.EndTable();
   }
   WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3805,15 +3799,12 @@
   void add_left_us(int64_t left_us) {
     fbb_.AddElement<int64_t>(WantSlot::VT_LEFT_US, left_us, 0);
   }
-  void add_prompt_tokens(uint64_t prompt_tokens) {
-    fbb_.AddElement<uint64_t>(WantSlot::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  void add_in_time_us(int64_t in_time_us) {
+    fbb_.AddElement<int64_t>(WantSlot::VT_IN_TIME_US, in_time_us, 0);
   }
   void add_tried(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried) {
     fbb_.AddOffset(WantSlot::VT_TRIED, tried);
   }
-  void add_in_time_us(int64_t in_time_us) {
-    fbb_.AddElement<int64_t>(WantSlot::VT_IN_TIME_US, in_time_us, 0);
-  }
   explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3835,12 +3826,10 @@
     int32_t priority = 0,
     int32_t route_priority = 0,
     int64_t left_us = 0,
-    uint64_t prompt_tokens = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0,
-    int64_t in_time_us = 0) {
+    int64_t in_time_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0) {
   WantSlotBuilder builder_(_fbb);
   builder_.add_in_time_us(in_time_us);
-  builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_left_us(left_us);
   builder_.add_attempt(attempt);
   builder_.add_tried(tried);
@@ -3868,9 +3857,8 @@
     int32_t priority = 0,
     int32_t route_priority = 0,
     int64_t left_us = 0,
-    uint64_t prompt_tokens = 0,
-    const std::vector<uint64_t> *tried = nullptr,
-    int64_t in_time_us = 0) {
+    int64_t in_time_us = 0,
+    const std::vector<uint64_t> *tried = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   return lavenderkeel::fbs::CreateWantSlot(
@@ -3883,9 +3871,8 @@
       priority,
       route_priority,
       left_us,
-      prompt_tokens,
-      tried__,
-      in_time_us);
+      in_time_us,
+      tried__);
 }
 
 flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5716,9 +5703,8 @@
       (lhs.priority == rhs.priority) &&
       (lhs.route_priority == rhs.route_priority) &&
       (lhs.left_us == rhs.left_us) &&
-      (lhs.prompt_tokens == rhs.prompt_tokens) &&
-      (lhs.tried == rhs.tried) &&
-      (lhs.in_time_us == rhs.in_time_us);
+      (lhs.in_time_us == rhs.in_time_us) &&
+      (lhs.tried == rhs.tried);
 }
 
 inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
@@ -5743,9 +5729,8 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = route_priority(); _o->route_priority = _e; }
   { auto _e = left_us(); _o->left_us = _e; }
-  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
-  { auto _e = tried(); if (_e) { _o->tried.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tried[_i] = _e->Get(_i); } } }
   { auto _e = in_time_us(); _o->in_time_us = _e; }
+  { auto _e = tried(); if (_e) { _o->tried.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tried[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5764,9 +5749,8 @@
   auto _priority = _o->priority;
   auto _route_priority = _o->route_priority;
   auto _left_us = _o->left_us;
-  auto _prompt_tokens = _o->prompt_tokens;
-  auto _tried = _o->tried.size() ? _fbb.CreateVector(_o->tried) : 0;
   auto _in_time_us = _o->in_time_us;
+  auto _tried = _o->tried.size() ? _fbb.CreateVector(_o->tried) : 0;
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       _attempt,
@@ -5777,9 +5761,8 @@
       _priority,
       _route_priority,
       _left_us,
-      _prompt_tokens,
-      _tried,
-      _in_time_us);
+      _in_time_us,
+      _tried);
 }
 
 
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -1,7 +1,6 @@
 // Stand-in for a backend server on the users' platform. Streams events below
 // /stream/, answers anything else whole. Writes the id of each request that it
 // runs to a file, which is what "it ran" means to a checker.
-#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -9,6 +8,7 @@
 #include <string>
 
 #include "lavenderkeel/io.h"
+#include "test/fakes/stand_in.h"
 
 namespace {
 
@@ -32,15 +32,9 @@
                .on_too_large = [](CallerId) {}}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
-    const auto address = http_.Listen(listen);
-    if (!address.has_value()) {
-      return 1;
-    }
-    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
-    loop_.Every(std::chrono::milliseconds(8), [this] { Step(); });
-    lavenderkeel::WriteReadyFile(ready_file, {{"http", *address}});
-    loop_.Run();
-    return 0;
+    return lavenderkeel::fakes::RunStandIn(loop_, http_, listen, ready_file,
+                                           std::chrono::milliseconds(8),
+                                           [this] { Step(); });
   }
 
  private:
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -2,7 +2,6 @@
 // POST /fault/speed?factor=F, /fault/silence and /fault/up, and GET /starts.
 // Arguments: engine|service LISTEN READY_FILE [STEP_MS [checks|ignores]].
 #include <boost/json.hpp>
-#include <csignal>
 #include <iostream>
 #include <map>
 
@@ -10,6 +9,7 @@
 #include "lavenderkeel/io/event_loop.h"
 #include "lavenderkeel/io/http_server.h"
 #include "test/fakes/engine_core.h"
+#include "test/fakes/stand_in.h"
 
 using lavenderkeel::CallerId;
 using lavenderkeel::EventLoop;
@@ -35,16 +35,9 @@
                .on_too_large = [](CallerId) {}}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
-    const auto address = http_.Listen(listen);
-    if (!address.has_value()) {
-      return 1;
-    }
-    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
-    loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
-    loop_.Every(std::chrono::milliseconds(1), [this] { Feed(); });
-    lavenderkeel::WriteReadyFile(ready_file, {{"http", *address}});
-    loop_.Run();
-    return 0;
+    return lavenderkeel::fakes::RunStandIn(loop_, http_, listen, ready_file,
+                                           std::chrono::milliseconds(1),
+                                           [this] { Feed(); });
   }
 
  private:
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -1,6 +1,5 @@
 // A stand-in for the platform's object API. Besides INTERFACES it takes
 // POST /fault/up, /fault/outage, /fault/lose and /fault/slow?ms=N.
-#include <csignal>
 #include <deque>
 #include <iostream>
 
@@ -8,6 +7,7 @@
 #include "lavenderkeel/io/event_loop.h"
 #include "lavenderkeel/io/http_server.h"
 #include "test/fakes/platform_core.h"
+#include "test/fakes/stand_in.h"
 
 using lavenderkeel::CallerId;
 using lavenderkeel::EventLoop;
@@ -44,16 +44,9 @@
                    }}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
-    const auto address = http_.Listen(listen);
-    if (!address.has_value()) {
-      return 1;
-    }
-    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
-    loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
-    loop_.Every(std::chrono::milliseconds(2), [this] { Serve(); });
-    lavenderkeel::WriteReadyFile(ready_file, {{"http", *address}});
-    loop_.Run();
-    return 0;
+    return lavenderkeel::fakes::RunStandIn(loop_, http_, listen, ready_file,
+                                           std::chrono::milliseconds(2),
+                                           [this] { Serve(); });
   }
 
  private:
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -1,7 +1,6 @@
 // Stand-in for the users' store: kinds of objects, lists and watches, over
 // HTTP. PUT /objects/KIND/NAME sets an object's spec, DELETE removes it.
 #include <boost/json.hpp>
-#include <csignal>
 #include <cstdlib>
 #include <deque>
 #include <iostream>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "lavenderkeel/io.h"
+#include "test/fakes/stand_in.h"
 
 namespace {
 
@@ -37,15 +37,9 @@
                .on_too_large = [](CallerId) {}}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
-    const auto address = http_.Listen(listen);
-    if (!address.has_value()) {
-      return 1;
-    }
-    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
-    loop_.Every(std::chrono::milliseconds(5), [this] { AnswerWatches(); });
-    lavenderkeel::WriteReadyFile(ready_file, {{"http", *address}});
-    loop_.Run();
-    return 0;
+    return lavenderkeel::fakes::RunStandIn(loop_, http_, listen, ready_file,
+                                           std::chrono::milliseconds(5),
+                                           [this] { AnswerWatches(); });
   }
 
  private:
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -305,4 +305,27 @@
   BOOST_TEST(w.client(old_request).body == "done");
 }
 
+// A server is full while two clients wait: one was refused before and came back
+// first, the other sends its request for the first time. Only the second can
+// still have its first event in time, so the next slot is for it; the one that
+// came back gets the slot after that.
+BOOST_AUTO_TEST_CASE(WhoComesBackLeavesTheSlotToWhoCanBeInTime) {
+  ForwardWorld w({.servers = 1, .slots = 1});
+  for (int i = 0; i < 10; ++i) {
+    w.Request("once");
+    w.Answer(w.last(), 200, "done");
+  }
+  w.Request("once");
+  const fakes::SentAttempt running = w.last();
+  const ExchangeId back = w.Request("once", {{"Deadline-Ms", "7200"}});
+  w.Advance(milliseconds(40));
+  const ExchangeId first = w.Request("once");
+  w.Answer(running, 200, "done");
+  w.Answer(w.last(), 200, "done");
+  BOOST_TEST(w.client(first).ended);
+  BOOST_TEST(!w.client(back).ended);
+  w.Answer(w.last(), 200, "done");
+  BOOST_TEST(w.client(back).ended);
+}
+
 }  // namespace lavenderkeel
--- a/test/soak/client.h
+++ b/test/soak/client.h
@@ -44,7 +44,6 @@
   void Send(const std::string& id, const std::string& route);
   /// Gives a request up that has no answer long after its time.
   void Tick();
-  void set_address(const std::string& address) { address_ = address; }
 
  private:
   void Connect();
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -299,10 +299,6 @@
   return entries_.at(entry).clients->address();
 }
 
-bool System::EntryUp(size_t entry) const {
-  return processes_.Has(entries_.at(entry).name);
-}
-
 std::multiset<std::string> System::Runs() const {
   std::multiset<std::string> runs;
   for (const Server& server : servers_) {
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -33,11 +33,9 @@
   bool healed() const { return pending_.empty(); }
 
   std::string EntryAddress(size_t entry) const;
-  bool EntryUp(size_t entry) const;
   size_t entries() const { return entries_.size(); }
   /// Ids of requests that servers ran, as often as they ran them.
   std::multiset<std::string> Runs() const;
-  uint64_t config_version() const { return config_version_; }
   const std::string& directory() const { return processes_.directory(); }
   void KeepLogs() { processes_.set_keep(true); }
 
