Entries renew their watches in turn; who waited in vain comes back later

And of the refusals of the least urgent rank most were clients that came back after 0.3 s into the same burst and had no further try. Change: entries tell each other of the latest change of servers and of a store that is lost, and look at once where another has seen one; together they renew as often as four would alone. Retry-After is three tenths of the time left.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -625,7 +625,8 @@
     } else {
       const bool none = directory_.Usable(request.service).empty();
       RefuseRequest(request, {.code = none ? ResultCode::kNoServer
-                                           : ResultCode::kOverloaded});
+                                           : ResultCode::kOverloaded,
+                              .retry_after = timing_.ComeBackAfter(request)});
     }
     return;
   }
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -111,6 +111,7 @@
   members_.signal_lost().connect([this](const PeerId& peer, Role) {
     log_.Warn("peer_lost", {{"peer", peer.ToString()}});
     known_by_peer_.erase(peer.instance);
+    store_lost_at_.erase(peer);
     peers_.erase(peer.ToString());
     slots_.OnGone(peer.ToString());
     gate_.ForgetAsker(peer.ToString());
@@ -335,6 +336,8 @@
 }
 
 void ForwardNode::OnStatus(const Member& member, const ForwardStatus& status) {
+  server_watch_.OnToldBy(status.server_change);
+  NoteStoreLost(member.info.id, status.store_lost);
   if (status.table_version > controller_.table_version() &&
       !newer_at_.has_value()) {
     newer_at_ = member.info.id;
@@ -349,6 +352,19 @@
   }
 }
 
+void ForwardNode::NoteStoreLost(const PeerId& peer, bool lost) {
+  if (!lost) {
+    store_lost_at_.erase(peer);
+  } else if (store_lost_at_.insert(peer).second) {
+    ConfirmWatches();
+  }
+}
+
+void ForwardNode::ConfirmWatches() {
+  config_watch_.Confirm();
+  server_watch_.Confirm();
+}
+
 std::optional<LinkId> ForwardNode::LinkTo(const std::string& entry) const {
   const auto found = peers_.find(entry);
   return found == peers_.end() ? std::nullopt : members_.LinkTo(found->second);
@@ -491,7 +507,9 @@
   });
   const std::vector<GateReport> gates = ReportGates();
   slots_.OnHeard(self_, gates);
-  const ForwardStatus status = ToWire(report, gates);
+  ForwardStatus status = ToWire(report, gates);
+  status.server_change = server_watch_.last_change();
+  status.store_lost = server_watch_.lost() || config_watch_.lost();
   for (const Member* member : members_.Members(Role::kEntry)) {
     if (member->outbound.has_value()) {
       outbox_.Send(*member->outbound, status);
@@ -530,6 +548,29 @@
     }
   }
   controller_.OnPeerCount(known, heard);
+  SetWatchWait(heard);
+}
+
+void ForwardNode::SetWatchWait(size_t heard) {
+  // Failure: each of hundreds of entries renews its watches every two seconds.
+  // Symptom: the store is paid for a call a second and entry that brings
+  // nothing. A change or an outage that one entry sees is known to the others
+  // within a report, so together they need to look no more often than a few
+  // would alone: a fifth of the calls of 26 entries are left.
+  const double share = static_cast<double>(heard) /
+                       static_cast<double>(options_.entries_per_watch);
+  const Duration wait = std::min(
+      options_.longest_watch, std::chrono::duration_cast<Duration>(
+                                  options_.watch.wait * std::max(1.0, share)));
+  config_watch_.set_wait(wait);
+  server_watch_.set_wait(wait);
+  // Whoever told of changes is gone; what waits may have waited for too long.
+  if (heard * 2 <= heard_when_confirmed_) {
+    ConfirmWatches();
+  }
+  if (heard * 2 <= heard_when_confirmed_ || heard > heard_when_confirmed_) {
+    heard_when_confirmed_ = heard;
+  }
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -2,9 +2,11 @@
 #define LAVENDERKEEL_FORWARD_FORWARD_NODE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +46,12 @@
         .dial = {.longest = std::chrono::seconds(1)},
         // Its rate share and its report are reckoned with until then.
         .forget_after = std::chrono::seconds(10)};
+    /// Its wait is that of an entry that hears of few others.
     ObjectWatch::Options watch;
+    /// So many entries together renew their watches as often as one alone.
+    size_t entries_per_watch = 4;
+    /// Below the shortest history that a store keeps.
+    Duration longest_watch = std::chrono::seconds(12);
     std::vector<std::string> seeds;
     /// How often an entry tells the others what it has in flight. Others place
     /// on reports this old; a request lasts some 300 ms.
@@ -119,6 +126,9 @@
   void SendStatus();
   void SendKnown();
   void CountPeers();
+  void SetWatchWait(size_t heard);
+  void NoteStoreLost(const PeerId& peer, bool lost);
+  void ConfirmWatches();
 
   Options options_;
   ForwardSource source_;
@@ -145,6 +155,10 @@
   /// A peer that has a newer configuration, and since when we know.
   std::optional<PeerId> newer_at_;
   TimePoint newer_since_;
+  /// Peers that say that the store does not answer them.
+  std::set<PeerId> store_lost_at_;
+  /// Entries heard of, this one included, when the watches were last confirmed.
+  size_t heard_when_confirmed_ = 1;
   std::map<std::string, std::vector<InstanceInfo>> known_by_peer_;
   /// The latest incarnation heard of, by its name among the gates.
   std::map<std::string, PeerId> peers_;
--- a/lavenderkeel/forward/request_timing.cc
+++ b/lavenderkeel/forward/request_timing.cc
@@ -27,6 +27,13 @@
   return std::min(request.due, request.arrived + FromSeconds(wait));
 }
 
+Duration RequestTiming::ComeBackAfter(const ForwardedRequest& request) const {
+  const Duration left = request.due - WaitsUntil(request);
+  return std::min(
+      options_.longest_come_back,
+      FromSeconds(ToSeconds(left) * options_.come_back_per_time_left));
+}
+
 TimePoint RequestTiming::InTimeUntil(const ForwardedRequest& request) const {
   const Route& route = *request.route;
   if (request.head_sent || route.latency_target == Duration::zero()) {
--- a/lavenderkeel/forward/request_timing.h
+++ b/lavenderkeel/forward/request_timing.h
@@ -21,6 +21,14 @@
     /// server. Most late answers are still worth a third to the client.
     double wait_per_patience = 0.7;
     double wait_per_time_left = 0.4;
+    /// Who waited in vain comes back after this part of the time it has left.
+    /// Load it answers: a burst of some seconds. Clients come back once, and
+    /// whoever came back after 0.3 s waited and was refused again; later there
+    /// is room. Clients wait for a third of their time at most. Refusals of the
+    /// least urgent rank fell by a tenth, see docs/POLICY.md.
+    double come_back_per_time_left = 0.3;
+    /// Bursts last no longer.
+    Duration longest_come_back = std::chrono::seconds(4);
     /// A repeatable request is sent anew if the server stays silent for this
     /// multiple of the target. Three times the target is past the slowest of a
     /// hundred sound answers.
@@ -41,6 +49,9 @@
   TimePoint WaitsUntil(const ForwardedRequest& request) const;
   /// A start at a server after this is late for the client.
   TimePoint InTimeUntil(const ForwardedRequest& request) const;
+  /// When a client that is refused at the end of its wait is to come back: of
+  /// what it has left then, and never past the longest pause.
+  Duration ComeBackAfter(const ForwardedRequest& request) const;
   /// After such a silence the server is given up.
   Duration LongestSilence(const ForwardedRequest& request) const;
 
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -39,12 +39,16 @@
 void ObjectWatch::Watch() {
   // In an outage the answer itself is the news. A watch that waits would be
   // told from a dead connection only seconds after the store is back.
-  const Duration wait = outage_ ? Duration::zero() : options_.wait;
+  WatchWithin(outage_ ? Duration::zero() : options_.wait);
+}
+
+void ObjectWatch::WatchWithin(Duration wait) {
+  const bool waits = wait > Duration::zero();
   Read({.kind = ObjectRead::Kind::kWatch,
         .object_kind = options_.object_kind,
         .revision = revision_,
         .wait = wait,
-        .timeout = outage_ ? options_.list_timeout : wait + options_.grace});
+        .timeout = waits ? wait + options_.grace : options_.list_timeout});
 }
 
 void ObjectWatch::Read(ObjectRead read) {
@@ -87,6 +91,8 @@
 
 void ObjectWatch::NoteAnswer() {
   backoff_.Reset();
+  failures_ = 0;
+  answered_at_ = clock_.Now();
   if (std::exchange(outage_, false)) {
     log_.Info("store_regained", {{"kind", options_.object_kind}});
     hooks_.on_return();
@@ -104,6 +110,9 @@
     return;
   }
   must_list_ = false;
+  for (const StoredObject& object : listed_) {
+    last_change_ = std::max(last_change_, object.revision);
+  }
   hooks_.on_list(std::exchange(listed_, {}));
   Watch();
 }
@@ -116,11 +125,31 @@
   if (result.objects.empty()) {
     Watch();
   } else {
+    last_change_ = std::max(last_change_, result.revision);
     retry_at_ = clock_.Now() + options_.gather;
   }
 }
 
+void ObjectWatch::OnToldBy(uint64_t revision) {
+  if (revision <= std::max(revision_, told_)) {
+    return;
+  }
+  if (told_ <= revision_) {
+    told_at_ = clock_.Now();
+  }
+  told_ = revision;
+}
+
+void ObjectWatch::Confirm() {
+  const bool waits = pending_ != 0 && pending_kind_ == ObjectRead::Kind::kWatch;
+  if (!waits || outage_ || clock_.Now() - answered_at_ < options_.fresh) {
+    return;
+  }
+  WatchWithin(Duration::zero());
+}
+
 void ObjectWatch::RetryLater(const char* why) {
+  ++failures_;
   if (!std::exchange(outage_, true)) {
     log_.Warn("store_lost", {{"kind", options_.object_kind},
                              {"why", why},
@@ -131,7 +160,15 @@
 }
 
 void ObjectWatch::Tick() {
-  if (pending_ != 0 || last_call_ == 0 || clock_.Now() < retry_at_) {
+  // Failure: the connection of a waiting watch went silent while a server left.
+  // Symptom: it gets requests until the wait is over, although the store said
+  // so long ago. Others' reports show that there is a change.
+  const TimePoint now = clock_.Now();
+  if (told_ > revision_ && now - told_at_ >= options_.told_by_others) {
+    told_at_ = now;
+    Confirm();
+  }
+  if (pending_ != 0 || last_call_ == 0 || now < retry_at_) {
     return;
   }
   if (must_list_) {
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -73,7 +73,7 @@
     std::string object_kind;
     /// How long the store may hold a watch. A watch whose connection went
     /// silent is noticed only this long (and the grace) after the last answer,
-    /// and each answer costs a call.
+    /// unless others tell of a change first, and each answer costs a call.
     Duration wait = std::chrono::milliseconds(2000);
     /// Beyond the wait, for the way and a slow store.
     Duration grace = std::chrono::milliseconds(800);
@@ -84,6 +84,11 @@
     /// (a release, the servers of a start) costs a call for all, not for each.
     /// An eighth of the time in which a change has to be in force.
     Duration gather = std::chrono::milliseconds(250);
+    /// A change that others tell of and this watch does not is read after this
+    /// time: whoever gathers has it by then.
+    Duration told_by_others = std::chrono::milliseconds(600);
+    /// After an answer this fresh there is nothing to confirm.
+    Duration fresh = std::chrono::milliseconds(500);
     Backoff::Options retry = {.first = std::chrono::milliseconds(100),
                               .longest = std::chrono::milliseconds(500)};
   };
@@ -112,12 +117,25 @@
   void OnResult(uint64_t call, const ObjectReadResult& result);
   void Tick();
 
+  /// Somebody else has seen a change of this revision.
+  void OnToldBy(uint64_t revision);
+  /// Asks the store now instead of waiting on: the watch may wait for an answer
+  /// on a connection that went silent. Does nothing after a fresh answer.
+  void Confirm();
+  /// For the watches from now on.
+  void set_wait(Duration wait) { options_.wait = wait; }
+
   uint64_t revision() const { return revision_; }
+  /// Of the latest change told here.
+  uint64_t last_change() const { return last_change_; }
+  /// It failed to answer more than once in a row: a single watch may be cut.
+  bool lost() const { return failures_ > 1; }
   uint64_t calls() const { return last_call_; }
 
  private:
   void List(const std::string& after_name);
   void Watch();
+  void WatchWithin(Duration wait);
   void Read(ObjectRead read);
   void OnListed(const ObjectReadResult& result);
   void OnChanges(const ObjectReadResult& result);
@@ -137,7 +155,13 @@
   TimePoint retry_at_;
   bool must_list_ = true;
   bool outage_ = false;
+  int failures_ = 0;
+  TimePoint answered_at_;
   uint64_t revision_ = 0;
+  uint64_t last_change_ = 0;
+  /// Told of by others, and since when.
+  uint64_t told_ = 0;
+  TimePoint told_at_;
   std::vector<StoredObject> listed_;
 };
 
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -3450,6 +3450,8 @@
   std::vector<uint64_t> teams{};
   std::vector<double> drawn{};
   std::vector<std::unique_ptr<lavenderkeel::fbs::GateStatusT>> gates{};
+  uint64_t server_change = 0;
+  bool store_lost = false;
   ForwardStatusT() = default;
   ForwardStatusT(const ForwardStatusT &o);
   ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3466,7 +3468,9 @@
     VT_IN_FLIGHT = 8,
     VT_TEAMS = 10,
     VT_DRAWN = 12,
-    VT_GATES = 14
+    VT_GATES = 14,
+    VT_SERVER_CHANGE = 16,
+    VT_STORE_LOST = 18
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3486,6 +3490,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *>(VT_GATES);
   }
+  uint64_t server_change() const {
+    return GetField<uint64_t>(VT_SERVER_CHANGE, 0);
+  }
+  bool store_lost() const {
+    return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3500,6 +3510,8 @@
            VerifyOffset(verifier, VT_GATES) &&
            verifier.VerifyVector(gates()) &&
            verifier.VerifyVectorOfTables(gates()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_CHANGE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3529,6 +3541,12 @@
   void add_gates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates) {
     fbb_.AddOffset(ForwardStatus::VT_GATES, gates);
   }
+  void add_server_change(uint64_t server_change) {
+    fbb_.AddElement<uint64_t>(ForwardStatus::VT_SERVER_CHANGE, server_change, 0);
+  }
+  void add_store_lost(bool store_lost) {
+    fbb_.AddElement<uint8_t>(ForwardStatus::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3547,14 +3565,18 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> in_flight = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams = 0,
     flatbuffers::Offset<flatbuffers::Vector<double>> drawn = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates = 0,
+    uint64_t server_change = 0,
+    bool store_lost = false) {
   ForwardStatusBuilder builder_(_fbb);
+  builder_.add_server_change(server_change);
   builder_.add_table_version(table_version);
   builder_.add_gates(gates);
   builder_.add_drawn(drawn);
   builder_.add_teams(teams);
   builder_.add_in_flight(in_flight);
   builder_.add_servers(servers);
+  builder_.add_store_lost(store_lost);
   return builder_.Finish();
 }
 
@@ -3570,7 +3592,9 @@
     const std::vector<uint32_t> *in_flight = nullptr,
     const std::vector<uint64_t> *teams = nullptr,
     const std::vector<double> *drawn = nullptr,
-    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates = nullptr) {
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates = nullptr,
+    uint64_t server_change = 0,
+    bool store_lost = false) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
@@ -3583,7 +3607,9 @@
       in_flight__,
       teams__,
       drawn__,
-      gates__);
+      gates__,
+      server_change,
+      store_lost);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5570,7 +5596,9 @@
       (lhs.in_flight == rhs.in_flight) &&
       (lhs.teams == rhs.teams) &&
       (lhs.drawn == rhs.drawn) &&
-      (lhs.gates.size() == rhs.gates.size() && std::equal(lhs.gates.cbegin(), lhs.gates.cend(), rhs.gates.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &a, std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.gates.size() == rhs.gates.size() && std::equal(lhs.gates.cbegin(), lhs.gates.cend(), rhs.gates.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &a, std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.server_change == rhs.server_change) &&
+      (lhs.store_lost == rhs.store_lost);
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -5583,7 +5611,9 @@
         servers(o.servers),
         in_flight(o.in_flight),
         teams(o.teams),
-        drawn(o.drawn) {
+        drawn(o.drawn),
+        server_change(o.server_change),
+        store_lost(o.store_lost) {
   gates.reserve(o.gates.size());
   for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
 }
@@ -5595,6 +5625,8 @@
   std::swap(teams, o.teams);
   std::swap(drawn, o.drawn);
   std::swap(gates, o.gates);
+  std::swap(server_change, o.server_change);
+  std::swap(store_lost, o.store_lost);
   return *this;
 }
 
@@ -5613,6 +5645,8 @@
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = _e->Get(_i); } } }
   { auto _e = drawn(); if (_e) { _o->drawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->drawn[_i] = _e->Get(_i); } } }
   { auto _e = gates(); if (_e) { _o->gates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gates[_i] = std::unique_ptr<lavenderkeel::fbs::GateStatusT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = server_change(); _o->server_change = _e; }
+  { auto _e = store_lost(); _o->store_lost = _e; }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5629,6 +5663,8 @@
   auto _teams = _o->teams.size() ? _fbb.CreateVector(_o->teams) : 0;
   auto _drawn = _o->drawn.size() ? _fbb.CreateVector(_o->drawn) : 0;
   auto _gates = _o->gates.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> (_o->gates.size(), [](size_t i, _VectorArgs *__va) { return CreateGateStatus(*__va->__fbb, __va->__o->gates[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _server_change = _o->server_change;
+  auto _store_lost = _o->store_lost;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
@@ -5636,7 +5672,9 @@
       _in_flight,
       _teams,
       _drawn,
-      _gates);
+      _gates,
+      _server_change,
+      _store_lost);
 }
 
 
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -328,4 +328,17 @@
   BOOST_TEST(w.client(back).ended);
 }
 
+// No slot comes free while the client would wait. It is told at once that its
+// request did not run, and to come back after three tenths of the 8.3 seconds
+// that it has left: come back at once, it would meet the same burst and have no
+// further try.
+BOOST_AUTO_TEST_CASE(WhoWaitedInVainComesBackAfterTheBurst) {
+  ForwardWorld w({.servers = 1, .slots = 1});
+  w.Request("once");
+  const ExchangeId waiting = w.Request("once");
+  w.Advance(milliseconds(1700));
+  BOOST_TEST(*w.client(waiting).status == 503);
+  BOOST_TEST(*FindField(w.client(waiting).fields, "Retry-After") == "2.496");
+}
+
 }  // namespace lavenderkeel
--- a/test/watch/object_watch_test.cc
+++ b/test/watch/object_watch_test.cc
@@ -151,4 +151,59 @@
   BOOST_TEST((h.told == std::vector<std::string>{"list", "list new"}));
 }
 
+// The connection of a waiting watch goes silent, a server leaves, and another
+// entry tells of the change. The watch asks anew well before its wait is over,
+// on another connection; what the silent one may still bring is ignored.
+BOOST_AUTO_TEST_CASE(ChangeThatOthersTellOfIsRead) {
+  Harness h;
+  h.watch.Start();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 10});
+  const Harness::Call silent = h.Take();
+  h.clock.Advance(std::chrono::seconds(1));
+  h.watch.OnToldBy(12);
+  h.watch.Tick();
+  BOOST_TEST(h.calls.empty());
+  h.clock.Advance(std::chrono::milliseconds(600));
+  h.watch.Tick();
+  const Harness::Call asked = h.Take();
+  BOOST_TEST((asked.read.wait == Duration::zero()));
+  h.Answer(silent, {.outcome = ReadOutcome::kOk, .revision = 11});
+  h.Answer(asked, {.outcome = ReadOutcome::kOk,
+                   .objects = {Object("a", /*removed=*/true)},
+                   .revision = 12});
+  BOOST_TEST(h.told.back() == "removed a");
+  BOOST_TEST(h.watch.last_change() == 12U);
+}
+
+// A change that this watch has already, or an answer a moment ago, costs no
+// further call.
+BOOST_AUTO_TEST_CASE(WhatIsKnownIsNotAskedFor) {
+  Harness h;
+  h.watch.Start();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 10});
+  h.Take();
+  h.watch.Confirm();
+  h.watch.OnToldBy(10);
+  h.TickLater();
+  BOOST_TEST(h.calls.empty());
+  h.watch.Confirm();
+  BOOST_TEST(h.calls.size() == 1U);
+}
+
+// One watch that is cut off is no outage that others have to look into; a
+// second failure in a row is.
+BOOST_AUTO_TEST_CASE(StoreCountsAsLostAfterTheSecondFailure) {
+  Harness h;
+  h.watch.Start();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 10});
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kNoAnswer});
+  BOOST_TEST(!h.watch.lost());
+  h.TickLater();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kNoAnswer});
+  BOOST_TEST(h.watch.lost());
+  h.TickLater();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 11});
+  BOOST_TEST(!h.watch.lost());
+}
+
 }  // namespace lavenderkeel
