Entries that start together share what is left of a team's rate until connected

Change: a count starts with what the tolerance leaves over; until entries are connected each takes its part of that and of the rate since the start, and keeps what is beyond it for at most half a second instead of refusing it.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -83,8 +83,11 @@
       slots_(slots),
       clock_(clock),
       log_(log),
-      metrics_(metrics) {
-  options_.retries.extra = options_.retry_extra;
+      metrics_(metrics),
+      rate_share_(options.rate_share, clock.Now()),
+      started_(clock.Now()),
+      entries_(rate_share_.Entries(clock.Now())) {
+  options_.retries.extra = options_.retry_extra / static_cast<double>(entries_);
 }
 
 void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
@@ -132,25 +135,43 @@
                       ToSeconds(terms->time_left.value_or(Duration::max()));
   const Duration wait =
       FromSeconds(std::min(ToSeconds(options_.unconfigured_wait), part));
-  held_body_bytes_ += body.size();
-  early_[exchange] = {.head = std::move(head),
-                      .body = std::move(body),
-                      .terms = *std::move(terms),
-                      .arrived = now,
-                      .waits_until = now + wait};
+  KeepEarly(exchange, {.head = std::move(head),
+                       .body = std::move(body),
+                       .terms = *std::move(terms),
+                       .arrived = now,
+                       .waits_until = now + wait});
+}
+
+void ForwardController::KeepEarly(ExchangeId exchange, EarlyRequest request) {
+  held_body_bytes_ += request.body.size();
+  early_[exchange] = std::move(request);
 }
 
 void ForwardController::BeginEarly() {
-  while (!early_.empty()) {
-    auto first = early_.extract(early_.begin());
-    EarlyRequest& early = first.mapped();
+  // One that begins may have to wait on, or end another's wait.
+  std::vector<ExchangeId> waiting;
+  for (const auto& [exchange, early] : early_) {
+    waiting.push_back(exchange);
+  }
+  for (const ExchangeId exchange : waiting) {
+    auto node = early_.extract(exchange);
+    if (node.empty()) {
+      continue;
+    }
+    EarlyRequest& early = node.mapped();
     held_body_bytes_ -= early.body.size();
-    Begin(first.key(), std::move(early.head), std::move(early.body),
+    Begin(exchange, std::move(early.head), std::move(early.body),
           std::move(early.terms), early.arrived);
   }
 }
 
-void ForwardController::RefuseEarly(TimePoint now) {
+void ForwardController::CheckEarly(TimePoint now) {
+  if (table_ != nullptr) {
+    if (!rate_share_.Joining(now)) {
+      BeginEarly();
+    }
+    return;
+  }
   const bool crowded = held_body_bytes_ > options_.held_body_bytes;
   for (auto early = early_.begin(); early != early_.end();) {
     if (now < early->second.waits_until && !crowded) {
@@ -181,6 +202,16 @@
   request->body = std::move(body);
   request->arrived = arrived;
   if (const std::optional<Refusal> refusal = Admit(*request)) {
+    if (refusal->code == ResultCode::kTeamTokenRate &&
+        rate_share_.Joining(clock_.Now())) {
+      // It is not known to be beyond the rate; half a second later it is.
+      KeepEarly(exchange, {.head = std::move(request->head),
+                           .body = std::move(request->body),
+                           .terms = std::move(request->terms),
+                           .arrived = arrived,
+                           .waits_until = rate_share_.joined_by()});
+      return;
+    }
     LogEnd(*request, Describe(refusal->code).name,
            Describe(refusal->code).http_status);
     Refuse(exchange, request->terms.request_id, *refusal);
@@ -244,25 +275,40 @@
   const double units = !team->rate.in_tokens ? 1
                        : tokens > 0          ? static_cast<double>(tokens)
                                              : team->rate.tokens_if_unknown;
-  TeamBucket& bucket = buckets_[HashBytes(team->name)];
+  TeamBucket& bucket = BucketOf(HashBytes(team->name));
   const TeamRate aim = TeamBucket::Aim(team->rate, options_.rate_tolerance);
+  const TimePoint now = clock_.Now();
+  if (rate_share_.Joining(now) &&
+      bucket.TakePart(aim, units, rate_share_.JoiningPart(), now)) {
+    return std::nullopt;
+  }
+  const double share = rate_share_.At(now);
   const std::optional<Duration> wait =
-      bucket.Take(aim, units, rate_share_, clock_.Now());
+      rate_share_.Joining(now) ? rate_share_.joined_by() - now
+                               : bucket.Take(aim, units, share, now);
   if (!wait.has_value()) {
     return std::nullopt;
   }
-  log_.Info("rate_refused", {{"id", request.terms.request_id},
-                             {"team", team->name},
-                             {"units", units},
-                             {"level", bucket.level()},
-                             {"drawn_here", bucket.used()},
-                             {"per_second", team->rate.per_second},
-                             {"burst", team->rate.burst},
-                             {"share", rate_share_},
-                             {"config_version", table_->version()}});
+  // While joining it is not refused but looked at again.
+  log_.Info(rate_share_.Joining(now) ? "rate_waits" : "rate_refused",
+            {{"id", request.terms.request_id},
+             {"team", team->name},
+             {"units", units},
+             {"level", bucket.level()},
+             {"drawn_here", bucket.used()},
+             {"per_second", team->rate.per_second},
+             {"burst", team->rate.burst},
+             {"share", share},
+             {"config_version", table_->version()}});
   return Refusal{.code = ResultCode::kTeamTokenRate, .retry_after = *wait};
 }
 
+TeamBucket& ForwardController::BucketOf(uint64_t team) {
+  const TeamBucket::Tolerance& tolerance = options_.rate_tolerance;
+  const double unused = tolerance.slack * (1 - tolerance.used_slack);
+  return buckets_.try_emplace(team, started_, unused).first->second;
+}
+
 void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
   Refuse(exchange, {}, {.code = code});
 }
@@ -642,7 +688,7 @@
 
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
-  RefuseEarly(now);
+  CheckEarly(now);
   std::vector<ExchangeId> all;
   all.reserve(requests_.size());
   for (const auto& [exchange, request] : requests_) {
@@ -754,8 +800,11 @@
 
 void ForwardController::OnPeerReport(const std::string& peer,
                                      const ForwardReport& report) {
+  const auto first = rate_share_.Joining(clock_.Now())
+                         ? TeamBucket::FirstTotal::kRecent
+                         : TeamBucket::FirstTotal::kOld;
   for (const auto& [team, total] : report.team_totals) {
-    buckets_[team].OnPeerTotal(peer, total);
+    BucketOf(team).OnPeerTotal(peer, total, first);
   }
 }
 
@@ -766,9 +815,9 @@
 }
 
 void ForwardController::OnPeerCount(size_t known, size_t heard) {
-  assert(known >= heard && heard >= 1);
-  rate_share_ = static_cast<double>(heard) / static_cast<double>(known);
-  if (std::exchange(entries_, known) == known) {
+  rate_share_.OnPeerCount(known, heard, clock_.Now());
+  const size_t sharing = rate_share_.Entries(clock_.Now());
+  if (std::exchange(entries_, sharing) == sharing) {
     return;
   }
   options_.retries.extra = options_.retry_extra / static_cast<double>(entries_);
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -17,6 +17,7 @@
 #include "lavenderkeel/forward/client_age.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
+#include "lavenderkeel/forward/rate_share.h"
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/retry_window.h"
@@ -49,6 +50,7 @@
   struct Options {
     RetryWindow::Options retries;
     TeamBucket::Tolerance rate_tolerance;
+    RateShare::Options rate_share;
     /// Extra sendings of all entries together, see RetryWindow.
     double retry_extra = 52;
     RequestTiming::Options timing;
@@ -130,6 +132,8 @@
   /// How many entries share the bounds, this one included, and how many of
   /// these are heard of.
   void OnPeerCount(size_t known, size_t heard);
+  /// An entry is heard of that was here before this one started.
+  void OnOlderPeer() { rate_share_.OnOlderPeer(); }
 
   /// Looks at the time: ends waits, silences, and requests that are due.
   void Tick();
@@ -142,12 +146,14 @@
  private:
   using RequestPtr = std::unique_ptr<ForwardedRequest>;
 
-  /// A request that came before the first configuration.
+  /// A request that came before the first configuration, or before it was known
+  /// what the other entries let through of its team's rate.
   struct EarlyRequest {
     RequestHead head;
     std::string body;
     RequestTerms terms;
     TimePoint arrived;
+    /// For the first configuration.
     TimePoint waits_until;
   };
 
@@ -163,9 +169,12 @@
              RequestTerms terms,
              TimePoint arrived);
   std::optional<Refusal> Admit(ForwardedRequest& request);
+  void KeepEarly(ExchangeId exchange, EarlyRequest request);
   void BeginEarly();
-  void RefuseEarly(TimePoint now);
+  /// Begins or refuses those that have waited long enough.
+  void CheckEarly(TimePoint now);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
+  TeamBucket& BucketOf(uint64_t team);
   void Wait(ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
@@ -211,8 +220,10 @@
   std::map<std::pair<std::string, Duration>, ClientAge> ages_;
   /// By the hash of the team's name.
   std::map<uint64_t, TeamBucket> buckets_;
-  double rate_share_ = 1;
-  size_t entries_ = 1;
+  RateShare rate_share_;
+  TimePoint started_;
+  /// That share the bounds of retries.
+  size_t entries_;
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   bool refuses_new_ = false;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -26,6 +26,15 @@
 /// A group that no wish came for in this time has another gate now.
 constexpr Duration kGateForgotten = std::chrono::seconds(2);
 
+/// Whether the one was here well before the other started. Incarnations are the
+/// calendar time of the start in microseconds; processes that are killed
+/// together start within half a second of each other.
+bool IsOlder(const PeerId& one, const PeerId& other) {
+  constexpr auto kTogether =
+      static_cast<uint64_t>(Duration(std::chrono::seconds(1)).count());
+  return one.incarnation + kTogether < other.incarnation;
+}
+
 SlotRouter::Options WithSelf(SlotRouter::Options options, std::string self) {
   options.self = std::move(self);
   return options;
@@ -123,6 +132,9 @@
   members_.signal_up().connect([this](const Member& member) {
     log_.Info("peer_up", {{"peer", member.info.id.ToString()}});
     peers_[member.info.id.ToString()] = member.info.id;
+    if (IsOlder(member.info.id, members_.self().id)) {
+      controller_.OnOlderPeer();
+    }
     slots_.OnReconnected(member.info.id.ToString());
     status_due_ = {};
     known_due_ = {};
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -34,6 +34,14 @@
     double used_slack = 0.6;
   };
 
+  /// A full bucket.
+  TeamBucket() = default;
+  /// The bucket of an entry that started just then. What the team drew before
+  /// the start is not known, and may have been all that it could.
+  /// @param level units that may pass all entries at once in spite of that
+  TeamBucket(TimePoint started, double level)
+      : level_(level), filled_(started), initial_(level), started_(started) {}
+
   /// The rate that the count aims at.
   static TeamRate Aim(const TeamRate& rate, const Tolerance& tolerance) {
     TeamRate aim = rate;
@@ -65,15 +73,44 @@
     return std::nullopt;
   }
 
+  /// Takes the units if this entry, which does not know yet what the others
+  /// take, stays within its part of all that there was for all since its start.
+  bool TakePart(const TeamRate& rate,
+                double units,
+                double part,
+                TimePoint now) {
+    if (rate.per_second <= 0) {
+      return true;
+    }
+    Fill(rate, 1, now);
+    const double all = initial_ + rate.per_second * ToSeconds(now - started_);
+    if (used_ + units > part * all) {
+      return false;
+    }
+    level_ -= units;
+    used_ += units;
+    return true;
+  }
+
+  /// How the first total that is heard of a peer is taken.
+  enum class FirstTotal {
+    /// It is of a long life, most of it refilled since: it may empty the bucket
+    /// but leaves no debt.
+    kOld,
+    /// The peer started together with this entry: all of it was just drawn.
+    kRecent,
+  };
+
   /// Another entry's total since its start, for this team.
-  void OnPeerTotal(const std::string& peer, double total) {
+  void OnPeerTotal(const std::string& peer,
+                   double total,
+                   FirstTotal kind = FirstTotal::kOld) {
     const auto [known, first] = peers_.try_emplace(peer, 0);
     const double drawn = std::max(0.0, total - known->second);
     known->second = total;
-    // A first report tells of a whole life, most of it refilled since: it may
-    // empty the bucket but leaves no debt.
-    level_ = first ? std::max(std::min(level_, 0.0), level_ - drawn)
-                   : level_ - drawn;
+    level_ = first && kind == FirstTotal::kOld
+                 ? std::max(std::min(level_, 0.0), level_ - drawn)
+                 : level_ - drawn;
   }
 
   void ForgetPeer(const std::string& peer) { peers_.erase(peer); }
@@ -98,6 +135,8 @@
   double level_ = 0;
   double used_ = 0;
   TimePoint filled_;
+  double initial_ = 0;
+  TimePoint started_;
   std::map<std::string, double> peers_;
 };
 
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -341,4 +341,26 @@
   BOOST_TEST(*FindField(w.client(waiting).fields, "Retry-After") == "2.496");
 }
 
+// All entries were killed while a team was near its rate. An entry that has
+// just started lets a little through, keeps what is beyond it, and serves that
+// once it may count on the rate again; the client sees a late answer, no
+// refusal.
+BOOST_AUTO_TEST_CASE(RequestWaitsUntilTheOthersAreHeardOf) {
+  ForwardWorld w({.controller = {.rate_tolerance = {.slack = 160}},
+                  .servers = 2,
+                  .slots = 4,
+                  .configured = false});
+  RouteTableContent limited = ForwardWorld::Table();
+  limited.teams.front().rate = {.per_second = 100, .burst = 100};
+  w.controller.OnRouteTable(std::make_shared<const RouteTable>(limited));
+  for (int i = 0; i < 4; ++i) {
+    w.Request("once");
+  }
+  const ExchangeId beyond = w.Request("once");
+  BOOST_TEST(w.port.sent.size() == 4U);
+  BOOST_TEST(!w.client(beyond).ended);
+  w.Advance(milliseconds(520));
+  BOOST_TEST(w.port.sent.size() == 5U);
+}
+
 }  // namespace lavenderkeel
--- a/test/forward/team_bucket_test.cc
+++ b/test/forward/team_bucket_test.cc
@@ -4,6 +4,9 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "lavenderkeel/forward/rate_share.h"
 
 namespace lavenderkeel {
 
@@ -98,4 +101,71 @@
   });
 }
 
+// A team floods 30 entries with five times its rate. After eight seconds all of
+// them are killed and start anew, each alone for the first 250 ms. What the
+// team gets in the eight seconds around the restart stays within what is
+// tolerated, although none of them knows what it drew before.
+BOOST_AUTO_TEST_CASE(RestartOfAllEntriesUnderAFlood) {
+  constexpr size_t kEntries = 30;
+  constexpr TeamRate kLimit = {
+      .per_second = 200'000, .burst = 200'000, .in_tokens = true};
+  constexpr TeamBucket::Tolerance kTolerance = {.over = 0.1, .slack = 190'000};
+  const TeamRate aim = TeamBucket::Aim(kLimit, kTolerance);
+  const TimePoint restart = kStart + std::chrono::seconds(8);
+  const TimePoint connected = restart + std::chrono::milliseconds(250);
+  const double initial = kTolerance.slack * (1 - kTolerance.used_slack);
+  std::vector<TeamBucket> buckets(kEntries);
+  std::vector<RateShare> shares(
+      kEntries, RateShare({}, kStart - std::chrono::seconds(8)));
+  double passed_before = 0;
+  double passed_after = 0;
+  constexpr double kUnits = 4000;
+  constexpr int kSteps = 2000;
+  size_t next = 0;
+  for (int i = 0; i < kSteps; ++i) {
+    const TimePoint now = kStart + std::chrono::milliseconds(5 * i);
+    if (now == restart) {
+      buckets.assign(kEntries, TeamBucket(restart, initial));
+      shares.assign(kEntries, RateShare({}, restart));
+    }
+    const bool alone = now >= restart && now < connected;
+    // A million units a second: five requests every 20 ms.
+    for (int k = 0; k < 5 && i % 4 == 0; ++k) {
+      const size_t entry = next++ % kEntries;
+      shares[entry].OnPeerCount(alone ? 1 : kEntries, alone ? 1 : kEntries,
+                                now);
+      const bool taken =
+          shares[entry].Joining(now)
+              ? buckets[entry].TakePart(aim, kUnits,
+                                        shares[entry].JoiningPart(), now)
+              : !buckets[entry].Take(aim, kUnits, 1, now).has_value();
+      if (taken) {
+        (now < restart ? passed_before : passed_after) += kUnits;
+      }
+    }
+    // Reports every 100 ms.
+    for (size_t from = 0; from < kEntries && i % 20 == 0 && !alone; ++from) {
+      for (size_t to = 0; to < kEntries; ++to) {
+        if (from != to) {
+          buckets[to].OnPeerTotal(std::to_string(from), buckets[from].used(),
+                                  now < restart
+                                      ? TeamBucket::FirstTotal::kOld
+                                      : TeamBucket::FirstTotal::kRecent);
+        }
+      }
+    }
+    // The window holds all from the start to a second after the restart.
+    if (now == restart + std::chrono::seconds(1)) {
+      break;
+    }
+  }
+  // Nine seconds passed; eight are judged. The second that is too much is
+  // allowed for at the rate that the count aims at.
+  const double bound =
+      (kLimit.per_second * 8 + kLimit.burst) * (1 + kTolerance.over) +
+      kTolerance.slack + aim.per_second;
+  BOOST_TEST(passed_before > 1'500'000);
+  BOOST_TEST(passed_before + passed_after <= bound);
+}
+
 }  // namespace lavenderkeel
