A stream that lacks pieces is read on, never passed on as whole

Cause: an engine that is silent for seconds and then sends its finish event without what came before it (usage says 3, one arrived) was passed on as whole. The engine's own count decides; the rest is read from there, as after a break. Tests StreamThatLacksPiecesIsReadOn, StreamThatStaysShortEndsAsFailed: failed before, pass.

--- a/lavenderkeel/gate/answer_lines.cc
+++ b/lavenderkeel/gate/answer_lines.cc
@@ -16,6 +16,17 @@
          "\n";
 }
 
+std::optional<uint64_t> CompletionCount(std::string_view finish_json) {
+  boost::system::error_code error;
+  const json::value finish = json::parse(finish_json, error);
+  const json::value* count =
+      error ? nullptr : finish.find_pointer("/usage/completion_tokens", error);
+  if (count == nullptr || !count->is_int64() || count->get_int64() < 0) {
+    return std::nullopt;
+  }
+  return static_cast<uint64_t>(count->get_int64());
+}
+
 std::string WithRequestId(const std::string& body,
                           const std::string& request_id) {
   boost::system::error_code error;
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -108,6 +108,18 @@
   if (run == nullptr || run->state != Run::State::kRunning) {
     return;
   }
+  // Failure: an engine falls silent and then sends its finish, without pieces
+  // in between. Symptom: a part is passed on as the whole answer. The engine's
+  // own count says what is missing, and the rest is read from there.
+  const std::optional<uint64_t> count = internal::CompletionCount(finish_json);
+  if (count.has_value() && *count > run->next_index) {
+    if (run->resumes < options_.max_resumes) {
+      Resume(id, *run);
+    } else {
+      Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
+    }
+    return;
+  }
   run->answer += finish_json;
   run->answer += '\n';
   speed_.ObserveRun(clock_.Now() - run->started);
