Not run is said only where no other entry can have the key

Cause, each from a shrunk sequence of the fuzzer that failed before and is kept in FormerFindsHold: - 342433, 145921: an entry that stood still or was held for dead told 'not run' for a key that another had taken over. It says 'unknown' for keys that came before; an entry vouches only once it has joined. - 761948: two entries cut from each other asked the same agents, each was the last at one of them, and both started the key. Seals carry a ballot; the higher one wins at every agent, the other ends as unknown. - 210204: an entry that knew no agent had asked none and went on.

--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -59,6 +59,9 @@
   std::function<void(EntryRequest&, ResultCode)> conclude;
   bool leaving = false;
   TimePoint left_at = TimePoint::max();
+  /// When another entry may last have held this one for dead: up to then it may
+  /// have taken over any key that was claimed here.
+  TimePoint maybe_lost_at = TimePoint::min();
 
   /// Notes a decision for `explain`.
   void Note(EntryRequest& request, std::string what) const {
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -32,7 +32,11 @@
       claims_(options_.claims,
               clock,
               [this](const RequestKey& key) {
-                return ranking_.MetEveryClaim(members_.self().id.instance, key);
+                // Until it has joined it says so only from tick to tick; a
+                // process that stands still between two of them must not vouch
+                // for what was sent meanwhile.
+                return joined_ &&
+                       ranking_.MetEveryClaim(members_.self().id.instance, key);
               }),
       claimer_(claims_, ranking_, members_, outbox_),
       config_(log),
@@ -108,6 +112,7 @@
   }
   log_.Warn("gap_noticed", {{"instance", members_.self().id.instance}});
   members_.ForgiveSilence();
+  context_.maybe_lost_at = clock_.Now();
   // Others went on without us and may have claimed keys elsewhere.
   claims_.CannotVouchUntilNow();
 }
@@ -154,6 +159,7 @@
     // this one vouches for a key that was used. An entry that dials us counts
     // us among the holders from now on, so only older keys are doubtful.
     claims_.CannotVouchUntilNow();
+    context_.maybe_lost_at = clock_.Now();
   }
   return members_.OnLinkUp(link, peer, dialed);
 }
@@ -197,6 +203,8 @@
   const bool left = member != nullptr && member->info.leaving;
   if (!left) {
     ranking_.SetLost(peer, clock_.WallNow());
+    // A cut has two sides.
+    context_.maybe_lost_at = clock_.Now();
   }
   claimer_.OnLost(peer);
   requests_.OnEntryLost(peer);
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -98,6 +98,8 @@
   std::set<PeerId> seal_pending;
   /// An agent that may have had it is gone for good.
   bool seal_lost = false;
+  /// Microseconds of calendar time when the agents were first asked.
+  uint64_t seal_ballot = 0;
   uint32_t sealed_away = 0;
 
   uint32_t attempts = 0;
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -72,6 +72,13 @@
     for (const Member* agent : context_.members.Members(Role::kAgent)) {
       agents.push_back(agent->info.id);
     }
+    // Without an agent that answers nothing is proved: what the other side can
+    // reach may be out of this one's sight altogether.
+    if (agents.empty()) {
+      context_.Note(*request, "a holder is silent and no agent is known");
+      context_.conclude(*request, ResultCode::kCannotVouch);
+      return;
+    }
     context_.Note(*request, "a holder is silent, asking the agents");
     request->held = {};
     Seal(*request, agents);
@@ -189,6 +196,10 @@
                                const std::vector<PeerId>& agents) {
   request.state = State::kSealing;
   request.seal_lost = false;
+  // Later askers outbid earlier ones, as far as clocks agree; where they don't,
+  // one of the two ends as unknown.
+  request.seal_ballot = static_cast<uint64_t>(
+      context_.clock.WallNow().time_since_epoch().count());
   request.seal_pending = {agents.begin(), agents.end()};
   context_.requests.SetTimer(
       request, context_.clock.Now() + context_.options.seal_patience);
@@ -214,6 +225,7 @@
   Attach attach;
   attach.key = ToWire(request.key);
   attach.seal = !request.observer;
+  attach.ballot = request.seal_ballot;
   context_.outbox.Send(*link, attach);
 }
 
@@ -226,6 +238,13 @@
   CheckSealed(request);
 }
 
+void OwnershipController::OnOutbid(EntryRequest& request) {
+  if (request.state == State::kSealing) {
+    context_.Note(request, "another entry has the agents refuse the key");
+    context_.conclude(request, ResultCode::kCannotVouch);
+  }
+}
+
 void OwnershipController::CheckSealed(EntryRequest& request) {
   if (!request.seal_pending.empty()) {
     return;
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -21,6 +21,8 @@
   void OnLocate(LinkId link, const Locate& locate);
   void OnLocated(LinkId link, const Located& located);
   void OnNotHere(EntryRequest& request, const PeerId& agent);
+  /// An agent refuses it on behalf of another entry.
+  void OnOutbid(EntryRequest& request);
   /// An agent says that it has the request.
   void OnFound(EntryRequest& request, const PeerId& agent);
   /// Asks the claim's agents, after the owner's death.
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -113,7 +113,22 @@
   dispatch_.Follow(request);
 }
 
+bool RequestController::MayHaveBeenTakenOver(
+    const EntryRequest& request) const {
+  return !request.terms.repeatable && !request.minted && !request.observer &&
+         context_.maybe_lost_at >= request.arrived;
+}
+
 void RequestController::Conclude(EntryRequest& request, ResultCode code) {
+  // Failure: this entry stood still or was cut off, another held it for dead,
+  // took the key over and ran it. Symptom: this one, back again, tells its
+  // caller "not run". A retry elsewhere is the only way to a second owner, so
+  // only keys that callers chose are in doubt.
+  if (Describe(code).outcome == Outcome::kNotRun &&
+      code != ResultCode::kKeyReused && MayHaveBeenTakenOver(request)) {
+    context_.Note(request, "another entry may have taken the key over");
+    code = ResultCode::kCannotVouch;
+  }
   const ResultCodeInfo& info = Describe(code);
   dispatch_.Release(request);
   request.state = State::kDone;
@@ -243,9 +258,13 @@
     }
   } else if (const auto* rejected = std::get_if<Rejected>(&message)) {
     if (EntryRequest* request = FindFor(link, rejected->key, peer)) {
-      dispatch_.OnRejected(
-          *request, peer,
-          Describe(static_cast<ResultCode>(rejected->code)).code);
+      const ResultCode code =
+          Describe(static_cast<ResultCode>(rejected->code)).code;
+      if (request->state == State::kSealing) {
+        ownership_.OnOutbid(*request);
+      } else {
+        dispatch_.OnRejected(*request, peer, code);
+      }
     }
   } else if (const auto* not_here = std::get_if<NotHere>(&message)) {
     OnNotHere(link, *not_here);
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -184,11 +184,22 @@
     return;
   }
   if (attach.seal) {
+    // Failure: two entries that are cut from each other both ask all agents and
+    // each is the last to ask at some of them. Symptom: both hear "not here"
+    // everywhere and both start the key. The higher ballot wins at every agent,
+    // so that the other hears of it at one at least, or has its go refused.
+    if (run != nullptr && run->allowed != *peer &&
+        std::pair(attach.ballot, *peer) <
+            std::pair(run->ballot, run->allowed)) {
+      Reject(link, key, attach.subscription, ResultCode::kSealed);
+      return;
+    }
     // Failure: the sender asks because it believes the former owner dead; the
     // owner wakes and starts the key here. Symptom: a second run. From this
     // answer on only the asker may start it here, so "not here" stays true.
     Run& sealed = runs_.Add(key, clock_.Now());
     sealed.allowed = *peer;
+    sealed.ballot = attach.ballot;
   }
   NotHere reply;
   reply.key = attach.key;
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -224,8 +224,10 @@
   } else if (code != ResultCode::kAnswered && may_run_again) {
     // It did not run; only the entry that had it may send it again.
     const PeerId allowed = run.allowed;
+    const uint64_t ballot = run.ballot;
     run = Run();
     run.allowed = allowed;
+    run.ballot = ballot;
   } else {
     runs_.Keep(key);
   }
--- a/lavenderkeel/gate/run_table.h
+++ b/lavenderkeel/gate/run_table.h
@@ -32,6 +32,8 @@
   State state = State::kSealed;
   /// The entry incarnation that may start it.
   PeerId allowed;
+  /// Of the seal that made it so; zero without one.
+  uint64_t ballot = 0;
   Reservation reservation;
   Go go;
   RunId run = 0;
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -1923,6 +1923,7 @@
   uint64_t subscription = 0;
   uint64_t offset = 0;
   bool seal = false;
+  uint64_t ballot = 0;
 };
 
 struct Attach FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1933,7 +1934,8 @@
     VT_KEY = 4,
     VT_SUBSCRIPTION = 6,
     VT_OFFSET = 8,
-    VT_SEAL = 10
+    VT_SEAL = 10,
+    VT_BALLOT = 12
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -1947,12 +1949,16 @@
   bool seal() const {
     return GetField<uint8_t>(VT_SEAL, 0) != 0;
   }
+  uint64_t ballot() const {
+    return GetField<uint64_t>(VT_BALLOT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<lavenderkeel::fbs::Key>(verifier, VT_KEY, 8) &&
            VerifyField<uint64_t>(verifier, VT_SUBSCRIPTION, 8) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            VerifyField<uint8_t>(verifier, VT_SEAL, 1) &&
+           VerifyField<uint64_t>(verifier, VT_BALLOT, 8) &&
            verifier.EndTable();
   }
   AttachT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1976,6 +1982,9 @@
   void add_seal(bool seal) {
     fbb_.AddElement<uint8_t>(Attach::VT_SEAL, static_cast<uint8_t>(seal), 0);
   }
+  void add_ballot(uint64_t ballot) {
+    fbb_.AddElement<uint64_t>(Attach::VT_BALLOT, ballot, 0);
+  }
   explicit AttachBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1992,8 +2001,10 @@
     const lavenderkeel::fbs::Key *key = nullptr,
     uint64_t subscription = 0,
     uint64_t offset = 0,
-    bool seal = false) {
+    bool seal = false,
+    uint64_t ballot = 0) {
   AttachBuilder builder_(_fbb);
+  builder_.add_ballot(ballot);
   builder_.add_offset(offset);
   builder_.add_subscription(subscription);
   builder_.add_key(key);
@@ -4863,7 +4874,8 @@
       (lhs.key == rhs.key) &&
       (lhs.subscription == rhs.subscription) &&
       (lhs.offset == rhs.offset) &&
-      (lhs.seal == rhs.seal);
+      (lhs.seal == rhs.seal) &&
+      (lhs.ballot == rhs.ballot);
 }
 
 inline bool operator!=(const AttachT &lhs, const AttachT &rhs) {
@@ -4884,6 +4896,7 @@
   { auto _e = subscription(); _o->subscription = _e; }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = seal(); _o->seal = _e; }
+  { auto _e = ballot(); _o->ballot = _e; }
 }
 
 inline flatbuffers::Offset<Attach> Attach::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AttachT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4898,12 +4911,14 @@
   auto _subscription = _o->subscription;
   auto _offset = _o->offset;
   auto _seal = _o->seal;
+  auto _ballot = _o->ballot;
   return lavenderkeel::fbs::CreateAttach(
       _fbb,
       _key,
       _subscription,
       _offset,
-      _seal);
+      _seal,
+      _ballot);
 }
 
 
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -414,6 +414,21 @@
        "burst(0,0,2), retry(1,0,0), burst(0,1,11), crash(0,0,0)"},
       {"no outcome; a dead entry's reservations held every slot", 150905,
        "burst(10,1,15), crash(12,0,0), submit(0,0,0)"},
+      {"'deadline_passed' for what ran; its entry stood still meanwhile",
+       342433, "submit(2,37,5), freeze(22,100,0), retry(0,0,0)"},
+      {"'no_server' for what ran; its entry was held for dead meanwhile",
+       145921,
+       "submit(0,0,0), submit(0,0,0), submit(0,0,0), crash(26,0,10), "
+       "freeze(1,39,0), submit(0,1,7), retry(0,0,1501), submit(0,1,18), "
+       "retry(10,144,0)"},
+      {"started twice; two entries cut from each other asked the same agents",
+       761948,
+       "partition(0,38,1793), burst(0,11,2), retry(15,1,7), "
+       "silence(4,0,1014)"},
+      {"'no_server' for what ran; an entry that saw no agent asked none",
+       210204,
+       "partition(4,20,0), crash(4,0,127), partition(0,94,0), "
+       "submit(0,0,2451), submit(0,2,1644), retry(3,3,0)"},
       {"no outcome; an answer was not read anew after a refused go", 120431,
        "kill(0,0,6), retry(0,0,228), crash(0,0,0), crash(18,0,0), "
        "retry(0,0,1170), burst(0,1,0), retry(23,8,0)"},
