Two entries that don't know each other can't vouch for one another's keys

Cause: 660572: two entries that started together had not heard of each other; one saw the other's claim at a holder and trusted its own view all the same. 829350: 'not run' from before a takeover was passed on, and the key ran again. A claim of an unknown owner is never passed over; what was said before a possible takeover turns into unknown. Both sequences failed before, pass in FormerFindsHold. Ruled out for 660572: an old incarnation's loss hiding the new one (the order in MemberTable::Admit is loss, then presence).

--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -95,11 +95,17 @@
   return answer.claim.confirmed;
 }
 
-void Claimer::Conclude(Process& process) {
+void Claimer::Conclude(Process& process) const {
   ClaimVerdict& verdict = process.verdict;
-  const bool held_for_certain =
-      verdict.kind == ClaimVerdict::Kind::kHeld && verdict.claim.confirmed;
-  if (!held_for_certain && verdict.vouched) {
+  const bool held = verdict.kind == ClaimVerdict::Kind::kHeld;
+  // Failure: two entries that started together don't know each other yet, and
+  // one of them vouches although the other's claims don't come to it. Symptom:
+  // both run the key. A claim of an entry that is not known here shows that the
+  // view is too small to vouch on.
+  const bool owner_unknown =
+      held && verdict.claim.owner != members_.self().id &&
+      members_.Find(verdict.claim.owner.instance) == nullptr;
+  if (!(held && verdict.claim.confirmed) && !owner_unknown && verdict.vouched) {
     // A holder that met every claim met none before ours.
     verdict.kind = ClaimVerdict::Kind::kOurs;
   }
--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -81,7 +81,7 @@
   void Run(uint64_t call);
   bool Take(Process& process, const ClaimTable::Answer& answer);
   /// What the answers come to once all holders were asked.
-  static void Conclude(Process& process);
+  void Conclude(Process& process) const;
 
   ClaimTable& own_table_;
   const HolderRanking& ranking_;
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -63,6 +63,13 @@
   /// have taken over any key that was claimed here.
   TimePoint maybe_lost_at = TimePoint::min();
 
+  /// Whether another entry may own the key by now. A retry elsewhere is the
+  /// only way to a second owner, so only keys that callers chose are in doubt.
+  bool MayHaveBeenTakenOver(const EntryRequest& request) const {
+    return !request.terms.repeatable && !request.minted && !request.observer &&
+           maybe_lost_at >= request.arrived;
+  }
+
   /// Notes a decision for `explain`.
   void Note(EntryRequest& request, std::string what) const {
     constexpr size_t kMaxHistory = 40;
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -99,6 +99,10 @@
       return;
   }
   const Outcome outcome = Describe(request.result).outcome;
+  if (outcome == Outcome::kNotRun && context_.MayHaveBeenTakenOver(request)) {
+    Conclude(request, request.result);
+    return;
+  }
   if (outcome == Outcome::kNotRun && submission != nullptr) {
     Fill(request, *submission);
     Begin(request);
@@ -113,19 +117,13 @@
   dispatch_.Follow(request);
 }
 
-bool RequestController::MayHaveBeenTakenOver(
-    const EntryRequest& request) const {
-  return !request.terms.repeatable && !request.minted && !request.observer &&
-         context_.maybe_lost_at >= request.arrived;
-}
-
 void RequestController::Conclude(EntryRequest& request, ResultCode code) {
   // Failure: this entry stood still or was cut off, another held it for dead,
   // took the key over and ran it. Symptom: this one, back again, tells its
-  // caller "not run". A retry elsewhere is the only way to a second owner, so
-  // only keys that callers chose are in doubt.
+  // caller "not run".
   if (Describe(code).outcome == Outcome::kNotRun &&
-      code != ResultCode::kKeyReused && MayHaveBeenTakenOver(request)) {
+      code != ResultCode::kKeyReused &&
+      context_.MayHaveBeenTakenOver(request)) {
     context_.Note(request, "another entry may have taken the key over");
     code = ResultCode::kCannotVouch;
   }
--- a/lavenderkeel/dispatch/request_controller.h
+++ b/lavenderkeel/dispatch/request_controller.h
@@ -69,7 +69,6 @@
   void Fill(EntryRequest& request, Submission& submission);
   /// "Not run" turns into "unknown" where this entry can't know.
   void Conclude(EntryRequest& request, ResultCode code);
-  bool MayHaveBeenTakenOver(const EntryRequest& request) const;
   void OnFinish(LinkId link, const Finished& finish);
   void OnNotHere(LinkId link, const NotHere& reply);
   EntryRequest* FindFor(LinkId link, const fbs::Key& key, PeerId& peer);
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -429,6 +429,19 @@
        210204,
        "partition(4,20,0), crash(4,0,127), partition(0,94,0), "
        "submit(0,0,2451), submit(0,2,1644), retry(3,3,0)"},
+      {"started twice; two entries that started together did not know each "
+       "other, and one vouched",
+       660572,
+       "slow(0,3,0), submit(0,0,0), crash(3,0,0), crash(8,0,0), "
+       "retry(0,0,1188), submit(0,0,4), submit(0,0,950), retry(0,0,2721), "
+       "burst(27,1,0), retry(13,34,0)"},
+      {"started twice; 'not run' from before a takeover was passed on", 829350,
+       "crash(23,31,0), submit(0,0,2), submit(0,1,0), retry(0,0,567), "
+       "submit(0,0,1), retry(0,0,1207), freeze(0,78,0), retry(3,46,0), "
+       "retry(0,0,888), submit(0,1,2), submit(0,0,2817), submit(0,0,128), "
+       "submit(0,0,155), crash(20,0,0), submit(0,0,0), submit(0,0,0), "
+       "submit(0,0,0), crash(4,0,0), submit(0,0,0), retry(0,0,88), "
+       "retry(3,12,0)"},
       {"no outcome; an answer was not read anew after a refused go", 120431,
        "kill(0,0,6), retry(0,0,228), crash(0,0,0), crash(18,0,0), "
        "retry(0,0,1170), burst(0,1,0), retry(23,8,0)"},
