--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -84,9 +84,8 @@
       clock_(clock),
       log_(log),
       metrics_(metrics),
-      rate_share_(options.rate_share, clock.Now()),
-      started_(clock.Now()),
-      entries_(rate_share_.Entries(clock.Now())) {
+      rates_(options.rates, clock.Now()),
+      entries_(rates_.share().Entries(clock.Now())) {
   options_.retries.extra = options_.retry_extra / static_cast<double>(entries_);
 }
 
@@ -167,7 +166,7 @@
 
 void ForwardController::CheckEarly(TimePoint now) {
   if (table_ != nullptr) {
-    if (!rate_share_.Joining(now)) {
+    if (!rates_.share().Joining(now)) {
       BeginEarly();
     }
     return;
@@ -203,13 +202,13 @@
   request->arrived = arrived;
   if (const std::optional<Refusal> refusal = Admit(*request)) {
     if (refusal->code == ResultCode::kTeamTokenRate &&
-        rate_share_.Joining(clock_.Now())) {
+        rates_.share().Joining(clock_.Now())) {
       // It is not known to be beyond the rate; half a second later it is.
       KeepEarly(exchange, {.head = std::move(request->head),
                            .body = std::move(request->body),
                            .terms = std::move(request->terms),
                            .arrived = arrived,
-                           .waits_until = rate_share_.joined_by()});
+                           .waits_until = rates_.share().joined_by()});
       return;
     }
     LogEnd(*request, Describe(refusal->code).name,
@@ -275,38 +274,24 @@
   const double units = !team->rate.in_tokens ? 1
                        : tokens > 0          ? static_cast<double>(tokens)
                                              : team->rate.tokens_if_unknown;
-  TeamBucket& bucket = BucketOf(HashBytes(team->name));
-  const TeamRate aim = TeamBucket::Aim(team->rate, options_.rate_tolerance);
-  const TimePoint now = clock_.Now();
-  if (rate_share_.Joining(now) &&
-      bucket.TakePart(aim, units, rate_share_.JoiningPart(), now)) {
-    return std::nullopt;
-  }
-  const double share = rate_share_.At(now);
-  const std::optional<Duration> wait =
-      rate_share_.Joining(now) ? rate_share_.joined_by() - now
-                               : bucket.Take(aim, units, share, now);
-  if (!wait.has_value()) {
+  const std::optional<TeamRates::Shortage> shortage =
+      rates_.Take(*team, units, clock_.Now());
+  if (!shortage.has_value()) {
     return std::nullopt;
   }
-  // While joining it is not refused but looked at again.
-  log_.Info(rate_share_.Joining(now) ? "rate_waits" : "rate_refused",
+  // While undecided it is not refused but looked at again.
+  log_.Info(shortage->undecided ? "rate_waits" : "rate_refused",
             {{"id", request.terms.request_id},
              {"team", team->name},
              {"units", units},
-             {"level", bucket.level()},
-             {"drawn_here", bucket.used()},
+             {"level", shortage->level},
+             {"drawn_here", shortage->drawn_here},
              {"per_second", team->rate.per_second},
              {"burst", team->rate.burst},
-             {"share", share},
+             {"share", shortage->share},
              {"config_version", table_->version()}});
-  return Refusal{.code = ResultCode::kTeamTokenRate, .retry_after = *wait};
-}
-
-TeamBucket& ForwardController::BucketOf(uint64_t team) {
-  const TeamBucket::Tolerance& tolerance = options_.rate_tolerance;
-  const double unused = tolerance.slack * (1 - tolerance.used_slack);
-  return buckets_.try_emplace(team, started_, unused).first->second;
+  return Refusal{.code = ResultCode::kTeamTokenRate,
+                 .retry_after = shortage->wait};
 }
 
 void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
@@ -790,33 +775,22 @@
   for (const auto& [server, count] : in_flight) {
     report.in_flight.push_back({.server_hash = server, .in_flight = count});
   }
-  for (const auto& [team, bucket] : buckets_) {
-    if (bucket.used() > 0) {
-      report.team_totals.emplace_back(team, bucket.used());
-    }
-  }
+  report.team_totals = rates_.totals();
   return report;
 }
 
 void ForwardController::OnPeerReport(const std::string& peer,
                                      const ForwardReport& report) {
-  const auto first = rate_share_.Joining(clock_.Now())
-                         ? TeamBucket::FirstTotal::kRecent
-                         : TeamBucket::FirstTotal::kOld;
-  for (const auto& [team, total] : report.team_totals) {
-    BucketOf(team).OnPeerTotal(peer, total, first);
-  }
+  rates_.OnPeerTotals(peer, report.team_totals, clock_.Now());
 }
 
 void ForwardController::OnPeerLost(const std::string& peer) {
-  for (auto& [team, bucket] : buckets_) {
-    bucket.ForgetPeer(peer);
-  }
+  rates_.ForgetPeer(peer);
 }
 
 void ForwardController::OnPeerCount(size_t known, size_t heard) {
-  rate_share_.OnPeerCount(known, heard, clock_.Now());
-  const size_t sharing = rate_share_.Entries(clock_.Now());
+  rates_.share().OnPeerCount(known, heard, clock_.Now());
+  const size_t sharing = rates_.share().Entries(clock_.Now());
   if (std::exchange(entries_, sharing) == sharing) {
     return;
   }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -17,7 +17,6 @@
 #include "lavenderkeel/forward/client_age.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
-#include "lavenderkeel/forward/rate_share.h"
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/retry_window.h"
@@ -25,7 +24,7 @@
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/slot_gate.h"
 #include "lavenderkeel/forward/slot_router.h"
-#include "lavenderkeel/forward/team_bucket.h"
+#include "lavenderkeel/forward/team_rates.h"
 
 namespace lavenderkeel {
 
@@ -49,8 +48,7 @@
  public:
   struct Options {
     RetryWindow::Options retries;
-    TeamBucket::Tolerance rate_tolerance;
-    RateShare::Options rate_share;
+    TeamRates::Options rates;
     /// Extra sendings of all entries together, see RetryWindow.
     double retry_extra = 52;
     RequestTiming::Options timing;
@@ -133,7 +131,7 @@
   /// these are heard of.
   void OnPeerCount(size_t known, size_t heard);
   /// An entry is heard of that was here before this one started.
-  void OnOlderPeer() { rate_share_.OnOlderPeer(); }
+  void OnOlderPeer() { rates_.share().OnOlderPeer(); }
 
   /// Looks at the time: ends waits, silences, and requests that are due.
   void Tick();
@@ -174,7 +172,6 @@
   /// Begins or refuses those that have waited long enough.
   void CheckEarly(TimePoint now);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
-  TeamBucket& BucketOf(uint64_t team);
   void Wait(ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
@@ -218,10 +215,7 @@
   std::map<std::string, RetryWindow> retries_;
   /// By route and its timeout, which bounds the time that clients have left.
   std::map<std::pair<std::string, Duration>, ClientAge> ages_;
-  /// By the hash of the team's name.
-  std::map<uint64_t, TeamBucket> buckets_;
-  RateShare rate_share_;
-  TimePoint started_;
+  TeamRates rates_;
   /// That share the bounds of retries.
   size_t entries_;
   size_t held_body_bytes_ = 0;
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -62,7 +62,7 @@
       bounds.NonNegative("retry_ratio", controller.retries.ratio);
   controller.retry_extra =
       bounds.NonNegative("retry_extra", controller.retry_extra);
-  TeamBucket::Tolerance& tolerance = controller.rate_tolerance;
+  TeamBucket::Tolerance& tolerance = controller.rates.tolerance;
   tolerance.over = bounds.NonNegative("rate_over", tolerance.over);
   tolerance.slack = bounds.NonNegative("rate_slack", tolerance.slack);
   bounds.RejectUnknown();
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -346,7 +346,7 @@
 // once it may count on the rate again; the client sees a late answer, no
 // refusal.
 BOOST_AUTO_TEST_CASE(RequestWaitsUntilTheOthersAreHeardOf) {
-  ForwardWorld w({.controller = {.rate_tolerance = {.slack = 160}},
+  ForwardWorld w({.controller = {.rates = {.tolerance = {.slack = 160}}},
                   .servers = 2,
                   .slots = 4,
                   .configured = false});
