--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -380,13 +380,22 @@
   BOOST_TEST(held);
 }
 
-// Shrunk sequences that failed once, each with what the caller saw.
+namespace {
+
+/// A shrunk sequence that failed once, with what the caller saw.
+struct Find {
+  const char* symptom;
+  uint64_t seed;
+  const char* steps;
+};
+
+void Repeat(const Find& find) {
+  BOOST_TEST(Play(find.seed, ReadSteps(find.steps)) == "", find.symptom);
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_CASE(FormerFindsHold) {
-  struct Find {
-    const char* symptom;
-    uint64_t seed;
-    const char* steps;
-  };
   const Find finds[] = {
       {"a retry hears 'leaving' for what ran; a lost holder was forgotten", 1,
        "submit(0,1,8), kill(8,0,0), kill(7,0,0), restart(19,0,635), "
@@ -447,7 +456,29 @@
        "retry(0,0,1170), burst(0,1,0), retry(23,8,0)"},
   };
   for (const Find& find : finds) {
-    BOOST_TEST(Play(find.seed, ReadSteps(find.steps)) == "", find.symptom);
+    Repeat(find);
+  }
+}
+
+// A caller's key is retried at other entries after some of them were cut from
+// each other, crashed and came back. Two of them each hear of nobody that has
+// the key, vouch for it, and start it; the caller gets two letters.
+BOOST_AUTO_TEST_CASE(KeyRunsOnceAfterCutsAndCrashes) {
+  const Find finds[] = {
+      {"started twice after two cuts and two crashes", 660572,
+       "slow(0,3,0), partition(22,5,0), submit(0,0,0), crash(3,0,0), "
+       "crash(8,0,31), retry(0,0,858), submit(0,0,0), slow(0,32,207), "
+       "partition(8,44,4), submit(1,1,903), retry(0,0,1353), burst(27,1,0), "
+       "retry(13,34,0)"},
+      {"started twice after a cut, a kill and the agent's crash", 1,
+       "submit(0,31,1019), partition(1,0,61), retry(0,0,1251), "
+       "retry(1,0,1977), submit(0,10,3), kill-silently(14,0,36), "
+       "retry(11,0,2690), retry(0,0,177), lose(0,0,428), retry(0,3,9), "
+       "crash(3,0,166), retry(0,0,251), submit(11,0,1), submit(0,0,912), "
+       "retry(0,0,912), retry(4,5,0)"},
+  };
+  for (const Find& find : finds) {
+    Repeat(find);
   }
 }
 
