--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -70,6 +70,18 @@
            maybe_lost_at >= request.arrived;
   }
 
+  /// What may be said of a key whose outcome was, or would be, `code`.
+  ///
+  /// Failure: this entry stood still or was cut off, another held it for dead,
+  /// took the key over and ran it. Symptom: this one, back again, tells its
+  /// caller, or an entry that asks, "not run".
+  ResultCode AsFarAsKnown(const EntryRequest& request, ResultCode code) const {
+    const bool doubtful = Describe(code).outcome == Outcome::kNotRun &&
+                          code != ResultCode::kKeyReused &&
+                          MayHaveBeenTakenOver(request);
+    return doubtful ? ResultCode::kCannotVouch : code;
+  }
+
   /// Notes a decision for `explain`.
   void Note(EntryRequest& request, std::string what) const {
     constexpr size_t kMaxHistory = 40;
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -146,11 +146,8 @@
         {.link = link, .subscription = locate.subscription});
     return;
   }
-  if (context_.MayHaveBeenTakenOver(*request) &&
-      Describe(request->result).outcome == Outcome::kNotRun &&
-      request->state == State::kDone) {
-    // It did not run when this was said; another may have run it since.
-    request->result = ResultCode::kCannotVouch;
+  if (request->state == State::kDone) {
+    request->result = context_.AsFarAsKnown(*request, request->result);
   }
   context_.SendLocated(link, *request, locate.subscription);
   const bool not_run = request->state == State::kDone &&
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -118,14 +118,10 @@
 }
 
 void RequestController::Conclude(EntryRequest& request, ResultCode code) {
-  // Failure: this entry stood still or was cut off, another held it for dead,
-  // took the key over and ran it. Symptom: this one, back again, tells its
-  // caller "not run".
-  if (Describe(code).outcome == Outcome::kNotRun &&
-      code != ResultCode::kKeyReused &&
-      context_.MayHaveBeenTakenOver(request)) {
+  if (const ResultCode known = context_.AsFarAsKnown(request, code);
+      known != code) {
     context_.Note(request, "another entry may have taken the key over");
-    code = ResultCode::kCannotVouch;
+    code = known;
   }
   const ResultCodeInfo& info = Describe(code);
   dispatch_.Release(request);
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -68,8 +68,7 @@
       const double seconds = (needed - level_) / (rate.per_second * share);
       return FromSeconds(seconds);
     }
-    level_ -= units;
-    used_ += units;
+    Draw(units);
     return std::nullopt;
   }
 
@@ -87,8 +86,7 @@
     if (used_ + units > part * all) {
       return false;
     }
-    level_ -= units;
-    used_ += units;
+    Draw(units);
     return true;
   }
 
@@ -120,6 +118,11 @@
   double level() const { return level_; }
 
  private:
+  void Draw(double units) {
+    level_ -= units;
+    used_ += units;
+  }
+
   void Fill(const TeamRate& rate, double share, TimePoint now) {
     if (filled_ == TimePoint()) {
       level_ += rate.burst;
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -39,7 +39,7 @@
 void ObjectWatch::Watch() {
   // In an outage the answer itself is the news. A watch that waits would be
   // told from a dead connection only seconds after the store is back.
-  WatchWithin(outage_ ? Duration::zero() : options_.wait);
+  WatchWithin(outage() ? Duration::zero() : options_.wait);
 }
 
 void ObjectWatch::WatchWithin(Duration wait) {
@@ -91,9 +91,8 @@
 
 void ObjectWatch::NoteAnswer() {
   backoff_.Reset();
-  failures_ = 0;
   answered_at_ = clock_.Now();
-  if (std::exchange(outage_, false)) {
+  if (std::exchange(failures_, 0) > 0) {
     log_.Info("store_regained", {{"kind", options_.object_kind}});
     hooks_.on_return();
   }
@@ -142,15 +141,14 @@
 
 void ObjectWatch::Confirm() {
   const bool waits = pending_ != 0 && pending_kind_ == ObjectRead::Kind::kWatch;
-  if (!waits || outage_ || clock_.Now() - answered_at_ < options_.fresh) {
+  if (!waits || outage() || clock_.Now() - answered_at_ < options_.fresh) {
     return;
   }
   WatchWithin(Duration::zero());
 }
 
 void ObjectWatch::RetryLater(const char* why) {
-  ++failures_;
-  if (!std::exchange(outage_, true)) {
+  if (failures_++ == 0) {
     log_.Warn("store_lost", {{"kind", options_.object_kind},
                              {"why", why},
                              {"revision", revision_}});
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -133,6 +133,7 @@
   uint64_t calls() const { return last_call_; }
 
  private:
+  bool outage() const { return failures_ > 0; }
   void List(const std::string& after_name);
   void Watch();
   void WatchWithin(Duration wait);
@@ -154,7 +155,7 @@
   ObjectRead::Kind pending_kind_ = ObjectRead::Kind::kList;
   TimePoint retry_at_;
   bool must_list_ = true;
-  bool outage_ = false;
+  /// Reads in a row that brought nothing.
   int failures_ = 0;
   TimePoint answered_at_;
   uint64_t revision_ = 0;
--- a/test/gate/seal_test.cc
+++ b/test/gate/seal_test.cc
@@ -2,6 +2,7 @@
 
 #include "lavenderkeel/gate.h"
 #include "test/fuzz/virtual_clock.h"
+#include "test/gate/find_sent.h"
 
 namespace lavenderkeel {
 
@@ -10,19 +11,6 @@
 constexpr LinkId kFirst = 1;
 constexpr LinkId kSecond = 2;
 
-template <typename T>
-const T* FindSent(const std::vector<Action>& actions, LinkId link) {
-  for (const Action& action : actions) {
-    const auto* send = std::get_if<SendMessage>(&action);
-    if (send != nullptr && send->link == link) {
-      if (const T* message = std::get_if<T>(&send->message)) {
-        return message;
-      }
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 // The first entry holds a slot offer and falls silent. The second, believing it
--- a/test/gate/short_stream_test.cc
+++ b/test/gate/short_stream_test.cc
@@ -2,6 +2,7 @@
 
 #include "lavenderkeel/gate.h"
 #include "test/fuzz/virtual_clock.h"
+#include "test/gate/find_sent.h"
 
 namespace lavenderkeel {
 
@@ -45,15 +46,9 @@
   }
 
   std::optional<uint32_t> FinishedWith() {
-    for (const Action& action : agent.outbox().Take()) {
-      const auto* send = std::get_if<SendMessage>(&action);
-      const auto* finished =
-          send == nullptr ? nullptr : std::get_if<Finished>(&send->message);
-      if (finished != nullptr) {
-        return finished->code;
-      }
-    }
-    return std::nullopt;
+    const std::vector<Action> actions = agent.outbox().Take();
+    const auto* finished = FindSent<Finished>(actions, kEntry);
+    return finished == nullptr ? std::nullopt : std::optional(finished->code);
   }
 };
 
