Requests go to servers that suit their prompt and their length

Ruled out: waits for a slot (9 to 15 ms at the median), processor charge.

Change: clients say how many output tokens they expect (right within a factor of two for eight in ten); the entry learns what that is in events. The gate learns each server's pace and how it reads prompts, and passes over a wish that a free server can't finish in its time, or whose prompt would stall the streams that run there while it can be in time elsewhere.

Streams at slow servers still pause in bursts.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -107,6 +107,11 @@
           return item.first == std::pair(route.name, route.timeout);
         });
   });
+  std::erase_if(sizes_, [this](const auto& item) {
+    return std::ranges::none_of(
+        table_->content().routes,
+        [&item](const Route& route) { return item.first == route.name; });
+  });
   BeginEarly();
 }
 
@@ -201,8 +206,7 @@
   request->body = std::move(body);
   request->arrived = arrived;
   if (const std::optional<Refusal> refusal = Admit(*request)) {
-    if (refusal->code == ResultCode::kTeamTokenRate &&
-        rates_.share().Joining(clock_.Now())) {
+    if (refusal->undecided) {
       // It is not known to be beyond the rate; half a second later it is.
       KeepEarly(exchange, {.head = std::move(request->head),
                            .body = std::move(request->body),
@@ -290,7 +294,8 @@
              {"share", shortage->share},
              {"config_version", table_->version()}});
   return Refusal{.code = ResultCode::kTeamTokenRate,
-                 .retry_after = shortage->wait};
+                 .retry_after = shortage->wait,
+                 .undecided = shortage->undecided};
 }
 
 void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
@@ -308,7 +313,11 @@
                  .priority = request.priority,
                  .route_priority = request.route->priority,
                  .in_time_until = timing_.InTimeUntil(request),
-                 .due = request.due};
+                 .due = request.due,
+                 .size = sizes_[request.route->name].Of(request.terms),
+                 .event_gap_target = request.streams()
+                                         ? request.route->event_gap_target
+                                         : Duration::zero()};
   for (const std::string& server : request.tried) {
     ask.tried.push_back(HashBytes(server));
   }
@@ -458,6 +467,10 @@
     if (request.event_count++ == 0) {
       request.first_event_at = now;
     }
+    if (request.head_sent) {
+      request.longest_pause =
+          std::max(request.longest_pause, now - request.last_event_at);
+    }
     request.last_event_at = now;
     if (!event->id.empty()) {
       request.last_event_id = event->id;
@@ -502,8 +515,12 @@
     AfterFailure(request, AttemptFailure::kBroken);
     return;
   }
-  EndAttempt(request,
-             {.kind = SlotResult::Kind::kAnswered, .pace_ms = PaceOf(request)});
+  if (request.tried.size() == 1) {
+    sizes_[request.route->name].OnAnswer(request.terms, request.event_count);
+  }
+  EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
+                       .pace_ms = PaceOf(request),
+                       .read = ReadOf(request)});
   port_.RespondEnd(request.exchange);
   LogEnd(request, "answered", request.answer_head->status);
   Drop(request.exchange);
@@ -549,6 +566,19 @@
          (request.event_count - 1);
 }
 
+std::optional<PromptRead> ForwardController::ReadOf(
+    const ForwardedRequest& request) {
+  // The wait for a shorter prompt says more of the way and of other prompts.
+  constexpr uint64_t kFewestTokens = 1000;
+  if (request.event_count == 0 || request.terms.prompt_tokens < kFewestTokens) {
+    return std::nullopt;
+  }
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  return PromptRead{
+      .tokens = static_cast<uint32_t>(request.terms.prompt_tokens),
+      .ms = Milliseconds(request.first_event_at - request.sent_at).count()};
+}
+
 void ForwardController::OnAttemptFailed(AttemptId attempt,
                                         AttemptFailure failure) {
   if (ForwardedRequest* request = FindByAttempt(attempt)) {
@@ -740,8 +770,11 @@
              {"runs", request.runs},
              {"events", request.event_count},
              {"prompt_tokens", request.terms.prompt_tokens},
+             {"most_output_tokens", request.terms.output_tokens},
+             {"expected_output_tokens", request.terms.expected_output_tokens},
              {"server", request.server},
              {"first_event_ms", first_event_ms},
+             {"longest_pause_ms", ToMilliseconds(request.longest_pause)},
              {"took_ms", ToMilliseconds(now - request.arrived)}});
   metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
   metrics_.Observe("request_seconds", ToSeconds(now - request.arrived));
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -22,6 +22,7 @@
 #include "lavenderkeel/forward/retry_window.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
+#include "lavenderkeel/forward/size_estimate.h"
 #include "lavenderkeel/forward/slot_gate.h"
 #include "lavenderkeel/forward/slot_router.h"
 #include "lavenderkeel/forward/team_rates.h"
@@ -34,7 +35,7 @@
   std::vector<ServerCount> in_flight;
   /// Units that each team drew from its rate here since this entry's start, by
   /// the hash of the team's name.
-  std::vector<std::pair<uint64_t, double>> team_totals;
+  TeamRates::Totals team_totals;
 
   friend bool operator==(const ForwardReport&, const ForwardReport&) = default;
 };
@@ -158,6 +159,8 @@
   struct Refusal {
     ResultCode code;
     std::optional<Duration> retry_after;
+    /// Not to be told yet; see TeamRates::Shortage.
+    bool undecided = false;
   };
 
   /// Reads, admits or refuses a request under the configuration in force.
@@ -189,6 +192,7 @@
   void FinishWhole(ForwardedRequest& request);
   void FinishStream(ForwardedRequest& request);
   std::optional<double> PaceOf(const ForwardedRequest& request) const;
+  static std::optional<PromptRead> ReadOf(const ForwardedRequest& request);
 
   void Refuse(ExchangeId exchange,
               const std::string& request_id,
@@ -215,6 +219,8 @@
   std::map<std::string, RetryWindow> retries_;
   /// By route and its timeout, which bounds the time that clients have left.
   std::map<std::pair<std::string, Duration>, ClientAge> ages_;
+  /// By route.
+  std::map<std::string, SizeEstimate> sizes_;
   TeamRates rates_;
   /// How many entries share the bound on retries.
   size_t entries_;
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -70,6 +70,8 @@
   /// The last event that the client was sent.
   std::string last_event_id;
   TimePoint last_event_at;
+  /// Between two events that the client was sent, over all attempts.
+  Duration longest_pause{};
 
   bool streams() const { return route->streaming; }
   bool may_repeat() const { return route->may_repeat(); }
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -37,6 +37,9 @@
   want.left_us = (ask.due - now).count();
   want.in_time_us = (ask.in_time_until - now).count();
   want.tried = ask.tried;
+  want.prompt_tokens = ask.size.prompt_tokens;
+  want.events = ask.size.events;
+  want.gap_us = ask.event_gap_target.count();
   return want;
 }
 
@@ -50,7 +53,9 @@
           .route_priority = want.route_priority,
           .in_time_until = now + Duration(want.in_time_us),
           .due = now + Duration(want.left_us),
-          .tried = want.tried};
+          .tried = want.tried,
+          .size = {.prompt_tokens = want.prompt_tokens, .events = want.events},
+          .event_gap_target = Duration(want.gap_us)};
 }
 
 HaveSlot ToWire(const SlotGrant& grant) {
@@ -74,6 +79,10 @@
   end.attempt = attempt;
   end.kind = static_cast<uint8_t>(result.kind);
   end.pace_ms = result.pace_ms.value_or(-1);
+  if (result.read.has_value()) {
+    end.read_ms = result.read->ms;
+    end.read_tokens = result.read->tokens;
+  }
   return end;
 }
 
@@ -83,7 +92,11 @@
   return {
       .kind = end.kind <= kLast ? static_cast<SlotResult::Kind>(end.kind)
                                 : SlotResult::Kind::kUnused,
-      .pace_ms = end.pace_ms < 0 ? std::nullopt : std::optional(end.pace_ms)};
+      .pace_ms = end.pace_ms < 0 ? std::nullopt : std::optional(end.pace_ms),
+      .read = end.read_ms < 0
+                  ? std::nullopt
+                  : std::optional(PromptRead{.tokens = end.read_tokens,
+                                             .ms = end.read_ms})};
 }
 
 ForwardStatus ToWire(const ForwardReport& report,
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -18,28 +18,38 @@
   return found == loads.end() ? nullptr : &found->second;
 }
 
-std::optional<double> PaceOf(const ServerLoads& loads, const std::string& id) {
-  const ServerLoad* load = FindLoad(loads, id);
-  return load == nullptr ? std::nullopt : load->pace();
-}
+/// What a server has shown of its speed.
+using Measure = std::optional<double> (ServerLoad::*)() const;
 
-/// The middle pace, which stands for a server that has no sample yet.
-double TypicalPace(const std::vector<const BackendServer*>& servers,
-                   const ServerLoads& loads) {
-  std::vector<double> paces;
+/// The middle of what servers have shown, which stands for one that has no
+/// sample yet.
+std::optional<double> Typical(const std::vector<const BackendServer*>& servers,
+                              const ServerLoads& loads,
+                              Measure measure) {
+  std::vector<double> samples;
   for (const BackendServer* server : servers) {
-    if (const std::optional<double> pace = PaceOf(loads, server->id)) {
-      paces.push_back(*pace);
+    const ServerLoad* load = FindLoad(loads, server->id);
+    if (load == nullptr) {
+      continue;
+    }
+    if (const std::optional<double> sample = (load->*measure)()) {
+      samples.push_back(*sample);
     }
   }
-  if (paces.empty()) {
-    return 1;
+  if (samples.empty()) {
+    return std::nullopt;
   }
-  const auto middle = paces.begin() + static_cast<ptrdiff_t>(paces.size() / 2);
-  std::ranges::nth_element(paces, middle);
+  const auto middle =
+      samples.begin() + static_cast<ptrdiff_t>(samples.size() / 2);
+  std::ranges::nth_element(samples, middle);
   return *middle;
 }
 
+/// @param typical zero if no server has shown anything
+double Shown(const ServerLoad* load, Measure measure, double typical) {
+  return load == nullptr ? typical : (load->*measure)().value_or(typical);
+}
+
 }  // namespace
 
 int Placement::Places(const BackendServer& server, bool model_server) const {
@@ -82,18 +92,26 @@
   if (!std::ranges::all_of(servers, resting)) {
     std::erase_if(servers, resting);
   }
-  const double typical_pace = TypicalPace(servers, loads);
+  const double typical_pace =
+      Typical(servers, loads, &ServerLoad::pace).value_or(0);
+  const double typical_read =
+      Typical(servers, loads, &ServerLoad::read_ms_per_token).value_or(0);
   Candidates candidates;
   for (const BackendServer* server : servers) {
-    const double pace = PaceOf(loads, server->id).value_or(typical_pace);
+    const ServerLoad* load = FindLoad(loads, server->id);
+    const double pace = Shown(load, &ServerLoad::pace, typical_pace);
+    const double relative_pace = typical_pace > 0 ? pace / typical_pace : 1;
     const uint64_t hash = HashBytes(server->id);
     const Candidate candidate = {
         .server = server,
         .hash = hash,
-        .cost = CostOf(*server, pace / typical_pace,
-                       directory.IsUnconfirmed(server->id)),
+        .cost =
+            CostOf(*server, relative_pace, directory.IsUnconfirmed(server->id)),
         .in_flight = occupancy.At(hash),
-        .places = Places(*server, model_server)};
+        .places = Places(*server, model_server),
+        .pace_ms = pace,
+        .read_ms_per_token =
+            Shown(load, &ServerLoad::read_ms_per_token, typical_read)};
     candidates.free += std::max(0, candidate.places - candidate.in_flight);
     candidates.places += candidate.places;
     candidates.servers.push_back(candidate);
@@ -101,12 +119,38 @@
   return candidates;
 }
 
+Placement::Fit Placement::FitOf(const SlotAsk& ask,
+                                const Candidate& candidate,
+                                TimePoint now) const {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const double read_ms = ask.size.prompt_tokens * candidate.read_ms_per_token;
+  const double run_ms = read_ms + ask.size.events * candidate.pace_ms;
+  const double left_ms = Milliseconds(ask.due - now).count();
+  if (run_ms > options_.longest_part_of_time_left * left_ms) {
+    return Fit::kTooSlow;
+  }
+  const double gap_ms = Milliseconds(ask.event_gap_target).count();
+  const bool stalls = gap_ms > 0 && candidate.in_flight > 0 &&
+                      read_ms > options_.stall_part_of_gap * gap_ms;
+  return stalls ? Fit::kStalls : Fit::kGood;
+}
+
 Placement::Candidate* Placement::Choose(const SlotAsk& ask,
-                                        Candidates& candidates) const {
+                                        bool late,
+                                        Candidates& candidates,
+                                        TimePoint now) const {
+  Fit wanted = Fit::kTooSlow;
+  for (const Candidate& candidate : candidates.servers) {
+    wanted = std::min(wanted, FitOf(ask, candidate, now));
+  }
+  if (late) {
+    wanted = std::max(wanted, Fit::kStalls);
+  }
   Candidate* best = nullptr;
   double best_cost = 0;
   for (Candidate& candidate : candidates.servers) {
-    if (candidate.in_flight >= candidate.places) {
+    if (candidate.in_flight >= candidate.places ||
+        FitOf(ask, candidate, now) > wanted) {
       continue;
     }
     double cost =
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -40,6 +40,22 @@
     /// Spread between entries, so that they don't all take the same server in
     /// one heartbeat.
     double spread = 0.1;
+    /// A server is too slow for a request that would take this part of the time
+    /// it has left. Estimates of length are right at the median only.
+    double longest_part_of_time_left = 1.0;
+    /// A prompt stalls the streams beside it if reading it takes this part of
+    /// the pause that clients find fluent.
+    double stall_part_of_gap = 0.8;
+  };
+
+  /// How a server suits a request, best first.
+  enum class Fit {
+    kGood,
+    /// While it reads the prompt, the streams that run there pause for longer
+    /// than their clients find fluent.
+    kStalls,
+    /// The client's time is over before the answer is.
+    kTooSlow,
   };
 
   /// A server that may get a request now.
@@ -50,6 +66,10 @@
     double cost = 1;
     int in_flight = 0;
     int places = 1;
+    /// Between two events of a stream, and for each token of a prompt; zero if
+    /// not known.
+    double pace_ms = 0;
+    double read_ms_per_token = 0;
   };
 
   /// The sound servers of a group. Made once for a line of wishes, since a
@@ -76,10 +96,18 @@
                   const SlotOccupancy& occupancy,
                   TimePoint now) const;
 
-  /// @return the best of the candidates with a free place, or null
-  Candidate* Choose(const SlotAsk& ask, Candidates& candidates) const;
+  /// @param late the request can't be in time any more
+  /// @return the best of the candidates with a free place that suit the
+  ///     request, or null
+  Candidate* Choose(const SlotAsk& ask,
+                    bool late,
+                    Candidates& candidates,
+                    TimePoint now) const;
 
  private:
+  Fit FitOf(const SlotAsk& ask,
+            const Candidate& candidate,
+            TimePoint now) const;
   int Places(const BackendServer& server, bool model_server) const;
   double CostOf(const BackendServer& server,
                 double pace,
--- a/lavenderkeel/forward/request_terms.h
+++ b/lavenderkeel/forward/request_terms.h
@@ -21,6 +21,8 @@
   /// Tokens of the prompt and the most that may be generated; zero: unknown.
   uint64_t prompt_tokens = 0;
   uint64_t output_tokens = 0;
+  /// Output tokens that the client expects; zero: it does not say.
+  uint64_t expected_output_tokens = 0;
   /// The client goes on with a stream behind this event.
   std::string last_event_id;
 
--- a/lavenderkeel/forward/server_load.h
+++ b/lavenderkeel/forward/server_load.h
@@ -5,28 +5,11 @@
 #include <optional>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/moving_mean.h"
 #include "lavenderkeel/forward/slot.h"
 
 namespace lavenderkeel {
 
-/// A mean that forgets: each sample moves it by a fixed part.
-class MovingMean {
- public:
-  explicit MovingMean(double part) : part_(part) {}
-
-  void Add(double sample) {
-    mean_ = empty_ ? sample : mean_ + part_ * (sample - mean_);
-    empty_ = false;
-  }
-  double mean() const { return mean_; }
-  bool empty() const { return empty_; }
-
- private:
-  double part_;
-  double mean_ = 0;
-  bool empty_ = true;
-};
-
 /// The speed and health of one backend server, from the ends of attempts.
 class ServerLoad {
  public:
@@ -49,6 +32,10 @@
     if (result.pace_ms.has_value()) {
       pace_.Add(*result.pace_ms);
     }
+    if (result.read.has_value()) {
+      read_ms_.Add(result.read->ms);
+      read_tokens_.Add(result.read->tokens);
+    }
     switch (result.kind) {
       case SlotResult::Kind::kUnused:
         return;
@@ -81,6 +68,13 @@
   std::optional<double> pace() const {
     return pace_.empty() ? std::nullopt : std::optional(pace_.mean());
   }
+  /// Milliseconds until the first event, a prompt token; nothing before the
+  /// first sample.
+  std::optional<double> read_ms_per_token() const {
+    return read_tokens_.mean() <= 0
+               ? std::nullopt
+               : std::optional(read_ms_.mean() / read_tokens_.mean());
+  }
 
  private:
   void RestUntil(TimePoint until) {
@@ -101,6 +95,8 @@
   TimePoint resting_until_;
   MovingMean errors_{kSamplePart};
   MovingMean pace_{kSamplePart};
+  MovingMean read_ms_{kSamplePart};
+  MovingMean read_tokens_{kSamplePart};
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -8,6 +8,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/forward/attempt.h"
+#include "lavenderkeel/forward/work_size.h"
 
 namespace lavenderkeel {
 
@@ -41,6 +42,11 @@
   TimePoint due;
   /// Hashes of the servers that failed this request before.
   std::vector<uint64_t> tried;
+  /// What a model server will have to do for it, by estimate.
+  WorkSize size;
+  /// The longest pause between events that its client takes for fluent; zero:
+  /// it is not a stream.
+  Duration event_gap_target{};
 
   friend bool operator==(const SlotAsk&, const SlotAsk&) = default;
 };
@@ -76,6 +82,8 @@
   Kind kind = Kind::kUnused;
   /// Milliseconds: of a stream between events, else to the whole answer.
   std::optional<double> pace_ms;
+  /// How long a model server read the prompt, if it was long enough to tell.
+  std::optional<PromptRead> read;
 
   friend bool operator==(const SlotResult&, const SlotResult&) = default;
 };
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -175,15 +175,24 @@
   Placement::Candidates candidates =
       placement_.Find(line.service, model_server, line.group, directory_,
                       loads_, occupancy_, clock_.Now());
-  while (!places.empty() && candidates.free > 0) {
-    const AskId id = places.begin()->ask;
-    Placement::Candidate* chosen =
-        placement_.Choose(by_attempt_.at(id).ask, candidates);
+  // A wish that no free server suits leaves the slot to those behind it.
+  const TimePoint now = clock_.Now();
+  int passed_over = 0;
+  auto place = places.begin();
+  while (place != places.end() && candidates.free > 0 &&
+         passed_over < options_.most_passed_over) {
+    const Place asked = *place;
+    Placement::Candidate* chosen = placement_.Choose(
+        by_attempt_.at(asked.ask).ask, asked.late, candidates, now);
     if (chosen == nullptr) {
-      return;
+      ++passed_over;
+      ++place;
+      continue;
     }
     candidates.Take(*chosen);
-    Grant(id, *chosen->server);
+    Grant(asked.ask, *chosen->server);
+    // The grant may have led to wishes and ends of others.
+    place = places.upper_bound(asked);
   }
 }
 
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -45,6 +45,9 @@
     /// A grant that its entry's reports do not show after this time was lost
     /// on the way, or its end was. Twice the period of reports and a way.
     Duration grant_settles = std::chrono::milliseconds(260);
+    /// Wishes that are passed over in search of one that a free slot suits. A
+    /// line holds some hundred in a burst, and a gate has a tenth of a core.
+    int most_passed_over = 64;
   };
 
   /// Hands a slot out. May lead back to Done and Ask.
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -3739,6 +3739,9 @@
   int64_t left_us = 0;
   int64_t in_time_us = 0;
   std::vector<uint64_t> tried{};
+  uint32_t prompt_tokens = 0;
+  uint32_t events = 0;
+  int64_t gap_us = 0;
 };
 
 struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3755,7 +3758,10 @@
     VT_ROUTE_PRIORITY = 16,
     VT_LEFT_US = 18,
     VT_IN_TIME_US = 20,
-    VT_TRIED = 22
+    VT_TRIED = 22,
+    VT_PROMPT_TOKENS = 24,
+    VT_EVENTS = 26,
+    VT_GAP_US = 28
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -3787,6 +3793,15 @@
   const flatbuffers::Vector<uint64_t> *tried() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRIED);
   }
+  uint32_t prompt_tokens() const {
+    return GetField<uint32_t>(VT_PROMPT_TOKENS, 0);
+  }
+  uint32_t events() const {
+    return GetField<uint32_t>(VT_EVENTS, 0);
+  }
+  int64_t gap_us() const {
+    return GetField<int64_t>(VT_GAP_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -3801,6 +3816,9 @@
            VerifyField<int64_t>(verifier, VT_IN_TIME_US, 8) &&
            VerifyOffset(verifier, VT_TRIED) &&
            verifier.VerifyVector(tried()) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_EVENTS, 4) &&
+           VerifyField<int64_t>(verifier, VT_GAP_US, 8) &&
            verifier.EndTable();
   }
   WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3842,6 +3860,15 @@
   void add_tried(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried) {
     fbb_.AddOffset(WantSlot::VT_TRIED, tried);
   }
+  void add_prompt_tokens(uint32_t prompt_tokens) {
+    fbb_.AddElement<uint32_t>(WantSlot::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_events(uint32_t events) {
+    fbb_.AddElement<uint32_t>(WantSlot::VT_EVENTS, events, 0);
+  }
+  void add_gap_us(int64_t gap_us) {
+    fbb_.AddElement<int64_t>(WantSlot::VT_GAP_US, gap_us, 0);
+  }
   explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3864,11 +3891,17 @@
     int32_t route_priority = 0,
     int64_t left_us = 0,
     int64_t in_time_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0,
+    uint32_t prompt_tokens = 0,
+    uint32_t events = 0,
+    int64_t gap_us = 0) {
   WantSlotBuilder builder_(_fbb);
+  builder_.add_gap_us(gap_us);
   builder_.add_in_time_us(in_time_us);
   builder_.add_left_us(left_us);
   builder_.add_attempt(attempt);
+  builder_.add_events(events);
+  builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_tried(tried);
   builder_.add_route_priority(route_priority);
   builder_.add_priority(priority);
@@ -3895,7 +3928,10 @@
     int32_t route_priority = 0,
     int64_t left_us = 0,
     int64_t in_time_us = 0,
-    const std::vector<uint64_t> *tried = nullptr) {
+    const std::vector<uint64_t> *tried = nullptr,
+    uint32_t prompt_tokens = 0,
+    uint32_t events = 0,
+    int64_t gap_us = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   return lavenderkeel::fbs::CreateWantSlot(
@@ -3909,7 +3945,10 @@
       route_priority,
       left_us,
       in_time_us,
-      tried__);
+      tried__,
+      prompt_tokens,
+      events,
+      gap_us);
 }
 
 flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4026,6 +4065,8 @@
   uint64_t attempt = 0;
   uint8_t kind = 0;
   double pace_ms = -1.0;
+  double read_ms = -1.0;
+  uint32_t read_tokens = 0;
 };
 
 struct SlotEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4035,7 +4076,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
     VT_KIND = 6,
-    VT_PACE_MS = 8
+    VT_PACE_MS = 8,
+    VT_READ_MS = 10,
+    VT_READ_TOKENS = 12
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -4046,11 +4089,19 @@
   double pace_ms() const {
     return GetField<double>(VT_PACE_MS, -1.0);
   }
+  double read_ms() const {
+    return GetField<double>(VT_READ_MS, -1.0);
+  }
+  uint32_t read_tokens() const {
+    return GetField<uint32_t>(VT_READ_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<double>(verifier, VT_PACE_MS, 8) &&
+           VerifyField<double>(verifier, VT_READ_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_READ_TOKENS, 4) &&
            verifier.EndTable();
   }
   SlotEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4071,6 +4122,12 @@
   void add_pace_ms(double pace_ms) {
     fbb_.AddElement<double>(SlotEnd::VT_PACE_MS, pace_ms, -1.0);
   }
+  void add_read_ms(double read_ms) {
+    fbb_.AddElement<double>(SlotEnd::VT_READ_MS, read_ms, -1.0);
+  }
+  void add_read_tokens(uint32_t read_tokens) {
+    fbb_.AddElement<uint32_t>(SlotEnd::VT_READ_TOKENS, read_tokens, 0);
+  }
   explicit SlotEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4086,10 +4143,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t attempt = 0,
     uint8_t kind = 0,
-    double pace_ms = -1.0) {
+    double pace_ms = -1.0,
+    double read_ms = -1.0,
+    uint32_t read_tokens = 0) {
   SlotEndBuilder builder_(_fbb);
+  builder_.add_read_ms(read_ms);
   builder_.add_pace_ms(pace_ms);
   builder_.add_attempt(attempt);
+  builder_.add_read_tokens(read_tokens);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -5757,7 +5818,10 @@
       (lhs.route_priority == rhs.route_priority) &&
       (lhs.left_us == rhs.left_us) &&
       (lhs.in_time_us == rhs.in_time_us) &&
-      (lhs.tried == rhs.tried);
+      (lhs.tried == rhs.tried) &&
+      (lhs.prompt_tokens == rhs.prompt_tokens) &&
+      (lhs.events == rhs.events) &&
+      (lhs.gap_us == rhs.gap_us);
 }
 
 inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
@@ -5784,6 +5848,9 @@
   { auto _e = left_us(); _o->left_us = _e; }
   { auto _e = in_time_us(); _o->in_time_us = _e; }
   { auto _e = tried(); if (_e) { _o->tried.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tried[_i] = _e->Get(_i); } } }
+  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+  { auto _e = events(); _o->events = _e; }
+  { auto _e = gap_us(); _o->gap_us = _e; }
 }
 
 inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5804,6 +5871,9 @@
   auto _left_us = _o->left_us;
   auto _in_time_us = _o->in_time_us;
   auto _tried = _o->tried.size() ? _fbb.CreateVector(_o->tried) : 0;
+  auto _prompt_tokens = _o->prompt_tokens;
+  auto _events = _o->events;
+  auto _gap_us = _o->gap_us;
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       _attempt,
@@ -5815,7 +5885,10 @@
       _route_priority,
       _left_us,
       _in_time_us,
-      _tried);
+      _tried,
+      _prompt_tokens,
+      _events,
+      _gap_us);
 }
 
 
@@ -5872,7 +5945,9 @@
   return
       (lhs.attempt == rhs.attempt) &&
       (lhs.kind == rhs.kind) &&
-      (lhs.pace_ms == rhs.pace_ms);
+      (lhs.pace_ms == rhs.pace_ms) &&
+      (lhs.read_ms == rhs.read_ms) &&
+      (lhs.read_tokens == rhs.read_tokens);
 }
 
 inline bool operator!=(const SlotEndT &lhs, const SlotEndT &rhs) {
@@ -5892,6 +5967,8 @@
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = pace_ms(); _o->pace_ms = _e; }
+  { auto _e = read_ms(); _o->read_ms = _e; }
+  { auto _e = read_tokens(); _o->read_tokens = _e; }
 }
 
 inline flatbuffers::Offset<SlotEnd> SlotEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5905,11 +5982,15 @@
   auto _attempt = _o->attempt;
   auto _kind = _o->kind;
   auto _pace_ms = _o->pace_ms;
+  auto _read_ms = _o->read_ms;
+  auto _read_tokens = _o->read_tokens;
   return lavenderkeel::fbs::CreateSlotEnd(
       _fbb,
       _attempt,
       _kind,
-      _pace_ms);
+      _pace_ms,
+      _read_ms,
+      _read_tokens);
 }
 
 
