Shorter answers go first, long ones last while they get their share

Lengths spread by a factor of 4.5 about their middle, so one request in fifteen holds as many slot-seconds as half of the rest.

Change: the place in the line of a rank goes by the moment until which a start is in time and the time that the request will hold its slot; answers of over three times the route's mean stand one rank lower, but for the most urgent rank, as long as they get at least 0.6 of the chance of all to get a slot (LongRequests). One that was sent before keeps its place.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -107,7 +107,7 @@
           return item.first == std::pair(route.name, route.timeout);
         });
   });
-  std::erase_if(sizes_, [this](const auto& item) {
+  std::erase_if(lengths_, [this](const auto& item) {
     return std::ranges::none_of(
         table_->content().routes,
         [&item](const Route& route) { return item.first == route.name; });
@@ -247,6 +247,7 @@
     if (team != nullptr) {
       request.team = team->name;
       request.priority = team->priority.value_or(route.priority);
+      request.ranked_by_team = team->priority.has_value();
     }
   }
   constexpr Duration kLongest = std::chrono::hours(1);
@@ -259,6 +260,8 @@
       ages_[{route.name, route.timeout}].OnRequest(
           std::max(request.due - request.arrived, kLeastTimeForAttempt));
   request.last_event_id = request.terms.last_event_id;
+  request.is_long =
+      route.streaming && lengths_[route.name].sizes.IsLong(request.terms);
   if (held_body_bytes_ + request.body.size() > options_.held_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
   }
@@ -307,22 +310,47 @@
   request.waiting_since = clock_.Now();
   request.attempt = ++last_attempt_;
   attempts_[request.attempt] = request.exchange;
+  SlotAsk ask = AskFor(request);
+  // The slot may be granted before this returns.
+  slots_.Ask(std::move(ask));
+}
+
+SlotAsk ForwardController::AskFor(const ForwardedRequest& request) {
+  const Route& route = *request.route;
   SlotAsk ask = {.attempt = request.attempt,
                  .service = request.service,
                  .model_server = request.model_server,
                  .priority = request.priority,
-                 .route_priority = request.route->priority,
+                 .route_priority = route.priority,
                  .in_time_until = timing_.InTimeUntil(request),
-                 .due = request.due,
-                 .size = sizes_[request.route->name].Of(request.terms),
-                 .event_gap_target = request.streams()
-                                         ? request.route->event_gap_target
-                                         : Duration::zero()};
+                 .due = request.due};
   for (const std::string& server : request.tried) {
     ask.tried.push_back(HashBytes(server));
   }
-  // The slot may be granted before this returns.
-  slots_.Ask(std::move(ask));
+  if (!request.streams()) {
+    return ask;
+  }
+  const Lengths& lengths = lengths_[route.name];
+  ask.size = lengths.sizes.Of(request.terms);
+  ask.event_gap_target = route.event_gap_target;
+  // One that was sent before has waited its turn.
+  const bool goes_last = request.is_long && lengths.long_requests.GoLast();
+  ask.by_length = request.tried.empty() && (!request.is_long || goes_last);
+  if (ask.by_length && goes_last && route.priority > table_->first_priority()) {
+    // With the next rank: what is promised to the most urgent one holds for its
+    // long requests too.
+    ++ask.route_priority;
+    ask.priority += request.ranked_by_team ? 0 : 1;
+  }
+  return ask;
+}
+
+void ForwardController::NoteEndOfWait(const ForwardedRequest& request,
+                                      bool got_slot) {
+  if (request.streams() && request.tried.empty()) {
+    lengths_[request.route->name].long_requests.OnEndOfWait(request.is_long,
+                                                            got_slot);
+  }
 }
 
 bool ForwardController::OnSlot(const std::string& gate,
@@ -357,6 +385,7 @@
                      {"pace_ms", grant.pace_ms},
                      {"waited_ms", ToMilliseconds(now - request.waiting_since)},
                      {"left_ms", ToMilliseconds(request.due - now)}});
+  NoteEndOfWait(request, /*got_slot=*/true);
   request.state = State::kSent;
   request.server = server.id;
   request.tried.push_back(server.id);
@@ -516,7 +545,8 @@
     return;
   }
   if (request.tried.size() == 1) {
-    sizes_[request.route->name].OnAnswer(request.terms, request.event_count);
+    lengths_[request.route->name].sizes.OnAnswer(request.terms,
+                                                 request.event_count);
   }
   EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request),
@@ -683,6 +713,7 @@
     if (request.runs > 0 || request.head_sent) {
       GiveUp(request, RunState::kMayHaveRun);
     } else {
+      NoteEndOfWait(request, /*got_slot=*/false);
       const bool none = directory_.Usable(request.service).empty();
       RefuseRequest(request, {.code = none ? ResultCode::kNoServer
                                            : ResultCode::kOverloaded,
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -17,6 +17,7 @@
 #include "lavenderkeel/forward/client_age.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
+#include "lavenderkeel/forward/long_requests.h"
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/retry_window.h"
@@ -156,6 +157,10 @@
     TimePoint waits_until;
   };
 
+  struct Lengths {
+    SizeEstimate sizes;
+    LongRequests long_requests;
+  };
   struct Refusal {
     ResultCode code;
     std::optional<Duration> retry_after;
@@ -176,6 +181,8 @@
   void CheckEarly(TimePoint now);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
   void Wait(ForwardedRequest& request);
+  void NoteEndOfWait(const ForwardedRequest& request, bool got_slot);
+  SlotAsk AskFor(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
               const std::string& gate,
@@ -220,7 +227,7 @@
   /// By route and its timeout, which bounds the time that clients have left.
   std::map<std::pair<std::string, Duration>, ClientAge> ages_;
   /// By route.
-  std::map<std::string, SizeEstimate> sizes_;
+  std::map<std::string, Lengths> lengths_;
   TeamRates rates_;
   /// How many entries share the bound on retries.
   size_t entries_;
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -35,6 +35,10 @@
   bool model_server = false;
   std::string team;
   int priority = 0;
+  /// The priority is the team's, not the route's.
+  bool ranked_by_team = false;
+  /// Its answer will be much longer than the usual of its route.
+  bool is_long = false;
   TimePoint arrived;
   /// When the client first sent it, by estimate: earlier than `arrived` if it
   /// was refused before and came back.
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -40,6 +40,7 @@
   want.prompt_tokens = ask.size.prompt_tokens;
   want.events = ask.size.events;
   want.gap_us = ask.event_gap_target.count();
+  want.by_length = ask.by_length;
   return want;
 }
 
@@ -55,7 +56,8 @@
           .due = now + Duration(want.left_us),
           .tried = want.tried,
           .size = {.prompt_tokens = want.prompt_tokens, .events = want.events},
-          .event_gap_target = Duration(want.gap_us)};
+          .event_gap_target = Duration(want.gap_us),
+          .by_length = want.by_length};
 }
 
 HaveSlot ToWire(const SlotGrant& grant) {
--- a/lavenderkeel/forward/route_table.cc
+++ b/lavenderkeel/forward/route_table.cc
@@ -28,6 +28,10 @@
 
 RouteTable::RouteTable(RouteTableContent content)
     : content_(std::move(content)) {
+  if (!content_.routes.empty()) {
+    first_priority_ =
+        std::ranges::min(content_.routes, {}, &Route::priority).priority;
+  }
   for (const Route& route : content_.routes) {
     by_host_[LowerCaseHost(route.host)].push_back(&route);
   }
--- a/lavenderkeel/forward/route_table.h
+++ b/lavenderkeel/forward/route_table.h
@@ -132,12 +132,16 @@
   const TeamTerms* FindTeam(const std::string& name) const;
   const Service* FindService(const std::string& name) const;
 
+  /// The rank of the most urgent routes; 0 without routes.
+  int first_priority() const { return first_priority_; }
+
   /// The service for a request; the same for all its attempts.
   static const std::string& PickService(const Route& route,
                                         std::string_view request_id);
 
  private:
   RouteTableContent content_;
+  int first_priority_ = 0;
   /// By host, routes with longer prefixes first.
   std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
   std::unordered_map<std::string_view, const TeamTerms*> by_key_;
--- a/lavenderkeel/forward/size_estimate.h
+++ b/lavenderkeel/forward/size_estimate.h
@@ -25,6 +25,11 @@
     }
   }
 
+  /// Its answer will be much longer than the usual of the route.
+  bool IsLong(const RequestTerms& terms) const {
+    return !events_.empty() && Events(terms) > kLongPerMean * events_.mean();
+  }
+
   WorkSize Of(const RequestTerms& terms) const {
     return {.prompt_tokens = static_cast<uint32_t>(terms.prompt_tokens),
             .events = static_cast<uint32_t>(std::lround(Events(terms)))};
@@ -39,6 +44,10 @@
     return static_cast<double>(terms.expected_output_tokens) * events_per_token;
   }
 
+  /// Where lengths spread by a factor of 4.5 about their middle, one request in
+  /// fifteen is so long, and these few have half of all events.
+  static constexpr double kLongPerMean = 3;
+
   /// Lengths differ hundredfold within a route, so the mean takes some fifty
   /// answers; at ten a second it follows a change within seconds.
   static constexpr double kSamplePart = 0.02;
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -47,6 +47,8 @@
   /// The longest pause between events that its client takes for fluent; zero:
   /// it is not a stream.
   Duration event_gap_target{};
+  /// Among others of its rank shorter ones go first.
+  bool by_length = false;
 
   friend bool operator==(const SlotAsk&, const SlotAsk&) = default;
 };
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -38,10 +38,27 @@
   return {.priority = ask.priority,
           .route_priority = ask.route_priority,
           .late = late,
-          .before = late ? ask.due : ask.in_time_until,
+          .before = (late ? ask.due : ask.in_time_until) +
+                    std::chrono::duration_cast<Duration>(
+                        LengthPenalty(ask) * options_.order_by_length),
           .ask = id};
 }
 
+Duration SlotGate::LengthPenalty(const SlotAsk& ask) const {
+  const auto found = speeds_.find(ask.service);
+  if (found == speeds_.end() || !ask.by_length) {
+    return Duration::zero();
+  }
+  const ServiceSpeed& speed = found->second;
+  const double read_ms = speed.read_tokens.empty()
+                             ? 0
+                             : ask.size.prompt_tokens * speed.read_ms.mean() /
+                                   speed.read_tokens.mean();
+  constexpr double kMillisecondsPerSecond = 1000;
+  return FromSeconds((read_ms + ask.size.events * speed.pace_ms.mean()) /
+                     kMillisecondsPerSecond);
+}
+
 void SlotGate::SortOutLate() {
   // Load it answers: a burst beyond the capacity for some seconds. First come,
   // first served makes every request of the rank late; in this order as many
@@ -84,6 +101,14 @@
   occupancy_.RemoveGrant(asker, HashBytes(server));
   if (const BackendServer* known = directory_.Find(server)) {
     loads_[server].OnEnd(result, clock_.Now());
+    ServiceSpeed& speed = speeds_[known->service];
+    if (result.pace_ms.has_value()) {
+      speed.pace_ms.Add(*result.pace_ms);
+    }
+    if (result.read.has_value()) {
+      speed.read_ms.Add(result.read->ms);
+      speed.read_tokens.Add(result.read->tokens);
+    }
     DispatchService(std::string(known->service));
   }
 }
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -48,6 +48,9 @@
     /// Wishes that are passed over in search of one that a free slot suits. A
     /// line holds some hundred in a burst, and a gate has a tenth of a core.
     int most_passed_over = 64;
+    /// What each second that a request will hold its slot, by estimate, adds to
+    /// the moment that its place in the line goes by.
+    double order_by_length = 1.0;
   };
 
   /// Hands a slot out. May lead back to Done and Ask.
@@ -98,6 +101,14 @@
     SlotAsk ask;
     Place place;
   };
+  struct ServiceSpeed {
+    /// Ten samples outweigh what was before: about a second at these loads.
+    static constexpr double kSamplePart = 0.1;
+
+    MovingMean pace_ms{kSamplePart};
+    MovingMean read_ms{kSamplePart};
+    MovingMean read_tokens{kSamplePart};
+  };
   struct Granted {
     std::string server;
     TimePoint at;
@@ -109,6 +120,9 @@
   Place PlaceOf(const AskId& id, const SlotAsk& ask) const;
   /// Puts wishes that can't be in time any more behind those that can.
   void SortOutLate();
+  /// How long it will hold its slot, by estimate; zero if that is not known or
+  /// its place does not go by it.
+  Duration LengthPenalty(const SlotAsk& ask) const;
   /// The same for the lines of one service.
   void DispatchService(const std::string& service);
   void DispatchLine(const Line& line, std::set<Place>& places);
@@ -123,6 +137,8 @@
   Placement placement_;
   SlotOccupancy occupancy_;
   ServerLoads loads_;
+  /// How long a service's servers took of late, whichever they were.
+  std::map<std::string, ServiceSpeed> speeds_;
   std::map<Line, std::set<Place>> lines_;
   std::map<AskId, Waiting> by_attempt_;
   /// Wishes that are not late yet, by when they will be.
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -3742,6 +3742,7 @@
   uint32_t prompt_tokens = 0;
   uint32_t events = 0;
   int64_t gap_us = 0;
+  bool by_length = false;
 };
 
 struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3761,7 +3762,8 @@
     VT_TRIED = 22,
     VT_PROMPT_TOKENS = 24,
     VT_EVENTS = 26,
-    VT_GAP_US = 28
+    VT_GAP_US = 28,
+    VT_BY_LENGTH = 30
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -3802,6 +3804,9 @@
   int64_t gap_us() const {
     return GetField<int64_t>(VT_GAP_US, 0);
   }
+  bool by_length() const {
+    return GetField<uint8_t>(VT_BY_LENGTH, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -3819,6 +3824,7 @@
            VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
            VerifyField<uint32_t>(verifier, VT_EVENTS, 4) &&
            VerifyField<int64_t>(verifier, VT_GAP_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BY_LENGTH, 1) &&
            verifier.EndTable();
   }
   WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3869,6 +3875,9 @@
   void add_gap_us(int64_t gap_us) {
     fbb_.AddElement<int64_t>(WantSlot::VT_GAP_US, gap_us, 0);
   }
+  void add_by_length(bool by_length) {
+    fbb_.AddElement<uint8_t>(WantSlot::VT_BY_LENGTH, static_cast<uint8_t>(by_length), 0);
+  }
   explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3894,7 +3903,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0,
     uint32_t prompt_tokens = 0,
     uint32_t events = 0,
-    int64_t gap_us = 0) {
+    int64_t gap_us = 0,
+    bool by_length = false) {
   WantSlotBuilder builder_(_fbb);
   builder_.add_gap_us(gap_us);
   builder_.add_in_time_us(in_time_us);
@@ -3908,6 +3918,7 @@
   builder_.add_groups(groups);
   builder_.add_group(group);
   builder_.add_service(service);
+  builder_.add_by_length(by_length);
   builder_.add_model_server(model_server);
   return builder_.Finish();
 }
@@ -3931,7 +3942,8 @@
     const std::vector<uint64_t> *tried = nullptr,
     uint32_t prompt_tokens = 0,
     uint32_t events = 0,
-    int64_t gap_us = 0) {
+    int64_t gap_us = 0,
+    bool by_length = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   return lavenderkeel::fbs::CreateWantSlot(
@@ -3948,7 +3960,8 @@
       tried__,
       prompt_tokens,
       events,
-      gap_us);
+      gap_us,
+      by_length);
 }
 
 flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5821,7 +5834,8 @@
       (lhs.tried == rhs.tried) &&
       (lhs.prompt_tokens == rhs.prompt_tokens) &&
       (lhs.events == rhs.events) &&
-      (lhs.gap_us == rhs.gap_us);
+      (lhs.gap_us == rhs.gap_us) &&
+      (lhs.by_length == rhs.by_length);
 }
 
 inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
@@ -5851,6 +5865,7 @@
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = events(); _o->events = _e; }
   { auto _e = gap_us(); _o->gap_us = _e; }
+  { auto _e = by_length(); _o->by_length = _e; }
 }
 
 inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5874,6 +5889,7 @@
   auto _prompt_tokens = _o->prompt_tokens;
   auto _events = _o->events;
   auto _gap_us = _o->gap_us;
+  auto _by_length = _o->by_length;
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       _attempt,
@@ -5888,7 +5904,8 @@
       _tried,
       _prompt_tokens,
       _events,
-      _gap_us);
+      _gap_us,
+      _by_length);
 }
 
 
