A server that starts again under its id is another; strangers' entries hide nothing

Cause: a server may start again under the id that it had, and the product knew servers by id alone: what was learned and granted of the former start, and idle connections to it, passed to the new one. And one entry of the store without a readable name, too deep, or of bytes that are no text made the whole list unreadable: an entry had no server at all.

Change: BackendServer has its start; grants, loads, counts, failed servers and pooled connections are kept under start_key(). An object that can't be read is left out and logged, the others hold; an entry whose required fields are missing, of another type, or of an unknown state names no server, and takes back what it named before.

Ruled out: sending again what may have run. That rests on how an attempt failed, never on who is listed.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -109,7 +109,7 @@
           return item.first == std::pair(route.name, route.timeout);
         });
   });
-  std::erase_if(lengths_, [this](const auto& item) {
+  std::erase_if(history_, [this](const auto& item) {
     return std::ranges::none_of(
         table_->content().routes,
         [&item](const Route& route) { return item.first == route.name; });
@@ -263,7 +263,7 @@
           std::max(request.due - request.arrived, kLeastTimeForAttempt));
   request.last_event_id = request.terms.last_event_id;
   request.is_long =
-      route.streaming && lengths_[route.name].sizes.IsLong(request.terms);
+      route.streaming && history_[route.name].sizes.IsLong(request.terms);
   if (held_body_bytes_ + request.body.size() > options_.held_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
   }
@@ -319,28 +319,25 @@
 
 SlotAsk ForwardController::AskFor(const ForwardedRequest& request) {
   const Route& route = *request.route;
-  const HighQuantile& answer_ms = lengths_[route.name].answer_ms;
-  const std::optional<Duration> usual =
-      answer_ms.empty() ? std::nullopt
-                        : std::optional(FromSeconds(answer_ms.value() / 1000));
-  SlotAsk ask = {.attempt = request.attempt,
-                 .service = request.service,
-                 .model_server = request.model_server,
-                 .priority = request.priority,
-                 .route_priority = route.priority,
-                 .in_time_until = timing_.InTimeUntil(request, usual),
-                 .due = request.due};
+  const RouteHistory& history = history_[route.name];
+  SlotAsk ask = {
+      .attempt = request.attempt,
+      .service = request.service,
+      .model_server = request.model_server,
+      .priority = request.priority,
+      .route_priority = route.priority,
+      .in_time_until = timing_.InTimeUntil(request, AnswerTime(history)),
+      .due = request.due};
   for (const std::string& server : request.tried) {
     ask.tried.push_back(HashBytes(server));
   }
   if (!request.streams()) {
     return ask;
   }
-  const Lengths& lengths = lengths_[route.name];
-  ask.size = lengths.sizes.Of(request.terms);
+  ask.size = history.sizes.Of(request.terms);
   ask.event_gap_target = route.event_gap_target;
   // One that was sent before has waited its turn.
-  const bool goes_last = request.is_long && lengths.long_requests.GoLast();
+  const bool goes_last = request.is_long && history.long_requests.GoLast();
   ask.by_length = request.tried.empty() && (!request.is_long || goes_last);
   if (ask.by_length && goes_last && route.priority > table_->first_priority()) {
     // With the next rank: what is promised to the most urgent one holds for its
@@ -351,10 +348,26 @@
   return ask;
 }
 
+std::optional<Duration> ForwardController::AnswerTime(
+    const RouteHistory& history) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  return history.answer_ms.empty()
+             ? std::nullopt
+             : std::optional(FromSeconds(history.answer_ms.value() /
+                                         kMillisecondsPerSecond));
+}
+
+void ForwardController::NoteAnswerTime(const ForwardedRequest& request,
+                                       TimePoint answered) {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  history_[request.route->name].answer_ms.Add(
+      Milliseconds(answered - request.sent_at).count());
+}
+
 void ForwardController::NoteEndOfWait(const ForwardedRequest& request,
                                       bool got_slot) {
   if (request.streams() && request.tried.empty()) {
-    lengths_[request.route->name].long_requests.OnEndOfWait(request.is_long,
+    history_[request.route->name].long_requests.OnEndOfWait(request.is_long,
                                                             got_slot);
   }
 }
@@ -381,8 +394,9 @@
                                const std::string& gate,
                                const SlotGrant& grant) {
   const TimePoint now = clock_.Now();
+  const std::string key = server.start_key();
   log_.Info("send", {{"id", request.terms.request_id},
-                     {"server", server.id},
+                     {"server", key},
                      {"attempt", request.tried.size() + 1},
                      {"gate", gate},
                      {"config_version", request.table->version()},
@@ -393,8 +407,8 @@
                      {"left_ms", ToMilliseconds(request.due - now)}});
   NoteEndOfWait(request, /*got_slot=*/true);
   request.state = State::kSent;
-  request.server = server.id;
-  request.tried.push_back(server.id);
+  request.server = key;
+  request.tried.push_back(key);
   request.sent_at = now;
   request.heard_at = now;
   request.answer_head.reset();
@@ -409,7 +423,8 @@
                      .last_event_id = request.last_event_id});
   port_.Send(
       request.attempt,
-      {.address = server.address,
+      {.server = key,
+       .address = server.address,
        .bytes = EncodeRequest(head, request.body),
        .reuse_within = request.may_repeat() ? options_.reuse_within
                                             : options_.reuse_once_within});
@@ -550,10 +565,9 @@
     AfterFailure(request, AttemptFailure::kBroken);
     return;
   }
-  lengths_[request.route->name].answer_ms.Add(static_cast<double>(
-      ToMilliseconds(request.first_event_at - request.sent_at)));
+  NoteAnswerTime(request, request.first_event_at);
   if (request.tried.size() == 1) {
-    lengths_[request.route->name].sizes.OnAnswer(request.terms,
+    history_[request.route->name].sizes.OnAnswer(request.terms,
                                                  request.event_count);
   }
   EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
@@ -567,9 +581,9 @@
 void ForwardController::FinishWhole(ForwardedRequest& request) {
   const int status = request.answer_head->status;
   const bool error = status >= kFirstServerError;
-  if (!error)
-    lengths_[request.route->name].answer_ms.Add(
-        static_cast<double>(ToMilliseconds(clock_.Now() - request.sent_at)));
+  if (!error) {
+    NoteAnswerTime(request, clock_.Now());
+  }
   EndAttempt(request, {.kind = error ? SlotResult::Kind::kErrored
                                      : SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request)});
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -158,10 +158,12 @@
     TimePoint waits_until;
   };
 
-  struct Lengths {
+  /// What was learned of a route.
+  struct RouteHistory {
     SizeEstimate sizes;
     LongRequests long_requests;
-    /// From the sending to the first event, or to the whole answer, in ms.
+    /// From the sending to the first event, or to the whole answer of a plain
+    /// service, in milliseconds.
     HighQuantile answer_ms;
   };
   struct Refusal {
@@ -184,6 +186,9 @@
   void CheckEarly(TimePoint now);
   std::optional<Refusal> TakeRate(ForwardedRequest& request);
   void Wait(ForwardedRequest& request);
+  /// How long servers take, at the long end; nothing before the first answer.
+  static std::optional<Duration> AnswerTime(const RouteHistory& history);
+  void NoteAnswerTime(const ForwardedRequest& request, TimePoint answered);
   void NoteEndOfWait(const ForwardedRequest& request, bool got_slot);
   SlotAsk AskFor(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
@@ -230,7 +235,7 @@
   /// By route and its timeout, which bounds the time that clients have left.
   std::map<std::pair<std::string, Duration>, ClientAge> ages_;
   /// By route.
-  std::map<std::string, Lengths> lengths_;
+  std::map<std::string, RouteHistory> history_;
   TeamRates rates_;
   /// How many entries share the bound on retries.
   size_t entries_;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -239,12 +239,15 @@
   }
   const std::optional<BackendServer> server = ReadServer(object);
   if (!server.has_value()) {
+    // Whoever wrote it, it names no server that could be used any more.
+    directory_.Remove(object.name, clock_.Now());
     return;
   }
   log_.Info("server_listed", {{"server", object.name},
                               {"revision", object.revision},
                               {"service", server->service},
                               {"address", server->address},
+                              {"born", server->born},
                               {"slots", server->slots},
                               {"draining", server->draining}});
   directory_.Apply(*server);
--- a/lavenderkeel/forward/forward_port.h
+++ b/lavenderkeel/forward/forward_port.h
@@ -27,6 +27,8 @@
   virtual void Abort(ExchangeId exchange) = 0;
 
   struct Sending {
+    /// The incarnation that is meant; no other's connections are used.
+    std::string server;
     std::string address;
     std::string bytes;
     /// An idle connection may be used if it was used within this time; zero:
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -28,7 +28,7 @@
                               Measure measure) {
   std::vector<double> samples;
   for (const BackendServer* server : servers) {
-    const ServerLoad* load = FindLoad(loads, server->id);
+    const ServerLoad* load = FindLoad(loads, server->start_key());
     if (load == nullptr) {
       continue;
     }
@@ -66,7 +66,8 @@
     cost *= 1 + options_.other_data_centre_cost;
   }
   constexpr uint64_t kSteps = 1024;
-  const uint64_t lot = HashBytes(server.id, HashBytes(options_.entry)) % kSteps;
+  const uint64_t lot =
+      HashBytes(server.start_key(), HashBytes(options_.entry)) % kSteps;
   cost *= 1 + options_.spread * static_cast<double>(lot) / kSteps;
   return unconfirmed ? cost * kLastResort : cost;
 }
@@ -80,13 +81,13 @@
                                       TimePoint now) const {
   std::vector<const BackendServer*> servers = directory.Usable(service);
   std::erase_if(servers, [&group](const BackendServer* server) {
-    return !group.Has(HashBytes(server->id));
+    return !group.Has(HashBytes(server->start_key()));
   });
   // Failure: a quarter of the servers crash while the rest are full. Symptom:
   // requests run through the crashed ones, which always have places, and are
   // given up. While one server is sound the others are left alone.
   const auto resting = [&](const BackendServer* server) {
-    const ServerLoad* load = FindLoad(loads, server->id);
+    const ServerLoad* load = FindLoad(loads, server->start_key());
     return load != nullptr && load->resting(now);
   };
   if (!std::ranges::all_of(servers, resting)) {
@@ -98,15 +99,15 @@
       Typical(servers, loads, &ServerLoad::read_ms_per_token).value_or(0);
   Candidates candidates;
   for (const BackendServer* server : servers) {
-    const ServerLoad* load = FindLoad(loads, server->id);
+    const ServerLoad* load = FindLoad(loads, server->start_key());
     const double pace = Shown(load, &ServerLoad::pace, typical_pace);
     const double relative_pace = typical_pace > 0 ? pace / typical_pace : 1;
-    const uint64_t hash = HashBytes(server->id);
+    const uint64_t hash = HashBytes(server->start_key());
     const Candidate candidate = {
         .server = server,
         .hash = hash,
-        .cost =
-            CostOf(*server, relative_pace, directory.IsUnconfirmed(server->id)),
+        .cost = CostOf(*server, relative_pace,
+                       directory.IsUnconfirmed(server->start_key())),
         .in_flight = occupancy.At(hash),
         .places = Places(*server, model_server),
         .pace_ms = pace,
--- a/lavenderkeel/forward/request_timing.cc
+++ b/lavenderkeel/forward/request_timing.cc
@@ -36,13 +36,13 @@
 
 TimePoint RequestTiming::InTimeUntil(
     const ForwardedRequest& request,
-    std::optional<Duration> usual_answer) const {
+    std::optional<Duration> answer_time) const {
   const Route& route = *request.route;
   if (request.head_sent || route.latency_target == Duration::zero()) {
     return request.due;
   }
   return request.first_sent + route.latency_target -
-         usual_answer.value_or(PromptTime(request));
+         answer_time.value_or(PromptTime(request));
 }
 
 Duration RequestTiming::PromptTime(const ForwardedRequest& request) const {
--- a/lavenderkeel/forward/request_timing.h
+++ b/lavenderkeel/forward/request_timing.h
@@ -50,8 +50,14 @@
   /// When a wait for a slot ends without one.
   TimePoint WaitsUntil(const ForwardedRequest& request) const;
   /// A start at a server after this is late for the client.
+  ///
+  /// Load it answers: a line that never empties, in which each request is
+  /// granted its slot just before it would be late. With no time, or the mean
+  /// time, left for the server half of the answers came just too late.
+  /// @param answer_time what servers take, at the long end; if not known, the
+  ///     time that a slow one needs for the prompt
   TimePoint InTimeUntil(const ForwardedRequest& request,
-                        std::optional<Duration> usual_answer) const;
+                        std::optional<Duration> answer_time) const;
   /// When a client that is refused at the end of its wait is to come back: of
   /// what it has left then, and never past the longest pause.
   Duration ComeBackAfter(const ForwardedRequest& request) const;
--- a/lavenderkeel/forward/server_directory.cc
+++ b/lavenderkeel/forward/server_directory.cc
@@ -1,5 +1,6 @@
 #include "lavenderkeel/forward/server_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -13,9 +14,9 @@
     Apply(server);
   }
   std::vector<std::string> missing;
-  for (const auto& [id, entry] : servers_) {
-    if (!listed.contains(id)) {
-      missing.push_back(id);
+  for (const auto& [key, entry] : servers_) {
+    if (!listed.contains(entry.server.id)) {
+      missing.push_back(entry.server.id);
     }
   }
   for (const std::string& id : missing) {
@@ -24,11 +25,22 @@
 }
 
 void ServerDirectory::Apply(const BackendServer& server) {
-  servers_[server.id] = {.server = server, .drop_at = std::nullopt};
+  const auto former = FindById(server.id);
+  if (former != servers_.end()) {
+    servers_.erase(former);
+  }
+  servers_[server.start_key()] = {.server = server, .drop_at = std::nullopt};
+}
+
+ServerDirectory::Entries::iterator ServerDirectory::FindById(
+    const std::string& id) {
+  return std::ranges::find_if(servers_, [&id](const auto& item) {
+    return item.second.server.id == id;
+  });
 }
 
 void ServerDirectory::Remove(const std::string& id, TimePoint now) {
-  const auto found = servers_.find(id);
+  const auto found = FindById(id);
   if (found == servers_.end()) {
     return;
   }
@@ -59,8 +71,8 @@
   });
 }
 
-const BackendServer* ServerDirectory::Find(const std::string& id) const {
-  const auto found = servers_.find(id);
+const BackendServer* ServerDirectory::Find(const std::string& start_key) const {
+  const auto found = servers_.find(start_key);
   return found == servers_.end() ? nullptr : &found->second.server;
 }
 
@@ -85,8 +97,8 @@
   return confirmed;
 }
 
-bool ServerDirectory::IsUnconfirmed(const std::string& id) const {
-  const auto found = servers_.find(id);
+bool ServerDirectory::IsUnconfirmed(const std::string& start_key) const {
+  const auto found = servers_.find(start_key);
   return found != servers_.end() && found->second.drop_at.has_value();
 }
 
--- a/lavenderkeel/forward/server_directory.h
+++ b/lavenderkeel/forward/server_directory.h
@@ -13,8 +13,11 @@
 
 /// One incarnation of a backend server, as the instance list has it.
 struct BackendServer {
-  /// New at each start of the server.
+  /// By which it is listed and called. A server may start again under it.
   std::string id;
+  /// When this incarnation started, in calendar milliseconds; zero if it does
+  /// not say.
+  uint64_t born = 0;
   std::string service;
   std::string address;
   std::string data_centre;
@@ -22,6 +25,16 @@
   int slots = 1;
   bool draining = false;
 
+  /// Tells incarnations apart.
+  ///
+  /// Failure: a server starts again under its id. Symptom: what was learned,
+  /// granted and counted of the former start, and connections to it, are taken
+  /// for the new one's, which knows nothing of them. All that is kept of a
+  /// server is kept under this key, so the former start's is dropped with it.
+  std::string start_key() const {
+    return born == 0 ? id : id + "#" + std::to_string(born);
+  }
+
   friend bool operator==(const BackendServer&, const BackendServer&) = default;
 };
 
@@ -55,12 +68,13 @@
   /// Drops servers that were not listed again in time.
   void Tick(TimePoint now);
 
-  const BackendServer* Find(const std::string& id) const;
+  /// @return the server if that incarnation of it is listed, else null
+  const BackendServer* Find(const std::string& start_key) const;
   /// Servers that may get requests: listed and not draining, or lapsed with
   /// most others.
   std::vector<const BackendServer*> Usable(const std::string& service) const;
   /// A server that was missing after an outage and is not listed again yet.
-  bool IsUnconfirmed(const std::string& id) const;
+  bool IsUnconfirmed(const std::string& start_key) const;
 
  private:
   struct Entry {
@@ -75,7 +89,12 @@
   }
 
   Options options_;
-  std::map<std::string, Entry> servers_;
+  using Entries = std::map<std::string, Entry>;
+
+  Entries::iterator FindById(const std::string& id);
+
+  /// By start key; one incarnation of each id at most.
+  Entries servers_;
   bool outage_ = false;
   std::optional<TimePoint> returned_;
 };
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -222,14 +222,15 @@
 }
 
 void SlotGate::Grant(const AskId& id, const BackendServer& server) {
-  const uint64_t hash = HashBytes(server.id);
-  const ServerLoad& load = loads_[server.id];
+  const std::string key = server.start_key();
+  const uint64_t hash = HashBytes(key);
+  const ServerLoad& load = loads_[key];
   const SlotGrant grant = {.attempt = id.second,
-                           .server = server.id,
+                           .server = key,
                            .in_flight = occupancy_.At(hash),
                            .pace_ms = load.pace().value_or(0)};
   Remove(id);
-  grants_[id] = {.server = server.id, .at = clock_.Now()};
+  grants_[id] = {.server = key, .at = clock_.Now()};
   occupancy_.AddGrant(id.first, hash);
   on_grant_(id.first, grant);
 }
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -53,7 +53,8 @@
 
   UpstreamPort& port;
   ConnectionId id;
-  std::string address;
+  /// The incarnation of the server that it was made to.
+  std::string server;
   bufferevent* events = nullptr;
   ResponseReader reader;
   AttemptId attempt = 0;
@@ -78,9 +79,9 @@
 
 void UpstreamPort::Send(AttemptId attempt,
                         const ForwardPort::Sending& sending) {
-  Connection* connection = TakeIdle(sending.address, sending.reuse_within);
+  Connection* connection = TakeIdle(sending.server, sending.reuse_within);
   if (connection == nullptr) {
-    connection = Connect(sending.address);
+    connection = Connect(sending);
   }
   if (connection == nullptr) {
     // Reported later, since the controller is in the middle of sending.
@@ -98,9 +99,9 @@
                     sending.bytes.size());
 }
 
-UpstreamPort::Connection* UpstreamPort::TakeIdle(const std::string& address,
+UpstreamPort::Connection* UpstreamPort::TakeIdle(const std::string& server,
                                                  Duration reuse_within) {
-  const auto idle = idle_.find(address);
+  const auto idle = idle_.find(server);
   if (idle == idle_.end() || idle->second.empty()) {
     return nullptr;
   }
@@ -114,15 +115,16 @@
   return &latest;
 }
 
-UpstreamPort::Connection* UpstreamPort::Connect(const std::string& text) {
-  const std::optional<Address> address = Address::Parse(text);
+UpstreamPort::Connection* UpstreamPort::Connect(
+    const ForwardPort::Sending& sending) {
+  const std::optional<Address> address = Address::Parse(sending.address);
   if (!address.has_value()) {
     return nullptr;
   }
   ++connects_;
   const ConnectionId id = ++last_;
   auto connection = std::make_unique<Connection>(*this, id, options_.answer);
-  connection->address = text;
+  connection->server = sending.server;
   connection->connecting_since = clock_.Now();
   connection->events =
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -283,7 +285,7 @@
       connection.idle_time = std::min(
           connection.idle_time, std::max(Duration::zero(), *bound - kMargin));
     }
-    idle_[connection.address].push_back(connection.id);
+    idle_[connection.server].push_back(connection.id);
   } else {
     Close(connection.id);
   }
@@ -311,7 +313,7 @@
   Connection& connection = *found->second;
   if (connection.attempt != 0) {
     attempts_.erase(connection.attempt);
-  } else if (const auto idle = idle_.find(connection.address);
+  } else if (const auto idle = idle_.find(connection.server);
              idle != idle_.end()) {
     std::erase(idle->second, id);
     if (idle->second.empty()) {
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -70,8 +70,8 @@
   struct Connection;
   using ConnectionId = uint64_t;
 
-  Connection* TakeIdle(const std::string& address, Duration reuse_within);
-  Connection* Connect(const std::string& address);
+  Connection* TakeIdle(const std::string& server, Duration reuse_within);
+  Connection* Connect(const ForwardPort::Sending& sending);
   void OnReadable(Connection& connection);
   /// False once the connection is gone or needs more bytes.
   bool ReadOn(Connection& connection);
@@ -88,7 +88,7 @@
   ConnectionId last_ = 0;
   std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections_;
   std::unordered_map<AttemptId, ConnectionId> attempts_;
-  /// By address, the latest used last.
+  /// By the server's incarnation, the latest used last.
   std::map<std::string, std::vector<ConnectionId>> idle_;
   uint64_t connects_ = 0;
   uint64_t reuses_ = 0;
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -68,6 +68,11 @@
   switch (result.outcome) {
     case ObjectReadResult::Outcome::kOk:
       NoteAnswer();
+      if (result.unreadable > 0) {
+        log_.Warn("objects_unreadable", {{"kind", options_.object_kind},
+                                         {"objects", result.unreadable},
+                                         {"revision", result.revision}});
+      }
       if (pending_kind_ == ObjectRead::Kind::kList) {
         OnListed(result);
       } else {
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -56,6 +56,8 @@
 
   Outcome outcome = Outcome::kNoAnswer;
   std::vector<StoredObject> objects;
+  /// Objects whose names can't be read, and that are left out.
+  size_t unreadable = 0;
   /// Of a list: there are further pages.
   bool more = false;
   /// The store's revision as of this answer.
--- a/test/forward/server_directory_test.cc
+++ b/test/forward/server_directory_test.cc
@@ -31,6 +31,39 @@
   BOOST_TEST(directory.Usable("t").empty());
 }
 
+// A server crashes and starts again under its id, before its entry lapsed.
+// What was granted and learned of the former start names that one only, so
+// nothing of it passes to the new one, which knows nothing of before.
+BOOST_AUTO_TEST_CASE(ServerThatStartedAgainIsAnother) {
+  ServerDirectory directory;
+  BackendServer server = Server("a");
+  server.born = 1000;
+  const std::string former = server.start_key();
+  directory.Apply(server);
+  BOOST_TEST(directory.Find(former) != nullptr);
+  server.born = 2000;
+  directory.Apply(server);
+  BOOST_TEST(directory.Find(former) == nullptr);
+  BOOST_TEST(directory.Find(server.start_key())->id == "a");
+  BOOST_TEST(directory.Usable("s").size() == 1U);
+  // A beat without a start is another writer's or an older server's; it
+  // replaces what was known all the same.
+  directory.Apply(Server("a"));
+  BOOST_TEST(directory.Usable("s").size() == 1U);
+  directory.Remove("a", kStart);
+  BOOST_TEST(directory.Usable("s").empty());
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatStartedAgainIsNotMissingFromTheList) {
+  ServerDirectory directory;
+  BackendServer server = Server("a");
+  server.born = 1000;
+  directory.ApplyList({server}, kStart);
+  server.born = 2000;
+  directory.ApplyList({server}, kStart);
+  BOOST_TEST(directory.Usable("s").size() == 1U);
+}
+
 // The store is away while the entries of live servers lapse; with its return
 // the list is empty. Callers are served on, since the servers are kept until
 // they have had time to be listed again.
--- a/test/forward/slot_gate_test.cc
+++ b/test/forward/slot_gate_test.cc
@@ -139,6 +139,23 @@
   BOOST_TEST(h.ServerOf(4) == crashed);
 }
 
+// The server crashed with two streams on it and has started again under its id.
+// Both slots are free at the new start, although the ends of the streams at the
+// former one have not been told yet, and the former's failures are not its own.
+BOOST_AUTO_TEST_CASE(ServerThatStartedAgainHasAllItsSlots) {
+  Harness h(1);
+  h.Ask("a", 1);
+  h.Ask("a", 2);
+  h.Ask("a", 3);
+  h.directory.Apply({.id = "s1", .born = 5, .service = "engines", .slots = 2});
+  h.gate.Dispatch();
+  BOOST_TEST(h.ServerOf(3) == "s1#5");
+  h.gate.Done("a", 1, {.kind = SlotResult::Kind::kUnreachable});
+  h.gate.Done("a", 2, {.kind = SlotResult::Kind::kUnreachable});
+  h.Ask("a", 4);
+  BOOST_TEST(h.ServerOf(4) == "s1#5");
+}
+
 // One answer in twenty is lost at the only server. It goes on serving: a rest
 // after each loss would refuse clients whom it could serve. After two losses in
 // a row it has crashed, and rests while another is sound.
