Speeds, lookups and the gate's test harness in one piece each

ServerSpeed was written twice, in the server's load and in the gate; the conversions between milliseconds and durations stood six times; placing made a server's key and looked its load up five times for each server and fit twice for each wish; two tests had the same gate with noted grants.

Behaviour stays, but for rounding below a microsecond.

--- a/lavenderkeel/base/clock.h
+++ b/lavenderkeel/base/clock.h
@@ -52,6 +52,17 @@
       std::chrono::duration<double>(seconds));
 }
 
+/// A duration in milliseconds, with their fraction.
+inline double ToFractionalMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/// The duration of so many milliseconds, rounded down to a microsecond.
+inline Duration FromMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 }  // namespace lavenderkeel
 
 #endif  // LAVENDERKEEL_BASE_CLOCK_H_
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -355,11 +355,9 @@
 
 std::optional<Duration> ForwardController::AnswerTime(
     const RouteHistory& history) {
-  constexpr double kMillisecondsPerSecond = 1000;
   return history.answer_ms.empty()
              ? std::nullopt
-             : std::optional(FromSeconds(history.answer_ms.value() /
-                                         kMillisecondsPerSecond));
+             : std::optional(FromMilliseconds(history.answer_ms.value()));
 }
 
 void ForwardController::NoteEndOfWait(const ForwardedRequest& request,
@@ -579,9 +577,8 @@
   const int status = request.answer_head->status;
   const bool error = status >= kFirstServerError;
   if (!error) {
-    using Milliseconds = std::chrono::duration<double, std::milli>;
     history_[request.route->name].answer_ms.Add(
-        Milliseconds(clock_.Now() - request.sent_at).count());
+        ToFractionalMilliseconds(clock_.Now() - request.sent_at));
   }
   EndAttempt(request, {.kind = error ? SlotResult::Kind::kErrored
                                      : SlotResult::Kind::kAnswered,
@@ -606,9 +603,8 @@
 
 std::optional<double> ForwardController::PaceOf(
     const ForwardedRequest& request) const {
-  using Milliseconds = std::chrono::duration<double, std::milli>;
   if (!request.model_server) {
-    return Milliseconds(clock_.Now() - request.sent_at).count();
+    return ToFractionalMilliseconds(clock_.Now() - request.sent_at);
   }
   // The pace of a few events says more of other requests' prompts than of the
   // server.
@@ -616,7 +612,8 @@
   if (request.event_count < kFewestEvents) {
     return std::nullopt;
   }
-  return Milliseconds(request.last_event_at - request.first_event_at).count() /
+  return ToFractionalMilliseconds(request.last_event_at -
+                                  request.first_event_at) /
          (request.event_count - 1);
 }
 
@@ -627,10 +624,9 @@
   if (request.event_count == 0 || request.terms.prompt_tokens < kFewestTokens) {
     return std::nullopt;
   }
-  using Milliseconds = std::chrono::duration<double, std::milli>;
   return PromptRead{
       .tokens = static_cast<uint32_t>(request.terms.prompt_tokens),
-      .ms = Milliseconds(request.first_event_at - request.sent_at).count()};
+      .ms = ToFractionalMilliseconds(request.first_event_at - request.sent_at)};
 }
 
 void ForwardController::OnAttemptFailed(AttemptId attempt,
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
 
@@ -19,20 +20,27 @@
 }
 
 /// What a server has shown of its speed.
-using Measure = std::optional<double> (ServerLoad::*)() const;
+using Measure = std::optional<double> (ServerSpeed::*)() const;
+
+/// A server that may be used, with what is known of it; looked up once.
+struct Known {
+  const BackendServer* server = nullptr;
+  std::string key;
+  uint64_t hash = 0;
+  /// Null before the first end of an attempt.
+  const ServerLoad* load = nullptr;
+};
 
 /// The middle of what servers have shown, which stands for one that has no
 /// sample yet.
-std::optional<double> Typical(const std::vector<const BackendServer*>& servers,
-                              const ServerLoads& loads,
+std::optional<double> Typical(const std::vector<Known>& servers,
                               Measure measure) {
   std::vector<double> samples;
-  for (const BackendServer* server : servers) {
-    const ServerLoad* load = FindLoad(loads, server->start_key());
-    if (load == nullptr) {
+  for (const Known& known : servers) {
+    if (known.load == nullptr) {
       continue;
     }
-    if (const std::optional<double> sample = (load->*measure)()) {
+    if (const std::optional<double> sample = (known.load->speed().*measure)()) {
       samples.push_back(*sample);
     }
   }
@@ -47,7 +55,8 @@
 
 /// @param typical zero if no server has shown anything
 double Shown(const ServerLoad* load, Measure measure, double typical) {
-  return load == nullptr ? typical : (load->*measure)().value_or(typical);
+  return load == nullptr ? typical
+                         : (load->speed().*measure)().value_or(typical);
 }
 
 }  // namespace
@@ -59,6 +68,7 @@
 }
 
 double Placement::CostOf(const BackendServer& server,
+                         const std::string& start_key,
                          double pace,
                          bool unconfirmed) const {
   double cost = pace;
@@ -66,8 +76,7 @@
     cost *= 1 + options_.other_data_centre_cost;
   }
   constexpr uint64_t kSteps = 1024;
-  const uint64_t lot =
-      HashBytes(server.start_key(), HashBytes(options_.entry)) % kSteps;
+  const uint64_t lot = HashBytes(start_key, HashBytes(options_.entry)) % kSteps;
   cost *= 1 + options_.spread * static_cast<double>(lot) / kSteps;
   return unconfirmed ? cost * kLastResort : cost;
 }
@@ -79,40 +88,44 @@
                                       const ServerLoads& loads,
                                       const SlotOccupancy& occupancy,
                                       TimePoint now) const {
-  std::vector<const BackendServer*> servers = directory.Usable(service);
-  std::erase_if(servers, [&group](const BackendServer* server) {
-    return !group.Has(HashBytes(server->start_key()));
-  });
+  std::vector<Known> servers;
+  for (const BackendServer* server : directory.Usable(service)) {
+    std::string key = server->start_key();
+    const uint64_t hash = HashBytes(key);
+    if (group.Has(hash)) {
+      const ServerLoad* load = FindLoad(loads, key);
+      servers.push_back({.server = server,
+                         .key = std::move(key),
+                         .hash = hash,
+                         .load = load});
+    }
+  }
   // Failure: a quarter of the servers crash while the rest are full. Symptom:
   // requests run through the crashed ones, which always have places, and are
   // given up. While one server is sound the others are left alone.
-  const auto resting = [&](const BackendServer* server) {
-    const ServerLoad* load = FindLoad(loads, server->start_key());
-    return load != nullptr && load->resting(now);
+  const auto resting = [&](const Known& known) {
+    return known.load != nullptr && known.load->resting(now);
   };
   if (!std::ranges::all_of(servers, resting)) {
     std::erase_if(servers, resting);
   }
-  const double typical_pace =
-      Typical(servers, loads, &ServerLoad::pace).value_or(0);
+  const double typical_pace = Typical(servers, &ServerSpeed::pace).value_or(0);
   const double typical_read =
-      Typical(servers, loads, &ServerLoad::read_ms_per_token).value_or(0);
+      Typical(servers, &ServerSpeed::read_ms_per_token).value_or(0);
   Candidates candidates;
-  for (const BackendServer* server : servers) {
-    const ServerLoad* load = FindLoad(loads, server->start_key());
-    const double pace = Shown(load, &ServerLoad::pace, typical_pace);
+  for (const Known& known : servers) {
+    const double pace = Shown(known.load, &ServerSpeed::pace, typical_pace);
     const double relative_pace = typical_pace > 0 ? pace / typical_pace : 1;
-    const uint64_t hash = HashBytes(server->start_key());
     const Candidate candidate = {
-        .server = server,
-        .hash = hash,
-        .cost = CostOf(*server, relative_pace,
-                       directory.IsUnconfirmed(server->start_key())),
-        .in_flight = occupancy.At(hash),
-        .places = Places(*server, model_server),
+        .server = known.server,
+        .hash = known.hash,
+        .cost = CostOf(*known.server, known.key, relative_pace,
+                       directory.IsUnconfirmed(known.key)),
+        .in_flight = occupancy.At(known.hash),
+        .places = Places(*known.server, model_server),
         .pace_ms = pace,
         .read_ms_per_token =
-            Shown(load, &ServerLoad::read_ms_per_token, typical_read)};
+            Shown(known.load, &ServerSpeed::read_ms_per_token, typical_read)};
     candidates.free += std::max(0, candidate.places - candidate.in_flight);
     candidates.places += candidate.places;
     candidates.servers.push_back(candidate);
@@ -123,14 +136,13 @@
 Placement::Fit Placement::FitOf(const SlotAsk& ask,
                                 const Candidate& candidate,
                                 TimePoint now) const {
-  using Milliseconds = std::chrono::duration<double, std::milli>;
   const double read_ms = ask.size.prompt_tokens * candidate.read_ms_per_token;
   const double run_ms = read_ms + ask.size.events * candidate.pace_ms;
-  const double left_ms = Milliseconds(ask.due - now).count();
+  const double left_ms = ToFractionalMilliseconds(ask.due - now);
   if (run_ms > options_.longest_part_of_time_left * left_ms) {
     return Fit::kTooSlow;
   }
-  const double gap_ms = Milliseconds(ask.event_gap_target).count();
+  const double gap_ms = ToFractionalMilliseconds(ask.event_gap_target);
   const bool stalls = gap_ms > 0 && candidate.in_flight > 0 &&
                       read_ms > options_.stall_part_of_gap * gap_ms;
   return stalls ? Fit::kStalls : Fit::kGood;
@@ -141,8 +153,9 @@
                                         Candidates& candidates,
                                         TimePoint now) const {
   Fit wanted = Fit::kTooSlow;
-  for (const Candidate& candidate : candidates.servers) {
-    wanted = std::min(wanted, FitOf(ask, candidate, now));
+  for (Candidate& candidate : candidates.servers) {
+    candidate.fit = FitOf(ask, candidate, now);
+    wanted = std::min(wanted, candidate.fit);
   }
   if (late) {
     wanted = std::max(wanted, Fit::kStalls);
@@ -150,8 +163,7 @@
   Candidate* best = nullptr;
   double best_cost = 0;
   for (Candidate& candidate : candidates.servers) {
-    if (candidate.in_flight >= candidate.places ||
-        FitOf(ask, candidate, now) > wanted) {
+    if (candidate.in_flight >= candidate.places || candidate.fit > wanted) {
       continue;
     }
     double cost =
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -70,6 +70,8 @@
     /// not known.
     double pace_ms = 0;
     double read_ms_per_token = 0;
+    /// For the request that Choose looked at last.
+    Fit fit = Fit::kGood;
   };
 
   /// The sound servers of a group. Made once for a line of wishes, since a
@@ -110,6 +112,7 @@
             TimePoint now) const;
   int Places(const BackendServer& server, bool model_server) const;
   double CostOf(const BackendServer& server,
+                const std::string& start_key,
                 double pace,
                 bool unconfirmed) const;
 
--- a/lavenderkeel/forward/request_timing.cc
+++ b/lavenderkeel/forward/request_timing.cc
@@ -49,10 +49,8 @@
   if (!request.model_server) {
     return Duration::zero();
   }
-  constexpr double kMillisecondsPerSecond = 1000;
-  return FromSeconds(static_cast<double>(request.terms.prompt_tokens) /
-                     options_.slow_prompt_tokens_per_ms /
-                     kMillisecondsPerSecond);
+  return FromMilliseconds(static_cast<double>(request.terms.prompt_tokens) /
+                          options_.slow_prompt_tokens_per_ms);
 }
 
 Duration RequestTiming::LongestSilence(const ForwardedRequest& request) const {
--- a/lavenderkeel/forward/server_load.h
+++ b/lavenderkeel/forward/server_load.h
@@ -6,6 +6,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/forward/moving_mean.h"
+#include "lavenderkeel/forward/server_speed.h"
 #include "lavenderkeel/forward/slot.h"
 
 namespace lavenderkeel {
@@ -29,13 +30,7 @@
   explicit ServerLoad(Options options) : options_(options) {}
 
   void OnEnd(const SlotResult& result, TimePoint now) {
-    if (result.pace_ms.has_value()) {
-      pace_.Add(*result.pace_ms);
-    }
-    if (result.read.has_value()) {
-      read_ms_.Add(result.read->ms);
-      read_tokens_.Add(result.read->tokens);
-    }
+    speed_.OnEnd(result);
     switch (result.kind) {
       case SlotResult::Kind::kUnused:
         return;
@@ -76,17 +71,7 @@
   }
 
   bool resting(TimePoint now) const { return now < resting_until_; }
-  /// Milliseconds; nothing before the first sample.
-  std::optional<double> pace() const {
-    return pace_.empty() ? std::nullopt : std::optional(pace_.mean());
-  }
-  /// Milliseconds until the first event, a prompt token; nothing before the
-  /// first sample.
-  std::optional<double> read_ms_per_token() const {
-    return read_tokens_.mean() <= 0
-               ? std::nullopt
-               : std::optional(read_ms_.mean() / read_tokens_.mean());
-  }
+  const ServerSpeed& speed() const { return speed_; }
 
  private:
   void RestUntil(TimePoint until) {
@@ -106,9 +91,7 @@
   int failures_in_row_ = 0;
   TimePoint resting_until_;
   MovingMean errors_{kSamplePart};
-  MovingMean pace_{kSamplePart};
-  MovingMean read_ms_{kSamplePart};
-  MovingMean read_tokens_{kSamplePart};
+  ServerSpeed speed_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -49,14 +49,10 @@
   if (found == speeds_.end() || !ask.by_length) {
     return Duration::zero();
   }
-  const ServiceSpeed& speed = found->second;
-  const double read_ms = speed.read_tokens.empty()
-                             ? 0
-                             : ask.size.prompt_tokens * speed.read_ms.mean() /
-                                   speed.read_tokens.mean();
-  constexpr double kMillisecondsPerSecond = 1000;
-  return FromSeconds((read_ms + ask.size.events * speed.pace_ms.mean()) /
-                     kMillisecondsPerSecond);
+  const ServerSpeed& speed = found->second;
+  return FromMilliseconds(ask.size.prompt_tokens *
+                              speed.read_ms_per_token().value_or(0) +
+                          ask.size.events * speed.pace().value_or(0));
 }
 
 void SlotGate::SortOutLate() {
@@ -101,14 +97,7 @@
   occupancy_.RemoveGrant(asker, HashBytes(server));
   if (const BackendServer* known = directory_.Find(server)) {
     loads_[server].OnEnd(result, clock_.Now());
-    ServiceSpeed& speed = speeds_[known->service];
-    if (result.pace_ms.has_value()) {
-      speed.pace_ms.Add(*result.pace_ms);
-    }
-    if (result.read.has_value()) {
-      speed.read_ms.Add(result.read->ms);
-      speed.read_tokens.Add(result.read->tokens);
-    }
+    speeds_[known->service].OnEnd(result);
     DispatchService(std::string(known->service));
   }
 }
@@ -228,7 +217,7 @@
   const SlotGrant grant = {.attempt = id.second,
                            .server = key,
                            .in_flight = occupancy_.At(hash),
-                           .pace_ms = load.pace().value_or(0)};
+                           .pace_ms = load.speed().pace().value_or(0)};
   Remove(id);
   grants_[id] = {.server = key, .at = clock_.Now()};
   occupancy_.AddGrant(id.first, hash);
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -15,6 +15,7 @@
 #include "lavenderkeel/forward/placement.h"
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/server_load.h"
+#include "lavenderkeel/forward/server_speed.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/forward/slot_occupancy.h"
 
@@ -101,14 +102,6 @@
     SlotAsk ask;
     Place place;
   };
-  struct ServiceSpeed {
-    /// Ten samples outweigh what was before: about a second at these loads.
-    static constexpr double kSamplePart = 0.1;
-
-    MovingMean pace_ms{kSamplePart};
-    MovingMean read_ms{kSamplePart};
-    MovingMean read_tokens{kSamplePart};
-  };
   struct Granted {
     std::string server;
     TimePoint at;
@@ -138,7 +131,7 @@
   SlotOccupancy occupancy_;
   ServerLoads loads_;
   /// How long a service's servers took of late, whichever they were.
-  std::map<std::string, ServiceSpeed> speeds_;
+  std::map<std::string, ServerSpeed> speeds_;
   std::map<Line, std::set<Place>> lines_;
   std::map<AskId, Waiting> by_attempt_;
   /// Wishes that are not late yet, by when they will be.
--- a/test/forward/server_fit_test.cc
+++ b/test/forward/server_fit_test.cc
@@ -1,9 +1,7 @@
 #include <boost/test/unit_test.hpp>
-#include <map>
 #include <string>
 
-#include "lavenderkeel/forward/slot_gate.h"
-#include "test/fuzz/virtual_clock.h"
+#include "test/forward/gate_harness.h"
 
 namespace lavenderkeel {
 
@@ -15,7 +13,7 @@
 /// A gate that knows the speeds of two servers of two slots: "fast" makes an
 /// event in 10 ms and reads 100 prompt tokens in a millisecond, "slow" is eight
 /// times slower.
-struct Harness {
+struct Harness : GateHarness {
   Harness() {
     for (const char* id : {"fast", "slow"}) {
       directory.Apply({.id = id, .service = "engines", .slots = 2});
@@ -44,9 +42,6 @@
   void Done(AttemptId attempt, const SlotResult& result = {}) {
     gate.Done("entry", attempt, result);
   }
-  std::string ServerOf(AttemptId attempt) {
-    return granted.contains(attempt) ? granted[attempt] : "none";
-  }
   /// Takes both slots of the fast server.
   void FillFast() {
     Ask(11, {.events = 10});
@@ -54,16 +49,6 @@
     BOOST_REQUIRE(ServerOf(11) == "fast");
     BOOST_REQUIRE(ServerOf(12) == "fast");
   }
-
-  fuzz::VirtualClock clock;
-  ServerDirectory directory;
-  std::map<AttemptId, std::string> granted;
-  SlotGate gate{{},
-                directory,
-                clock,
-                [this](const std::string&, const SlotGrant& grant) {
-                  granted[grant.attempt] = grant.server;
-                }};
 };
 
 }  // namespace
--- a/test/forward/slot_gate_test.cc
+++ b/test/forward/slot_gate_test.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/rendezvous.h"
-#include "test/fuzz/virtual_clock.h"
+#include "test/forward/gate_harness.h"
 
 namespace lavenderkeel {
 
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 /// A gate before `servers` servers of two slots, with its grants noted.
-struct Harness {
+struct Harness : GateHarness {
   explicit Harness(int servers) {
     for (int i = 1; i <= servers; ++i) {
       directory.Apply({.id = "s" + std::to_string(i),
@@ -39,19 +39,6 @@
                      .in_time_until = clock.Now() + milliseconds(500),
                      .due = clock.Now() + std::chrono::seconds(10)});
   }
-  std::string ServerOf(AttemptId attempt) {
-    return granted.contains(attempt) ? granted[attempt] : "none";
-  }
-
-  fuzz::VirtualClock clock;
-  ServerDirectory directory;
-  std::map<AttemptId, std::string> granted;
-  SlotGate gate{{},
-                directory,
-                clock,
-                [this](const std::string&, const SlotGrant& grant) {
-                  granted[grant.attempt] = grant.server;
-                }};
 };
 
 }  // namespace
