--- /dev/null
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -0,0 +1,248 @@
+#include "lavenderkeel/forward/entry_exchange.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "lavenderkeel/base/rendezvous.h"
+#include "lavenderkeel/forward/internal/forward_wire.h"
+#include "lavenderkeel/membership/greeting.h"
+
+namespace lavenderkeel {
+
+using internal::FromWire;
+using internal::GatesFromWire;
+using internal::RelayedFromWire;
+using internal::ToWire;
+
+EntryExchange::EntryExchange(const Options& options,
+                             MemberTable& members,
+                             Outbox& outbox,
+                             ForwardController& controller,
+                             SlotGate& gate,
+                             SlotRouter& slots,
+                             const Clock& clock)
+    : options_(options),
+      members_(members),
+      outbox_(outbox),
+      controller_(controller),
+      gate_(gate),
+      slots_(slots),
+      clock_(clock),
+      roster_(options.roster, members.self()) {
+  OnRosterChange();
+}
+
+void EntryExchange::OnLinkUp(LinkId link, const InstanceInfo& peer) {
+  roster_.OnMet(peer, clock_.Now());
+  SendList(link, peer.id.instance, roster_.OthersThere(), /*complete=*/true);
+  OnRosterChange();
+}
+
+void EntryExchange::OnPeerUp(const Member& member) {
+  slots_.OnReconnected(member.info.id.ToString());
+  // What the former connection lost is told anew.
+  round_ = 0;
+  Hurry();
+}
+
+void EntryExchange::OnPeerLost(const PeerId& peer) {
+  told_.erase(peer);
+  roster_.OnGone(peer);
+  OnRosterChange();
+}
+
+void EntryExchange::OnPeerLeaving(const PeerId& peer) {
+  roster_.OnGone(peer);
+  OnRosterChange();
+}
+
+void EntryExchange::OnRosterChange() {
+  slots_.set_hosts_gates(roster_.self_coordinates());
+  members_.OnInstanceList(roster_.Others());
+  members_.set_wanted_entries(roster_.self_coordinates()
+                                  ? std::nullopt
+                                  : std::optional(roster_.coordinators()));
+}
+
+void EntryExchange::OnStatus(const Member& member,
+                             const ForwardStatus& status) {
+  const PeerId& peer = member.info.id;
+  const std::string name = peer.ToString();
+  const ForwardReport report = FromWire(status);
+  controller_.OnPeerReport(name, report);
+  gate_.OnReport(name, report.in_flight);
+  relay_.OnTotals(peer, report.team_totals, PassesOnFor(peer.instance));
+  if (status.entries_known == 0) {
+    return;
+  }
+  told_[peer] = {
+      .counts = {.known = status.entries_known, .heard = status.entries_heard},
+      .at = clock_.Now()};
+  controller_.OnRelayedTotals(name, RelayedFromWire(status));
+  if (!member.info.leaving) {
+    slots_.OnHeard(name, GatesFromWire(status));
+  }
+}
+
+void EntryExchange::OnKnownEntries(const KnownEntries& known) {
+  std::vector<InstanceInfo> told;
+  told.reserve(known.entries.size());
+  for (const auto& entry : known.entries) {
+    if (entry != nullptr) {
+      told.push_back(FromHello(*entry));
+    }
+  }
+  roster_.OnTold(told, known.complete, clock_.Now());
+  OnRosterChange();
+}
+
+void EntryExchange::Tick(const OwnState& own) {
+  const TimePoint now = clock_.Now();
+  SendNews();
+  if (now >= status_due_) {
+    status_due_ = now + options_.status_period;
+    SendStatus(own);
+  }
+  if (now >= list_due_) {
+    list_due_ = now + options_.list_period;
+    SendWholeList();
+  }
+}
+
+bool EntryExchange::IsUp(const PeerId& coordinator) const {
+  const auto told = told_.find(coordinator);
+  return told != told_.end() &&
+         clock_.Now() - told->second.at <= options_.coordinator_silence;
+}
+
+bool EntryExchange::PassesOnFor(const std::string& instance) const {
+  if (!roster_.self_coordinates() || roster_.IsCoordinator(instance)) {
+    return false;
+  }
+  // The weightiest of those that are heard of, without a list of them.
+  const uint64_t key = HashBytes(instance);
+  const uint64_t own = RendezvousWeight(key, members_.self().id.instance);
+  return std::ranges::none_of(told_, [&](const auto& item) {
+    return IsUp(item.first) && RendezvousWeight(key, item.first.instance) > own;
+  });
+}
+
+EntryExchange::Counts EntryExchange::Count() const {
+  if (roster_.self_coordinates()) {
+    Counts counts;
+    for (const Member* member : members_.Members(Role::kEntry)) {
+      if (!member->info.leaving) {
+        ++counts.known;
+        counts.heard += member->live() ? 1 : 0;
+      }
+    }
+    return counts;
+  }
+  // What the coordinator that hears of most entries hears of is heard here.
+  std::optional<Counts> most;
+  for (const auto& [peer, told] : told_) {
+    if (IsUp(peer) && (!most.has_value() || told.counts.heard > most->heard)) {
+      most = told.counts;
+    }
+  }
+  return most.value_or(Counts{.known = roster_.size(), .heard = 1});
+}
+
+void EntryExchange::SendStatus(const OwnState& own) {
+  const bool whole = round_ == 0;
+  round_ = (round_ + 1) % options_.whole_every;
+  ForwardReport report = controller_.Report();
+  gate_.OnReport(members_.self().id.ToString(), report.in_flight);
+  const std::vector<GateReport> gates = gate_.Reports();
+  slots_.OnHeard(members_.self().id.ToString(), gates);
+  std::erase_if(report.team_totals, [&](const auto& total) {
+    const bool same =
+        std::exchange(own_told_[total.first], total.second) == total.second;
+    return same && !whole;
+  });
+  const bool coordinates = roster_.self_coordinates();
+  ForwardStatus to_coordinator = ToWire(report, gates);
+  to_coordinator.server_change = own.server_change;
+  to_coordinator.store_lost = own.store_lost;
+  const Counts counts = Count();
+  if (coordinates) {
+    to_coordinator.entries_known = static_cast<uint32_t>(counts.known);
+    to_coordinator.entries_heard = static_cast<uint32_t>(counts.heard);
+  }
+  // Who has no gate needs no counts of what is at the servers.
+  ForwardStatus to_other = to_coordinator;
+  to_other.servers.clear();
+  to_other.in_flight.clear();
+  for (const Member* member : members_.Members(Role::kEntry)) {
+    if (!member->outbound.has_value()) {
+      continue;
+    }
+    if (roster_.IsCoordinator(member->info.id.instance)) {
+      outbox_.Send(*member->outbound, to_coordinator);
+    } else if (coordinates) {
+      ForwardStatus status = to_other;
+      internal::PutRelayed(relay_.For(member->info.id, whole), status);
+      outbox_.Send(*member->outbound, std::move(status));
+    }
+  }
+  relay_.EndRound();
+}
+
+void EntryExchange::SendNews() {
+  const std::vector<InstanceInfo> news = roster_.TakeNews();
+  if (news.empty()) {
+    return;
+  }
+  for (const Member* member : members_.Members(Role::kEntry)) {
+    if (member->outbound.has_value()) {
+      SendList(*member->outbound, member->info.id.instance, news,
+               /*complete=*/false);
+    }
+  }
+}
+
+void EntryExchange::SendWholeList() {
+  // In turn, by name: each entry gets the list of one coordinator or another
+  // about once a second.
+  const std::vector<const Member*> all = members_.Members(Role::kEntry);
+  const Member* next = nullptr;
+  for (const Member* member : all) {
+    if (!member->outbound.has_value()) {
+      continue;
+    }
+    const bool after = member->info.id.instance > list_sent_to_;
+    const bool next_is_after =
+        next != nullptr && next->info.id.instance > list_sent_to_;
+    if (next == nullptr || (after && !next_is_after)) {
+      next = member;
+    }
+  }
+  if (next == nullptr || !roster_.self_coordinates()) {
+    return;
+  }
+  list_sent_to_ = next->info.id.instance;
+  std::vector<InstanceInfo> live;
+  for (const Member* member : all) {
+    if (member->live()) {
+      live.push_back(member->info);
+    }
+  }
+  SendList(*next->outbound, list_sent_to_, live, /*complete=*/true);
+}
+
+void EntryExchange::SendList(LinkId link,
+                             const std::string& to,
+                             const std::vector<InstanceInfo>& entries,
+                             bool complete) {
+  KnownEntries known;
+  known.complete = complete;
+  for (const InstanceInfo& info : entries) {
+    if (info.id.instance != to && !info.leaving) {
+      known.entries.push_back(std::make_unique<Hello>(ToHello(info)));
+    }
+  }
+  outbox_.Send(link, std::move(known));
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/entry_exchange.h
@@ -0,0 +1,121 @@
+#ifndef LAVENDERKEEL_FORWARD_ENTRY_EXCHANGE_H_
+#define LAVENDERKEEL_FORWARD_ENTRY_EXCHANGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "lavenderkeel/action.h"
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/draw_relay.h"
+#include "lavenderkeel/forward/entry_roster.h"
+#include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/forward/slot_gate.h"
+#include "lavenderkeel/forward/slot_router.h"
+#include "lavenderkeel/membership/member_table.h"
+
+namespace lavenderkeel {
+
+/// What entries tell each other, and to whom.
+///
+/// Every entry reports to the coordinators, and they report to every entry.
+/// Between two entries of which neither is a coordinator there is nothing to
+/// say, so they keep no connection. A coordinator that is lost is replaced by
+/// the next in the order that all entries share.
+class EntryExchange {
+ public:
+  struct Options {
+    /// How often an entry reports. Others place on reports this old; a request
+    /// lasts some 300 ms.
+    Duration status_period = std::chrono::milliseconds(100);
+    /// Every so many reports all draws are told, not only those that changed.
+    int whole_every = 10;
+    /// How often an entry sends its whole list of entries, to one other at a
+    /// time.
+    Duration list_period = std::chrono::milliseconds(100);
+    /// A coordinator that said nothing for this time speaks for nobody.
+    Duration coordinator_silence = std::chrono::milliseconds(400);
+    EntryRoster::Options roster;
+  };
+
+  /// What this entry says of itself besides.
+  struct OwnState {
+    uint64_t server_change = 0;
+    bool store_lost = false;
+  };
+
+  /// Entries that are known and those of them whose draws are heard of, this
+  /// one included in both.
+  struct Counts {
+    size_t known = 1;
+    size_t heard = 1;
+
+    friend bool operator==(const Counts&, const Counts&) = default;
+  };
+
+  EntryExchange(const Options& options,
+                MemberTable& members,
+                Outbox& outbox,
+                ForwardController& controller,
+                SlotGate& gate,
+                SlotRouter& slots,
+                const Clock& clock);
+
+  void OnLinkUp(LinkId link, const InstanceInfo& peer);
+  /// The connection that this entry opened to the member is up.
+  void OnPeerUp(const Member& member);
+  void OnPeerLost(const PeerId& peer);
+  void OnPeerLeaving(const PeerId& peer);
+  void OnStatus(const Member& member, const ForwardStatus& status);
+  void OnKnownEntries(const KnownEntries& known);
+  /// Reports soon, since something changed.
+  void Hurry() { status_due_ = {}; }
+  void Tick(const OwnState& own);
+
+  Counts Count() const;
+  const EntryRoster& roster() const { return roster_; }
+
+ private:
+  struct Told {
+    Counts counts;
+    TimePoint at;
+  };
+
+  bool IsUp(const PeerId& coordinator) const;
+  /// The coordinator that passes on what the entry draws, by this one's view.
+  bool PassesOnFor(const std::string& instance) const;
+  void SendStatus(const OwnState& own);
+  void SendNews();
+  void SendWholeList();
+  void SendList(LinkId link,
+                const std::string& to,
+                const std::vector<InstanceInfo>& entries,
+                bool complete);
+  /// A change of coordinators changes whom this entry is connected to.
+  void OnRosterChange();
+
+  Options options_;
+  MemberTable& members_;
+  Outbox& outbox_;
+  ForwardController& controller_;
+  SlotGate& gate_;
+  SlotRouter& slots_;
+  const Clock& clock_;
+  EntryRoster roster_;
+  DrawRelay relay_;
+  /// What the coordinators said last of how many entries there are.
+  std::map<PeerId, Told> told_;
+  /// Own draws as they were told last.
+  std::map<uint64_t, double> own_told_;
+  TimePoint status_due_;
+  TimePoint list_due_;
+  int round_ = 0;
+  /// The last that the whole list went to.
+  std::string list_sent_to_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_ENTRY_EXCHANGE_H_
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -867,6 +867,11 @@
   rates_.OnPeerTotals(peer, report.team_totals, clock_.Now());
 }
 
+void ForwardController::OnRelayedTotals(const std::string& coordinator,
+                                        const DrawTotals& totals) {
+  rates_.OnRelayedTotals(coordinator, totals, clock_.Now());
+}
+
 void ForwardController::OnPeerLost(const std::string& peer) {
   rates_.ForgetPeer(peer);
 }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -35,9 +35,8 @@
 struct ForwardReport {
   uint64_t table_version = 0;
   std::vector<ServerCount> in_flight;
-  /// Units that each team drew from its rate here since this entry's start, by
-  /// the hash of the team's name.
-  TeamRates::Totals team_totals;
+  /// Of this entry's own requests.
+  DrawTotals team_totals;
 
   friend bool operator==(const ForwardReport&, const ForwardReport&) = default;
 };
@@ -129,6 +128,9 @@
   /// What the others are to know of this one.
   ForwardReport Report() const;
   void OnPeerReport(const std::string& peer, const ForwardReport& report);
+  /// What a coordinator passes on of the draws of others.
+  void OnRelayedTotals(const std::string& coordinator,
+                       const DrawTotals& totals);
   void OnPeerLost(const std::string& peer);
   /// How many entries share the bounds, this one included, and how many of
   /// these are heard of.
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -8,10 +8,7 @@
 
 namespace lavenderkeel {
 
-using internal::FromHello;
 using internal::FromWire;
-using internal::GatesFromWire;
-using internal::ToHello;
 using internal::ToWire;
 
 namespace {
@@ -23,9 +20,6 @@
 /// machines delay ticks by some hundred milliseconds.
 constexpr Duration kLongestGap = std::chrono::milliseconds(900);
 
-/// A group that no wish came for in this time has another gate now.
-constexpr Duration kGateForgotten = std::chrono::seconds(2);
-
 /// Whether the one was here well before the other started. Incarnations are the
 /// calendar time of the start in microseconds; processes that are killed
 /// together start within half a second of each other.
@@ -106,6 +100,13 @@
                   clock,
                   log,
                   metrics),
+      exchange_(options_.exchange,
+                members_,
+                outbox_,
+                controller_,
+                gate_,
+                slots_,
+                clock),
       config_watch_(WithKind(options_.watch, source_.config_kind),
                     ConfigHooks(),
                     clock,
@@ -119,25 +120,24 @@
       gaps_(kLongestGap) {
   members_.signal_lost().connect([this](const PeerId& peer, Role) {
     log_.Warn("peer_lost", {{"peer", peer.ToString()}});
-    known_by_peer_.erase(peer.instance);
     peers_without_store_.erase(peer);
     peers_.erase(peer.ToString());
     slots_.OnGone(peer.ToString());
     gate_.ForgetAsker(peer.ToString());
     controller_.OnPeerLost(peer.ToString());
+    exchange_.OnPeerLost(peer);
     CountPeers();
   });
-  members_.signal_leaving().connect(
-      [this](const PeerId& peer, Role) { slots_.OnGone(peer.ToString()); });
+  members_.signal_leaving().connect([this](const PeerId& peer, Role) {
+    slots_.OnGone(peer.ToString());
+    exchange_.OnPeerLeaving(peer);
+  });
   members_.signal_up().connect([this](const Member& member) {
     log_.Info("peer_up", {{"peer", member.info.id.ToString()}});
-    peers_[member.info.id.ToString()] = member.info.id;
     if (IsOlder(member.info.id, members_.self().id)) {
       controller_.OnOlderPeer();
     }
-    slots_.OnReconnected(member.info.id.ToString());
-    status_due_ = {};
-    known_due_ = {};
+    exchange_.OnPeerUp(member);
   });
   for (const std::string& seed : options_.seeds) {
     members_.AddSeed(seed);
@@ -217,7 +217,7 @@
       std::make_shared<const RouteTable>(*std::move(decoded.value)));
   config_content_ = content;
   newer_at_.reset();
-  status_due_ = {};
+  exchange_.Hurry();
 }
 
 std::optional<BackendServer> ForwardNode::ReadServer(
@@ -280,8 +280,8 @@
   gate_.Tick();
   controller_.Tick();
   PullNewer();
-  SendStatus();
-  SendKnown();
+  exchange_.Tick({.server_change = server_watch_.last_change(),
+                  .store_lost = server_watch_.lost() || config_watch_.lost()});
 }
 
 void ForwardNode::OnFreeze() {
@@ -307,7 +307,12 @@
 bool ForwardNode::OnLinkUp(LinkId link,
                            const InstanceInfo& peer,
                            const std::string& dialed) {
-  return members_.OnLinkUp(link, peer, dialed);
+  if (!members_.OnLinkUp(link, peer, dialed)) {
+    return false;
+  }
+  peers_[peer.id.ToString()] = peer.id;
+  exchange_.OnLinkUp(link, peer);
+  return true;
 }
 
 void ForwardNode::OnLinkDown(LinkId link) {
@@ -338,7 +343,7 @@
         } else if constexpr (std::is_same_v<T, SlotEnd>) {
           gate_.Done(member->info.id.ToString(), body.attempt, FromWire(body));
         } else if constexpr (std::is_same_v<T, KnownEntries>) {
-          OnKnownEntries(*member, body);
+          exchange_.OnKnownEntries(body);
         } else if constexpr (std::is_same_v<T, ConfigPull>) {
           OnPull(link);
         } else if constexpr (std::is_same_v<T, ConfigShards>) {
@@ -358,13 +363,7 @@
     newer_at_ = member.info.id;
     newer_since_ = clock_.Now();
   }
-  const std::string peer = member.info.id.ToString();
-  const ForwardReport report = FromWire(status);
-  controller_.OnPeerReport(peer, report);
-  gate_.OnReport(peer, report.in_flight);
-  if (!member.info.leaving) {
-    slots_.OnHeard(peer, GatesFromWire(status));
-  }
+  exchange_.OnStatus(member, status);
 }
 
 void ForwardNode::NoteStoreLost(const PeerId& peer, bool lost) {
@@ -382,12 +381,12 @@
 
 std::optional<LinkId> ForwardNode::LinkTo(const std::string& entry) const {
   const auto found = peers_.find(entry);
-  return found == peers_.end() ? std::nullopt : members_.LinkTo(found->second);
+  return found == peers_.end() ? std::nullopt
+                               : members_.AnyLinkTo(found->second);
 }
 
 void ForwardNode::TakeAsk(const std::string& gate, const SlotAsk& ask) {
   if (gate == self_) {
-    NoteGated(ask);
     gate_.Ask(self_, ask);
     return;
   }
@@ -427,33 +426,14 @@
   }
 }
 
-void ForwardNode::NoteGated(const SlotAsk& ask) {
-  gated_[{ask.service, ask.group}] = clock_.Now();
-}
-
 void ForwardNode::OnWantSlot(const Member& member, const WantSlot& want) {
-  const SlotAsk ask = FromWire(want, clock_.Now());
-  NoteGated(ask);
-  gate_.Ask(member.info.id.ToString(), ask);
+  gate_.Ask(member.info.id.ToString(), FromWire(want, clock_.Now()));
 }
 
 void ForwardNode::OnHaveSlot(const Member& member, const HaveSlot& have) {
   TakeGrant(member.info.id.ToString(), FromWire(have));
 }
 
-std::vector<GateReport> ForwardNode::ReportGates() const {
-  std::vector<GateReport> reports;
-  for (const auto& [line, last] : gated_) {
-    const auto& [service, group] = line;
-    reports.push_back(
-        {.service_hash = HashBytes(service),
-         .group = group,
-         .free = gate_.Free(service, group),
-         .waiting = static_cast<int>(gate_.waiting(service, group))});
-  }
-  return reports;
-}
-
 void ForwardNode::PullNewer() {
   if (!newer_at_.has_value() ||
       clock_.Now() - newer_since_ < options_.pull_after) {
@@ -479,89 +459,10 @@
   outbox_.Send(link, std::move(shards));
 }
 
-void ForwardNode::OnKnownEntries(const Member& member,
-                                 const KnownEntries& known) {
-  std::vector<InstanceInfo>& told = known_by_peer_[member.info.id.instance];
-  told.clear();
-  for (const auto& entry : known.entries) {
-    if (entry != nullptr) {
-      told.push_back(FromHello(*entry));
-    }
-  }
-  // Of several incarnations that are told of, the latest is dialled.
-  std::map<std::string, InstanceInfo> latest;
-  for (const auto& [peer, infos] : known_by_peer_) {
-    for (const InstanceInfo& info : infos) {
-      const auto [position, inserted] =
-          latest.try_emplace(info.id.instance, info);
-      if (!inserted && position->second.id.incarnation < info.id.incarnation) {
-        position->second = info;
-      }
-    }
-  }
-  std::vector<InstanceInfo> all;
-  all.reserve(latest.size());
-  for (auto& [instance, info] : latest) {
-    all.push_back(std::move(info));
-  }
-  members_.OnInstanceList(all);
-}
-
-void ForwardNode::SendStatus() {
-  const TimePoint now = clock_.Now();
-  if (now < status_due_) {
-    return;
-  }
-  status_due_ = now + options_.status_period;
-  const ForwardReport report = controller_.Report();
-  gate_.OnReport(self_, report.in_flight);
-  std::erase_if(gated_, [now](const auto& item) {
-    return now - item.second > kGateForgotten;
-  });
-  const std::vector<GateReport> gates = ReportGates();
-  slots_.OnHeard(self_, gates);
-  ForwardStatus status = ToWire(report, gates);
-  status.server_change = server_watch_.last_change();
-  status.store_lost = server_watch_.lost() || config_watch_.lost();
-  for (const Member* member : members_.Members(Role::kEntry)) {
-    if (member->outbound.has_value()) {
-      outbox_.Send(*member->outbound, status);
-    }
-  }
-}
-
-void ForwardNode::SendKnown() {
-  const TimePoint now = clock_.Now();
-  if (now < known_due_) {
-    return;
-  }
-  known_due_ = now + options_.known_period;
-  const std::vector<const Member*> all = members_.Members(Role::kEntry);
-  for (const Member* target : all) {
-    if (!target->outbound.has_value()) {
-      continue;
-    }
-    KnownEntries known;
-    for (const Member* member : all) {
-      if (member != target && member->live()) {
-        known.entries.push_back(std::make_unique<Hello>(ToHello(member->info)));
-      }
-    }
-    outbox_.Send(*target->outbound, std::move(known));
-  }
-}
-
 void ForwardNode::CountPeers() {
-  size_t known = 1;
-  size_t heard = 1;
-  for (const Member* member : members_.Members(Role::kEntry)) {
-    if (!member->info.leaving) {
-      ++known;
-      heard += member->live() ? 1 : 0;
-    }
-  }
-  controller_.OnPeerCount(known, heard);
-  SetWatchWait(heard);
+  const EntryExchange::Counts counts = exchange_.Count();
+  controller_.OnPeerCount(counts.known, counts.heard);
+  SetWatchWait(counts.heard);
 }
 
 void ForwardNode::SetWatchWait(size_t heard) {
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -12,6 +12,7 @@
 
 #include "lavenderkeel/action.h"
 #include "lavenderkeel/base.h"
+#include "lavenderkeel/forward/entry_exchange.h"
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/membership.h"
 #include "lavenderkeel/watch.h"
@@ -53,11 +54,7 @@
     /// Below the shortest history that a store keeps.
     Duration longest_watch = std::chrono::seconds(12);
     std::vector<std::string> seeds;
-    /// How often an entry tells the others what it has in flight. Others place
-    /// on reports this old; a request lasts some 300 ms.
-    Duration status_period = std::chrono::milliseconds(100);
-    /// How often it tells them whom it is connected to.
-    Duration known_period = std::chrono::seconds(1);
+    EntryExchange::Options exchange;
     /// A version that another entry has and the store has not told us is asked
     /// for after this time.
     Duration pull_after = std::chrono::milliseconds(150);
@@ -92,6 +89,7 @@
   bool leaving() const { return leaving_; }
   ForwardController& controller() { return controller_; }
   MemberTable& members() { return members_; }
+  const EntryExchange& exchange() const { return exchange_; }
   Outbox& outbox() { return outbox_; }
   uint64_t store_calls() const {
     return config_watch_.calls() + server_watch_.calls();
@@ -117,14 +115,9 @@
   void OnStatus(const Member& member, const ForwardStatus& status);
   void OnWantSlot(const Member& member, const WantSlot& want);
   void OnHaveSlot(const Member& member, const HaveSlot& have);
-  std::vector<GateReport> ReportGates() const;
   std::optional<LinkId> LinkTo(const std::string& entry) const;
-  void NoteGated(const SlotAsk& ask);
-  void OnKnownEntries(const Member& member, const KnownEntries& known);
   void OnPull(LinkId link);
   void PullNewer();
-  void SendStatus();
-  void SendKnown();
   void CountPeers();
   void SetWatchWait(size_t heard);
   void NoteStoreLost(const PeerId& peer, bool lost);
@@ -143,6 +136,7 @@
   SlotGate gate_;
   SlotRouter slots_;
   ForwardController controller_;
+  EntryExchange exchange_;
   ObjectWatch config_watch_;
   ObjectWatch server_watch_;
   GapDetector gaps_;
@@ -150,8 +144,6 @@
   std::string config_content_;
   bool servers_listed_ = false;
   bool leaving_ = false;
-  TimePoint status_due_;
-  TimePoint known_due_;
   /// A peer that has a newer configuration, and since when we know.
   std::optional<PeerId> newer_at_;
   TimePoint newer_since_;
@@ -160,11 +152,8 @@
   /// The most entries heard of, this one included, since the watches were last
   /// confirmed because half of them were gone.
   size_t heard_when_confirmed_ = 1;
-  std::map<std::string, std::vector<InstanceInfo>> known_by_peer_;
   /// The latest incarnation heard of, by its name among the gates.
   std::map<std::string, PeerId> peers_;
-  /// Groups that wishes came for, and when the last one did.
-  std::map<std::pair<std::string, SlotGroup>, TimePoint> gated_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -5,25 +5,31 @@
 
 namespace lavenderkeel::internal {
 
-Hello ToHello(const InstanceInfo& info) {
-  Hello hello;
-  hello.instance = info.id.instance;
-  hello.incarnation = info.id.incarnation;
-  hello.role = static_cast<uint8_t>(info.role);
-  hello.data_centre = info.data_centre;
-  hello.region = info.region;
-  hello.address = info.address;
-  return hello;
+namespace {
+
+/// A peer that lies about its lists' lengths is read as far as they agree.
+DrawTotals ToTotals(const std::vector<uint64_t>& teams,
+                    const std::vector<double>& drawn) {
+  DrawTotals totals;
+  const size_t count = std::min(teams.size(), drawn.size());
+  totals.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    totals.emplace_back(teams[i], drawn[i]);
+  }
+  return totals;
 }
 
-InstanceInfo FromHello(const Hello& hello) {
-  return {.id = {.instance = hello.instance, .incarnation = hello.incarnation},
-          .role = static_cast<Role>(hello.role),
-          .data_centre = hello.data_centre,
-          .region = hello.region,
-          .address = hello.address};
+void PutTotals(const DrawTotals& totals,
+               std::vector<uint64_t>& teams,
+               std::vector<double>& drawn) {
+  for (const auto& [team, total] : totals) {
+    teams.push_back(team);
+    drawn.push_back(total);
+  }
 }
 
+}  // namespace
+
 WantSlot ToWire(const SlotAsk& ask, TimePoint now) {
   WantSlot want;
   want.attempt = ask.attempt;
@@ -109,10 +115,7 @@
     status.servers.push_back(count.server_hash);
     status.in_flight.push_back(static_cast<uint32_t>(count.in_flight));
   }
-  for (const auto& [team, drawn] : report.team_totals) {
-    status.teams.push_back(team);
-    status.drawn.push_back(drawn);
-  }
+  PutTotals(report.team_totals, status.teams, status.drawn);
   for (const GateReport& gate : gates) {
     auto told = std::make_unique<GateStatus>();
     told->service = gate.service_hash;
@@ -138,9 +141,16 @@
   return gates;
 }
 
+void PutRelayed(const DrawTotals& relayed, ForwardStatus& status) {
+  PutTotals(relayed, status.relayed_teams, status.relayed);
+}
+
+DrawTotals RelayedFromWire(const ForwardStatus& status) {
+  return ToTotals(status.relayed_teams, status.relayed);
+}
+
 ForwardReport FromWire(const ForwardStatus& status) {
   ForwardReport report{.table_version = status.table_version};
-  // A peer that lies about its lists' lengths is read as far as they agree.
   const size_t servers =
       std::min(status.servers.size(), status.in_flight.size());
   for (size_t i = 0; i < servers; ++i) {
@@ -148,10 +158,7 @@
         {.server_hash = status.servers[i],
          .in_flight = static_cast<int>(status.in_flight[i])});
   }
-  const size_t teams = std::min(status.teams.size(), status.drawn.size());
-  for (size_t i = 0; i < teams; ++i) {
-    report.team_totals.emplace_back(status.teams[i], status.drawn[i]);
-  }
+  report.team_totals = ToTotals(status.teams, status.drawn);
   return report;
 }
 
--- a/lavenderkeel/forward/internal/forward_wire.h
+++ b/lavenderkeel/forward/internal/forward_wire.h
@@ -7,7 +7,6 @@
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/forward/slot_router.h"
-#include "lavenderkeel/membership/instance_info.h"
 #include "lavenderkeel/wire.h"
 
 // Between what entries tell each other about forwarding and its form on the
@@ -15,13 +14,13 @@
 // left.
 namespace lavenderkeel::internal {
 
-Hello ToHello(const InstanceInfo& info);
-InstanceInfo FromHello(const Hello& hello);
-
 ForwardStatus ToWire(const ForwardReport& report,
                      const std::vector<GateReport>& gates);
 ForwardReport FromWire(const ForwardStatus& status);
 std::vector<GateReport> GatesFromWire(const ForwardStatus& status);
+/// What teams drew at the entries that the sender passes on.
+void PutRelayed(const DrawTotals& relayed, ForwardStatus& status);
+DrawTotals RelayedFromWire(const ForwardStatus& status);
 
 WantSlot ToWire(const SlotAsk& ask, TimePoint now);
 SlotAsk FromWire(const WantSlot& want, TimePoint now);
--- a/lavenderkeel/forward/rate_share.h
+++ b/lavenderkeel/forward/rate_share.h
@@ -64,7 +64,8 @@
   /// starts alone and lets the whole rate through until it hears of the others;
   /// with 30 of them a team got 1.04 times what is tolerated.
   double JoiningPart() const {
-    return 1.0 / static_cast<double>(options_.assumed_entries);
+    return 1.0 /
+           static_cast<double>(std::max(known_, options_.assumed_entries));
   }
 
   /// How many entries share what all may use together.
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -23,6 +23,16 @@
   friend auto operator<=>(const SlotGroup&, const SlotGroup&) = default;
 };
 
+/// What one gate says of a group that it looks after.
+struct GateReport {
+  uint64_t service_hash = 0;
+  SlotGroup group;
+  int free = 0;
+  int waiting = 0;
+
+  friend bool operator==(const GateReport&, const GateReport&) = default;
+};
+
 /// An entry's wish for a slot at some server of a service.
 struct SlotAsk {
   /// The attempt that it is for; unique within the asking entry.
--- a/lavenderkeel/forward/slot_gate.cc
+++ b/lavenderkeel/forward/slot_gate.cc
@@ -19,6 +19,7 @@
 
 void SlotGate::Ask(const std::string& asker, const SlotAsk& ask) {
   const AskId id = {asker, ask.attempt};
+  asked_[LineOf(ask)] = clock_.Now();
   // Asked again after a change of links: the slot that it has is offered anew.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
     on_grant_(asker,
@@ -104,12 +105,16 @@
 
 void SlotGate::OnReport(const std::string& asker,
                         const std::vector<ServerCount>& counts) {
-  occupancy_.SetReport(asker, counts);
-  SettleGrants(asker);
-  Dispatch();
+  // A coordinator hears a thousand reports a second, of which few free
+  // anything.
+  const bool freed = occupancy_.SetReport(asker, counts);
+  const bool lost = SettleGrants(asker);
+  if (freed || lost) {
+    Dispatch();
+  }
 }
 
-void SlotGate::SettleGrants(const std::string& asker) {
+bool SlotGate::SettleGrants(const std::string& asker) {
   // Failure: a connection breaks with a grant or an end on it. Symptom: a slot
   // that nobody uses and that is never free again. The entry's reports tell
   // what it really has; grants beyond that, once old enough to show, are void.
@@ -130,6 +135,7 @@
     occupancy_.VoidGrant(asker, HashBytes(grants_.at(id).server));
     grants_.erase(id);
   }
+  return !lost.empty();
 }
 
 void SlotGate::ForgetAsker(const std::string& asker) {
@@ -174,6 +180,9 @@
 
 void SlotGate::Tick() {
   std::erase_if(lines_, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(asked_, [this](const auto& item) {
+    return clock_.Now() - item.second > options_.group_forgotten;
+  });
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
@@ -224,6 +233,18 @@
   on_grant_(id.first, grant);
 }
 
+std::vector<GateReport> SlotGate::Reports() const {
+  std::vector<GateReport> reports;
+  for (const auto& [line, last] : asked_) {
+    reports.push_back(
+        {.service_hash = HashBytes(line.service),
+         .group = line.group,
+         .free = Free(line.service, line.group),
+         .waiting = static_cast<int>(waiting(line.service, line.group))});
+  }
+  return reports;
+}
+
 size_t SlotGate::waiting(const std::string& service,
                          const SlotGroup& group) const {
   const auto found = lines_.find({.service = service, .group = group});
--- a/lavenderkeel/forward/slot_gate.h
+++ b/lavenderkeel/forward/slot_gate.h
@@ -52,6 +52,8 @@
     /// What each second that a request will hold its slot, by estimate, adds to
     /// the moment that its place in the line goes by.
     double order_by_length = 1.0;
+    /// A group that no wish came for in this time has another gate now.
+    Duration group_forgotten = std::chrono::seconds(2);
   };
 
   /// Hands a slot out. May lead back to Done and Ask.
@@ -76,6 +78,8 @@
   /// Forgets servers that are gone, and does what time asks for.
   void Tick();
 
+  /// Of the groups that wishes came for lately.
+  std::vector<GateReport> Reports() const;
   size_t waiting(const std::string& service, const SlotGroup& group) const;
   /// Free places at sound servers of the group.
   int Free(const std::string& service, const SlotGroup& group) const;
@@ -121,7 +125,8 @@
   void DispatchLine(const Line& line, std::set<Place>& places);
   void Remove(const AskId& id);
   void Grant(const AskId& id, const BackendServer& server);
-  void SettleGrants(const std::string& asker);
+  /// @return whether a lost one was found
+  bool SettleGrants(const std::string& asker);
 
   Options options_;
   const ServerDirectory& directory_;
@@ -133,6 +138,8 @@
   /// How long a service's servers took of late, whichever they were.
   std::map<std::string, ServerSpeed> speeds_;
   std::map<Line, std::set<Place>> lines_;
+  /// When the last wish for each group came.
+  std::map<Line, TimePoint> asked_;
   std::map<AskId, Waiting> by_attempt_;
   /// Wishes that are not late yet, by when they will be.
   std::set<std::pair<TimePoint, AskId>> late_at_;
--- a/lavenderkeel/forward/slot_occupancy.h
+++ b/lavenderkeel/forward/slot_occupancy.h
@@ -41,20 +41,28 @@
   }
 
   /// Replaces the asker's report. Servers that it leaves out have none.
+  /// @return whether a place became free
   template <typename Counts>
-  void SetReport(const std::string& asker, const Counts& counts) {
+  bool SetReport(const std::string& asker, const Counts& counts) {
     auto& parts = parts_[asker];
     std::unordered_map<uint64_t, int> reported;
     for (const auto& count : counts) {
       reported[count.server_hash] = count.in_flight;
       parts.try_emplace(count.server_hash);
     }
+    bool freed = false;
     for (auto& [server, part] : parts) {
       const auto found = reported.find(server);
+      const int before = part.count();
       Change(server, part,
              {.granted = part.granted,
               .reported = found == reported.end() ? 0 : found->second});
+      freed |= part.count() < before;
     }
+    // Else every report would go through each server that the asker ever used.
+    std::erase_if(parts,
+                  [](const auto& item) { return item.second.count() == 0; });
+    return freed;
   }
 
   void Forget(const std::string& asker) {
--- a/lavenderkeel/forward/slot_router.cc
+++ b/lavenderkeel/forward/slot_router.cc
@@ -69,7 +69,8 @@
                                const SlotGroup& group) const {
   const uint64_t key = HashBytes(service, group.index);
   std::string best = options_.self;
-  uint64_t best_weight = leaving_ ? 0 : RendezvousWeight(key, best);
+  uint64_t best_weight =
+      leaving_ || !hosts_gates_ ? 0 : RendezvousWeight(key, best);
   for (const auto& [entry, gate] : gates_) {
     const uint64_t weight = RendezvousWeight(key, entry);
     if (entry != options_.self && weight > best_weight && IsUp(entry)) {
--- a/lavenderkeel/forward/slot_router.h
+++ b/lavenderkeel/forward/slot_router.h
@@ -14,16 +14,6 @@
 
 namespace lavenderkeel {
 
-/// What one gate says of a group that it looks after.
-struct GateReport {
-  uint64_t service_hash = 0;
-  SlotGroup group;
-  int free = 0;
-  int waiting = 0;
-
-  friend bool operator==(const GateReport&, const GateReport&) = default;
-};
-
 /// Takes an entry's wishes for slots to the gates that hand them out.
 ///
 /// The servers of a large service are split into groups; a group's gate is at
@@ -67,6 +57,9 @@
   void OnHeard(const std::string& entry, const std::vector<GateReport>& gates);
   /// A connection to it is up again: what was on the former one may be lost.
   void OnReconnected(const std::string& entry);
+  /// Whether this entry has gates. If not, another has them where one is heard
+  /// of.
+  void set_hosts_gates(bool hosts) { hosts_gates_ = hosts; }
   /// From now on another entry is the gate where there is one.
   void set_leaving() { leaving_ = true; }
   /// It is leaving or lost.
@@ -102,6 +95,7 @@
   /// Asked of a group since its gate's last report.
   std::map<std::pair<uint64_t, SlotGroup>, int> asked_;
   uint32_t turn_ = 0;
+  bool hosts_gates_ = true;
   bool leaving_ = false;
 };
 
--- a/lavenderkeel/forward/team_bucket.h
+++ b/lavenderkeel/forward/team_bucket.h
@@ -97,6 +97,8 @@
     kOld,
     /// The peer started together with this entry: all of it was just drawn.
     kRecent,
+    /// Another spoke for it until now, and counted it.
+    kCounted,
   };
 
   /// Another entry's total since its start, for this team.
@@ -105,7 +107,11 @@
                    FirstTotal kind = FirstTotal::kOld) {
     const auto [known, first] = peers_.try_emplace(peer, 0);
     const double drawn = std::max(0.0, total - known->second);
-    known->second = total;
+    // Totals only grow; a smaller one is of a report that was overtaken.
+    known->second = std::max(known->second, total);
+    if (first && kind == FirstTotal::kCounted) {
+      return;
+    }
     level_ = first && kind == FirstTotal::kOld
                  ? std::max(std::min(level_, 0.0), level_ - drawn)
                  : level_ - drawn;
--- a/lavenderkeel/forward/team_rates.cc
+++ b/lavenderkeel/forward/team_rates.cc
@@ -4,6 +4,15 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+/// A bucket counts what a coordinator passes on apart from its own draws.
+std::string RelayName(const std::string& coordinator) {
+  return coordinator + "/relay";
+}
+
+}  // namespace
+
 std::optional<TeamRates::Shortage> TeamRates::Take(const TeamTerms& team,
                                                    double units,
                                                    TimePoint now) {
@@ -26,8 +35,8 @@
                   .share = share_.At(now)};
 }
 
-TeamRates::Totals TeamRates::totals() const {
-  Totals totals;
+DrawTotals TeamRates::totals() const {
+  DrawTotals totals;
   for (const auto& [team, bucket] : buckets_) {
     if (bucket.used() > 0) {
       totals.emplace_back(team, bucket.used());
@@ -37,7 +46,7 @@
 }
 
 void TeamRates::OnPeerTotals(const std::string& peer,
-                             const Totals& totals,
+                             const DrawTotals& totals,
                              TimePoint now) {
   const auto first = share_.Joining(now) ? TeamBucket::FirstTotal::kRecent
                                          : TeamBucket::FirstTotal::kOld;
@@ -46,9 +55,20 @@
   }
 }
 
+void TeamRates::OnRelayedTotals(const std::string& coordinator,
+                                const DrawTotals& totals,
+                                TimePoint now) {
+  const auto first = share_.Joining(now) ? TeamBucket::FirstTotal::kRecent
+                                         : TeamBucket::FirstTotal::kCounted;
+  for (const auto& [team, total] : totals) {
+    BucketOf(team).OnPeerTotal(RelayName(coordinator), total, first);
+  }
+}
+
 void TeamRates::ForgetPeer(const std::string& peer) {
   for (auto& [team, bucket] : buckets_) {
     bucket.ForgetPeer(peer);
+    bucket.ForgetPeer(RelayName(peer));
   }
 }
 
--- a/lavenderkeel/forward/team_rates.h
+++ b/lavenderkeel/forward/team_rates.h
@@ -5,10 +5,9 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/draw_relay.h"
 #include "lavenderkeel/forward/rate_share.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/team_bucket.h"
@@ -36,9 +35,6 @@
     friend bool operator==(const Shortage&, const Shortage&) = default;
   };
 
-  /// Units drawn since an entry's start, by the hash of the team's name.
-  using Totals = std::vector<std::pair<uint64_t, double>>;
-
   /// @param started when this entry did
   TeamRates(const Options& options, TimePoint started)
       : options_(options), started_(started), share_(options.share, started) {}
@@ -50,10 +46,15 @@
                                TimePoint now);
 
   /// What this entry let through, for the others.
-  Totals totals() const;
+  DrawTotals totals() const;
   void OnPeerTotals(const std::string& peer,
-                    const Totals& totals,
+                    const DrawTotals& totals,
                     TimePoint now);
+  /// What a coordinator passes on of other entries' draws.
+  void OnRelayedTotals(const std::string& coordinator,
+                       const DrawTotals& totals,
+                       TimePoint now);
+  /// Of a coordinator also what it passed on.
   void ForgetPeer(const std::string& peer);
 
   RateShare& share() { return share_; }
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -50,6 +50,11 @@
     settings.node.controller.held_body_bytes =
         (memory_mb << 20) / kPartForBodies;
   }
+  settings.self.processor_share =
+      limits.Real("processor_share", settings.self.processor_share);
+  if (settings.self.processor_share <= 0) {
+    limits.Fault("processor_share", "must be above zero");
+  }
   limits.RejectUnknown();
 }
 
@@ -71,7 +76,7 @@
 void ReadTuning(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
   JsonReader tuning(ObjectOrEmpty(reader, "tuning"), "/tuning", faults);
   ForwardNode::Options& node = settings.node;
-  ReadDuration(tuning, "status_period_ms", node.status_period);
+  ReadDuration(tuning, "status_period_ms", node.exchange.status_period);
   ReadDuration(tuning, "watch_wait_ms", node.watch.wait);
   Placement::Options& placement = node.placement;
   placement.places_per_slot =
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -13,6 +13,7 @@
 
 #include "lavenderkeel/io/address.h"
 #include "lavenderkeel/io/internal/listener.h"
+#include "lavenderkeel/membership/greeting.h"
 #include "lavenderkeel/wire.h"
 
 namespace lavenderkeel {
@@ -104,14 +105,8 @@
 }
 
 void PeerPort::SendHello(Connection& connection) {
-  Hello hello;
+  Hello hello = ToHello(self_);
   hello.protocol = kProtocolVersion;
-  hello.instance = self_.id.instance;
-  hello.incarnation = self_.id.incarnation;
-  hello.role = static_cast<uint8_t>(self_.role);
-  hello.data_centre = self_.data_centre;
-  hello.region = self_.region;
-  hello.address = self_.address;
   const std::string frame = EncodeFrame(hello);
   bufferevent_write(connection.events, frame.data(), frame.size());
 }
@@ -169,13 +164,7 @@
   }
   connection.greeted = true;
   --ungreeted_;
-  const InstanceInfo peer{
-      .id = {.instance = hello->instance, .incarnation = hello->incarnation},
-      .role = static_cast<Role>(hello->role),
-      .data_centre = hello->data_centre,
-      .region = hello->region,
-      .address = hello->address};
-  signal_up_.emit(link, peer, connection.dialed);
+  signal_up_.emit(link, FromHello(*hello), connection.dialed);
   return connections_.contains(link) && !connection.dropped;
 }
 
--- a/lavenderkeel/membership.h
+++ b/lavenderkeel/membership.h
@@ -3,6 +3,7 @@
 #define LAVENDERKEEL_MEMBERSHIP_H_
 
 #include "lavenderkeel/membership/backoff.h"
+#include "lavenderkeel/membership/coordinators.h"
 #include "lavenderkeel/membership/gap_detector.h"
 #include "lavenderkeel/membership/holder_ranking.h"
 #include "lavenderkeel/membership/instance_info.h"
--- /dev/null
+++ b/lavenderkeel/membership/coordinators.cc
@@ -0,0 +1,45 @@
+#include "lavenderkeel/membership/coordinators.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "lavenderkeel/base/rendezvous.h"
+
+namespace lavenderkeel {
+
+std::set<std::string> ChooseCoordinators(const std::vector<InstanceInfo>& all,
+                                         const CoordinatorRules& rules) {
+  double largest = 0;
+  for (const InstanceInfo& info : all) {
+    largest = std::max(largest, info.processor_share);
+  }
+  const double least = largest * rules.least_part_of_share;
+  struct Ranked {
+    bool strong = false;
+    uint64_t weight = 0;
+    const std::string* name = nullptr;
+  };
+  static const uint64_t kKey = HashBytes("coordinators");
+  std::vector<Ranked> ranked;
+  size_t strong = 0;
+  for (const InstanceInfo& info : all) {
+    const bool is_strong = info.processor_share >= least;
+    strong += is_strong ? 1 : 0;
+    ranked.push_back({.strong = is_strong,
+                      .weight = RendezvousWeight(kKey, info.id.instance),
+                      .name = &info.id.instance});
+  }
+  std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
+    return std::tie(a.strong, a.weight, *a.name) >
+           std::tie(b.strong, b.weight, *b.name);
+  });
+  const size_t wanted = std::clamp(strong, rules.fewest, rules.most);
+  ranked.resize(std::min(ranked.size(), wanted));
+  std::set<std::string> chosen;
+  for (const Ranked& entry : ranked) {
+    chosen.insert(*entry.name);
+  }
+  return chosen;
+}
+
+}  // namespace lavenderkeel
--- a/lavenderkeel/membership/instance_info.h
+++ b/lavenderkeel/membership/instance_info.h
@@ -17,6 +17,9 @@
   std::string region;
   std::string address;
   bool leaving = false;
+  /// The part of a processor core that it may use; compared only with that of
+  /// others.
+  double processor_share = 1;
 
   friend bool operator==(const InstanceInfo&, const InstanceInfo&) = default;
 };
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -56,6 +56,7 @@
   }
   member.silent_since.reset();
   member.lost = false;
+  member.met = true;
   DialTarget& target = targets_[dialed];
   target.dialing = false;
   target.instance = peer.id.instance;
@@ -230,7 +231,10 @@
 void MemberTable::ForgetGone(TimePoint now) {
   std::erase_if(members_, [&](const auto& item) {
     const Member& member = item.second;
-    return member.lost && !member.inbound.has_value() &&
+    const bool linked =
+        member.inbound.has_value() || member.outbound.has_value();
+    const bool gone = member.lost || !member.met;
+    return gone && !linked &&
            now - *member.silent_since > options_.forget_after;
   });
 }
@@ -253,8 +257,11 @@
 void MemberTable::JudgeSilent(TimePoint now) {
   std::vector<std::pair<PeerId, Role>> lost;
   for (auto& [instance, member] : members_) {
+    // One that is not to be dialled may only dial us.
+    const bool expected =
+        member.met || member.info.role != Role::kEntry || WantsEntry(instance);
     const bool overdue =
-        member.silent_since.has_value() &&
+        expected && member.silent_since.has_value() &&
         now - *member.silent_since > options_.heartbeat_timeout;
     if (overdue && !member.lost) {
       member.lost = true;
@@ -330,7 +337,9 @@
       continue;
     }
     if (target.region == self_.region) {
-      wanted.insert(target.instance);
+      if (WantsEntry(target.instance)) {
+        wanted.insert(target.instance);
+      }
     } else {
       other_regions[target.region].push_back(target.instance);
     }
@@ -394,6 +403,14 @@
   return same ? member->outbound : std::nullopt;
 }
 
+std::optional<LinkId> MemberTable::AnyLinkTo(const PeerId& peer) const {
+  const Member* member = Find(peer.instance);
+  if (member == nullptr || member->info.id != peer) {
+    return std::nullopt;
+  }
+  return member->outbound.has_value() ? member->outbound : member->inbound;
+}
+
 std::vector<const Member*> MemberTable::Members(Role role) const {
   std::vector<const Member*> result;
   for (const auto& [instance, member] : members_) {
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -30,6 +30,8 @@
   std::optional<TimePoint> silent_since;
   /// Set once silence passed the heartbeat timeout.
   bool lost = false;
+  /// The outbound link has been up.
+  bool met = false;
   uint64_t config_version = 0;
   /// Nothing is known of it before its first heartbeat.
   bool heard = false;
@@ -81,6 +83,11 @@
   void OnHeartbeat(LinkId link, const Heartbeat& heartbeat);
   void OnInstanceList(const std::vector<InstanceInfo>& instances);
   void AddSeed(const std::string& address);
+  /// Entries of this region to connect to, by instance; without a set, all.
+  /// Connections that are there already stay.
+  void set_wanted_entries(std::optional<std::set<std::string>> wanted) {
+    wanted_entries_ = std::move(wanted);
+  }
 
   /// Sends due heartbeats, drops silent links, dials, judges the lost.
   void Tick();
@@ -98,6 +105,8 @@
   const Member* FindByLink(LinkId link) const;
   /// The outbound link to exactly this incarnation, if it is up.
   std::optional<LinkId> LinkTo(const PeerId& peer) const;
+  /// The same, or the link that the peer opened if that one is not up.
+  std::optional<LinkId> AnyLinkTo(const PeerId& peer) const;
   std::vector<const Member*> Members(Role role) const;
   const InstanceInfo& self() const { return self_; }
   void set_address(const std::string& address) { self_.address = address; }
@@ -150,6 +159,9 @@
   void SendHeartbeat(LinkId link, Link& state, const Heartbeat& heartbeat);
   std::set<std::string> WantedAgents() const;
   std::set<std::string> WantedEntries() const;
+  bool WantsEntry(const std::string& instance) const {
+    return !wanted_entries_.has_value() || wanted_entries_->contains(instance);
+  }
   bool Wants(const DialTarget& target,
              const std::set<std::string>& wanted) const;
 
@@ -163,6 +175,7 @@
   std::unordered_map<LinkId, Link> links_;
   std::map<std::string, DialTarget> targets_;
   std::set<std::string> also_wanted_;
+  std::optional<std::set<std::string>> wanted_entries_;
   sigc::signal<void(const Member&)> signal_up_;
   sigc::signal<void(LinkId)> signal_link_dropped_;
   sigc::signal<void(const PeerId&, Role)> signal_lost_;
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -980,6 +980,7 @@
   std::string region{};
   uint64_t incarnation = 0;
   std::string address{};
+  float processor_share = 1.0f;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -993,7 +994,8 @@
     VT_DATA_CENTRE = 10,
     VT_REGION = 12,
     VT_INCARNATION = 14,
-    VT_ADDRESS = 16
+    VT_ADDRESS = 16,
+    VT_PROCESSOR_SHARE = 18
   };
   uint32_t protocol() const {
     return GetField<uint32_t>(VT_PROTOCOL, 0);
@@ -1016,6 +1018,9 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
+  float processor_share() const {
+    return GetField<float>(VT_PROCESSOR_SHARE, 1.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
@@ -1029,6 +1034,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
+           VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1061,6 +1067,9 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(Hello::VT_ADDRESS, address);
   }
+  void add_processor_share(float processor_share) {
+    fbb_.AddElement<float>(Hello::VT_PROCESSOR_SHARE, processor_share, 1.0f);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1080,9 +1089,11 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> address = 0) {
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    float processor_share = 1.0f) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_processor_share(processor_share);
   builder_.add_address(address);
   builder_.add_region(region);
   builder_.add_data_centre(data_centre);
@@ -1105,7 +1116,8 @@
     const char *data_centre = nullptr,
     const char *region = nullptr,
     uint64_t incarnation = 0,
-    const char *address = nullptr) {
+    const char *address = nullptr,
+    float processor_share = 1.0f) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1118,7 +1130,8 @@
       data_centre__,
       region__,
       incarnation,
-      address__);
+      address__,
+      processor_share);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3463,6 +3476,10 @@
   std::vector<std::unique_ptr<lavenderkeel::fbs::GateStatusT>> gates{};
   uint64_t server_change = 0;
   bool store_lost = false;
+  std::vector<uint64_t> relayed_teams{};
+  std::vector<double> relayed{};
+  uint32_t entries_known = 0;
+  uint32_t entries_heard = 0;
   ForwardStatusT() = default;
   ForwardStatusT(const ForwardStatusT &o);
   ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3481,7 +3498,11 @@
     VT_DRAWN = 12,
     VT_GATES = 14,
     VT_SERVER_CHANGE = 16,
-    VT_STORE_LOST = 18
+    VT_STORE_LOST = 18,
+    VT_RELAYED_TEAMS = 20,
+    VT_RELAYED = 22,
+    VT_ENTRIES_KNOWN = 24,
+    VT_ENTRIES_HEARD = 26
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3507,6 +3528,18 @@
   bool store_lost() const {
     return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
   }
+  const flatbuffers::Vector<uint64_t> *relayed_teams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RELAYED_TEAMS);
+  }
+  const flatbuffers::Vector<double> *relayed() const {
+    return GetPointer<const flatbuffers::Vector<double> *>(VT_RELAYED);
+  }
+  uint32_t entries_known() const {
+    return GetField<uint32_t>(VT_ENTRIES_KNOWN, 0);
+  }
+  uint32_t entries_heard() const {
+    return GetField<uint32_t>(VT_ENTRIES_HEARD, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3523,6 +3556,12 @@
            verifier.VerifyVectorOfTables(gates()) &&
            VerifyField<uint64_t>(verifier, VT_SERVER_CHANGE, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
+           VerifyOffset(verifier, VT_RELAYED_TEAMS) &&
+           verifier.VerifyVector(relayed_teams()) &&
+           VerifyOffset(verifier, VT_RELAYED) &&
+           verifier.VerifyVector(relayed()) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRIES_KNOWN, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRIES_HEARD, 4) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3558,6 +3597,18 @@
   void add_store_lost(bool store_lost) {
     fbb_.AddElement<uint8_t>(ForwardStatus::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
   }
+  void add_relayed_teams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relayed_teams) {
+    fbb_.AddOffset(ForwardStatus::VT_RELAYED_TEAMS, relayed_teams);
+  }
+  void add_relayed(flatbuffers::Offset<flatbuffers::Vector<double>> relayed) {
+    fbb_.AddOffset(ForwardStatus::VT_RELAYED, relayed);
+  }
+  void add_entries_known(uint32_t entries_known) {
+    fbb_.AddElement<uint32_t>(ForwardStatus::VT_ENTRIES_KNOWN, entries_known, 0);
+  }
+  void add_entries_heard(uint32_t entries_heard) {
+    fbb_.AddElement<uint32_t>(ForwardStatus::VT_ENTRIES_HEARD, entries_heard, 0);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3578,10 +3629,18 @@
     flatbuffers::Offset<flatbuffers::Vector<double>> drawn = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>> gates = 0,
     uint64_t server_change = 0,
-    bool store_lost = false) {
+    bool store_lost = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relayed_teams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<double>> relayed = 0,
+    uint32_t entries_known = 0,
+    uint32_t entries_heard = 0) {
   ForwardStatusBuilder builder_(_fbb);
   builder_.add_server_change(server_change);
   builder_.add_table_version(table_version);
+  builder_.add_entries_heard(entries_heard);
+  builder_.add_entries_known(entries_known);
+  builder_.add_relayed(relayed);
+  builder_.add_relayed_teams(relayed_teams);
   builder_.add_gates(gates);
   builder_.add_drawn(drawn);
   builder_.add_teams(teams);
@@ -3605,12 +3664,18 @@
     const std::vector<double> *drawn = nullptr,
     const std::vector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> *gates = nullptr,
     uint64_t server_change = 0,
-    bool store_lost = false) {
+    bool store_lost = false,
+    const std::vector<uint64_t> *relayed_teams = nullptr,
+    const std::vector<double> *relayed = nullptr,
+    uint32_t entries_known = 0,
+    uint32_t entries_heard = 0) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
   auto drawn__ = drawn ? _fbb.CreateVector<double>(*drawn) : 0;
   auto gates__ = gates ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>>(*gates) : 0;
+  auto relayed_teams__ = relayed_teams ? _fbb.CreateVector<uint64_t>(*relayed_teams) : 0;
+  auto relayed__ = relayed ? _fbb.CreateVector<double>(*relayed) : 0;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       table_version,
@@ -3620,7 +3685,11 @@
       drawn__,
       gates__,
       server_change,
-      store_lost);
+      store_lost,
+      relayed_teams__,
+      relayed__,
+      entries_known,
+      entries_heard);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4178,6 +4247,7 @@
 struct KnownEntriesT : public flatbuffers::NativeTable {
   typedef KnownEntries TableType;
   std::vector<std::unique_ptr<lavenderkeel::fbs::HelloT>> entries{};
+  bool complete = false;
   KnownEntriesT() = default;
   KnownEntriesT(const KnownEntriesT &o);
   KnownEntriesT(KnownEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4189,16 +4259,21 @@
   typedef KnownEntriesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_ENTRIES = 4,
+    VT_COMPLETE = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *>(VT_ENTRIES);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            verifier.EndTable();
   }
   KnownEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4213,6 +4288,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>> entries) {
     fbb_.AddOffset(KnownEntries::VT_ENTRIES, entries);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(KnownEntries::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   explicit KnownEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4226,9 +4304,11 @@
 
 inline flatbuffers::Offset<KnownEntries> CreateKnownEntries(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>> entries = 0,
+    bool complete = false) {
   KnownEntriesBuilder builder_(_fbb);
   builder_.add_entries(entries);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
@@ -4239,11 +4319,13 @@
 
 inline flatbuffers::Offset<KnownEntries> CreateKnownEntriesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> *entries = nullptr,
+    bool complete = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::Hello>>(*entries) : 0;
   return lavenderkeel::fbs::CreateKnownEntries(
       _fbb,
-      entries__);
+      entries__,
+      complete);
 }
 
 flatbuffers::Offset<KnownEntries> CreateKnownEntries(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4523,7 +4605,8 @@
       (lhs.data_centre == rhs.data_centre) &&
       (lhs.region == rhs.region) &&
       (lhs.incarnation == rhs.incarnation) &&
-      (lhs.address == rhs.address);
+      (lhs.address == rhs.address) &&
+      (lhs.processor_share == rhs.processor_share);
 }
 
 inline bool operator!=(const HelloT &lhs, const HelloT &rhs) {
@@ -4547,6 +4630,7 @@
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = processor_share(); _o->processor_share = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4564,6 +4648,7 @@
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _incarnation = _o->incarnation;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _processor_share = _o->processor_share;
   return lavenderkeel::fbs::CreateHello(
       _fbb,
       _protocol,
@@ -4572,7 +4657,8 @@
       _data_centre,
       _region,
       _incarnation,
-      _address);
+      _address,
+      _processor_share);
 }
 
 
@@ -5687,7 +5773,11 @@
       (lhs.drawn == rhs.drawn) &&
       (lhs.gates.size() == rhs.gates.size() && std::equal(lhs.gates.cbegin(), lhs.gates.cend(), rhs.gates.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &a, std::unique_ptr<lavenderkeel::fbs::GateStatusT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.server_change == rhs.server_change) &&
-      (lhs.store_lost == rhs.store_lost);
+      (lhs.store_lost == rhs.store_lost) &&
+      (lhs.relayed_teams == rhs.relayed_teams) &&
+      (lhs.relayed == rhs.relayed) &&
+      (lhs.entries_known == rhs.entries_known) &&
+      (lhs.entries_heard == rhs.entries_heard);
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -5702,7 +5792,11 @@
         teams(o.teams),
         drawn(o.drawn),
         server_change(o.server_change),
-        store_lost(o.store_lost) {
+        store_lost(o.store_lost),
+        relayed_teams(o.relayed_teams),
+        relayed(o.relayed),
+        entries_known(o.entries_known),
+        entries_heard(o.entries_heard) {
   gates.reserve(o.gates.size());
   for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
 }
@@ -5716,6 +5810,10 @@
   std::swap(gates, o.gates);
   std::swap(server_change, o.server_change);
   std::swap(store_lost, o.store_lost);
+  std::swap(relayed_teams, o.relayed_teams);
+  std::swap(relayed, o.relayed);
+  std::swap(entries_known, o.entries_known);
+  std::swap(entries_heard, o.entries_heard);
   return *this;
 }
 
@@ -5736,6 +5834,10 @@
   { auto _e = gates(); if (_e) { _o->gates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gates[_i] = std::unique_ptr<lavenderkeel::fbs::GateStatusT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = server_change(); _o->server_change = _e; }
   { auto _e = store_lost(); _o->store_lost = _e; }
+  { auto _e = relayed_teams(); if (_e) { _o->relayed_teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relayed_teams[_i] = _e->Get(_i); } } }
+  { auto _e = relayed(); if (_e) { _o->relayed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relayed[_i] = _e->Get(_i); } } }
+  { auto _e = entries_known(); _o->entries_known = _e; }
+  { auto _e = entries_heard(); _o->entries_heard = _e; }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5754,6 +5856,10 @@
   auto _gates = _o->gates.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::GateStatus>> (_o->gates.size(), [](size_t i, _VectorArgs *__va) { return CreateGateStatus(*__va->__fbb, __va->__o->gates[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _server_change = _o->server_change;
   auto _store_lost = _o->store_lost;
+  auto _relayed_teams = _o->relayed_teams.size() ? _fbb.CreateVector(_o->relayed_teams) : 0;
+  auto _relayed = _o->relayed.size() ? _fbb.CreateVector(_o->relayed) : 0;
+  auto _entries_known = _o->entries_known;
+  auto _entries_heard = _o->entries_heard;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
@@ -5763,7 +5869,11 @@
       _drawn,
       _gates,
       _server_change,
-      _store_lost);
+      _store_lost,
+      _relayed_teams,
+      _relayed,
+      _entries_known,
+      _entries_heard);
 }
 
 
@@ -6013,7 +6123,8 @@
 
 inline bool operator==(const KnownEntriesT &lhs, const KnownEntriesT &rhs) {
   return
-      (lhs.entries.size() == rhs.entries.size() && std::equal(lhs.entries.cbegin(), lhs.entries.cend(), rhs.entries.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::HelloT> const &a, std::unique_ptr<lavenderkeel::fbs::HelloT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.entries.size() == rhs.entries.size() && std::equal(lhs.entries.cbegin(), lhs.entries.cend(), rhs.entries.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::HelloT> const &a, std::unique_ptr<lavenderkeel::fbs::HelloT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.complete == rhs.complete);
 }
 
 inline bool operator!=(const KnownEntriesT &lhs, const KnownEntriesT &rhs) {
@@ -6021,13 +6132,15 @@
 }
 
 
-inline KnownEntriesT::KnownEntriesT(const KnownEntriesT &o) {
+inline KnownEntriesT::KnownEntriesT(const KnownEntriesT &o)
+      : complete(o.complete) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new lavenderkeel::fbs::HelloT(*entries_) : nullptr); }
 }
 
 inline KnownEntriesT &KnownEntriesT::operator=(KnownEntriesT o) FLATBUFFERS_NOEXCEPT {
   std::swap(entries, o.entries);
+  std::swap(complete, o.complete);
   return *this;
 }
 
@@ -6041,6 +6154,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<lavenderkeel::fbs::HelloT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = complete(); _o->complete = _e; }
 }
 
 inline flatbuffers::Offset<KnownEntries> KnownEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const KnownEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6052,9 +6166,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const KnownEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::Hello>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateHello(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _complete = _o->complete;
   return lavenderkeel::fbs::CreateKnownEntries(
       _fbb,
-      _entries);
+      _entries,
+      _complete);
 }
 
 
--- /dev/null
+++ b/test/fakes/fleet_world.cc
@@ -0,0 +1,229 @@
+#include "test/fakes/fleet_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderkeel::fakes {
+
+namespace {
+
+constexpr Duration kWay = std::chrono::milliseconds(1);
+constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr int kStrongToWeak = 5;
+
+}  // namespace
+
+FleetWorld::FleetWorld(const Options& options) : options_(options) {
+  processes_.resize(At(options_.entries));
+  for (int i = 0; i < options_.entries; ++i) {
+    processes_[At(i)].address = "10.0.0." + std::to_string(i + 1) + ":1";
+  }
+  for (int i = 0; i < options_.entries; ++i) {
+    Start(i);
+  }
+}
+
+FleetWorld::~FleetWorld() = default;
+
+InstanceInfo FleetWorld::InfoOf(size_t entry) const {
+  const bool strong = entry < At(options_.strong);
+  return {.id = {.instance = "entry-" + std::to_string(entry),
+                 .incarnation = processes_[entry].incarnation},
+          .role = Role::kEntry,
+          .data_centre = "govan",
+          .region = "scot",
+          .address = processes_[entry].address,
+          .processor_share = strong ? kStrongToWeak : 1.0};
+}
+
+ForwardSource FleetWorld::SourceOf(size_t entry) {
+  return {.config_kind = "config",
+          .config_object = "main",
+          .server_kind = "servers",
+          .decode_table =
+              [this](const std::string&) -> leaf::result<RouteTableContent> {
+            RouteTableContent content = ForwardWorld::Table();
+            content.teams.front().rate = options_.rate;
+            return content;
+          },
+          .decode_server =
+              [](const StoredObject& object) -> leaf::result<BackendServer> {
+            return BackendServer{.id = object.name,
+                                 .service = "engines",
+                                 .address = "10.0.1.1:1",
+                                 .slots = 5};
+          },
+          .read =
+              [this, entry](const ObjectRead& read, const auto& done) {
+                if (read.kind == ObjectRead::Kind::kWatch) {
+                  return;  // nothing changes
+                }
+                ObjectReadResult result{
+                    .outcome = ObjectReadResult::Outcome::kOk, .revision = 1};
+                result.objects.push_back(
+                    {.name = read.object_kind == "config" ? "main" : "s",
+                     .revision = 1});
+                const uint64_t incarnation = processes_[entry].incarnation;
+                Later([this, entry, incarnation, result, done] {
+                  if (processes_[entry].incarnation == incarnation &&
+                      processes_[entry].node != nullptr) {
+                    done(result);
+                  }
+                });
+              }};
+}
+
+void FleetWorld::Start(int entry) {
+  Process& process = processes_[At(entry)];
+  // Calendar microseconds of the start, as real processes have.
+  process.incarnation = static_cast<uint64_t>(
+      clock_.WallNow().time_since_epoch().count() + entry);
+  process.port = std::make_unique<FakeForwardPort>();
+  process.metrics = std::make_unique<Metrics>();
+  ForwardNode::Options node = options_.node;
+  for (int seed = 0; seed < options_.seeds; ++seed) {
+    if (seed != entry) {
+      node.seeds.push_back(processes_[At(seed)].address);
+    }
+  }
+  process.node = std::make_unique<ForwardNode>(
+      node, InfoOf(At(entry)), SourceOf(At(entry)), hybrid::MakeHeaderCodec(),
+      *process.port, clock_, process.incarnation, log_, *process.metrics);
+  process.node->Start();
+  Carry(At(entry));
+}
+
+void FleetWorld::Kill(int entry) {
+  processes_[At(entry)].node.reset();
+  std::vector<LinkId> dropped;
+  for (const auto& [link, state] : links_) {
+    if (state.from == At(entry)) {
+      dropped.push_back(link);
+    }
+  }
+  for (const LinkId link : dropped) {
+    CloseLinkOf(link);
+  }
+}
+
+void FleetWorld::Advance(Duration by) {
+  const TimePoint end = clock_.Now() + by;
+  TimePoint tick = clock_.Now();
+  while (clock_.Now() < end) {
+    while (!deliveries_.empty() && deliveries_.front().at <= clock_.Now()) {
+      const Delivery next = std::move(deliveries_.front());
+      deliveries_.pop_front();
+      next.act();
+    }
+    if (clock_.Now() >= tick) {
+      tick += kTick;
+      for (size_t entry = 0; entry < processes_.size(); ++entry) {
+        if (processes_[entry].node != nullptr) {
+          processes_[entry].node->Tick();
+          Carry(entry);
+        }
+      }
+    }
+    clock_.Advance(kWay);
+  }
+}
+
+void FleetWorld::Later(std::function<void()> act) {
+  deliveries_.push_back({.at = clock_.Now() + kWay, .act = std::move(act)});
+}
+
+void FleetWorld::Carry(size_t entry) {
+  Process& process = processes_[entry];
+  for (Action& action : process.node->outbox().Take()) {
+    if (const auto* dial = std::get_if<Dial>(&action)) {
+      Later(
+          [this, entry, address = dial->address] { Connect(entry, address); });
+    } else if (const auto* close = std::get_if<CloseLink>(&action)) {
+      CloseLinkOf(close->link);
+    } else if (auto* send = std::get_if<SendMessage>(&action)) {
+      ++process.sent;
+      auto message = std::make_shared<Message>(std::move(send->message));
+      Later([this, link = send->link, message] {
+        const auto found = links_.find(link);
+        if (found == links_.end()) {
+          return;
+        }
+        const auto [from, to, other_end] = found->second;
+        if (processes_[to].node != nullptr) {
+          ++processes_[to].received;
+          processes_[to].node->OnMessage(other_end, std::move(*message));
+          Carry(to);
+        }
+      });
+    }
+  }
+}
+
+void FleetWorld::Connect(size_t from, const std::string& address) {
+  const auto found = std::ranges::find(processes_, address, &Process::address);
+  if (processes_[from].node == nullptr) {
+    return;
+  }
+  if (found == processes_.end() || found->node == nullptr) {
+    processes_[from].node->OnDialFailed(address);
+    return;
+  }
+  const auto to = static_cast<size_t>(found - processes_.begin());
+  const LinkId here = ++last_link_;
+  const LinkId there = ++last_link_;
+  links_[here] = {.from = from, .to = to, .other_end = there};
+  links_[there] = {.from = to, .to = from, .other_end = here};
+  processes_[to].node->OnLinkUp(there, InfoOf(from), "");
+  processes_[from].node->OnLinkUp(here, InfoOf(to), address);
+  Carry(to);
+  Carry(from);
+}
+
+void FleetWorld::CloseLinkOf(LinkId link) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) {
+    return;
+  }
+  const Link closed = found->second;
+  links_.erase(link);
+  links_.erase(closed.other_end);
+  Later([this, closed] {
+    if (processes_[closed.to].node != nullptr) {
+      processes_[closed.to].node->OnLinkDown(closed.other_end);
+      Carry(closed.to);
+    }
+  });
+}
+
+void FleetWorld::Request(int entry) {
+  Process& process = processes_[At(entry)];
+  const ExchangeId exchange = ++last_exchange_;
+  process.node->controller().OnRequest(
+      exchange,
+      {.method = "POST",
+       .target = "/lookup/x",
+       .fields = {{"Host", "h"},
+                  {"Request-Id", "r" + std::to_string(exchange)},
+                  {"Authorization", "Bearer key"},
+                  {"Deadline-Ms", "10000"}}},
+      "");
+  Carry(At(entry));
+}
+
+int FleetWorld::Refused(int entry) const {
+  static constexpr int kTooManyRequests = 429;
+  const Process& process = processes_[At(entry)];
+  const auto refused = std::ranges::count_if(
+      process.port->clients,
+      [](const auto& item) { return item.second.status == kTooManyRequests; });
+  return static_cast<int>(refused);
+}
+
+void FleetWorld::ResetCounts() {
+  for (Process& process : processes_) {
+    process.sent = 0;
+    process.received = 0;
+  }
+}
+
+}  // namespace lavenderkeel::fakes
--- /dev/null
+++ b/test/fakes/fleet_world.h
@@ -0,0 +1,91 @@
+#ifndef LAVENDERKEEL_TEST_FAKES_FLEET_WORLD_H_
+#define LAVENDERKEEL_TEST_FAKES_FLEET_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/forward/forward_node.h"
+#include "test/fakes/forward_world.h"
+
+namespace lavenderkeel::fakes {
+
+/// Forwarding entries with links in memory, a virtual clock, and a store that
+/// holds one configuration. Nothing is lost on a link that is up.
+class FleetWorld {
+ public:
+  struct Options {
+    int entries = 4;
+    /// Entries with five times the others' processor share, the first ones.
+    int strong = 0;
+    int seeds = 3;
+    /// A request draws on this rate of its team.
+    TeamRate rate;
+    ForwardNode::Options node;
+  };
+
+  explicit FleetWorld(const Options& options);
+  ~FleetWorld();
+
+  /// Lets time pass; messages take a millisecond.
+  void Advance(Duration by);
+  /// A request of the only team at one entry.
+  void Request(int entry);
+  /// How many requests that entry refused for their team's rate.
+  int Refused(int entry) const;
+  /// The process ends without a word; it may be started again.
+  void Kill(int entry);
+  void Start(int entry);
+
+  ForwardNode& node(int entry) { return *processes_[At(entry)].node; }
+  /// Messages that the entry sent since the last ResetCounts.
+  uint64_t Sent(int entry) const { return processes_[At(entry)].sent; }
+  uint64_t Received(int entry) const { return processes_[At(entry)].received; }
+  void ResetCounts();
+  int entries() const { return options_.entries; }
+
+ private:
+  struct Process {
+    std::string address;
+    std::unique_ptr<FakeForwardPort> port;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<ForwardNode> node;
+    uint64_t incarnation = 0;
+    uint64_t sent = 0;
+    uint64_t received = 0;
+  };
+  struct Link {
+    size_t from = 0;
+    size_t to = 0;
+    LinkId other_end = 0;
+  };
+  struct Delivery {
+    TimePoint at;
+    std::function<void()> act;
+  };
+
+  static size_t At(int entry) { return static_cast<size_t>(entry); }
+  InstanceInfo InfoOf(size_t entry) const;
+  ForwardSource SourceOf(size_t entry);
+  void Carry(size_t entry);
+  void Connect(size_t from, const std::string& address);
+  void CloseLinkOf(LinkId link);
+  void Later(std::function<void()> act);
+
+  Options options_;
+  fuzz::VirtualClock clock_;
+  EventLog log_;
+  std::vector<Process> processes_;
+  /// By the end of the entry that it is of.
+  std::map<LinkId, Link> links_;
+  std::deque<Delivery> deliveries_;
+  LinkId last_link_ = 0;
+  ExchangeId last_exchange_ = 0;
+};
+
+}  // namespace lavenderkeel::fakes
+
+#endif  // LAVENDERKEEL_TEST_FAKES_FLEET_WORLD_H_
--- /dev/null
+++ b/test/forward/draw_relay_test.cc
@@ -0,0 +1,70 @@
+#include "lavenderkeel/forward/draw_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lavenderkeel {
+
+namespace {
+
+constexpr uint64_t kTeam = 7;
+const PeerId kFirst{.instance = "a", .incarnation = 1};
+const PeerId kSecond{.instance = "b", .incarnation = 1};
+
+double Told(const DrawRelay& relay, const PeerId& entry) {
+  for (const auto& [team, total] : relay.For(entry, /*all=*/true)) {
+    if (team == kTeam) {
+      return total;
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(EntryIsToldOfTheOthersDrawsOnly) {
+  DrawRelay relay;
+  relay.OnTotals(kFirst, {}, /*passes_on=*/true);
+  relay.OnTotals(kSecond, {}, true);
+  relay.OnTotals(kFirst, {{kTeam, 30}}, true);
+  relay.OnTotals(kSecond, {{kTeam, 5}}, true);
+  BOOST_TEST(Told(relay, kFirst) == 5);
+  BOOST_TEST(Told(relay, kSecond) == 30);
+  BOOST_TEST(Told(relay, {.instance = "c"}) == 35);
+}
+
+// Another coordinator died, and this one speaks for its entries now. What they
+// drew before is counted everywhere; told once more, it would empty the team's
+// rate and its callers would see 429 for nothing.
+BOOST_AUTO_TEST_CASE(WhatAnotherPassedOnIsNotCountedAgain) {
+  DrawRelay relay;
+  relay.OnTotals(kFirst, {{kTeam, 1000}}, false);
+  relay.OnTotals(kFirst, {{kTeam, 1200}}, false);
+  relay.OnTotals(kFirst, {{kTeam, 1250}}, true);
+  BOOST_TEST(Told(relay, kSecond) == 50);
+}
+
+// An entry is cut off and comes back as it was. Its own draws are still left
+// out of what it is told, else its teams would pay for them twice.
+BOOST_AUTO_TEST_CASE(OwnDrawsStayOutAfterACut) {
+  DrawRelay relay;
+  relay.OnTotals(kFirst, {}, true);
+  relay.OnTotals(kFirst, {{kTeam, 80}}, true);
+  BOOST_TEST(Told(relay, kFirst) == 0);
+  const PeerId successor{.instance = "a", .incarnation = 2};
+  relay.OnTotals(successor, {{kTeam, 10}}, true);
+  relay.OnTotals(successor, {{kTeam, 15}}, true);
+  BOOST_TEST(Told(relay, successor) == 80);
+  BOOST_TEST(Told(relay, kSecond) == 85);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyChangesAreToldBetweenWholeReports) {
+  DrawRelay relay;
+  relay.OnTotals(kFirst, {}, true);
+  relay.OnTotals(kFirst, {{kTeam, 1}, {kTeam + 1, 1}}, true);
+  relay.EndRound();
+  relay.OnTotals(kFirst, {{kTeam, 2}, {kTeam + 1, 1}}, true);
+  BOOST_TEST(relay.For(kSecond, /*all=*/false).size() == 1U);
+  BOOST_TEST(relay.For(kSecond, /*all=*/true).size() == 2U);
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/test/forward/fleet_test.cc
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "test/fakes/fleet_world.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using fakes::FleetWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Messages that a weak entry of a fleet at rest sends and receives a second.
+uint64_t MessagesAtRest(int entries, const CoordinatorRules& rules = {}) {
+  FleetWorld::Options options = {.entries = entries, .strong = 10};
+  options.node.exchange.roster.coordinators = rules;
+  FleetWorld fleet(options);
+  fleet.Advance(seconds(4));
+  fleet.ResetCounts();
+  fleet.Advance(seconds(1));
+  uint64_t most = 0;
+  for (int i = 10; i < entries; ++i) {
+    most = std::max(most, fleet.Sent(i) + fleet.Received(i));
+  }
+  return most;
+}
+
+int HearingOfAll(FleetWorld& fleet, const std::vector<int>& entries) {
+  const EntryExchange::Counts all = {.known = entries.size(),
+                                     .heard = entries.size()};
+  return static_cast<int>(std::ranges::count_if(entries, [&](int entry) {
+    return fleet.node(entry).exchange().Count() == all;
+  }));
+}
+
+std::vector<int> Range(int first, int last) {
+  std::vector<int> range;
+  for (int i = first; i < last; ++i) {
+    range.push_back(i);
+  }
+  return range;
+}
+
+}  // namespace
+
+// Load: a fleet at rest. Where each entry of 100 reports to each other, it
+// sends and receives 2,485 messages a second; with ten coordinators 250.
+BOOST_AUTO_TEST_CASE(MessagesOfAnEntryDoNotGrowWithTheFleet) {
+  const uint64_t few = MessagesAtRest(25);
+  const uint64_t many = MessagesAtRest(100);
+  const uint64_t all_to_all = MessagesAtRest(100, {.most = 100, .fewest = 100});
+  BOOST_TEST_MESSAGE("messages a second: " << few << " and " << many
+                                           << ", all to all " << all_to_all);
+  // Ten coordinators, ten reports a second each way, a heartbeat a second.
+  BOOST_TEST(many <= 2 * 10 * 10 + 5 * 10);
+  BOOST_TEST(many <= few + few / 5);
+  BOOST_TEST(many * 5 < all_to_all);
+}
+
+// All entries are killed and start together. Until an entry hears of all, it
+// lets through only a part of each team's rate, so callers would see 429.
+BOOST_AUTO_TEST_CASE(LargeFleetKnowsItselfSoonAfterItsStart) {
+  FleetWorld fleet({.entries = 103, .strong = 15});
+  fleet.Advance(milliseconds(700));
+  BOOST_TEST(HearingOfAll(fleet, Range(0, 103)) == 103);
+  const std::set<std::string> chosen =
+      fleet.node(0).exchange().roster().coordinators();
+  for (const int entry : Range(0, 103)) {
+    BOOST_TEST(fleet.node(entry).exchange().roster().coordinators() == chosen);
+  }
+}
+
+// All coordinators die at once. Clients of the others are refused nothing for
+// longer than it takes to notice: the next entries in order take over.
+BOOST_AUTO_TEST_CASE(OthersTakeOverFromLostCoordinators) {
+  FleetWorld fleet({.entries = 40, .strong = 6, .seeds = 6});
+  fleet.Advance(seconds(2));
+  for (const int entry : Range(0, 6)) {
+    fleet.Kill(entry);
+  }
+  fleet.Advance(seconds(14));
+  BOOST_TEST(HearingOfAll(fleet, Range(6, 40)) == 34);
+}
+
+BOOST_AUTO_TEST_CASE(RestartedCoordinatorIsKnownAgain) {
+  FleetWorld fleet({.entries = 40, .strong = 6});
+  fleet.Advance(seconds(2));
+  fleet.Kill(0);
+  fleet.Advance(seconds(3));
+  fleet.Start(0);
+  fleet.Advance(seconds(2));
+  BOOST_TEST(HearingOfAll(fleet, Range(0, 40)) == 40);
+}
+
+// A team floods a fleet at six times its rate. Its callers get what it may ask
+// for, over all entries together, and 429 beyond: entries that are no
+// coordinators hear of each other's draws through one.
+BOOST_AUTO_TEST_CASE(RateOfATeamHoldsOverALargeFleet) {
+  constexpr double kRate = 200;
+  constexpr double kBurst = 100;
+  // What the users tolerate, of requests of a usual size.
+  constexpr double kOver = 0.1;
+  constexpr double kSlack = 50;
+  FleetWorld::Options options = {
+      .entries = 60,
+      .strong = 8,
+      .rate = {.per_second = kRate, .burst = kBurst}};
+  options.node.controller.rates.tolerance = {.over = kOver, .slack = kSlack};
+  FleetWorld fleet(options);
+  fleet.Advance(seconds(2));
+  constexpr int kSeconds = 6;
+  constexpr int kRequestsPerEntry = 20 * kSeconds;
+  for (int round = 0; round < kRequestsPerEntry; ++round) {
+    for (int entry = 0; entry < fleet.entries(); ++entry) {
+      fleet.Request(entry);
+      if (entry % 6 == 5) {
+        fleet.Advance(milliseconds(5));
+      }
+    }
+  }
+  int passed = kRequestsPerEntry * fleet.entries();
+  for (int entry = 0; entry < fleet.entries(); ++entry) {
+    passed -= fleet.Refused(entry);
+  }
+  const double rate = kRate * kSeconds + kBurst;
+  BOOST_TEST_MESSAGE("passed " << passed << ", rate " << rate);
+  BOOST_TEST(passed <= (1 + kOver) * rate + kSlack);
+  BOOST_TEST(passed >= rate);
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/test/membership/coordinators_test.cc
@@ -0,0 +1,61 @@
+#include "lavenderkeel/membership/coordinators.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <iterator>
+#include <string>
+#include <vector>
+
+namespace lavenderkeel {
+
+namespace {
+
+std::vector<InstanceInfo> Entries(int count, int strong) {
+  std::vector<InstanceInfo> all;
+  for (int i = 0; i < count; ++i) {
+    all.push_back({.id = {.instance = "entry-" + std::to_string(i)},
+                   .processor_share = i < strong ? 0.5 : 0.09});
+  }
+  return all;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(SmallFleetOfEqualsHasOnlyCoordinators) {
+  BOOST_TEST(ChooseCoordinators(Entries(4, 0), {}).size() == 4U);
+  BOOST_TEST(ChooseCoordinators(Entries(16, 0), {}).size() == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(LargeFleetHasNoMoreThanTheMost) {
+  BOOST_TEST(ChooseCoordinators(Entries(300, 0), {}).size() == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(EntriesWithALargeShareAreChosen) {
+  const std::set<std::string> chosen = ChooseCoordinators(Entries(103, 15), {});
+  BOOST_TEST(chosen.size() == 15U);
+  for (int i = 0; i < 15; ++i) {
+    BOOST_TEST(chosen.contains("entry-" + std::to_string(i)));
+  }
+}
+
+// One strong entry alone would take all gates with it when it dies.
+BOOST_AUTO_TEST_CASE(WeakEntriesMakeUpForTooFewStrongOnes) {
+  const std::set<std::string> chosen = ChooseCoordinators(Entries(30, 1), {});
+  BOOST_TEST(chosen.size() == 4U);
+  BOOST_TEST(chosen.contains("entry-0"));
+}
+
+BOOST_AUTO_TEST_CASE(LossOfACoordinatorBringsOneOther) {
+  std::vector<InstanceInfo> all = Entries(60, 0);
+  const std::set<std::string> before = ChooseCoordinators(all, {});
+  std::erase_if(all, [&](const InstanceInfo& info) {
+    return info.id.instance == *before.begin();
+  });
+  const std::set<std::string> after = ChooseCoordinators(all, {});
+  std::vector<std::string> stayed;
+  std::ranges::set_intersection(before, after, std::back_inserter(stayed));
+  BOOST_TEST(stayed.size() == 15U);
+  BOOST_TEST(after.size() == 16U);
+}
+
+}  // namespace lavenderkeel
