--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -108,8 +108,9 @@
       told.push_back(FromHello(*entry));
     }
   }
-  roster_.OnTold(told, known.complete, clock_.Now());
-  OnRosterChange();
+  if (roster_.OnTold(told, known.complete, clock_.Now())) {
+    OnRosterChange();
+  }
 }
 
 void EntryExchange::Tick(const OwnState& own) {
--- a/lavenderkeel/forward/entry_roster.cc
+++ b/lavenderkeel/forward/entry_roster.cc
@@ -46,7 +46,7 @@
   }
 }
 
-void EntryRoster::OnTold(const std::vector<InstanceInfo>& told,
+bool EntryRoster::OnTold(const std::vector<InstanceInfo>& told,
                          bool complete,
                          TimePoint now) {
   bool changed = false;
@@ -61,6 +61,7 @@
   if (changed) {
     Choose();
   }
+  return changed;
 }
 
 void EntryRoster::OnGone(const PeerId& peer) {
--- a/lavenderkeel/forward/entry_roster.h
+++ b/lavenderkeel/forward/entry_roster.h
@@ -34,7 +34,8 @@
   void OnMet(const InstanceInfo& info, TimePoint now);
   /// Another entry told of these.
   /// @param complete the teller's whole list
-  void OnTold(const std::vector<InstanceInfo>& told,
+  /// @return whether somebody is new or forgotten
+  bool OnTold(const std::vector<InstanceInfo>& told,
               bool complete,
               TimePoint now);
   /// It does not answer or is leaving: it is no coordinator until it is met or
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -810,6 +810,11 @@
       request.event_count == 0
           ? -1
           : ToMilliseconds(request.first_event_at - request.sent_at);
+  // For the slot that it has not got; 0 if it got one.
+  const int64_t waiting_ms =
+      request.state == State::kWaiting && request.attempt != 0
+          ? ToMilliseconds(now - request.waiting_since)
+          : 0;
   log_.Info("end",
             {{"id", request.terms.request_id},
              {"outcome", outcome},
@@ -824,6 +829,8 @@
              {"most_output_tokens", request.terms.output_tokens},
              {"expected_output_tokens", request.terms.expected_output_tokens},
              {"server", request.server},
+             {"gate", slots_.GateAsked(request.attempt)},
+             {"waiting_ms", waiting_ms},
              {"first_event_ms", first_event_ms},
              {"longest_pause_ms", ToMilliseconds(request.longest_pause)},
              {"took_ms", ToMilliseconds(now - request.arrived)}});
--- a/lavenderkeel/forward/slot_router.cc
+++ b/lavenderkeel/forward/slot_router.cc
@@ -115,6 +115,11 @@
   hooks_.done(gate, attempt, result);
 }
 
+std::string SlotRouter::GateAsked(AttemptId attempt) const {
+  const auto found = pending_.find(attempt);
+  return found == pending_.end() ? "" : found->second.gate;
+}
+
 void SlotRouter::OnHeard(const std::string& entry,
                          const std::vector<GateReport>& gates) {
   gates_[entry] = {.heard = clock_.Now(), .reports = gates};
--- a/lavenderkeel/forward/slot_router.h
+++ b/lavenderkeel/forward/slot_router.h
@@ -58,6 +58,8 @@
   bool OnGrant(const std::string& gate, AttemptId attempt);
   /// The attempt is over, granted or not.
   void Done(AttemptId attempt, const SlotResult& result);
+  /// The gate that was asked for the attempt's slot last; empty if none was.
+  std::string GateAsked(AttemptId attempt) const;
 
   /// An entry that may be a gate told of itself.
   void OnHeard(const std::string& entry, const std::vector<GateReport>& gates);
--- a/lavenderkeel/membership/coordinators.cc
+++ b/lavenderkeel/membership/coordinators.cc
@@ -20,14 +20,14 @@
     uint64_t weight = 0;
     const std::string* name = nullptr;
   };
-  static const uint64_t kKey = HashBytes("coordinators");
+  const uint64_t key = HashBytes("coordinators");
   std::vector<Ranked> ranked;
   size_t strong = 0;
   for (const InstanceInfo& info : all) {
     const bool is_strong = info.processor_share >= least;
     strong += is_strong ? 1 : 0;
     ranked.push_back({.strong = is_strong,
-                      .weight = RendezvousWeight(kKey, info.id.instance),
+                      .weight = RendezvousWeight(key, info.id.instance),
                       .name = &info.id.instance});
   }
   std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
--- a/test/membership/coordinators_test.cc
+++ b/test/membership/coordinators_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<InstanceInfo> Entries(int count, int strong) {
   std::vector<InstanceInfo> all;
+  all.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     all.push_back({.id = {.instance = "entry-" + std::to_string(i)},
                    .processor_share = i < strong ? 0.5 : 0.09});
