--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -66,22 +66,11 @@
   }
   if (verdict.alone) {
     // Failure: the other holder is not dead but cut off from us, and an entry
-    // on its side has the same key. Symptom: both sides run it. The agents are
-    // asked, and from then on refuse it to everybody but us.
-    std::vector<PeerId> agents = request->eligible;
-    for (const Member* agent : context_.members.Members(Role::kAgent)) {
-      agents.push_back(agent->info.id);
-    }
-    // Without an agent that answers nothing is proved: what the other side can
-    // reach may be out of this one's sight altogether.
-    if (agents.empty()) {
-      context_.Note(*request, "a holder is silent and no agent is known");
-      context_.conclude(*request, ResultCode::kCannotVouch);
-      return;
-    }
-    context_.Note(*request, "a holder is silent, asking the agents");
-    request->held = {};
-    Seal(*request, agents);
+    // on its side has the same key. Symptom: both sides run it. Asking the
+    // agents proves nothing: those on the other side may be out of sight here,
+    // and one that crashed has forgotten what it ran.
+    context_.Note(*request, "a holder is silent and may have the key");
+    context_.conclude(*request, ResultCode::kCannotVouch);
     return;
   }
   context_.admit(*request);
