Entries that restart while cut from each other count each other as holders

Two entries are cut from each other and both restart; each is told of the other, can't reach it for 4 s and then counts as having joined. Neither has a loss on record, since they never met, so each vouches alone.

Change: an entry that is told of and can't be met in that time is a holder that is lost and may live; keys that rank it are unknown until it is met.

Before: the sequence, now the third of KeyRunsOnceAfterCutsAndCrashes, starts a key twice. After: it passes, with all tests of fuzz_test and unit_test.

--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -94,6 +94,14 @@
       [this](const PeerId& peer, Role role) { OnPeerLost(peer, role); });
   members_.signal_leaving().connect(
       [this](const PeerId& peer, Role role) { OnPeerLeaving(peer, role); });
+  // Failure: two entries are cut from each other and restart, so that neither
+  // ever met the other. Symptom: each takes itself for the only holder and
+  // vouches, and a key that is sent to both runs twice. Whoever is told of and
+  // can't be met counts as a holder that is lost and may live.
+  members_.signal_unmet().connect([this](const PeerId& peer) {
+    log_.Warn("peer_unmet", {{"peer", peer.ToString()}});
+    ranking_.SetLost(peer, clock_.WallNow());
+  });
   config_.signal_activated().connect([this] { OnConfigActivated(); });
 }
 
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -200,6 +200,7 @@
     target.since = clock_.Now();
   }
   target.instance = info.id.instance;
+  target.incarnation = info.id.incarnation;
   target.role = info.role;
   target.data_centre = info.data_centre;
   target.region = info.region;
@@ -224,6 +225,7 @@
     Close(link);
   }
   JudgeSilent(now);
+  JudgeUnmet(now);
   ForgetGone(now);
   DialDue(now);
 }
@@ -273,6 +275,24 @@
   }
 }
 
+void MemberTable::JudgeUnmet(TimePoint now) {
+  std::vector<PeerId> unmet;
+  for (auto& [address, target] : targets_) {
+    const bool expected = target.role == Role::kEntry &&
+                          target.region == self_.region &&
+                          WantsEntry(target.instance);
+    if (expected && !target.unmet && Find(target.instance) == nullptr &&
+        HadTimeToMeet(target, now)) {
+      target.unmet = true;
+      unmet.push_back(
+          {.instance = target.instance, .incarnation = target.incarnation});
+    }
+  }
+  for (const PeerId& peer : unmet) {
+    signal_unmet_.emit(peer);
+  }
+}
+
 void MemberTable::DialDue(TimePoint now) {
   if (std::ranges::none_of(targets_, [now](const auto& item) {
         return !item.second.dialing && item.second.next <= now;
@@ -363,8 +383,7 @@
         (target.role == Role::kEntry && target.region == self_.region);
     const Member* member = Find(target.instance);
     const bool met = member != nullptr && member->inbound.has_value();
-    return !counts || met ||
-           now - target.since > 2 * options_.heartbeat_timeout;
+    return !counts || met || HadTimeToMeet(target, now);
   });
 }
 
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -122,6 +122,9 @@
   sigc::signal<void(const PeerId&, Role)>& signal_lost() {
     return signal_lost_;
   }
+  /// An entry of this region that is told of was never met in all the time in
+  /// which others are met: it is gone, or on the other side of a cut.
+  sigc::signal<void(const PeerId&)>& signal_unmet() { return signal_unmet_; }
   /// An incarnation said that it is leaving.
   sigc::signal<void(const PeerId&, Role)>& signal_leaving() {
     return signal_leaving_;
@@ -142,6 +145,9 @@
     /// When the address was first heard of.
     TimePoint since;
     std::string instance;
+    uint64_t incarnation = 0;
+    /// It was told of by signal_unmet.
+    bool unmet = false;
     /// From the instance list; a seed's role is learnt from its greeting.
     std::optional<Role> role;
     std::string data_centre;
@@ -154,6 +160,11 @@
   void Target(const InstanceInfo& info);
   void DialDue(TimePoint now);
   void JudgeSilent(TimePoint now);
+  void JudgeUnmet(TimePoint now);
+  /// An entry that has been told of for so long has been reached if it lives.
+  bool HadTimeToMeet(const DialTarget& target, TimePoint now) const {
+    return now - target.since > 2 * options_.heartbeat_timeout;
+  }
   void ForgetGone(TimePoint now);
   Duration PeriodOf(const Link& state) const;
   void SendHeartbeat(LinkId link, Link& state, const Heartbeat& heartbeat);
@@ -179,6 +190,7 @@
   sigc::signal<void(const Member&)> signal_up_;
   sigc::signal<void(LinkId)> signal_link_dropped_;
   sigc::signal<void(const PeerId&, Role)> signal_lost_;
+  sigc::signal<void(const PeerId&)> signal_unmet_;
   sigc::signal<void(const PeerId&, Role)> signal_leaving_;
 };
 
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -476,6 +476,12 @@
        "retry(11,0,2690), retry(0,0,177), lose(0,0,428), retry(0,3,9), "
        "crash(3,0,166), retry(0,0,251), submit(11,0,1), submit(0,0,912), "
        "retry(0,0,912), retry(4,5,0)"},
+      {"started twice by two entries that restarted while cut from each other",
+       653943,
+       "partition(1,96,102), crash(29,12,2152), crash(3,38,171), "
+       "crash(16,33,159), retry(11,66,2826), partition(0,146,237), "
+       "preset(14,17,1727), retry(24,96,23), submit(3,23,914), "
+       "retry(6,155,920)"},
   };
   for (const Find& find : finds) {
     Repeat(find);
