One lookup of an incarnation, one count of draws, one list of entries

Read for logic that stands twice; behaviour stays. MemberTable::Find takes an incarnation, which three callers and both lookups of links spelled out; totals of peers and of coordinators go through one loop; what an entry's coordinator told it is looked up in one place; the roster makes its lists in one.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -391,8 +391,7 @@
 }
 
 void DispatchController::OnAgentLost(const PeerId& agent) {
-  const Member* member = context_.members.Find(agent.instance);
-  const bool replaced = member == nullptr || member->info.id != agent;
+  const bool replaced = context_.members.Find(agent) == nullptr;
   const auto concerns = [&agent](const EntryRequest& request) {
     return request.reserved.contains(agent) || request.agent == agent;
   };
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -87,9 +87,8 @@
   }
   request.held = claim;
   context_.Note(request, "owned by " + claim.owner.ToString());
-  const Member* owner = context_.members.Find(claim.owner.instance);
-  const bool may_answer =
-      owner != nullptr && owner->info.id == claim.owner && !owner->lost;
+  const Member* owner = context_.members.Find(claim.owner);
+  const bool may_answer = owner != nullptr && !owner->lost;
   if (!may_answer) {
     Recover(request);
     return;
--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -173,15 +173,20 @@
                     now - *store_lost_since_ > options_.store_patience;
 }
 
-bool EntryExchange::feeder_lost_store() const {
+const EntryExchange::Told* EntryExchange::ToldByFeeder() const {
   const auto told = feeder_.has_value() ? told_.find(*feeder_) : told_.end();
-  return told != told_.end() && told->second.store_lost;
+  return told == told_.end() ? nullptr : &told->second;
+}
+
+bool EntryExchange::feeder_lost_store() const {
+  const Told* told = ToldByFeeder();
+  return told != nullptr && told->store_lost;
 }
 
 std::optional<PeerId> EntryExchange::HasConfig(uint64_t version) const {
-  const auto told = feeder_.has_value() ? told_.find(*feeder_) : told_.end();
-  const bool has = told != told_.end() && told->second.table_version >= version;
-  return has ? feeder_ : std::nullopt;
+  const Told* told = ToldByFeeder();
+  return told != nullptr && told->table_version >= version ? feeder_
+                                                           : std::nullopt;
 }
 
 void EntryExchange::Feed(const PeerId& follower, uint64_t known) {
--- a/lavenderkeel/forward/entry_exchange.h
+++ b/lavenderkeel/forward/entry_exchange.h
@@ -104,7 +104,9 @@
   };
 
   bool IsUp(const PeerId& coordinator) const;
-  /// The coordinator that passes on what the entry draws, by this one's view.
+  /// Null without a feeder.
+  const Told* ToldByFeeder() const;
+  /// Whether this coordinator passes on what the entry draws.
   bool PassesOnFor(const std::string& instance) const;
   void ChooseFeeder(const OwnState& own);
   void Feed(const PeerId& follower, uint64_t known);
--- a/lavenderkeel/forward/entry_roster.cc
+++ b/lavenderkeel/forward/entry_roster.cc
@@ -81,20 +81,11 @@
   return std::exchange(news_, {});
 }
 
-std::vector<InstanceInfo> EntryRoster::Others() const {
+std::vector<InstanceInfo> EntryRoster::List(bool with_gone) const {
   std::vector<InstanceInfo> others;
   others.reserve(entries_.size());
   for (const auto& [instance, known] : entries_) {
-    others.push_back(known.info);
-  }
-  return others;
-}
-
-std::vector<InstanceInfo> EntryRoster::OthersThere() const {
-  std::vector<InstanceInfo> others;
-  others.reserve(entries_.size());
-  for (const auto& [instance, known] : entries_) {
-    if (!known.gone) {
+    if (with_gone || !known.gone) {
       others.push_back(known.info);
     }
   }
--- a/lavenderkeel/forward/entry_roster.h
+++ b/lavenderkeel/forward/entry_roster.h
@@ -47,9 +47,11 @@
   std::vector<InstanceInfo> TakeNews();
   /// Everyone known, without this entry. Those that are gone are dialled until
   /// they are forgotten.
-  std::vector<InstanceInfo> Others() const;
+  std::vector<InstanceInfo> Others() const { return List(/*with_gone=*/true); }
   /// The same without those that are gone.
-  std::vector<InstanceInfo> OthersThere() const;
+  std::vector<InstanceInfo> OthersThere() const {
+    return List(/*with_gone=*/false);
+  }
   /// This entry included.
   size_t size() const { return entries_.size() + 1; }
 
@@ -71,6 +73,7 @@
 
   /// @return whether it is a new entry or a new incarnation
   bool Note(const InstanceInfo& info, TimePoint now);
+  std::vector<InstanceInfo> List(bool with_gone) const;
   void Choose();
 
   Options options_;
--- a/lavenderkeel/forward/team_rates.cc
+++ b/lavenderkeel/forward/team_rates.cc
@@ -48,20 +48,23 @@
 void TeamRates::OnPeerTotals(const std::string& peer,
                              const DrawTotals& totals,
                              TimePoint now) {
-  const auto first = share_.Joining(now) ? TeamBucket::FirstTotal::kRecent
-                                         : TeamBucket::FirstTotal::kOld;
-  for (const auto& [team, total] : totals) {
-    BucketOf(team).OnPeerTotal(peer, total, first);
-  }
+  Count(peer, totals, TeamBucket::FirstTotal::kOld, now);
 }
 
 void TeamRates::OnRelayedTotals(const std::string& coordinator,
                                 const DrawTotals& totals,
                                 TimePoint now) {
-  const auto first = share_.Joining(now) ? TeamBucket::FirstTotal::kRecent
-                                         : TeamBucket::FirstTotal::kCounted;
+  Count(RelayName(coordinator), totals, TeamBucket::FirstTotal::kCounted, now);
+}
+
+void TeamRates::Count(const std::string& source,
+                      const DrawTotals& totals,
+                      TeamBucket::FirstTotal first_when_joined,
+                      TimePoint now) {
+  const TeamBucket::FirstTotal first =
+      share_.Joining(now) ? TeamBucket::FirstTotal::kRecent : first_when_joined;
   for (const auto& [team, total] : totals) {
-    BucketOf(team).OnPeerTotal(RelayName(coordinator), total, first);
+    BucketOf(team).OnPeerTotal(source, total, first);
   }
 }
 
--- a/lavenderkeel/forward/team_rates.h
+++ b/lavenderkeel/forward/team_rates.h
@@ -61,6 +61,12 @@
   const RateShare& share() const { return share_; }
 
  private:
+  /// @param first_when_joined how the first total of a source is taken, unless
+  ///     this entry joins together with it
+  void Count(const std::string& source,
+             const DrawTotals& totals,
+             TeamBucket::FirstTotal first_when_joined,
+             TimePoint now);
   TeamBucket& BucketOf(uint64_t team);
 
   Options options_;
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -327,10 +327,9 @@
       return;
     }
     const Reservation taken = queue_.Take(next->id());
-    const Member* entry = members_.Find(taken.entry.instance);
+    const Member* entry = members_.Find(taken.entry);
     // A restarted entry knows nothing of its predecessor's reservations.
-    if (entry == nullptr || entry->info.id != taken.entry ||
-        !entry->inbound.has_value()) {
+    if (entry == nullptr || !entry->inbound.has_value()) {
       continue;
     }
     offered_[taken.id()] = {.reservation = taken,
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -416,15 +416,19 @@
   return found == links_.end() ? nullptr : Find(found->second.instance);
 }
 
-std::optional<LinkId> MemberTable::LinkTo(const PeerId& peer) const {
+const Member* MemberTable::Find(const PeerId& peer) const {
   const Member* member = Find(peer.instance);
-  const bool same = member != nullptr && member->info.id == peer;
-  return same ? member->outbound : std::nullopt;
+  return member != nullptr && member->info.id == peer ? member : nullptr;
+}
+
+std::optional<LinkId> MemberTable::LinkTo(const PeerId& peer) const {
+  const Member* member = Find(peer);
+  return member == nullptr ? std::nullopt : member->outbound;
 }
 
 std::optional<LinkId> MemberTable::AnyLinkTo(const PeerId& peer) const {
-  const Member* member = Find(peer.instance);
-  if (member == nullptr || member->info.id != peer) {
+  const Member* member = Find(peer);
+  if (member == nullptr) {
     return std::nullopt;
   }
   return member->outbound.has_value() ? member->outbound : member->inbound;
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -102,6 +102,8 @@
   void AnnounceNow();
 
   const Member* Find(const std::string& instance) const;
+  /// Exactly this incarnation.
+  const Member* Find(const PeerId& peer) const;
   const Member* FindByLink(LinkId link) const;
   /// The outbound link to exactly this incarnation, if it is up.
   std::optional<LinkId> LinkTo(const PeerId& peer) const;
