Aborted exchanges stay until their connection is closed

Symptom: an entry ends by signal 11 when many streaming lookups give way to urgent work; callers of that entry lose their connections (132 of 300 lookups closed without an answer, 15 of 30 checks), the rest find the port closed.

Cause, by evidence: ReplyAbort erased the exchange at once and freed the connection one turn of the loop later. In that turn the socket is writable, the library writes the last piece and calls the callback of evhttp_send_reply_chunk_with_cb with the erased exchange; sockets come before timers in a turn, so this is certain wherever a piece is unwritten. AbortWhileAPieceIsBeingWritten shows it without load: memory access violation on the code before. Its neighbour AbortWhileTheCallerHangsUp crashes too: the caller hangs up in the same turn, the library frees the connection by itself, and the deferred call frees it a second time. Ruled out: erasure by the close callback (the library frees the connection in the same call) and by the end of an answer (its own callback replaces ours; CallerLeavesBeforeTheLastPieceIsWritten, NextRequestOfAConnection- StartsAnew pass on the code before).

Change: the exchange lives as long as its connection, in a phase of its own; whichever of library and deferred call comes first ends both. What the library hands back of a caller that hung up in its stream is freed.

Before: ChecksOverManyStreamingLookups fails, entry ended, 134 failures in each of two plays. After: passes 4 of 4, every check answered or refused.

--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -52,6 +52,14 @@
 }  // namespace
 
 struct HttpServer::Exchange {
+  enum class Phase {
+    kOpen,
+    /// The answer is handed over whole, the library still writes it.
+    kFinished,
+    /// The connection is closed once the present event is handled.
+    kAborted,
+  };
+
   ~Exchange() { StopWatching(); }
   void StopWatching() {
     if (hangup != nullptr) {
@@ -64,7 +72,7 @@
   evhttp_request* request = nullptr;
   evhttp_connection* connection = nullptr;
   event* hangup = nullptr;
-  bool finished = false;
+  Phase phase = Phase::kOpen;
 };
 
 HttpServer::HttpServer(EventLoop& loop, Options options, Hooks hooks)
@@ -172,7 +180,8 @@
 
 HttpServer::Exchange* HttpServer::Find(CallerId id) {
   const auto found = exchanges_.find(id);
-  const bool usable = found != exchanges_.end() && !found->second->finished;
+  const bool usable = found != exchanges_.end() &&
+                      found->second->phase == Exchange::Phase::kOpen;
   return usable ? found->second.get() : nullptr;
 }
 
@@ -181,18 +190,36 @@
   if (found == exchanges_.end()) {
     return;
   }
-  const bool finished = found->second->finished;
+  const bool open = found->second->phase == Exchange::Phase::kOpen;
+  evhttp_request* request = found->second->request;
   exchanges_.erase(found);
-  if (!finished) {
+  if (evhttp_request_get_connection(request) == nullptr) {
+    // Failure: the library takes a request that is not answered yet off a
+    // connection that breaks, and leaves it to its user. Symptom: each caller
+    // that hangs up in a stream costs the memory of its request for good.
+    evhttp_request_free(request);
+  }
+  if (open) {
     hooks_.on_gone(id);
   }
 }
 
+void HttpServer::CloseAborted(CallerId id) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  evhttp_connection* connection = found->second->connection;
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  exchanges_.erase(found);
+  evhttp_connection_free(connection);
+}
+
 void HttpServer::Finish(Exchange& exchange) {
   // Failure: the process ends once all is answered, but the end of an answer
   // is still in a buffer here. Symptom: an answer cut at its last events. The
   // exchange counts as open until the library has written everything.
-  exchange.finished = true;
+  exchange.phase = Exchange::Phase::kFinished;
   exchange.StopWatching();
   evhttp_request_set_on_complete_cb(
       exchange.request,
@@ -243,7 +270,9 @@
       exchange->request, bytes,
       [](evhttp_connection*, void* arg) {
         const auto* drained = static_cast<Exchange*>(arg);
-        drained->server->hooks_.on_drained(drained->id);
+        if (drained->phase == Exchange::Phase::kOpen) {
+          drained->server->hooks_.on_drained(drained->id);
+        }
       },
       exchange);
   evbuffer_free(bytes);
@@ -262,10 +291,15 @@
   if (exchange == nullptr) {
     return;
   }
-  evhttp_connection* connection = exchange->connection;
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  exchanges_.erase(reply.caller);
-  loop_.Defer([connection] { evhttp_connection_free(connection); });
+  // Failure: the exchange is erased here and its connection freed a turn of the
+  // loop later. Symptom: the process ends by a segmentation fault under many
+  // aborts, since in between the library reports the last piece as written, to
+  // the erased exchange, or frees the connection by itself where the caller
+  // hangs up. The exchange stays for as long as the connection does, and
+  // whichever of the two comes first ends both.
+  exchange->phase = Exchange::Phase::kAborted;
+  exchange->StopWatching();
+  loop_.Defer([this, id = reply.caller] { CloseAborted(id); });
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/http_server.h
+++ b/lavenderkeel/io/http_server.h
@@ -76,6 +76,8 @@
   /// No more replies follow; the exchange stays until all is written.
   void Finish(Exchange& exchange);
   void OnWritten(CallerId id);
+  /// Ends an aborted exchange with its connection, unless that broke before.
+  void CloseAborted(CallerId id);
   Exchange* Find(CallerId id);
 
   EventLoop& loop_;
--- a/test/process/cluster.cc
+++ b/test/process/cluster.cc
@@ -183,7 +183,8 @@
                                        const std::string& work,
                                        int tokens,
                                        bool stream,
-                                       const std::string& prompt) {
+                                       const std::string& prompt,
+                                       Duration deadline) {
   HttpClient::Call call{
       .address = Entry(entry),
       .method = "POST",
@@ -197,6 +198,10 @@
   if (!key.empty()) {
     call.headers.emplace_back("Idempotency-Key", key);
   }
+  if (deadline > Duration::zero()) {
+    call.headers.emplace_back("Lavenderkeel-Deadline-Ms",
+                              std::to_string(ToMilliseconds(deadline)));
+  }
   return Send(std::move(call), stream);
 }
 
--- a/test/process/cluster.h
+++ b/test/process/cluster.h
@@ -56,12 +56,15 @@
 
   std::string NewKey();
   /// Sends a request of the test's team. A key of "" has the entry mint one.
+  ///
+  /// @param deadline zero: none is named
   std::shared_ptr<Exchange> Ask(size_t entry,
                                 const std::string& key,
                                 const std::string& work,
                                 int tokens,
                                 bool stream = false,
-                                const std::string& prompt = "Letter one");
+                                const std::string& prompt = "Letter one",
+                                Duration deadline = Duration::zero());
   /// @param stream collect the bytes as they come
   std::shared_ptr<Exchange> Send(HttpClient::Call call, bool stream = false);
   HttpResult Call(const std::string& address,
--- /dev/null
+++ b/test/process/load_test.cc
@@ -0,0 +1,69 @@
+// Many callers at once at whole processes, on loopback.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "test/process/cluster.h"
+
+namespace lavenderkeel::test {
+
+namespace {
+
+using Exchanges = std::vector<std::shared_ptr<Exchange>>;
+
+size_t CountDone(const Exchanges& exchanges) {
+  return static_cast<size_t>(
+      std::ranges::count_if(exchanges, [](const auto& e) { return e->done; }));
+}
+
+/// Callers whose connection closed without an answer or a refusal.
+size_t CountClosedSilently(const Exchanges& exchanges) {
+  return static_cast<size_t>(std::ranges::count_if(exchanges, [](const auto& e) {
+    return e->result.kind != HttpResult::Kind::kAnswered;
+  }));
+}
+
+}  // namespace
+
+// Lookups stream at both entries when a burst of deadline-bound checks comes.
+// Lookups give way, and the streams of those that had begun are broken off
+// while their last piece is still on its way to the caller. No entry may end:
+// every caller of either sort is answered, refused, or has its own stream
+// broken off, and every check that is refused for certain did not run.
+BOOST_AUTO_TEST_CASE(ChecksOverManyStreamingLookups) {
+  constexpr size_t kLookups = 300;
+  constexpr size_t kChecks = 30;
+  Cluster cluster({.entries = 2, .agents = 3, .step_ms = 4});
+  cluster.Call(cluster.Engine(2), "POST", "/fault/speed?factor=0.5");
+  Exchanges lookups;
+  for (size_t i = 0; i < kLookups; ++i) {
+    lookups.push_back(
+        cluster.Ask(i % 2, "", "lookup", 300, /*stream=*/true));
+  }
+  BOOST_REQUIRE(cluster.Wait([&] {
+    return std::ranges::count_if(lookups, [](const auto& lookup) {
+             return !lookup->stream.empty();
+           }) >= 20;
+  }));
+  Exchanges checks;
+  for (size_t i = 0; i < kChecks; ++i) {
+    checks.push_back(cluster.Ask(i % 2, cluster.NewKey(), "check", 5,
+                                 /*stream=*/false, "Letter one",
+                                 std::chrono::seconds(4)));
+  }
+  BOOST_TEST(cluster.Wait([&] { return CountDone(checks) == kChecks; }));
+  BOOST_TEST(cluster.Wait([&] { return CountDone(lookups) == kLookups; }));
+  BOOST_TEST(cluster.Running("entry-0"));
+  BOOST_TEST(cluster.Running("entry-1"));
+  BOOST_TEST(CountClosedSilently(checks) == 0U);
+  for (const auto& check : checks) {
+    BOOST_TEST(check->result.status != 504);
+  }
+  // A lookup whose stream had begun may be broken off; the others are told.
+  for (const auto& lookup : lookups) {
+    const bool begun = !lookup->stream.empty();
+    BOOST_TEST((begun || lookup->result.kind == HttpResult::Kind::kAnswered));
+  }
+}
+
+}  // namespace lavenderkeel::test
