A leaving entry passes on a claim only if it is news

A leaving entry hands on every claim that it is given, to two holders; where those leave too, they do the same, and messages about one claim double with each hop. The fault is in the product, not in the world: real entries that are stopped within the time of a hand-over do the same. Ruled out: the livelock of refused lookups (its messages stay few).

Change: ClaimTable says whether a request changed it, and only then is the claim passed on, so each entry passes on each claim once. The world counts messages under way without bound as a violation.

Before: AllEntriesLeaveAtOnce fails (50,000 messages under way within 45 virtual milliseconds). Costs callers nothing: what is dropped was known to its receiver.

--- a/lavenderkeel/claim/claim_table.cc
+++ b/lavenderkeel/claim/claim_table.cc
@@ -22,12 +22,16 @@
     if (!same_request || !may_take) {
       return {.granted = false, .vouched = false, .claim = Unpack(held)};
     }
+    bool changed = owner != wanted.owner || held.confirmed < wanted.confirmed;
     const PeerPool::Index former = held.owner;
     held.owner = peers_.Take(wanted.owner);
     peers_.Release(former);
-    AddAgents(held, wanted.agents);
+    changed |= AddAgents(held, wanted.agents);
     held.confirmed |= wanted.confirmed;
-    return {.granted = true, .vouched = held.confirmed, .claim = Unpack(held)};
+    return {.granted = true,
+            .vouched = held.confirmed,
+            .claim = Unpack(held),
+            .changed = changed};
   }
   const bool vouched = Vouches(key);
   Held held{.owner = peers_.Take(wanted.owner),
@@ -40,7 +44,8 @@
   if (claims_.size() > options_.capacity) {
     DropOldest();
   }
-  return {.granted = true, .vouched = vouched, .claim = wanted};
+  return {
+      .granted = true, .vouched = vouched, .claim = wanted, .changed = true};
 }
 
 Claim ClaimTable::Unpack(const Held& held) const {
@@ -55,7 +60,8 @@
   return claim;
 }
 
-void ClaimTable::AddAgents(Held& held, const std::vector<PeerId>& agents) {
+bool ClaimTable::AddAgents(Held& held, const std::vector<PeerId>& agents) {
+  const size_t before = held.agents.size();
   for (const PeerId& agent : agents) {
     const PeerPool::Index index = peers_.Take(agent);
     if (std::ranges::find(held.agents, index) == held.agents.end()) {
@@ -64,6 +70,7 @@
       peers_.Release(index);
     }
   }
+  return held.agents.size() > before;
 }
 
 void ClaimTable::Erase(const RequestKey& key) {
--- a/lavenderkeel/claim/claim_table.h
+++ b/lavenderkeel/claim/claim_table.h
@@ -31,6 +31,8 @@
     bool vouched = false;
     /// The claim now held.
     Claim claim;
+    /// The request brought something that was not held here before.
+    bool changed = false;
 
     friend bool operator==(const Answer&, const Answer&) = default;
   };
@@ -78,7 +80,8 @@
   };
 
   Claim Unpack(const Held& held) const;
-  void AddAgents(Held& held, const std::vector<PeerId>& agents);
+  /// @return true if any of them was not in the claim
+  bool AddAgents(Held& held, const std::vector<PeerId>& agents);
   void Erase(const RequestKey& key);
   void DropOldest();
 
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -276,7 +276,11 @@
     PutClaim(answer.claim, reply);
   }
   outbox_.Send(link, std::move(reply));
-  if (context_.leaving && !request.lookup && answer.granted) {
+  // Failure: entries that leave together hand each other the same claims, and
+  // each passes them on to two more. Symptom: messages double with every hop
+  // until memory is used up. Only what was not held here is passed on, so each
+  // entry passes on each claim once.
+  if (context_.leaving && answer.granted && answer.changed) {
     HandOver(key, answer.claim);
   }
 }
--- a/test/claim/claim_table_test.cc
+++ b/test/claim/claim_table_test.cc
@@ -49,6 +49,21 @@
   BOOST_TEST(!holder.table.Request(key, other_body, {}).granted);
 }
 
+// Entries that leave together hand their claims to each other. What a table
+// holds already is no news and must not be passed on again; a new owner is.
+BOOST_AUTO_TEST_CASE(OnlyNewsOfAClaimChangesTheTable) {
+  Holder holder;
+  const RequestKey key = holder.KeySentNow();
+  Claim claim = ClaimOf("a");
+  BOOST_TEST(holder.table.Request(key, claim, {}).changed);
+  BOOST_TEST(!holder.table.Request(key, claim, {}).changed);
+  BOOST_TEST(!holder.table.Request(key, ClaimOf("b"), {}).changed);
+  claim.agents.push_back({.instance = "agent", .incarnation = 1});
+  BOOST_TEST(holder.table.Request(key, claim, {}).changed);
+  BOOST_TEST(!holder.table.Request(key, claim, {}).changed);
+  BOOST_TEST(holder.table.Request(key, ClaimOf("b"), claim.owner).changed);
+}
+
 // The table is full and drops a claim early: it may be that of any key up to
 // now, so none of them is vouched for any more.
 BOOST_AUTO_TEST_CASE(DroppedClaimsAreNotVouchedFor) {
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -460,6 +460,16 @@
   }
 }
 
+// The whole fleet is stopped in order within a few milliseconds. Each entry
+// hands its claims to the others, which are leaving too and hand them on, each
+// copy to two more. Callers see entries that answer slower and slower and then
+// end by lack of memory instead of stopping; in a second there are tens of
+// thousands of messages about one claim.
+BOOST_AUTO_TEST_CASE(AllEntriesLeaveAtOnce) {
+  Repeat({"one claim handed over without end", 1,
+          "submit(0,1,0), leave(0,0,0), leave(1,0,0), leave(6,0,45)"});
+}
+
 // A caller's key is retried at other entries after some of them were cut from
 // each other, crashed and came back. Two of them each hear of nobody that has
 // the key, vouch for it, and start it; the caller gets two letters.
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -16,6 +16,8 @@
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr Duration kWatchPoll = std::chrono::milliseconds(100);
 constexpr Duration kDialTimeout = std::chrono::seconds(1);
+/// Events under way between all processes; far more than any load here needs.
+constexpr size_t kMostUnderWay = 50'000;
 constexpr char kTeamKey[] = "team-key";
 constexpr char kOperatorKey[] = "operator-key";
 
@@ -182,6 +184,10 @@
     if (clock_.Now() >= end) {
       return false;
     }
+    if (queue_.size() > kMostUnderWay) {
+      oracle_.Violate("messages without bound");
+      return false;
+    }
     const bool event_first =
         !queue_.empty() && queue_.begin()->first.first <= next_tick_;
     if (event_first) {
--- a/test/io/http_server_test.cc
+++ b/test/io/http_server_test.cc
@@ -217,13 +217,11 @@
   };
   RawCaller caller(harness.loop(), harness.address());
   caller.Send(kGet);
-  BOOST_TEST(harness.Turn([&] {
-    return harness.requests == 1 && harness.server().open() == 0;
-  }));
+  BOOST_TEST(harness.Turn(
+      [&] { return harness.requests == 1 && harness.server().open() == 0; }));
   caller.Send(kGet);
-  BOOST_TEST(harness.Turn([&] {
-    return harness.requests == 2 && harness.server().open() == 0;
-  }));
+  BOOST_TEST(harness.Turn(
+      [&] { return harness.requests == 2 && harness.server().open() == 0; }));
   BOOST_TEST(!caller.closed());
 }
 
--- a/test/process/load_test.cc
+++ b/test/process/load_test.cc
@@ -18,9 +18,10 @@
 
 /// Callers whose connection closed without an answer or a refusal.
 size_t CountClosedSilently(const Exchanges& exchanges) {
-  return static_cast<size_t>(std::ranges::count_if(exchanges, [](const auto& e) {
-    return e->result.kind != HttpResult::Kind::kAnswered;
-  }));
+  return static_cast<size_t>(
+      std::ranges::count_if(exchanges, [](const auto& e) {
+        return e->result.kind != HttpResult::Kind::kAnswered;
+      }));
 }
 
 }  // namespace
@@ -37,8 +38,7 @@
   cluster.Call(cluster.Engine(2), "POST", "/fault/speed?factor=0.5");
   Exchanges lookups;
   for (size_t i = 0; i < kLookups; ++i) {
-    lookups.push_back(
-        cluster.Ask(i % 2, "", "lookup", 300, /*stream=*/true));
+    lookups.push_back(cluster.Ask(i % 2, "", "lookup", 300, /*stream=*/true));
   }
   BOOST_REQUIRE(cluster.Wait([&] {
     return std::ranges::count_if(lookups, [](const auto& lookup) {
