An entry whose link comes back seals no lookups at the agent

Symptom: a caller of a lookup never gets an outcome, and its entry and the agent exchange offers and refusals as fast as the network carries them.

When its link to an agent is up again an entry asks for its answer and seals the key for itself. Ruled out: an offer that expires (reservation_gone never appears), a deadline (the caller has none).

Change: keys of work that may be repeated are not sealed. The seal guarded against a late copy of the go, which costs a second run at most, and that is allowed here.

Before: LookupOfTwoEntriesEndsAfterALinkCameBack fails. After: passes; FormerFindsHold, KeyRunsOnceAfterCutsAndCrashes pass unchanged.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -378,10 +378,13 @@
     request.silent_since.reset();
     if (request.at_agent()) {
       // The answer may have been lost with the old link, and so may the go;
-      // sealing makes a late copy of it harmless.
+      // sealing makes a late copy of it harmless. Work that may be repeated is
+      // not sealed. Failure: nobody claims it, so other entries have the same
+      // key, and the agent would refuse it to them for good. Symptom: a caller
+      // there never gets an outcome.
       Attach control;
       control.key = ToWire(request.key);
-      control.seal = true;
+      control.seal = !request.terms.repeatable;
       context_.outbox.Send(link, control);
     }
     if (request.state != State::kSent) {
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -460,6 +460,20 @@
   }
 }
 
+// A lookup runs for a caller at one entry whose link to the agent falls silent
+// and comes back: the entry asks for its answer and, in the same message, has
+// the agent refuse the key to everybody else. The lookup gave way to a check
+// meanwhile. A second entry has the same lookup for another caller: its go is
+// refused (go_refused result=sealed), it reserves again, gets the next slot and
+// is refused again, 29,831 times in four minutes, and the caller never hears.
+BOOST_AUTO_TEST_CASE(LookupOfTwoEntriesEndsAfterALinkCameBack) {
+  Repeat({"no outcome; a lookup was refused for good", 11189,
+          "submit(7,117,273), submit(0,0,864), slow-engine(0,0,101), "
+          "submit(0,4,2), restart(0,0,2068), silence(29,18,0), "
+          "retry(0,0,59), submit(0,178,35), submit(0,1,27), "
+          "retry(5,0,181)"});
+}
+
 // The whole fleet is stopped in order within a few milliseconds. Each entry
 // hands its claims to the others, which are leaving too and hand them on, each
 // copy to two more. Callers see entries that answer slower and slower and then
