A lookup that is refused as sealed gives up after its attempts

The lookup's goes are refused without end: 515 messages of its entry in two seconds and no outcome.

Cause: found by looking for the same loop elsewhere. A refused go of a lookup went back into the line without counting its attempts.

Change: after max_attempts goes (four) the caller hears unknown: another entry owns the key, and nobody here can say whether it ran. The new log line go_refused says which agent refused and why.

Before: LookupWithTheKeyOfALostCheckGivesUp fails (messages and outcome). After: passes.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -309,10 +309,24 @@
   }
   context_.Note(request, "refused by " + agent.ToString() + ": " +
                              std::string(Describe(code).name));
-  if (code != ResultCode::kSealed || request.terms.repeatable) {
+  context_.log.Info("go_refused", {{"key", request.key.ToString()},
+                                   {"agent", agent.ToString()},
+                                   {"result", Describe(code).name},
+                                   {"attempts", request.attempts}});
+  // Failure: the key was sent as work that may not be repeated as well, and
+  // another entry has the agents refuse it here. Symptom: offers and refusals
+  // follow each other as fast as the network carries them, without an end.
+  const bool may_try_again = code != ResultCode::kSealed ||
+                             (request.terms.repeatable &&
+                              request.attempts < context_.options.max_attempts);
+  if (may_try_again) {
     Requeue(request);
     return;
   }
+  if (request.terms.repeatable) {
+    context_.conclude(request, ResultCode::kOwnerSilent);
+    return;
+  }
   // Another entry took the key over, believing us dead. The holders say whom
   // to follow; refused twice, nobody can say who runs it.
   ++request.sealed_away;
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -89,6 +89,37 @@
   CheckHeld(world);
 }
 
+// A caller uses one key for a check and for a lookup. The check's entry dies
+// while it waits; a second entry takes it over, has the agent refuse the key to
+// all others and dies as well. The lookup comes to a third entry, which gets
+// slots but has its goes refused: it gives up after a few of them, where it
+// used to go on as fast as the network carries messages.
+BOOST_AUTO_TEST_CASE(LookupWithTheKeyOfALostCheckGivesUp) {
+  World world({.entries = 3, .agents = 1, .seed = 1});
+  world.engine(0).set_speed(0.01);
+  for (int i = 0; i < 20; ++i) {
+    world.Submit(2, world.NewKey(), "b" + std::to_string(i) + "x", false, 3);
+  }
+  world.RunFor(std::chrono::milliseconds(200));
+  const std::string key = world.NewKey();
+  world.Submit(0, key, "r0x", false, 5);
+  world.RunFor(std::chrono::milliseconds(100));
+  world.Kill(0, /*silently=*/false);
+  world.RunFor(std::chrono::seconds(3));
+  world.Submit(1, key, "r0x", false, 5);
+  world.RunFor(std::chrono::milliseconds(100));
+  world.Kill(1, /*silently=*/false);
+  world.engine(0).set_speed(1);
+  world.RunFor(std::chrono::seconds(10));
+  const uint64_t before = world.messages_sent(2);
+  world.Submit(2, key, "r0x", true, 5);
+  world.RunFor(std::chrono::seconds(2));
+  // Four goes and what belongs to them, and heartbeats.
+  constexpr uint64_t kMostMessages = 40;
+  BOOST_TEST(world.messages_sent(2) - before < kMostMessages);
+  BOOST_TEST(AllTold(world));
+}
+
 // A lookup runs at an agent that dies at once, silently, and starts again; the
 // lookup is sent to its successor. The engine must not take that for the
 // predecessor's start, whose stream was cancelled.
