--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -136,6 +136,40 @@
   CheckHeld(world);
 }
 
+namespace {
+
+/// New keys of callers' own, in turn at the entries that live.
+/// @return how many were answered
+size_t AnsweredOfNewKeys(World& world, size_t count, const std::string& name) {
+  const size_t before = world.oracle().Count(ResultCode::kAnswered);
+  size_t at = 0;
+  for (size_t i = 0; i < count; ++i) {
+    do {
+      at = (at + 1) % world.entries();
+    } while (!world.alive(at));
+    world.Submit(at, world.NewKey(), name + std::to_string(i) + "x", false, 3);
+    world.RunFor(std::chrono::milliseconds(20));
+  }
+  BOOST_TEST(AllTold(world));
+  return world.oracle().Count(ResultCode::kAnswered) - before;
+}
+
+}  // namespace
+
+// One of three entries is killed and never comes back. Callers send new keys
+// of their own to the other two. Two keys in three have the dead entry among
+// their holders; it can't be told from one that is cut off, and for as long as
+// claims are kept these callers would hear "unknown" (result=cannot_vouch).
+// Five seconds are two and a half heartbeat timeouts.
+BOOST_AUTO_TEST_CASE(NewKeysAreServedAfterAnEntryIsLostForGood) {
+  World world({.entries = 3, .agents = 3, .seed = 1});
+  world.RunFor(std::chrono::seconds(5));
+  world.Kill(1, /*silently=*/true);
+  world.RunFor(std::chrono::seconds(5));
+  BOOST_TEST(AnsweredOfNewKeys(world, 80, "r") == 80U);
+  CheckHeld(world);
+}
+
 // An entry is frozen past the heartbeat timeout and wakes with its old view.
 // It can't vouch for keys sent meanwhile; the other holder can.
 BOOST_AUTO_TEST_CASE(FrozenHolderDoesNotVouch) {
