An entry that starts claims no key before it has met the others

Symptom: whenever an entry starts, callers of all entries hear unknown (cannot_vouch) for their own new keys of about half a second, 22 of 200 sent at 25 ms (RestartOfAnEntryCostsNoKeys); at the new one itself 22 of its first 40 (FirstRequestsOfAnEntryWaitUntilItHasMetTheOthers), or no_server.

Cause: an entry that is dialled by another can't vouch for keys of up to the clock skew (1 s) later, since the other may have claimed keys without it. All entries are dialled by the new one at the same moment. Shown by the new log line cannot_vouch_for_older_keys. /readyz said 200 all the while, and before an agent was met.

Ruled out: a smaller skew (calendar clocks are that far apart).

Change: an entry makes no claim before it has dialled all entries that it knows of and has been dialled by them, or they could not be reached for two heartbeat timeouts; its callers wait for that, six seconds after the start at most. So its greeting can say that it has claimed nothing (no_claims), and whoever meets it has missed nothing. Where it has never met a server its callers wait as for a slot, up to server_patience, instead of being refused.

After: 200 of 200 and 40 of 40 answered. Unit and process tests 227 passed.

--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -8,11 +8,13 @@
 Claimer::Claimer(ClaimTable& own_table,
                  const HolderRanking& ranking,
                  const MemberTable& members,
-                 Outbox& outbox)
+                 Outbox& outbox,
+                 Hooks hooks)
     : own_table_(own_table),
       ranking_(ranking),
       members_(members),
-      outbox_(outbox) {}
+      outbox_(outbox),
+      hooks_(std::move(hooks)) {}
 
 void Claimer::Start(const RequestKey& key,
                     const Claim& wanted,
@@ -20,21 +22,39 @@
                     bool lookup,
                     Done done) {
   const uint64_t call = ++last_call_;
-  const HolderCoverage coverage = ranking_.Coverage(key);
   processes_[call] = {.key = key,
                       .wanted = wanted,
                       .replaces = replaces,
                       .lookup = lookup,
                       .done = std::move(done),
-                      .holders = ranking_.Holders(key),
-                      .verdict = {.coverage = coverage}};
-  if (coverage != HolderCoverage::kFull && !wanted.confirmed &&
-      wanted.standing == ClaimStanding::kPlain) {
-    processes_[call].wanted.standing = ClaimStanding::kTentative;
-  }
+                      .holders = {},
+                      .verdict = {}};
   Run(call);
 }
 
+bool Claimer::Begin(Process& process) {
+  // Failure: an entry that has just started claims a key at the holders that it
+  // has met so far. Symptom: the others, which it meets later, can't vouch for
+  // anything older, and all callers of that second hear "unknown". It claims
+  // nothing before it has met all, so that nobody has missed a claim of it.
+  if (!hooks_.may_claim()) {
+    return false;
+  }
+  process.begun = true;
+  process.holders = ranking_.Holders(process.key);
+  process.verdict.coverage = ranking_.Coverage(process.key);
+  if (process.lookup) {
+    return true;
+  }
+  hooks_.on_claim();
+  if (process.verdict.coverage != HolderCoverage::kFull &&
+      !process.wanted.confirmed &&
+      process.wanted.standing == ClaimStanding::kPlain) {
+    process.wanted.standing = ClaimStanding::kTentative;
+  }
+  return true;
+}
+
 void Claimer::Run(uint64_t call) {
   const auto found = processes_.find(call);
   if (found == processes_.end() || !Advance(call, found->second)) {
@@ -47,6 +67,9 @@
 }
 
 bool Claimer::Advance(uint64_t call, Process& process) {
+  if (!process.begun && !Begin(process)) {
+    return false;
+  }
   while (process.next < process.holders.size()) {
     const std::string& holder = process.holders[process.next];
     if (holder == members_.self().id.instance) {
--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -43,10 +43,18 @@
  public:
   using Done = std::function<void(const RequestKey&, const ClaimVerdict&)>;
 
+  struct Hooks {
+    /// False while this entry has still to meet others: claims wait until then.
+    std::function<bool()> may_claim;
+    /// A claim is about to be made.
+    std::function<void()> on_claim;
+  };
+
   Claimer(ClaimTable& own_table,
           const HolderRanking& ranking,
           const MemberTable& members,
-          Outbox& outbox);
+          Outbox& outbox,
+          Hooks hooks);
 
   /// @param replaces see ClaimTable::Request
   /// @param lookup ask only, claim nothing
@@ -74,12 +82,16 @@
     PeerId replaces;
     bool lookup = false;
     Done done;
+    /// The holders are chosen.
+    bool begun = false;
     std::vector<std::string> holders;
     size_t next = 0;
     bool asked = false;
     ClaimVerdict verdict;
   };
 
+  /// Chooses the holders; false while that has to wait.
+  bool Begin(Process& process);
   /// Asks holders until one has to be waited for; true when finished.
   bool Advance(uint64_t call, Process& process);
   void Run(uint64_t call);
@@ -92,6 +104,7 @@
   const HolderRanking& ranking_;
   const MemberTable& members_;
   Outbox& outbox_;
+  Hooks hooks_;
   uint64_t last_call_ = 0;
   std::unordered_map<uint64_t, Process> processes_;
 };
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -56,8 +56,12 @@
   const std::vector<Candidate> best =
       context_.router.Choose(request.route(), 1);
   if (best.empty()) {
-    return ResultCode::kNoServer;
+    // An entry that has just started meets its agents within moments; its
+    // callers wait for them as for a slot.
+    return context_.seen_server ? std::optional(ResultCode::kNoServer)
+                                : std::nullopt;
   }
+  context_.seen_server = true;
   // Told at once, before any prefill is spent on an answer that comes late.
   // Deadline-bound work first makes lower tiers give way.
   const bool late = request.deadline.has_value() &&
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -58,6 +58,8 @@
   std::function<void(EntryRequest&)> follow;
   /// The final outcome; every caller is told at once.
   std::function<void(EntryRequest&, ResultCode)> conclude;
+  /// An agent that serves was met since the start.
+  bool seen_server = false;
   bool leaving = false;
   TimePoint left_at = TimePoint::max();
   /// When another entry may last have held this one for dead: up to then it may
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -42,7 +42,12 @@
                    ranking_.MetEveryClaim(members_.self().id.instance, key);
           },
           [this](const RequestKey& key) { return ranking_.Coverage(key); }),
-      claimer_(claims_, ranking_, members_, outbox_),
+      claimer_(claims_,
+               ranking_,
+               members_,
+               outbox_,
+               {.may_claim = [this] { return MayClaim(); },
+                .on_claim = [this] { OnClaim(); }}),
       key_register_(options_.key_register,
                     members_.self().id,
                     clock,
@@ -98,6 +103,7 @@
                  platform_,
                  options_.operator_key_sha256),
       gap_(options_.members.heartbeat_timeout) {
+  members_.set_no_claims(true);
   ranking_.SetSelf(members_.self().id, clock_.WallNow());
   members_.signal_up().connect(
       [this](const Member& member) { OnPeerUp(member); });
@@ -118,6 +124,7 @@
 
 void EntryNode::Start(const std::string& address) {
   members_.set_address(address);
+  started_ = clock_.Now();
   for (const std::string& seed : options_.seeds) {
     members_.AddSeed(seed);
   }
@@ -146,12 +153,20 @@
   // in; whom there is it learns from the instance list or from another entry.
   const std::vector<const Member*> entries = members_.Members(Role::kEntry);
   const bool knows_others = registration_.has_list() || !entries.empty();
-  joined_ = knows_others && members_.MetByAllEntries();
+  joined_ = knows_others && members_.MetWithAllEntries();
   if (!joined_) {
     claims_.CannotVouchUntilNow();
   }
 }
 
+bool EntryNode::MayClaim() const {
+  return joined_ || clock_.Now() - started_ > options_.join_patience;
+}
+
+void EntryNode::OnClaim() {
+  members_.set_no_claims(false);
+}
+
 void EntryNode::Tick() {
   CheckGap();
   Join();
@@ -173,11 +188,13 @@
   CheckGap();
   const bool other_entry = dialed.empty() && peer.role == Role::kEntry &&
                            peer.region == members_.self().region;
-  if (other_entry) {
+  if (other_entry && !peer.no_claims) {
     // Failure: that entry did not know this one until now, or held it for lost,
     // and claimed keys without it; then the holders it did ask die. Symptom:
     // this one vouches for a key that was used. An entry that dials us counts
-    // us among the holders from now on, so only older keys are doubtful.
+    // us among the holders from now on, so only older keys are doubtful. One
+    // that has claimed none yet leaves nothing in doubt.
+    log_.Info("cannot_vouch_for_older_keys", {{"peer", peer.id.ToString()}});
     claims_.CannotVouchUntilNow();
     context_.maybe_lost_at = clock_.Now();
   }
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -37,6 +37,10 @@
     std::string operator_key_sha256;
     /// How long the hand-over of claims may take at shutdown.
     Duration hand_over_timeout = std::chrono::seconds(2);
+    /// How long after its start callers' keys may wait for this entry to meet
+    /// the others: twice the heartbeat timeout, after which nobody is waited
+    /// for, and a dial.
+    Duration join_patience = std::chrono::seconds(6);
     /// Empty: Router::EstimateFirstToken.
     Router::Estimate estimate;
   };
@@ -79,6 +83,8 @@
  private:
   void CheckGap();
   void Join();
+  bool MayClaim() const;
+  void OnClaim();
   void OnPeerUp(const Member& member);
   void OnPeerLost(const PeerId& peer, Role role);
   void OnPeerLeaving(const PeerId& peer, Role role);
@@ -116,6 +122,7 @@
   GapDetector gap_;
   /// All other entries count this one among the holders.
   bool joined_ = false;
+  TimePoint started_;
   /// The peers were told that this entry leaves.
   bool announced_ = false;
   size_t hand_over_pending_ = 0;
--- a/lavenderkeel/membership/greeting.cc
+++ b/lavenderkeel/membership/greeting.cc
@@ -11,6 +11,7 @@
   hello.region = info.region;
   hello.address = info.address;
   hello.processor_share = static_cast<float>(info.processor_share);
+  hello.no_claims = info.no_claims;
   return hello;
 }
 
@@ -20,7 +21,8 @@
           .data_centre = hello.data_centre,
           .region = hello.region,
           .address = hello.address,
-          .processor_share = hello.processor_share};
+          .processor_share = hello.processor_share,
+          .no_claims = hello.no_claims};
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/membership/instance_info.h
+++ b/lavenderkeel/membership/instance_info.h
@@ -20,6 +20,9 @@
   /// The part of a processor core that it may use; compared only with that of
   /// others.
   double processor_share = 1;
+  /// An entry that has claimed no key since its start: whoever it meets now has
+  /// missed no claim of it.
+  bool no_claims = false;
 
   friend bool operator==(const InstanceInfo&, const InstanceInfo&) = default;
 };
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -374,7 +374,7 @@
   return wanted;
 }
 
-bool MemberTable::MetByAllEntries() const {
+bool MemberTable::MetWithAllEntries() const {
   const TimePoint now = clock_.Now();
   return std::ranges::all_of(targets_, [&](const auto& item) {
     const DialTarget& target = item.second;
@@ -382,8 +382,12 @@
         !target.role.has_value() ||
         (target.role == Role::kEntry && target.region == self_.region);
     const Member* member = Find(target.instance);
-    const bool met = member != nullptr && member->inbound.has_value();
-    return !counts || met || HadTimeToMeet(target, now);
+    const bool met = member != nullptr && member->inbound.has_value() &&
+                     member->outbound.has_value();
+    // While a dial is under way its greeting may be read at any moment; what it
+    // says of us has to stay true until then.
+    const bool given_up = HadTimeToMeet(target, now) && !target.dialing;
+    return !counts || met || given_up;
   });
 }
 
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -95,9 +95,10 @@
   void ForgiveSilence();
   /// Wants a link to an agent outside this entry's subset as well.
   void AlsoWant(const std::string& instance) { also_wanted_.insert(instance); }
-  /// True if each entry of this region that is known of has dialled us, or has
-  /// not been reachable for long: then each counts us in.
-  bool MetByAllEntries() const;
+  /// True if we have dialled each entry of this region that is known of and it
+  /// has dialled us, or it has not been reachable for long: then all that can
+  /// be met count each other.
+  bool MetWithAllEntries() const;
   /// Tells every peer at once, so that none waits for the instance list.
   void AnnounceNow();
 
@@ -113,6 +114,8 @@
   const InstanceInfo& self() const { return self_; }
   void set_address(const std::string& address) { self_.address = address; }
   void set_leaving() { self_.leaving = true; }
+  /// What greetings say from now on; see InstanceInfo.
+  void set_no_claims(bool no_claims) { self_.no_claims = no_claims; }
 
   /// Outbound link up, new or again.
   sigc::signal<void(const Member&)>& signal_up() { return signal_up_; }
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -1016,6 +1016,7 @@
   uint64_t incarnation = 0;
   std::string address{};
   float processor_share = 1.0f;
+  bool no_claims = false;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1030,7 +1031,8 @@
     VT_REGION = 12,
     VT_INCARNATION = 14,
     VT_ADDRESS = 16,
-    VT_PROCESSOR_SHARE = 18
+    VT_PROCESSOR_SHARE = 18,
+    VT_NO_CLAIMS = 20
   };
   uint32_t protocol() const {
     return GetField<uint32_t>(VT_PROTOCOL, 0);
@@ -1056,6 +1058,9 @@
   float processor_share() const {
     return GetField<float>(VT_PROCESSOR_SHARE, 1.0f);
   }
+  bool no_claims() const {
+    return GetField<uint8_t>(VT_NO_CLAIMS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
@@ -1070,6 +1075,7 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_NO_CLAIMS, 1) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1105,6 +1111,9 @@
   void add_processor_share(float processor_share) {
     fbb_.AddElement<float>(Hello::VT_PROCESSOR_SHARE, processor_share, 1.0f);
   }
+  void add_no_claims(bool no_claims) {
+    fbb_.AddElement<uint8_t>(Hello::VT_NO_CLAIMS, static_cast<uint8_t>(no_claims), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1125,7 +1134,8 @@
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    float processor_share = 1.0f) {
+    float processor_share = 1.0f,
+    bool no_claims = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_processor_share(processor_share);
@@ -1134,6 +1144,7 @@
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
   builder_.add_protocol(protocol);
+  builder_.add_no_claims(no_claims);
   builder_.add_role(role);
   return builder_.Finish();
 }
@@ -1152,7 +1163,8 @@
     const char *region = nullptr,
     uint64_t incarnation = 0,
     const char *address = nullptr,
-    float processor_share = 1.0f) {
+    float processor_share = 1.0f,
+    bool no_claims = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1166,7 +1178,8 @@
       region__,
       incarnation,
       address__,
-      processor_share);
+      processor_share,
+      no_claims);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4932,7 +4945,8 @@
       (lhs.region == rhs.region) &&
       (lhs.incarnation == rhs.incarnation) &&
       (lhs.address == rhs.address) &&
-      (lhs.processor_share == rhs.processor_share);
+      (lhs.processor_share == rhs.processor_share) &&
+      (lhs.no_claims == rhs.no_claims);
 }
 
 inline bool operator!=(const HelloT &lhs, const HelloT &rhs) {
@@ -4957,6 +4971,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = processor_share(); _o->processor_share = _e; }
+  { auto _e = no_claims(); _o->no_claims = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4975,6 +4990,7 @@
   auto _incarnation = _o->incarnation;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _processor_share = _o->processor_share;
+  auto _no_claims = _o->no_claims;
   return lavenderkeel::fbs::CreateHello(
       _fbb,
       _protocol,
@@ -4984,7 +5000,8 @@
       _region,
       _incarnation,
       _address,
-      _processor_share);
+      _processor_share,
+      _no_claims);
 }
 
 
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -240,6 +240,54 @@
   CheckHeld(world);
 }
 
+// An entry is stopped in order and started again while callers go on sending
+// new keys to all that take them. The new one dials the others and tells them
+// so; each takes this for the end of a cut and can't vouch for keys of up to a
+// second later, all at the same moment, so that every caller hears "unknown".
+BOOST_AUTO_TEST_CASE(RestartOfAnEntryCostsNoKeys) {
+  World world({.entries = 3, .agents = 3, .seed = 2});
+  world.RunFor(std::chrono::seconds(5));
+  world.Leave(1);
+  BOOST_REQUIRE(world.RunUntil([&] { return !world.alive(1); },
+                               std::chrono::seconds(10)));
+  world.RunFor(std::chrono::seconds(3));
+  world.Restart(1);
+  constexpr size_t kKeys = 200;
+  for (size_t i = 0; i < kKeys; ++i) {
+    world.Submit(i % 2 == 0 ? 0 : 2, world.NewKey(),
+                 "r" + std::to_string(i) + "x", false, 3);
+    world.RunFor(std::chrono::milliseconds(25));
+  }
+  BOOST_TEST(AllTold(world));
+  BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == kKeys);
+  CheckHeld(world);
+}
+
+// A balancer sends to an entry right after its start: it has the address of a
+// predecessor, or all others are away. The entry knows neither the other
+// entries nor an agent yet. Its callers wait for the moment that it takes to
+// meet them, where they heard "unknown" (cannot_vouch) or no_server.
+BOOST_AUTO_TEST_CASE(FirstRequestsOfAnEntryWaitUntilItHasMetTheOthers) {
+  World world({.entries = 2, .agents = 2, .seed = 2});
+  world.RunFor(std::chrono::seconds(5));
+  world.Leave(1);
+  BOOST_REQUIRE(world.RunUntil([&] { return !world.alive(1); },
+                               std::chrono::seconds(10)));
+  world.RunFor(std::chrono::seconds(3));
+  world.Restart(1);
+  BOOST_REQUIRE(
+      world.RunUntil([&] { return world.entry(1)->config().version() > 0; },
+                     std::chrono::seconds(10)));
+  constexpr size_t kKeys = 40;
+  for (size_t i = 0; i < kKeys; ++i) {
+    world.Submit(1, world.NewKey(), "r" + std::to_string(i) + "x", false, 3);
+    world.RunFor(std::chrono::milliseconds(25));
+  }
+  BOOST_TEST(AllTold(world));
+  BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == kKeys);
+  CheckHeld(world);
+}
+
 // An entry is frozen past the heartbeat timeout and wakes with its old view.
 // It can't vouch for keys sent meanwhile; the other holder can.
 BOOST_AUTO_TEST_CASE(FrozenHolderDoesNotVouch) {
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -472,6 +472,13 @@
   LinkUp(index, target, dial.address);
 }
 
+InstanceInfo World::Greeting(size_t index) const {
+  const Process& process = *processes_[index];
+  InstanceInfo info = process.info;
+  info.no_claims = process.entry && process.entry->members().self().no_claims;
+  return info;
+}
+
 void World::LinkUp(size_t from, size_t to, const std::string& address) {
   const LinkId id = ++last_link_;
   auto link = std::make_unique<WorldLink>();
@@ -492,10 +499,9 @@
       process.agent->OnLinkUp(id, peer, dialed);
     }
   };
-  In(to, when, [up, to, peer = processes_[from]->info] { up(to, peer, ""); });
-  In(from, when, [up, from, peer = processes_[to]->info, address] {
-    up(from, peer, address);
-  });
+  In(to, when, [up, to, peer = Greeting(from)] { up(to, peer, ""); });
+  In(from, when,
+     [up, from, peer = Greeting(to), address] { up(from, peer, address); });
 }
 
 void World::Carry(size_t index,
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -99,6 +99,8 @@
   void Carry(size_t process, const PlatformCall& call, TimePoint watch_until);
   void CarryServer(size_t process, const Action& action);
   void CloseLinkFrom(size_t process, LinkId link);
+  /// What the process would say of itself now.
+  InstanceInfo Greeting(size_t index) const;
   void LinkUp(size_t from, size_t to, const std::string& address);
   void FeedStreams(size_t process);
   void ReplyToPlatformCall(size_t process,
