What an entry takes over is confirmed at every holder

Symptom: a key is started twice.

Cause, by the claims' log: a key waits at an entry whose agents are out of reach. A second, just started and cut from the first, learns of the claim, has those agents refuse it, takes it over and runs it. At itself, as a holder that can't vouch yet, the take-over was kept as doubtful (confirmed=0). The first is reached again and asks that holder before it sends the key to further agents; a doubtful claim does not count against its own, so it started the key at another agent. Ruled out: the agents' refusal (the second agent was never asked), the platform's word (it was given for the first claim, rightly).

Change: claims that are taken over, or found running, are sent as confirmed, which they are: only a confirmed claim is taken over, after its agents have answered.

Before: TakenOverKeyIsNotStartedByItsFormerOwner fails; after: passes. All former finds pass unchanged. The fault needs the wait that the platform's word made possible; the doubtful take-over was there before. Suspected, not shown: between the look at a claim and its take-over the owner may add agents, which are then not asked.

--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -12,6 +12,16 @@
           .agents = request.eligible};
 }
 
+Claim OwnershipController::ConfirmedClaim(const EntryRequest& request) const {
+  // Failure: a holder that has just started can't vouch and keeps what was
+  // taken over as doubtful. Symptom: the former owner, cut off but alive, asks
+  // it before it sends the key to further agents, takes its own claim for the
+  // first one and starts the key again.
+  lavenderkeel::Claim claim = OwnClaim(request);
+  claim.confirmed = true;
+  return claim;
+}
+
 void OwnershipController::Claim(EntryRequest& request) {
   request.state = State::kClaiming;
   request.eligible.clear();
@@ -317,7 +327,7 @@
     request.eligible.push_back(candidate.agent);
   }
   context_.claimer.Start(
-      request.key, OwnClaim(request), former, /*lookup=*/false,
+      request.key, ConfirmedClaim(request), former, /*lookup=*/false,
       [this](const RequestKey& key, const ClaimVerdict& verdict) {
         EntryRequest* taken = context_.requests.Find(key);
         if (taken == nullptr || taken->state != State::kClaiming) {
@@ -346,9 +356,9 @@
   request.state = State::kRunning;
   // From now on others are to ask us for it.
   request.eligible = {agent};
-  context_.claimer.Start(request.key, OwnClaim(request), request.held.owner,
-                         /*lookup=*/false,
-                         [](const RequestKey&, const ClaimVerdict&) {});
+  context_.claimer.Start(
+      request.key, ConfirmedClaim(request), request.held.owner,
+      /*lookup=*/false, [](const RequestKey&, const ClaimVerdict&) {});
   context_.follow(request);
   context_.NotifyWatchers(request);
 }
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -45,6 +45,8 @@
   void CheckSealed(EntryRequest& request);
   void TakeOver(EntryRequest& request);
   lavenderkeel::Claim OwnClaim(const EntryRequest& request) const;
+  /// The same where the key is ours for certain: taken over, or found running.
+  lavenderkeel::Claim ConfirmedClaim(const EntryRequest& request) const;
   void SendLocate(const EntryRequest& request);
 
   EntryContext& context_;
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -570,6 +570,20 @@
           "submit(0,1,0), leave(0,0,0), leave(1,0,0), leave(6,0,45)"});
 }
 
+// A key waits at an entry whose agents are out of reach. An entry that has just
+// started and is cut from it learns of the claim, has those agents refuse it,
+// takes it over and runs it. As a holder it can't vouch, so it kept its own
+// claim as doubtful; the first entry, reached again, asked it before it sent
+// the key to another agent, and started it a second time.
+BOOST_AUTO_TEST_CASE(TakenOverKeyIsNotStartedByItsFormerOwner) {
+  Repeat({"started twice; a take-over was kept as doubtful", 768875,
+          "silence(0,8,206), retry(0,0,1036), slow(0,88,2716), "
+          "retry(0,0,251), partition(21,0,215), crash(16,3,1603), "
+          "heal(0,0,0), partition(3,68,46), retry(0,0,1001), "
+          "crash(21,3,2312), partition(20,167,4), "
+          "submit-everywhere(1,2,42), outage(0,0,0), retry(0,0,2491)"});
+}
+
 // An entry tells its caller "not run" (deadline_passed) and a second entry, to
 // which the caller turned, the same; that one asks the agents and takes the key
 // over. The caller comes back to the first entry too, whom the holders still
