A take-over is refused where an agent was not asked

Found by reading, after a find of the fuzzer next to it: an entry looks at a claim, has its agents refuse the key and takes it over; in between the owner, cut off but alive, may have added agents. Symptom: started at one of these and by the new owner.

Change: the new owner names the agents that it asked; a holder whose claim has others refuses, shows them, and it looks again. TakeOverIsRefusedWhereAnAgentWasNotAsked fails before, passes after.

--- a/lavenderkeel/claim/claim_table.cc
+++ b/lavenderkeel/claim/claim_table.cc
@@ -25,10 +25,8 @@
   const auto found = claims_.find(key);
   if (found != claims_.end()) {
     Held& held = found->second;
-    const PeerId& owner = peers_.Get(held.owner);
-    const bool same_request = held.body_hash == wanted.body_hash;
-    const bool may_take = owner == wanted.owner || owner == replaces;
-    if (!same_request || !may_take) {
+    if (held.body_hash != wanted.body_hash ||
+        !MayTake(held, wanted, replaces)) {
       return {.granted = false,
               .vouched = false,
               .claim = Unpack(held),
@@ -66,6 +64,25 @@
           .changed = true};
 }
 
+bool ClaimTable::MayTake(const Held& held,
+                         const Claim& wanted,
+                         const PeerId& replaces) const {
+  const PeerId& owner = peers_.Get(held.owner);
+  if (owner == wanted.owner) {
+    return true;
+  }
+  // Failure: between another's look at the claim and its take-over the owner,
+  // cut off from it but alive, adds agents. Symptom: they were not asked, and
+  // the key is started at one of them and by its new owner. That one looks
+  // again.
+  const bool all_asked =
+      std::ranges::all_of(held.agents, [&](const PeerPool::Index agent) {
+        return std::ranges::find(wanted.agents, peers_.Get(agent)) !=
+               wanted.agents.end();
+      });
+  return owner == replaces && all_asked;
+}
+
 ClaimTable::Answer ClaimTable::Renew(Held& held, const Claim& wanted) {
   const bool refused = wanted.standing == ClaimStanding::kRefused;
   const bool confirmed = (held.confirmed || wanted.confirmed) && !refused;
--- a/lavenderkeel/claim/claim_table.h
+++ b/lavenderkeel/claim/claim_table.h
@@ -55,7 +55,7 @@
   /// Gives the key to the wanted owner, unless another has it.
   ///
   /// @param replaces an owner whose claim may be taken over, since the agents
-  ///     refuse its later starts
+  ///     in `wanted` refuse its later starts; no others may be in the claim
   Answer Request(const RequestKey& key,
                  const Claim& wanted,
                  const PeerId& replaces);
@@ -94,6 +94,10 @@
   HolderCoverage CoverageFor(const RequestKey& key) const;
   /// Brings a claim up to what its owner, or its successor, wants.
   Answer Renew(Held& held, const Claim& wanted);
+  /// True if the claim may be given to the wanted owner.
+  bool MayTake(const Held& held,
+               const Claim& wanted,
+               const PeerId& replaces) const;
   /// @return true if any of them was not in the claim
   bool AddAgents(Held& held, const std::vector<PeerId>& agents);
   void Erase(const RequestKey& key);
--- a/test/claim/claim_table_test.cc
+++ b/test/claim/claim_table_test.cc
@@ -49,6 +49,27 @@
   BOOST_TEST(!holder.table.Request(key, other_body, {}).granted);
 }
 
+// An entry believes the owner dead, asks the claim's agents and takes it over.
+// Meanwhile the owner, which lives, has added an agent that nobody asked: the
+// take-over is refused and shows that agent.
+BOOST_AUTO_TEST_CASE(TakeOverIsRefusedWhereAnAgentWasNotAsked) {
+  Holder holder;
+  const RequestKey key = holder.KeySentNow();
+  Claim claim = ClaimOf("a");
+  claim.agents = {{.instance = "agent-1", .incarnation = 1}};
+  holder.table.Request(key, claim, {});
+  Claim taken = ClaimOf("b");
+  taken.agents = holder.table.Lookup(key).claim.agents;
+  claim.agents = {{.instance = "agent-2", .incarnation = 1}};
+  holder.table.Request(key, claim, {});
+  const ClaimTable::Answer refused =
+      holder.table.Request(key, taken, ClaimOf("a").owner);
+  BOOST_TEST(!refused.granted);
+  BOOST_TEST(refused.claim.agents.size() == 2U);
+  taken.agents = refused.claim.agents;
+  BOOST_TEST(holder.table.Request(key, taken, ClaimOf("a").owner).granted);
+}
+
 // Entries that leave together hand their claims to each other. What a table
 // holds already is no news and must not be passed on again; a new owner is.
 BOOST_AUTO_TEST_CASE(OnlyNewsOfAClaimChangesTheTable) {
@@ -61,7 +82,9 @@
   claim.agents.push_back({.instance = "agent", .incarnation = 1});
   BOOST_TEST(holder.table.Request(key, claim, {}).changed);
   BOOST_TEST(!holder.table.Request(key, claim, {}).changed);
-  BOOST_TEST(holder.table.Request(key, ClaimOf("b"), claim.owner).changed);
+  Claim taken = ClaimOf("b");
+  taken.agents = claim.agents;
+  BOOST_TEST(holder.table.Request(key, taken, claim.owner).changed);
 }
 
 // A holder of the key is silent, so the platform is asked. Until its owner has
