A cut-off owner keeps to the agents of its claim; contested keys go through the platform

Symptom: keys started twice, or "not run" (no_server) of what ran.

Cause, by a log of each holder's answer: the platform's word is between two that claim a key, not between an owner and whoever takes over from it: that one relies on the agents of the claim. An owner that waits and claims further agents while a holder is silent went past them.

Change: a claim that is made anew for further agents counts only with full coverage; otherwise the request stays with the agents of its former claim, and is unknown if none of them is left. A take-over whose holder has such a claim asks the platform, and one that covers nothing ends as unknown. What an entry takes over names the agents that were asked.

--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -132,6 +132,7 @@
     // and waits for the platform; we are not cut off, so that the other holder
     // vouches. Symptom: the key is started for both. Whoever meets such a claim
     // goes to the platform too.
+    process.verdict.contested = true;
     process.verdict.coverage =
         Lesser(process.verdict.coverage, HolderCoverage::kPlatformDecides);
     return false;
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -87,6 +87,10 @@
 
   /// Agents named in the claim, the only ones it may be sent to.
   std::vector<PeerId> eligible;
+  /// It was admitted on a claim, which is being made anew.
+  bool reclaiming = false;
+  /// The agents of that former claim.
+  std::vector<PeerId> formerly_eligible;
   std::set<PeerId> reserved;
   /// Where it runs or ran.
   PeerId agent;
@@ -104,8 +108,6 @@
 
   /// Another entry asked, heard "not run" and takes the key over.
   bool given_away = false;
-  /// The platform gave the key to this entry.
-  bool platform_granted = false;
   uint32_t attempts = 0;
   bool counted_admitted = false;
   bool counted_running = false;
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -1,5 +1,6 @@
 #include "lavenderkeel/dispatch/ownership_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lavenderkeel {
@@ -19,10 +20,24 @@
   // first one and starts the key again.
   lavenderkeel::Claim claim = OwnClaim(request);
   claim.confirmed = true;
+  // The agents that were asked; see ClaimTable::Request.
+  claim.agents.insert(claim.agents.end(), request.held.agents.begin(),
+                      request.held.agents.end());
   return claim;
 }
 
 void OwnershipController::Claim(EntryRequest& request) {
+  request.reclaiming = false;
+  StartClaim(request);
+}
+
+void OwnershipController::Reclaim(EntryRequest& request) {
+  request.reclaiming = true;
+  request.formerly_eligible = request.eligible;
+  StartClaim(request);
+}
+
+void OwnershipController::StartClaim(EntryRequest& request) {
   request.state = State::kClaiming;
   request.eligible.clear();
   for (const Candidate& candidate :
@@ -75,8 +90,8 @@
     context_.conclude(*request, ResultCode::kCannotVouch);
     return;
   }
-  if (request->platform_granted) {
-    context_.admit(*request);
+  if (request->reclaiming) {
+    OnReclaimed(*request, verdict);
     return;
   }
   if (!verdict.vouched) {
@@ -102,6 +117,32 @@
   AskPlatform(*request);
 }
 
+void OwnershipController::OnReclaimed(EntryRequest& request,
+                                      const ClaimVerdict& verdict) {
+  if (verdict.vouched && verdict.coverage == HolderCoverage::kFull) {
+    context_.admit(request);
+    return;
+  }
+  // Failure: a holder is silent, and with it whoever takes us for lost, has the
+  // agents of our claim refuse the key and takes it over. Symptom: it is sent
+  // to an agent that was not asked and runs twice. It stays with the agents of
+  // the former claim; where those have refused it or are away, nobody here can
+  // say who runs it.
+  request.eligible = request.formerly_eligible;
+  const bool any_left =
+      request.sealed_away == 0 &&
+      std::ranges::any_of(request.eligible, [this](const PeerId& agent) {
+        return context_.members.LinkTo(agent).has_value();
+      });
+  if (any_left) {
+    context_.admit(request);
+    return;
+  }
+  context_.Note(request,
+                "a holder is silent and no agent of the claim is left");
+  context_.conclude(request, ResultCode::kCannotVouch);
+}
+
 void OwnershipController::AskPlatform(EntryRequest& request) {
   context_.Note(request, "a holder is silent; the platform decides");
   context_.key_register.Decide(
@@ -118,7 +159,6 @@
     return;
   }
   const bool ours = decision == KeyRegister::Decision::kOurs;
-  request->platform_granted = ours;
   // The holders keep the claim as one that nobody may take over until they hear
   // that it was decided for us; a holder with a fuller view than ours may have
   // taken it for the first, so that a refusal is told as well.
@@ -204,7 +244,6 @@
                        Describe(request->result).outcome == Outcome::kNotRun;
   if (not_run && !locate.reads_only) {
     request->given_away = true;
-    request->platform_granted = false;
   }
 }
 
@@ -335,6 +374,9 @@
         }
         if (verdict.kind == ClaimVerdict::Kind::kHeld) {
           OnHeld(*taken, verdict.claim);
+        } else if (verdict.coverage == HolderCoverage::kNone) {
+          // The owner may live and have further agents where we can't ask.
+          context_.conclude(*taken, ResultCode::kCannotVouch);
         } else if (verdict.contested) {
           // The former owner died before it could tell that it was refused.
           AskPlatform(*taken);
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -15,6 +15,9 @@
 
   /// Claims the key of a new request.
   void Claim(EntryRequest& request);
+  /// Claims further agents for a request that was admitted, or asks who took it
+  /// over.
+  void Reclaim(EntryRequest& request);
   /// Looks up who owns a key that a caller asks for without a request.
   void Look(EntryRequest& request);
 
@@ -35,7 +38,9 @@
   void OnSealTimer(EntryRequest& request);
 
  private:
+  void StartClaim(EntryRequest& request);
   void OnClaimed(const RequestKey& key, const ClaimVerdict& verdict);
+  void OnReclaimed(EntryRequest& request, const ClaimVerdict& verdict);
   /// The holders can't decide; see KeyRegister.
   void AskPlatform(EntryRequest& request);
   void OnDecided(const RequestKey& key, KeyRegister::Decision decision);
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -16,7 +16,7 @@
     Conclude(request, code);
   };
   dispatch_.reclaim = [this](EntryRequest& request) {
-    ownership_.Claim(request);
+    ownership_.Reclaim(request);
   };
 }
 
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -584,6 +584,38 @@
           "submit-everywhere(1,2,42), outage(0,0,0), retry(0,0,2491)"});
 }
 
+// A key waits at an entry that is cut from one of its holders. Whoever takes
+// the entry for lost has the agents of its claim refuse the key, takes it over
+// and runs it; the entry meanwhile claims further agents, which were not asked,
+// at the holders on its side, and with the platform's word: started twice, or
+// "not run" (no_server) of what ran.
+BOOST_AUTO_TEST_CASE(CutOffOwnerKeepsToTheAgentsOfItsClaim) {
+  const Find finds[] = {
+      {"started twice; the claim named no agents", 93983,
+       "kill(28,0,1423), freeze(8,68,1), leave(23,0,0), kill(0,0,1352), "
+       "heal(0,0,1), submit-everywhere(0,2,1251), freeze(9,71,0)"},
+      {"ran, but its caller was told no_server", 171641,
+       "retry(0,0,9), kill-silently(13,0,209), partition(0,97,5), "
+       "crash(17,15,2699), partition(24,0,1744), lose(0,0,1), "
+       "partition(0,0,170), submit(0,2,214), submit-everywhere(5,2,1903), "
+       "retry(0,0,2956), lose(0,0,2623)"},
+  };
+  for (const Find& find : finds) {
+    Repeat(find);
+  }
+}
+
+// An entry claims a key at one holder, the other has a claim from across a cut
+// that the platform did not grant; while the entry asks the platform it dies.
+// Two entries learn of its claim from the first holder and both take it over:
+// the second holder grants it to neither, so that nothing is between them.
+BOOST_AUTO_TEST_CASE(ContestedKeyIsTakenOverOnce) {
+  Repeat({"started twice by two that took it over", 394739,
+          "crash(4,0,216), slow(0,126,1655), partition(23,101,1), "
+          "restart(0,0,1), lose(0,0,2504), submit-everywhere(1,140,1651), "
+          "retry(0,0,2752), submit-everywhere(10,2,197), crash(3,0,4)"});
+}
+
 // An entry tells its caller "not run" (deadline_passed) and a second entry, to
 // which the caller turned, the same; that one asks the agents and takes the key
 // over. The caller comes back to the first entry too, whom the holders still
