A key that waited is called "not run" only if the holders agree

Symptom: a caller is told "not run" (no_server, deadline_passed) of what ran.

Cause, by the holders' answers: two entries are cut from each other and both reach a holder of the key. The one that owns the key waits for an agent; the other takes it for lost, finds the claim at that holder, takes it over as it may and runs it. The owner knew of being taken for lost only while the loss itself happened; this one was older than the key. The fault was there before: a passed deadline was enough.

Ruled out: calling everything unknown while an entry is silent. That would cost callers their "not run" for ten minutes after each loss.

Change: while an entry is silent, the holders are asked before a waiting key is given up as not run. Whoever took it over had to ask one of them.

Cost: one question and its answer; no caller hears unknown for it with one of three entries gone for good (PassedDeadlinesStayNotRunAfterAnEntryIsLost).

--- a/lavenderkeel/claim/claimer.cc
+++ b/lavenderkeel/claim/claimer.cc
@@ -125,6 +125,9 @@
         answer.vouched && ranking_.RanksBesideLost(holder, process.key);
     return false;
   }
+  if (process.lookup && answer.claim.owner == process.replaces) {
+    return false;
+  }
   const bool undecided =
       !answer.claim.confirmed && answer.claim.standing != ClaimStanding::kPlain;
   if (undecided && !process.lookup) {
--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -56,7 +56,9 @@
           Outbox& outbox,
           Hooks hooks);
 
-  /// @param replaces see ClaimTable::Request
+  /// @param replaces see ClaimTable::Request; in a lookup, the owner whose
+  /// claim
+  ///     is no news
   /// @param lookup ask only, claim nothing
   void Start(const RequestKey& key,
              const Claim& wanted,
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -120,6 +120,7 @@
 }
 
 void DispatchController::Wait(EntryRequest& request) {
+  request.waited = true;
   const Team* team = context_.config.current()->FindTeamByKeyHash(
       request.terms.team_key_sha256);
   if (!request.counted_running && team != nullptr && !usage_.TryRun(*team)) {
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -58,6 +58,8 @@
   std::function<void(EntryRequest&)> follow;
   /// The final outcome; every caller is told at once.
   std::function<void(EntryRequest&, ResultCode)> conclude;
+  /// An entry that may live is silent.
+  std::function<bool()> any_entry_silent;
   /// An agent that serves was met since the start.
   bool seen_server = false;
   bool leaving = false;
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -108,6 +108,11 @@
 
   /// Another entry asked, heard "not run" and takes the key over.
   bool given_away = false;
+  /// The platform gave the key to this entry while a holder was silent, so that
+  /// this holder has never had the claim.
+  bool platform_granted = false;
+  /// It was admitted and has stood in the line.
+  bool waited = false;
   uint32_t attempts = 0;
   bool counted_admitted = false;
   bool counted_running = false;
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -159,6 +159,7 @@
     return;
   }
   const bool ours = decision == KeyRegister::Decision::kOurs;
+  request->platform_granted = ours;
   // The holders keep the claim as one that nobody may take over until they hear
   // that it was decided for us; a holder with a fuller view than ours may have
   // taken it for the first, so that a refusal is told as well.
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -57,6 +57,8 @@
 
 void RequestController::Begin(EntryRequest& request) {
   request.attempts = 0;
+  request.waited = false;
+  request.platform_granted = false;
   request.sealed_away = 0;
   request.silent_since.reset();
   if (request.terms.repeatable) {
@@ -117,7 +119,47 @@
   dispatch_.Follow(request);
 }
 
+bool RequestController::MayBeTakenOver(const EntryRequest& request,
+                                       ResultCode code) const {
+  const bool says_not_run = Describe(code).outcome == Outcome::kNotRun &&
+                            code != ResultCode::kKeyReused;
+  return says_not_run && request.waited && !request.terms.repeatable &&
+         !request.minted && context_.any_entry_silent();
+}
+
+void RequestController::AskHolders(EntryRequest& request, ResultCode code) {
+  context_.Note(request, "asking the holders whether it is still ours");
+  dispatch_.Release(request);
+  request.state = State::kClaiming;
+  context_.claimer.Start(
+      request.key, Claim(), context_.members.self().id, /*lookup=*/true,
+      [this, code](const RequestKey& key, const ClaimVerdict& verdict) {
+        EntryRequest* asked = context_.requests.Find(key);
+        if (asked == nullptr || asked->state != State::kClaiming) {
+          return;
+        }
+        const HolderCoverage needed = asked->platform_granted
+                                          ? HolderCoverage::kPlatformDecides
+                                          : HolderCoverage::kFull;
+        const bool ours = verdict.kind == ClaimVerdict::Kind::kOurs &&
+                          verdict.coverage <= needed;
+        Finish(*asked, ours ? code : ResultCode::kCannotVouch);
+      });
+}
+
 void RequestController::Conclude(EntryRequest& request, ResultCode code) {
+  // Failure: an entry that is cut from us alone takes us for lost, finds our
+  // claim at a holder that both reach, takes the key over while it waits here
+  // and runs it. Symptom: "not run" for what ran. While an entry is silent the
+  // holders are asked first; they are the same that it had to ask.
+  if (MayBeTakenOver(request, code)) {
+    AskHolders(request, code);
+  } else {
+    Finish(request, code);
+  }
+}
+
+void RequestController::Finish(EntryRequest& request, ResultCode code) {
   if (const ResultCode known = context_.AsFarAsKnown(request, code);
       known != code) {
     context_.Note(request, "another entry may have taken the key over");
--- a/lavenderkeel/dispatch/request_controller.h
+++ b/lavenderkeel/dispatch/request_controller.h
@@ -67,8 +67,13 @@
   void Join(EntryRequest& request, Submission* submission);
   void Begin(EntryRequest& request);
   void Fill(EntryRequest& request, Submission& submission);
-  /// "Not run" turns into "unknown" where this entry can't know.
+  /// Ends a request, after the holders were asked if need be.
   void Conclude(EntryRequest& request, ResultCode code);
+  /// True if an entry that is silent here may own the key by now.
+  bool MayBeTakenOver(const EntryRequest& request, ResultCode code) const;
+  void AskHolders(EntryRequest& request, ResultCode code);
+  /// "Not run" turns into "unknown" where this entry can't know.
+  void Finish(EntryRequest& request, ResultCode code);
   void OnFinish(LinkId link, const Finished& finish);
   void OnNotHere(LinkId link, const NotHere& reply);
   EntryRequest* FindFor(LinkId link, const fbs::Key& key, PeerId& peer);
--- a/lavenderkeel/membership/holder_ranking.cc
+++ b/lavenderkeel/membership/holder_ranking.cc
@@ -113,6 +113,11 @@
                                    : HolderCoverage::kFull;
 }
 
+bool HolderRanking::AnySilent() const {
+  return std::ranges::any_of(
+      lost_, [](const auto& item) { return item.second.may_live; });
+}
+
 bool HolderRanking::MayHold(const std::string& instance,
                             const Loss& loss,
                             const RequestKey& key) const {
--- a/lavenderkeel/membership/holder_ranking.h
+++ b/lavenderkeel/membership/holder_ranking.h
@@ -63,6 +63,9 @@
   /// of those that a lost one, cut off but alive, may have granted.
   HolderCoverage Coverage(const RequestKey& key) const;
 
+  /// True if an entry that may live is lost.
+  bool AnySilent() const;
+
   /// True if `instance` ranks beside each lost holder of the key, and so met
   /// every claim that both of them granted together.
   bool RanksBesideLost(const std::string& instance,
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -218,6 +218,26 @@
   CheckHeld(world);
 }
 
+// An entry is lost for good, the engine is slow, and checks pass their
+// deadlines in the line. While an entry is silent the holders are asked before
+// a caller hears "not run"; they confirm it, so that nobody hears "unknown"
+// instead.
+BOOST_AUTO_TEST_CASE(PassedDeadlinesStayNotRunAfterAnEntryIsLost) {
+  World world({.entries = 3, .agents = 1, .seed = 1});
+  world.RunFor(std::chrono::seconds(5));
+  world.Kill(1, /*silently=*/true);
+  world.RunFor(std::chrono::seconds(5));
+  world.engine(0).set_speed(0.05);
+  for (int i = 0; i < 40; ++i) {
+    world.Submit(i % 2 == 0 ? 0 : 2, world.NewKey(),
+                 "r" + std::to_string(i) + "x", false, 10, 2000);
+  }
+  BOOST_TEST(AllTold(world));
+  BOOST_TEST(world.oracle().Count(ResultCode::kDeadlinePassed) > 10U);
+  BOOST_TEST(world.oracle().Count(ResultCode::kCannotVouch) == 0U);
+  CheckHeld(world);
+}
+
 // As above with the platform away: it can't decide, so callers hear at once
 // that nobody knows, and keys whose holders are both here run as ever.
 BOOST_AUTO_TEST_CASE(KeysAreUndecidedAtOnceWhileThePlatformIsAway) {
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -605,6 +605,26 @@
   }
 }
 
+// A key waits at an entry; another that is cut from this one only takes it for
+// lost, learns of the claim from a holder that both reach, takes the key over
+// and runs it. The first gives the key up and tells its caller "not run"
+// (no_server, deadline_passed) of what ran.
+BOOST_AUTO_TEST_CASE(KeyThatWaitedIsNotCalledNotRunAfterATakeOver) {
+  const Find finds[] = {
+      {"ran, but its caller was told no_server", 319349,
+       "partition(17,76,1635), retry(0,0,1214), partition(19,146,1355), "
+       "submit-everywhere(0,2,1651), restart(0,0,2546), retry(0,0,2394)"},
+      {"ran, but its caller was told deadline_passed", 411653,
+       "kill-silently(6,0,3472), crash(16,0,0), partition(17,138,1000), "
+       "retry(0,0,171), restart(0,0,1151), crash(0,0,259), "
+       "partition(18,194,1), retry(0,0,1103), partition(0,0,1382), "
+       "submit-everywhere(15,61,237), submit-everywhere(0,2,295)"},
+  };
+  for (const Find& find : finds) {
+    Repeat(find);
+  }
+}
+
 // An entry claims a key at one holder, the other has a claim from across a cut
 // that the platform did not grant; while the entry asks the platform it dies.
 // Two entries learn of its claim from the first holder and both take it over:
