--- a/lavenderkeel/membership/holder_ranking.cc
+++ b/lavenderkeel/membership/holder_ranking.cc
@@ -137,13 +137,14 @@
 
 bool HolderRanking::RanksBesideLost(const std::string& instance,
                                     const RequestKey& key) const {
-  return std::ranges::all_of(lost_, [&](const auto& item) {
-    const auto& [name, loss] = item;
-    const std::vector<Names> tops = TopsFor(loss, key);
-    return std::ranges::all_of(tops, [&](const Names& top) {
-      return !Contains(top, name) || Contains(top, instance);
-    });
-  });
+  for (const auto& [lost, loss] : lost_) {
+    for (const Names& top : TopsFor(loss, key)) {
+      if (Contains(top, lost) && !Contains(top, instance)) {
+        return false;
+      }
+    }
+  }
+  return true;
 }
 
 HolderRanking::Names HolderRanking::KnownTo(const Loss& loss) const {
