--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -119,7 +119,7 @@
   dispatch_.Follow(request);
 }
 
-bool RequestController::MayBeTakenOver(const EntryRequest& request,
+bool RequestController::MustAskHolders(const EntryRequest& request,
                                        ResultCode code) const {
   const bool says_not_run = Describe(code).outcome == Outcome::kNotRun &&
                             code != ResultCode::kKeyReused;
@@ -152,7 +152,7 @@
   // claim at a holder that both reach, takes the key over while it waits here
   // and runs it. Symptom: "not run" for what ran. While an entry is silent the
   // holders are asked first; they are the same that it had to ask.
-  if (MayBeTakenOver(request, code)) {
+  if (MustAskHolders(request, code)) {
     AskHolders(request, code);
   } else {
     Finish(request, code);
--- a/lavenderkeel/dispatch/request_controller.h
+++ b/lavenderkeel/dispatch/request_controller.h
@@ -69,8 +69,8 @@
   void Fill(EntryRequest& request, Submission& submission);
   /// Ends a request, after the holders were asked if need be.
   void Conclude(EntryRequest& request, ResultCode code);
-  /// True if an entry that is silent here may own the key by now.
-  bool MayBeTakenOver(const EntryRequest& request, ResultCode code) const;
+  /// True if "not run" has to be confirmed by the holders first.
+  bool MustAskHolders(const EntryRequest& request, ResultCode code) const;
   void AskHolders(EntryRequest& request, ResultCode code);
   /// "Not run" turns into "unknown" where this entry can't know.
   void Finish(EntryRequest& request, ResultCode code);
