--- a/test/forward/fleet_test.cc
+++ b/test/forward/fleet_test.cc
@@ -60,7 +60,7 @@
   const uint64_t many = MessagesAtRest(150);
   // Ten reports a second to each of 99 others and as many from each, without
   // heartbeats.
-  constexpr uint64_t kAllToAll = 2 * 10 * 99;
+  constexpr uint64_t kAllToAll = uint64_t{2} * 10 * 99;
   BOOST_TEST_MESSAGE("messages a second: " << few << " and " << many);
   // Ten coordinators, ten reports a second each way, a heartbeat a second.
   BOOST_TEST(many <= 2 * 10 * 10 + 5 * 10);
