Recovery without the case of a claim that nobody owns

Agents were once asked for keys without a claim, while a holder was silent. Since the platform decides those, agents are asked only for a claim's owner, so the branches for an empty owner and the list of agents as a parameter are dead. No test changes.

--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -282,17 +282,13 @@
                     {{"key", request.key.ToString()},
                      {"former_owner", request.held.owner.ToString()},
                      {"agents", request.held.agents.size()}});
-  Seal(request, request.held.agents);
-}
-
-void OwnershipController::Seal(EntryRequest& request,
-                               const std::vector<PeerId>& agents) {
   request.state = State::kSealing;
   request.seal_lost = false;
   // Later askers outbid earlier ones, as far as clocks agree; where they don't,
   // one of the two ends as unknown.
   request.seal_ballot = static_cast<uint64_t>(
       context_.clock.WallNow().time_since_epoch().count());
+  const std::vector<PeerId>& agents = request.held.agents;
   request.seal_pending = {agents.begin(), agents.end()};
   context_.requests.SetTimer(
       request, context_.clock.Now() + context_.options.seal_patience);
@@ -346,15 +342,11 @@
     context_.conclude(request, ResultCode::kOwnerSilent);
     return;
   }
-  if (!request.held.owner.empty() && !request.held.confirmed) {
+  if (!request.held.confirmed) {
     context_.conclude(request, ResultCode::kCannotVouch);
     return;
   }
   context_.Note(request, "no agent has it; it did not run");
-  if (request.held.owner.empty()) {
-    context_.admit(request);
-    return;
-  }
   TakeOver(request);
 }
 
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -45,7 +45,6 @@
   void AskPlatform(EntryRequest& request);
   void OnDecided(const RequestKey& key, KeyRegister::Decision decision);
   void OnHeld(EntryRequest& request, const lavenderkeel::Claim& claim);
-  void Seal(EntryRequest& request, const std::vector<PeerId>& agents);
   void AskAgent(EntryRequest& request, const PeerId& agent);
   void CheckSealed(EntryRequest& request);
   void TakeOver(EntryRequest& request);
