Platform replies say themselves what 404 and 412 mean

Each of three files had the status as a constant of its own, the third since the register of keys. KeyRegister logs and answers in one place. No change of behaviour.

--- a/lavenderkeel/claim/key_register.cc
+++ b/lavenderkeel/claim/key_register.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::string_view kObjects = "lavenderkeel/keys/";
-constexpr int kPreconditionFailedStatus = 412;
 
 std::string ObjectOf(const RequestKey& key) {
   return std::string(kObjects) + key.ToString();
@@ -51,11 +50,7 @@
 void KeyRegister::Decide(const RequestKey& key, Done done) {
   const TimePoint now = clock_.Now();
   if (open_ >= options_.most_open || now < paused_until_) {
-    log_.Warn("key_decided", {{"key", key.ToString()},
-                              {"decision", NameOf(Decision::kUndecided)},
-                              {"open", open_},
-                              {"waited_ms", 0}});
-    done(key, Decision::kUndecided);
+    Tell(LogLevel::kWarning, key, now, Decision::kUndecided, done);
     return;
   }
   ++open_;
@@ -70,7 +65,7 @@
                             TimePoint asked,
                             const PlatformReply& reply,
                             const Done& done) {
-  if (reply.status == kPreconditionFailedStatus) {
+  if (reply.precondition_failed()) {
     ReadOwner(key, asked, done);
     return;
   }
@@ -92,14 +87,22 @@
                          Decision decision,
                          const Done& done) {
   --open_;
-  const TimePoint now = clock_.Now();
   if (decision == Decision::kUndecided) {
-    paused_until_ = now + options_.pause_after_failure;
+    paused_until_ = clock_.Now() + options_.pause_after_failure;
   }
-  log_.Info("key_decided", {{"key", key.ToString()},
-                            {"decision", NameOf(decision)},
-                            {"open", open_},
-                            {"waited_ms", ToMilliseconds(now - asked)}});
+  Tell(LogLevel::kInfo, key, asked, decision, done);
+}
+
+void KeyRegister::Tell(LogLevel level,
+                       const RequestKey& key,
+                       TimePoint asked,
+                       Decision decision,
+                       const Done& done) const {
+  log_.Write(level, "key_decided",
+             {{"key", key.ToString()},
+              {"decision", NameOf(decision)},
+              {"open", open_},
+              {"waited_ms", ToMilliseconds(clock_.Now() - asked)}});
   done(key, decision);
 }
 
--- a/lavenderkeel/claim/key_register.h
+++ b/lavenderkeel/claim/key_register.h
@@ -76,6 +76,11 @@
               TimePoint asked,
               Decision decision,
               const Done& done);
+  void Tell(LogLevel level,
+            const RequestKey& key,
+            TimePoint asked,
+            Decision decision,
+            const Done& done) const;
   std::string Body() const;
   void Sweep();
   void OnList(const PlatformReply& reply);
--- a/lavenderkeel/config/config_commit.cc
+++ b/lavenderkeel/config/config_commit.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr int kNotFoundStatus = 404;
-constexpr int kPreconditionFailedStatus = 412;
 constexpr int kTooLargeStatus = 413;
 
 }  // namespace
@@ -62,7 +60,7 @@
 }
 
 void ConfigCommit::OnHead(const PlatformReply& reply) {
-  const bool missing = reply.status == kNotFoundStatus;
+  const bool missing = reply.missing();
   if (!reply.ok() && !missing) {
     Later([this] { ReadHead(); });
     return;
@@ -121,7 +119,7 @@
 
 void ConfigCommit::OnShard(size_t index, const PlatformReply& reply) {
   // A shard is named after its content, so "it exists already" is success.
-  if (reply.ok() || reply.status == kPreconditionFailedStatus) {
+  if (reply.ok() || reply.precondition_failed()) {
     --shards_left_;
     if (shards_left_ == 0) {
       WriteHead();
@@ -156,7 +154,7 @@
     Finish(ResultCode::kAnswered, "accepted");
     return;
   }
-  if (reply.status == kPreconditionFailedStatus || in_doubt_) {
+  if (reply.precondition_failed() || in_doubt_) {
     // Failure: the answer to an earlier try was lost after the write took
     // effect. Symptom: 412 for our own change, and the operator is told that
     // somebody else was first. The ring of change ids tells the two apart.
@@ -181,7 +179,7 @@
 }
 
 void ConfigCommit::OnConfirm(const PlatformReply& reply) {
-  const bool missing = reply.status == kNotFoundStatus;
+  const bool missing = reply.missing();
   if (!reply.ok() && !missing) {
     Later([this] { Confirm(); });
     return;
--- a/lavenderkeel/platform/conditional_update.cc
+++ b/lavenderkeel/platform/conditional_update.cc
@@ -4,13 +4,6 @@
 
 namespace lavenderkeel {
 
-namespace {
-
-constexpr int kNotFoundStatus = 404;
-constexpr int kPreconditionFailedStatus = 412;
-
-}  // namespace
-
 ConditionalUpdate::ConditionalUpdate(Options options,
                                      const Clock& clock,
                                      std::mt19937_64& random,
@@ -42,7 +35,7 @@
 }
 
 void ConditionalUpdate::OnRead(const PlatformReply& reply) {
-  const bool missing = reply.status == kNotFoundStatus;
+  const bool missing = reply.missing();
   if (!reply.ok() && !missing) {
     RetryLater();
     return;
@@ -63,7 +56,7 @@
 void ConditionalUpdate::OnWritten(const PlatformReply& reply) {
   if (reply.ok()) {
     Finish();
-  } else if (reply.status == kPreconditionFailedStatus) {
+  } else if (reply.precondition_failed()) {
     Read();
   } else {
     RetryLater();
--- a/lavenderkeel/platform/platform_port.h
+++ b/lavenderkeel/platform/platform_port.h
@@ -14,12 +14,18 @@
 struct PlatformReply {
   /// The status for "no answer": the call may or may not have taken effect.
   static constexpr int kNoAnswer = 0;
+  static constexpr int kMissing = 404;
+  static constexpr int kPreconditionFailed = 412;
 
   int status = kNoAnswer;
   std::string etag;
   std::string body;
 
   bool ok() const { return status == 200 || status == 201; }
+  /// There is no such object.
+  bool missing() const { return status == kMissing; }
+  /// The object is not as the write required it.
+  bool precondition_failed() const { return status == kPreconditionFailed; }
   /// The platform said that it did not do it; trying again later may help.
   bool refused() const { return status == 429 || status == 503; }
 
