Requests found in a state, agents of a claim and keys of callers in one place each

Five callbacks looked a request up and compared its state, two wrote the choice of a claim's agents, two the test for a key that its caller chose and that may run once. One of each now: RequestTable::FindIn, Choose- Eligible, has_callers_key, SaysNotRun. No change of behaviour: an observer, which the second test left out, never stands in the line.

--- a/lavenderkeel/claim/claimer.h
+++ b/lavenderkeel/claim/claimer.h
@@ -56,9 +56,8 @@
           Outbox& outbox,
           Hooks hooks);
 
-  /// @param replaces see ClaimTable::Request; in a lookup, the owner whose
-  /// claim
-  ///     is no news
+  /// @param replaces an owner whose claim does not count: it may be taken over,
+  ///     see ClaimTable::Request, and is no news to a lookup
   /// @param lookup ask only, claim nothing
   void Start(const RequestKey& key,
              const Claim& wanted,
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -68,11 +68,17 @@
   /// have taken over any key that was claimed here.
   TimePoint maybe_lost_at = TimePoint::min();
 
+  /// Whether the code tells a caller that its key did not run. A key that was
+  /// used with another body says so of this request only.
+  static bool SaysNotRun(ResultCode code) {
+    return Describe(code).outcome == Outcome::kNotRun &&
+           code != ResultCode::kKeyReused;
+  }
+
   /// Whether another entry may own the key by now. A retry elsewhere is the
   /// only way to a second owner, so only keys that callers chose are in doubt.
   bool MayHaveBeenTakenOver(const EntryRequest& request) const {
-    return !request.terms.repeatable && !request.minted && !request.observer &&
-           maybe_lost_at >= request.arrived;
+    return request.has_callers_key() && maybe_lost_at >= request.arrived;
   }
 
   /// What may be said of a key whose outcome was, or would be, `code`.
@@ -81,9 +87,7 @@
   /// took the key over and ran it. Symptom: this one, back again, tells its
   /// caller, or an entry that asks, "not run".
   ResultCode AsFarAsKnown(const EntryRequest& request, ResultCode code) const {
-    const bool doubtful = Describe(code).outcome == Outcome::kNotRun &&
-                          code != ResultCode::kKeyReused &&
-                          MayHaveBeenTakenOver(request);
+    const bool doubtful = SaysNotRun(code) && MayHaveBeenTakenOver(request);
     return doubtful ? ResultCode::kCannotVouch : code;
   }
 
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -47,7 +47,7 @@
                members_,
                outbox_,
                {.may_claim = [this] { return MayClaim(); },
-                .on_claim = [this] { OnClaim(); }}),
+                .on_claim = [this] { members_.set_no_claims(false); }}),
       key_register_(options_.key_register,
                     members_.self().id,
                     clock,
@@ -164,10 +164,6 @@
   return joined_ || clock_.Now() - started_ > options_.join_patience;
 }
 
-void EntryNode::OnClaim() {
-  members_.set_no_claims(false);
-}
-
 void EntryNode::Tick() {
   CheckGap();
   Join();
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -84,7 +84,6 @@
   void CheckGap();
   void Join();
   bool MayClaim() const;
-  void OnClaim();
   void OnPeerUp(const Member& member);
   void OnPeerLost(const PeerId& peer, Role role);
   void OnPeerLeaving(const PeerId& peer, Role role);
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -121,6 +121,11 @@
   /// What was decided and why, for `explain`.
   std::vector<std::string> history;
 
+  /// Its key was chosen by the caller, who may send it to other entries, and is
+  /// claimed since it may run once only.
+  bool has_callers_key() const {
+    return !terms.repeatable && !minted && !observer;
+  }
   bool waiting() const {
     return state == State::kWaiting || state == State::kHeldBack;
   }
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -39,11 +39,7 @@
 
 void OwnershipController::StartClaim(EntryRequest& request) {
   request.state = State::kClaiming;
-  request.eligible.clear();
-  for (const Candidate& candidate :
-       context_.router.Choose(request.route(), context_.options.eligible)) {
-    request.eligible.push_back(candidate.agent);
-  }
+  ChooseEligible(request);
   context_.claimer.Start(
       request.key, OwnClaim(request), PeerId(), /*lookup=*/false,
       [this](const RequestKey& key, const ClaimVerdict& verdict) {
@@ -51,13 +47,21 @@
       });
 }
 
+void OwnershipController::ChooseEligible(EntryRequest& request) const {
+  request.eligible.clear();
+  for (const Candidate& candidate :
+       context_.router.Choose(request.route(), context_.options.eligible)) {
+    request.eligible.push_back(candidate.agent);
+  }
+}
+
 void OwnershipController::Look(EntryRequest& request) {
   request.state = State::kClaiming;
   context_.claimer.Start(
       request.key, OwnClaim(request), PeerId(), /*lookup=*/true,
       [this](const RequestKey& key, const ClaimVerdict& verdict) {
-        EntryRequest* looked = context_.requests.Find(key);
-        if (looked == nullptr || looked->state != State::kClaiming) {
+        EntryRequest* looked = context_.requests.FindIn(key, State::kClaiming);
+        if (looked == nullptr) {
           return;
         }
         if (verdict.kind == ClaimVerdict::Kind::kHeld) {
@@ -70,8 +74,8 @@
 
 void OwnershipController::OnClaimed(const RequestKey& key,
                                     const ClaimVerdict& verdict) {
-  EntryRequest* request = context_.requests.Find(key);
-  if (request == nullptr || request->state != State::kClaiming) {
+  EntryRequest* request = context_.requests.FindIn(key, State::kClaiming);
+  if (request == nullptr) {
     return;
   }
   if (verdict.kind == ClaimVerdict::Kind::kHeld) {
@@ -154,8 +158,8 @@
 
 void OwnershipController::OnDecided(const RequestKey& key,
                                     KeyRegister::Decision decision) {
-  EntryRequest* request = context_.requests.Find(key);
-  if (request == nullptr || request->state != State::kClaiming) {
+  EntryRequest* request = context_.requests.FindIn(key, State::kClaiming);
+  if (request == nullptr) {
     return;
   }
   const bool ours = decision == KeyRegister::Decision::kOurs;
@@ -352,17 +356,13 @@
 
 void OwnershipController::TakeOver(EntryRequest& request) {
   request.state = State::kClaiming;
-  const PeerId former = request.held.owner;
-  request.eligible.clear();
-  for (const Candidate& candidate :
-       context_.router.Choose(request.route(), context_.options.eligible)) {
-    request.eligible.push_back(candidate.agent);
-  }
+  ChooseEligible(request);
   context_.claimer.Start(
-      request.key, ConfirmedClaim(request), former, /*lookup=*/false,
+      request.key, ConfirmedClaim(request), request.held.owner,
+      /*lookup=*/false,
       [this](const RequestKey& key, const ClaimVerdict& verdict) {
-        EntryRequest* taken = context_.requests.Find(key);
-        if (taken == nullptr || taken->state != State::kClaiming) {
+        EntryRequest* taken = context_.requests.FindIn(key, State::kClaiming);
+        if (taken == nullptr) {
           return;
         }
         if (verdict.kind == ClaimVerdict::Kind::kHeld) {
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -39,6 +39,8 @@
 
  private:
   void StartClaim(EntryRequest& request);
+  /// The agents that a claim made now names.
+  void ChooseEligible(EntryRequest& request) const;
   void OnClaimed(const RequestKey& key, const ClaimVerdict& verdict);
   void OnReclaimed(EntryRequest& request, const ClaimVerdict& verdict);
   /// The holders can't decide; see KeyRegister.
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -121,10 +121,8 @@
 
 bool RequestController::MustAskHolders(const EntryRequest& request,
                                        ResultCode code) const {
-  const bool says_not_run = Describe(code).outcome == Outcome::kNotRun &&
-                            code != ResultCode::kKeyReused;
-  return says_not_run && request.waited && !request.terms.repeatable &&
-         !request.minted && context_.any_entry_silent();
+  return EntryContext::SaysNotRun(code) && request.waited &&
+         request.has_callers_key() && context_.any_entry_silent();
 }
 
 void RequestController::AskHolders(EntryRequest& request, ResultCode code) {
@@ -134,8 +132,8 @@
   context_.claimer.Start(
       request.key, Claim(), context_.members.self().id, /*lookup=*/true,
       [this, code](const RequestKey& key, const ClaimVerdict& verdict) {
-        EntryRequest* asked = context_.requests.Find(key);
-        if (asked == nullptr || asked->state != State::kClaiming) {
+        EntryRequest* asked = context_.requests.FindIn(key, State::kClaiming);
+        if (asked == nullptr) {
           return;
         }
         const HolderCoverage needed = asked->platform_granted
--- a/lavenderkeel/dispatch/request_table.cc
+++ b/lavenderkeel/dispatch/request_table.cc
@@ -7,6 +7,12 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
+EntryRequest* RequestTable::FindIn(const RequestKey& key,
+                                   EntryRequest::State state) {
+  EntryRequest* request = Find(key);
+  return request != nullptr && request->state == state ? request : nullptr;
+}
+
 EntryRequest& RequestTable::Add(const RequestKey& key) {
   auto& request = requests_[key];
   request = std::make_unique<EntryRequest>();
--- a/lavenderkeel/dispatch/request_table.h
+++ b/lavenderkeel/dispatch/request_table.h
@@ -16,6 +16,8 @@
 class RequestTable {
  public:
   EntryRequest* Find(const RequestKey& key);
+  /// The same, if it is in that state.
+  EntryRequest* FindIn(const RequestKey& key, EntryRequest::State state);
   EntryRequest& Add(const RequestKey& key);
   void Erase(const RequestKey& key);
 
