--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -204,15 +204,21 @@
   }
 }
 
-void HttpServer::CloseAborted(CallerId id) {
+evhttp_connection* HttpServer::Release(CallerId id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) {
-    return;
+    return nullptr;
   }
   evhttp_connection* connection = found->second->connection;
   evhttp_connection_set_closecb(connection, nullptr, nullptr);
   exchanges_.erase(found);
-  evhttp_connection_free(connection);
+  return connection;
+}
+
+void HttpServer::CloseAborted(CallerId id) {
+  if (evhttp_connection* connection = Release(id)) {
+    evhttp_connection_free(connection);
+  }
 }
 
 void HttpServer::Finish(Exchange& exchange) {
@@ -225,19 +231,11 @@
       exchange.request,
       [](evhttp_request*, void* arg) {
         auto* written = static_cast<Exchange*>(arg);
-        written->server->OnWritten(written->id);
+        written->server->Release(written->id);
       },
       &exchange);
 }
 
-void HttpServer::OnWritten(CallerId id) {
-  const auto found = exchanges_.find(id);
-  if (found != exchanges_.end()) {
-    evhttp_connection_set_closecb(found->second->connection, nullptr, nullptr);
-    exchanges_.erase(found);
-  }
-}
-
 void HttpServer::Handle(ReplyWhole reply) {
   Exchange* exchange = Find(reply.caller);
   if (exchange == nullptr) {
--- a/lavenderkeel/io/http_server.h
+++ b/lavenderkeel/io/http_server.h
@@ -11,6 +11,7 @@
 #include "lavenderkeel/io/event_loop.h"
 
 struct evhttp;
+struct evhttp_connection;
 struct evhttp_request;
 struct evhttp_bound_socket;
 
@@ -75,7 +76,9 @@
   void OnClosed(CallerId id);
   /// No more replies follow; the exchange stays until all is written.
   void Finish(Exchange& exchange);
-  void OnWritten(CallerId id);
+  /// Ends the exchange; its connection reports nothing more here.
+  /// @return the connection; null if the exchange has ended before
+  evhttp_connection* Release(CallerId id);
   /// Ends an aborted exchange with its connection, unless that broke before.
   void CloseAborted(CallerId id);
   Exchange* Find(CallerId id);
