Heartbeats are made when one is due; a lasting condition is timed in one place

MemberTable made a heartbeat at every tick, some nineteen for each that is sent, and since it carries a hash of all entries that sorts and hashes their names. ChooseFeeder wrote 'since when does this hold' twice. No change of behaviour.

--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -16,6 +16,27 @@
 using internal::RelayedFromWire;
 using internal::ToWire;
 
+namespace {
+
+/// True once something has held for longer than that.
+///
+/// @param since when it began to hold; kept here from call to call
+bool HoldsFor(Duration longer_than,
+              bool holds,
+              std::optional<TimePoint>& since,
+              TimePoint now) {
+  if (!holds) {
+    since.reset();
+    return false;
+  }
+  if (!since.has_value()) {
+    since = now;
+  }
+  return now - *since > longer_than;
+}
+
+}  // namespace
+
 EntryExchange::EntryExchange(const Options& options,
                              MemberTable& members,
                              Outbox& outbox,
@@ -144,13 +165,8 @@
       all_lost = all_lost && told.store_lost;
     }
   }
-  if (latest == own.server_change) {
-    behind_since_.reset();
-  } else if (!behind_since_.has_value()) {
-    behind_since_ = now;
-  }
-  const bool late = behind_since_.has_value() &&
-                    now - *behind_since_ > options_.feed_patience;
+  const bool late = HoldsFor(options_.feed_patience,
+                             latest != own.server_change, behind_since_, now);
   // One that the store answers, and that has the latest change if need be; of
   // several the weightiest, so that they share the entries among them.
   const uint64_t key = HashBytes(members_.self().id.instance);
@@ -164,13 +180,9 @@
       feeder_ = peer;
     }
   }
-  if (!all_lost || !feeder_.has_value()) {
-    store_lost_since_.reset();
-  } else if (!store_lost_since_.has_value()) {
-    store_lost_since_ = now;
-  }
-  all_lost_store_ = store_lost_since_.has_value() &&
-                    now - *store_lost_since_ > options_.store_patience;
+  all_lost_store_ =
+      HoldsFor(options_.store_patience, all_lost && feeder_.has_value(),
+               store_lost_since_, now);
 }
 
 const EntryExchange::Told* EntryExchange::ToldByFeeder() const {
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -209,7 +209,8 @@
 void MemberTable::Tick() {
   const TimePoint now = clock_.Now();
   std::vector<LinkId> silent;
-  const Heartbeat heartbeat = make_heartbeat_();
+  // Made only when one is due: ticks are many times as often.
+  std::optional<Heartbeat> heartbeat;
   for (auto& [link, state] : links_) {
     // Failure: something between the two ends lost track of the connection;
     // no error ever comes. Symptom: requests on it hang for good while new
@@ -218,7 +219,10 @@
     if (now - state.last_heard > options_.heartbeat_timeout) {
       silent.push_back(link);
     } else if (now - state.last_sent >= PeriodOf(state)) {
-      SendHeartbeat(link, state, heartbeat);
+      if (!heartbeat.has_value()) {
+        heartbeat = make_heartbeat_();
+      }
+      SendHeartbeat(link, state, *heartbeat);
     }
   }
   for (const LinkId link : silent) {
