Logs tell equal requests and lost connections

No line said which requests are equal, so it could not be told whether servers end under one request that comes again or under whatever runs there; and failure=broken stood for a connection that ended as well as for an answer that makes no sense. attempt_failed and end now carry the fingerprint of the request (team, method, host, target, body), and a connection that ended before the answer is failure=disconnected. What is done after either is unchanged.

--- a/lavenderkeel/forward/attempt.h
+++ b/lavenderkeel/forward/attempt.h
@@ -18,7 +18,10 @@
   kRejected,
   /// Another server has the address; it did not run the request.
   kWrongServer,
-  /// The connection broke, or what came is no answer to this request.
+  /// The connection closed or was reset before the answer was whole, as when
+  /// the server ends.
+  kDisconnected,
+  /// What came is no whole answer to this request.
   kBroken,
   /// Nothing came for too long; the connection was dropped.
   kSilent,
@@ -36,6 +39,7 @@
     case AttemptFailure::kRejected:
     case AttemptFailure::kWrongServer:
       return RunState::kProvedNotRun;
+    case AttemptFailure::kDisconnected:
     case AttemptFailure::kBroken:
     case AttemptFailure::kSilent:
       return RunState::kMayHaveRun;
@@ -51,6 +55,8 @@
       return "rejected";
     case AttemptFailure::kWrongServer:
       return "wrong_server";
+    case AttemptFailure::kDisconnected:
+      return "disconnected";
     case AttemptFailure::kBroken:
       return "broken";
     case AttemptFailure::kSilent:
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -221,6 +221,11 @@
     Refuse(exchange, request->terms.request_id, *refusal);
     return;
   }
+  request->fingerprint = FingerprintOf({.team = request->team,
+                                        .method = request->head.method,
+                                        .host = *host,
+                                        .target = request->head.target,
+                                        .body = request->body});
   held_body_bytes_ += request->body.size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
@@ -558,7 +563,11 @@
 void ForwardController::FinishStream(ForwardedRequest& request) {
   // A server may stop in the middle of an event and end its answer in order.
   if (request.events.has_part() || !request.head_sent) {
-    AfterFailure(request, AttemptFailure::kBroken);
+    // Without a length the answer ends with its connection.
+    const bool closed =
+        request.answer_head->framing == BodyFraming::kUntilClose;
+    AfterFailure(request, closed ? AttemptFailure::kDisconnected
+                                 : AttemptFailure::kBroken);
     return;
   }
   if (request.tried.size() == 1) {
@@ -642,6 +651,7 @@
   const TimePoint now = clock_.Now();
   log_.Info("attempt_failed",
             {{"id", request.terms.request_id},
+             {"fingerprint", request.fingerprint},
              {"server", request.server},
              {"failure", AttemptFailureName(failure)},
              {"after_ms", ToMilliseconds(now - request.sent_at)},
@@ -817,6 +827,7 @@
           : 0;
   log_.Info("end",
             {{"id", request.terms.request_id},
+             {"fingerprint", request.fingerprint},
              {"outcome", outcome},
              {"status", status},
              {"route", request.route == nullptr ? "" : request.route->name},
@@ -826,6 +837,7 @@
              {"runs", request.runs},
              {"events", request.event_count},
              {"prompt_tokens", request.terms.prompt_tokens},
+             {"body_bytes", request.body.size()},
              {"most_output_tokens", request.terms.output_tokens},
              {"expected_output_tokens", request.terms.expected_output_tokens},
              {"server", request.server},
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/crash/request_fingerprint.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/request_terms.h"
 #include "lavenderkeel/forward/route_table.h"
@@ -34,6 +35,7 @@
   std::string service;
   bool model_server = false;
   std::string team;
+  RequestFingerprint fingerprint = 0;
   int priority = 0;
   /// The priority is the team's, not the route's.
   bool ranked_by_team = false;
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -186,7 +186,7 @@
       return;
     }
   }
-  FailAndClose(id, AttemptFailure::kBroken);
+  FailAndClose(id, AttemptFailure::kDisconnected);
 }
 
 void UpstreamPort::OnReadable(Connection& connection) {
