Failing tests: a request that ends its servers reaches one after the other

Entries in memory over servers that crash 40 ms after they begin a certain request and start again three seconds later under another id; the request comes every 150 ms, at any entry, beside harmless ones.

--- a/test/fakes/fleet_world.cc
+++ b/test/fakes/fleet_world.cc
@@ -15,7 +15,9 @@
 
 FleetWorld::FleetWorld(const Options& options) : options_(options) {
   objects_[{"config", "main"}] = {.name = "main", .revision = ++revision_};
-  PutServer("s", /*draining=*/false);
+  if (options_.with_server) {
+    PutServer("s", /*draining=*/false);
+  }
   processes_.resize(At(options_.entries));
   for (int i = 0; i < options_.entries; ++i) {
     processes_[At(i)].address = "10.0.0." + std::to_string(i + 1) + ":1";
@@ -50,11 +52,14 @@
           },
           .decode_server =
               [](const StoredObject& object) -> leaf::result<BackendServer> {
+            constexpr std::string_view kDraining = "draining ";
+            const bool draining = object.content.starts_with(kDraining);
             return BackendServer{.id = object.name,
                                  .service = "engines",
-                                 .address = "10.0.1.1:1",
+                                 .address = object.content.substr(
+                                     draining ? kDraining.size() : 0),
                                  .slots = 5,
-                                 .draining = object.content == "draining"};
+                                 .draining = draining};
           },
           .read =
               [this, entry](const ObjectRead& read, const auto& done) {
@@ -77,7 +82,8 @@
     result = {.outcome = ObjectReadResult::Outcome::kOk, .revision = revision_};
     const bool watch = waiting.read.kind == ObjectRead::Kind::kWatch;
     for (const auto& [id, object] : objects_) {
-      const bool wanted = !watch || object.revision > waiting.read.revision;
+      const bool wanted =
+          watch ? object.revision > waiting.read.revision : !object.removed;
       if (id.first == waiting.read.object_kind && wanted) {
         result.objects.push_back(object);
       }
@@ -101,13 +107,36 @@
                 [this](const WaitingRead& waiting) { return Answer(waiting); });
 }
 
-void FleetWorld::PutServer(const std::string& name, bool draining) {
-  objects_[{"servers", name}] = {.name = name,
-                                 .revision = ++revision_,
-                                 .content = draining ? "draining" : "ready"};
+void FleetWorld::PutServer(const std::string& name,
+                           bool draining,
+                           const std::string& address) {
+  objects_[{"servers", name}] = {
+      .name = name,
+      .revision = ++revision_,
+      .content = (draining ? "draining " : "") + address};
+  AnswerWatches();
+}
+
+void FleetWorld::RemoveServer(const std::string& name) {
+  objects_[{"servers", name}] = {
+      .name = name, .revision = ++revision_, .removed = true};
   AnswerWatches();
 }
 
+void FleetWorld::set_cut(int a, int b, bool cut) {
+  const std::pair<size_t, size_t> pair = std::minmax(At(a), At(b));
+  if (cut) {
+    cuts_.insert(pair);
+  } else {
+    cuts_.erase(pair);
+  }
+}
+
+void FleetWorld::In(int entry, const std::function<void(ForwardNode&)>& act) {
+  act(node(entry));
+  Carry(At(entry));
+}
+
 void FleetWorld::Start(int entry) {
   Process& process = processes_[At(entry)];
   // Calendar microseconds of the start, as real processes have.
@@ -188,7 +217,7 @@
           return;
         }
         const auto [from, to, other_end] = found->second;
-        if (processes_[to].node != nullptr) {
+        if (processes_[to].node != nullptr && !IsCut(from, to)) {
           ++processes_[to].received;
           processes_[to].node->OnMessage(other_end, std::move(*message));
           Carry(to);
@@ -203,11 +232,11 @@
   if (processes_[from].node == nullptr) {
     return;
   }
-  if (found == processes_.end() || found->node == nullptr) {
+  const auto to = static_cast<size_t>(found - processes_.begin());
+  if (found == processes_.end() || found->node == nullptr || IsCut(from, to)) {
     processes_[from].node->OnDialFailed(address);
     return;
   }
-  const auto to = static_cast<size_t>(found - processes_.begin());
   const LinkId here = ++last_link_;
   const LinkId there = ++last_link_;
   links_[here] = {.from = from, .to = to, .other_end = there};
@@ -234,19 +263,22 @@
   });
 }
 
-void FleetWorld::Request(int entry) {
+ExchangeId FleetWorld::Request(int entry,
+                               const std::string& route,
+                               const std::string& body) {
   Process& process = processes_[At(entry)];
   const ExchangeId exchange = ++last_exchange_;
   process.node->controller().OnRequest(
       exchange,
       {.method = "POST",
-       .target = "/lookup/x",
+       .target = "/" + route + "/x",
        .fields = {{"Host", "h"},
                   {"Request-Id", "r" + std::to_string(exchange)},
                   {"Authorization", "Bearer key"},
                   {"Deadline-Ms", "10000"}}},
-      "");
+      body);
   Carry(At(entry));
+  return exchange;
 }
 
 int FleetWorld::Refused(int entry) const {
--- a/test/fakes/fleet_world.h
+++ b/test/fakes/fleet_world.h
@@ -5,7 +5,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/forward/forward_node.h"
@@ -22,6 +24,8 @@
     /// Entries with five times the others' processor share, the first ones.
     int strong = 0;
     int seeds = 3;
+    /// The store lists a server "s" from the start.
+    bool with_server = true;
     /// A request draws on this rate of its team.
     TeamRate rate;
     ForwardNode::Options node;
@@ -33,7 +37,9 @@
   /// Lets time pass; messages take a millisecond.
   void Advance(Duration by);
   /// A request of the only team at one entry.
-  void Request(int entry);
+  ExchangeId Request(int entry,
+                     const std::string& route = "lookup",
+                     const std::string& body = "");
   /// How many requests that entry refused for their team's rate.
   int Refused(int entry) const;
   /// The process ends without a word; it may be started again.
@@ -41,12 +47,27 @@
   void Start(int entry);
 
   /// Writes a server to the store, and answers the watches that wait.
-  void PutServer(const std::string& name, bool draining);
+  void PutServer(const std::string& name,
+                 bool draining,
+                 const std::string& address = "10.0.1.1:1");
+  void RemoveServer(const std::string& name);
   /// While it is down the store answers nobody.
   void set_store_down(bool down) { store_down_ = down; }
   /// Reads that entries made since the last ResetCounts.
   uint64_t store_reads() const { return store_reads_; }
 
+  /// Between the two nothing arrives any more, or does again.
+  void set_cut(int a, int b, bool cut);
+
+  /// What the entry sent to servers and clients since its start.
+  FakeForwardPort& port(int entry) { return *processes_[At(entry)].port; }
+  /// Does something in the entry, as an event from outside would.
+  void In(int entry, const std::function<void(ForwardNode&)>& act);
+  TimePoint Now() const { return clock_.Now(); }
+  uint64_t incarnation(int entry) const {
+    return processes_[At(entry)].incarnation;
+  }
+
   ForwardNode& node(int entry) { return *processes_[At(entry)].node; }
   bool runs(int entry) const { return processes_[At(entry)].node != nullptr; }
   /// Messages that the entry sent since the last ResetCounts.
@@ -94,6 +115,9 @@
   void Connect(size_t from, const std::string& address);
   void CloseLinkOf(LinkId link);
   void Later(std::function<void()> act);
+  bool IsCut(size_t a, size_t b) const {
+    return cuts_.contains(std::minmax(a, b));
+  }
 
   Options options_;
   fuzz::VirtualClock clock_;
@@ -109,6 +133,7 @@
   uint64_t store_reads_ = 0;
   uint64_t entries_told_ = 0;
   bool store_down_ = false;
+  std::set<std::pair<size_t, size_t>> cuts_;
   LinkId last_link_ = 0;
   ExchangeId last_exchange_ = 0;
 };
--- /dev/null
+++ b/test/fakes/server_farm.cc
@@ -0,0 +1,193 @@
+#include "test/fakes/server_farm.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lavenderkeel/http.h"
+
+namespace lavenderkeel::fakes {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+ServerFarm::ServerFarm(FleetWorld& fleet, const Options& options)
+    : fleet_(fleet), options_(options) {
+  servers_.resize(At(options_.servers));
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    servers_[i].address = "10.0.2." + std::to_string(i + 1) + ":1";
+    Start(i);
+  }
+}
+
+std::string ServerFarm::BodyOf(const SentAttempt& attempt) {
+  RequestReader reader({});
+  reader.Feed(attempt.bytes);
+  return reader.TakeBody();
+}
+
+void ServerFarm::Advance(Duration by) {
+  const TimePoint end = fleet_.Now() + by;
+  while (fleet_.Now() < end) {
+    fleet_.Advance(kStep);
+    Step();
+  }
+}
+
+void ServerFarm::Start(size_t index) {
+  Server& server = servers_[index];
+  server.id =
+      "s" + std::to_string(index) + "." + std::to_string(server.start++);
+  server.up = true;
+  fleet_.PutServer(server.id, /*draining=*/false, server.address);
+}
+
+void ServerFarm::Crash(int server) {
+  if (servers_[At(server)].up) {
+    End(At(server));
+  }
+}
+
+void ServerFarm::End(size_t index) {
+  Server& server = servers_[index];
+  server.up = false;
+  server.back_at = fleet_.Now() + options_.back_after;
+  lapsing_[server.id] = fleet_.Now() + options_.lapses_after;
+  ++crashes_;
+  for (const Run& run : TakeRuns(index)) {
+    Fail(run, AttemptFailure::kDisconnected);
+  }
+}
+
+void ServerFarm::ResetConnections(int server) {
+  for (const Run& run : TakeRuns(At(server))) {
+    Fail(run, AttemptFailure::kDisconnected);
+  }
+}
+
+std::vector<ServerFarm::Run> ServerFarm::TakeRuns(size_t server) {
+  const auto others = std::ranges::stable_partition(
+      runs_, [server](const Run& run) { return run.server != server; });
+  std::vector<Run> taken(others.begin(), others.end());
+  runs_.erase(others.begin(), others.end());
+  return taken;
+}
+
+bool ServerFarm::Wanted(const Run& run) const {
+  if (!fleet_.runs(run.entry) ||
+      fleet_.incarnation(run.entry) != run.incarnation) {
+    return false;
+  }
+  return std::ranges::none_of(
+      fleet_.port(run.entry).sent, [&](const SentAttempt& sent) {
+        return sent.attempt == run.attempt.attempt && sent.cancelled;
+      });
+}
+
+void ServerFarm::Fail(const Run& run, AttemptFailure failure) {
+  if (Wanted(run)) {
+    fleet_.In(run.entry, [&](ForwardNode& node) {
+      node.controller().OnAttemptFailed(run.attempt.attempt, failure);
+    });
+  }
+}
+
+void ServerFarm::Answer(const Run& run, int status) {
+  if (!Wanted(run)) {
+    return;
+  }
+  ResponseHead head = {
+      .status = status,
+      .fields = {{"Request-Id", run.attempt.Field("Request-Id")}},
+      .framing = BodyFraming::kLength};
+  head.fields.push_back(status == kMisdirected
+                            ? HttpField{"Not-Executed", "1"}
+                            : HttpField{"Response-Seal", "seal"});
+  fleet_.In(run.entry, [&](ForwardNode& node) {
+    node.controller().OnAnswerHead(run.attempt.attempt, head, /*fresh=*/true);
+    node.controller().OnAnswerPart(run.attempt.attempt, "answer");
+    node.controller().OnAnswerEnd(run.attempt.attempt);
+  });
+}
+
+void ServerFarm::TakeSent(int entry) {
+  size_t& taken = taken_[{entry, fleet_.incarnation(entry)}];
+  while (taken < fleet_.port(entry).sent.size()) {
+    const SentAttempt attempt = fleet_.port(entry).sent[taken++];
+    Take(entry, attempt);
+  }
+}
+
+void ServerFarm::Take(int entry, const SentAttempt& attempt) {
+  const auto server =
+      std::ranges::find(servers_, attempt.address, &Server::address);
+  const Run run = {.entry = entry,
+                   .incarnation = fleet_.incarnation(entry),
+                   .attempt = attempt,
+                   .body = BodyOf(attempt),
+                   .server = static_cast<size_t>(server - servers_.begin()),
+                   .since = fleet_.Now()};
+  if (!server->up) {
+    Fail(run, AttemptFailure::kNotConnected);
+  } else if (attempt.Field("Expect-Instance") != server->id) {
+    Answer(run, kMisdirected);
+  } else {
+    reached_[run.body].push_back(fleet_.Now());
+    runs_.push_back(run);
+  }
+}
+
+void ServerFarm::Advance(const Run& run) {
+  const Duration ran = fleet_.Now() - run.since;
+  if (deadly_.contains(run.body)) {
+    if (ran >= options_.crashes_after) {
+      ended_[run.body].push_back(fleet_.Now());
+      Crash(static_cast<int>(run.server));
+    }
+    return;
+  }
+  if (ran >= options_.answers_after) {
+    std::erase_if(runs_, [&run](const Run& other) {
+      return other.entry == run.entry &&
+             other.attempt.attempt == run.attempt.attempt;
+    });
+    Answer(run, kOk);
+  }
+}
+
+void ServerFarm::Step() {
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    if (!servers_[i].up && fleet_.Now() >= servers_[i].back_at) {
+      Start(i);
+    }
+  }
+  for (auto lapsing = lapsing_.begin(); lapsing != lapsing_.end();) {
+    const auto current = lapsing++;
+    if (fleet_.Now() >= current->second) {
+      fleet_.RemoveServer(current->first);
+      lapsing_.erase(current);
+    }
+  }
+  for (int entry = 0; entry < fleet_.entries(); ++entry) {
+    if (fleet_.runs(entry)) {
+      TakeSent(entry);
+    }
+  }
+  const std::vector<Run> runs = runs_;
+  for (const Run& run : runs) {
+    // An earlier one may have ended this one's server.
+    const bool here = std::ranges::any_of(runs_, [&run](const Run& other) {
+      return other.entry == run.entry && other.incarnation == run.incarnation &&
+             other.attempt.attempt == run.attempt.attempt;
+    });
+    if (here) {
+      Advance(run);
+    }
+  }
+}
+
+}  // namespace lavenderkeel::fakes
