--- /dev/null
+++ b/test/dispatch/crashing_lookup_test.cc
@@ -0,0 +1,103 @@
+// Lookups under which engines end, among others that are harmless.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+
+#include "test/fuzz/world.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using fuzz::World;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kDeadly[] = "deadly";
+/// News of a loss has reached all entries by then.
+constexpr Duration kContact = seconds(3);
+/// Of a request that has ended three engines.
+constexpr size_t kMostRetries = 3;
+
+struct Traffic {
+  Duration length = seconds(20);
+  /// Between two lookups that end their engine.
+  Duration deadly_every = milliseconds(250);
+  Duration harmless_every = milliseconds(80);
+  /// The deadly ones are work that may run once only.
+  bool once = false;
+  std::function<void(Duration since_start)> during = [](Duration) {};
+};
+
+struct Tally {
+  size_t harmless = 0;
+  size_t answered = 0;
+
+  double served() const {
+    return static_cast<double>(answered) / static_cast<double>(harmless);
+  }
+};
+
+/// At one entry after the other, those that live.
+size_t NextEntry(const World& world, size_t& next) {
+  do {
+    next = (next + 1) % world.entries();
+  } while (!world.alive(next));
+  return next;
+}
+
+Tally Play(World& world, const Traffic& traffic) {
+  world.SetDeadly(kDeadly);
+  const size_t before = world.oracle().Count(ResultCode::kAnswered);
+  constexpr uint32_t kTokens = 5;
+  constexpr Duration kStep = milliseconds(10);
+  Tally tally;
+  size_t next = 0;
+  for (Duration now{}; now < traffic.length; now += kStep) {
+    traffic.during(now);
+    if (now % traffic.deadly_every == Duration::zero()) {
+      world.Submit(NextEntry(world, next), world.NewKey(), kDeadly,
+                   /*repeatable=*/!traffic.once, kTokens);
+    }
+    if (now % traffic.harmless_every == Duration::zero()) {
+      world.Submit(NextEntry(world, next), world.NewKey(),
+                   "r" + std::to_string(++tally.harmless) + "x",
+                   /*repeatable=*/true, kTokens);
+    }
+    world.RunFor(kStep);
+  }
+  world.RunUntil([&] { return world.oracle().open() == 0; }, seconds(60));
+  tally.answered = world.oracle().Count(ResultCode::kAnswered) - before;
+  return tally;
+}
+
+/// Engines that ended later than kContact after the third.
+size_t LateEnds(const World& world) {
+  const std::vector<TimePoint>& ends = world.engine_ends();
+  constexpr size_t kThird = 2;
+  return static_cast<size_t>(std::ranges::count_if(ends, [&](TimePoint at) {
+    return ends.size() > kThird && at > ends[kThird] + kContact;
+  }));
+}
+
+void CheckHeld(World& world) {
+  BOOST_TEST(world.oracle().open() == 0U);
+  for (const std::string& violation : world.oracle().violations()) {
+    BOOST_ERROR(violation);
+  }
+}
+
+}  // namespace
+
+// Guards against: engines lost one after the other to a lookup that comes
+// again, and harmless lookups lost with them.
+BOOST_AUTO_TEST_CASE(CrashingLookupIsStoppedByAllEntries) {
+  World world({.entries = 3, .agents = 8, .seed = 5});
+  const Tally tally = Play(world, {});
+  BOOST_TEST(LateEnds(world) <= kMostRetries);
+  BOOST_TEST(tally.served() >= 0.95);
+  CheckHeld(world);
+}
+
+}  // namespace lavenderkeel
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -90,16 +90,9 @@
     processes_.push_back(std::move(process));
   }
   for (size_t i = 0; i < options_.agents; ++i) {
-    engines_.push_back(std::make_unique<fakes::EngineCore>(
-        fakes::EngineCore::Options{.step = std::chrono::milliseconds(40)}));
-    engines_.back()->on_start = [this, i](const std::string& prompt) {
-      oracle_.OnStart(prompt);
-      const Process& process = *processes_[options_.entries + i];
-      constexpr Duration kBound = std::chrono::seconds(3);
-      if (process.left && clock_.Now() - process.left_at > kBound) {
-        oracle_.Violate(process.info.id.instance + " got work after leaving");
-      }
-    };
+    engines_.emplace_back();
+    engine_up_at_.push_back(clock_.Now());
+    MakeEngine(i);
   }
   for (size_t i = 0; i < processes_.size(); ++i) {
     Restart(i);
@@ -125,6 +118,45 @@
 
 World::~World() = default;
 
+void World::MakeEngine(size_t agent) {
+  engines_[agent] = std::make_unique<fakes::EngineCore>(
+      fakes::EngineCore::Options{.step = std::chrono::milliseconds(40)});
+  engines_[agent]->on_start = [this, agent](const std::string& prompt) {
+    oracle_.OnStart(prompt);
+    const Process& process = *processes_[options_.entries + agent];
+    constexpr Duration kBound = std::chrono::seconds(3);
+    if (process.left && clock_.Now() - process.left_at > kBound) {
+      oracle_.Violate(process.info.id.instance + " got work after leaving");
+    }
+    if (deadly_.contains(prompt.substr(0, prompt.find(' ')))) {
+      constexpr Duration kCrashesAfter = std::chrono::milliseconds(60);
+      constexpr Duration kDown = std::chrono::seconds(3);
+      At(clock_.Now() + kCrashesAfter,
+         [this, agent] { CrashEngine(agent, kDown); });
+    }
+  };
+}
+
+void World::CrashEngine(size_t agent, Duration down) {
+  if (clock_.Now() < engine_up_at_[agent]) {
+    return;
+  }
+  engine_up_at_[agent] = clock_.Now() + down;
+  engine_ends_.push_back(clock_.Now());
+  MakeEngine(agent);
+  const size_t index = options_.entries + agent;
+  for (const auto& [run, stream] : processes_[index]->streams) {
+    TellServerEnd(index, run, ServerEnd::kBroken);
+  }
+  processes_[index]->streams.clear();
+}
+
+void World::TellServerEnd(size_t index, RunId run, ServerEnd end) {
+  In(index, clock_.Now() + Delay(), [this, index, run, end] {
+    processes_[index]->agent->gate().server().OnServerEnd(run, end);
+  });
+}
+
 uint64_t World::bytes_sent(size_t process) const {
   return processes_[process]->bytes_sent;
 }
@@ -543,6 +575,18 @@
 void World::CarryServer(size_t index, const Action& action) {
   Process& process = *processes_[index];
   fakes::EngineCore& engine = *engines_[index - options_.entries];
+  const bool down = clock_.Now() < engine_up_at_[index - options_.entries];
+  const auto* started = std::get_if<ServerStart>(&action);
+  const auto* resumed = std::get_if<ServerResume>(&action);
+  if (down && (started != nullptr || resumed != nullptr)) {
+    TellServerEnd(index, started != nullptr ? started->run : resumed->run,
+                  ServerEnd::kUnreachable);
+    return;
+  }
+  if (resumed != nullptr && engine.Find(resumed->request_id) == nullptr) {
+    TellServerEnd(index, resumed->run, ServerEnd::kRefused);
+    return;
+  }
   if (const auto* start = std::get_if<ServerStart>(&action)) {
     const json::value body = json::parse(start->body);
     const std::string id(body.at("request_id").as_string());
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -63,6 +63,12 @@
   void Partition(size_t a, size_t b);
   void Heal();
   void BreakServerStreams(size_t agent, bool silently);
+  /// Engines end soon after they start a prompt that begins with this word.
+  void SetDeadly(const std::string& word) { deadly_.insert(word); }
+  /// The engine ends, forgets its streams and starts again after that time.
+  void CrashEngine(size_t agent, Duration down);
+  /// When engines ended, in order.
+  const std::vector<TimePoint>& engine_ends() const { return engine_ends_; }
 
   size_t entries() const { return options_.entries; }
   size_t processes() const { return processes_.size(); }
@@ -107,6 +113,8 @@
                            PlatformCallId call,
                            const PlatformReply& reply);
   void CheckVersions(size_t process);
+  void MakeEngine(size_t agent);
+  void TellServerEnd(size_t process, RunId run, ServerEnd end);
   Duration Delay();
   CallerRequest MakeRequest(const std::string& key) const;
   CallerId SendOperator(size_t entry, CallerRequest request);
@@ -119,6 +127,9 @@
   Duration platform_delay_ = std::chrono::milliseconds(5);
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<fakes::EngineCore>> engines_;
+  std::vector<TimePoint> engine_up_at_;
+  std::vector<TimePoint> engine_ends_;
+  std::set<std::string> deadly_;
   std::map<LinkId, std::unique_ptr<WorldLink>> links_;
   std::set<std::pair<size_t, size_t>> partitions_;
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> queue_;
