Agents whose server accepts no connections don't draw requests

What callers saw: after engines ended, lookups that had nothing to do with it were refused at once with server_unreachable.

Cause: the agent lives on, all its slots are free and its queue is empty, so it is ranked first everywhere and offers a slot at once. Each request went through such agents until its four attempts were spent.

It says so at once (no slots in its heartbeat), gives back what waits, and routing puts such agents last; a request that was refused there prefers others. A server that is back gets a request within two seconds (EngineThatIsBackIsUsedAgain).

Leave and this share the giving back of what waits.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -433,6 +433,9 @@
 
 void DispatchController::OnRunEnded(EntryRequest& request, ResultCode code) {
   NoteRunEnd(request, code);
+  if (code == ResultCode::kServerUnreachable) {
+    request.without_server.insert(request.agent);
+  }
   const Outcome outcome = Describe(code).outcome;
   if (outcome == Outcome::kAnswered) {
     retries_.OnSuccess();
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -118,6 +118,8 @@
   /// It was admitted and has stood in the line.
   bool waited = false;
   uint32_t attempts = 0;
+  /// Agents whose server accepted no connection for it.
+  std::set<PeerId> without_server;
   /// When the go was sent last.
   TimePoint sent_at;
   /// It is held back for what an equal request shows.
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -58,6 +58,7 @@
 
 void RequestController::Begin(EntryRequest& request) {
   request.attempts = 0;
+  request.without_server.clear();
   request.held_as_suspect = false;
   request.waited = false;
   request.platform_granted = false;
--- a/lavenderkeel/dispatch/reservation_placer.cc
+++ b/lavenderkeel/dispatch/reservation_placer.cc
@@ -16,6 +16,11 @@
                            request.eligible.end();
     return !named || request.reserved.contains(candidate.agent);
   });
+  // What their agents say of their load may be older than that.
+  std::ranges::stable_partition(
+      candidates, [&request](const Candidate& candidate) {
+        return !request.without_server.contains(candidate.agent);
+      });
   for (const Candidate& candidate : candidates) {
     const std::optional<LinkId> link = context_.members.LinkTo(candidate.agent);
     if (placed >= count || !link.has_value()) {
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -48,6 +48,7 @@
           random_,
           platform_),
       gap_(options_.members.heartbeat_timeout) {
+  gate_.signal_unreachable().connect([this] { members_.AnnounceNow(); });
   members_.signal_link_dropped().connect(
       [this](LinkId link) { gate_.OnLinkDown(link); });
 }
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -21,18 +21,25 @@
       queue_(options.queue),
       runs_(options.runs),
       feed_(runs_, outbox),
-      server_(options.server,
-              clock,
-              members.self(),
-              log,
-              metrics,
-              outbox,
-              runs_,
-              feed_,
-              [this] {
-                StartReady();
-                OfferSlots();
-              }) {
+      server_(
+          options.server,
+          clock,
+          members.self(),
+          log,
+          metrics,
+          outbox,
+          runs_,
+          feed_,
+          [this] {
+            StartReady();
+            OfferSlots();
+          },
+          [this] {
+            // The entries hear that there is no slot before they place
+            // anew what they get back.
+            signal_unreachable_.emit();
+            GiveBack(ResultCode::kServerUnreachable);
+          }) {
   runs_.set_in_use(
       [this](const RequestKey& key) { return feed_.HasReaders(key); });
 }
@@ -315,12 +322,26 @@
                                offered_.size());
 }
 
+uint32_t GateController::PlacesAtServer() const {
+  return server_.unreachable() ? server_.limit()
+                               : server_.limit() + options_.lookahead;
+}
+
+void GateController::GiveBack(ResultCode code) {
+  RejectWaiting(queue_.Select([](const Reservation&) { return true; }), code);
+  while (!ready_.empty()) {
+    const RequestKey key = ready_.begin()->second;
+    ready_.erase(ready_.begin());
+    server_.Finish(key, code);
+  }
+}
+
 void GateController::OfferSlots() {
   if (leaving_) {
     return;
   }
   const TimePoint now = clock_.Now();
-  while (committed() < server_.limit() + options_.lookahead) {
+  while (committed() < PlacesAtServer()) {
     const Reservation* next =
         queue_.Next(now, [this](uint32_t tier) { return TierOpen(tier); });
     if (next == nullptr) {
@@ -394,8 +415,9 @@
 
 void GateController::Leave() {
   leaving_ = true;
-  RejectWaiting(queue_.Select([](const Reservation&) { return true; }),
-                ResultCode::kLeaving);
+  // What was accepted but not started would start here only after others were
+  // told that nothing new does.
+  GiveBack(ResultCode::kLeaving);
   for (const auto& [id, offer] : offered_) {
     const Member* entry = members_.Find(id.second.instance);
     if (entry != nullptr && entry->inbound.has_value()) {
@@ -403,13 +425,6 @@
     }
   }
   offered_.clear();
-  // Accepted but not started yet: it did not run, and would start here only
-  // after others were told that nothing new does.
-  while (!ready_.empty()) {
-    const RequestKey key = ready_.begin()->second;
-    ready_.erase(ready_.begin());
-    server_.Finish(key, ResultCode::kLeaving);
-  }
 }
 
 bool GateController::Idle() const {
--- a/lavenderkeel/gate/gate_controller.h
+++ b/lavenderkeel/gate/gate_controller.h
@@ -1,6 +1,8 @@
 #ifndef LAVENDERKEEL_GATE_GATE_CONTROLLER_H_
 #define LAVENDERKEEL_GATE_GATE_CONTROLLER_H_
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <optional>
 #include <string>
@@ -68,6 +70,8 @@
 
   void FillLoad(Heartbeat& heartbeat) const;
   const RunTable& runs() const { return runs_; }
+  /// The server accepts no connections any more; the load says so.
+  sigc::signal<void()>& signal_unreachable() { return signal_unreachable_; }
 
  private:
   struct Offered {
@@ -85,6 +89,10 @@
   bool TierOpen(uint32_t tier) const;
   uint32_t InFlightOfTier(uint32_t tier) const;
   uint32_t committed() const;
+  /// Of running, accepted and offered ones together.
+  uint32_t PlacesAtServer() const;
+  /// Sends back what waits and what was accepted but not started.
+  void GiveBack(ResultCode code);
   void StartReady();
   void ExpireOffers(TimePoint now);
   void RejectWaiting(const std::vector<ReservationId>& ids, ResultCode code);
@@ -105,6 +113,7 @@
   uint64_t last_ready_ = 0;
   AgentPolicy policy_;
   bool leaving_ = false;
+  sigc::signal<void()> signal_unreachable_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -18,7 +18,8 @@
                              Outbox& outbox,
                              RunTable& runs,
                              AnswerFeed& feed,
-                             std::function<void()> on_slot_free)
+                             std::function<void()> on_slot_free,
+                             std::function<void()> on_unreachable)
     : options_(options),
       clock_(clock),
       self_(self),
@@ -28,7 +29,9 @@
       runs_(runs),
       feed_(feed),
       on_slot_free_(std::move(on_slot_free)),
-      limit_(options.in_flight) {}
+      on_unreachable_(std::move(on_unreachable)),
+      limit_(options.in_flight),
+      reachability_(options.reachability) {}
 
 void RunController::Start(const RequestKey& key, Run& run) {
   const TimePoint now = clock_.Now();
@@ -72,6 +75,7 @@
   if (run == nullptr || run->state != Run::State::kRunning) {
     return;
   }
+  reachability_.OnAnswered();
   const RequestKey key = *runs_.KeyOf(id);
   const TimePoint now = clock_.Now();
   if (index < run->next_index) {
@@ -109,6 +113,7 @@
   if (run == nullptr || run->state != Run::State::kRunning) {
     return;
   }
+  reachability_.OnAnswered();
   // Failure: an engine falls silent and then sends its finish, without pieces
   // in between. Symptom: a part is passed on as the whole answer. The engine's
   // own count says what is missing, and the rest is read from there.
@@ -135,6 +140,7 @@
   if (run == nullptr || run->state != Run::State::kRunning) {
     return;
   }
+  reachability_.OnAnswered();
   const RequestKey key = *runs_.KeyOf(id);
   if (body.size() > options_.max_answer_bytes) {
     Finish(key, ResultCode::kAnswerTooLarge);
@@ -146,7 +152,21 @@
   Finish(key, ResultCode::kAnswered);
 }
 
+void RunController::NoteReachability(ServerEnd end) {
+  if (end != ServerEnd::kUnreachable) {
+    return;
+  }
+  const bool first = !reachability_.refuses();
+  reachability_.OnRefused(clock_.Now());
+  if (first) {
+    log_.Warn("server_unreachable",
+              {{"instance", self_.id.instance}, {"running", running_.size()}});
+    on_unreachable_();
+  }
+}
+
 void RunController::OnServerEnd(RunId id, ServerEnd end) {
+  NoteReachability(end);
   Run* run = runs_.FindByRun(id);
   if (run == nullptr || run->state != Run::State::kRunning) {
     return;
@@ -307,7 +327,7 @@
 
 void RunController::FillLoad(Heartbeat& heartbeat) const {
   heartbeat.running = static_cast<uint32_t>(running_.size());
-  heartbeat.slots = limit_.limit();
+  heartbeat.slots = limit();
   heartbeat.prefill_us = static_cast<float>(speed_.prefill_us());
   heartbeat.decode_us = static_cast<float>(speed_.decode_us());
   heartbeat.run_us = static_cast<float>(speed_.run_us());
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -10,6 +10,7 @@
 #include "lavenderkeel/base.h"
 #include "lavenderkeel/gate/answer_feed.h"
 #include "lavenderkeel/gate/run_table.h"
+#include "lavenderkeel/gate/server_reachability.h"
 #include "lavenderkeel/membership/instance_info.h"
 
 namespace lavenderkeel {
@@ -30,6 +31,7 @@
  public:
   struct Options {
     InFlightLimit::Options in_flight;
+    ServerReachability::Options reachability;
     /// Without an event for so long an engine's stream is read anew.
     Duration stream_silence = std::chrono::seconds(5);
     uint32_t max_resumes = 20;
@@ -40,6 +42,7 @@
   };
 
   /// @param on_slot_free called whenever a run ended
+  /// @param on_unreachable the server accepts no connections any more
   RunController(Options options,
                 const Clock& clock,
                 const InstanceInfo& self,
@@ -48,7 +51,8 @@
                 Outbox& outbox,
                 RunTable& runs,
                 AnswerFeed& feed,
-                std::function<void()> on_slot_free);
+                std::function<void()> on_slot_free,
+                std::function<void()> on_unreachable);
 
   void Start(const RequestKey& key, Run& run);
   void Cancel(Run& run);
@@ -69,7 +73,12 @@
   /// The server confirmed that a cancelled run is over, or can't be asked.
   void OnServerCancelled(RunId run);
 
-  uint32_t limit() const { return limit_.limit(); }
+  /// Runs that the server may have now.
+  uint32_t limit() const {
+    return reachability_.Allowed(limit_.limit(), clock_.Now());
+  }
+  /// The server accepted no connection when it was tried last.
+  bool unreachable() const { return reachability_.refuses(); }
   const std::set<RunId>& running() const { return running_; }
   bool cancelling() const { return !cancelling_.empty(); }
   /// Slots in use, also by runs that are being cancelled.
@@ -82,6 +91,7 @@
   /// service it can't be told: nothing is read again there.
   bool HasEnded(const Run& run, ServerEnd end) const;
   void ResumeSilent(TimePoint now);
+  void NoteReachability(ServerEnd end);
   const Run* CheapestVictim(uint32_t tier) const;
 
   Options options_;
@@ -93,7 +103,9 @@
   RunTable& runs_;
   AnswerFeed& feed_;
   std::function<void()> on_slot_free_;
+  std::function<void()> on_unreachable_;
   InFlightLimit limit_;
+  ServerReachability reachability_;
   SpeedModel speed_;
   std::set<RunId> running_;
   std::set<RunId> cancelling_;
--- a/lavenderkeel/routing/router.cc
+++ b/lavenderkeel/routing/router.cc
@@ -30,13 +30,22 @@
                                       size_t count) const {
   std::vector<const Member*> usable = Usable(request);
   std::ranges::shuffle(usable, random_);
-  std::vector<Candidate> candidates;
-  candidates.reserve(usable.size());
+  // An agent without a slot comes last: its server accepts no connections.
+  std::vector<std::pair<bool, Candidate>> ranked;
+  ranked.reserve(usable.size());
   for (const Member* agent : usable) {
-    candidates.push_back(
-        {.agent = agent->info.id, .first_token = estimate_(*agent, request)});
+    ranked.emplace_back(agent->load.slots == 0,
+                        Candidate{.agent = agent->info.id,
+                                  .first_token = estimate_(*agent, request)});
+  }
+  std::ranges::stable_sort(ranked, {}, [](const auto& item) {
+    return std::pair(item.first, item.second.first_token);
+  });
+  std::vector<Candidate> candidates;
+  candidates.reserve(ranked.size());
+  for (auto& [without_slot, candidate] : ranked) {
+    candidates.push_back(std::move(candidate));
   }
-  std::ranges::stable_sort(candidates, {}, &Candidate::first_token);
   if (candidates.size() > count) {
     candidates.resize(count);
   }
--- a/test/dispatch/crashing_lookup_test.cc
+++ b/test/dispatch/crashing_lookup_test.cc
@@ -22,7 +22,7 @@
 
 struct Traffic {
   Duration length = seconds(20);
-  /// Between two lookups that end their engine.
+  /// Between two lookups that end their engine; zero: none come.
   Duration deadly_every = milliseconds(250);
   Duration harmless_every = milliseconds(80);
   /// The deadly ones are work that may run once only.
@@ -56,7 +56,8 @@
   size_t next = 0;
   for (Duration now{}; now < traffic.length; now += kStep) {
     traffic.during(now);
-    if (now % traffic.deadly_every == Duration::zero()) {
+    if (traffic.deadly_every > Duration::zero() &&
+        now % traffic.deadly_every == Duration::zero()) {
       world.Submit(NextEntry(world, next), world.NewKey(), kDeadly,
                    /*repeatable=*/!traffic.once, kTokens);
     }
@@ -156,7 +157,7 @@
   World world({.entries = 3, .agents = 8, .seed = 5});
   size_t asked = 0;
   size_t next = 0;
-  Play(world, {.deadly_every = seconds(1000), .during = [&](Duration now) {
+  Play(world, {.deadly_every = Duration::zero(), .during = [&](Duration now) {
                  if (now % milliseconds(60) == Duration::zero()) {
                    world.Submit(NextEntry(world, next), world.NewKey(), "same",
                                 /*repeatable=*/true, 5);
@@ -173,4 +174,33 @@
   CheckHeld(world);
 }
 
+// Guards against: agents whose engine is gone, which have all slots free and
+// draw the requests of the others.
+BOOST_AUTO_TEST_CASE(LookupsAreServedBesideEnginesThatAreGone) {
+  World world({.entries = 2, .agents = 6, .seed = 5});
+  for (const size_t agent : {0U, 1U, 2U}) {
+    world.CrashEngine(agent, std::chrono::hours(1));
+  }
+  const Tally tally = Play(world, {.deadly_every = Duration::zero()});
+  BOOST_TEST(tally.answered == tally.harmless);
+  CheckHeld(world);
+}
+
+// Guards against: an agent that is not used any more once its engine is back.
+BOOST_AUTO_TEST_CASE(EngineThatIsBackIsUsedAgain) {
+  World world({.entries = 1, .agents = 1, .seed = 5});
+  world.CrashEngine(0, seconds(10));
+  world.Submit(0, world.NewKey(), "lost", /*repeatable=*/true, 5);
+  world.RunFor(seconds(13));
+  const size_t before = world.oracle().Count(ResultCode::kAnswered);
+  for (int i = 0; i < 10; ++i) {
+    world.Submit(0, world.NewKey(), "r" + std::to_string(i) + "x",
+                 /*repeatable=*/true, 5);
+    world.RunFor(milliseconds(300));
+  }
+  world.RunUntil([&] { return world.oracle().open() == 0; }, seconds(10));
+  BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == before + 10);
+  CheckHeld(world);
+}
+
 }  // namespace lavenderkeel
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -1,7 +1,9 @@
 // A stand-in for a model engine or a plain service. Besides INTERFACES it takes
-// POST /fault/speed?factor=F, /fault/silence and /fault/up, and GET /starts.
+// POST /fault/speed?factor=F, /fault/silence and /fault/up, and GET /starts. A
+// prompt that begins with "deadly" ends the process.
 // Arguments: engine|service LISTEN READY_FILE [STEP_MS [checks|ignores]].
 #include <boost/json.hpp>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 
@@ -32,7 +34,11 @@
               {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
                .on_drained = [](CallerId) {},
                .on_gone = [this](CallerId caller) { readers_.erase(caller); },
-               .on_too_large = [](CallerId) {}}) {}
+               .on_too_large = [](CallerId) {}}) {
+    core_.on_start = [this](const std::string& prompt) {
+      ends_ = ends_ || prompt.starts_with("deadly");
+    };
+  }
 
   int Run(const std::string& listen, const std::string& ready_file) {
     return lavenderkeel::fakes::RunStandIn(loop_, http_, listen, ready_file,
@@ -129,6 +135,9 @@
   }
 
   void Feed() {
+    if (ends_) {
+      std::_Exit(EXIT_FAILURE);
+    }
     core_.Advance(clock_.Now());
     if (silent_) {
       return;
@@ -168,6 +177,7 @@
   HttpServer http_;
   std::map<CallerId, Reader> readers_;
   bool silent_ = false;
+  bool ends_ = false;
   uint64_t calls_ = 0;
   uint64_t direct_ = 0;
 };
--- a/test/process/load_test.cc
+++ b/test/process/load_test.cc
@@ -68,4 +68,37 @@
   }
 }
 
+// Guards against: engines lost one after the other to a lookup that comes
+// again, and the lookups beside it with them.
+BOOST_AUTO_TEST_CASE(DeadlyLookupsLeaveEnginesForTheOthers) {
+  constexpr size_t kEngines = 8;
+  constexpr size_t kRounds = 60;
+  constexpr int kTokens = 5;
+  Cluster cluster({.entries = 2, .agents = kEngines, .step_ms = 4});
+  Exchanges deadly;
+  Exchanges harmless;
+  for (size_t round = 0; round < kRounds; ++round) {
+    deadly.push_back(cluster.Ask(round % 2, "", "lookup", kTokens,
+                                 /*stream=*/false, "deadly letter"));
+    for (const size_t entry : {0U, 1U}) {
+      harmless.push_back(cluster.Ask(entry, "", "lookup", kTokens,
+                                     /*stream=*/false,
+                                     "Letter " + std::to_string(round)));
+    }
+    BOOST_TEST(cluster.Wait(
+        [&] { return harmless.back()->done && deadly.back()->done; }));
+  }
+  BOOST_TEST(cluster.Wait([&] { return CountDone(harmless) == 2 * kRounds; }));
+  size_t running = 0;
+  for (size_t i = 0; i < kEngines; ++i) {
+    running += cluster.Running("engine-" + std::to_string(i)) ? 1 : 0;
+  }
+  // Three may be lost, and three more to retries.
+  BOOST_TEST(running >= kEngines - 6);
+  const auto answered = std::ranges::count_if(harmless, [](const auto& lookup) {
+    return lookup->result.status == 200;
+  });
+  BOOST_TEST(static_cast<size_t>(answered) == 2 * kRounds);
+}
+
 }  // namespace lavenderkeel::test
