A key that waited is looked up if an entry was silent meanwhile, not only now

What a caller saw: 'not run' (no_server) for a check that had run.

Cause: two entries are cut from each other; one claims a key and waits for a server, the other takes it over by a holder that both reach, and runs it. An owner asks the holders before it says 'not run' while an entry is silent. By the time it gave up, the other had left and its successor had connected, so nobody was silent any more, and it did not ask.

Evidence: the log of the sequence, now with time and process before each line (FUZZ_LOG): entry-2 runs the key at 3616.57 s, entry-2's successor connects at 3624.35, entry-0 says no_server at 3626.10.

The entry notes when one was last silent; if that was since the request came, the holders are asked. Cost: a lookup for each such key of the line after a cut, to the two holders.

--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -64,6 +64,8 @@
   std::function<void(EntryRequest&, ResultCode)> conclude;
   /// An entry that may live is silent.
   std::function<bool()> any_entry_silent;
+  /// When an entry that may live was last silent, as of the last tick.
+  TimePoint entry_silent_at = TimePoint::min();
   /// An agent that serves was met since the start.
   bool seen_server = false;
   bool leaving = false;
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -178,6 +178,9 @@
   registration_.Tick();
   claims_.Tick();
   ranking_.ForgetLostBefore(clock_.WallNow() - options_.claims.retention);
+  if (ranking_.AnySilent()) {
+    context_.entry_silent_at = clock_.Now();
+  }
   claimer_.Tick();
   key_register_.Tick();
   spread_.Tick();
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -125,7 +125,9 @@
 bool RequestController::MustAskHolders(const EntryRequest& request,
                                        ResultCode code) const {
   return EntryContext::SaysNotRun(code) && request.waited &&
-         request.has_callers_key() && context_.any_entry_silent();
+         request.has_callers_key() &&
+         (context_.entry_silent_at >= request.arrived ||
+          context_.any_entry_silent());
 }
 
 void RequestController::AskHolders(EntryRequest& request, ResultCode code) {
@@ -151,8 +153,9 @@
 void RequestController::Conclude(EntryRequest& request, ResultCode code) {
   // Failure: an entry that is cut from us alone takes us for lost, finds our
   // claim at a holder that both reach, takes the key over while it waits here
-  // and runs it. Symptom: "not run" for what ran. While an entry is silent the
-  // holders are asked first; they are the same that it had to ask.
+  // and runs it. Symptom: "not run" for what ran. If an entry was silent while
+  // the request was here, the holders are asked first; they are the same that
+  // it had to ask. That its successor is there by now changes nothing.
   if (MustAskHolders(request, code)) {
     AskHolders(request, code);
   } else {
--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -179,12 +179,11 @@
   }
 
   /// With FUZZ_LOG set, what the components log goes to standard error.
-  static EventLog Log() {
+  static std::function<void(const std::string&)> Log() {
     if (std::getenv("FUZZ_LOG") == nullptr) {
-      return {};
+      return nullptr;
     }
-    return EventLog(
-        [](LogLevel, const std::string& line) { std::cerr << line << "\n"; });
+    return [](const std::string& line) { std::cerr << line << "\n"; };
   }
 
   template <typename Use>
--- a/test/fuzz/former_finds_test.cc
+++ b/test/fuzz/former_finds_test.cc
@@ -215,4 +215,14 @@
   }
 }
 
+// Guards against: "not run" for a key that ran at an entry which was cut off
+// from its owner and has been replaced by the time the owner gives it up.
+BOOST_AUTO_TEST_CASE(ReplacedEntryMayHaveRunAWaitingKey) {
+  Repeat({"'no_server' for what ran at an entry that has left since", 482998,
+          "lose(0,0,1104), partition(12,0,1409), partition(0,74,3224), "
+          "lose(0,0,48), slow(0,3,137), partition(0,133,0), "
+          "submit-everywhere(0,2,0), retry(0,0,1000), "
+          "submit-everywhere(0,2,1763), leave(27,0,1562), kill(4,0,3272)"});
+}
+
 }  // namespace lavenderkeel::fuzz
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -48,6 +48,7 @@
   InstanceInfo info;
   std::unique_ptr<VirtualClock> clock;
   Metrics metrics;
+  EventLog log;
   std::unique_ptr<EntryNode> entry;
   std::unique_ptr<AgentNode> agent;
   bool alive = false;
@@ -271,6 +272,17 @@
   process.version = version;
 }
 
+EventLog World::LogOf(size_t index) {
+  if (!options_.log) {
+    return {};
+  }
+  return EventLog([this, index](LogLevel, const std::string& line) {
+    const Duration now = clock_.Now().time_since_epoch();
+    options_.log(std::to_string(ToMilliseconds(now)) + " " +
+                 processes_[index]->info.id.ToString() + " " + line);
+  });
+}
+
 void World::Restart(size_t index) {
   Process& process = *processes_[index];
   process.info.id.incarnation = ++last_incarnation_;
@@ -280,6 +292,7 @@
   const Duration skew = std::chrono::milliseconds(
       static_cast<int64_t>(random_() % (2 * kMostSkewMs)) - kMostSkewMs);
   process.clock = std::make_unique<VirtualClock>(&clock_, skew);
+  process.log = LogOf(index);
   process.entry.reset();
   process.agent.reset();
   process.streams.clear();
@@ -290,12 +303,12 @@
   if (process.info.role == Role::kEntry) {
     process.entry = std::make_unique<EntryNode>(options_.entry, process.info,
                                                 *process.clock, random_(),
-                                                options_.log, process.metrics);
+                                                process.log, process.metrics);
     process.entry->Start(process.info.address);
   } else {
     process.agent = std::make_unique<AgentNode>(options_.agent, process.info,
                                                 *process.clock, random_(),
-                                                options_.log, process.metrics);
+                                                process.log, process.metrics);
     process.agent->Start(process.info.address);
   }
   Settle(index);
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -31,7 +31,9 @@
     /// Waited by callers with a deadline.
     EntryNode::Options entry;
     AgentNode::Options agent;
-    EventLog log;
+    /// Gets each line that a process logs, with the time and its name before
+    /// it.
+    std::function<void(const std::string& line)> log;
   };
 
   explicit World(Options options);
@@ -105,6 +107,7 @@
   void Carry(size_t process, const PlatformCall& call, TimePoint watch_until);
   void CarryServer(size_t process, const Action& action);
   void CloseLinkFrom(size_t process, LinkId link);
+  EventLog LogOf(size_t process);
   /// What the process would say of itself now.
   InstanceInfo Greeting(size_t index) const;
   void LinkUp(size_t from, size_t to, const std::string& address);
