--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -1,6 +1,8 @@
 // Named failures, stepped through the daemons' own components under a virtual
 // clock; some are shrunk from the fuzzer's finds.
 #include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
 
 #include "test/fuzz/world.h"
 
@@ -20,6 +22,36 @@
                         std::chrono::seconds(60));
 }
 
+/// Keys of callers' own, for work that may run once only.
+struct NewKeys {
+  size_t count = 0;
+  /// The entries that get them, in turn.
+  std::vector<size_t> entries;
+  uint32_t tokens = 3;
+  std::optional<int64_t> deadline_ms;
+  /// How long the system runs after each.
+  Duration gap = Duration::zero();
+};
+
+void Submit(World& world, const NewKeys& keys) {
+  for (size_t i = 0; i < keys.count; ++i) {
+    world.Submit(keys.entries[i % keys.entries.size()], world.NewKey(),
+                 "r" + std::to_string(i) + "x", /*repeatable=*/false,
+                 keys.tokens, keys.deadline_ms);
+    world.RunFor(keys.gap);
+  }
+}
+
+/// Stops an entry in order and starts it again a little later.
+void StopAndStart(World& world, size_t entry) {
+  world.RunFor(std::chrono::seconds(5));
+  world.Leave(entry);
+  BOOST_REQUIRE(world.RunUntil([&] { return !world.alive(entry); },
+                               std::chrono::seconds(10)));
+  world.RunFor(std::chrono::seconds(3));
+  world.Restart(entry);
+}
+
 }  // namespace
 
 // Lookups fill every slot; then checks with a deadline come that no free slot
@@ -136,26 +168,6 @@
   CheckHeld(world);
 }
 
-namespace {
-
-/// New keys of callers' own, in turn at the entries that live.
-/// @return how many were answered
-size_t AnsweredOfNewKeys(World& world, size_t count, const std::string& name) {
-  const size_t before = world.oracle().Count(ResultCode::kAnswered);
-  size_t at = 0;
-  for (size_t i = 0; i < count; ++i) {
-    do {
-      at = (at + 1) % world.entries();
-    } while (!world.alive(at));
-    world.Submit(at, world.NewKey(), name + std::to_string(i) + "x", false, 3);
-    world.RunFor(std::chrono::milliseconds(20));
-  }
-  BOOST_TEST(AllTold(world));
-  return world.oracle().Count(ResultCode::kAnswered) - before;
-}
-
-}  // namespace
-
 // One of three entries is killed and never comes back. Callers send new keys
 // of their own to the other two. Two keys in three have the dead entry among
 // their holders; it can't be told from one that is cut off, and for as long as
@@ -166,7 +178,11 @@
   world.RunFor(std::chrono::seconds(5));
   world.Kill(1, /*silently=*/true);
   world.RunFor(std::chrono::seconds(5));
-  BOOST_TEST(AnsweredOfNewKeys(world, 80, "r") == 80U);
+  Submit(
+      world,
+      {.count = 80, .entries = {2, 0}, .gap = std::chrono::milliseconds(20)});
+  BOOST_TEST(AllTold(world));
+  BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == 80U);
   CheckHeld(world);
 }
 
@@ -228,10 +244,8 @@
   world.Kill(1, /*silently=*/true);
   world.RunFor(std::chrono::seconds(5));
   world.engine(0).set_speed(0.05);
-  for (int i = 0; i < 40; ++i) {
-    world.Submit(i % 2 == 0 ? 0 : 2, world.NewKey(),
-                 "r" + std::to_string(i) + "x", false, 10, 2000);
-  }
+  Submit(world,
+         {.count = 40, .entries = {0, 2}, .tokens = 10, .deadline_ms = 2000});
   BOOST_TEST(AllTold(world));
   BOOST_TEST(world.oracle().Count(ResultCode::kDeadlinePassed) > 10U);
   BOOST_TEST(world.oracle().Count(ResultCode::kCannotVouch) == 0U);
@@ -247,10 +261,7 @@
   world.Kill(1, /*silently=*/true);
   world.RunFor(std::chrono::seconds(5));
   constexpr size_t kKeys = 30;
-  for (size_t i = 0; i < kKeys; ++i) {
-    world.Submit(i % 2 == 0 ? 0 : 2, world.NewKey(),
-                 "r" + std::to_string(i) + "x", false, 3);
-  }
+  Submit(world, {.count = kKeys, .entries = {0, 2}});
   world.RunFor(std::chrono::seconds(2));
   BOOST_TEST(world.oracle().open() == 0U);
   const size_t answered = world.oracle().Count(ResultCode::kAnswered);
@@ -266,18 +277,11 @@
 // second later, all at the same moment, so that every caller hears "unknown".
 BOOST_AUTO_TEST_CASE(RestartOfAnEntryCostsNoKeys) {
   World world({.entries = 3, .agents = 3, .seed = 2});
-  world.RunFor(std::chrono::seconds(5));
-  world.Leave(1);
-  BOOST_REQUIRE(world.RunUntil([&] { return !world.alive(1); },
-                               std::chrono::seconds(10)));
-  world.RunFor(std::chrono::seconds(3));
-  world.Restart(1);
+  StopAndStart(world, 1);
   constexpr size_t kKeys = 200;
-  for (size_t i = 0; i < kKeys; ++i) {
-    world.Submit(i % 2 == 0 ? 0 : 2, world.NewKey(),
-                 "r" + std::to_string(i) + "x", false, 3);
-    world.RunFor(std::chrono::milliseconds(25));
-  }
+  Submit(world, {.count = kKeys,
+                 .entries = {0, 2},
+                 .gap = std::chrono::milliseconds(25)});
   BOOST_TEST(AllTold(world));
   BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == kKeys);
   CheckHeld(world);
@@ -289,20 +293,14 @@
 // meet them, where they heard "unknown" (cannot_vouch) or no_server.
 BOOST_AUTO_TEST_CASE(FirstRequestsOfAnEntryWaitUntilItHasMetTheOthers) {
   World world({.entries = 2, .agents = 2, .seed = 2});
-  world.RunFor(std::chrono::seconds(5));
-  world.Leave(1);
-  BOOST_REQUIRE(world.RunUntil([&] { return !world.alive(1); },
-                               std::chrono::seconds(10)));
-  world.RunFor(std::chrono::seconds(3));
-  world.Restart(1);
+  StopAndStart(world, 1);
   BOOST_REQUIRE(
       world.RunUntil([&] { return world.entry(1)->config().version() > 0; },
                      std::chrono::seconds(10)));
   constexpr size_t kKeys = 40;
-  for (size_t i = 0; i < kKeys; ++i) {
-    world.Submit(1, world.NewKey(), "r" + std::to_string(i) + "x", false, 3);
-    world.RunFor(std::chrono::milliseconds(25));
-  }
+  Submit(
+      world,
+      {.count = kKeys, .entries = {1}, .gap = std::chrono::milliseconds(25)});
   BOOST_TEST(AllTold(world));
   BOOST_TEST(world.oracle().Count(ResultCode::kAnswered) == kKeys);
   CheckHeld(world);
--- a/test/fuzz/fuzz_test.cc
+++ b/test/fuzz/fuzz_test.cc
@@ -11,9 +11,23 @@
 
 namespace {
 
-rc::Gen<Step> AnyStep() {
+/// Steps of these kinds and waits, with any arguments.
+rc::Gen<Step> StepOf(const rc::Gen<uint8_t>& kind,
+                     const rc::Gen<uint16_t>& wait) {
   // At full size throughout: short sequences need all kinds of steps too.
   constexpr int kFullSize = 100;
+  return rc::gen::resize(
+      kFullSize,
+      rc::gen::map(
+          rc::gen::tuple(kind, rc::gen::inRange<uint8_t>(0, 30),
+                         rc::gen::inRange<uint8_t>(0, 200), wait),
+          [](const std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>& t) {
+            return Step{std::get<0>(t), std::get<1>(t), std::get<2>(t),
+                        std::get<3>(t)};
+          }));
+}
+
+rc::Gen<Step> AnyStep() {
   // What makes trouble together comes more often: requests, their retries and
   // processes that lose their state in between.
   const auto kind = rc::gen::weightedOneOf<uint8_t>(
@@ -26,21 +40,12 @@
       {{3, rc::gen::inRange<uint16_t>(0, 20)},
        {3, rc::gen::inRange<uint16_t>(0, 300)},
        {2, rc::gen::inRange<uint16_t>(0, 3000)}});
-  return rc::gen::resize(
-      kFullSize,
-      rc::gen::map(
-          rc::gen::tuple(kind, rc::gen::inRange<uint8_t>(0, 30),
-                         rc::gen::inRange<uint8_t>(0, 200), wait),
-          [](const std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>& t) {
-            return Step{std::get<0>(t), std::get<1>(t), std::get<2>(t),
-                        std::get<3>(t)};
-          }));
+  return StepOf(kind, wait);
 }
 
 /// Steps that bring retries of one key to both sides of a cut: long enough
 /// apart that each side takes the other for lost.
 rc::Gen<Step> AnyStepAroundCuts() {
-  constexpr int kFullSize = 100;
   const auto kind =
       rc::gen::weightedElement<uint8_t>({{2, Step::kSubmit},
                                          {3, Step::kSubmitEverywhere},
@@ -61,20 +66,13 @@
       {{2, rc::gen::inRange<uint16_t>(0, 20)},
        {2, rc::gen::inRange<uint16_t>(0, 300)},
        {3, rc::gen::inRange<uint16_t>(1000, 3500)}});
-  return rc::gen::resize(
-      kFullSize,
-      rc::gen::map(
-          rc::gen::tuple(kind, rc::gen::inRange<uint8_t>(0, 30),
-                         rc::gen::inRange<uint8_t>(0, 200), wait),
-          [](const std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>& t) {
-            Step step{std::get<0>(t), std::get<1>(t), std::get<2>(t),
-                      std::get<3>(t)};
-            // Only work that may not be repeated is claimed.
-            const bool submits = step.kind == Step::kSubmit ||
-                                 step.kind == Step::kSubmitEverywhere;
-            step.b += submits && step.b % 3 == 0 ? 2 : 0;
-            return step;
-          }));
+  return rc::gen::map(StepOf(kind, wait), [](Step step) {
+    // Only work that may not be repeated is claimed.
+    const bool submits =
+        step.kind == Step::kSubmit || step.kind == Step::kSubmitEverywhere;
+    step.b += submits && step.b % 3 == 0 ? 2 : 0;
+    return step;
+  });
 }
 
 /// Plays sequences of such steps until one breaks a promise.
--- a/test/io/http_server_test.cc
+++ b/test/io/http_server_test.cc
@@ -16,6 +16,10 @@
 
 namespace {
 
+constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+/// More than a socket takes at once.
+constexpr size_t kLargeBytes = size_t{8} << 20;
+
 /// A caller with one connection, which keeps what it got.
 class RawCaller {
  public:
@@ -103,6 +107,24 @@
     }
   }
 
+  /// Answers the caller's request with more than its socket takes, and does in
+  /// the same turn what the test asks for; then turns on until the exchange has
+  /// ended and for a few turns more.
+  /// @return whether it has ended
+  bool StreamThen(RawCaller& to, const std::function<void(CallerId)>& then) {
+    on_request = [this, &then](CallerId id) {
+      server_.Handle(ReplyHead{.caller = id, .status = 200});
+      server_.Handle(
+          ReplyData{.caller = id, .bytes = std::string(kLargeBytes, 'x')});
+      then(id);
+    };
+    to.Send(kGet);
+    const bool ended =
+        Turn([this] { return requests == 1 && server_.open() == 0; });
+    Turns(3);
+    return ended;
+  }
+
   HttpServer& server() { return server_; }
   EventLoop& loop() { return loop_; }
   const std::string& address() const { return address_; }
@@ -119,10 +141,6 @@
   std::string address_;
 };
 
-constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-/// More than a socket takes at once.
-constexpr size_t kLargeBytes = size_t{8} << 20;
-
 }  // namespace
 
 // A caller's stream is broken off while its last piece is still being written:
@@ -152,17 +170,10 @@
 BOOST_AUTO_TEST_CASE(AbortWhileTheCallerHangsUp) {
   ServerHarness harness;
   RawCaller caller(harness.loop(), harness.address());
-  harness.on_request = [&](CallerId id) {
-    harness.server().Handle(ReplyHead{.caller = id, .status = 200});
-    harness.server().Handle(
-        ReplyData{.caller = id, .bytes = std::string(kLargeBytes, 'x')});
+  BOOST_TEST(harness.StreamThen(caller, [&](CallerId id) {
     caller.HangUp();
     harness.server().Handle(ReplyAbort{.caller = id});
-  };
-  caller.Send(kGet);
-  BOOST_TEST(harness.Turn(
-      [&] { return harness.requests == 1 && harness.server().open() == 0; }));
-  harness.Turns(3);
+  }));
   BOOST_TEST(harness.gone == 0);
 }
 
@@ -172,17 +183,10 @@
 BOOST_AUTO_TEST_CASE(CallerLeavesBeforeTheLastPieceIsWritten) {
   ServerHarness harness;
   RawCaller caller(harness.loop(), harness.address());
-  harness.on_request = [&](CallerId id) {
-    harness.server().Handle(ReplyHead{.caller = id, .status = 200});
-    harness.server().Handle(
-        ReplyData{.caller = id, .bytes = std::string(kLargeBytes, 'x')});
+  BOOST_TEST(harness.StreamThen(caller, [&](CallerId id) {
     harness.server().Handle(ReplyEnd{.caller = id});
     caller.HangUp();
-  };
-  caller.Send(kGet);
-  BOOST_TEST(harness.Turn(
-      [&] { return harness.requests == 1 && harness.server().open() == 0; }));
-  harness.Turns(3);
+  }));
   BOOST_TEST(harness.gone == 0);
   BOOST_TEST(harness.drained == 0);
 }
@@ -193,16 +197,7 @@
 BOOST_AUTO_TEST_CASE(CallerLeavesInTheMiddleOfItsStream) {
   ServerHarness harness;
   RawCaller caller(harness.loop(), harness.address());
-  harness.on_request = [&](CallerId id) {
-    harness.server().Handle(ReplyHead{.caller = id, .status = 200});
-    harness.server().Handle(
-        ReplyData{.caller = id, .bytes = std::string(kLargeBytes, 'x')});
-    caller.HangUp();
-  };
-  caller.Send(kGet);
-  BOOST_TEST(harness.Turn(
-      [&] { return harness.requests == 1 && harness.server().open() == 0; }));
-  harness.Turns(3);
+  BOOST_TEST(harness.StreamThen(caller, [&](CallerId) { caller.HangUp(); }));
   BOOST_TEST(harness.gone == 1);
 }
 
