--- a/lavenderkeel/crash/crash_ledger.h
+++ b/lavenderkeel/crash/crash_ledger.h
@@ -9,21 +9,10 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/crash/crash_report.h"
+#include "lavenderkeel/crash/crash_standing.h"
 
 namespace lavenderkeel {
 
-/// How much speaks for a request ending the servers that run it.
-enum class CrashStanding {
-  /// Nothing.
-  kClear,
-  /// A server was lost under it, as under whatever else ran there.
-  kSuspect,
-  /// Two were, one after the other, or several at the same time.
-  kDoubtful,
-  /// Three were, each after the one before: it is taken for the cause.
-  kBlocked,
-};
-
 struct CrashAssessment {
   CrashStanding standing = CrashStanding::kClear;
   /// Servers lost under the request since a server last answered it.
--- a/lavenderkeel/dispatch/reservation_placer.cc
+++ b/lavenderkeel/dispatch/reservation_placer.cc
@@ -17,8 +17,9 @@
     return !named || request.reserved.contains(candidate.agent);
   });
   // What their agents say of their load may be older than that.
-  std::ranges::stable_partition(
-      candidates, [&request](const Candidate& candidate) {
+  std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&request](const Candidate& candidate) {
         return !request.without_server.contains(candidate.agent);
       });
   for (const Candidate& candidate : candidates) {
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
-#include "lavenderkeel/crash/crash_ledger.h"
+#include "lavenderkeel/crash/crash_standing.h"
 #include "lavenderkeel/crash/request_fingerprint.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/request_terms.h"
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -151,9 +151,9 @@
   return stalls ? Fit::kStalls : Fit::kGood;
 }
 
-double Placement::CostOf(const SlotAsk& ask,
-                         const Candidate& candidate,
-                         const SuspectRuns& suspects) const {
+double Placement::CostFor(const SlotAsk& ask,
+                          const Candidate& candidate,
+                          const SuspectRuns& suspects) const {
   double cost = candidate.cost * (1 + options_.full_cost * candidate.in_flight /
                                           candidate.places);
   // Where this request failed before comes last of all.
@@ -190,7 +190,7 @@
         !suspects.Admits(candidate.hash, ask.standing)) {
       continue;
     }
-    const double cost = CostOf(ask, candidate, suspects);
+    const double cost = CostFor(ask, candidate, suspects);
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -115,9 +115,9 @@
   int Places(const BackendServer& server, bool model_server) const;
   /// With the load, and with what the request and those there may do to each
   /// other.
-  double CostOf(const SlotAsk& ask,
-                const Candidate& candidate,
-                const SuspectRuns& suspects) const;
+  double CostFor(const SlotAsk& ask,
+                 const Candidate& candidate,
+                 const SuspectRuns& suspects) const;
   double CostOf(const BackendServer& server,
                 const std::string& start_key,
                 double pace,
--- a/lavenderkeel/forward/suspect_runs.h
+++ b/lavenderkeel/forward/suspect_runs.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <unordered_map>
 
-#include "lavenderkeel/crash/crash_ledger.h"
+#include "lavenderkeel/crash/crash_standing.h"
 
 namespace lavenderkeel {
 
--- a/test/crash/crash_ledger_test.cc
+++ b/test/crash/crash_ledger_test.cc
@@ -40,9 +40,8 @@
 /// Three losses in turn, a second apart.
 CrashLedger Blocked() {
   CrashLedger ledger;
-  for (int i = 0; i < 3; ++i) {
-    ledger.Learn(Lost(static_cast<uint64_t>(i + 1), seconds(i),
-                      seconds(i) + milliseconds(50)),
+  for (uint64_t i = 0; i < 3; ++i) {
+    ledger.Learn(Lost(i + 1, seconds(i), seconds(i) + milliseconds(50)),
                  kStart + seconds(i));
   }
   return ledger;
@@ -135,10 +134,10 @@
   }
   BOOST_TEST(ledger.size() == 10U);
   BOOST_CHECK(ledger.Assess(kRequest).standing == CrashStanding::kBlocked);
-  for (int i = 0; i < 100; ++i) {
-    ledger.Learn(Lost(static_cast<uint64_t>(5000 + i), seconds(20 + i),
-                      seconds(20 + i) + milliseconds(50)),
-                 kStart + seconds(21 + i));
+  for (uint64_t i = 0; i < 100; ++i) {
+    const Duration sent = seconds(20 + i);
+    ledger.Learn(Lost(5000 + i, sent, sent + milliseconds(50)),
+                 kStart + sent + seconds(1));
   }
   BOOST_TEST(ledger.Assess(kRequest).lost == 8U);
 }
--- a/test/fakes/server_farm.cc
+++ b/test/fakes/server_farm.cc
@@ -76,10 +76,11 @@
 }
 
 std::vector<ServerFarm::Run> ServerFarm::TakeRuns(size_t server) {
-  const auto others = std::ranges::stable_partition(
-      runs_, [server](const Run& run) { return run.server != server; });
-  std::vector<Run> taken(others.begin(), others.end());
-  runs_.erase(others.begin(), others.end());
+  const auto at_server = std::stable_partition(
+      runs_.begin(), runs_.end(),
+      [server](const Run& run) { return run.server != server; });
+  std::vector<Run> taken(at_server, runs_.end());
+  runs_.erase(at_server, runs_.end());
   return taken;
 }
 
--- a/test/fuzz/world.cc
+++ b/test/fuzz/world.cc
@@ -18,6 +18,10 @@
 constexpr Duration kDialTimeout = std::chrono::seconds(1);
 /// Events under way between all processes; far more than any load here needs.
 constexpr size_t kMostUnderWay = 50'000;
+/// From the start of a deadly prompt to the end of its engine, and from there
+/// to the engine's next start.
+constexpr Duration kCrashesAfter = std::chrono::milliseconds(60);
+constexpr Duration kDeadlyDown = std::chrono::seconds(3);
 constexpr char kTeamKey[] = "team-key";
 constexpr char kOperatorKey[] = "operator-key";
 
@@ -130,10 +134,8 @@
       oracle_.Violate(process.info.id.instance + " got work after leaving");
     }
     if (deadly_.contains(prompt.substr(0, prompt.find(' ')))) {
-      constexpr Duration kCrashesAfter = std::chrono::milliseconds(60);
-      constexpr Duration kDown = std::chrono::seconds(3);
       At(clock_.Now() + kCrashesAfter,
-         [this, agent] { CrashEngine(agent, kDown); });
+         [this, agent] { CrashEngine(agent, kDeadlyDown); });
     }
   };
 }
