--- a/cli/main.cc
+++ b/cli/main.cc
@@ -26,7 +26,7 @@
 namespace json = boost::json;
 using lavenderkeel::HttpResult;
 
-/// Exit statuses, as documented in INTERFACES.
+/// Exit statuses, as listed in the usage text.
 enum ExitStatus {
   kAccepted = 0,
   kBadUse = 2,
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -627,10 +627,10 @@
 
 void ForwardNode::SetWatchWait(size_t watchers) {
   // If each of hundreds of entries renews its watches every two seconds, each
-  // makes a call a second to the store that is paid for and returns nothing. A
-  // change or an outage that one entry sees reaches the others within a report,
-  // so together the entries need to renew no more often than a few would alone:
-  // a fifth of the calls of 26 entries are left.
+  // makes one call a second, which is billed and returns no change. A change or
+  // an outage that one entry sees reaches the others within a report, so
+  // together the entries need to renew no more often than a few would alone: a
+  // fifth of the calls of 26 entries are left.
   const double share = static_cast<double>(watchers) /
                        static_cast<double>(options_.entries_at_base_wait);
   const Duration wait = std::min(
--- a/lavenderkeel/forward/request_timing.h
+++ b/lavenderkeel/forward/request_timing.h
@@ -15,8 +15,7 @@
  public:
   struct Options {
     /// A client leaves if nothing arrives for the longest of three times, given
-    /// by this option and the next two. The values describe the clients of the
-    /// users.
+    /// by this option and the next two. The values describe how clients behave.
     Duration client_patience = std::chrono::seconds(2);
     double client_patience_per_target = 4;
     double client_patience_per_gap = 8;
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -1,7 +1,7 @@
-// Fake backend server of a deployment on the users' platform. Streams events
-// below /stream/ and answers all other requests with a single body. Appends the
-// id of each request that it runs to RUNS_FILE, which the tests compare with
-// the answers of clients.
+// Fake backend server behind a forwarding entry. Streams events below /stream/
+// and answers all other requests with a single body. Appends the id of each
+// request that it runs to RUNS_FILE, which the tests compare with the answers
+// of clients.
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -1,4 +1,4 @@
-// Fake model engine or plain service. Besides the interface in INTERFACES it
+// Fake model engine or plain service. Besides the interface of a real one it
 // accepts POST /fault/speed?factor=F, /fault/silence (stalls all streams) and
 // /fault/up, and GET /starts (number of requests started). A prompt that begins
 // with "deadly" terminates the process. Arguments: engine|service LISTEN
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -1,4 +1,4 @@
-// Fake of the platform's object API. Besides the interface in INTERFACES it
+// Fake of the platform's object API. Besides the interface of the real one it
 // accepts POST /fault/up, /fault/outage, /fault/lose (loses the answers of
 // writes) and /fault/slow?ms=N, and GET /calls (number of calls handled).
 #include <deque>
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -1,4 +1,4 @@
-// Fake of the users' object store: objects by kind, lists and watches over
+// Fake of the platform's object store: objects by kind, lists and watches over
 // HTTP. PUT /objects/KIND/NAME sets an object's spec. PUT
 // /objects/KIND/NAME/status sets its status, if the object still has the
 // revision in the request. DELETE /objects/KIND/NAME removes the object.
--- a/test/forward/fleet_test.cc
+++ b/test/forward/fleet_test.cc
@@ -187,7 +187,7 @@
 BOOST_AUTO_TEST_CASE(TeamRateHoldsOverLargeFleet) {
   constexpr double kRate = 200;
   constexpr double kBurst = 100;
-  // Tolerated by the users, for requests of a usual size.
+  // Tolerated excess over the rate, for requests of a usual size.
   constexpr double kOver = 0.1;
   constexpr double kSlack = 50;
   FleetSimulation::Options options = {
