Notices: what servers say about themselves is read and logged

The logs could not tell whether entries know a server's limit: nothing read the header. The adapter now decodes it, ServerNotices keeps it by incarnation of the server, and one server_notice line is written for each change (value, source, age), one server_notice_unreadable for a malformed, huge or repeated value. Nothing acts on it yet.

An answer without the notice ends it only if its request was sent after the notice was stated, since answers on different connections overtake each other.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -77,6 +77,7 @@
                                      SlotRouter& slot_router,
                                      CrashGuard& crashes,
                                      VersionSelector& version_selector,
+                                     ServerNotices& notices,
                                      const Clock& clock,
                                      const EventLog& log,
                                      Metrics& metrics)
@@ -88,6 +89,7 @@
       slot_router_(slot_router),
       crashes_(crashes),
       version_selector_(version_selector),
+      notices_(notices),
       clock_(clock),
       log_(log),
       metrics_(metrics),
@@ -573,6 +575,7 @@
   }
   if (head.status != kMisdirected) {
     crashes_.OnServerAnswered(HashBytes(request->server), request->sent_at);
+    notices_.OnAnswer(request->server, metadata.notices, request->sent_at);
   }
   request->rejected = rejected;
   request->answer_streams = streams;
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -29,6 +29,7 @@
 #include "lavenderkeel/forward/slot_scheduler.h"
 #include "lavenderkeel/forward/team_rates.h"
 #include "lavenderkeel/forward/upper_quantile_estimator.h"
+#include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
@@ -86,6 +87,7 @@
   /// @param crashes knows which requests crash their servers; kept by the
   ///     owner, who shares its evidence with other entries
   /// @param version_selector decides at which server versions requests may run
+  /// @param notices receives what servers say about themselves
   ForwardController(const Options& options,
                     ForwardCodec codec,
                     ForwardPort& port,
@@ -93,6 +95,7 @@
                     SlotRouter& slot_router,
                     CrashGuard& crashes,
                     VersionSelector& version_selector,
+                    ServerNotices& notices,
                     const Clock& clock,
                     const EventLog& log,
                     Metrics& metrics);
@@ -251,6 +254,7 @@
   SlotRouter& slot_router_;
   CrashGuard& crashes_;
   VersionSelector& version_selector_;
+  ServerNotices& notices_;
   const Clock& clock_;
   const EventLog& log_;
   Metrics& metrics_;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -34,6 +34,12 @@
   return options;
 }
 
+ServerNotices::Options WithSelf(ServerNotices::Options options,
+                                std::string self) {
+  options.self = std::move(self);
+  return options;
+}
+
 ObjectWatch::Options WithKind(ObjectWatch::Options options, std::string kind) {
   options.object_kind = std::move(kind);
   return options;
@@ -75,6 +81,7 @@
                  return heartbeat;
                }),
       self_name_(members_.self().id.ToString()),
+      notices_(WithSelf(options_.notices, self_name_), clock, log),
       slot_scheduler_(
           {.placement = options_.placement},
           directory_,
@@ -118,6 +125,7 @@
                   slot_router_,
                   crashes_,
                   version_selector_,
+                  notices_,
                   clock,
                   log,
                   metrics),
@@ -411,6 +419,9 @@
   UpdateStoreReads();
   directory_.Tick(clock_.Now());
   server_log_.Tick(clock_.Now());
+  notices_.Tick([this](const std::string& server) {
+    return directory_.Find(server) != nullptr;
+  });
   crashes_.Tick();
   StepRollouts();
   slot_router_.Tick();
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -50,6 +50,7 @@
     Placement::Options placement;
     SlotRouter::Options slots;
     ExposureBounds exposure;
+    ServerNotices::Options notices;
     MemberTable::Options members = {
         .dial = {.max = std::chrono::seconds(1)},
         // Until a lost entry is forgotten, its rate share and report count.
@@ -155,6 +156,7 @@
   std::string self_name_;
   ServerDirectory directory_;
   ServerLog server_log_;
+  ServerNotices notices_;
   SlotScheduler slot_scheduler_;
   SlotRouter slot_router_;
   CrashGuard crashes_;
--- a/lavenderkeel/forward/request_metadata.h
+++ b/lavenderkeel/forward/request_metadata.h
@@ -8,6 +8,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/notice/answer_notices.h"
 
 namespace lavenderkeel {
 
@@ -52,6 +53,8 @@
   bool sealed = false;
   /// The server states that it did not run the request and never will.
   bool not_run = false;
+  /// What the server says about itself.
+  AnswerNotices notices = {};
 
   friend bool operator==(const AnswerMetadata&,
                          const AnswerMetadata&) = default;
--- a/lavenderkeel/http/message_head.cc
+++ b/lavenderkeel/http/message_head.cc
@@ -79,6 +79,17 @@
   return found == fields.end() ? nullptr : &found->value;
 }
 
+std::vector<std::string_view> FieldValues(const HttpFields& fields,
+                                          std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const HttpField& field : fields) {
+    if (SameFieldName(field.name, name)) {
+      values.push_back(field.value);
+    }
+  }
+  return values;
+}
+
 bool FieldHasToken(const HttpFields& fields,
                    std::string_view name,
                    std::string_view token) {
--- a/lavenderkeel/http/message_head.h
+++ b/lavenderkeel/http/message_head.h
@@ -24,6 +24,10 @@
 /// Returns the value of the first field of that name, or null.
 const std::string* FindField(const HttpFields& fields, std::string_view name);
 
+/// Returns the values of all fields of that name, valid as long as the fields.
+std::vector<std::string_view> FieldValues(const HttpFields& fields,
+                                          std::string_view name);
+
 /// Returns true if the comma-separated list of a field's values has the token.
 bool FieldHasToken(const HttpFields& fields,
                    std::string_view name,
--- /dev/null
+++ b/lavenderkeel/notice/server_notices.cc
@@ -0,0 +1,98 @@
+#include "lavenderkeel/notice/server_notices.h"
+
+#include <utility>
+
+namespace lavenderkeel {
+
+ServerNotices::ServerNotices(Options options,
+                             const Clock& clock,
+                             const EventLog& log)
+    : options_(std::move(options)), clock_(clock), log_(log) {}
+
+void ServerNotices::OnAnswer(const std::string& server,
+                             const AnswerNotices& answer,
+                             TimePoint sent_at) {
+  for (const AnswerNotices::Stated& stated : answer.stated()) {
+    Set({.server = server,
+         .kind = stated.kind,
+         .value = stated.value,
+         .said_at = clock_.Now(),
+         .source = options_.self});
+  }
+  for (const AnswerNotices::Unreadable& unreadable : answer.unreadable()) {
+    LogUnreadable(server, unreadable);
+  }
+  for (const NoticeKind kind : kNoticeKinds) {
+    const ServerNotice* notice = Find(server, kind);
+    // Answers on different connections may overtake each other. Only an answer
+    // to a request that was sent after the notice is certain to be newer.
+    if (notice == nullptr || !RulesOf(kind).ends_when_absent ||
+        answer.Has(kind) || sent_at <= notice->said_at) {
+      continue;
+    }
+    Set({.server = server,
+         .kind = kind,
+         .value = notice->value,
+         .in_force = false,
+         .said_at = sent_at,
+         .source = options_.self});
+  }
+}
+
+void ServerNotices::Set(const ServerNotice& notice) {
+  const auto [found, added] = notices_.try_emplace(
+      {notice.server, notice.kind},
+      Record{.notice = notice, .last_listed = clock_.Now()});
+  const ServerNotice former = std::exchange(found->second.notice, notice);
+  if (!added && former.value == notice.value &&
+      former.in_force == notice.in_force) {
+    return;
+  }
+  log_.Info("server_notice",
+            {{"server", notice.server},
+             {"kind", RulesOf(notice.kind).name},
+             {"value", notice.value},
+             {"in_force", notice.in_force},
+             {"source", notice.source},
+             {"age_ms", ToMilliseconds(clock_.Now() - notice.said_at)}});
+}
+
+void ServerNotices::LogUnreadable(const std::string& server,
+                                  const AnswerNotices::Unreadable& unreadable) {
+  std::string& last = unreadable_[{server, unreadable.kind}];
+  if (std::exchange(last, unreadable.text) == unreadable.text) {
+    return;
+  }
+  log_.Warn("server_notice_unreadable",
+            {{"server", server},
+             {"kind", RulesOf(unreadable.kind).name},
+             {"text", unreadable.text}});
+}
+
+void ServerNotices::Tick(
+    const std::function<bool(const std::string& server)>& is_listed) {
+  const TimePoint now = clock_.Now();
+  for (auto& [key, record] : notices_) {
+    if (is_listed(key.first)) {
+      record.last_listed = now;
+    }
+  }
+  std::erase_if(notices_, [&](const auto& item) {
+    const Record& record = item.second;
+    const TimePoint kept_since =
+        record.notice.in_force ? record.last_listed : record.notice.said_at;
+    return now - kept_since > options_.forget_after;
+  });
+  std::erase_if(unreadable_,
+                [&](const auto& item) { return !is_listed(item.first.first); });
+}
+
+const ServerNotice* ServerNotices::Find(const std::string& server,
+                                        NoticeKind kind) const {
+  const auto found = notices_.find({server, kind});
+  return found != notices_.end() && found->second.notice.in_force
+             ? &found->second.notice
+             : nullptr;
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/notice/server_notices.h
@@ -0,0 +1,80 @@
+#ifndef LAVENDERKEEL_NOTICE_SERVER_NOTICES_H_
+#define LAVENDERKEEL_NOTICE_SERVER_NOTICES_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/notice/answer_notices.h"
+#include "lavenderkeel/notice/notice_kind.h"
+
+namespace lavenderkeel {
+
+/// Notice of one incarnation of a backend server.
+struct ServerNotice {
+  /// Start key of the server.
+  std::string server;
+  NoticeKind kind = NoticeKind::kRateLimit;
+  double value = 0;
+  /// False once the server has withdrawn the notice.
+  bool in_force = true;
+  /// When the server last stated or withdrew the notice, by the local clock.
+  TimePoint said_at;
+  /// The entry that received the answer.
+  std::string source;
+
+  friend bool operator==(const ServerNotice&, const ServerNotice&) = default;
+};
+
+/// Notices in force, by server and kind.
+class ServerNotices {
+ public:
+  struct Options {
+    /// Name of this entry.
+    std::string self;
+    /// A notice is kept for this long after its server was last listed, since a
+    /// server can be missing from the list during an outage of the store. A
+    /// withdrawn notice is kept as long, so that an older report of another
+    /// entry does not restore it.
+    Duration forget_after = std::chrono::minutes(1);
+  };
+
+  ServerNotices(Options options, const Clock& clock, const EventLog& log);
+
+  /// Applies the notices of an answer to a request that was sent at `sent_at`.
+  void OnAnswer(const std::string& server,
+                const AnswerNotices& answer,
+                TimePoint sent_at);
+  /// Forgets the notices of servers that are no longer listed.
+  void Tick(const std::function<bool(const std::string& server)>& is_listed);
+
+  /// Returns the notice if it is in force, otherwise null.
+  const ServerNotice* Find(const std::string& server, NoticeKind kind) const;
+  size_t size() const { return notices_.size(); }
+
+ private:
+  using Key = std::pair<std::string, NoticeKind>;
+  struct Record {
+    ServerNotice notice;
+    TimePoint last_listed;
+  };
+
+  void Set(const ServerNotice& notice);
+  void LogUnreadable(const std::string& server,
+                     const AnswerNotices::Unreadable& unreadable);
+
+  Options options_;
+  const Clock& clock_;
+  const EventLog& log_;
+  std::map<Key, Record> notices_;
+  /// Last unreadable text, so that a server that repeats it is logged once.
+  std::map<Key, std::string> unreadable_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_NOTICE_SERVER_NOTICES_H_
--- a/test/fakes/forward_simulation.cc
+++ b/test/fakes/forward_simulation.cc
@@ -84,6 +84,7 @@
                  }}),
       crashes({}, clock, log, metrics),
       rollouts({}, directory, clock, log),
+      notices({.self = "self"}, clock, log),
       controller(options.controller,
                  hybrid::MakeHeaderCodec(),
                  port,
@@ -91,6 +92,7 @@
                  slots,
                  crashes,
                  rollouts,
+                 notices,
                  clock,
                  log,
                  metrics) {
--- a/test/fakes/forward_simulation.h
+++ b/test/fakes/forward_simulation.h
@@ -104,6 +104,7 @@
   SlotRouter slots;
   CrashGuard crashes;
   VersionSelector rollouts;
+  ServerNotices notices;
   ForwardController controller;
 
  private:
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -84,4 +84,21 @@
        AnswerMetadata{.not_run = true}));
 }
 
+// Guards against a server's limit that no entry reads.
+BOOST_AUTO_TEST_CASE(ServerLimitIsDecoded) {
+  const ForwardCodec codec = hybrid::MakeHeaderCodec();
+  const AnswerMetadata metadata =
+      codec.read_answer({.status = 200, .fields = {{"server-limit", "2.6"}}});
+  BOOST_TEST_REQUIRE(metadata.notices.stated().size() == 1U);
+  BOOST_TEST(
+      (metadata.notices.stated().front() ==
+       AnswerNotices::Stated{.kind = NoticeKind::kRateLimit, .value = 2.6}));
+  BOOST_TEST(codec
+                 .read_answer(
+                     {.status = 200,
+                      .fields = {{"Server-Limit", "2"}, {"Server-Limit", "9"}}})
+                 .notices.stated()
+                 .empty());
+}
+
 }  // namespace lavenderkeel
