--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -39,11 +39,19 @@
   }
 }
 
+void SimulatedServers::SetLimit(int server, std::optional<double> per_second) {
+  Server& limited = servers_[ToIndex(server)];
+  limited.limit = per_second;
+  history_.OnLimit(limited.id, per_second, fleet_.Now());
+}
+
 void SimulatedServers::Start(size_t index) {
   Server& server = servers_[index];
   server.id =
       "s" + std::to_string(index) + "." + std::to_string(server.starts++);
   server.up = true;
+  server.limit.reset();
+  server.answer_fields.clear();
   fleet_.PutServer(server.id, /*draining=*/false, server.address);
 }
 
@@ -115,6 +123,15 @@
   head.fields.push_back(status == kMisdirected
                             ? HttpField{"Not-Executed", "1"}
                             : HttpField{"Response-Seal", "seal"});
+  if (status != kMisdirected) {
+    const Server& server = servers_[run.server];
+    if (server.limit.has_value()) {
+      head.fields.push_back({"Server-Limit", std::to_string(*server.limit)});
+    }
+    head.fields.insert(head.fields.end(), server.answer_fields.begin(),
+                       server.answer_fields.end());
+    history_.OnAnswer(server.id, {run.entry, run.incarnation}, fleet_.Now());
+  }
   fleet_.RunIn(run.entry, [&](ForwardNode& node) {
     node.controller().OnAnswerHead(run.attempt.attempt, head, /*fresh=*/true);
     node.controller().OnAnswerChunk(run.attempt.attempt, "answer");
@@ -145,6 +162,7 @@
     Answer(run, kMisdirected);
   } else {
     arrival_times_[run.body].push_back(fleet_.Now());
+    history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now());
     runs_.push_back(run);
   }
 }
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "test/fakes/fleet_simulation.h"
+#include "test/fakes/server_history.h"
 
 namespace lavenderkeel::fakes {
 
@@ -39,6 +40,13 @@
   }
   /// Makes requests with this body crash the server that runs them.
   void SetCrashing(const std::string& body) { crashing_bodies_.insert(body); }
+  /// Makes the server name a limit of requests a second in its answers;
+  /// nothing: no longer.
+  void SetLimit(int server, std::optional<double> per_second);
+  /// Makes the server add fields to its answers.
+  void SetAnswerFields(int server, const HttpFields& fields) {
+    servers_[ToIndex(server)].answer_fields = fields;
+  }
   /// Crashes a server independently of its requests.
   void Crash(int server);
   /// Resets all connections to a server, which keeps running.
@@ -47,6 +55,11 @@
   /// Returns the server that runs a request with this body, if any.
   std::optional<int> ServerOf(const std::string& body) const;
 
+  const ServerHistory& history() const { return history_; }
+  /// Id under which the server is listed.
+  const std::string& IdOf(int server) const {
+    return servers_[ToIndex(server)].id;
+  }
   int crashes() const { return crashes_; }
   bool IsRunning(int server) const { return servers_[ToIndex(server)].up; }
   /// Times at which requests with this body reached a server.
@@ -65,6 +78,8 @@
     int starts = 0;
     bool up = false;
     TimePoint restart_at;
+    std::optional<double> limit;
+    HttpFields answer_fields;
   };
   struct Run {
     int entry = 0;
@@ -103,6 +118,7 @@
   std::set<std::string> crashing_bodies_;
   std::map<std::string, std::vector<TimePoint>> arrival_times_;
   std::map<std::string, std::vector<TimePoint>> crash_times_;
+  ServerHistory history_;
   int crashes_ = 0;
 };
 
