--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -337,12 +337,14 @@
                                     const std::string& body) {
   Process& process = processes_[ToIndex(entry)];
   const ExchangeId exchange = ++last_exchange_;
+  const std::string id = "r" + std::to_string(exchange);
+  requested_at_[id] = clock_.Now();
   process.node->controller().OnRequest(
       exchange,
       {.method = "POST",
        .target = "/" + route + "/x",
        .fields = {{"Host", "h"},
-                  {"Request-Id", "r" + std::to_string(exchange)},
+                  {"Request-Id", id},
                   {"Authorization", "Bearer key"},
                   {"Deadline-Ms", "10000"}}},
       body);
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -46,6 +46,10 @@
   ExchangeId Request(int entry,
                      const std::string& route = "lookup",
                      const std::string& body = "");
+  /// When the client sent the request with this id.
+  TimePoint RequestedAt(const std::string& request_id) const {
+    return requested_at_.at(request_id);
+  }
   /// Number of requests that the entry refused because of their team's rate.
   int Refused(int entry) const;
   /// Ends the process without notice to its peers. Start() restarts it.
@@ -170,6 +174,8 @@
   std::set<std::pair<size_t, size_t>> partitions_;
   LinkId last_link_ = 0;
   ExchangeId last_exchange_ = 0;
+  /// By request id.
+  std::map<std::string, TimePoint> requested_at_;
 };
 
 }  // namespace lavenderkeel::fakes
--- a/test/fakes/server_history.cc
+++ b/test/fakes/server_history.cc
@@ -9,6 +9,7 @@
 constexpr Duration kWindow = std::chrono::seconds(4);
 constexpr Duration kTimeToComply = std::chrono::seconds(3);
 constexpr Duration kTimeToLearn = std::chrono::milliseconds(500);
+constexpr Duration kTimeToDrain = std::chrono::seconds(2);
 constexpr double kTolerance = 1.5;
 constexpr double kSlack = 5;
 
@@ -31,12 +32,38 @@
   if (LimitAt(history, now).has_value()) {
     history.told.try_emplace(entry, now);
   }
+  if (history.leaving) {
+    history.told_of_leaving.try_emplace(entry, now);
+  }
+}
+
+void ServerHistory::OnLeaving(const std::string& server) {
+  servers_[server].leaving = true;
+}
+
+void ServerHistory::OnPushback(const std::string& server,
+                               EntryProcess entry,
+                               TimePoint now,
+                               Duration retry_after) {
+  servers_[server].pushbacks.push_back(
+      {.entry = entry, .begin = now + kTimeToLearn, .end = now + retry_after});
 }
 
 void ServerHistory::OnArrival(const std::string& server,
                               EntryProcess entry,
-                              TimePoint now) {
+                              TimePoint now,
+                              TimePoint sent_by_client) {
   Server& history = servers_[server];
+  const auto told_of_leaving = history.told_of_leaving.find(entry);
+  if (told_of_leaving != history.told_of_leaving.end() &&
+      sent_by_client - told_of_leaving->second > kTimeToDrain) {
+    ++arrivals_after_leaving_;
+  }
+  for (Pushback& pushback : history.pushbacks) {
+    if (pushback.entry == entry && now > pushback.begin && now < pushback.end) {
+      ++pushback.arrivals;
+    }
+  }
   const auto told = history.told.find(entry);
   // Requests of entries that do not know the limit yet, or are excused, are
   // recorded as of no entry, and not counted.
@@ -110,6 +137,16 @@
   return most;
 }
 
+int ServerHistory::MaxArrivalsDuringPushback() const {
+  int most = 0;
+  for (const auto& [id, server] : servers_) {
+    for (const Pushback& pushback : server.pushbacks) {
+      most = std::max(most, pushback.arrivals);
+    }
+  }
+  return most;
+}
+
 int ServerHistory::CountArrivals(const std::string& server,
                                  TimePoint begin) const {
   const auto found = servers_.find(server);
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -12,6 +12,7 @@
 constexpr Duration kStep = std::chrono::milliseconds(10);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
@@ -45,6 +46,11 @@
   history_.OnLimit(limited.id, per_second, fleet_.Now());
 }
 
+void SimulatedServers::SetLeaving(int server) {
+  servers_[ToIndex(server)].leaving = true;
+  history_.OnLeaving(servers_[ToIndex(server)].id);
+}
+
 void SimulatedServers::Start(size_t index) {
   Server& server = servers_[index];
   server.id =
@@ -52,6 +58,8 @@
   server.up = true;
   server.limit.reset();
   server.answer_fields.clear();
+  server.leaving = false;
+  server.pushback.reset();
   fleet_.PutServer(server.id, /*draining=*/false, server.address);
 }
 
@@ -120,9 +128,8 @@
       .status = status,
       .fields = {{"Request-Id", run.attempt.Field("Request-Id")}},
       .framing = BodyFraming::kLength};
-  head.fields.push_back(status == kMisdirected
-                            ? HttpField{"Not-Executed", "1"}
-                            : HttpField{"Response-Seal", "seal"});
+  head.fields.push_back(status == kOk ? HttpField{"Response-Seal", "seal"}
+                                      : HttpField{"Not-Executed", "1"});
   if (status != kMisdirected) {
     const Server& server = servers_[run.server];
     if (server.limit.has_value()) {
@@ -130,6 +137,15 @@
     }
     head.fields.insert(head.fields.end(), server.answer_fields.begin(),
                        server.answer_fields.end());
+    if (server.leaving) {
+      head.fields.push_back({"Server-Leaving", "1"});
+    }
+    if (status == kUnavailable) {
+      head.fields.push_back(
+          {"Retry-After", std::to_string(ToSeconds(*server.pushback))});
+      history_.OnPushback(server.id, {run.entry, run.incarnation}, fleet_.Now(),
+                          *server.pushback);
+    }
     history_.OnAnswer(server.id, {run.entry, run.incarnation}, fleet_.Now());
   }
   fleet_.RunIn(run.entry, [&](ForwardNode& node) {
@@ -162,8 +178,13 @@
     Answer(run, kMisdirected);
   } else {
     arrival_times_[run.body].push_back(fleet_.Now());
-    history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now());
-    runs_.push_back(run);
+    history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now(),
+                       fleet_.RequestedAt(attempt.Field("Request-Id")));
+    if (server->pushback.has_value()) {
+      Answer(run, kUnavailable);
+    } else {
+      runs_.push_back(run);
+    }
   }
 }
 
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -43,6 +43,13 @@
   /// Makes the server name a limit of requests a second in its answers;
   /// nothing: no longer.
   void SetLimit(int server, std::optional<double> per_second);
+  /// Makes the server say in its answers that it leaves; it runs on.
+  void SetLeaving(int server);
+  /// Makes the server turn requests away and ask each sender for a rest;
+  /// nothing: no longer.
+  void SetPushback(int server, std::optional<Duration> retry_after) {
+    servers_[ToIndex(server)].pushback = retry_after;
+  }
   /// Makes the server add fields to its answers.
   void SetAnswerFields(int server, const HttpFields& fields) {
     servers_[ToIndex(server)].answer_fields = fields;
@@ -80,6 +87,8 @@
     TimePoint restart_at;
     std::optional<double> limit;
     HttpFields answer_fields;
+    bool leaving = false;
+    std::optional<Duration> pushback;
   };
   struct Run {
     int entry = 0;
