Leaving servers: a server that says in its answers that it leaves gets no further requests

Fix: leaving is a notice like the rate limit, shared by all entries at once; it blocks: Placement leaves the server out, an entry returns a slot of a scheduler that does not know yet, and a request is refused as no_server when all servers of its service are blocked. It ends with the incarnation of the server only: an answer without it may be older, and no request is sent that could bring a newer one.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -460,8 +460,9 @@
     return false;
   }
   const BackendServer* server = directory_.Find(grant.server);
-  if (server == nullptr || server->draining) {
-    // The list here is newer than that of the slot scheduler.
+  if (server == nullptr || server->draining ||
+      notices_.FindBlocking(grant.server) != nullptr) {
+    // More is known here than at the slot scheduler.
     EndAttempt(*request, {.kind = SlotResult::Kind::kReplaced});
     Enqueue(*request);
     return true;
@@ -885,7 +886,10 @@
     } else {
       RecordEndOfWait(request, /*got_slot=*/false);
       LogNotices(request);
-      const bool no_servers = directory_.Usable(request.service).empty();
+      const bool no_servers = std::ranges::all_of(
+          directory_.Usable(request.service), [this](const auto* server) {
+            return notices_.FindBlocking(server->start_key()) != nullptr;
+          });
       RefuseRequest(request, {.code = no_servers ? ResultCode::kNoServer
                                                  : ResultCode::kOverloaded,
                               .retry_after = timing_.RetryAfter(request)});
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -98,7 +98,7 @@
   for (const BackendServer* server : state.directory.Usable(service)) {
     std::string key = server->start_key();
     const uint64_t hash = HashBytes(key);
-    if (group.Contains(hash)) {
+    if (group.Contains(hash) && state.notices.FindBlocking(key) == nullptr) {
       const ServerLoad* load = FindLoad(state.loads, key);
       servers.push_back({.server = server,
                          .key = std::move(key),
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -100,6 +100,7 @@
     const ServerDirectory& directory;
     const ServerLoads& loads;
     const SlotOccupancy& occupancy;
+    const ServerNotices& notices;
     const ServerRateLimiter& rate_limiter;
   };
 
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -16,6 +16,7 @@
       directory_(directory),
       clock_(clock),
       on_grant_(std::move(on_grant)),
+      notices_(notices),
       placement_(options_.placement),
       rate_limiter_(options_.rate_limits, notices, clock) {}
 
@@ -223,6 +224,7 @@
   return {.directory = directory_,
           .loads = loads_,
           .occupancy = occupancy_,
+          .notices = notices_,
           .rate_limiter = rate_limiter_};
 }
 
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -153,6 +153,7 @@
   const ServerDirectory& directory_;
   const Clock& clock_;
   OnGrant on_grant_;
+  const ServerNotices& notices_;
   Placement placement_;
   SlotOccupancy occupancy_;
   ServerRateLimiter rate_limiter_;
--- a/lavenderkeel/notice/answer_notices.cc
+++ b/lavenderkeel/notice/answer_notices.cc
@@ -30,7 +30,9 @@
   }
   const std::optional<double> number =
       values.size() == 1 ? ReadDecimal(values.front()) : std::nullopt;
-  if (number.has_value() && *number <= RulesOf(kind).max_value) {
+  const NoticeRules rules = RulesOf(kind);
+  if (number.has_value() && *number >= rules.min_value &&
+      *number <= rules.max_value) {
     stated_.push_back({.kind = kind, .value = *number});
     return;
   }
--- a/lavenderkeel/notice/notice_kind.h
+++ b/lavenderkeel/notice/notice_kind.h
@@ -11,21 +11,27 @@
 enum class NoticeKind : uint8_t {
   /// Requests a second that the server takes from all entries together.
   kRateLimit = 0,
+  /// The server ends soon and takes no new requests; the value is 1.
+  kLeaving = 1,
 };
 
-inline constexpr std::array kNoticeKinds = {NoticeKind::kRateLimit};
+inline constexpr std::array kNoticeKinds = {NoticeKind::kRateLimit,
+                                            NoticeKind::kLeaving};
 
 /// Properties of a kind of notice: valid values, who must know it, and what
 /// ends it. The end of the server's incarnation ends every notice.
 struct NoticeRules {
   std::string_view name;
-  /// A larger value is taken for an error of the server.
+  /// A value outside of these bounds is taken for an error of the server.
+  double min_value = 0;
   double max_value = 0;
   /// Whether the notice concerns all entries, not only the one that received
   /// the answer.
   bool shared = false;
   /// Whether a later answer without the notice ends it.
   bool ends_when_absent = false;
+  /// Whether the server gets no requests while the notice is in force.
+  bool blocks = false;
 };
 
 constexpr NoticeRules RulesOf(NoticeKind kind) {
@@ -35,6 +41,14 @@
               .max_value = 1e6,
               .shared = true,
               .ends_when_absent = true};
+    case NoticeKind::kLeaving:
+      // An answer without the notice may be older, and no request is sent that
+      // could bring a newer one.
+      return {.name = "leaving",
+              .min_value = 1,
+              .max_value = 1,
+              .shared = true,
+              .blocks = true};
   }
   return {};
 }
--- a/lavenderkeel/notice/notice_wire.cc
+++ b/lavenderkeel/notice/notice_wire.cc
@@ -18,7 +18,8 @@
     return false;
   }
   const NoticeRules rules = RulesOf(static_cast<NoticeKind>(report.kind));
-  return rules.shared && report.value >= 0 && report.value <= rules.max_value;
+  return rules.shared && report.value >= rules.min_value &&
+         report.value <= rules.max_value;
 }
 
 }  // namespace
--- a/lavenderkeel/notice/server_notices.cc
+++ b/lavenderkeel/notice/server_notices.cc
@@ -135,6 +135,17 @@
                 [&](const auto& item) { return !is_listed(item.first.first); });
 }
 
+const ServerNotice* ServerNotices::FindBlocking(
+    const std::string& server) const {
+  for (const NoticeKind kind : kNoticeKinds) {
+    const ServerNotice* notice = Find(server, kind);
+    if (notice != nullptr && RulesOf(kind).blocks) {
+      return notice;
+    }
+  }
+  return nullptr;
+}
+
 const ServerNotice* ServerNotices::Find(const std::string& server,
                                         NoticeKind kind) const {
   const auto found = notices_.find({server, kind});
--- a/lavenderkeel/notice/server_notices.h
+++ b/lavenderkeel/notice/server_notices.h
@@ -67,6 +67,9 @@
 
   /// Returns the notice if it is in force, otherwise null.
   const ServerNotice* Find(const std::string& server, NoticeKind kind) const;
+  /// Returns a notice in force by which the server gets no requests of this
+  /// entry, otherwise null.
+  const ServerNotice* FindBlocking(const std::string& server) const;
   size_t size() const { return notices_.size(); }
 
  private:
--- a/test/notice/answer_notices_test.cc
+++ b/test/notice/answer_notices_test.cc
@@ -20,6 +20,14 @@
   BOOST_TEST(repeated.unreadable().front().text == "2, 2");
 }
 
+BOOST_AUTO_TEST_CASE(LeavingNoticeHasOneValidValue) {
+  for (const char* text : {"0", "0.5", "2", "true"}) {
+    AnswerNotices notices;
+    notices.Add(NoticeKind::kLeaving, {text});
+    BOOST_TEST(notices.stated().empty(), text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DecimalNoticeValuesAreRead) {
   AnswerNotices notices;
   notices.Add(NoticeKind::kRateLimit, {"2.6"});
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -84,6 +84,15 @@
        AnswerMetadata{.not_run = true}));
 }
 
+// Guards against a leaving server whose notice no entry reads.
+BOOST_AUTO_TEST_CASE(ServerLeavingIsDecoded) {
+  const AnswerMetadata metadata = hybrid::MakeHeaderCodec().read_answer(
+      {.status = 200, .fields = {{"Server-Leaving", "1"}}});
+  BOOST_TEST_REQUIRE(metadata.notices.stated().size() == 1U);
+  BOOST_TEST((metadata.notices.stated().front() ==
+              AnswerNotices::Stated{.kind = NoticeKind::kLeaving, .value = 1}));
+}
+
 // Guards against a server's limit that no entry reads.
 BOOST_AUTO_TEST_CASE(ServerLimitIsDecoded) {
   const ForwardCodec codec = hybrid::MakeHeaderCodec();
