Pushback: a server that turns a request away with Retry-After rests from that entry

Cause: Retry-After of a server was not read (hypothesis 1).

Fix: the rest is a notice of the entry that was turned away, with its end; the latest end holds. The scheduler of the server learns it with the end of the attempt, before the next slot request on the same connection, and grants the server to the other entries only; an entry returns a slot of a scheduler that does not know yet, which teaches it. Waiting requests of an entry that all free servers rest from no longer use up the limit of skipped requests of the queue. A request whose servers all rest for longer than it waits is refused at once, with the end of the first rest as Retry-After.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -460,13 +460,21 @@
     return false;
   }
   const BackendServer* server = directory_.Find(grant.server);
-  if (server == nullptr || server->draining ||
-      notices_.FindBlocking(grant.server) != nullptr) {
-    // More is known here than at the slot scheduler.
+  if (server == nullptr || server->draining) {
+    // The list here is newer than that of the slot scheduler.
     EndAttempt(*request, {.kind = SlotResult::Kind::kReplaced});
     Enqueue(*request);
     return true;
   }
+  if (const ServerNotice* notice = notices_.FindBlocking(grant.server)) {
+    // The slot scheduler does not know yet what the server told this entry.
+    EndAttempt(*request, {.kind = RulesOf(notice->kind).shared
+                                      ? SlotResult::Kind::kReplaced
+                                      : SlotResult::Kind::kFull,
+                          .pushback = PushbackOf(grant.server)});
+    Enqueue(*request);
+    return true;
+  }
   // Rollout plans and crash evidence that arrived since the slot request may
   // hold the request or change its placement.
   if (!version_selector_.Admits(request->service, server->version) ||
@@ -541,6 +549,25 @@
   slot_router_.ReleaseSlot(attempt, result);
 }
 
+Duration ForwardController::PushbackOf(const std::string& server) const {
+  const ServerNotice* notice = notices_.Find(server, NoticeKind::kPushback);
+  return notice == nullptr ? Duration::zero() : notice->EndsAt() - clock_.Now();
+}
+
+std::optional<TimePoint> ForwardController::BlockedUntil(
+    const std::string& service) const {
+  std::optional<TimePoint> first_end;
+  for (const BackendServer* server : directory_.Usable(service)) {
+    const ServerNotice* notice = notices_.FindBlocking(server->start_key());
+    if (notice == nullptr) {
+      return std::nullopt;
+    }
+    first_end =
+        std::min(first_end.value_or(TimePoint::max()), notice->EndsAt());
+  }
+  return first_end;
+}
+
 ForwardController::HeadVerdict ForwardController::OnAnswerHead(
     AttemptId attempt,
     const ResponseHead& head,
@@ -698,7 +725,8 @@
   ReportVersionOutcome(request, error);
   EndAttempt(request, {.kind = error ? SlotResult::Kind::kServerError
                                      : SlotResult::Kind::kAnswered,
-                       .pace_ms = PaceOf(request)});
+                       .pace_ms = PaceOf(request),
+                       .pushback = PushbackOf(request.server)});
   ++request.runs;
   if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
     log_.Info("retry", {{"id", request.metadata.request_id},
@@ -794,7 +822,8 @@
              failure == AttemptFailure::kBroken) {
     version_selector_.OnBroken(request.service, request.version_attempt);
   }
-  EndAttempt(request, {.kind = ResultKindOf(failure)});
+  EndAttempt(request, {.kind = ResultKindOf(failure),
+                       .pushback = PushbackOf(request.server)});
   const RunState state = RunStateAfter(failure);
   request.runs += state == RunState::kMayHaveRun ? 1 : 0;
   if (MayRetry(request, state)) {
@@ -836,7 +865,15 @@
   } else if (state == RunState::kUnsent) {
     RefuseRequest(request, {.code = ResultCode::kServerUnreachable});
   } else {
-    RefuseRequest(request, {.code = ResultCode::kOverloaded});
+    const TimePoint now = clock_.Now();
+    const std::optional<TimePoint> blocked_until =
+        BlockedUntil(request.service);
+    const bool ends =
+        blocked_until.has_value() && *blocked_until != TimePoint::max();
+    RefuseRequest(request,
+                  {.code = ResultCode::kOverloaded,
+                   .retry_after = ends ? std::optional(*blocked_until - now)
+                                       : std::nullopt});
   }
 }
 
@@ -875,25 +912,7 @@
     return;
   }
   if (request.state == State::kWaiting) {
-    if (now < timing_.SlotWaitEnd(request)) {
-      if (request.held) {
-        Enqueue(request);
-      }
-      return;
-    }
-    if (request.runs > 0 || request.head_sent) {
-      GiveUp(request, RunState::kMayHaveRun);
-    } else {
-      RecordEndOfWait(request, /*got_slot=*/false);
-      LogNotices(request);
-      const bool no_servers = std::ranges::all_of(
-          directory_.Usable(request.service), [this](const auto* server) {
-            return notices_.FindBlocking(server->start_key()) != nullptr;
-          });
-      RefuseRequest(request, {.code = no_servers ? ResultCode::kNoServer
-                                                 : ResultCode::kOverloaded,
-                              .retry_after = timing_.RetryAfter(request)});
-    }
+    CheckWait(request, now);
     return;
   }
   if (request.event_count == 0 && !request.answer_head.has_value()) {
@@ -912,6 +931,39 @@
   }
 }
 
+void ForwardController::CheckWait(ForwardedRequest& request, TimePoint now) {
+  const TimePoint wait_end = timing_.SlotWaitEnd(request);
+  const std::optional<TimePoint> blocked_until = BlockedUntil(request.service);
+  const bool may_have_run = request.runs > 0 || request.head_sent;
+  // With all servers blocked for longer than the request waits, its client
+  // learns at once when to come back.
+  const bool waits_in_vain = !may_have_run && blocked_until.has_value() &&
+                             *blocked_until != TimePoint::max() &&
+                             *blocked_until >= wait_end;
+  if (now < wait_end && !waits_in_vain) {
+    if (request.held) {
+      Enqueue(request);
+    }
+    return;
+  }
+  if (may_have_run) {
+    GiveUp(request, RunState::kMayHaveRun);
+    return;
+  }
+  RecordEndOfWait(request, /*got_slot=*/false);
+  LogNotices(request);
+  if (waits_in_vain) {
+    RefuseRequest(request, {.code = ResultCode::kOverloaded,
+                            .retry_after = *blocked_until - now});
+    return;
+  }
+  const bool no_server = directory_.Usable(request.service).empty() ||
+                         blocked_until == TimePoint::max();
+  RefuseRequest(request, {.code = no_server ? ResultCode::kNoServer
+                                            : ResultCode::kOverloaded,
+                          .retry_after = timing_.RetryAfter(request)});
+}
+
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
   CheckEarlyRequests(now);
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -225,6 +225,13 @@
               const std::string& scheduler,
               const SlotGrant& grant);
   void CheckTimeLimits(ForwardedRequest& request, TimePoint now);
+  /// Ends the wait for a slot if it is over or in vain.
+  void CheckWait(ForwardedRequest& request, TimePoint now);
+  /// Returns how long the server still wants no requests of this entry.
+  Duration PushbackOf(const std::string& server) const;
+  /// Returns when the first server of the service accepts requests again;
+  /// nothing if one accepts them now, and TimePoint::max() if none will.
+  std::optional<TimePoint> BlockedUntil(const std::string& service) const;
 
   ForwardedRequest* FindByAttempt(AttemptId attempt);
   /// Ends the attempt, whether or not it was sent, and frees its slot.
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -129,6 +129,7 @@
     end.read_ms = result.read->ms;
     end.read_tokens = result.read->tokens;
   }
+  end.pushback_us = result.pushback.count();
   return end;
 }
 
@@ -143,7 +144,8 @@
       .read = end.read_ms < 0
                   ? std::nullopt
                   : std::optional(PromptRead{.tokens = end.read_tokens,
-                                             .ms = end.read_ms})};
+                                             .ms = end.read_ms}),
+      .pushback = std::max(Duration::zero(), Duration(end.pushback_us))};
 }
 
 ForwardStatus ToWire(const ForwardReport& report,
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -98,7 +98,7 @@
   for (const BackendServer* server : state.directory.Usable(service)) {
     std::string key = server->start_key();
     const uint64_t hash = HashBytes(key);
-    if (group.Contains(hash) && state.notices.FindBlocking(key) == nullptr) {
+    if (group.Contains(hash) && !state.notices.BlocksAllEntries(key)) {
       const ServerLoad* load = FindLoad(state.loads, key);
       servers.push_back({.server = server,
                          .key = std::move(key),
@@ -198,6 +198,7 @@
 Placement::Candidate* Placement::ChooseCanary(const SlotRequest& request,
                                               Candidates& candidates,
                                               const SuspectRuns& suspects,
+                                              const Admits& admits,
                                               TimePoint now) const {
   if (request.canary_version.empty()) {
     return nullptr;
@@ -214,7 +215,8 @@
     }
     if (candidate.in_flight >= candidate.capacity ||
         FitOf(request, candidate, now) == Fit::kTooSlow ||
-        !suspects.Admits(candidate.hash, request.suspicion)) {
+        !suspects.Admits(candidate.hash, request.suspicion) ||
+        !admits(candidate.hash)) {
       continue;
     }
     const uint64_t rank = HashBytes(candidate.server->id, period);
@@ -230,8 +232,10 @@
                                         bool late,
                                         Candidates& candidates,
                                         const SuspectRuns& suspects,
+                                        const Admits& admits,
                                         TimePoint now) const {
-  if (Candidate* canary = ChooseCanary(request, candidates, suspects, now)) {
+  if (Candidate* canary =
+          ChooseCanary(request, candidates, suspects, admits, now)) {
     return canary;
   }
   Fit worst_accepted_fit = Fit::kTooSlow;
@@ -251,7 +255,8 @@
     if (!MatchesVersion(request.version, candidate) ||
         candidate.in_flight >= candidate.capacity ||
         candidate.fit > worst_accepted_fit ||
-        !suspects.Admits(candidate.hash, request.suspicion)) {
+        !suspects.Admits(candidate.hash, request.suspicion) ||
+        !admits(candidate.hash)) {
       continue;
     }
     const double cost = CostWithLoad(request, candidate, suspects);
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_FORWARD_PLACEMENT_H_
 #define LAVENDERKEEL_FORWARD_PLACEMENT_H_
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -112,6 +113,9 @@
                   const ServerState& state,
                   TimePoint now) const;
 
+  /// Returns whether a server accepts requests of the entry that asks.
+  using Admits = std::function<bool(uint64_t server)>;
+
   /// @param late whether the request can no longer be in time
   /// @return the best candidate with free capacity that fits the request, or
   ///     null
@@ -119,6 +123,7 @@
                     bool late,
                     Candidates& candidates,
                     const SuspectRuns& suspects,
+                    const Admits& admits,
                     TimePoint now) const;
 
  private:
@@ -133,6 +138,7 @@
   Candidate* ChooseCanary(const SlotRequest& request,
                           Candidates& candidates,
                           const SuspectRuns& suspects,
+                          const Admits& admits,
                           TimePoint now) const;
   int CapacityOf(const BackendServer& server, bool model_server) const;
   /// Returns the cost including the load, and the crash risk for the request
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -112,6 +112,8 @@
   /// Reading time of the prompt at a model server, if it was long enough to
   /// measure.
   std::optional<PromptRead> read;
+  /// How long the server wants no further requests of the entry.
+  Duration pushback{};
 
   friend bool operator==(const SlotResult&, const SlotResult&) = default;
 };
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -18,7 +18,8 @@
       on_grant_(std::move(on_grant)),
       notices_(notices),
       placement_(options_.placement),
-      rate_limiter_(options_.rate_limits, notices, clock) {}
+      rate_limiter_(options_.rate_limits, notices, clock),
+      pushbacks_(options_.pushbacks) {}
 
 void SlotScheduler::RequestSlot(const std::string& entry,
                                 const SlotRequest& request) {
@@ -114,6 +115,10 @@
   const std::string server = granted->second.server;
   EraseGrant(granted);
   occupancy_.RemoveGrant(entry, HashBytes(server));
+  if (result.pushback > Duration::zero()) {
+    pushbacks_.OnPushback(entry, HashBytes(server),
+                          clock_.Now() + result.pushback);
+  }
   if (const BackendServer* known = directory_.Find(server)) {
     loads_[server].OnEnd(result, clock_.Now());
     speeds_[known->service].OnEnd(result);
@@ -167,6 +172,7 @@
 
 void SlotScheduler::ForgetEntry(const std::string& entry) {
   occupancy_.Forget(entry);
+  pushbacks_.ForgetEntry(entry);
   for (auto grant = grants_.lower_bound({entry, 0});
        grant != grants_.end() && grant->first.first == entry;) {
     grant = EraseGrant(grant);
@@ -217,6 +223,7 @@
     return directory_.Find(item.first) == nullptr;
   });
   rate_limiter_.Tick();
+  pushbacks_.Tick(clock_.Now());
   GrantFreeSlots();
 }
 
@@ -240,14 +247,28 @@
   // A request that fits no free server leaves the slot to those behind it.
   const TimePoint now = clock_.Now();
   int skipped = 0;
+  std::set<std::string> blocked_entries;
   auto position = queue.begin();
   while (position != queue.end() && candidates.free > 0 &&
          skipped < options_.max_skipped_requests) {
     const QueuePosition current = *position;
-    Placement::Candidate* chosen =
-        placement_.Choose(waiting_by_attempt_.at(current.attempt).request,
-                          current.late, candidates, suspects_, now);
+    const std::string& entry = current.attempt.first;
+    if (blocked_entries.contains(entry)) {
+      ++position;
+      continue;
+    }
+    Placement::Candidate* chosen = placement_.Choose(
+        waiting_by_attempt_.at(current.attempt).request, current.late,
+        candidates, suspects_,
+        [&](uint64_t server) { return pushbacks_.Admits(entry, server, now); },
+        now);
     if (chosen == nullptr) {
+      // Its other requests would use up the limit of skipped requests, and
+      // those of other entries behind them would not get the free slots.
+      if (IsPushedBackByAll(entry, candidates)) {
+        blocked_entries.insert(entry);
+        continue;
+      }
       ++skipped;
       ++position;
       continue;
@@ -259,6 +280,16 @@
   }
 }
 
+bool SlotScheduler::IsPushedBackByAll(
+    const std::string& entry,
+    const Placement::Candidates& candidates) const {
+  return std::ranges::none_of(
+      candidates.servers, [&](const Placement::Candidate& candidate) {
+        return candidate.in_flight < candidate.capacity &&
+               pushbacks_.Admits(entry, candidate.hash, clock_.Now());
+      });
+}
+
 void SlotScheduler::Grant(const AttemptKey& id, const BackendServer& server) {
   const std::string key = server.start_key();
   const uint64_t hash = HashBytes(key);
@@ -274,6 +305,7 @@
   suspects_.Add(hash, suspicion);
   occupancy_.AddGrant(id.first, hash);
   rate_limiter_.Take(key);
+  pushbacks_.OnGranted(id.first, hash, clock_.Now());
   on_grant_(id.first, grant);
 }
 
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/entry_pushbacks.h"
 #include "lavenderkeel/forward/placement.h"
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/server_load.h"
@@ -48,6 +49,7 @@
   struct Options {
     Placement::Options placement;
     ServerRateLimiter::Options rate_limits;
+    EntryPushbacks::Options pushbacks;
     /// A grant that the entry's reports do not show after this time was lost,
     /// or the message about its end was. Twice the report period plus a network
     /// delay.
@@ -141,6 +143,10 @@
   void GrantFreeSlotsInQueue(const QueueKey& key,
                              std::set<QueuePosition>& queue);
   Placement::ServerState State() const;
+  /// Returns whether all servers with free capacity want no requests of the
+  /// entry.
+  bool IsPushedBackByAll(const std::string& entry,
+                         const Placement::Candidates& candidates) const;
   void Remove(const AttemptKey& id);
   void Grant(const AttemptKey& id, const BackendServer& server);
   /// Removes a grant whose attempt no longer runs; the request counts of the
@@ -168,6 +174,7 @@
   std::set<std::pair<TimePoint, AttemptKey>> late_times_;
   Grants grants_;
   SuspectRuns suspects_;
+  EntryPushbacks pushbacks_;
   bool granting_ = false;
 };
 
--- a/lavenderkeel/notice/notice_kind.h
+++ b/lavenderkeel/notice/notice_kind.h
@@ -13,10 +13,12 @@
   kRateLimit = 0,
   /// The server ends soon and takes no new requests; the value is 1.
   kLeaving = 1,
+  /// Seconds for which the server wants no requests of this entry.
+  kPushback = 2,
 };
 
-inline constexpr std::array kNoticeKinds = {NoticeKind::kRateLimit,
-                                            NoticeKind::kLeaving};
+inline constexpr std::array kNoticeKinds = {
+    NoticeKind::kRateLimit, NoticeKind::kLeaving, NoticeKind::kPushback};
 
 /// Properties of a kind of notice: valid values, who must know it, and what
 /// ends it. The end of the server's incarnation ends every notice.
@@ -32,6 +34,8 @@
   bool ends_when_absent = false;
   /// Whether the server gets no requests while the notice is in force.
   bool blocks = false;
+  /// Whether the value is the number of seconds for which the notice holds.
+  bool value_is_duration = false;
 };
 
 constexpr NoticeRules RulesOf(NoticeKind kind) {
@@ -49,6 +53,11 @@
               .max_value = 1,
               .shared = true,
               .blocks = true};
+    case NoticeKind::kPushback:
+      return {.name = "pushback",
+              .max_value = 3600,
+              .blocks = true,
+              .value_is_duration = true};
   }
   return {};
 }
--- a/lavenderkeel/notice/server_notices.cc
+++ b/lavenderkeel/notice/server_notices.cc
@@ -1,5 +1,6 @@
 #include "lavenderkeel/notice/server_notices.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lavenderkeel {
@@ -87,12 +88,18 @@
 }
 
 bool ServerNotices::Set(const ServerNotice& notice) {
+  const TimePoint now = clock_.Now();
   const auto [found, added] = notices_.try_emplace(
       {notice.server, notice.kind},
       Record{.notice = notice, .last_listed = clock_.Now()});
-  const ServerNotice former = std::exchange(found->second.notice, notice);
+  ServerNotice& current = found->second.notice;
+  if (!added && RulesOf(notice.kind).value_is_duration &&
+      current.EndsAt() > notice.EndsAt()) {
+    return false;
+  }
+  const ServerNotice former = std::exchange(current, notice);
   if (!added && former.value == notice.value &&
-      former.in_force == notice.in_force) {
+      former.IsInForce(now) == notice.IsInForce(now)) {
     return false;
   }
   log_.Info("server_notice",
@@ -101,7 +108,7 @@
              {"value", notice.value},
              {"in_force", notice.in_force},
              {"source", notice.source},
-             {"age_ms", ToMilliseconds(clock_.Now() - notice.said_at)}});
+             {"age_ms", ToMilliseconds(now - notice.said_at)}});
   return true;
 }
 
@@ -129,7 +136,8 @@
     const Record& record = item.second;
     const TimePoint kept_since =
         record.notice.in_force ? record.last_listed : record.notice.said_at;
-    return now - kept_since > options_.forget_after;
+    return now >= record.notice.EndsAt() ||
+           now - kept_since > options_.forget_after;
   });
   std::erase_if(unreadable_,
                 [&](const auto& item) { return !is_listed(item.first.first); });
@@ -146,10 +154,17 @@
   return nullptr;
 }
 
+bool ServerNotices::BlocksAllEntries(const std::string& server) const {
+  return std::ranges::any_of(kNoticeKinds, [&](NoticeKind kind) {
+    const NoticeRules rules = RulesOf(kind);
+    return rules.shared && rules.blocks && Find(server, kind) != nullptr;
+  });
+}
+
 const ServerNotice* ServerNotices::Find(const std::string& server,
                                         NoticeKind kind) const {
   const auto found = notices_.find({server, kind});
-  return found != notices_.end() && found->second.notice.in_force
+  return found != notices_.end() && found->second.notice.IsInForce(clock_.Now())
              ? &found->second.notice
              : nullptr;
 }
--- a/lavenderkeel/notice/server_notices.h
+++ b/lavenderkeel/notice/server_notices.h
@@ -29,6 +29,13 @@
   /// The entry that received the answer.
   std::string source;
 
+  /// Returns when the notice ends by itself.
+  TimePoint EndsAt() const {
+    return RulesOf(kind).value_is_duration ? said_at + FromSeconds(value)
+                                           : TimePoint::max();
+  }
+  bool IsInForce(TimePoint now) const { return in_force && now < EndsAt(); }
+
   friend bool operator==(const ServerNotice&, const ServerNotice&) = default;
 };
 
@@ -70,6 +77,8 @@
   /// Returns a notice in force by which the server gets no requests of this
   /// entry, otherwise null.
   const ServerNotice* FindBlocking(const std::string& server) const;
+  /// Returns whether the server gets no requests of any entry.
+  bool BlocksAllEntries(const std::string& server) const;
   size_t size() const { return notices_.size(); }
 
  private:
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -4999,6 +4999,7 @@
   double pace_ms = -1.0;
   double read_ms = -1.0;
   uint32_t read_tokens = 0;
+  int64_t pushback_us = 0;
 };
 
 struct SlotEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5010,7 +5011,8 @@
     VT_KIND = 6,
     VT_PACE_MS = 8,
     VT_READ_MS = 10,
-    VT_READ_TOKENS = 12
+    VT_READ_TOKENS = 12,
+    VT_PUSHBACK_US = 14
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -5027,6 +5029,9 @@
   uint32_t read_tokens() const {
     return GetField<uint32_t>(VT_READ_TOKENS, 0);
   }
+  int64_t pushback_us() const {
+    return GetField<int64_t>(VT_PUSHBACK_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -5034,6 +5039,7 @@
            VerifyField<double>(verifier, VT_PACE_MS, 8) &&
            VerifyField<double>(verifier, VT_READ_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_READ_TOKENS, 4) &&
+           VerifyField<int64_t>(verifier, VT_PUSHBACK_US, 8) &&
            verifier.EndTable();
   }
   SlotEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5060,6 +5066,9 @@
   void add_read_tokens(uint32_t read_tokens) {
     fbb_.AddElement<uint32_t>(SlotEnd::VT_READ_TOKENS, read_tokens, 0);
   }
+  void add_pushback_us(int64_t pushback_us) {
+    fbb_.AddElement<int64_t>(SlotEnd::VT_PUSHBACK_US, pushback_us, 0);
+  }
   explicit SlotEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5077,8 +5086,10 @@
     uint8_t kind = 0,
     double pace_ms = -1.0,
     double read_ms = -1.0,
-    uint32_t read_tokens = 0) {
+    uint32_t read_tokens = 0,
+    int64_t pushback_us = 0) {
   SlotEndBuilder builder_(_fbb);
+  builder_.add_pushback_us(pushback_us);
   builder_.add_read_ms(read_ms);
   builder_.add_pace_ms(pace_ms);
   builder_.add_attempt(attempt);
@@ -7668,7 +7679,8 @@
       (lhs.kind == rhs.kind) &&
       (lhs.pace_ms == rhs.pace_ms) &&
       (lhs.read_ms == rhs.read_ms) &&
-      (lhs.read_tokens == rhs.read_tokens);
+      (lhs.read_tokens == rhs.read_tokens) &&
+      (lhs.pushback_us == rhs.pushback_us);
 }
 
 inline bool operator!=(const SlotEndT &lhs, const SlotEndT &rhs) {
@@ -7690,6 +7702,7 @@
   { auto _e = pace_ms(); _o->pace_ms = _e; }
   { auto _e = read_ms(); _o->read_ms = _e; }
   { auto _e = read_tokens(); _o->read_tokens = _e; }
+  { auto _e = pushback_us(); _o->pushback_us = _e; }
 }
 
 inline flatbuffers::Offset<SlotEnd> SlotEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlotEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7705,13 +7718,15 @@
   auto _pace_ms = _o->pace_ms;
   auto _read_ms = _o->read_ms;
   auto _read_tokens = _o->read_tokens;
+  auto _pushback_us = _o->pushback_us;
   return lavenderkeel::fbs::CreateSlotEnd(
       _fbb,
       _attempt,
       _kind,
       _pace_ms,
       _read_ms,
-      _read_tokens);
+      _read_tokens,
+      _pushback_us);
 }
 
 
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -140,7 +140,8 @@
     if (server.leaving) {
       head.fields.push_back({"Server-Leaving", "1"});
     }
-    if (status == kUnavailable) {
+    if (status == kUnavailable &&
+        FindField(server.answer_fields, "Retry-After") == nullptr) {
       head.fields.push_back(
           {"Retry-After", std::to_string(ToSeconds(*server.pushback))});
       history_.OnPushback(server.id, {run.entry, run.incarnation}, fleet_.Now(),
@@ -180,7 +181,8 @@
     arrival_times_[run.body].push_back(fleet_.Now());
     history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now(),
                        fleet_.RequestedAt(attempt.Field("Request-Id")));
-    if (server->pushback.has_value()) {
+    if (server->pushback.has_value() &&
+        (server->only_entry < 0 || server->only_entry == entry)) {
       Answer(run, kUnavailable);
     } else {
       runs_.push_back(run);
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -45,10 +45,15 @@
   void SetLimit(int server, std::optional<double> per_second);
   /// Makes the server say in its answers that it leaves; it runs on.
   void SetLeaving(int server);
-  /// Makes the server turn requests away and ask each sender for a rest;
+  bool IsLeaving(int server) const { return servers_[ToIndex(server)].leaving; }
+  /// Makes the server turn requests away and ask the sender for a rest;
   /// nothing: no longer.
-  void SetPushback(int server, std::optional<Duration> retry_after) {
+  /// @param only_entry the entry whose requests are turned away; -1: all
+  void SetPushback(int server,
+                   std::optional<Duration> retry_after,
+                   int only_entry = -1) {
     servers_[ToIndex(server)].pushback = retry_after;
+    servers_[ToIndex(server)].only_entry = only_entry;
   }
   /// Makes the server add fields to its answers.
   void SetAnswerFields(int server, const HttpFields& fields) {
@@ -89,6 +94,7 @@
     HttpFields answer_fields;
     bool leaving = false;
     std::optional<Duration> pushback;
+    int only_entry = -1;
   };
   struct Run {
     int entry = 0;
--- a/test/notice/server_notices_test.cc
+++ b/test/notice/server_notices_test.cc
@@ -42,9 +42,7 @@
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(ServerNoticesTest, Fixture)
-
-BOOST_AUTO_TEST_CASE(LaterAnswersChangeAndEndTheLimit) {
+BOOST_FIXTURE_TEST_CASE(LaterAnswersChangeAndEndTheLimit, Fixture) {
   Answer(Limit("2.5"));
   BOOST_TEST(LimitOf("s") == 2.5);
   BOOST_TEST(LimitOf("other") == -1);
@@ -58,7 +56,7 @@
 
 // Guards against an answer that was delayed on another connection and ends a
 // limit which the server stated after it.
-BOOST_AUTO_TEST_CASE(AnswerToAnEarlierRequestDoesNotEndTheLimit) {
+BOOST_FIXTURE_TEST_CASE(AnswerToAnEarlierRequestDoesNotEndTheLimit, Fixture) {
   const TimePoint sent_at = clock.Now();
   clock.Advance(milliseconds(10));
   Answer(Limit("2"));
@@ -66,7 +64,7 @@
   BOOST_TEST(LimitOf("s") == 2);
 }
 
-BOOST_AUTO_TEST_CASE(UnreadableValueNeitherSetsNorEndsTheLimit) {
+BOOST_FIXTURE_TEST_CASE(UnreadableValueNeitherSetsNorEndsTheLimit, Fixture) {
   Answer(Limit("much"));
   BOOST_TEST(LimitOf("s") == -1);
   Answer(Limit("2"));
@@ -74,8 +72,53 @@
   BOOST_TEST(LimitOf("s") == 2);
 }
 
+// Guards against a rest that an answer with a shorter one, or none, ends early.
+BOOST_FIXTURE_TEST_CASE(PushbackHoldsUntilItsLatestEnd, Fixture) {
+  const auto pushback = [](std::string_view seconds_text) {
+    AnswerNotices answer;
+    answer.Add(NoticeKind::kPushback, {seconds_text});
+    return answer;
+  };
+  Answer(pushback("3"), Duration::zero());
+  Answer(pushback("1"), Duration::zero());
+  Answer({}, Duration::zero());
+  clock.Advance(milliseconds(2900));
+  BOOST_TEST(notices.FindBlocking("s") != nullptr);
+  BOOST_TEST(!notices.BlocksAllEntries("s"));
+  BOOST_TEST(notices.Shared(/*only_own=*/false).empty());
+  clock.Advance(milliseconds(100));
+  BOOST_TEST(notices.FindBlocking("s") == nullptr);
+  notices.Tick([](const std::string&) { return true; });
+  BOOST_TEST(notices.size() == 0U);
+}
+
+// Guards against an older report of another entry that replaces a newer notice;
+// the entry that reports it is told.
+BOOST_FIXTURE_TEST_CASE(LatestStatementOfAServerIsValid, Fixture) {
+  Answer(Limit("2"));
+  notices.TakeChanges();
+  const ServerNotice older = {.server = "s",
+                              .kind = kLimit,
+                              .value = 9,
+                              .said_at = clock.Now() - seconds(1),
+                              .source = "other"};
+  notices.OnReports({older}, /*pass_on=*/false);
+  BOOST_TEST(LimitOf("s") == 2);
+  BOOST_TEST_REQUIRE(notices.TakeChanges().size() == 1U);
+  ServerNotice newer = older;
+  newer.said_at = clock.Now() + milliseconds(1);
+  notices.OnReports({newer}, /*pass_on=*/false);
+  BOOST_TEST(LimitOf("s") == 9);
+  BOOST_TEST(!notices.has_changes());
+  newer.in_force = false;
+  newer.said_at += milliseconds(1);
+  notices.OnReports({newer}, /*pass_on=*/true);
+  BOOST_TEST(LimitOf("s") == -1);
+  BOOST_TEST(notices.has_changes());
+}
+
 // Guards against a log that a server fills by repeating the same notice.
-BOOST_AUTO_TEST_CASE(RepeatedNoticesAreLoggedOnce) {
+BOOST_FIXTURE_TEST_CASE(RepeatedNoticesAreLoggedOnce, Fixture) {
   for (int i = 0; i < 100; ++i) {
     Answer(Limit("2"));
     Answer(Limit("much"));
@@ -83,7 +126,7 @@
   BOOST_TEST(lines.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(NoticesOfUnlistedServersAreForgotten) {
+BOOST_FIXTURE_TEST_CASE(NoticesOfUnlistedServersAreForgotten, Fixture) {
   Answer(Limit("2"));
   Answer(Limit("much"));
   clock.Advance(seconds(70));
@@ -97,6 +140,4 @@
   BOOST_TEST(notices.size() == 0U);
 }
 
-BOOST_AUTO_TEST_SUITE_END()
-
 }  // namespace lavenderkeel
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -93,6 +93,21 @@
               AnswerNotices::Stated{.kind = NoticeKind::kLeaving, .value = 1}));
 }
 
+// Guards against a rest that no entry reads. Other answers with Retry-After do
+// not concern the server.
+BOOST_AUTO_TEST_CASE(RetryAfterIsDecodedFromRefusalsOnly) {
+  const ForwardCodec codec = hybrid::MakeHeaderCodec();
+  const AnswerMetadata refusal =
+      codec.read_answer({.status = 503, .fields = {{"Retry-After", "2.5"}}});
+  BOOST_TEST_REQUIRE(refusal.notices.stated().size() == 1U);
+  BOOST_TEST(
+      (refusal.notices.stated().front() ==
+       AnswerNotices::Stated{.kind = NoticeKind::kPushback, .value = 2.5}));
+  BOOST_TEST(
+      (codec.read_answer({.status = 429, .fields = {{"Retry-After", "2.5"}}})
+           .notices == AnswerNotices()));
+}
+
 // Guards against a server's limit that no entry reads.
 BOOST_AUTO_TEST_CASE(ServerLimitIsDecoded) {
   const ForwardCodec codec = hybrid::MakeHeaderCodec();
