--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -1,8 +1,9 @@
 // Fake model engine or plain service. Besides the interface of a real one it
 // accepts POST /fault/speed?factor=F, /fault/silence (stalls all streams) and
-// /fault/up, and GET /starts (number of requests started). A prompt that begins
-// with "deadly" terminates the process. Arguments: engine|service LISTEN
-// READY_FILE [STEP_MS [checks|ignores]].
+// /fault/busy?seconds=N (answers 503 with Retry-After) and /fault/up, and GET
+// /starts and /refusals (numbers of requests started and refused). A prompt
+// that begins with "deadly" terminates the process. Arguments: engine|service
+// LISTEN READY_FILE [STEP_MS [checks|ignores]].
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -58,6 +59,14 @@
       SetFault(request);
     } else if (request.path == "/starts") {
       Reply(request.id, 200, std::to_string(core_.starts() + calls_));
+    } else if (request.path == "/refusals") {
+      Reply(request.id, 200, std::to_string(refusals_));
+    } else if (!retry_after_.empty() && request.method == "POST") {
+      ++refusals_;
+      http_.Handle(ReplyComplete{.caller = request.id,
+                                 .status = 503,
+                                 .headers = {{"Retry-After", retry_after_}},
+                                 .body = "{}"});
     } else if (is_service_) {
       ++calls_;
       Reply(request.id, 200,
@@ -90,6 +99,10 @@
 
   void SetFault(const HttpRequest& request) {
     streams_stalled_ = request.path == "/fault/silence";
+    constexpr size_t kSecondsBegin = std::string_view("seconds=").size();
+    retry_after_ = request.path == "/fault/busy"
+                       ? request.query.substr(kSecondsBegin)
+                       : "";
     if (request.path == "/fault/speed") {
       core_.set_speed(std::atof(request.query.c_str() + 7));
     }
@@ -180,6 +193,9 @@
   HttpServer http_;
   std::map<CallerId, Reader> readers_;
   bool streams_stalled_ = false;
+  /// Seconds for which refused callers are to stay away; empty: none refused.
+  std::string retry_after_;
+  uint64_t refusals_ = 0;
   bool exit_requested_ = false;
   uint64_t calls_ = 0;
   uint64_t direct_requests_ = 0;
--- a/test/process/failure_test.cc
+++ b/test/process/failure_test.cc
@@ -174,6 +174,23 @@
   BOOST_TEST(cluster.Starts() == 1U);
 }
 
+// Guards against an engine that turns all requests away and attracts them
+// because it is idle.
+BOOST_AUTO_TEST_CASE(EngineThatAsksForRestGetsNoRequests) {
+  Cluster cluster({.entries = 1, .agents = 3});
+  cluster.Call(cluster.EngineAddress(0), "POST", "/fault/busy?seconds=60");
+  for (int i = 0; i < 60; ++i) {
+    const auto lookup =
+        cluster.SubmitRequest(0, cluster.NewKey(), "lookup", 10);
+    BOOST_REQUIRE(cluster.Wait([&] { return lookup->done; }));
+    BOOST_TEST(lookup->result.status == 200);
+  }
+  const std::string refusals =
+      cluster.Call(cluster.EngineAddress(0), "GET", "/refusals").body;
+  // The first one, and one that was offered a slot before it was refused.
+  BOOST_TEST(std::stoi(refusals) <= 2);
+}
+
 // One of two engines is slowed tenfold. All checks are still answered, and most
 // go to the other engine once the slots of the slow one are full.
 BOOST_AUTO_TEST_CASE(EngineSlowedTenfold) {
