--- a/lavenderkeel/forward/attempt.h
+++ b/lavenderkeel/forward/attempt.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include "lavenderkeel/base/clock.h"
+
 namespace lavenderkeel {
 
 /// Id of a client request at this entry.
@@ -10,6 +12,9 @@
 /// Id of one attempt at one backend server.
 using AttemptId = uint64_t;
 
+/// With less time left than this, a further attempt cannot be answered in time.
+constexpr Duration kMinTimeForAttempt = std::chrono::milliseconds(30);
+
 /// Reason why an attempt ended without a complete answer.
 enum class AttemptFailure {
   /// No connection was established, so nothing was sent.
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -4,15 +4,13 @@
 #include <cassert>
 #include <utility>
 
-#include "lavenderkeel/base/refusal_body.h"
 #include "lavenderkeel/base/rendezvous.h"
+#include "lavenderkeel/forward/answer_speed.h"
 
 namespace lavenderkeel {
 
 namespace {
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 
@@ -21,28 +19,6 @@
 /// request has time for few of these.
 constexpr size_t kMaxServersTried = 6;
 
-/// With less time left than this, a further attempt cannot be answered in time.
-constexpr Duration kMinTimeForAttempt = std::chrono::milliseconds(30);
-
-bool IsSuccess(int status) {
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
-bool IsEventStream(const ResponseHead& head) {
-  const std::string* type = FindField(head.fields, "Content-Type");
-  constexpr std::string_view kEventStream = "text/event-stream";
-  return type != nullptr &&
-         SameFieldName(std::string_view(*type).substr(0, kEventStream.size()),
-                       kEventStream);
-}
-
-/// Returns the head without connection fields.
-ResponseHead ForClient(const ResponseHead& head) {
-  ResponseHead passed = head;
-  passed.fields = WithoutConnectionFields(head.fields);
-  return passed;
-}
-
 SlotResult::Kind ResultKindOf(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kRejected:
@@ -56,16 +32,6 @@
   }
 }
 
-/// Formats the wait in seconds with three decimals; clients accept fractions.
-std::string RetryAfterValue(Duration wait) {
-  constexpr int64_t kMillisecondsPerSecond = 1000;
-  const int64_t ms = std::max<int64_t>(1, ToMilliseconds(wait));
-  std::string fraction = std::to_string(ms % kMillisecondsPerSecond);
-  constexpr size_t kDecimals = 3;
-  fraction.insert(0, kDecimals - fraction.size(), '0');
-  return std::to_string(ms / kMillisecondsPerSecond) + "." + fraction;
-}
-
 }  // namespace
 
 using State = ForwardedRequest::State;
@@ -93,8 +59,19 @@
       clock_(clock),
       log_(log),
       metrics_(metrics),
-      rates_(options.rates, clock.Now()),
-      sharing_entries_(rates_.share().EntryCount(clock.Now())) {
+      refusals_(codec_, port, metrics, options.retry_after),
+      request_log_(directory, notices, clock, log, metrics),
+      admission_({.rates = options.rates,
+                  .max_buffered_body_bytes = options.max_buffered_body_bytes},
+                 route_history_,
+                 clock,
+                 log),
+      answers_({.max_buffered_bytes = options.max_buffered_answer_bytes},
+               port,
+               version_selector,
+               clock,
+               metrics),
+      sharing_entries_(admission_.rates().share().EntryCount(clock.Now())) {
   options_.retries.extra =
       options_.retry_extra / static_cast<double>(sharing_entries_);
 }
@@ -112,12 +89,7 @@
                                 {"routes", table->content().routes.size()},
                                 {"teams", table->content().teams.size()}});
   table_ = std::move(table);
-  std::erase_if(request_age_estimators_, [this](const auto& item) {
-    return std::ranges::none_of(
-        table_->content().routes, [&item](const Route& route) {
-          return item.first == std::pair(route.name, route.timeout);
-        });
-  });
+  admission_.OnRouteTable(*table_);
   std::erase_if(route_history_, [this](const auto& item) {
     return std::ranges::none_of(
         table_->content().routes,
@@ -186,7 +158,7 @@
 
 void ForwardController::CheckEarlyRequests(TimePoint now) {
   if (table_ != nullptr) {
-    if (!rates_.share().IsJoining(now)) {
+    if (!admission_.rates().share().IsJoining(now)) {
       BeginEarlyRequests();
     }
     return;
@@ -221,7 +193,8 @@
   request->head = std::move(head);
   request->body = std::move(body);
   request->arrived = arrived;
-  if (const std::optional<Refusal> refusal = Admit(*request)) {
+  if (const std::optional<Refusal> refusal =
+          admission_.Admit(*request, held_body_bytes_)) {
     if (refusal->undecided) {
       // Whether the request exceeds the rate is known half a second later.
       HoldEarlyRequest(exchange, {.head = std::move(request->head),
@@ -249,82 +222,6 @@
   Enqueue(admitted);
 }
 
-std::optional<ForwardController::Refusal> ForwardController::Admit(
-    ForwardedRequest& request) {
-  if (request.route == nullptr) {
-    return Refusal{.code = ResultCode::kNoRoute};
-  }
-  const Route& route = *request.route;
-  request.service = RouteTable::PickService(route, request.metadata.request_id);
-  const Service* service = table_->FindService(request.service);
-  request.model_server = service != nullptr && service->batch_slots > 0;
-  request.priority = route.priority;
-  if (table_->has_teams()) {
-    const TeamConfig* team =
-        request.metadata.api_key.has_value()
-            ? table_->FindTeamByKey(*request.metadata.api_key)
-            : nullptr;
-    if (team == nullptr && !route.is_public) {
-      return Refusal{.code = ResultCode::kUnknownTeam};
-    }
-    if (team != nullptr) {
-      request.team = team->name;
-      request.priority = team->priority.value_or(route.priority);
-      request.has_team_priority = team->priority.has_value();
-    }
-  }
-  constexpr Duration kMaxTimeLeft = std::chrono::hours(1);
-  request.due =
-      request.arrived +
-      std::min(request.metadata.time_left.value_or(kMaxTimeLeft),
-               route.timeout > Duration::zero() ? route.timeout : kMaxTimeLeft);
-  request.first_sent =
-      request.arrived -
-      request_age_estimators_[{route.name, route.timeout}].OnRequest(
-          std::max(request.due - request.arrived, kMinTimeForAttempt));
-  request.last_event_id = request.metadata.last_event_id;
-  request.is_long = route.streaming &&
-                    route_history_[route.name].sizes.IsLong(request.metadata);
-  if (held_body_bytes_ + request.body.size() >
-      options_.max_buffered_body_bytes) {
-    return Refusal{.code = ResultCode::kOverloaded};
-  }
-  return UseTeamRate(request);
-}
-
-std::optional<ForwardController::Refusal> ForwardController::UseTeamRate(
-    ForwardedRequest& request) {
-  const TeamConfig* team =
-      request.team.empty() ? nullptr : table_->FindTeam(request.team);
-  if (team == nullptr) {
-    return std::nullopt;
-  }
-  const uint64_t tokens =
-      request.metadata.prompt_tokens + request.metadata.output_tokens;
-  const double units = !team->rate.in_tokens ? 1
-                       : tokens > 0          ? static_cast<double>(tokens)
-                                             : team->rate.tokens_if_unknown;
-  const std::optional<TeamRates::Shortage> shortage =
-      rates_.Take(*team, units, clock_.Now());
-  if (!shortage.has_value()) {
-    return std::nullopt;
-  }
-  // An undecided request is not refused but checked again later.
-  log_.Info(shortage->undecided ? "rate_waits" : "rate_refused",
-            {{"id", request.metadata.request_id},
-             {"team", team->name},
-             {"units", units},
-             {"level", shortage->level},
-             {"drawn_here", shortage->drawn_here},
-             {"per_second", team->rate.per_second},
-             {"burst", team->rate.burst},
-             {"share", shortage->share},
-             {"config_version", table_->version()}});
-  return Refusal{.code = ResultCode::kTeamTokenRate,
-                 .retry_after = shortage->wait,
-                 .undecided = shortage->undecided};
-}
-
 void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
   Refuse(exchange, {}, {.code = code});
 }
@@ -392,19 +289,30 @@
   slot_router_.RequestSlot(std::move(slot_request));
 }
 
+double ForwardController::WeightOf(const ForwardedRequest& request) {
+  const TeamConfig* team =
+      request.team.empty() ? nullptr : request.table->FindTeam(request.team);
+  return team != nullptr && team->rate.per_second > 0 ? team->rate.per_second
+                                                      : 1;
+}
+
 SlotRequest ForwardController::MakeSlotRequest(
     const ForwardedRequest& request) {
   const Route& route = *request.route;
   const RouteHistory& history = route_history_[route.name];
-  SlotRequest slot_request = {.attempt = request.attempt,
-                              .service = request.service,
-                              .model_server = request.model_server,
-                              .priority = request.priority,
-                              .route_priority = route.priority,
-                              .in_time_until = timing_.LatestStartInTime(
-                                  request, AnswerTimeQuantile(history)),
-                              .due = request.due,
-                              .suspicion = request.suspicion};
+  SlotRequest slot_request = {
+      .attempt = request.attempt,
+      .service = request.service,
+      .model_server = request.model_server,
+      .priority = request.priority,
+      .route_priority = route.priority,
+      .in_time_until =
+          timing_.LatestStartInTime(request, history.AnswerTimeQuantile()),
+      .due = request.due,
+      .suspicion = request.suspicion,
+      .team = request.team.empty() ? 0 : HashBytes(request.team),
+      .team_weight = WeightOf(request),
+      .data_centre = options_.data_centre};
   for (const std::string& server : request.tried) {
     slot_request.tried.push_back(HashBytes(server));
   }
@@ -438,13 +346,6 @@
   return slot_request;
 }
 
-std::optional<Duration> ForwardController::AnswerTimeQuantile(
-    const RouteHistory& history) {
-  return history.answer_ms.empty()
-             ? std::nullopt
-             : std::optional(FromMilliseconds(history.answer_ms.value()));
-}
-
 void ForwardController::RecordEndOfWait(const ForwardedRequest& request,
                                         bool got_slot) {
   if (request.streams() && request.tried.empty()) {
@@ -494,17 +395,7 @@
                                const SlotGrant& grant) {
   const TimePoint now = clock_.Now();
   const std::string key = server.start_key();
-  log_.Info("send", {{"id", request.metadata.request_id},
-                     {"server", key},
-                     {"version", server.version},
-                     {"attempt", request.tried.size() + 1},
-                     {"gate", scheduler},
-                     {"config_version", request.table->version()},
-                     {"priority", request.priority},
-                     {"in_flight", grant.in_flight},
-                     {"pace_ms", grant.pace_ms},
-                     {"waited_ms", ToMilliseconds(now - request.waiting_since)},
-                     {"left_ms", ToMilliseconds(request.due - now)}});
+  request_log_.OnSend(request, server, scheduler, grant);
   RecordEndOfWait(request, /*got_slot=*/true);
   crashes_.OnSent(request.fingerprint);
   request.version_attempt =
@@ -594,7 +485,7 @@
   const bool matched = !metadata.request_id.empty() || (rejected && fresh);
   const bool genuine = rejected || (metadata.sealed && !encoded);
   const bool streams =
-      request->streams() && IsSuccess(head.status) && IsEventStream(head);
+      request->streams() && AnswerForwarder::IsEventStream(head);
   // A stream of which the client has a part can only be continued by a stream.
   const bool continues = !request->head_sent || streams || rejected;
   if (!matched || !genuine || !continues) {
@@ -617,61 +508,10 @@
     return false;
   }
   request->last_received_at = clock_.Now();
-  if (request->rejected) {
-    return true;
-  }
-  if (request->answer_streams) {
-    request->events.Feed(bytes);
-    ForwardEvents(*request);
-    return true;
-  }
-  if (request->head_sent) {
-    port_.RespondChunk(request->exchange, bytes);
-    return true;
-  }
-  request->answer_body += bytes;
-  if (request->answer_body.size() > options_.max_buffered_answer_bytes) {
-    request->head_sent = true;
-    port_.RespondHead(request->exchange, ForClient(*request->answer_head));
-    port_.RespondChunk(request->exchange,
-                       std::exchange(request->answer_body, {}));
-  }
+  answers_.OnChunk(*request, std::move(bytes));
   return true;
 }
 
-void ForwardController::ForwardEvents(ForwardedRequest& request) {
-  const TimePoint now = clock_.Now();
-  std::string passed;
-  while (std::optional<StreamEvent> event = request.events.Next()) {
-    if (request.event_count++ == 0) {
-      request.first_event_at = now;
-      version_selector_.OnFirstChunk(request.service, request.version_attempt,
-                                     now - request.sent_at);
-    }
-    if (request.head_sent) {
-      request.longest_pause =
-          std::max(request.longest_pause, now - request.last_event_at);
-    }
-    request.last_event_at = now;
-    if (!event->id.empty()) {
-      request.last_event_id = event->id;
-    }
-    passed += event->bytes;
-  }
-  if (passed.empty()) {
-    return;
-  }
-  // The head is sent with the first event: until then a broken stream can be
-  // started again or reported as failed.
-  if (!std::exchange(request.head_sent, true)) {
-    port_.RespondHead(request.exchange, ForClient(*request.answer_head));
-    metrics_.Observe("first_event_seconds{priority=\"" +
-                         std::to_string(request.priority) + "\"}",
-                     ToSeconds(now - request.arrived));
-  }
-  port_.RespondChunk(request.exchange, passed);
-}
-
 void ForwardController::OnAnswerEnd(AttemptId attempt) {
   ForwardedRequest* request = FindByAttempt(attempt);
   if (request == nullptr) {
@@ -706,7 +546,7 @@
   }
   ReportVersionOutcome(request, /*error=*/false);
   EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
-                       .pace_ms = PaceOf(request),
+                       .pace_ms = PaceOf(request, clock_.Now()),
                        .read = PromptReadOf(request)});
   crashes_.OnServerSurvived(request.fingerprint);
   port_.RespondEnd(request.exchange);
@@ -725,7 +565,7 @@
   ReportVersionOutcome(request, error);
   EndAttempt(request, {.kind = error ? SlotResult::Kind::kServerError
                                      : SlotResult::Kind::kAnswered,
-                       .pace_ms = PaceOf(request),
+                       .pace_ms = PaceOf(request, clock_.Now()),
                        .pushback = PushbackOf(request.server)});
   ++request.runs;
   if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
@@ -735,12 +575,7 @@
     Enqueue(request);
     return;
   }
-  if (request.head_sent) {
-    port_.RespondEnd(request.exchange);
-  } else {
-    port_.Respond(request.exchange, ForClient(*request.answer_head),
-                  request.answer_body);
-  }
+  answers_.Finish(request);
   LogEnd(request, "answered", status);
   RemoveRequest(request.exchange);
 }
@@ -755,41 +590,13 @@
   if (!request.answer_streams) {
     version_selector_.OnFirstChunk(request.service, request.version_attempt,
                                    clock_.Now() - request.sent_at);
-  } else if (const std::optional<double> pace_ms = PaceOf(request)) {
+  } else if (const std::optional<double> pace_ms =
+                 PaceOf(request, clock_.Now())) {
     version_selector_.OnEventInterval(request.service, request.version_attempt,
                                       FromMilliseconds(*pace_ms));
   }
 }
 
-std::optional<double> ForwardController::PaceOf(
-    const ForwardedRequest& request) const {
-  if (!request.model_server) {
-    return ToFractionalMilliseconds(clock_.Now() - request.sent_at);
-  }
-  // Over fewer events, the pace depends more on the prompts of other requests
-  // than on the server.
-  constexpr int kMinEvents = 5;
-  if (request.event_count < kMinEvents) {
-    return std::nullopt;
-  }
-  return ToFractionalMilliseconds(request.last_event_at -
-                                  request.first_event_at) /
-         (request.event_count - 1);
-}
-
-std::optional<PromptRead> ForwardController::PromptReadOf(
-    const ForwardedRequest& request) {
-  // For a shorter prompt, the wait depends more on the network and on other
-  // prompts.
-  constexpr uint64_t kMinTokens = 1000;
-  if (request.event_count == 0 || request.metadata.prompt_tokens < kMinTokens) {
-    return std::nullopt;
-  }
-  return PromptRead{
-      .tokens = static_cast<uint32_t>(request.metadata.prompt_tokens),
-      .ms = ToFractionalMilliseconds(request.first_event_at - request.sent_at)};
-}
-
 void ForwardController::OnAttemptFailed(AttemptId attempt,
                                         AttemptFailure failure) {
   if (ForwardedRequest* request = FindByAttempt(attempt)) {
@@ -800,16 +607,7 @@
 
 void ForwardController::AfterFailure(ForwardedRequest& request,
                                      AttemptFailure failure) {
-  const TimePoint now = clock_.Now();
-  log_.Info("attempt_failed",
-            {{"id", request.metadata.request_id},
-             {"fingerprint", request.fingerprint},
-             {"server", request.server},
-             {"failure", AttemptFailureName(failure)},
-             {"after_ms", ToMilliseconds(now - request.sent_at)},
-             {"events", request.event_count}});
-  metrics_.Add(std::string("attempts_failed{failure=\"") +
-               AttemptFailureName(failure) + "\"}");
+  request_log_.OnAttemptFailed(request, failure);
   if (failure == AttemptFailure::kDisconnected) {
     crashes_.OnServerLost(request.fingerprint, HashBytes(request.server),
                           request.sent_at);
@@ -951,7 +749,7 @@
     return;
   }
   RecordEndOfWait(request, /*got_slot=*/false);
-  LogNotices(request);
+  request_log_.OnHeldBack(request);
   if (waits_in_vain) {
     RefuseRequest(request, {.code = ResultCode::kOverloaded,
                             .retry_after = *blocked_until - now});
@@ -991,99 +789,21 @@
 void ForwardController::Refuse(ExchangeId exchange,
                                const std::string& request_id,
                                const Refusal& refusal) {
-  const ResultCodeInfo& info = Describe(refusal.code);
-  const Duration wait = refusal.retry_after.value_or(options_.retry_after);
-  ResponseHead head{.status = info.http_status,
-                    .fields = codec_.own_answer_fields(request_id)};
-  head.fields.push_back({.name = "Content-Type", .value = "application/json"});
-  constexpr int kTooManyRequests = 429;
-  constexpr int kUnavailable = 503;
-  if (info.http_status == kTooManyRequests ||
-      info.http_status == kUnavailable) {
-    head.fields.push_back(
-        {.name = "Retry-After", .value = RetryAfterValue(wait)});
-  }
-  metrics_.Add("refused{result=\"" + std::string(info.name) + "\"}");
   if (!requests_.contains(exchange)) {
     log_.Info("refused", {{"exchange", exchange},
                           {"id", request_id},
-                          {"result", info.name},
-                          {"retry_after_ms", ToMilliseconds(wait)}});
+                          {"result", Describe(refusal.code).name},
+                          {"retry_after_ms",
+                           ToMilliseconds(refusals_.RetryAfterOf(refusal))}});
   }
-  port_.Respond(exchange, head,
-                RefusalBody(info.code, info.message, wait) + "\n");
+  refusals_.Write(exchange, request_id, refusal);
 }
 
 void ForwardController::LogEnd(const ForwardedRequest& request,
                                std::string_view outcome,
-                               int status) {
-  const TimePoint now = clock_.Now();
-  // Counted from the last attempt; -1 without an event.
-  const int64_t first_event_ms =
-      request.event_count == 0
-          ? -1
-          : ToMilliseconds(request.first_event_at - request.sent_at);
-  // Time waited for a slot that was not granted; else 0.
-  const int64_t waiting_ms =
-      request.state == State::kWaiting && request.attempt != 0
-          ? ToMilliseconds(now - request.waiting_since)
-          : 0;
-  log_.Info(
-      "end",
-      {{"id", request.metadata.request_id},
-       {"fingerprint", request.fingerprint},
-       {"outcome", outcome},
-       {"status", status},
-       {"route", request.route == nullptr ? "" : request.route->name},
-       {"team", request.team},
-       {"config_version", request.table->version()},
-       {"attempts", request.tried.size()},
-       {"runs", request.runs},
-       {"events", request.event_count},
-       {"prompt_tokens", request.metadata.prompt_tokens},
-       {"body_bytes", request.body.size()},
-       {"most_output_tokens", request.metadata.output_tokens},
-       {"expected_output_tokens", request.metadata.expected_output_tokens},
-       {"server", request.server},
-       {"gate", slot_router_.RequestedScheduler(request.attempt)},
-       {"waiting_ms", waiting_ms},
-       {"first_event_ms", first_event_ms},
-       {"longest_pause_ms", ToMilliseconds(request.longest_pause)},
-       {"took_ms", ToMilliseconds(now - request.arrived)}});
-  metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
-  metrics_.Observe("request_seconds", ToSeconds(now - request.arrived));
-}
-
-void ForwardController::LogNotices(const ForwardedRequest& request) const {
-  const std::vector<const BackendServer*> servers =
-      directory_.Usable(request.service);
-  for (const NoticeKind kind : kNoticeKinds) {
-    int stated = 0;
-    const ServerNotice* latest = nullptr;
-    for (const BackendServer* server : servers) {
-      const ServerNotice* notice = notices_.Find(server->start_key(), kind);
-      if (notice == nullptr) {
-        continue;
-      }
-      ++stated;
-      if (latest == nullptr || notice->said_at > latest->said_at) {
-        latest = notice;
-      }
-    }
-    if (latest == nullptr) {
-      continue;
-    }
-    log_.Info("held_back",
-              {{"id", request.metadata.request_id},
-               {"service", request.service},
-               {"kind", RulesOf(kind).name},
-               {"servers", servers.size()},
-               {"stated_by", stated},
-               {"latest", latest->server},
-               {"value", latest->value},
-               {"age_ms", ToMilliseconds(clock_.Now() - latest->said_at)},
-               {"source", latest->source}});
-  }
+                               int status) const {
+  request_log_.OnEnd(request, outcome, status,
+                     slot_router_.RequestedScheduler(request.attempt));
 }
 
 void ForwardController::RemoveRequest(ExchangeId exchange) {
@@ -1113,27 +833,28 @@
   for (const auto& [server, count] : in_flight) {
     report.in_flight.push_back({.server_hash = server, .in_flight = count});
   }
-  report.team_totals = rates_.totals();
+  report.team_totals = admission_.rates().totals();
   return report;
 }
 
 void ForwardController::OnPeerReport(const std::string& peer,
                                      const ForwardReport& report) {
-  rates_.OnPeerTotals(peer, report.team_totals, clock_.Now());
+  admission_.rates().OnPeerTotals(peer, report.team_totals, clock_.Now());
 }
 
 void ForwardController::OnRelayedTotals(const std::string& coordinator,
                                         const UsageTotals& totals) {
-  rates_.OnRelayedTotals(coordinator, totals, clock_.Now());
+  admission_.rates().OnRelayedTotals(coordinator, totals, clock_.Now());
 }
 
 void ForwardController::OnPeerLost(const std::string& peer) {
-  rates_.ForgetPeer(peer);
+  admission_.rates().ForgetPeer(peer);
 }
 
 void ForwardController::OnPeerCount(size_t known, size_t reporting) {
-  rates_.share().OnPeerCount(known, reporting, clock_.Now());
-  const size_t sharing_count = rates_.share().EntryCount(clock_.Now());
+  admission_.rates().share().OnPeerCount(known, reporting, clock_.Now());
+  const size_t sharing_count =
+      admission_.rates().share().EntryCount(clock_.Now());
   if (std::exchange(sharing_entries_, sharing_count) == sharing_count) {
     return;
   }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -15,20 +15,23 @@
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/base/result_code.h"
 #include "lavenderkeel/crash/crash_guard.h"
+#include "lavenderkeel/forward/answer_forwarder.h"
 #include "lavenderkeel/forward/forward_port.h"
 #include "lavenderkeel/forward/forwarded_request.h"
-#include "lavenderkeel/forward/long_requests.h"
-#include "lavenderkeel/forward/request_age_estimator.h"
+#include "lavenderkeel/forward/refusal.h"
+#include "lavenderkeel/forward/refusal_writer.h"
+#include "lavenderkeel/forward/request_admission.h"
+#include "lavenderkeel/forward/request_log.h"
 #include "lavenderkeel/forward/request_metadata.h"
 #include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/retry_window.h"
+#include "lavenderkeel/forward/route_history.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
-#include "lavenderkeel/forward/size_estimate.h"
 #include "lavenderkeel/forward/slot_router.h"
 #include "lavenderkeel/forward/slot_scheduler.h"
+#include "lavenderkeel/forward/team_demand.h"
 #include "lavenderkeel/forward/team_rates.h"
-#include "lavenderkeel/forward/upper_quantile_estimator.h"
 #include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
@@ -40,6 +43,8 @@
   std::vector<ServerCount> in_flight;
   /// Rate usage by this entry's own requests.
   UsageTotals team_totals;
+  /// What teams asked for at this entry.
+  DemandTotals demand = {};
 
   friend bool operator==(const ForwardReport&, const ForwardReport&) = default;
 };
@@ -53,6 +58,8 @@
 class ForwardController {
  public:
   struct Options {
+    /// Data centre of this entry.
+    std::string data_centre;
     RetryWindow::Options retries;
     TeamRates::Options rates;
     /// Extra retries of all entries together, see RetryWindow.
@@ -80,6 +87,9 @@
     Duration unconfigured_retry_after = std::chrono::milliseconds(1200);
     /// Default Retry-After.
     Duration retry_after = std::chrono::milliseconds(300);
+    /// Whether a request that will get no slot within its wait is refused on
+    /// arrival.
+    bool early_refusal = false;
   };
 
   /// @param slot_router receives the slot requests of this controller; the
@@ -152,11 +162,13 @@
   /// here; both include this entry.
   void OnPeerCount(size_t known, size_t reporting);
   /// Records that an entry is connected that started before this one.
-  void OnOlderPeer() { rates_.share().OnOlderPeer(); }
+  void OnOlderPeer() { admission_.rates().share().OnOlderPeer(); }
 
   /// Returns the fraction of shared rates that this entry and those that report
   /// to it may use.
-  double rate_share() const { return rates_.share().ShareAt(clock_.Now()); }
+  double rate_share() const {
+    return admission_.rates().share().ShareAt(clock_.Now());
+  }
 
   /// Ends waits, silent attempts and requests whose time is over.
   void Tick();
@@ -180,45 +192,26 @@
     TimePoint waits_until;
   };
 
-  /// Statistics of a route.
-  struct RouteHistory {
-    SizeEstimate sizes;
-    LongRequests long_requests;
-    /// Time in milliseconds from sending a request to a plain service to the
-    /// complete answer.
-    UpperQuantileEstimator answer_ms;
-  };
-  struct Refusal {
-    ResultCode code;
-    std::optional<Duration> retry_after;
-    /// Whether the request is held and checked again instead of refused; see
-    /// TeamRates::Shortage.
-    bool undecided = false;
-  };
-
   /// Admits or refuses a request under the configuration in force.
   void Begin(ExchangeId exchange,
              RequestHead head,
              std::string body,
              RequestMetadata metadata,
              TimePoint arrived);
-  std::optional<Refusal> Admit(ForwardedRequest& request);
   void HoldEarlyRequest(ExchangeId exchange, EarlyRequest request);
   void BeginEarlyRequests();
   /// Begins or refuses the early requests whose wait is over.
   void CheckEarlyRequests(TimePoint now);
-  std::optional<Refusal> UseTeamRate(ForwardedRequest& request);
   /// Requests a slot, unless the request is refused or held for an equal
   /// request or for the rollout plans.
   void Enqueue(ForwardedRequest& request);
   CrashDecision DecideOnCrashes(const ForwardedRequest& request) const;
   void RefuseAsCrashing(ForwardedRequest& request,
                         const CrashDecision& decision);
-  /// Returns a high quantile of the answer times of a plain service; nothing
-  /// before the first answer.
-  static std::optional<Duration> AnswerTimeQuantile(
-      const RouteHistory& history);
   void RecordEndOfWait(const ForwardedRequest& request, bool got_slot);
+  /// Returns the share of the request's team relative to other teams: its
+  /// configured rate, 1 if it has none.
+  static double WeightOf(const ForwardedRequest& request);
   SlotRequest MakeSlotRequest(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
@@ -239,14 +232,10 @@
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
   bool MayRetry(ForwardedRequest& request, RunState state);
   void GiveUp(ForwardedRequest& request, RunState state);
-  void ForwardEvents(ForwardedRequest& request);
   void FinishNonStream(ForwardedRequest& request);
   void FinishStream(ForwardedRequest& request);
   /// Reports to the rollout what the complete answer shows of the version.
   void ReportVersionOutcome(ForwardedRequest& request, bool error);
-  std::optional<double> PaceOf(const ForwardedRequest& request) const;
-  static std::optional<PromptRead> PromptReadOf(
-      const ForwardedRequest& request);
 
   void Refuse(ExchangeId exchange,
               const std::string& request_id,
@@ -254,9 +243,7 @@
   void RefuseRequest(ForwardedRequest& request, const Refusal& refusal);
   void LogEnd(const ForwardedRequest& request,
               std::string_view outcome,
-              int status);
-  /// Logs the notices of servers that held a waiting request back.
-  void LogNotices(const ForwardedRequest& request) const;
+              int status) const;
   void RemoveRequest(ExchangeId exchange);
 
   Options options_;
@@ -271,17 +258,16 @@
   const Clock& clock_;
   const EventLog& log_;
   Metrics& metrics_;
+  RefusalWriter refusals_;
+  RequestLog request_log_;
+  RouteHistories route_history_;
+  RequestAdmission admission_;
+  AnswerForwarder answers_;
   std::shared_ptr<const RouteTable> table_;
   std::map<ExchangeId, EarlyRequest> early_requests_;
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
   std::map<std::string, RetryWindow> retry_windows_;
-  /// By route and its timeout, which limits the time that clients have left.
-  std::map<std::pair<std::string, Duration>, RequestAgeEstimator>
-      request_age_estimators_;
-  /// By route.
-  std::map<std::string, RouteHistory> route_history_;
-  TeamRates rates_;
   /// Entries that share the bound on retries.
   size_t sharing_entries_;
   size_t held_body_bytes_ = 0;
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -50,6 +50,8 @@
     CrashGuard::Options crashes;
     Placement::Options placement;
     SlotRouter::Options slots;
+    /// Whether teams of equal rank share the slots by weight.
+    bool fair_shares = false;
     ExposureBounds exposure;
     ServerNotices::Options notices;
     MemberTable::Options members = {
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -28,6 +28,49 @@
   }
 }
 
+std::vector<RankLoad> RanksFromWire(const GateStatus& gate_status) {
+  std::vector<RankLoad> ranks;
+  for (const auto& rank : gate_status.ranks) {
+    if (rank != nullptr) {
+      ranks.push_back({.priority = rank->priority,
+                       .route_priority = rank->route_priority,
+                       .waiting = static_cast<int>(rank->waiting),
+                       .granted = rank->granted});
+    }
+  }
+  return ranks;
+}
+
+using WireDemand = std::vector<std::unique_ptr<fbs::TeamRankDemandT>>;
+
+void PutDemand(const DemandTotals& demand, WireDemand& wire) {
+  for (const TeamRankDemand& total : demand) {
+    auto item = std::make_unique<fbs::TeamRankDemandT>();
+    item->team = total.team;
+    item->rank = total.rank;
+    item->units = total.units;
+    wire.push_back(std::move(item));
+  }
+}
+
+DemandTotals ToDemand(const WireDemand& wire) {
+  DemandTotals demand;
+  for (const auto& item : wire) {
+    if (item != nullptr) {
+      demand.push_back(
+          {.team = item->team, .rank = item->rank, .units = item->units});
+    }
+  }
+  return demand;
+}
+
+fbs::LoadReportT& LoadReportOf(ForwardStatus& status) {
+  if (status.load == nullptr) {
+    status.load = std::make_unique<fbs::LoadReportT>();
+  }
+  return *status.load;
+}
+
 }  // namespace
 
 ServerFeed ToWire(const ObjectDelta& delta) {
@@ -79,6 +122,9 @@
   want.crash_standing = static_cast<uint8_t>(slot_request.suspicion);
   want.version = slot_request.version;
   want.canary_version = slot_request.canary_version;
+  want.team = slot_request.team;
+  want.weight = slot_request.team_weight;
+  want.data_centre = slot_request.data_centre;
   return want;
 }
 
@@ -101,7 +147,10 @@
           .version = want.version,
           .canary_version = want.canary_version,
           .suspicion = static_cast<CrashSuspicion>(
-              std::min(want.crash_standing, kLastSuspicion))};
+              std::min(want.crash_standing, kLastSuspicion)),
+          .team = want.team,
+          .team_weight = want.weight > 0 ? want.weight : 1,
+          .data_centre = want.data_centre};
 }
 
 HaveSlot ToWire(const SlotGrant& grant) {
@@ -157,6 +206,9 @@
     status.in_flight.push_back(static_cast<uint32_t>(count.in_flight));
   }
   PutTotals(report.team_totals, status.teams, status.drawn);
+  if (!report.demand.empty()) {
+    PutDemand(report.demand, LoadReportOf(status).demand);
+  }
   for (const SlotGroupReport& group_report : group_reports) {
     auto gate_status = std::make_unique<GateStatus>();
     gate_status->service = group_report.service_hash;
@@ -164,6 +216,14 @@
     gate_status->groups = group_report.group.count;
     gate_status->free = group_report.free;
     gate_status->waiting = static_cast<uint32_t>(group_report.waiting);
+    for (const RankLoad& load : group_report.ranks) {
+      auto rank = std::make_unique<fbs::RankLoadT>();
+      rank->priority = load.priority;
+      rank->route_priority = load.route_priority;
+      rank->waiting = static_cast<uint32_t>(load.waiting);
+      rank->granted = load.granted;
+      gate_status->ranks.push_back(std::move(rank));
+    }
     status.gates.push_back(std::move(gate_status));
   }
   return status;
@@ -177,7 +237,8 @@
           {.service_hash = gate_status->service,
            .group = {.index = gate_status->group, .count = gate_status->groups},
            .free = gate_status->free,
-           .waiting = static_cast<int>(gate_status->waiting)});
+           .waiting = static_cast<int>(gate_status->waiting),
+           .ranks = RanksFromWire(*gate_status)});
     }
   }
   return group_reports;
@@ -191,6 +252,17 @@
   return ToTotals(status.relayed_teams, status.relayed);
 }
 
+void PutRelayedDemand(const DemandTotals& relayed, ForwardStatus& status) {
+  if (!relayed.empty()) {
+    PutDemand(relayed, LoadReportOf(status).relayed_demand);
+  }
+}
+
+DemandTotals RelayedDemandFromWire(const ForwardStatus& status) {
+  return status.load == nullptr ? DemandTotals()
+                                : ToDemand(status.load->relayed_demand);
+}
+
 ForwardReport FromWire(const ForwardStatus& status) {
   ForwardReport report{.table_version = status.table_version};
   const size_t servers =
@@ -201,6 +273,9 @@
          .in_flight = static_cast<int>(status.in_flight[i])});
   }
   report.team_totals = ToTotals(status.teams, status.drawn);
+  if (status.load != nullptr) {
+    report.demand = ToDemand(status.load->demand);
+  }
   return report;
 }
 
--- a/lavenderkeel/forward/internal/forward_wire.h
+++ b/lavenderkeel/forward/internal/forward_wire.h
@@ -22,6 +22,9 @@
 /// Adds the rate usage that the sender relays for other entries.
 void PutRelayed(const UsageTotals& relayed, ForwardStatus& status);
 UsageTotals RelayedFromWire(const ForwardStatus& status);
+/// Adds what teams asked for at the entries that the sender relays for.
+void PutRelayedDemand(const DemandTotals& relayed, ForwardStatus& status);
+DemandTotals RelayedDemandFromWire(const ForwardStatus& status);
 
 ServerFeed ToWire(const ObjectDelta& delta);
 ObjectDelta FromWire(const ServerFeed& feed);
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -54,6 +54,9 @@
     /// After this time requests for a canary version go to another of its
     /// servers.
     Duration canary_server_period = std::chrono::milliseconds(500);
+    /// Whether servers that were slow are tried again, and equal servers get
+    /// equal shares at low load.
+    bool server_probes = false;
   };
 
   /// Suitability of a server for a request, best first.
--- /dev/null
+++ b/lavenderkeel/forward/refusal_writer.h
@@ -0,0 +1,45 @@
+#ifndef LAVENDERKEEL_FORWARD_REFUSAL_WRITER_H_
+#define LAVENDERKEEL_FORWARD_REFUSAL_WRITER_H_
+
+#include <string>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/metrics.h"
+#include "lavenderkeel/forward/forward_port.h"
+#include "lavenderkeel/forward/refusal.h"
+#include "lavenderkeel/forward/request_metadata.h"
+
+namespace lavenderkeel {
+
+/// Writer of the answers of requests that are refused.
+class RefusalWriter {
+ public:
+  /// @param default_retry_after Retry-After of refusals that state none
+  RefusalWriter(const ForwardCodec& codec,
+                ForwardPort& port,
+                Metrics& metrics,
+                Duration default_retry_after)
+      : codec_(codec),
+        port_(port),
+        metrics_(metrics),
+        default_retry_after_(default_retry_after) {}
+
+  /// @param request_id id of the request; empty if it is not known
+  void Write(ExchangeId exchange,
+             const std::string& request_id,
+             const Refusal& refusal);
+  /// Returns the Retry-After that Write sends.
+  Duration RetryAfterOf(const Refusal& refusal) const {
+    return refusal.retry_after.value_or(default_retry_after_);
+  }
+
+ private:
+  const ForwardCodec& codec_;
+  ForwardPort& port_;
+  Metrics& metrics_;
+  Duration default_retry_after_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_REFUSAL_WRITER_H_
--- /dev/null
+++ b/lavenderkeel/forward/request_log.cc
@@ -0,0 +1,111 @@
+#include "lavenderkeel/forward/request_log.h"
+
+#include <vector>
+
+namespace lavenderkeel {
+
+void RequestLog::OnSend(const ForwardedRequest& request,
+                        const BackendServer& server,
+                        const std::string& scheduler,
+                        const SlotGrant& grant) const {
+  const TimePoint now = clock_.Now();
+  log_.Info("send", {{"id", request.metadata.request_id},
+                     {"server", server.start_key()},
+                     {"version", server.version},
+                     {"attempt", request.tried.size() + 1},
+                     {"gate", scheduler},
+                     {"config_version", request.table->version()},
+                     {"priority", request.priority},
+                     {"in_flight", grant.in_flight},
+                     {"pace_ms", grant.pace_ms},
+                     {"waited_ms", ToMilliseconds(now - request.waiting_since)},
+                     {"left_ms", ToMilliseconds(request.due - now)}});
+}
+
+void RequestLog::OnAttemptFailed(const ForwardedRequest& request,
+                                 AttemptFailure failure) const {
+  log_.Info("attempt_failed",
+            {{"id", request.metadata.request_id},
+             {"fingerprint", request.fingerprint},
+             {"server", request.server},
+             {"failure", AttemptFailureName(failure)},
+             {"after_ms", ToMilliseconds(clock_.Now() - request.sent_at)},
+             {"events", request.event_count}});
+  metrics_.Add(std::string("attempts_failed{failure=\"") +
+               AttemptFailureName(failure) + "\"}");
+}
+
+void RequestLog::OnEnd(const ForwardedRequest& request,
+                       std::string_view outcome,
+                       int status,
+                       const std::string& scheduler) const {
+  const TimePoint now = clock_.Now();
+  // Counted from the last attempt; -1 without an event.
+  const int64_t first_event_ms =
+      request.event_count == 0
+          ? -1
+          : ToMilliseconds(request.first_event_at - request.sent_at);
+  // Time waited for a slot that was not granted; else 0.
+  const int64_t waiting_ms =
+      request.state == ForwardedRequest::State::kWaiting && request.attempt != 0
+          ? ToMilliseconds(now - request.waiting_since)
+          : 0;
+  log_.Info(
+      "end",
+      {{"id", request.metadata.request_id},
+       {"fingerprint", request.fingerprint},
+       {"outcome", outcome},
+       {"status", status},
+       {"route", request.route == nullptr ? "" : request.route->name},
+       {"team", request.team},
+       {"config_version", request.table->version()},
+       {"attempts", request.tried.size()},
+       {"runs", request.runs},
+       {"events", request.event_count},
+       {"prompt_tokens", request.metadata.prompt_tokens},
+       {"body_bytes", request.body.size()},
+       {"most_output_tokens", request.metadata.output_tokens},
+       {"expected_output_tokens", request.metadata.expected_output_tokens},
+       {"server", request.server},
+       {"gate", scheduler},
+       {"waiting_ms", waiting_ms},
+       {"first_event_ms", first_event_ms},
+       {"longest_pause_ms", ToMilliseconds(request.longest_pause)},
+       {"took_ms", ToMilliseconds(now - request.arrived)}});
+  metrics_.Add("ended{outcome=\"" + std::string(outcome) + "\"}");
+  metrics_.Observe("request_seconds", ToSeconds(now - request.arrived));
+}
+
+void RequestLog::OnHeldBack(const ForwardedRequest& request) const {
+  const std::vector<const BackendServer*> servers =
+      directory_.Usable(request.service);
+  for (const NoticeKind kind : kNoticeKinds) {
+    int stated = 0;
+    const ServerNotice* latest = nullptr;
+    for (const BackendServer* server : servers) {
+      const ServerNotice* notice = notices_.Find(server->start_key(), kind);
+      if (notice == nullptr) {
+        continue;
+      }
+      ++stated;
+      if (latest == nullptr || notice->said_at > latest->said_at) {
+        latest = notice;
+      }
+    }
+    if (latest == nullptr) {
+      continue;
+    }
+    log_.Info("held_back",
+              {{"id", request.metadata.request_id},
+               {"service", request.service},
+               {"kind", RulesOf(kind).name},
+               {"servers", servers.size()},
+               {"stated_by", stated},
+               {"latest", latest->server},
+               {"value", latest->value},
+               {"age_ms", ToMilliseconds(clock_.Now() - latest->said_at)},
+               {"source", latest->source}});
+  }
+}
+
+}  // namespace lavenderkeel
--- /dev/null
+++ b/lavenderkeel/forward/request_log.h
@@ -0,0 +1,56 @@
+#ifndef LAVENDERKEEL_FORWARD_REQUEST_LOG_H_
+#define LAVENDERKEEL_FORWARD_REQUEST_LOG_H_
+
+#include <string>
+#include <string_view>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/base/metrics.h"
+#include "lavenderkeel/forward/attempt.h"
+#include "lavenderkeel/forward/forwarded_request.h"
+#include "lavenderkeel/forward/server_directory.h"
+#include "lavenderkeel/forward/slot.h"
+#include "lavenderkeel/notice/server_notices.h"
+
+namespace lavenderkeel {
+
+/// Log lines and metrics about the course of forwarded requests.
+class RequestLog {
+ public:
+  RequestLog(const ServerDirectory& directory,
+             const ServerNotices& notices,
+             const Clock& clock,
+             const EventLog& log,
+             Metrics& metrics)
+      : directory_(directory),
+        notices_(notices),
+        clock_(clock),
+        log_(log),
+        metrics_(metrics) {}
+
+  void OnSend(const ForwardedRequest& request,
+              const BackendServer& server,
+              const std::string& scheduler,
+              const SlotGrant& grant) const;
+  void OnAttemptFailed(const ForwardedRequest& request,
+                       AttemptFailure failure) const;
+  /// @param scheduler the scheduler that last received a slot request
+  void OnEnd(const ForwardedRequest& request,
+             std::string_view outcome,
+             int status,
+             const std::string& scheduler) const;
+  /// Logs the notices of servers that held a waiting request back.
+  void OnHeldBack(const ForwardedRequest& request) const;
+
+ private:
+  const ServerDirectory& directory_;
+  const ServerNotices& notices_;
+  const Clock& clock_;
+  const EventLog& log_;
+  Metrics& metrics_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_FORWARD_REQUEST_LOG_H_
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -26,12 +26,25 @@
   friend auto operator<=>(const SlotGroup&, const SlotGroup&) = default;
 };
 
+/// Queue of the requests of one rank at the scheduler of a group.
+struct RankLoad {
+  int priority = 0;
+  int route_priority = 0;
+  int waiting = 0;
+  /// Slots granted to the rank since the start of the scheduler's entry.
+  uint64_t granted = 0;
+
+  friend bool operator==(const RankLoad&, const RankLoad&) = default;
+};
+
 /// State of a group, as its scheduler reports it.
 struct SlotGroupReport {
   uint64_t service_hash = 0;
   SlotGroup group;
   int free = 0;
   int waiting = 0;
+  /// Queues by rank; empty if the scheduler does not report them.
+  std::vector<RankLoad> ranks = {};
 
   friend bool operator==(const SlotGroupReport&,
                          const SlotGroupReport&) = default;
@@ -71,6 +84,12 @@
   std::string canary_version = {};
   /// Evidence that the request crashes servers.
   CrashSuspicion suspicion = CrashSuspicion::kClear;
+  /// Hash of the team's name; zero without a team.
+  uint64_t team = 0;
+  /// Share of the team relative to other teams of the same rank.
+  double team_weight = 1;
+  /// Data centre of the requesting entry; empty if it is not known.
+  std::string data_centre = {};
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -63,6 +63,8 @@
     double length_penalty_weight = 1.0;
     /// A group without a slot request for this time has another scheduler now.
     Duration group_expiry = std::chrono::seconds(2);
+    /// Whether teams of equal rank share the slots by weight.
+    bool fair_shares = false;
   };
 
   /// Delivers a grant. May call ReleaseSlot and RequestSlot re-entrantly.
--- a/lavenderkeel/forward/team_rates.h
+++ b/lavenderkeel/forward/team_rates.h
@@ -20,6 +20,8 @@
   struct Options {
     TeamTokenBucket::Tolerance tolerance;
     RateShare::Options share;
+    /// Whether a team's rate is reserved for its more urgent routes.
+    bool by_rank = false;
   };
 
   /// Reason why units were not taken, and the values behind the decision.
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -93,6 +93,23 @@
   exposure.RejectUnknown();
 }
 
+/// Reads how load is shared. Without this section all of it is disabled.
+void ReadLoad(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
+  JsonReader load(ObjectOrEmpty(reader, "load"), "/load", faults);
+  ForwardNode::Options& node = settings.node;
+  node.controller.rates.by_rank = load.Bool("rates_by_rank", false);
+  node.fair_shares = load.Bool("fair_shares", false);
+  node.controller.early_refusal = load.Bool("early_refusal", false);
+  node.placement.server_probes = load.Bool("server_probes", false);
+  constexpr double kMaxOtherDataCentreCost = 100;
+  double& cost = node.placement.other_data_centre_cost;
+  cost = load.NonNegativeNumber("other_data_centre_cost", cost);
+  if (cost > kMaxOtherDataCentreCost) {
+    load.Fault("other_data_centre_cost", "must be at most 100");
+  }
+  load.RejectUnknown();
+}
+
 void ReadTuning(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
   JsonReader tuning(ObjectOrEmpty(reader, "tuning"), "/tuning", faults);
   ForwardNode::Options& node = settings.node;
@@ -123,6 +140,7 @@
   ReadLimits(reader, settings, faults);
   ReadBounds(reader, settings, faults);
   ReadExposure(reader, settings, faults);
+  ReadLoad(reader, settings, faults);
   ReadTuning(reader, settings, faults);
   JsonReader log(ObjectOrEmpty(reader, "log"), "/log", faults);
   settings.log_level = ReadLogLevel(log);
@@ -131,6 +149,7 @@
   BOOST_LEAF_CHECK(CheckFaults(faults, ResultCode::kSettingsInvalid));
   settings.node.placement.entry = settings.self.id.instance;
   settings.node.placement.data_centre = settings.self.data_centre;
+  settings.node.controller.data_centre = settings.self.data_centre;
   return settings;
 }
 
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -114,6 +114,14 @@
 struct ForwardStatusBuilder;
 struct ForwardStatusT;
 
+struct LoadReport;
+struct LoadReportBuilder;
+struct LoadReportT;
+
+struct TeamRankDemand;
+struct TeamRankDemandBuilder;
+struct TeamRankDemandT;
+
 struct NoticeReport;
 struct NoticeReportBuilder;
 struct NoticeReportT;
@@ -134,6 +142,10 @@
 struct GateStatusBuilder;
 struct GateStatusT;
 
+struct RankLoad;
+struct RankLoadBuilder;
+struct RankLoadT;
+
 struct WantSlot;
 struct WantSlotBuilder;
 struct WantSlotT;
@@ -220,6 +232,10 @@
 bool operator!=(const AgentPolicyT &lhs, const AgentPolicyT &rhs);
 bool operator==(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
 bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs);
+bool operator==(const LoadReportT &lhs, const LoadReportT &rhs);
+bool operator!=(const LoadReportT &lhs, const LoadReportT &rhs);
+bool operator==(const TeamRankDemandT &lhs, const TeamRankDemandT &rhs);
+bool operator!=(const TeamRankDemandT &lhs, const TeamRankDemandT &rhs);
 bool operator==(const NoticeReportT &lhs, const NoticeReportT &rhs);
 bool operator!=(const NoticeReportT &lhs, const NoticeReportT &rhs);
 bool operator==(const RolloutCountsT &lhs, const RolloutCountsT &rhs);
@@ -230,6 +246,8 @@
 bool operator!=(const RolloutPlanT &lhs, const RolloutPlanT &rhs);
 bool operator==(const GateStatusT &lhs, const GateStatusT &rhs);
 bool operator!=(const GateStatusT &lhs, const GateStatusT &rhs);
+bool operator==(const RankLoadT &lhs, const RankLoadT &rhs);
+bool operator!=(const RankLoadT &lhs, const RankLoadT &rhs);
 bool operator==(const WantSlotT &lhs, const WantSlotT &rhs);
 bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs);
 bool operator==(const HaveSlotT &lhs, const HaveSlotT &rhs);
@@ -3656,6 +3674,7 @@
   std::vector<std::unique_ptr<lavenderkeel::fbs::RolloutPlanT>> plans{};
   uint64_t rollout_change = 0;
   std::vector<std::unique_ptr<lavenderkeel::fbs::NoticeReportT>> notices{};
+  std::unique_ptr<lavenderkeel::fbs::LoadReportT> load{};
   ForwardStatusT() = default;
   ForwardStatusT(const ForwardStatusT &o);
   ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3684,7 +3703,8 @@
     VT_PLANS_KNOWN = 32,
     VT_PLANS = 34,
     VT_ROLLOUT_CHANGE = 36,
-    VT_NOTICES = 38
+    VT_NOTICES = 38,
+    VT_LOAD = 40
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3740,6 +3760,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> *notices() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> *>(VT_NOTICES);
   }
+  const lavenderkeel::fbs::LoadReport *load() const {
+    return GetPointer<const lavenderkeel::fbs::LoadReport *>(VT_LOAD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3774,6 +3797,8 @@
            VerifyOffset(verifier, VT_NOTICES) &&
            verifier.VerifyVector(notices()) &&
            verifier.VerifyVectorOfTables(notices()) &&
+           VerifyOffset(verifier, VT_LOAD) &&
+           verifier.VerifyTable(load()) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3839,6 +3864,9 @@
   void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>>> notices) {
     fbb_.AddOffset(ForwardStatus::VT_NOTICES, notices);
   }
+  void add_load(flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load) {
+    fbb_.AddOffset(ForwardStatus::VT_LOAD, load);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3869,11 +3897,13 @@
     bool plans_known = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RolloutPlan>>> plans = 0,
     uint64_t rollout_change = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>>> notices = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>>> notices = 0,
+    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0) {
   ForwardStatusBuilder builder_(_fbb);
   builder_.add_rollout_change(rollout_change);
   builder_.add_server_change(server_change);
   builder_.add_table_version(table_version);
+  builder_.add_load(load);
   builder_.add_notices(notices);
   builder_.add_plans(plans);
   builder_.add_rollout_counts(rollout_counts);
@@ -3916,7 +3946,8 @@
     bool plans_known = false,
     const std::vector<flatbuffers::Offset<lavenderkeel::fbs::RolloutPlan>> *plans = nullptr,
     uint64_t rollout_change = 0,
-    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> *notices = nullptr) {
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> *notices = nullptr,
+    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
@@ -3946,11 +3977,181 @@
       plans_known,
       plans__,
       rollout_change,
-      notices__);
+      notices__,
+      load);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LoadReportT : public flatbuffers::NativeTable {
+  typedef LoadReport TableType;
+  std::vector<std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT>> demand{};
+  std::vector<std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT>> relayed_demand{};
+  LoadReportT() = default;
+  LoadReportT(const LoadReportT &o);
+  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadReportT NativeTableType;
+  typedef LoadReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DEMAND = 4,
+    VT_RELAYED_DEMAND = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *>(VT_DEMAND);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *relayed_demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *>(VT_RELAYED_DEMAND);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DEMAND) &&
+           verifier.VerifyVector(demand()) &&
+           verifier.VerifyVectorOfTables(demand()) &&
+           VerifyOffset(verifier, VT_RELAYED_DEMAND) &&
+           verifier.VerifyVector(relayed_demand()) &&
+           verifier.VerifyVectorOfTables(relayed_demand()) &&
+           verifier.EndTable();
+  }
+  LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadReportBuilder {
+  typedef LoadReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>> demand) {
+    fbb_.AddOffset(LoadReport::VT_DEMAND, demand);
+  }
+  void add_relayed_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>> relayed_demand) {
+    fbb_.AddOffset(LoadReport::VT_RELAYED_DEMAND, relayed_demand);
+  }
+  explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>> demand = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>> relayed_demand = 0) {
+  LoadReportBuilder builder_(_fbb);
+  builder_.add_relayed_demand(relayed_demand);
+  builder_.add_demand(demand);
+  return builder_.Finish();
+}
+
+struct LoadReport::Traits {
+  using type = LoadReport;
+  static auto constexpr Create = CreateLoadReport;
+};
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *demand = nullptr,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> *relayed_demand = nullptr) {
+  auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>(*demand) : 0;
+  auto relayed_demand__ = relayed_demand ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>>(*relayed_demand) : 0;
+  return lavenderkeel::fbs::CreateLoadReport(
+      _fbb,
+      demand__,
+      relayed_demand__);
+}
+
+flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TeamRankDemandT : public flatbuffers::NativeTable {
+  typedef TeamRankDemand TableType;
+  uint64_t team = 0;
+  int32_t rank = 0;
+  double units = 0.0;
+};
+
+struct TeamRankDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TeamRankDemandT NativeTableType;
+  typedef TeamRankDemandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_RANK = 6,
+    VT_UNITS = 8
+  };
+  uint64_t team() const {
+    return GetField<uint64_t>(VT_TEAM, 0);
+  }
+  int32_t rank() const {
+    return GetField<int32_t>(VT_RANK, 0);
+  }
+  double units() const {
+    return GetField<double>(VT_UNITS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
+           VerifyField<int32_t>(verifier, VT_RANK, 4) &&
+           VerifyField<double>(verifier, VT_UNITS, 8) &&
+           verifier.EndTable();
+  }
+  TeamRankDemandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TeamRankDemandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TeamRankDemand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamRankDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TeamRankDemandBuilder {
+  typedef TeamRankDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(uint64_t team) {
+    fbb_.AddElement<uint64_t>(TeamRankDemand::VT_TEAM, team, 0);
+  }
+  void add_rank(int32_t rank) {
+    fbb_.AddElement<int32_t>(TeamRankDemand::VT_RANK, rank, 0);
+  }
+  void add_units(double units) {
+    fbb_.AddElement<double>(TeamRankDemand::VT_UNITS, units, 0.0);
+  }
+  explicit TeamRankDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TeamRankDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TeamRankDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TeamRankDemand> CreateTeamRankDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t team = 0,
+    int32_t rank = 0,
+    double units = 0.0) {
+  TeamRankDemandBuilder builder_(_fbb);
+  builder_.add_units(units);
+  builder_.add_team(team);
+  builder_.add_rank(rank);
+  return builder_.Finish();
+}
+
+struct TeamRankDemand::Traits {
+  using type = TeamRankDemand;
+  static auto constexpr Create = CreateTeamRankDemand;
+};
+
+flatbuffers::Offset<TeamRankDemand> CreateTeamRankDemand(flatbuffers::FlatBufferBuilder &_fbb, const TeamRankDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NoticeReportT : public flatbuffers::NativeTable {
   typedef NoticeReport TableType;
   std::string server{};
@@ -4508,6 +4709,11 @@
   uint32_t groups = 0;
   int32_t free = 0;
   uint32_t waiting = 0;
+  std::vector<std::unique_ptr<lavenderkeel::fbs::RankLoadT>> ranks{};
+  GateStatusT() = default;
+  GateStatusT(const GateStatusT &o);
+  GateStatusT(GateStatusT&&) FLATBUFFERS_NOEXCEPT = default;
+  GateStatusT &operator=(GateStatusT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct GateStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4519,7 +4725,8 @@
     VT_GROUP = 6,
     VT_GROUPS = 8,
     VT_FREE = 10,
-    VT_WAITING = 12
+    VT_WAITING = 12,
+    VT_RANKS = 14
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -4536,6 +4743,9 @@
   uint32_t waiting() const {
     return GetField<uint32_t>(VT_WAITING, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>> *ranks() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>> *>(VT_RANKS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
@@ -4543,6 +4753,9 @@
            VerifyField<uint32_t>(verifier, VT_GROUPS, 4) &&
            VerifyField<int32_t>(verifier, VT_FREE, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyOffset(verifier, VT_RANKS) &&
+           verifier.VerifyVector(ranks()) &&
+           verifier.VerifyVectorOfTables(ranks()) &&
            verifier.EndTable();
   }
   GateStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4569,6 +4782,9 @@
   void add_waiting(uint32_t waiting) {
     fbb_.AddElement<uint32_t>(GateStatus::VT_WAITING, waiting, 0);
   }
+  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>>> ranks) {
+    fbb_.AddOffset(GateStatus::VT_RANKS, ranks);
+  }
   explicit GateStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4586,9 +4802,11 @@
     uint32_t group = 0,
     uint32_t groups = 0,
     int32_t free = 0,
-    uint32_t waiting = 0) {
+    uint32_t waiting = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>>> ranks = 0) {
   GateStatusBuilder builder_(_fbb);
   builder_.add_service(service);
+  builder_.add_ranks(ranks);
   builder_.add_waiting(waiting);
   builder_.add_free(free);
   builder_.add_groups(groups);
@@ -4601,8 +4819,118 @@
   static auto constexpr Create = CreateGateStatus;
 };
 
+inline flatbuffers::Offset<GateStatus> CreateGateStatusDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint32_t group = 0,
+    uint32_t groups = 0,
+    int32_t free = 0,
+    uint32_t waiting = 0,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>> *ranks = nullptr) {
+  auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>>(*ranks) : 0;
+  return lavenderkeel::fbs::CreateGateStatus(
+      _fbb,
+      service,
+      group,
+      groups,
+      free,
+      waiting,
+      ranks__);
+}
+
 flatbuffers::Offset<GateStatus> CreateGateStatus(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RankLoadT : public flatbuffers::NativeTable {
+  typedef RankLoad TableType;
+  int32_t priority = 0;
+  int32_t route_priority = 0;
+  uint32_t waiting = 0;
+  uint64_t granted = 0;
+};
+
+struct RankLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RankLoadT NativeTableType;
+  typedef RankLoadBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PRIORITY = 4,
+    VT_ROUTE_PRIORITY = 6,
+    VT_WAITING = 8,
+    VT_GRANTED = 10
+  };
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
+  }
+  int32_t route_priority() const {
+    return GetField<int32_t>(VT_ROUTE_PRIORITY, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint64_t granted() const {
+    return GetField<uint64_t>(VT_GRANTED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED, 8) &&
+           verifier.EndTable();
+  }
+  RankLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RankLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RankLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RankLoadBuilder {
+  typedef RankLoad Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(RankLoad::VT_PRIORITY, priority, 0);
+  }
+  void add_route_priority(int32_t route_priority) {
+    fbb_.AddElement<int32_t>(RankLoad::VT_ROUTE_PRIORITY, route_priority, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(RankLoad::VT_WAITING, waiting, 0);
+  }
+  void add_granted(uint64_t granted) {
+    fbb_.AddElement<uint64_t>(RankLoad::VT_GRANTED, granted, 0);
+  }
+  explicit RankLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RankLoad> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RankLoad>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RankLoad> CreateRankLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int32_t priority = 0,
+    int32_t route_priority = 0,
+    uint32_t waiting = 0,
+    uint64_t granted = 0) {
+  RankLoadBuilder builder_(_fbb);
+  builder_.add_granted(granted);
+  builder_.add_waiting(waiting);
+  builder_.add_route_priority(route_priority);
+  builder_.add_priority(priority);
+  return builder_.Finish();
+}
+
+struct RankLoad::Traits {
+  using type = RankLoad;
+  static auto constexpr Create = CreateRankLoad;
+};
+
+flatbuffers::Offset<RankLoad> CreateRankLoad(flatbuffers::FlatBufferBuilder &_fbb, const RankLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WantSlotT : public flatbuffers::NativeTable {
   typedef WantSlot TableType;
   uint64_t attempt = 0;
@@ -4622,6 +4950,9 @@
   uint8_t crash_standing = 0;
   std::string version{};
   std::string canary_version{};
+  uint64_t team = 0;
+  double weight = 1.0;
+  std::string data_centre{};
 };
 
 struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4645,7 +4976,10 @@
     VT_BY_LENGTH = 30,
     VT_CRASH_STANDING = 32,
     VT_VERSION = 34,
-    VT_CANARY_VERSION = 36
+    VT_CANARY_VERSION = 36,
+    VT_TEAM = 38,
+    VT_WEIGHT = 40,
+    VT_DATA_CENTRE = 42
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -4698,6 +5032,15 @@
   const flatbuffers::String *canary_version() const {
     return GetPointer<const flatbuffers::String *>(VT_CANARY_VERSION);
   }
+  uint64_t team() const {
+    return GetField<uint64_t>(VT_TEAM, 0);
+  }
+  double weight() const {
+    return GetField<double>(VT_WEIGHT, 1.0);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -4721,6 +5064,10 @@
            verifier.VerifyString(version()) &&
            VerifyOffset(verifier, VT_CANARY_VERSION) &&
            verifier.VerifyString(canary_version()) &&
+           VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
+           VerifyField<double>(verifier, VT_WEIGHT, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
            verifier.EndTable();
   }
   WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4783,6 +5130,15 @@
   void add_canary_version(flatbuffers::Offset<flatbuffers::String> canary_version) {
     fbb_.AddOffset(WantSlot::VT_CANARY_VERSION, canary_version);
   }
+  void add_team(uint64_t team) {
+    fbb_.AddElement<uint64_t>(WantSlot::VT_TEAM, team, 0);
+  }
+  void add_weight(double weight) {
+    fbb_.AddElement<double>(WantSlot::VT_WEIGHT, weight, 1.0);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(WantSlot::VT_DATA_CENTRE, data_centre);
+  }
   explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4812,12 +5168,18 @@
     bool by_length = false,
     uint8_t crash_standing = 0,
     flatbuffers::Offset<flatbuffers::String> version = 0,
-    flatbuffers::Offset<flatbuffers::String> canary_version = 0) {
+    flatbuffers::Offset<flatbuffers::String> canary_version = 0,
+    uint64_t team = 0,
+    double weight = 1.0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0) {
   WantSlotBuilder builder_(_fbb);
+  builder_.add_weight(weight);
+  builder_.add_team(team);
   builder_.add_gap_us(gap_us);
   builder_.add_in_time_us(in_time_us);
   builder_.add_left_us(left_us);
   builder_.add_attempt(attempt);
+  builder_.add_data_centre(data_centre);
   builder_.add_canary_version(canary_version);
   builder_.add_version(version);
   builder_.add_events(events);
@@ -4857,11 +5219,15 @@
     bool by_length = false,
     uint8_t crash_standing = 0,
     const char *version = nullptr,
-    const char *canary_version = nullptr) {
+    const char *canary_version = nullptr,
+    uint64_t team = 0,
+    double weight = 1.0,
+    const char *data_centre = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
   auto canary_version__ = canary_version ? _fbb.CreateString(canary_version) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       attempt,
@@ -4880,7 +5246,10 @@
       by_length,
       crash_standing,
       version__,
-      canary_version__);
+      canary_version__,
+      team,
+      weight,
+      data_centre__);
 }
 
 flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7078,7 +7447,8 @@
       (lhs.plans_known == rhs.plans_known) &&
       (lhs.plans.size() == rhs.plans.size() && std::equal(lhs.plans.cbegin(), lhs.plans.cend(), rhs.plans.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::RolloutPlanT> const &a, std::unique_ptr<lavenderkeel::fbs::RolloutPlanT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.rollout_change == rhs.rollout_change) &&
-      (lhs.notices.size() == rhs.notices.size() && std::equal(lhs.notices.cbegin(), lhs.notices.cend(), rhs.notices.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &a, std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.notices.size() == rhs.notices.size() && std::equal(lhs.notices.cbegin(), lhs.notices.cend(), rhs.notices.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &a, std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      ((lhs.load == rhs.load) || (lhs.load && rhs.load && *lhs.load == *rhs.load));
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -7100,7 +7470,8 @@
         entries_heard(o.entries_heard),
         feed_wanted(o.feed_wanted),
         plans_known(o.plans_known),
-        rollout_change(o.rollout_change) {
+        rollout_change(o.rollout_change),
+        load((o.load) ? new lavenderkeel::fbs::LoadReportT(*o.load) : nullptr) {
   gates.reserve(o.gates.size());
   for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
   rollout_counts.reserve(o.rollout_counts.size());
@@ -7130,6 +7501,7 @@
   std::swap(plans, o.plans);
   std::swap(rollout_change, o.rollout_change);
   std::swap(notices, o.notices);
+  std::swap(load, o.load);
   return *this;
 }
 
@@ -7160,6 +7532,7 @@
   { auto _e = plans(); if (_e) { _o->plans.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->plans[_i] = std::unique_ptr<lavenderkeel::fbs::RolloutPlanT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = rollout_change(); _o->rollout_change = _e; }
   { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<lavenderkeel::fbs::NoticeReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = load(); if (_e) _o->load = std::unique_ptr<lavenderkeel::fbs::LoadReportT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7188,6 +7561,7 @@
   auto _plans = _o->plans.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::RolloutPlan>> (_o->plans.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutPlan(*__va->__fbb, __va->__o->plans[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _rollout_change = _o->rollout_change;
   auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateNoticeReport(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _load = _o->load ? CreateLoadReport(_fbb, _o->load.get(), _rehasher) : 0;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
@@ -7207,7 +7581,107 @@
       _plans_known,
       _plans,
       _rollout_change,
-      _notices);
+      _notices,
+      _load);
+}
+
+
+inline bool operator==(const LoadReportT &lhs, const LoadReportT &rhs) {
+  return
+      (lhs.demand.size() == rhs.demand.size() && std::equal(lhs.demand.cbegin(), lhs.demand.cend(), rhs.demand.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT> const &a, std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.relayed_demand.size() == rhs.relayed_demand.size() && std::equal(lhs.relayed_demand.cbegin(), lhs.relayed_demand.cend(), rhs.relayed_demand.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT> const &a, std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const LoadReportT &lhs, const LoadReportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline LoadReportT::LoadReportT(const LoadReportT &o) {
+  demand.reserve(o.demand.size());
+  for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new lavenderkeel::fbs::TeamRankDemandT(*demand_) : nullptr); }
+  relayed_demand.reserve(o.relayed_demand.size());
+  for (const auto &relayed_demand_ : o.relayed_demand) { relayed_demand.emplace_back((relayed_demand_) ? new lavenderkeel::fbs::TeamRankDemandT(*relayed_demand_) : nullptr); }
+}
+
+inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(demand, o.demand);
+  std::swap(relayed_demand, o.relayed_demand);
+  return *this;
+}
+
+inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LoadReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadReport::UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relayed_demand(); if (_e) { _o->relayed_demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relayed_demand[_i] = std::unique_ptr<lavenderkeel::fbs::TeamRankDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamRankDemand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relayed_demand = _o->relayed_demand.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::TeamRankDemand>> (_o->relayed_demand.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamRankDemand(*__va->__fbb, __va->__o->relayed_demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return lavenderkeel::fbs::CreateLoadReport(
+      _fbb,
+      _demand,
+      _relayed_demand);
+}
+
+
+inline bool operator==(const TeamRankDemandT &lhs, const TeamRankDemandT &rhs) {
+  return
+      (lhs.team == rhs.team) &&
+      (lhs.rank == rhs.rank) &&
+      (lhs.units == rhs.units);
+}
+
+inline bool operator!=(const TeamRankDemandT &lhs, const TeamRankDemandT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline TeamRankDemandT *TeamRankDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TeamRankDemandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TeamRankDemand::UnPackTo(TeamRankDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); _o->team = _e; }
+  { auto _e = rank(); _o->rank = _e; }
+  { auto _e = units(); _o->units = _e; }
+}
+
+inline flatbuffers::Offset<TeamRankDemand> TeamRankDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamRankDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTeamRankDemand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TeamRankDemand> CreateTeamRankDemand(flatbuffers::FlatBufferBuilder &_fbb, const TeamRankDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamRankDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team;
+  auto _rank = _o->rank;
+  auto _units = _o->units;
+  return lavenderkeel::fbs::CreateTeamRankDemand(
+      _fbb,
+      _team,
+      _rank,
+      _units);
 }
 
 
@@ -7476,7 +7950,8 @@
       (lhs.group == rhs.group) &&
       (lhs.groups == rhs.groups) &&
       (lhs.free == rhs.free) &&
-      (lhs.waiting == rhs.waiting);
+      (lhs.waiting == rhs.waiting) &&
+      (lhs.ranks.size() == rhs.ranks.size() && std::equal(lhs.ranks.cbegin(), lhs.ranks.cend(), rhs.ranks.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::RankLoadT> const &a, std::unique_ptr<lavenderkeel::fbs::RankLoadT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const GateStatusT &lhs, const GateStatusT &rhs) {
@@ -7484,6 +7959,26 @@
 }
 
 
+inline GateStatusT::GateStatusT(const GateStatusT &o)
+      : service(o.service),
+        group(o.group),
+        groups(o.groups),
+        free(o.free),
+        waiting(o.waiting) {
+  ranks.reserve(o.ranks.size());
+  for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new lavenderkeel::fbs::RankLoadT(*ranks_) : nullptr); }
+}
+
+inline GateStatusT &GateStatusT::operator=(GateStatusT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(group, o.group);
+  std::swap(groups, o.groups);
+  std::swap(free, o.free);
+  std::swap(waiting, o.waiting);
+  std::swap(ranks, o.ranks);
+  return *this;
+}
+
 inline GateStatusT *GateStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<GateStatusT>();
   UnPackTo(_o.get(), _resolver);
@@ -7498,6 +7993,7 @@
   { auto _e = groups(); _o->groups = _e; }
   { auto _e = free(); _o->free = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = std::unique_ptr<lavenderkeel::fbs::RankLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GateStatus> GateStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GateStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7513,13 +8009,64 @@
   auto _groups = _o->groups;
   auto _free = _o->free;
   auto _waiting = _o->waiting;
+  auto _ranks = _o->ranks.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::RankLoad>> (_o->ranks.size(), [](size_t i, _VectorArgs *__va) { return CreateRankLoad(*__va->__fbb, __va->__o->ranks[i].get(), __va->__rehasher); }, &_va ) : 0;
   return lavenderkeel::fbs::CreateGateStatus(
       _fbb,
       _service,
       _group,
       _groups,
       _free,
-      _waiting);
+      _waiting,
+      _ranks);
+}
+
+
+inline bool operator==(const RankLoadT &lhs, const RankLoadT &rhs) {
+  return
+      (lhs.priority == rhs.priority) &&
+      (lhs.route_priority == rhs.route_priority) &&
+      (lhs.waiting == rhs.waiting) &&
+      (lhs.granted == rhs.granted);
+}
+
+inline bool operator!=(const RankLoadT &lhs, const RankLoadT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RankLoadT *RankLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RankLoadT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RankLoad::UnPackTo(RankLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = route_priority(); _o->route_priority = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+}
+
+inline flatbuffers::Offset<RankLoad> RankLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRankLoad(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RankLoad> CreateRankLoad(flatbuffers::FlatBufferBuilder &_fbb, const RankLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _priority = _o->priority;
+  auto _route_priority = _o->route_priority;
+  auto _waiting = _o->waiting;
+  auto _granted = _o->granted;
+  return lavenderkeel::fbs::CreateRankLoad(
+      _fbb,
+      _priority,
+      _route_priority,
+      _waiting,
+      _granted);
 }
 
 
@@ -7541,7 +8088,10 @@
       (lhs.by_length == rhs.by_length) &&
       (lhs.crash_standing == rhs.crash_standing) &&
       (lhs.version == rhs.version) &&
-      (lhs.canary_version == rhs.canary_version);
+      (lhs.canary_version == rhs.canary_version) &&
+      (lhs.team == rhs.team) &&
+      (lhs.weight == rhs.weight) &&
+      (lhs.data_centre == rhs.data_centre);
 }
 
 inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
@@ -7575,6 +8125,9 @@
   { auto _e = crash_standing(); _o->crash_standing = _e; }
   { auto _e = version(); if (_e) _o->version = _e->str(); }
   { auto _e = canary_version(); if (_e) _o->canary_version = _e->str(); }
+  { auto _e = team(); _o->team = _e; }
+  { auto _e = weight(); _o->weight = _e; }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
 }
 
 inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7602,6 +8155,9 @@
   auto _crash_standing = _o->crash_standing;
   auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
   auto _canary_version = _o->canary_version.empty() ? 0 : _fbb.CreateString(_o->canary_version);
+  auto _team = _o->team;
+  auto _weight = _o->weight;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       _attempt,
@@ -7620,7 +8176,10 @@
       _by_length,
       _crash_standing,
       _version,
-      _canary_version);
+      _canary_version,
+      _team,
+      _weight,
+      _data_centre);
 }
 
 
