New servers: a slot at a server that the entry does not list yet is returned without a verdict on the server

Cause: a slot scheduler grants slots of a new server as soon as it lists it. Entries that are told of the server some milliseconds later returned the slot as that of a replaced server, and the scheduler then granted the server to nobody for 4 s. After a crash of 13 of 51 servers the restarted ones stood idle from 15.6 s to 19.6 s while a thousand requests a second were refused. Now the slot comes back unused, and only that entry is offered no slot of the server for 200 ms, in which its list arrives.

NewServerGetsRequestsThoughSomeEntriesDoNotListItYet: 2 requests in two seconds at the restarted server beside 95 at the other; passes with the change.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -361,7 +361,15 @@
     return false;
   }
   const BackendServer* server = directory_.Find(grant.server);
-  if (server == nullptr || server->draining) {
+  if (server == nullptr) {
+    // Either list may be the older one. Nothing is wrong with a server that is
+    // only new: if its slot came back as that of a replaced server, it would
+    // get no requests of any entry for seconds.
+    EndAttempt(*request, {.pushback = options_.unlisted_server_pushback});
+    Enqueue(*request);
+    return true;
+  }
+  if (server->draining) {
     // The list here is newer than that of the slot scheduler.
     EndAttempt(*request, {.kind = SlotResult::Kind::kReplaced});
     Enqueue(*request);
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -78,6 +78,9 @@
     /// Limit for the bodies of waiting and running requests together; above it,
     /// new requests are refused. Set from the memory of the instance.
     size_t max_buffered_body_bytes = size_t{64} << 20;
+    /// Time in which a scheduler offers no further slots of a server that this
+    /// entry does not list: a change of the list arrives within two reports.
+    Duration unlisted_server_pushback = std::chrono::milliseconds(200);
     /// A request that arrives before the first configuration waits for it for
     /// this fraction of its time left, up to the maximum.
     double unconfigured_wait_per_time_left = 0.2;
