Forwarding: weights of teams are relative to the mean rate of their unit

WeightOf gave a team its rate per second, and 1 without a rate. Rates in tokens are some thousand times those in requests, so a team without a rate, or with one in requests, would get one slot in some thousand beside a team with a rate in tokens. Now the weight is the rate over the mean of the rates of the same unit: a team without a rate, or an entry that states no weight, counts as an average team.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -292,8 +292,7 @@
 double ForwardController::WeightOf(const ForwardedRequest& request) {
   const TeamConfig* team =
       request.team.empty() ? nullptr : request.table->FindTeam(request.team);
-  return team != nullptr && team->rate.per_second > 0 ? team->rate.per_second
-                                                      : 1;
+  return team == nullptr ? 1 : request.table->WeightOf(*team);
 }
 
 SlotRequest ForwardController::MakeSlotRequest(
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -209,8 +209,7 @@
   void RefuseAsCrashing(ForwardedRequest& request,
                         const CrashDecision& decision);
   void RecordEndOfWait(const ForwardedRequest& request, bool got_slot);
-  /// Returns the share of the request's team relative to other teams: its
-  /// configured rate, 1 if it has none.
+  /// Returns the weight of the request's team; 1 without a team.
   static double WeightOf(const ForwardedRequest& request);
   SlotRequest MakeSlotRequest(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
--- a/lavenderkeel/forward/route_table.cc
+++ b/lavenderkeel/forward/route_table.cc
@@ -49,6 +49,20 @@
       by_key_[key] = &team;
     }
   }
+  std::array<double, 2> counts = {};
+  for (const TeamConfig& team : content_.teams) {
+    if (team.rate.per_second > 0) {
+      const size_t unit = team.rate.in_tokens ? 1 : 0;
+      mean_rates_[unit] +=
+          (team.rate.per_second - mean_rates_[unit]) / ++counts[unit];
+    }
+  }
+}
+
+double RouteTable::WeightOf(const TeamConfig& team) const {
+  return team.rate.per_second > 0
+             ? team.rate.per_second / mean_rates_[team.rate.in_tokens ? 1 : 0]
+             : 1;
 }
 
 const Route* RouteTable::FindRoute(std::string_view host,
--- a/lavenderkeel/forward/route_table.h
+++ b/lavenderkeel/forward/route_table.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_FORWARD_ROUTE_TABLE_H_
 #define LAVENDERKEEL_FORWARD_ROUTE_TABLE_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -133,6 +134,12 @@
   const TeamConfig* FindTeam(const std::string& name) const;
   const Service* FindService(const std::string& name) const;
 
+  /// Returns the weight of a team among teams of its rank: its rate over the
+  /// mean of all rates of the same unit; 1 without a rate. So weights by tokens
+  /// and by requests compare, and a team without a rate counts as an average
+  /// one.
+  double WeightOf(const TeamConfig& team) const;
+
   /// Returns the priority of the most urgent routes; 0 without routes.
   int first_priority() const { return first_priority_; }
 
@@ -143,6 +150,8 @@
  private:
   RouteTableContent content_;
   int first_priority_ = 0;
+  /// Means of the rates in requests, and in tokens; zero without a rate.
+  std::array<double, 2> mean_rates_ = {};
   /// By host, routes with longer prefixes first.
   std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
   std::unordered_map<std::string_view, const TeamConfig*> by_key_;
--- a/test/forward/route_table_test.cc
+++ b/test/forward/route_table_test.cc
@@ -61,4 +61,18 @@
   BOOST_TEST(to_t < kRequests / 10 * 2);
 }
 
+// Rates in tokens are a thousand times those in requests. A team without a rate
+// must count as an average one, not as one with a rate of 1.
+BOOST_AUTO_TEST_CASE(WeightOfTeamIsItsRateOverTheMeanOfItsUnit) {
+  const RouteTable table(
+      {.teams = {{.name = "a", .rate = {.per_second = 30}},
+                 {.name = "b", .rate = {.per_second = 10}},
+                 {.name = "c", .rate = {.per_second = 5000, .in_tokens = true}},
+                 {.name = "d"}}});
+  BOOST_TEST(table.WeightOf(*table.FindTeam("a")) == 1.5);
+  BOOST_TEST(table.WeightOf(*table.FindTeam("b")) == 0.5);
+  BOOST_TEST(table.WeightOf(*table.FindTeam("c")) == 1);
+  BOOST_TEST(table.WeightOf(*table.FindTeam("d")) == 1);
+}
+
 }  // namespace lavenderkeel
