Tests: simulations take a configuration with several teams, slots and scheduler options

FleetSimulation had one team, one key and servers of five slots, and SchedulerHarness the default options, so no test could let teams compete. The defaults are as before.

--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -49,22 +49,25 @@
           .server_kind = "servers",
           .decode_table =
               [this](const std::string&) -> leaf::result<RouteTableContent> {
+            if (options_.table.has_value()) {
+              return *options_.table;
+            }
             RouteTableContent content = ForwardSimulation::Table();
             content.teams.front().rate = options_.rate;
             return content;
           },
           .decode_server =
-              [](const StoredObject& object) -> leaf::result<BackendServer> {
+              [this](const StoredObject& item) -> leaf::result<BackendServer> {
             constexpr std::string_view kDraining = "draining ";
-            const bool draining = object.content.starts_with(kDraining);
+            const bool draining = item.content.starts_with(kDraining);
             const std::string rest =
-                object.content.substr(draining ? kDraining.size() : 0);
+                item.content.substr(draining ? kDraining.size() : 0);
             const size_t blank = rest.find(' ');
-            return BackendServer{.id = object.name,
+            return BackendServer{.id = item.name,
                                  .service = "engines",
                                  .address = rest.substr(blank + 1),
                                  .version = rest.substr(0, blank),
-                                 .slots = 5,
+                                 .slots = options_.server_slots,
                                  .draining = draining};
           },
           .rollout_kind = "rollouts",
@@ -334,7 +337,9 @@
 
 ExchangeId FleetSimulation::Request(int entry,
                                     const std::string& route,
-                                    const std::string& body) {
+                                    const std::string& body,
+                                    const std::string& key,
+                                    Duration time_left) {
   Process& process = processes_[ToIndex(entry)];
   const ExchangeId exchange = ++last_exchange_;
   const std::string id = "r" + std::to_string(exchange);
@@ -345,8 +350,8 @@
        .target = "/" + route + "/x",
        .fields = {{"Host", "h"},
                   {"Request-Id", id},
-                  {"Authorization", "Bearer key"},
-                  {"Deadline-Ms", "10000"}}},
+                  {"Authorization", "Bearer " + key},
+                  {"Deadline-Ms", std::to_string(ToMilliseconds(time_left))}}},
       body);
   ExecuteActions(ToIndex(entry));
   return exchange;
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +32,10 @@
     bool with_server = true;
     /// Token rate of the only team.
     TeamRate rate;
+    /// Configuration in the store; ForwardSimulation::Table() with `rate` if
+    /// empty.
+    std::optional<RouteTableContent> table = {};
+    int server_slots = 5;
     EventLog log = {};
     /// Latency of messages.
     Duration network_delay = std::chrono::milliseconds(1);
@@ -42,10 +47,14 @@
 
   /// Advances the virtual clock in steps of a millisecond.
   void Advance(Duration by);
-  /// Sends a request of the only team to an entry.
+  /// Sends a request to an entry.
+  /// @param key API key of the team
+  /// @param time_left how long the client waits for the answer
   ExchangeId Request(int entry,
                      const std::string& route = "lookup",
-                     const std::string& body = "");
+                     const std::string& body = "",
+                     const std::string& key = "key",
+                     Duration time_left = std::chrono::seconds(10));
   /// When the client sent the request with this id.
   TimePoint RequestedAt(const std::string& request_id) const {
     return requested_at_.at(request_id);
@@ -88,6 +97,9 @@
     return processes_[ToIndex(entry)].incarnation;
   }
 
+  const Metrics& metrics(int entry) const {
+    return *processes_[ToIndex(entry)].metrics;
+  }
   ForwardNode& node(int entry) { return *processes_[ToIndex(entry)].node; }
   bool IsRunning(int entry) const {
     return processes_[ToIndex(entry)].node != nullptr;
--- a/test/forward/scheduler_harness.h
+++ b/test/forward/scheduler_harness.h
@@ -17,15 +17,13 @@
     return found == granted.end() ? "none" : found->second;
   }
 
-  fuzz::VirtualClock clock;
+  SlotScheduler::Options options = {};
+  fuzz::VirtualClock clock{};
   ServerDirectory directory;
   std::map<AttemptId, std::string> granted;
   EventLog log;
   ServerNotices notices{{.self = "self"}, clock, log};
-  SlotScheduler scheduler{{},
-                          directory,
-                          notices,
-                          clock,
+  SlotScheduler scheduler{options, directory, notices, clock,
                           [this](const std::string&, const SlotGrant& grant) {
                             granted[grant.attempt] = grant.server;
                           }};
