Fairness: teams of equal rank share the slots by weighted fair queueing

Slots went to the first request of a rank, whatever its team, so a team that sends more takes more.

The waiting requests of a group are now a SlotQueue: rank, in time before late, then with load.fair_shares the team with the least start tag and running work (start-time fair queueing), then the order as before.

An idle team gets no credit, since a team that begins to wait has at least the virtual time; work of grants that did not run is returned; a weight or size that another entry states wrongly is bounded. With the option off, with one team, or without teams, the order of grants is that of the positions alone: two properties compare it with one ordered set and with the scheduler without the option.

--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -7,6 +7,26 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+/// Returns whether a result leaves it possible that the request ran.
+bool MayHaveRun(SlotResult::Kind kind) {
+  switch (kind) {
+    case SlotResult::Kind::kUnused:
+    case SlotResult::Kind::kFull:
+    case SlotResult::Kind::kReplaced:
+    case SlotResult::Kind::kUnreachable:
+      return false;
+    case SlotResult::Kind::kAnswered:
+    case SlotResult::Kind::kServerError:
+    case SlotResult::Kind::kFailed:
+      return true;
+  }
+  return true;
+}
+
+}  // namespace
+
 SlotScheduler::SlotScheduler(Options options,
                              const ServerDirectory& directory,
                              const ServerNotices& notices,
@@ -24,7 +44,9 @@
 void SlotScheduler::RequestSlot(const std::string& entry,
                                 const SlotRequest& request) {
   const AttemptKey id = {entry, request.attempt};
-  last_request_times_[QueueKeyOf(request)] = clock_.Now();
+  const QueueKey key = QueueKeyOf(request);
+  const TimePoint now = clock_.Now();
+  last_request_times_[key] = now;
   // The entry asks again after a reconnect: the slot that it has is offered
   // again.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
@@ -34,29 +56,32 @@
   }
   Remove(id);
   const QueuePosition position = PositionOf(id, request);
-  waiting_by_attempt_[id] = {.request = request, .position = position};
-  queues_[QueueKeyOf(request)].insert(position);
+  const TeamWork work = work_estimators_[request.service].EstimateFor(request);
+  waiting_by_attempt_[id] = {
+      .request = request, .position = position, .work = work};
+  queues_
+      .try_emplace(key, SlotQueue::Options{.fair_shares = options_.fair_shares})
+      .first->second.Insert(position, work);
   late_times_.emplace(request.in_time_until, id);
   GrantFreeSlotsOfService(request.service);
 }
 
-SlotScheduler::QueuePosition SlotScheduler::PositionOf(
-    const AttemptKey& id,
-    const SlotRequest& request) const {
+QueuePosition SlotScheduler::PositionOf(const AttemptKey& id,
+                                        const SlotRequest& request) const {
   const TimePoint now = clock_.Now();
   const bool late = now >= request.in_time_until;
+  const RequestRank rank = {.priority = request.priority,
+                            .route_priority = request.route_priority};
   if (!late && !request.model_server) {
     // Under a slight overload of plain work, oldest-first order lets every
     // request wait until it is just too late. Newest-first order answers the
     // newest at once, and as many in time as there is capacity for.
-    return {.priority = request.priority,
-            .route_priority = request.route_priority,
+    return {.rank = rank,
             .sort_time = TimePoint(-now.time_since_epoch()),
             .attempt = id};
   }
   return {
-      .priority = request.priority,
-      .route_priority = request.route_priority,
+      .rank = rank,
       .late = late,
       .sort_time = (late ? request.due : request.in_time_until) +
                    std::chrono::duration_cast<Duration>(
@@ -85,10 +110,15 @@
     const AttemptKey id = late_times_.begin()->second;
     late_times_.erase(late_times_.begin());
     WaitingRequest& waiting = waiting_by_attempt_.at(id);
-    std::set<QueuePosition>& queue = queues_.at(QueueKeyOf(waiting.request));
-    queue.erase(waiting.position);
+    SlotQueue& queue = queues_.at(QueueKeyOf(waiting.request));
+    const QueuePosition former = waiting.position;
     waiting.position = PositionOf(id, waiting.request);
-    queue.insert(waiting.position);
+    if (waiting.position != former) {
+      // Inserted first: a team or rank without waiting requests loses its
+      // state.
+      queue.Insert(waiting.position, waiting.work);
+      queue.Erase(former, waiting.work);
+    }
   }
 }
 
@@ -98,7 +128,7 @@
     return;
   }
   const auto queue = queues_.find(QueueKeyOf(found->second.request));
-  queue->second.erase(found->second.position);
+  queue->second.Erase(found->second.position, found->second.work);
   late_times_.erase({found->second.request.in_time_until, id});
   waiting_by_attempt_.erase(found);
 }
@@ -113,7 +143,7 @@
     return;
   }
   const std::string server = granted->second.server;
-  EraseGrant(granted);
+  EraseGrant(granted, /*ran=*/MayHaveRun(result.kind));
   occupancy_.RemoveGrant(entry, HashBytes(server));
   if (result.pushback > Duration::zero()) {
     pushbacks_.OnPushback(entry, HashBytes(server),
@@ -159,13 +189,18 @@
   for (const AttemptKey& id : lost_grants) {
     const auto grant = grants_.find(id);
     occupancy_.VoidGrant(entry, HashBytes(grant->second.server));
-    EraseGrant(grant);
+    EraseGrant(grant, /*ran=*/false);
   }
   return !lost_grants.empty();
 }
 
 SlotScheduler::Grants::iterator SlotScheduler::EraseGrant(
-    Grants::iterator grant) {
+    Grants::iterator grant,
+    bool ran) {
+  if (const auto queue = queues_.find(grant->second.queue);
+      queue != queues_.end()) {
+    queue->second.End(grant->second.charge, ran);
+  }
   suspects_.Remove(HashBytes(grant->second.server), grant->second.suspicion);
   return grants_.erase(grant);
 }
@@ -175,7 +210,7 @@
   pushbacks_.ForgetEntry(entry);
   for (auto grant = grants_.lower_bound({entry, 0});
        grant != grants_.end() && grant->first.first == entry;) {
-    grant = EraseGrant(grant);
+    grant = EraseGrant(grant, /*ran=*/true);
   }
   std::vector<AttemptKey> attempts;
   for (const auto& [id, waiting] : waiting_by_attempt_) {
@@ -215,10 +250,20 @@
 }
 
 void SlotScheduler::Tick() {
-  std::erase_if(queues_, [](const auto& item) { return item.second.empty(); });
   std::erase_if(last_request_times_, [this](const auto& item) {
     return clock_.Now() - item.second > options_.group_expiry;
   });
+  std::erase_if(queues_, [this](const auto& item) {
+    return item.second.empty() && item.second.running() == 0 &&
+           (item.second.teams() == 0 ||
+            !last_request_times_.contains(item.first));
+  });
+  std::erase_if(work_estimators_, [this](const auto& item) {
+    const auto group = last_request_times_.lower_bound(
+        {.service = item.first, .group = {0, 0}});
+    return group == last_request_times_.end() ||
+           group->first.service != item.first;
+  });
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
@@ -236,29 +281,30 @@
 }
 
 void SlotScheduler::GrantFreeSlotsInQueue(const QueueKey& key,
-                                          std::set<QueuePosition>& queue) {
+                                          SlotQueue& queue) {
   if (queue.empty()) {
     return;
   }
   const bool model_server =
-      waiting_by_attempt_.at(queue.begin()->attempt).request.model_server;
+      waiting_by_attempt_.at(queue.front().attempt).request.model_server;
   Placement::Candidates candidates = placement_.Find(
       key.service, model_server, key.group, State(), clock_.Now());
   // A request that fits no free server leaves the slot to those behind it.
   const TimePoint now = clock_.Now();
   int skipped = 0;
   std::set<std::string> blocked_entries;
-  auto position = queue.begin();
-  while (position != queue.end() && candidates.free > 0 &&
-         skipped < options_.max_skipped_requests) {
-    const QueuePosition current = *position;
-    const std::string& entry = current.attempt.first;
+  std::optional<SlotQueue::Pass> pass(std::in_place, queue);
+  while (candidates.free > 0 && skipped < options_.max_skipped_requests) {
+    const std::optional<QueuePosition> current = pass->Next();
+    if (!current.has_value()) {
+      break;
+    }
+    const std::string& entry = current->attempt.first;
     if (blocked_entries.contains(entry)) {
-      ++position;
       continue;
     }
     Placement::Candidate* chosen = placement_.Choose(
-        waiting_by_attempt_.at(current.attempt).request, current.late,
+        waiting_by_attempt_.at(current->attempt).request, current->late,
         candidates, suspects_,
         [&](uint64_t server) { return pushbacks_.Admits(entry, server, now); },
         now);
@@ -270,13 +316,16 @@
         continue;
       }
       ++skipped;
-      ++position;
+      pass->OnSkipped();
       continue;
     }
     candidates.AddRequest(*chosen);
-    Grant(current.attempt, *chosen->server);
-    // The grant may have added or removed other requests.
-    position = queue.upper_bound(current);
+    // The grant may add or remove other requests.
+    Grant(current->attempt, *chosen->server);
+  }
+  pass.reset();
+  if (candidates.free > 0) {
+    queue.OnSlotsLeft();
   }
 }
 
@@ -298,14 +347,22 @@
                            .server = key,
                            .in_flight = occupancy_.InFlight(hash),
                            .pace_ms = load.speed().pace_ms().value_or(0)};
-  const CrashSuspicion suspicion = waiting_by_attempt_.at(id).request.suspicion;
+  const TimePoint now = clock_.Now();
+  const WaitingRequest& waiting = waiting_by_attempt_.at(id);
+  const CrashSuspicion suspicion = waiting.request.suspicion;
+  const QueueKey queue = QueueKeyOf(waiting.request);
+  const SlotCharge charge =
+      queues_.at(queue).Grant(waiting.position, waiting.work);
   Remove(id);
-  grants_[id] = {
-      .server = key, .granted_at = clock_.Now(), .suspicion = suspicion};
+  grants_[id] = {.server = key,
+                 .granted_at = now,
+                 .suspicion = suspicion,
+                 .queue = queue,
+                 .charge = charge};
   suspects_.Add(hash, suspicion);
   occupancy_.AddGrant(id.first, hash);
   rate_limiter_.Take(key);
-  pushbacks_.OnGranted(id.first, hash, clock_.Now());
+  pushbacks_.OnGranted(id.first, hash, now);
   on_grant_(id.first, grant);
 }
 
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/fairness.h"
 #include "lavenderkeel/forward/entry_pushbacks.h"
 #include "lavenderkeel/forward/placement.h"
 #include "lavenderkeel/forward/server_directory.h"
@@ -107,26 +108,17 @@
 
     friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
   };
-  struct QueuePosition {
-    int priority = 0;
-    int route_priority = 0;
-    bool late = false;
-    /// At model servers `in_time_until`, or `due` if already late, plus the
-    /// length penalty; at plain servers newest first.
-    TimePoint sort_time;
-    AttemptKey attempt;
-
-    friend auto operator<=>(const QueuePosition&,
-                            const QueuePosition&) = default;
-  };
   struct WaitingRequest {
     SlotRequest request;
     QueuePosition position;
+    TeamWork work;
   };
   struct ActiveGrant {
     std::string server;
     TimePoint granted_at;
     CrashSuspicion suspicion = CrashSuspicion::kClear;
+    QueueKey queue;
+    SlotCharge charge;
   };
   using Grants = std::map<AttemptKey, ActiveGrant>;
 
@@ -142,8 +134,7 @@
   Duration LengthPenalty(const SlotRequest& request) const;
   /// Grants free slots of one service.
   void GrantFreeSlotsOfService(const std::string& service);
-  void GrantFreeSlotsInQueue(const QueueKey& key,
-                             std::set<QueuePosition>& queue);
+  void GrantFreeSlotsInQueue(const QueueKey& key, SlotQueue& queue);
   Placement::ServerState State() const;
   /// Returns whether all servers with free capacity want no requests of the
   /// entry.
@@ -153,7 +144,8 @@
   void Grant(const AttemptKey& id, const BackendServer& server);
   /// Removes a grant whose attempt no longer runs; the request counts of the
   /// server stay.
-  Grants::iterator EraseGrant(Grants::iterator grant);
+  /// @param ran whether the request may have run
+  Grants::iterator EraseGrant(Grants::iterator grant, bool ran);
   /// @return whether a lost grant was found
   bool VoidLostGrants(const std::string& entry);
 
@@ -168,9 +160,10 @@
   ServerLoads loads_;
   /// Recent speed of each service, over all of its servers.
   std::map<std::string, ServerSpeed> speeds_;
-  std::map<QueueKey, std::set<QueuePosition>> queues_;
+  std::map<QueueKey, SlotQueue> queues_;
   /// Time of the last slot request for each group.
   std::map<QueueKey, TimePoint> last_request_times_;
+  std::map<std::string, WorkEstimator> work_estimators_;
   std::map<AttemptKey, WaitingRequest> waiting_by_attempt_;
   /// Requests that are not late yet, by the time at which they become late.
   std::set<std::pair<TimePoint, AttemptKey>> late_times_;
