--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -46,7 +46,7 @@
   const AttemptKey id = {entry, request.attempt};
   const QueueKey key = QueueKeyOf(request);
   const TimePoint now = clock_.Now();
-  last_request_times_[key] = now;
+  groups_[key].last_request_time = now;
   // The entry asks again after a reconnect: the slot that it has is offered
   // again.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
@@ -250,19 +250,17 @@
 }
 
 void SlotScheduler::Tick() {
-  std::erase_if(last_request_times_, [this](const auto& item) {
-    return clock_.Now() - item.second > options_.group_expiry;
+  std::erase_if(groups_, [this](const auto& item) {
+    return clock_.Now() - item.second.last_request_time > options_.group_expiry;
   });
   std::erase_if(queues_, [this](const auto& item) {
     return item.second.empty() && item.second.running() == 0 &&
-           (item.second.teams() == 0 ||
-            !last_request_times_.contains(item.first));
+           (item.second.teams() == 0 || !groups_.contains(item.first));
   });
   std::erase_if(work_estimators_, [this](const auto& item) {
-    const auto group = last_request_times_.lower_bound(
-        {.service = item.first, .group = {0, 0}});
-    return group == last_request_times_.end() ||
-           group->first.service != item.first;
+    const auto group =
+        groups_.lower_bound({.service = item.first, .group = {0, 0}});
+    return group == groups_.end() || group->first.service != item.first;
   });
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
@@ -351,6 +349,10 @@
   const WaitingRequest& waiting = waiting_by_attempt_.at(id);
   const CrashSuspicion suspicion = waiting.request.suspicion;
   const QueueKey queue = QueueKeyOf(waiting.request);
+  if (const auto group = groups_.find(queue); group != groups_.end()) {
+    RankGrants& rank = group->second.grants[waiting.position.rank];
+    ++rank.count;
+  }
   const SlotCharge charge =
       queues_.at(queue).Grant(waiting.position, waiting.work);
   Remove(id);
@@ -368,12 +370,27 @@
 
 std::vector<SlotGroupReport> SlotScheduler::Reports() const {
   std::vector<SlotGroupReport> reports;
-  for (const auto& [key, last_request_time] : last_request_times_) {
-    reports.push_back(
-        {.service_hash = HashBytes(key.service),
-         .group = key.group,
-         .free = FreeCapacity(key.service, key.group),
-         .waiting = static_cast<int>(waiting(key.service, key.group))});
+  for (const auto& [key, group] : groups_) {
+    std::map<RequestRank, RankLoad> ranks;
+    for (const auto& [rank, grants] : group.grants) {
+      ranks[rank].granted = grants.count;
+    }
+    if (const auto queue = queues_.find(key); queue != queues_.end()) {
+      for (const auto& [rank, waiting] : queue->second.RankSizes()) {
+        ranks[rank].waiting = static_cast<int>(waiting);
+      }
+    }
+    SlotGroupReport report = {
+        .service_hash = HashBytes(key.service),
+        .group = key.group,
+        .free = FreeCapacity(key.service, key.group),
+        .waiting = static_cast<int>(waiting(key.service, key.group))};
+    for (auto& [rank, load] : ranks) {
+      load.priority = rank.priority;
+      load.route_priority = rank.route_priority;
+      report.ranks.push_back(load);
+    }
+    reports.push_back(std::move(report));
   }
   return reports;
 }
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -120,6 +120,15 @@
     QueueKey queue;
     SlotCharge charge;
   };
+  /// Grants to one rank of a group.
+  struct RankGrants {
+    uint64_t count = 0;
+  };
+  /// Group with recent slot requests.
+  struct Group {
+    TimePoint last_request_time;
+    std::map<RequestRank, RankGrants> grants;
+  };
   using Grants = std::map<AttemptKey, ActiveGrant>;
 
   static QueueKey QueueKeyOf(const SlotRequest& request) {
@@ -161,8 +170,7 @@
   /// Recent speed of each service, over all of its servers.
   std::map<std::string, ServerSpeed> speeds_;
   std::map<QueueKey, SlotQueue> queues_;
-  /// Time of the last slot request for each group.
-  std::map<QueueKey, TimePoint> last_request_times_;
+  std::map<QueueKey, Group> groups_;
   std::map<std::string, WorkEstimator> work_estimators_;
   std::map<AttemptKey, WaitingRequest> waiting_by_attempt_;
   /// Requests that are not late yet, by the time at which they become late.
--- a/test/fairness/fair_scheduler_test.cc
+++ b/test/fairness/fair_scheduler_test.cc
@@ -281,4 +281,27 @@
   BOOST_TEST(slots_of_team_2(false) == 0);
 }
 
+// An entry predicts waits from the requests and grants of each rank.
+BOOST_AUTO_TEST_CASE(ReportsCountRequestsAndGrantsByRank) {
+  for (const bool fair_shares : {false, true}) {
+    Harness h(fair_shares);
+    for (AttemptId i = 1; i <= 5; ++i) {
+      h.RequestSlot(i, i);
+    }
+    SlotRequest lower = h.RequestOf(6, 1);
+    lower.route_priority = 2;
+    h.scheduler.RequestSlot("a", lower);
+    const std::vector<RankLoad> expected = {
+        {.waiting = 3, .granted = 2},
+        {.route_priority = 2, .waiting = 1, .granted = 0}};
+    BOOST_TEST_REQUIRE(h.scheduler.Reports().size() == 1U);
+    BOOST_TEST((h.scheduler.Reports().front().ranks == expected));
+    h.GrantAll(6);
+    const std::vector<RankLoad> later = {
+        {.waiting = 0, .granted = 5},
+        {.route_priority = 2, .waiting = 0, .granted = 1}};
+    BOOST_TEST((h.scheduler.Reports().front().ranks == later));
+  }
+}
+
 }  // namespace lavenderkeel
