Fairness: log lines and metrics name the share and the team that had the slots

A request that is refused because its team asks for more than its share ended with outcome=overloaded and a wait, like any other. The slot scheduler now writes share_withdrawn with the team's work, weight and running work beside those of its rank and of the team that was granted most, and counts shared_slots{outcome}; the end line has slot_request and team_hash, by which the two are found (RefusedRequestsNameShareAndTopTeam).

--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -82,9 +82,14 @@
                }),
       self_name_(members_.self().id.ToString()),
       notices_(WithSelf(options_.notices, self_name_), clock, log),
+      share_log_(log, metrics),
       slot_scheduler_(
           {.placement = options_.placement,
-           .fair_shares = options_.fair_shares},
+           .fair_shares = options_.fair_shares,
+           .on_share_decision =
+               [this](const ShareDecision& decision) {
+                 share_log_.OnDecision(decision);
+               }},
           directory_,
           notices_,
           clock,
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -163,6 +163,7 @@
   ServerDirectory directory_;
   ServerLog server_log_;
   ServerNotices notices_;
+  ShareLog share_log_;
   SlotScheduler slot_scheduler_;
   SlotRouter slot_router_;
   CrashGuard crashes_;
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "lavenderkeel/base/rendezvous.h"
+
 namespace lavenderkeel {
 
 void RequestLog::OnSend(const ForwardedRequest& request,
@@ -68,6 +70,8 @@
        {"expected_output_tokens", request.metadata.expected_output_tokens},
        {"server", request.server},
        {"gate", scheduler},
+       {"slot_request", request.attempt},
+       {"team_hash", request.team.empty() ? 0 : HashBytes(request.team)},
        {"waiting_ms", waiting_ms},
        {"first_event_ms", first_event_ms},
        {"longest_pause_ms", ToMilliseconds(request.longest_pause)},
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -58,7 +58,7 @@
   const QueuePosition position = PositionOf(id, request);
   const TeamWork work = work_estimators_[request.service].EstimateFor(request);
   waiting_by_attempt_[id] = {
-      .request = request, .position = position, .work = work};
+      .request = request, .position = position, .work = work, .since = now};
   queues_
       .try_emplace(key, SlotQueue::Options{.fair_shares = options_.fair_shares})
       .first->second.Insert(position, work);
@@ -137,7 +137,11 @@
                                 AttemptId attempt,
                                 const SlotResult& result) {
   const AttemptKey id = {entry, attempt};
-  Remove(id);
+  if (const auto waiting = waiting_by_attempt_.find(id);
+      waiting != waiting_by_attempt_.end()) {
+    ReportShareDecision(waiting->second, /*granted=*/false);
+    Remove(id);
+  }
   const auto granted = grants_.find(id);
   if (granted == grants_.end()) {
     return;
@@ -349,9 +353,13 @@
   const WaitingRequest& waiting = waiting_by_attempt_.at(id);
   const CrashSuspicion suspicion = waiting.request.suspicion;
   const QueueKey queue = QueueKeyOf(waiting.request);
+  ReportShareDecision(waiting, /*granted=*/true);
   if (const auto group = groups_.find(queue); group != groups_.end()) {
     RankGrants& rank = group->second.grants[waiting.position.rank];
     ++rank.count;
+    if (options_.fair_shares) {
+      rank.work.Add(waiting.work, now);
+    }
   }
   const SlotCharge charge =
       queues_.at(queue).Grant(waiting.position, waiting.work);
@@ -368,6 +376,31 @@
   on_grant_(id.first, grant);
 }
 
+void SlotScheduler::ReportShareDecision(const WaitingRequest& waiting,
+                                        bool granted) {
+  if (!options_.fair_shares || !options_.on_share_decision) {
+    return;
+  }
+  const QueueKey key = QueueKeyOf(waiting.request);
+  const RequestRank& rank = waiting.position.rank;
+  const SlotQueue::TeamState state =
+      queues_.at(key).StateOf(rank, waiting.work);
+  const auto group = groups_.find(key);
+  if (state.teams_waiting < 2 || group == groups_.end()) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  options_.on_share_decision(
+      {.granted = granted,
+       .service = key.service,
+       .position = waiting.position,
+       .work = waiting.work,
+       .waited = now - waiting.since,
+       .state = state,
+       .recent =
+           group->second.grants[rank].work.SummaryFor(waiting.work.team, now)});
+}
+
 std::vector<SlotGroupReport> SlotScheduler::Reports() const {
   std::vector<SlotGroupReport> reports;
   for (const auto& [key, group] : groups_) {
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -66,6 +66,9 @@
     Duration group_expiry = std::chrono::seconds(2);
     /// Whether teams of equal rank share the slots by weight.
     bool fair_shares = false;
+    /// Receives the decisions on requests of ranks in which several teams wait,
+    /// with `fair_shares`.
+    std::function<void(const ShareDecision&)> on_share_decision = {};
   };
 
   /// Delivers a grant. May call ReleaseSlot and RequestSlot re-entrantly.
@@ -112,6 +115,7 @@
     SlotRequest request;
     QueuePosition position;
     TeamWork work;
+    TimePoint since;
   };
   struct ActiveGrant {
     std::string server;
@@ -123,6 +127,7 @@
   /// Grants to one rank of a group.
   struct RankGrants {
     uint64_t count = 0;
+    GrantedWork work;
   };
   /// Group with recent slot requests.
   struct Group {
@@ -150,6 +155,8 @@
   bool IsPushedBackByAll(const std::string& entry,
                          const Placement::Candidates& candidates) const;
   void Remove(const AttemptKey& id);
+  /// Reports a decision on a waiting request if several teams wait in its rank.
+  void ReportShareDecision(const WaitingRequest& waiting, bool granted);
   void Grant(const AttemptKey& id, const BackendServer& server);
   /// Removes a grant whose attempt no longer runs; the request counts of the
   /// server stay.
--- a/test/fairness/fair_fleet_test.cc
+++ b/test/fairness/fair_fleet_test.cc
@@ -175,4 +175,37 @@
   }
 }
 
+// An operator must see by which share a request was refused, and which team had
+// the slots.
+BOOST_AUTO_TEST_CASE(RefusedRequestsNameShareAndTopTeam) {
+  Flood flood(true);
+  flood.Finish();
+  const std::vector<std::string>& lines = flood.load.log_lines();
+  const std::string hash = std::to_string(HashBytes(std::string("team-0")));
+  const auto withdrawn =
+      std::ranges::find_if(lines, [&](const std::string& line) {
+        return line.starts_with("event=share_withdrawn ") &&
+               line.find(" team_hash=" + hash + " ") != std::string::npos;
+      });
+  BOOST_TEST_REQUIRE((withdrawn != lines.end()));
+  BOOST_TEST_MESSAGE(*withdrawn);
+  BOOST_TEST(withdrawn->find(" top_team_hash=" + hash + " ") !=
+             std::string::npos);
+  // The entry's line of the request has the same id of the slot request.
+  const size_t id = withdrawn->find(" slot_request=");
+  const std::string slot_request =
+      withdrawn->substr(id, withdrawn->find(' ', id + 1) + 1 - id);
+  const auto end = std::ranges::find_if(lines, [&](const std::string& line) {
+    return line.starts_with("event=end ") &&
+           line.find(" outcome=overloaded ") != std::string::npos &&
+           line.find(" team=team-0 ") != std::string::npos &&
+           line.find(" team_hash=" + hash + " ") != std::string::npos &&
+           line.find(slot_request) != std::string::npos;
+  });
+  BOOST_TEST((end != lines.end()));
+  const int scheduler = flood.load.scheduler();
+  BOOST_TEST(flood.load.metrics(scheduler).counter(
+                 "shared_slots{outcome=\"withdrawn\"}") > 0U);
+}
+
 }  // namespace lavenderkeel
