--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -12,6 +12,7 @@
 
 #include "bench/fitted_line.h"
 #include "lavenderkeel/dispatch.h"
+#include "lavenderkeel/fairness.h"
 #include "lavenderkeel/gate.h"
 #include "lavenderkeel/wire.h"
 #include "test/fuzz/simulation.h"
@@ -314,6 +315,59 @@
   return 0;
 }
 
+/// Queue in which requests of a number of teams wait, some of each.
+struct FilledQueue {
+  SlotQueue queue{{.fair_shares = true}};
+  std::vector<QueuePosition> positions;
+
+  FilledQueue(size_t requests, size_t teams) {
+    positions.reserve(requests);
+    for (size_t i = 0; i < requests; ++i) {
+      positions.push_back({.sort_time = TimePoint(Duration(i * 7919 % 10'007)),
+                           .attempt = {"entry-govan-001", i}});
+      queue.Insert(positions[i], WorkOf(i, teams));
+    }
+  }
+  static TeamWork WorkOf(size_t request, size_t teams) {
+    return {.team = 1 + request % teams,
+            .weight = 1 + static_cast<double>(request % 5),
+            .units = 100 + static_cast<double>(request % 900)};
+  }
+};
+
+/// Returns the time of two inserts, an erase, and a grant and its end while
+/// `requests` requests of `teams` teams wait.
+double QueueTime(size_t requests, size_t teams) {
+  FilledQueue filled(requests, teams);
+  constexpr size_t kRounds = 20'000;
+  const double before = UserMicroseconds();
+  for (size_t i = 0; i < kRounds; ++i) {
+    const size_t erased = i * 31 % requests;
+    const TeamWork work = FilledQueue::WorkOf(erased, teams);
+    filled.queue.Erase(filled.positions[erased], work);
+    filled.queue.Insert(filled.positions[erased], work);
+    QueuePosition granted;
+    {
+      SlotQueue::Pass pass(filled.queue);
+      granted = pass.Next().value();
+      const SlotCharge charge = filled.queue.Grant(
+          granted, FilledQueue::WorkOf(granted.attempt.second, teams));
+      filled.queue.End(charge, /*ran=*/true);
+    }
+    filled.queue.Insert(granted,
+                        FilledQueue::WorkOf(granted.attempt.second, teams));
+  }
+  return (UserMicroseconds() - before) / kRounds;
+}
+
+/// Returns the memory of a queue in which one request of each team waits.
+double QueueBytes(size_t teams) {
+  const double before = HeapBytes();
+  FilledQueue filled(teams, teams);
+  filled.positions = {};
+  return HeapBytes() - before;
+}
+
 enum class RequestQuantity {
   kEntryBytes,
   kAgentBytes,
@@ -448,6 +502,11 @@
   add(MeasureLine("waiting_memory", "request", "B", requests, [](size_t n) {
     return MeasureRequests(n, RequestQuantity::kMemory);
   }));
+  add(MeasureLine("slot_queue_time_by_request", "request", "us", counts,
+                  [](size_t n) { return QueueTime(n, 1'000); }));
+  add(MeasureLine("slot_queue_time_by_team", "team", "us", teams,
+                  [](size_t n) { return QueueTime(20'000, n); }));
+  add(MeasureLine("slot_queue_memory", "team", "B", teams, QueueBytes));
   add(MeasureLine("entry_start_calls", "start", "1", starts,
                   [](size_t n) { return RestartCalls(n, true); }));
   add(MeasureLine("agent_start_calls", "start", "1", starts,
