--- a/test/fairness/fair_fleet_test.cc
+++ b/test/fairness/fair_fleet_test.cc
@@ -175,6 +175,42 @@
   }
 }
 
+// The link between the scheduler and another entry is broken for two seconds of
+// the flood. The entry asks another scheduler meanwhile, so that two grant the
+// slots of one group, and servers queue for about a second at the start and the
+// end of that time. No team may lose its share for longer.
+BOOST_AUTO_TEST_CASE(FloodIsSharedAroundABrokenLink) {
+  struct Fractions {
+    double around = 0;
+    double later = 0;
+  };
+  const auto play = [](bool fair_shares) {
+    Flood flood(fair_shares);
+    flood.load.Advance(seconds(3));
+    const int scheduler = flood.load.scheduler();
+    BOOST_TEST_REQUIRE(scheduler >= 0);
+    const int other = (scheduler + 1) % 3;
+    flood.load.set_partitioned(scheduler, other, true);
+    flood.load.Advance(seconds(2));
+    flood.load.set_partitioned(scheduler, other, false);
+    flood.Finish();
+    const FleetLoad::Outcome around =
+        flood.OthersBetween(seconds(3), milliseconds(6500));
+    const FleetLoad::Outcome later =
+        flood.OthersBetween(milliseconds(6500), seconds(8));
+    Report("others around the partition", around);
+    Report("others later", later);
+    return Fractions{.around = around.FractionInTime(),
+                     .later = later.FractionInTime()};
+  };
+  const Fractions with = play(true);
+  const Fractions without = play(false);
+  BOOST_TEST(with.around >= 0.75);
+  BOOST_TEST(with.later >= 0.95);
+  BOOST_TEST(without.around < 0.6);
+  BOOST_TEST(without.later < 0.8);
+}
+
 // An operator must see by which share a request was refused, and which team had
 // the slots.
 BOOST_AUTO_TEST_CASE(RefusedRequestsNameShareAndTopTeam) {
--- a/test/fairness/fleet_load.h
+++ b/test/fairness/fleet_load.h
@@ -45,6 +45,9 @@
     teams_[team].per_second = per_second;
   }
   void Kill(int entry) { fleet_.Kill(entry); }
+  void set_partitioned(int a, int b, bool partitioned) {
+    fleet_.set_partitioned(a, b, partitioned);
+  }
   TimePoint Now() const { return fleet_.Now(); }
   /// Returns the outcome of the requests first sent from `from` to `to`, except
   /// those of entries that were killed.
