Tests: skipped requests of one team let others through

The test of the queue passed without the rounds that put a team behind others after eight skipped requests, because the other team came first by its share anyway. Now 99 requests are tried without rounds and fewer than 20 with them. A test on the scheduler: 100 requests for a version whose servers are full no longer keep another team's request from a free slot of the other version; with the option off they do, as before.

--- a/test/fairness/fair_scheduler_test.cc
+++ b/test/fairness/fair_scheduler_test.cc
@@ -262,6 +262,26 @@
   BOOST_TEST((std::set<AttemptId>(running.begin(), running.end()) == expected));
 }
 
+// The requests of one team need a version of which all servers are full. They
+// must not use up the limit of skipped requests before another team's request
+// gets the free slot of another version.
+BOOST_AUTO_TEST_CASE(RequestsThatFitNoFreeServerLetOtherTeamsThrough) {
+  for (const bool fair_shares : {true, false}) {
+    Harness h(fair_shares);
+    h.directory.Apply({.id = "s1", .service = "engines", .version = "v1"});
+    h.directory.Apply(
+        {.id = "s2", .service = "engines", .version = "v2", .slots = 2});
+    for (AttemptId i = 1; i <= 100; ++i) {
+      SlotRequest request = h.RequestOf(i, 1);
+      request.version = "v1";
+      h.scheduler.RequestSlot("a", request);
+    }
+    BOOST_TEST(h.granted.size() <= 1U);
+    h.RequestSlot(1001, 2);
+    BOOST_TEST(h.ServerOf(1001) == (fair_shares ? "s2" : "none"));
+  }
+}
+
 // Long requests that were granted while no other team waited hold all slots.
 // Most of the next slots must go to the other team, not every second one.
 BOOST_AUTO_TEST_CASE(TeamThatHoldsAllSlotsLeavesNextOnesToAnother) {
--- a/test/fairness/slot_queue_test.cc
+++ b/test/fairness/slot_queue_test.cc
@@ -424,13 +424,11 @@
   for (int i = 0; i < 100; ++i) {
     teams.Add({.team = 1});
   }
-  teams.Add({.team = 2});
-  // Team 2 is behind team 1 in the order.
+  teams.Add({.team = 2, .units = 1000});
+  teams.Add({.team = 2, .units = 1000});
   BOOST_TEST(teams.GrantNext() == 1U);
-  teams.Add({.team = 1});
-  teams.Add({.team = 2, .units = 50});
   BOOST_TEST(teams.GrantNext() == 2U);
-  teams.Add({.team = 2, .units = 50});
+  // Team 2 is far behind team 1 in the order.
   BOOST_TEST(teams.GrantNext() == 1U);
   SlotQueue::Pass pass(teams.queue());
   int tried = 0;
