--- a/test/fairness/slot_queue_test.cc
+++ b/test/fairness/slot_queue_test.cc
@@ -32,11 +32,10 @@
   QueuePosition Add(const TeamWork& work,
                     const RequestRank& rank = {},
                     bool late = false) {
-    const QueuePosition position = {
-        .rank = rank,
-        .late = late,
-        .sort_time = TimePoint(milliseconds(++last_)),
-        .attempt = {"e", last_}};
+    QueuePosition position = {.rank = rank,
+                              .late = late,
+                              .sort_time = TimePoint(milliseconds(++last_)),
+                              .attempt = {"e", last_}};
     Add(position, work);
     return position;
   }
@@ -336,8 +335,10 @@
 // slots for long. The next slots must go to the other team first.
 BOOST_AUTO_TEST_CASE(TeamThatHoldsSlotsLeavesNextOnesToOthers) {
   TeamQueue teams;
+  constexpr size_t kSlots = 6;
   std::vector<SlotCharge> running;
-  for (int i = 0; i < 6; ++i) {
+  running.reserve(kSlots);
+  for (size_t i = 0; i < kSlots; ++i) {
     running.push_back(teams.Start(teams.Add({.team = 1, .units = 10})));
   }
   teams.queue().OnSlotsLeft();
@@ -346,8 +347,8 @@
     teams.Add({.team = 2, .units = 10});
   }
   std::vector<uint64_t> order;
-  for (int i = 0; i < 6; ++i) {
-    teams.queue().End(running[static_cast<size_t>(i)], /*ran=*/true);
+  for (const SlotCharge& charge : running) {
+    teams.queue().End(charge, /*ran=*/true);
     SlotQueue::Pass pass(teams.queue());
     const QueuePosition next = pass.Next().value();
     order.push_back(teams.works().at(next).team);
