Entries: one whose address refuses connections no longer counts as known

Cause: an entry that was killed kept its share of all rates until the others forgot it, 10 s later; a failed dial did not say whether nothing listens at the address or nobody answered.

PeerPort reports DialFailure::kRefused for ECONNREFUSED before the connection is up. MemberTable marks a member as ended if it has no connection in either direction then; EntryExchange and LostEntries do not count it. An entry that is cut off does not answer and keeps its share. The next incarnation at the address, or any new connection, counts again.

The simulation of a fleet tells the two apart, takes options by entry and the time that a client has left.

--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -295,7 +295,7 @@
   if (entry_directory_.self_coordinates()) {
     Counts counts;
     for (const Member* member : members_.Members(Role::kEntry)) {
-      if (!member->info.leaving) {
+      if (!member->info.leaving && !member->has_ended) {
         ++counts.known;
         counts.reporting += member->live() ? 1 : 0;
       }
--- a/lavenderkeel/io/node_wiring.h
+++ b/lavenderkeel/io/node_wiring.h
@@ -21,7 +21,7 @@
       [&node, execute_actions](LinkId link, const InstanceInfo& peer,
                                const std::string& dialed) {
         if (!node.OnLinkUp(link, peer, dialed) && !dialed.empty()) {
-          node.OnDialFailed(dialed);
+          node.OnDialFailed(dialed, DialFailure::kNoAnswer);
         }
         execute_actions();
       });
@@ -35,8 +35,9 @@
     execute_actions();
   });
   peers.signal_dial_failed().connect(
-      [&node, execute_actions](const std::string& address) {
-        node.OnDialFailed(address);
+      [&node, execute_actions](const std::string& address,
+                               DialFailure failure) {
+        node.OnDialFailed(address, failure);
         execute_actions();
       });
 }
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -30,6 +30,9 @@
   std::optional<TimePoint> disconnected_since;
   /// Set once the outbound link was down for longer than the heartbeat timeout.
   bool lost = false;
+  /// No connection is up and the address refuses new ones: the process has
+  /// ended. A process that is cut off does not answer instead.
+  bool has_ended = false;
   /// The outbound link has been up.
   bool was_connected = false;
   uint64_t config_version = 0;
@@ -78,7 +81,9 @@
                 const InstanceInfo& peer,
                 const std::string& dialed);
   void OnLinkDown(LinkId link);
-  void OnDialFailed(const std::string& address);
+  /// @return the member that the failure shows to have ended, if any
+  std::optional<PeerId> OnDialFailed(const std::string& address,
+                                     DialFailure failure);
   /// Restarts the link's timeout; called for any message.
   void OnMessageReceived(LinkId link);
   void OnHeartbeat(LinkId link, const Heartbeat& heartbeat);
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -208,6 +208,9 @@
   process.port = std::make_unique<FakeForwardPort>();
   process.metrics = std::make_unique<Metrics>();
   ForwardNode::Options node = options_.node;
+  if (options_.adjust_node) {
+    options_.adjust_node(entry, node);
+  }
   for (int seed = 0; seed < options_.seeds; ++seed) {
     if (seed != entry) {
       node.seeds.push_back(processes_[ToIndex(seed)].address);
@@ -301,9 +304,14 @@
     return;
   }
   const auto to = static_cast<size_t>(found - processes_.begin());
-  if (found == processes_.end() || found->node == nullptr ||
-      ArePartitioned(from, to)) {
-    processes_[from].node->OnDialFailed(address);
+  if (found == processes_.end() || ArePartitioned(from, to)) {
+    processes_[from].node->OnDialFailed(address, DialFailure::kNoAnswer);
+    ExecuteActions(from);
+    return;
+  }
+  if (found->node == nullptr) {
+    processes_[from].node->OnDialFailed(address, DialFailure::kRefused);
+    ExecuteActions(from);
     return;
   }
   const LinkId here = ++last_link_;
@@ -334,7 +342,8 @@
 
 ExchangeId FleetSimulation::Request(int entry,
                                     const std::string& route,
-                                    const std::string& body) {
+                                    const std::string& body,
+                                    Duration time_left) {
   Process& process = processes_[ToIndex(entry)];
   const ExchangeId exchange = ++last_exchange_;
   const std::string id = "r" + std::to_string(exchange);
@@ -346,7 +355,7 @@
        .fields = {{"Host", "h"},
                   {"Request-Id", id},
                   {"Authorization", "Bearer key"},
-                  {"Deadline-Ms", "10000"}}},
+                  {"Deadline-Ms", std::to_string(ToMilliseconds(time_left))}}},
       body);
   ExecuteActions(ToIndex(entry));
   return exchange;
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -35,6 +36,8 @@
     /// Latency of messages.
     Duration network_delay = std::chrono::milliseconds(1);
     ForwardNode::Options node;
+    /// Called for the options of each entry before it starts.
+    std::function<void(int entry, ForwardNode::Options&)> adjust_node = {};
   };
 
   explicit FleetSimulation(const Options& options);
@@ -45,7 +48,8 @@
   /// Sends a request of the only team to an entry.
   ExchangeId Request(int entry,
                      const std::string& route = "lookup",
-                     const std::string& body = "");
+                     const std::string& body = "",
+                     Duration time_left = std::chrono::seconds(10));
   /// When the client sent the request with this id.
   TimePoint RequestedAt(const std::string& request_id) const {
     return requested_at_.at(request_id);
