--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -75,6 +75,38 @@
   }
 }
 
+// A configuration with values that cannot be computed with must not replace
+// the one in force.
+BOOST_AUTO_TEST_CASE(RatesAndPrioritiesOutOfRangeAreRejected) {
+  const auto decode = [](const char* field, const json::value& value) {
+    json::object tenant = {
+        {"name", "a"}, {"ratePerS", 10}, {"burst", 20}, {"priority", 1}};
+    tenant[field] = value;
+    const json::object table = {{"version", 1},
+                                {"routes", json::array()},
+                                {"services", json::array()},
+                                {"tenants", json::array{tenant}}};
+    return Catch([&] { return hybrid::DecodeConfig(json::serialize(table)); });
+  };
+  BOOST_TEST(static_cast<bool>(decode("ratePerS", 0)));
+  for (const char* field : {"ratePerS", "burst", "plainTokens"}) {
+    BOOST_TEST(static_cast<bool>(decode(field, 1e12)));
+    for (const json::value& value :
+         {json::value(-1), json::value(-0.5), json::value(1e13),
+          json::value(1e300), json::value("10"), json::value(nullptr)}) {
+      const auto table = decode(field, value);
+      BOOST_TEST(!table, field << " is " << json::serialize(value));
+      BOOST_TEST((table.failure.code == ResultCode::kConfigInvalid));
+    }
+  }
+  BOOST_TEST(!decode("ratePerS", 1e-300));
+  for (const json::value& value :
+       {json::value(-1), json::value(1.5), json::value(5'000'000'000),
+        json::value(1e300)}) {
+    BOOST_TEST(!decode("priority", value), json::serialize(value));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ArbitraryBytesAreRejected) {
   rc::check([](const std::string& bytes) {
     RC_ASSERT(!Catch([&bytes] {
