--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -30,9 +30,9 @@
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/slot_router.h"
 #include "lavenderkeel/forward/slot_scheduler.h"
-#include "lavenderkeel/forward/team_demand.h"
 #include "lavenderkeel/forward/team_rates.h"
 #include "lavenderkeel/notice/server_notices.h"
+#include "lavenderkeel/rates/team_demand.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
--- a/lavenderkeel/forward/team_demand.h
+++ b/lavenderkeel/rates/team_demand.h
@@ -1,13 +1,14 @@
-#ifndef LAVENDERKEEL_FORWARD_TEAM_DEMAND_H_
-#define LAVENDERKEEL_FORWARD_TEAM_DEMAND_H_
+#ifndef LAVENDERKEEL_RATES_TEAM_DEMAND_H_
+#define LAVENDERKEEL_RATES_TEAM_DEMAND_H_
 
 #include <cstdint>
 #include <vector>
 
 namespace lavenderkeel {
 
-/// Units that the requests of a team on routes of one rank asked for since an
-/// entry's start, admitted or not.
+/// Units that the requests of a team on routes of one rank asked for, admitted
+/// or not. Counted from an entry's start, and only while the team's rate is
+/// short there.
 struct TeamRankDemand {
   /// Hash of the team's name.
   uint64_t team = 0;
@@ -23,4 +24,4 @@
 
 }  // namespace lavenderkeel
 
-#endif  // LAVENDERKEEL_FORWARD_TEAM_DEMAND_H_
+#endif  // LAVENDERKEEL_RATES_TEAM_DEMAND_H_
