Rates: a team's urgent requests come first while its rate is short

Why the bound holds: TeamTokenBucket::Take still decides last, after the rank. Reports carry only the demand of teams whose rate is short, at most 64 teams and ranks each; no message is added.

--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -37,6 +37,15 @@
   return now - *since > longer_than;
 }
 
+DemandRelay::Totals ToRelayTotals(const DemandTotals& demand) {
+  DemandRelay::Totals totals;
+  totals.reserve(demand.size());
+  for (const TeamRankDemand& total : demand) {
+    totals.emplace_back(std::pair(total.team, total.rank), total.units);
+  }
+  return totals;
+}
+
 }  // namespace
 
 EntryExchange::EntryExchange(const Options& options,
@@ -116,7 +125,9 @@
   controller_.OnPeerReport(name, report);
   slot_scheduler_.OnReport(name, report.in_flight);
   rollouts_.OnStatus(peer, status);
-  relay_.OnTotals(peer, report.team_totals, RelaysUsageOf(peer.instance));
+  const bool is_relay = RelaysUsageOf(peer.instance);
+  relay_.OnTotals(peer, report.team_totals, is_relay);
+  demand_relay_.OnTotals(peer, ToRelayTotals(report.demand), is_relay);
   // A coordinator sends its notices to all entries itself.
   notices_.OnReports(NoticesFromWire(status, clock_.Now()),
                      entry_directory_.self_coordinates() &&
@@ -137,6 +148,7 @@
                                .data_centre = member.info.data_centre,
                                .at = clock_.Now()};
   controller_.OnRelayedTotals(name, RelayedFromWire(status));
+  controller_.OnRelayedDemand(name, internal::RelayedDemandFromWire(status));
   if (!member.info.leaving) {
     slot_router_.OnReport(name, GroupReportsFromWire(status));
   }
@@ -318,6 +330,7 @@
   const bool include_unchanged = status_round_ == 0;
   status_round_ = (status_round_ + 1) % options_.full_status_every;
   ForwardReport report = controller_.Report();
+  report.demand = controller_.TakeDemand();
   slot_scheduler_.OnReport(members_.self().id.ToString(), report.in_flight);
   const std::vector<SlotGroupReport> group_reports = slot_scheduler_.Reports();
   slot_router_.OnReport(members_.self().id.ToString(), group_reports);
@@ -346,6 +359,8 @@
   to_other.servers.clear();
   to_other.in_flight.clear();
   to_other.rollout_counts.clear();
+  const std::vector<std::pair<uint64_t, int>> demand_changes =
+      demand_relay_.TakeChanges(options_.max_relayed_demand);
   for (const Member* member : members_.Members(Role::kEntry)) {
     if (!member->outbound.has_value()) {
       continue;
@@ -357,12 +372,27 @@
       ForwardStatus status = to_other;
       internal::PutRelayed(relay_.TotalsFor(member->info.id, include_unchanged),
                            status);
+      internal::PutRelayedDemand(
+          RelayedDemandFor(member->info.id, demand_changes), status);
       outbox_.Send(*member->outbound, std::move(status));
     }
   }
   relay_.ClearChanges();
 }
 
+DemandTotals EntryExchange::RelayedDemandFor(
+    const PeerId& entry,
+    const std::vector<std::pair<uint64_t, int>>& changes) const {
+  DemandTotals totals;
+  totals.reserve(changes.size());
+  for (const auto& [team, rank] : changes) {
+    totals.push_back({.team = team,
+                      .rank = rank,
+                      .units = demand_relay_.TotalFor(entry, {team, rank})});
+  }
+  return totals;
+}
+
 std::vector<ServerNotice> EntryExchange::NoticesToReport(bool all) {
   std::vector<ServerNotice> changes = notices_.TakeChanges();
   return all ? notices_.Shared(!entry_directory_.self_coordinates()) : changes;
--- a/lavenderkeel/forward/entry_exchange.h
+++ b/lavenderkeel/forward/entry_exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/action.h"
@@ -38,6 +39,9 @@
     /// One of this many reports contains the rate usage of all teams, the
     /// others only what changed.
     int full_status_every = 10;
+    /// Teams and ranks whose demand one report relays; further ones follow in
+    /// the next reports.
+    size_t max_relayed_demand = 64;
     /// Period in which an entry sends its complete list of entries, to one
     /// other entry at a time.
     Duration list_period = std::chrono::milliseconds(100);
@@ -140,6 +144,11 @@
   void SendFeed(const PeerId& peer, FeedReceiver& receiver);
   void SendFeeds();
   void SendStatus(const OwnState& own_state);
+  /// Returns the demand that changed at the entries that this one relays for,
+  /// without that of the receiver.
+  DemandTotals RelayedDemandFor(
+      const PeerId& entry,
+      const std::vector<std::pair<uint64_t, int>>& changes) const;
   /// Returns the notices of servers for the next status.
   /// @param all whether to include those that did not change
   std::vector<ServerNotice> NoticesToReport(bool all);
@@ -168,6 +177,7 @@
   const Clock& clock_;
   EntryDirectory entry_directory_;
   UsageRelay relay_;
+  DemandRelay demand_relay_;
   std::map<PeerId, CoordinatorStatus> coordinator_status_;
   /// The coordinator that the list of servers comes from; none if this entry
   /// coordinates or receives no status of a coordinator.
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -65,7 +65,8 @@
                   .max_buffered_body_bytes = options.max_buffered_body_bytes},
                  route_history_,
                  clock,
-                 log),
+                 log,
+                 metrics),
       answers_({.max_buffered_bytes = options.max_buffered_answer_bytes},
                port,
                version_selector,
@@ -821,6 +822,12 @@
       [](const auto& item) { return item.second->state == State::kWaiting; }));
 }
 
+DemandTotals ForwardController::TakeDemand() {
+  metrics_.Set("rate_promises_expired",
+               static_cast<double>(admission_.rates().expired_promises()));
+  return admission_.rates().TakeDemand(clock_.Now());
+}
+
 ForwardReport ForwardController::Report() const {
   ForwardReport report;
   report.table_version = table_version();
@@ -840,6 +847,7 @@
 void ForwardController::OnPeerReport(const std::string& peer,
                                      const ForwardReport& report) {
   admission_.rates().OnPeerTotals(peer, report.team_totals, clock_.Now());
+  admission_.rates().OnPeerDemand(peer, report.demand, clock_.Now());
 }
 
 void ForwardController::OnRelayedTotals(const std::string& coordinator,
@@ -847,6 +855,11 @@
   admission_.rates().OnRelayedTotals(coordinator, totals, clock_.Now());
 }
 
+void ForwardController::OnRelayedDemand(const std::string& coordinator,
+                                        const DemandTotals& totals) {
+  admission_.rates().OnRelayedDemand(coordinator, totals, clock_.Now());
+}
+
 void ForwardController::OnPeerLost(const std::string& peer) {
   admission_.rates().ForgetPeer(peer);
 }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -153,10 +153,16 @@
   // Other entries.
   /// Returns the status of this entry for the other entries.
   ForwardReport Report() const;
+  /// Returns what teams asked for at this entry, as far as it changed since the
+  /// last call.
+  DemandTotals TakeDemand();
   void OnPeerReport(const std::string& peer, const ForwardReport& report);
   /// Records the rate usage at other entries, relayed by a coordinator.
   void OnRelayedTotals(const std::string& coordinator,
                        const UsageTotals& totals);
+  /// Records the demand at other entries, relayed by a coordinator.
+  void OnRelayedDemand(const std::string& coordinator,
+                       const DemandTotals& totals);
   void OnPeerLost(const std::string& peer);
   /// Sets the number of entries that share the bounds, and of those that report
   /// here; both include this entry.
--- a/lavenderkeel/forward/request_admission.cc
+++ b/lavenderkeel/forward/request_admission.cc
@@ -7,6 +7,7 @@
 namespace lavenderkeel {
 
 void RequestAdmission::OnRouteTable(const RouteTable& table) {
+  rates_.OnRouteTable(table);
   std::erase_if(request_age_estimators_, [&](const auto& item) {
     return std::ranges::none_of(
         table.content().routes, [&item](const Route& route) {
@@ -79,25 +80,84 @@
   const double units = !team->rate.in_tokens ? 1
                        : tokens > 0          ? static_cast<double>(tokens)
                                              : team->rate.tokens_if_unknown;
-  const std::optional<TeamRates::Shortage> shortage =
-      rates_.Take(*team, units, clock_.Now());
+  // A client waits for at most a third of its time before it comes back.
+  constexpr int kWaitsPerTimeLeft = 3;
+  const TeamRates::Outcome outcome = rates_.Take(
+      *team,
+      {.units = units,
+       .rank = request.table->has_ranks()
+                   ? std::optional(request.route->priority)
+                   : std::nullopt,
+       .id = request.metadata.request_id,
+       .deadline = request.due,
+       .is_retry = request.first_sent < request.arrived,
+       .max_wait = (request.due - request.arrived) / kWaitsPerTimeLeft},
+      clock_.Now());
+  if (outcome.by_rank.has_value()) {
+    RecordRankDecision(request, *team, units, outcome);
+  }
+  const std::optional<TeamRates::Shortage>& shortage = outcome.shortage;
   if (!shortage.has_value()) {
     return std::nullopt;
   }
-  // An undecided request is not refused but checked again later.
-  log_.Info(shortage->undecided ? "rate_waits" : "rate_refused",
-            {{"id", request.metadata.request_id},
-             {"team", team->name},
-             {"units", units},
-             {"level", shortage->level},
-             {"drawn_here", shortage->drawn_here},
-             {"per_second", team->rate.per_second},
-             {"burst", team->rate.burst},
-             {"share", shortage->share},
-             {"config_version", request.table->version()}});
+  if (!outcome.by_rank.has_value()) {
+    // An undecided request is not refused but checked again later.
+    log_.Info(shortage->undecided ? "rate_waits" : "rate_refused",
+              {{"id", request.metadata.request_id},
+               {"team", team->name},
+               {"units", units},
+               {"level", shortage->level},
+               {"drawn_here", shortage->drawn_here},
+               {"per_second", team->rate.per_second},
+               {"burst", team->rate.burst},
+               {"share", shortage->share},
+               {"config_version", request.table->version()}});
+  }
   return Refusal{.code = ResultCode::kTeamTokenRate,
                  .retry_after = shortage->wait,
                  .undecided = shortage->undecided};
 }
 
+void RequestAdmission::RecordRankDecision(const ForwardedRequest& request,
+                                          const TeamConfig& team,
+                                          double units,
+                                          const TeamRates::Outcome& outcome) {
+  const RankedRates::Decision& decision = *outcome.by_rank;
+  if (!decision.is_short) {
+    return;
+  }
+  const bool is_refused = outcome.shortage.has_value();
+  const std::string_view event = is_refused ? "rate_refused" : "rate_admitted";
+  log_.Info(event, {{"id", request.metadata.request_id},
+                    {"team", team.name},
+                    {"units", units},
+                    {"rank", request.route->priority},
+                    {"level", decision.inputs.level},
+                    {"reserve", decision.reserve.reserve},
+                    {"held", decision.reserve.held},
+                    {"admitted_part", decision.reserve.admitted_part},
+                    {"more_urgent_per_s", decision.inputs.more_urgent_demand},
+                    {"rank_per_s", decision.inputs.rank_demand},
+                    {"own_share", decision.own_share},
+                    {"report_age_ms", ToMilliseconds(decision.report_age)},
+                    {"redeemed", decision.redeemed},
+                    {"promised", decision.promised},
+                    {"promised_before", decision.promised_before},
+                    {"retry_after_ms", ToMilliseconds(decision.retry_after)},
+                    {"drawn_here", outcome.drawn_here},
+                    {"per_second", team.rate.per_second},
+                    {"burst", team.rate.burst},
+                    {"share", outcome.share},
+                    {"config_version", request.table->version()}});
+  const std::string rank =
+      "{rank=\"" + std::to_string(request.route->priority) + "\"}";
+  metrics_.Add(std::string(event) + rank);
+  if (decision.redeemed) {
+    metrics_.Add("rate_redeemed" + rank);
+  }
+  if (decision.promised) {
+    metrics_.Add("rate_promised" + rank);
+  }
+}
+
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/request_admission.h
+++ b/lavenderkeel/forward/request_admission.h
@@ -9,6 +9,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/forward/forwarded_request.h"
 #include "lavenderkeel/forward/refusal.h"
 #include "lavenderkeel/forward/request_age_estimator.h"
@@ -31,11 +32,13 @@
   RequestAdmission(const Options& options,
                    RouteHistories& route_history,
                    const Clock& clock,
-                   const EventLog& log)
+                   const EventLog& log,
+                   Metrics& metrics)
       : options_(options),
         route_history_(route_history),
         clock_(clock),
         log_(log),
+        metrics_(metrics),
         rates_(options.rates, clock.Now()) {}
 
   /// Fills in what the configuration says about the request, and takes its
@@ -54,11 +57,17 @@
   /// Determines the team and the priority of the request.
   std::optional<Refusal> FindTeam(ForwardedRequest& request) const;
   std::optional<Refusal> UseTeamRate(ForwardedRequest& request);
+  /// Logs and counts a decision that depended on the rank of the request.
+  void RecordRankDecision(const ForwardedRequest& request,
+                          const TeamConfig& team,
+                          double units,
+                          const TeamRates::Outcome& outcome);
 
   Options options_;
   RouteHistories& route_history_;
   const Clock& clock_;
   const EventLog& log_;
+  Metrics& metrics_;
   TeamRates rates_;
   /// By route and its timeout, which limits the time that clients have left.
   std::map<std::pair<std::string, Duration>, RequestAgeEstimator>
--- a/lavenderkeel/forward/route_table.cc
+++ b/lavenderkeel/forward/route_table.cc
@@ -31,6 +31,8 @@
   if (!content_.routes.empty()) {
     first_priority_ =
         std::ranges::min(content_.routes, {}, &Route::priority).priority;
+    last_priority_ =
+        std::ranges::max(content_.routes, {}, &Route::priority).priority;
   }
   for (const Route& route : content_.routes) {
     by_host_[LowerCaseHost(route.host)].push_back(&route);
--- a/lavenderkeel/forward/route_table.h
+++ b/lavenderkeel/forward/route_table.h
@@ -135,6 +135,8 @@
 
   /// Returns the priority of the most urgent routes; 0 without routes.
   int first_priority() const { return first_priority_; }
+  /// Returns whether the routes have different priorities.
+  bool has_ranks() const { return first_priority_ != last_priority_; }
 
   /// Returns the service for a request; the same for all its attempts.
   static const std::string& PickService(const Route& route,
@@ -143,6 +145,7 @@
  private:
   RouteTableContent content_;
   int first_priority_ = 0;
+  int last_priority_ = 0;
   /// By host, routes with longer prefixes first.
   std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
   std::unordered_map<std::string_view, const TeamConfig*> by_key_;
--- a/lavenderkeel/forward/team_token_bucket.h
+++ b/lavenderkeel/forward/team_token_bucket.h
@@ -58,6 +58,11 @@
     return target;
   }
 
+  /// Fills the bucket up to now, for a decision that depends on its level.
+  void Refill(const TeamRate& rate, double share, TimePoint now) {
+    Fill(rate, share, now);
+  }
+
   /// Takes the units, or returns the time until they are available.
   /// @param share fraction of the rate that this entry may use, 0 to 1
   std::optional<Duration> Take(const TeamRate& rate,
