--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -13,6 +13,7 @@
 #include "bench/fitted_line.h"
 #include "lavenderkeel/dispatch.h"
 #include "lavenderkeel/gate.h"
+#include "lavenderkeel/rates.h"
 #include "lavenderkeel/wire.h"
 #include "test/fuzz/simulation.h"
 #include "test/fuzz/virtual_clock.h"
@@ -192,6 +193,39 @@
   return found == kLookups ? (UserMicroseconds() - before) / kLookups : -1;
 }
 
+/// Returns the time of a decision by rank, with demand of every team here and
+/// at 16 other entries.
+double RateDecisionTime(size_t teams) {
+  RankedRates rates({});
+  TimePoint now = TimePoint(std::chrono::hours(1));
+  const RankedRates::Bucket bucket = {.level = 5, .capacity = 20, .refill = 40};
+  const auto decide = [&](size_t i) {
+    rates.Decide({.team = i % teams,
+                  .rank = static_cast<int>(i % 3),
+                  .id_hash = i,
+                  .deadline = now + std::chrono::seconds(10),
+                  .max_wait = std::chrono::seconds(3)},
+                 bucket, 16, now);
+  };
+  for (size_t i = 0; i < teams; ++i) {
+    decide(i);
+  }
+  for (int entry = 0; entry < 16; ++entry) {
+    DemandTotals totals;
+    for (size_t team = 0; team < teams; ++team) {
+      totals.push_back({.team = team, .rank = 0, .units = 1});
+    }
+    rates.OnTotals("entry-" + std::to_string(entry), totals, now);
+  }
+  constexpr size_t kDecisions = 400'000;
+  const double before = UserMicroseconds();
+  for (size_t i = 0; i < kDecisions; ++i) {
+    now += std::chrono::microseconds(10);
+    decide(i * 7919);
+  }
+  return (UserMicroseconds() - before) / kDecisions;
+}
+
 double ChangeTime(size_t teams) {
   LoadedStore loaded(teams);
   constexpr int kChanges = 50;
@@ -407,6 +441,7 @@
                   ClaimWireBytes));
   add(MeasureLine("team_memory", "team", "B", teams, TeamBytes));
   add(MeasureLine("team_lookup_time", "team", "us", teams, TeamLookupTime));
+  add(MeasureLine("rate_decision_time", "team", "us", teams, RateDecisionTime));
   add(MeasureLine("config_change_time", "team", "us", teams, ChangeTime));
   add(MeasureLine("config_change_bytes", "team", "B", teams, ChangeBytes));
   add(MeasureLine("reservation_memory", "reservation", "B", counts,
