--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -211,6 +211,9 @@
   process.port = std::make_unique<FakeForwardPort>();
   process.metrics = std::make_unique<Metrics>();
   ForwardNode::Options node = options_.node;
+  if (options_.adjust_node) {
+    options_.adjust_node(entry, node);
+  }
   for (int seed = 0; seed < options_.seeds; ++seed) {
     if (seed != entry) {
       node.seeds.push_back(processes_[ToIndex(seed)].address);
@@ -304,9 +307,14 @@
     return;
   }
   const auto to = static_cast<size_t>(found - processes_.begin());
-  if (found == processes_.end() || found->node == nullptr ||
-      ArePartitioned(from, to)) {
-    processes_[from].node->OnDialFailed(address);
+  if (found == processes_.end() || ArePartitioned(from, to)) {
+    processes_[from].node->OnDialFailed(address, DialFailure::kNoAnswer);
+    ExecuteActions(from);
+    return;
+  }
+  if (found->node == nullptr) {
+    processes_[from].node->OnDialFailed(address, DialFailure::kRefused);
+    ExecuteActions(from);
     return;
   }
   const LinkId here = ++last_link_;
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,8 @@
     /// Latency of messages.
     Duration network_delay = std::chrono::milliseconds(1);
     ForwardNode::Options node;
+    /// Called for the options of each entry before it starts.
+    std::function<void(int entry, ForwardNode::Options&)> adjust_node = {};
   };
 
   explicit FleetSimulation(const Options& options);
