Entries: a refused connection is no proof that an entry ended

Cause: with load.rates_by_rank an entry whose address refused connections no longer counted as known. Nothing tells such a partition from a killed process, so the rule is taken back: a lost entry keeps its share until it restarts or is forgotten, as before.

--- a/lavenderkeel/action/action.h
+++ b/lavenderkeel/action/action.h
@@ -32,15 +32,6 @@
   LinkId link = 0;
 };
 
-/// Why a dial brought no connection.
-enum class DialFailure {
-  /// The machine answered that no process listens at the address.
-  kRefused,
-  /// Anything else: no answer in time, or the connection ended before the
-  /// handshake. The process may run.
-  kNoAnswer,
-};
-
 /// Opens a connection and sends Hello; results in OnLinkUp or OnDialFailed.
 struct Dial {
   std::string address;
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -241,8 +241,8 @@
   members_.OnLinkDown(link);
 }
 
-void EntryNode::OnDialFailed(const std::string& address, DialFailure failure) {
-  members_.OnDialFailed(address, failure);
+void EntryNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
 }
 
 bool EntryNode::IsSameRegion(const std::string& instance) const {
--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -307,7 +307,7 @@
   if (entry_directory_.self_coordinates()) {
     Counts counts;
     for (const Member* member : members_.Members(Role::kEntry)) {
-      if (!member->info.leaving && !member->has_ended) {
+      if (!member->info.leaving) {
         ++counts.known;
         counts.reporting += member->live() ? 1 : 0;
       }
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -166,10 +166,7 @@
   members_.signal_lost().connect([this](const PeerId& peer, Role) {
     log_.Warn("peer_lost", {{"peer", peer.ToString()}});
     peers_without_store_.erase(peer);
-    const Member* member = members_.Find(peer);
-    if (member == nullptr || !member->has_ended) {
-      lost_entries_.OnLost(peer, clock_.Now());
-    }
+    lost_entries_.OnLost(peer, clock_.Now());
     peers_.erase(peer.ToString());
     slot_router_.OnSchedulerUnavailable(peer.ToString());
     slot_scheduler_.ForgetEntry(peer.ToString());
@@ -486,16 +483,8 @@
   members_.OnLinkDown(link);
 }
 
-void ForwardNode::OnDialFailed(const std::string& address,
-                               DialFailure failure) {
-  const std::optional<PeerId> ended = members_.OnDialFailed(
-      address,
-      options_.controller.rates.by_rank ? failure : DialFailure::kNoAnswer);
-  if (ended.has_value()) {
-    log_.Info("peer_ended", {{"peer", ended->ToString()}});
-    lost_entries_.OnEnded(*ended);
-    UpdatePeerCounts();
-  }
+void ForwardNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
 }
 
 void ForwardNode::OnMessage(LinkId link, Message message) {
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -95,7 +95,7 @@
                 const InstanceInfo& peer,
                 const std::string& dialed);
   void OnLinkDown(LinkId link);
-  void OnDialFailed(const std::string& address, DialFailure failure);
+  void OnDialFailed(const std::string& address);
   void OnMessage(LinkId link, Message message);
 
   /// Returns whether new requests can be served here.
--- a/lavenderkeel/forward/lost_entries.h
+++ b/lavenderkeel/forward/lost_entries.h
@@ -32,9 +32,6 @@
   /// Handles a connection to the entry or to its next incarnation.
   void OnConnected(const PeerId& peer) { lost_.erase(peer.instance); }
 
-  /// Handles the proof that the entry's process has ended.
-  void OnEnded(const PeerId& peer) { lost_.erase(peer.instance); }
-
   void Tick(TimePoint now) {
     std::erase_if(lost_, [&](const auto& item) {
       return now - item.second > options_.forget_after;
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -114,8 +114,8 @@
   members_.OnLinkDown(link);
 }
 
-void AgentNode::OnDialFailed(const std::string& address, DialFailure failure) {
-  members_.OnDialFailed(address, failure);
+void AgentNode::OnDialFailed(const std::string& address) {
+  members_.OnDialFailed(address);
 }
 
 void AgentNode::OnMessage(LinkId link, Message message) {
--- a/lavenderkeel/gate/agent_node.h
+++ b/lavenderkeel/gate/agent_node.h
@@ -45,7 +45,7 @@
                 const InstanceInfo& peer,
                 const std::string& dialed);
   void OnLinkDown(LinkId link);
-  void OnDialFailed(const std::string& address, DialFailure failure);
+  void OnDialFailed(const std::string& address);
   void OnMessage(LinkId link, Message message);
   void OnPlatformReply(PlatformCallId call, const PlatformReply& reply);
 
--- a/lavenderkeel/io/node_wiring.h
+++ b/lavenderkeel/io/node_wiring.h
@@ -21,7 +21,7 @@
       [&node, execute_actions](LinkId link, const InstanceInfo& peer,
                                const std::string& dialed) {
         if (!node.OnLinkUp(link, peer, dialed) && !dialed.empty()) {
-          node.OnDialFailed(dialed, DialFailure::kNoAnswer);
+          node.OnDialFailed(dialed);
         }
         execute_actions();
       });
@@ -35,9 +35,8 @@
     execute_actions();
   });
   peers.signal_dial_failed().connect(
-      [&node, execute_actions](const std::string& address,
-                               DialFailure failure) {
-        node.OnDialFailed(address, failure);
+      [&node, execute_actions](const std::string& address) {
+        node.OnDialFailed(address);
         execute_actions();
       });
 }
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -27,9 +26,6 @@
   bufferevent* events = nullptr;
   /// Empty for an accepted connection.
   std::string dialed;
-  bool connected = false;
-  /// Nothing listens at the dialled address.
-  bool refused = false;
   bool handshake_done = false;
   /// True once the connection is dropped; it is freed after the current event.
   bool dropped = false;
@@ -88,15 +84,12 @@
       [](bufferevent* source, short what, void* arg) {
         auto* self = static_cast<Connection*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-          self->connected = true;
           constexpr int kOn = 1;
           setsockopt(bufferevent_getfd(source), IPPROTO_TCP, TCP_NODELAY, &kOn,
                      sizeof(kOn));
           self->port->SendHello(*self);
           return;
         }
-        self->refused |= (what & BEV_EVENT_ERROR) != 0 && !self->connected &&
-                         EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
         self->port->Drop(self->id, "closed");
       },
       &opened);
@@ -207,9 +200,8 @@
 void PeerPort::Handle(const Dial& dial) {
   const std::optional<Address> address = Address::Parse(dial.address);
   if (!address.has_value()) {
-    loop_.Defer([this, text = dial.address] {
-      signal_dial_failed_.emit(text, DialFailure::kNoAnswer);
-    });
+    loop_.Defer(
+        [this, text = dial.address] { signal_dial_failed_.emit(text); });
     return;
   }
   sockaddr_storage storage{};
@@ -217,14 +209,8 @@
   auto* target = reinterpret_cast<sockaddr*>(&storage);
   bufferevent* events =
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-  Connection& connection = Open(events, dial.address);
-  const LinkId link = connection.id;
-  errno = 0;
-  const int result = bufferevent_socket_connect(events, target, length);
-  // On the loopback interface the refusal is known at once. The event that
-  // follows no longer has the error.
-  connection.refused = errno == ECONNREFUSED;
-  if (result != 0) {
+  const LinkId link = Open(events, dial.address).id;
+  if (bufferevent_socket_connect(events, target, length) != 0) {
     loop_.Defer([this, link] { Drop(link, "connect"); });
   }
 }
@@ -237,7 +223,6 @@
   Connection& connection = *found->second;
   connection.dropped = true;
   const bool handshake_done = connection.handshake_done;
-  const bool refused = connection.refused;
   const std::string dialed = connection.dialed;
   pending_handshakes_ -= handshake_done ? 0 : 1;
   bufferevent_disable(connection.events, EV_READ | EV_WRITE);
@@ -249,8 +234,7 @@
   if (handshake_done) {
     signal_down_.emit(link);
   } else if (!dialed.empty()) {
-    signal_dial_failed_.emit(
-        dialed, refused ? DialFailure::kRefused : DialFailure::kNoAnswer);
+    signal_dial_failed_.emit(dialed);
   }
 }
 
--- a/lavenderkeel/io/peer_port.h
+++ b/lavenderkeel/io/peer_port.h
@@ -57,7 +57,7 @@
   }
   /// Emitted only after signal_up, and not after CloseLink.
   sigc::signal<void(LinkId)>& signal_down() { return signal_down_; }
-  sigc::signal<void(const std::string&, DialFailure)>& signal_dial_failed() {
+  sigc::signal<void(const std::string&)>& signal_dial_failed() {
     return signal_dial_failed_;
   }
 
@@ -91,7 +91,7 @@
       signal_up_;
   sigc::signal<void(LinkId, Message&)> signal_message_;
   sigc::signal<void(LinkId)> signal_down_;
-  sigc::signal<void(const std::string&, DialFailure)> signal_dial_failed_;
+  sigc::signal<void(const std::string&)> signal_dial_failed_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/membership/member_table.cc
+++ b/lavenderkeel/membership/member_table.cc
@@ -51,7 +51,6 @@
                   .last_received = now,
                   .last_sent = now};
   link_slot = link;
-  member.has_ended = false;
   // Sent at once, since the peer knows neither the load nor the configuration
   // version of this process before the first heartbeat.
   outbox_.Send(link, make_heartbeat_());
@@ -130,26 +129,14 @@
   }
 }
 
-std::optional<PeerId> MemberTable::OnDialFailed(const std::string& address,
-                                                DialFailure failure) {
+void MemberTable::OnDialFailed(const std::string& address) {
   const auto found = targets_.find(address);
   if (found == targets_.end()) {
-    return std::nullopt;
+    return;
   }
   found->second.dialing = false;
   found->second.next_dial_at =
       clock_.Now() + found->second.backoff.Next(random_);
-  if (failure != DialFailure::kRefused) {
-    return std::nullopt;
-  }
-  const auto member = members_.find(found->second.instance);
-  if (member == members_.end() || member->second.info.address != address ||
-      member->second.outbound.has_value() ||
-      member->second.inbound.has_value()) {
-    return std::nullopt;
-  }
-  member->second.has_ended = true;
-  return member->second.info.id;
 }
 
 void MemberTable::OnMessageReceived(LinkId link) {
--- a/lavenderkeel/membership/member_table.h
+++ b/lavenderkeel/membership/member_table.h
@@ -30,9 +30,6 @@
   std::optional<TimePoint> disconnected_since;
   /// Set once the outbound link was down for longer than the heartbeat timeout.
   bool lost = false;
-  /// No connection is up and the address refuses new ones: the process has
-  /// ended. A process that is cut off does not answer instead.
-  bool has_ended = false;
   /// The outbound link has been up.
   bool was_connected = false;
   uint64_t config_version = 0;
@@ -81,9 +78,7 @@
                 const InstanceInfo& peer,
                 const std::string& dialed);
   void OnLinkDown(LinkId link);
-  /// @return the member that the failure shows to have ended, if any
-  std::optional<PeerId> OnDialFailed(const std::string& address,
-                                     DialFailure failure);
+  void OnDialFailed(const std::string& address);
   /// Restarts the link's timeout; called for any message.
   void OnMessageReceived(LinkId link);
   void OnHeartbeat(LinkId link, const Heartbeat& heartbeat);
