Agent: an engine that turns requests away with Retry-After gets none in its rest

Cause: an agent took the 503 for a failed run of unknown outcome, which only the retry budget let run elsewhere, and kept its free slots, so the engine that was idle because it refused attracted the next requests. The former try, an agent without slots, made lookups wait because of the lookahead: an agent offers one slot ahead of its limit, also with a limit of zero, so the first offer was that of the resting agent, whose accepted request then waited for the end of the rest.

Fix: HttpClient reports the Retry-After fields. While it limits, there is no lookahead and nothing is preempted. At the start of the rest the agent reports its load at once, drops the offers it has made (their Go is rejected) and returns ready requests and reservations; after a probe that is turned away the reservations stay, since they would only be placed again.

503 with Retry-After to a start is a statement that the request did not run, so it runs elsewhere, also work that may run once, as on the forwarding path. To the resume of a stream it proves nothing: the stream is read on after a rest of up to stream_silence_ms, else the outcome is unknown; it was counted as a crash of the engine. A service's 503 stays its caller's answer; its agent rests too. Result code 2016 server_pushback; an older entry takes it for an unknown outcome, as before. The heartbeat carries the remaining rest (pushback_us), which entries do not use yet.

--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -70,6 +70,8 @@
      "the backend server accepted no connection"},
     {kCrashesServers, "crashes_servers", kNotRun, 503,
      "servers that ran equal requests were lost each time"},
+    {kServerPushback, "server_pushback", kNotRun, 503,
+     "the backend servers turned requests away and asked for a rest"},
     {kServerLost, "server_lost", kUnknown, 504,
      "the agent was lost after the request was sent to it"},
     {kCannotVouch, "cannot_vouch", kUnknown, 504,
--- a/lavenderkeel/base/result_code.h
+++ b/lavenderkeel/base/result_code.h
@@ -49,6 +49,7 @@
   kSealed = 2013,
   kServerUnreachable = 2014,
   kCrashesServers = 2015,
+  kServerPushback = 2016,
 
   kServerLost = 3001,
   kCannotVouch = 3002,
--- a/lavenderkeel/gate.h
+++ b/lavenderkeel/gate.h
@@ -8,5 +8,6 @@
 #include "lavenderkeel/gate/gate_controller.h"
 #include "lavenderkeel/gate/run_controller.h"
 #include "lavenderkeel/gate/run_table.h"
+#include "lavenderkeel/gate/server_rest.h"
 
 #endif  // LAVENDERKEEL_GATE_H_
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -48,7 +48,7 @@
           random_,
           platform_),
       freeze_detector_(options_.members.heartbeat_timeout) {
-  gate_.signal_unreachable().connect([this] { members_.AnnounceNow(); });
+  gate_.signal_unavailable().connect([this] { members_.AnnounceNow(); });
   members_.signal_link_dropped().connect(
       [this](LinkId link) { gate_.OnLinkDown(link); });
 }
--- a/lavenderkeel/gate/gate_controller.cc
+++ b/lavenderkeel/gate/gate_controller.cc
@@ -34,11 +34,22 @@
             StartReady();
             OfferSlots();
           },
-          [this] {
+          [this](ResultCode code, bool was_limited) {
             // The entries must receive the load report without slots before the
             // returned requests, which they place again.
-            signal_unreachable_.emit();
-            ReturnUnstarted(ResultCode::kServerUnreachable);
+            signal_unavailable_.emit();
+            if (code == ResultCode::kServerPushback) {
+              // A Go for a slot offered before the rest is rejected: accepted,
+              // its request would wait here until the rest is over.
+              offered_.clear();
+            }
+            ReturnReady(code);
+            // Reservations that were made with a server that is still limited
+            // stay: returned after each of many short rests, they would be
+            // placed here again each time.
+            if (!was_limited) {
+              ReturnReservations(code);
+            }
           }) {
   runs_.set_in_use(
       [this](const RequestKey& key) { return subscriptions_.HasReaders(key); });
@@ -138,7 +149,9 @@
   const bool reserved = offered != offered_.end();
   if (!reserved || leaving_) {
     Reject(link, key, go.subscription,
-           leaving_ ? ResultCode::kLeaving : ResultCode::kReservationGone);
+           leaving_            ? ResultCode::kLeaving
+           : server_.resting() ? ResultCode::kServerPushback
+                               : ResultCode::kReservationGone);
     return;
   }
   Run& run = runs_.Add(key, clock_.Now());
@@ -255,8 +268,7 @@
         ResultCode::kTierClosed);
   }
   if (policy_.drained) {
-    RejectReservations(queue_.Select([](const Reservation&) { return true; }),
-                       ResultCode::kLeaving);
+    ReturnReservations(ResultCode::kLeaving);
   }
   log_.Info("policy_in_force",
             {{"version", policy_.version},
@@ -325,13 +337,18 @@
 }
 
 uint32_t GateController::MaxCommittedSlots() const {
-  return server_.unreachable() ? server_.limit()
-                               : server_.limit() + options_.lookahead;
+  // The lookahead would offer a slot that the server does not have, and the
+  // request would wait here while other servers have free slots.
+  return server_.limited() ? server_.limit()
+                           : server_.limit() + options_.lookahead;
 }
 
-void GateController::ReturnUnstarted(ResultCode code) {
+void GateController::ReturnReservations(ResultCode code) {
   RejectReservations(queue_.Select([](const Reservation&) { return true; }),
                      code);
+}
+
+void GateController::ReturnReady(ResultCode code) {
   while (!ready_.empty()) {
     const RequestKey key = ready_.begin()->second;
     ready_.erase(ready_.begin());
@@ -409,7 +426,7 @@
   // time, and only a repeatable one.
   const Reservation* next = queue_.Next(now, [](uint32_t) { return true; });
   const bool urgent = next != nullptr && next->deadline_bound &&
-                      IsBelowTierLimit(next->tier) &&
+                      !server_.resting() && IsBelowTierLimit(next->tier) &&
                       now - next->arrived >= options_.preempt_after;
   if (urgent && !server_.cancelling() &&
       offered_.size() + ready_.size() <= options_.lookahead) {
@@ -421,7 +438,8 @@
   leaving_ = true;
   // An accepted run must not start after the entries were notified that this
   // agent starts no more work.
-  ReturnUnstarted(ResultCode::kLeaving);
+  ReturnReservations(ResultCode::kLeaving);
+  ReturnReady(ResultCode::kLeaving);
   for (const auto& [id, offer] : offered_) {
     const Member* entry = members_.Find(id.second.instance);
     if (entry != nullptr && entry->inbound.has_value()) {
--- a/lavenderkeel/gate/gate_controller.h
+++ b/lavenderkeel/gate/gate_controller.h
@@ -71,9 +71,9 @@
 
   void FillLoad(Heartbeat& heartbeat) const;
   const RunTable& runs() const { return runs_; }
-  /// Emitted when the server stops accepting connections, which changes the
-  /// load that FillLoad() reports.
-  sigc::signal<void()>& signal_unreachable() { return signal_unreachable_; }
+  /// Emitted when the server stops accepting connections or begins a rest,
+  /// which changes the load that FillLoad() reports.
+  sigc::signal<void()>& signal_unavailable() { return signal_unavailable_; }
 
  private:
   struct Offered {
@@ -93,9 +93,10 @@
   uint32_t CommittedSlots() const;
   /// Returns the limit of CommittedSlots().
   uint32_t MaxCommittedSlots() const;
-  /// Returns reservations and accepted runs that have not started to their
-  /// entries.
-  void ReturnUnstarted(ResultCode code);
+  /// Returns the waiting reservations to their entries.
+  void ReturnReservations(ResultCode code);
+  /// Returns accepted runs that have not started to their entries.
+  void ReturnReady(ResultCode code);
   void StartReady();
   void ExpireOffers(TimePoint now);
   void RejectReservations(const std::vector<ReservationId>& ids,
@@ -117,7 +118,7 @@
   uint64_t last_ready_number_ = 0;
   AgentPolicy policy_;
   bool leaving_ = false;
-  sigc::signal<void()> signal_unreachable_;
+  sigc::signal<void()> signal_unavailable_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -10,16 +10,28 @@
 
 namespace lavenderkeel {
 
-RunController::RunController(Options options,
-                             const Clock& clock,
-                             const InstanceInfo& self,
-                             const EventLog& log,
-                             Metrics& metrics,
-                             Outbox& outbox,
-                             RunTable& runs,
-                             AnswerSubscriptions& subscriptions,
-                             std::function<void()> on_slot_free,
-                             std::function<void()> on_unreachable)
+namespace {
+
+/// Returns the time before the next resume of a broken stream.
+Duration ResumeBackoff(uint32_t resumes) {
+  constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
+  constexpr uint32_t kMaxDoublings = 6;
+  return kInitialBackoff * (1 << std::min(resumes, kMaxDoublings));
+}
+
+}  // namespace
+
+RunController::RunController(
+    Options options,
+    const Clock& clock,
+    const InstanceInfo& self,
+    const EventLog& log,
+    Metrics& metrics,
+    Outbox& outbox,
+    RunTable& runs,
+    AnswerSubscriptions& subscriptions,
+    std::function<void()> on_slot_free,
+    std::function<void(ResultCode, bool)> on_unavailable)
     : options_(options),
       clock_(clock),
       self_(self),
@@ -29,9 +41,18 @@
       runs_(runs),
       subscriptions_(subscriptions),
       on_slot_free_(std::move(on_slot_free)),
-      on_unreachable_(std::move(on_unreachable)),
+      on_unavailable_(std::move(on_unavailable)),
       limit_(options.in_flight),
-      reachability_(options.reachability) {}
+      reachability_(options.reachability),
+      rest_(options.rest) {}
+
+uint32_t RunController::limit() const {
+  const TimePoint now = clock_.Now();
+  return std::min(
+      reachability_.AllowedInFlight(limit_.limit(), now),
+      rest_.AllowedInFlight(limit_.limit(),
+                            static_cast<uint32_t>(occupied_slots()), now));
+}
 
 void RunController::Start(const RequestKey& key, Run& run) {
   const TimePoint now = clock_.Now();
@@ -48,6 +69,7 @@
   run.answer = run.go.head.empty() ? "" : run.go.head + "\n";
   runs_.BindRun(key, run.run);
   running_.insert(run.run);
+  rest_.OnStarted(run.run, now);
   log_.Info("run_started",
             {{"key", key.ToString()},
              {"tier", run.reservation.tier},
@@ -76,6 +98,7 @@
     return;
   }
   reachability_.OnAnswered();
+  rest_.OnAccepted(id);
   const RequestKey key = *runs_.KeyOf(id);
   const TimePoint now = clock_.Now();
   if (index < run->next_index) {
@@ -114,6 +137,7 @@
     return;
   }
   reachability_.OnAnswered();
+  rest_.OnAccepted(id);
   // An engine may stall and then send its finish without the texts in between,
   // which would pass a partial answer on as complete. The engine's own count
   // shows that texts are missing, and the stream is resumed from there.
@@ -142,6 +166,7 @@
     return;
   }
   reachability_.OnAnswered();
+  rest_.OnAccepted(id);
   const RequestKey key = *runs_.KeyOf(id);
   if (body.size() > options_.max_answer_bytes) {
     Finish(key, ResultCode::kAnswerTooLarge);
@@ -162,8 +187,63 @@
   if (first) {
     log_.Warn("server_unreachable",
               {{"instance", self_.id.instance}, {"running", running_.size()}});
-    on_unreachable_();
+    on_unavailable_(ResultCode::kServerUnreachable, /*was_limited=*/false);
+  }
+}
+
+void RunController::BeginRest(RunId id,
+                              const std::vector<std::string>& retry_after) {
+  const TimePoint now = clock_.Now();
+  const bool was_resting = rest_.IsResting(now);
+  const bool was_limited = limited();
+  const ServerRest::Pushback pushback = rest_.OnRefused(retry_after, now);
+  const RequestKey* key = runs_.KeyOf(id);
+  log_.Info("server_pushback",
+            {{"server", self_.id.instance},
+             {"seconds", ToSeconds(pushback.rest)},
+             {"source", pushback.is_stated ? "retry_after" : "default"},
+             {"rest_ms", ToMilliseconds(rest_.Remaining(now))},
+             {"key", key == nullptr ? "" : key->ToString()},
+             {"running", running_.size()}});
+  metrics_.Add("server_pushbacks_total");
+  if (!was_resting && rest_.IsResting(now)) {
+    on_unavailable_(ResultCode::kServerPushback, was_limited);
+  }
+}
+
+void RunController::OnServerPushback(
+    RunId id,
+    const std::vector<std::string>& retry_after) {
+  reachability_.OnAnswered();
+  BeginRest(id, retry_after);
+  Run* run = runs_.FindByRun(id);
+  if (run == nullptr || run->state != Run::State::kRunning) {
+    return;
   }
+  const RequestKey key = *runs_.KeyOf(id);
+  if (run->next_index == 0 && run->resumes == 0) {
+    Finish(key, ResultCode::kServerPushback);
+    return;
+  }
+  // The refusal of a resume says nothing about the run itself, which may
+  // continue: it is read on after a short rest.
+  const TimePoint now = clock_.Now();
+  const Duration rest = rest_.Remaining(now);
+  if (rest > options_.stream_silence) {
+    metrics_.Add("wasted_prefill_tokens{cause=\"server_failed\"}",
+                 run->reservation.prompt_tokens);
+    Finish(key, ResultCode::kServerFailed);
+    return;
+  }
+  run->unreachable_resumes = 0;
+  run->last_event = now - options_.stream_silence +
+                    std::max(rest, ResumeBackoff(run->resumes));
+}
+
+void RunController::OnServicePushback(
+    RunId id,
+    const std::vector<std::string>& retry_after) {
+  BeginRest(id, retry_after);
 }
 
 void RunController::OnServerDisconnect(RunId id, ServerDisconnect end) {
@@ -197,11 +277,8 @@
   }
   // Tick() resumes the stream after a backoff, so that a server that is down
   // isn't flooded with connections.
-  constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
-  constexpr uint32_t kMaxDoublings = 6;
   run->last_event =
-      clock_.Now() - options_.stream_silence +
-      kInitialBackoff * (1 << std::min(run->resumes, kMaxDoublings));
+      clock_.Now() - options_.stream_silence + ResumeBackoff(run->resumes);
 }
 
 bool RunController::HasEngineEnded(const Run& run, ServerDisconnect end) const {
@@ -254,6 +331,7 @@
   metrics_.Add("runs_finished_total{result=\"" +
                std::string(Describe(code).name) + "\"}");
   if (was_running) {
+    rest_.OnEnded(id);
     running_.erase(id);
     runs_.UnbindRun(id);
   }
@@ -335,6 +413,7 @@
 void RunController::FillLoad(Heartbeat& heartbeat) const {
   heartbeat.running = static_cast<uint32_t>(running_.size());
   heartbeat.slots = limit();
+  heartbeat.pushback_us = rest_.Remaining(clock_.Now()).count();
   heartbeat.prefill_us = static_cast<float>(speed_.prefill_us());
   heartbeat.decode_us = static_cast<float>(speed_.decode_us());
   heartbeat.run_us = static_cast<float>(speed_.run_us());
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -3,7 +3,9 @@
 
 #include <functional>
 #include <set>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "lavenderkeel/action.h"
 #include "lavenderkeel/admission.h"
@@ -11,6 +13,7 @@
 #include "lavenderkeel/gate/answer_subscriptions.h"
 #include "lavenderkeel/gate/run_table.h"
 #include "lavenderkeel/gate/server_reachability.h"
+#include "lavenderkeel/gate/server_rest.h"
 #include "lavenderkeel/membership/instance_info.h"
 
 namespace lavenderkeel {
@@ -35,6 +38,7 @@
   struct Options {
     InFlightLimit::Options in_flight;
     ServerReachability::Options reachability;
+    ServerRest::Options rest;
     /// An engine's stream without an event for this long is resumed.
     Duration stream_silence = std::chrono::seconds(5);
     uint32_t max_resumes = 20;
@@ -45,7 +49,9 @@
   };
 
   /// @param on_slot_free called whenever a run ends
-  /// @param on_unreachable called when the server stops accepting connections
+  /// @param on_unavailable called when the server stops accepting connections
+  ///     or begins a rest, with the result of requests that have not started,
+  ///     and with whether it had fewer requests than slots already
   RunController(Options options,
                 const Clock& clock,
                 const InstanceInfo& self,
@@ -55,7 +61,7 @@
                 RunTable& runs,
                 AnswerSubscriptions& subscriptions,
                 std::function<void()> on_slot_free,
-                std::function<void()> on_unreachable);
+                std::function<void(ResultCode, bool)> on_unavailable);
 
   void Start(const RequestKey& key, Run& run);
   void Cancel(Run& run);
@@ -73,16 +79,25 @@
                       std::string_view content_type,
                       std::string_view body);
   void OnServerDisconnect(RunId run, ServerDisconnect end);
+  /// Handles an engine's refusal of a start or a resume that asks for a rest.
+  /// @param retry_after values of the Retry-After fields
+  void OnServerPushback(RunId run, const std::vector<std::string>& retry_after);
+  /// Handles the same of a service; its answer follows in OnServiceReply(),
+  /// since a service's answer is its caller's, whatever the status.
+  void OnServicePushback(RunId run,
+                         const std::vector<std::string>& retry_after);
   /// Handles that the server confirmed the end of a cancelled run or can't be
   /// reached.
   void OnServerCancelled(RunId run);
 
   /// Returns the number of runs that the server may have now.
-  uint32_t limit() const {
-    return reachability_.AllowedInFlight(limit_.limit(), clock_.Now());
+  uint32_t limit() const;
+  /// Returns whether limit() is reduced because the server refused the last
+  /// connection attempt or asked for a rest.
+  bool limited() const {
+    return reachability_.IsRefusing() || rest_.IsLimiting();
   }
-  /// Returns whether the server refused the last connection attempt.
-  bool unreachable() const { return reachability_.IsRefusing(); }
+  bool resting() const { return rest_.IsResting(clock_.Now()); }
   const std::set<RunId>& running() const { return running_; }
   bool cancelling() const { return !cancelling_.empty(); }
   /// Returns the slots in use, including those of runs that are being
@@ -97,6 +112,7 @@
   bool HasEngineEnded(const Run& run, ServerDisconnect end) const;
   void ResumeStalledStreams(TimePoint now);
   void UpdateReachability(ServerDisconnect end);
+  void BeginRest(RunId id, const std::vector<std::string>& retry_after);
   const Run* FindCheapestVictim(uint32_t tier) const;
 
   Options options_;
@@ -108,9 +124,10 @@
   RunTable& runs_;
   AnswerSubscriptions& subscriptions_;
   std::function<void()> on_slot_free_;
-  std::function<void()> on_unreachable_;
+  std::function<void(ResultCode, bool)> on_unavailable_;
   InFlightLimit limit_;
   ServerReachability reachability_;
+  ServerRest rest_;
   SpeedModel speed_;
   std::set<RunId> running_;
   std::set<RunId> cancelling_;
--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -35,6 +35,18 @@
   return value == nullptr ? "" : value;
 }
 
+std::vector<std::string> HeadersOf(evhttp_request* request, const char* name) {
+  std::vector<std::string> values;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    if (evutil_ascii_strcasecmp(header->key, name) == 0) {
+      values.emplace_back(header->value);
+    }
+  }
+  return values;
+}
+
 std::string TakeInput(evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
   std::string bytes(evbuffer_get_length(input), '\0');
@@ -127,6 +139,7 @@
     if (result.status != 0) {
       result.etag = HeaderOf(request, "ETag");
       result.content_type = HeaderOf(request, "Content-Type");
+      result.retry_after = HeadersOf(request, "Retry-After");
       result.body = TakeInput(request);
     }
   }
--- a/lavenderkeel/io/http_client.h
+++ b/lavenderkeel/io/http_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "lavenderkeel/action/action.h"
 #include "lavenderkeel/io/event_loop.h"
@@ -28,6 +29,8 @@
   int status = 0;
   std::string etag;
   std::string content_type;
+  /// Values of the Retry-After fields, in order.
+  std::vector<std::string> retry_after;
   std::string body;
 };
 
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -15,6 +15,13 @@
 constexpr Duration kCancelTimeout = std::chrono::seconds(3);
 constexpr std::string_view kEventPrefix = "data: ";
 
+/// Returns whether the server turned the request away and asks for a rest.
+bool IsPushback(const HttpResult& result) {
+  constexpr int kUnavailable = 503;
+  return result.kind == HttpResult::Kind::kAnswered &&
+         result.status == kUnavailable && !result.retry_after.empty();
+}
+
 }  // namespace
 
 ServerClient::ServerClient(HttpClient& http,
@@ -103,7 +110,9 @@
   }
   const bool finished = found->second.finished;
   streams_.erase(found);
-  if (!finished) {
+  if (!finished && IsPushback(result)) {
+    runs_.OnServerPushback(run, result.retry_after);
+  } else if (!finished) {
     constexpr int kOk = 200;
     const bool refused =
         result.kind == HttpResult::Kind::kAnswered && result.status != kOk;
@@ -127,6 +136,9 @@
     if (streams_.erase(run) == 0) {
       return;
     }
+    if (IsPushback(result)) {
+      runs_.OnServicePushback(run, result.retry_after);
+    }
     if (result.kind == HttpResult::Kind::kAnswered) {
       runs_.OnServiceReply(run, result.status, result.content_type,
                            result.body);
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -1274,6 +1274,7 @@
   float run_us = 0.0f;
   std::vector<std::string> serves{};
   uint64_t known_entries = 0;
+  int64_t pushback_us = 0;
 };
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1291,7 +1292,8 @@
     VT_DECODE_US = 18,
     VT_RUN_US = 20,
     VT_SERVES = 22,
-    VT_KNOWN_ENTRIES = 24
+    VT_KNOWN_ENTRIES = 24,
+    VT_PUSHBACK_US = 26
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -1326,6 +1328,9 @@
   uint64_t known_entries() const {
     return GetField<uint64_t>(VT_KNOWN_ENTRIES, 0);
   }
+  int64_t pushback_us() const {
+    return GetField<int64_t>(VT_PUSHBACK_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -1342,6 +1347,7 @@
            verifier.VerifyVector(serves()) &&
            verifier.VerifyVectorOfStrings(serves()) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_ENTRIES, 8) &&
+           VerifyField<int64_t>(verifier, VT_PUSHBACK_US, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1386,6 +1392,9 @@
   void add_known_entries(uint64_t known_entries) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_KNOWN_ENTRIES, known_entries, 0);
   }
+  void add_pushback_us(int64_t pushback_us) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_PUSHBACK_US, pushback_us, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1409,8 +1418,10 @@
     float decode_us = 0.0f,
     float run_us = 0.0f,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> serves = 0,
-    uint64_t known_entries = 0) {
+    uint64_t known_entries = 0,
+    int64_t pushback_us = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_pushback_us(pushback_us);
   builder_.add_known_entries(known_entries);
   builder_.add_config_version(config_version);
   builder_.add_serves(serves);
@@ -1442,7 +1453,8 @@
     float decode_us = 0.0f,
     float run_us = 0.0f,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *serves = nullptr,
-    uint64_t known_entries = 0) {
+    uint64_t known_entries = 0,
+    int64_t pushback_us = 0) {
   auto waiting__ = waiting ? _fbb.CreateVector<uint32_t>(*waiting) : 0;
   auto serves__ = serves ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*serves) : 0;
   return lavenderkeel::fbs::CreateHeartbeat(
@@ -1457,7 +1469,8 @@
       decode_us,
       run_us,
       serves__,
-      known_entries);
+      known_entries,
+      pushback_us);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6318,7 +6331,8 @@
       (lhs.decode_us == rhs.decode_us) &&
       (lhs.run_us == rhs.run_us) &&
       (lhs.serves == rhs.serves) &&
-      (lhs.known_entries == rhs.known_entries);
+      (lhs.known_entries == rhs.known_entries) &&
+      (lhs.pushback_us == rhs.pushback_us);
 }
 
 inline bool operator!=(const HeartbeatT &lhs, const HeartbeatT &rhs) {
@@ -6346,6 +6360,7 @@
   { auto _e = run_us(); _o->run_us = _e; }
   { auto _e = serves(); if (_e) { _o->serves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->serves[_i] = _e->Get(_i)->str(); } } }
   { auto _e = known_entries(); _o->known_entries = _e; }
+  { auto _e = pushback_us(); _o->pushback_us = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6367,6 +6382,7 @@
   auto _run_us = _o->run_us;
   auto _serves = _o->serves.size() ? _fbb.CreateVectorOfStrings(_o->serves) : 0;
   auto _known_entries = _o->known_entries;
+  auto _pushback_us = _o->pushback_us;
   return lavenderkeel::fbs::CreateHeartbeat(
       _fbb,
       _config_version,
@@ -6379,7 +6395,8 @@
       _decode_us,
       _run_us,
       _serves,
-      _known_entries);
+      _known_entries,
+      _pushback_us);
 }
 
 
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -98,6 +98,7 @@
   for (size_t i = 0; i < options_.agents; ++i) {
     engines_.emplace_back();
     engine_up_at_.push_back(clock_.Now());
+    turning_away_.emplace_back();
     MakeEngine(i);
   }
   for (size_t i = 0; i < processes_.size(); ++i) {
@@ -156,6 +157,13 @@
   processes_[index]->streams.clear();
 }
 
+void Simulation::TurnAway(size_t agent,
+                          Duration duration,
+                          const std::optional<std::string>& stated) {
+  turning_away_[agent].until = clock_.Now() + duration;
+  turning_away_[agent].stated = stated;
+}
+
 void Simulation::ScheduleServerDisconnect(size_t index,
                                           RunId run,
                                           ServerDisconnect disconnect) {
@@ -616,6 +624,18 @@
                              ServerDisconnect::kUnreachable);
     return;
   }
+  TurningAway& turning_away = turning_away_[index - options_.entries];
+  if (started != nullptr && clock_.Now() < turning_away.until) {
+    ++turning_away.count;
+    const std::string retry_after = turning_away.stated.value_or(
+        std::to_string(ToSeconds(turning_away.until - clock_.Now())));
+    ScheduleIn(index, clock_.Now() + Delay(),
+               [this, index, run = started->run, retry_after] {
+                 processes_[index]->agent->gate().server().OnServerPushback(
+                     run, {retry_after});
+               });
+    return;
+  }
   if (resumed != nullptr && engine.Find(resumed->request_id) == nullptr) {
     ScheduleServerDisconnect(index, resumed->run, ServerDisconnect::kRefused);
     return;
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -85,6 +85,14 @@
   void SetCrashing(const std::string& word) { crashing_words_.insert(word); }
   /// Crashes the engine, which loses its streams and restarts after `down`.
   void CrashEngine(size_t agent, Duration down);
+  /// Makes the engine turn away what it has not started, with Retry-After.
+  ///
+  /// @param stated the value of Retry-After; without one, the time left
+  void TurnAway(size_t agent,
+                Duration duration,
+                const std::optional<std::string>& stated = std::nullopt);
+  /// Number of starts that the engine has turned away.
+  size_t turned_away(size_t agent) const { return turning_away_[agent].count; }
   /// Times of the engines' crashes, in ascending order.
   const std::vector<TimePoint>& engine_crash_times() const {
     return engine_crash_times_;
@@ -116,6 +124,11 @@
   struct Process;
   struct PeerLink;
   struct EngineStream;
+  struct TurningAway {
+    TimePoint until;
+    std::optional<std::string> stated;
+    size_t count = 0;
+  };
 
   void Schedule(TimePoint when, std::function<void()> task);
   /// Schedules a task in a process. The task is dropped if the process ends
@@ -156,6 +169,7 @@
   std::vector<TimePoint> engine_up_at_;
   std::vector<TimePoint> engine_crash_times_;
   std::set<std::string> crashing_words_;
+  std::vector<TurningAway> turning_away_;
   std::map<LinkId, std::unique_ptr<PeerLink>> links_;
   std::set<std::pair<size_t, size_t>> partitions_;
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> queue_;
