Entry: requests are refused at once while all servers rest

Before: with every engine at rest, a request without a deadline waited at its entry for the end of the first rest, since an agent that rests queues reservations. Now it gets 503 (2016 server_pushback, not run) with the end of the first rest as Retry-After, also the full hour that a rest may last, and reaches no engine. In RequestsAreRefusedWhileAllEnginesAskForRest the first lookup is turned away once by each of two engines that rest 40.5 s and 900 s and then gets 503 with at most 41 s; the check and the lookup after it reach neither engine.

Rule: all usable servers rest, and the first rest lasts longer than the request waits for a server, which is server_patience_ms (8 s) as for a server that is gone, or its deadline if that is earlier; shorter rests are waited for. It is checked on arrival, when the request is queued again, when its reservations are returned, and with the timer of waiting requests. The remaining rest is that of the last heartbeat, up to 500 ms old, so Retry-After is rather late than early. The estimate of the first token includes the rest, and `status` shows rest_ms.

--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -63,6 +63,9 @@
                                    : std::nullopt;
   }
   context_.has_seen_agent = true;
+  if (DoAllServersRest(request)) {
+    return ResultCode::kServerPushback;
+  }
   // Refuses a request that would miss its deadline before any prefill is spent
   // on it. Deadline-bound work is admitted if it can preempt a lower tier.
   const bool misses_deadline =
@@ -167,6 +170,11 @@
   if (HoldBackIfSuspect(request)) {
     return;
   }
+  if (DoAllServersRest(request)) {
+    request.state = State::kHeldBack;
+    context_.conclude(request, ResultCode::kServerPushback);
+    return;
+  }
   const Team* team = context_.config.current()->FindTeamByKeyHash(
       request.properties.team_key_sha256);
   if (!request.counted_running && team != nullptr && !usage_.TryRun(*team)) {
@@ -182,6 +190,15 @@
   SetWaitingTimer(request);
 }
 
+bool DispatchController::DoAllServersRest(const EntryRequest& request) const {
+  const Duration rest = context_.router.ShortestRest(request.route());
+  const Duration wait = request.deadline.has_value()
+                            ? std::min(context_.options.server_lost_timeout,
+                                       *request.deadline - context_.clock.Now())
+                            : context_.options.server_lost_timeout;
+  return rest > Duration::zero() && rest > wait;
+}
+
 void DispatchController::SetWaitingTimer(EntryRequest& request) {
   TimePoint when = context_.clock.Now() + (request.is_suspect
                                                ? context_.options.suspect_period
@@ -204,6 +221,11 @@
     } else if (request.state == State::kWaiting) {
       AddReservations(request);
     }
+    if (request.is_waiting() && !request.is_suspect &&
+        DoAllServersRest(request)) {
+      context_.conclude(request, ResultCode::kServerPushback);
+      return;
+    }
     if (HasServerWaitExpired(request)) {
       context_.conclude(request, ResultCode::kNoServer);
       return;
@@ -370,7 +392,8 @@
                                     ResultCode code) {
   if (request.state == State::kWaiting) {
     request.reserved_agents.erase(agent);
-    if (code == ResultCode::kTierClosed) {
+    if (code == ResultCode::kTierClosed ||
+        (code == ResultCode::kServerPushback && DoAllServersRest(request))) {
       context_.conclude(request, code);
     } else if (request.reserved_agents.empty()) {
       placer_.Place(request, context_.options.candidates);
@@ -568,15 +591,25 @@
     return request.state == State::kHeldBack && !request.is_suspect &&
            request.properties.team == team;
   };
-  const std::vector<RequestKey> keys = context_.requests.Select(held_back);
-  if (keys.empty()) {
-    return;
+  std::vector<RequestKey> keys = context_.requests.Select(held_back);
+  const auto arrived_later = [this](const RequestKey& a, const RequestKey& b) {
+    return context_.requests.Find(a)->arrived >
+           context_.requests.Find(b)->arrived;
+  };
+  std::ranges::make_heap(keys, arrived_later);
+  while (!keys.empty()) {
+    std::ranges::pop_heap(keys, arrived_later);
+    EntryRequest& request = *context_.requests.Find(keys.back());
+    keys.pop_back();
+    if (!held_back(request)) {
+      continue;
+    }
+    Enqueue(request);
+    // One that was refused instead leaves the place to the next.
+    if (request.counted_running || held_back(request)) {
+      return;
+    }
   }
-  const RequestKey first =
-      *std::ranges::min_element(keys, {}, [this](const RequestKey& key) {
-        return context_.requests.Find(key)->arrived;
-      });
-  Enqueue(*context_.requests.Find(first));
 }
 
 Duration DispatchController::RetryAfter(const EntryRequest& request,
@@ -589,6 +622,11 @@
   if (code == ResultCode::kCrashesServers) {
     return DecideOnCrashes(request).retry_after;
   }
+  if (code == ResultCode::kServerPushback) {
+    // Not cut: before the first rest ends, a retry is refused again.
+    return std::max(kMinRetryAfter,
+                    context_.router.ShortestRest(request.route()));
+  }
   const std::vector<Candidate> best =
       context_.router.Choose(request.route(), 1);
   const Duration wait =
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -60,6 +60,9 @@
   bool HoldBackIfSuspect(EntryRequest& request);
   void ReportToCrashGuard(const EntryRequest& request, ResultCode code);
   void AddReservations(EntryRequest& request);
+  /// Returns whether all servers rest for longer than the request waits for a
+  /// server.
+  bool DoAllServersRest(const EntryRequest& request) const;
   bool HasServerWaitExpired(EntryRequest& request);
   void Requeue(EntryRequest& request);
   void ReleaseHeldBack(const std::string& team);
--- a/lavenderkeel/dispatch/operator_api.cc
+++ b/lavenderkeel/dispatch/operator_api.cc
@@ -288,6 +288,7 @@
       } else {
         item["running"] = member->load.running;
         item["slots"] = member->load.slots;
+        item["rest_ms"] = ToMilliseconds(Duration(member->load.pushback_us));
         item["waiting"] = json::value_from(member->load.waiting);
       }
       instances.push_back(std::move(item));
--- a/lavenderkeel/routing/router.cc
+++ b/lavenderkeel/routing/router.cc
@@ -32,7 +32,8 @@
                                       size_t count) const {
   std::vector<const Member*> usable = UsableAgents(request);
   std::ranges::shuffle(usable, random_);
-  // Ranks agents without slots last: their server accepts no connections.
+  // Ranks agents without slots last: their server accepts no connections or
+  // rests.
   std::vector<std::pair<bool, Candidate>> ranked;
   ranked.reserve(usable.size());
   for (const Member* agent : usable) {
@@ -54,6 +55,16 @@
   return candidates;
 }
 
+Duration Router::ShortestRest(const RouteRequest& request) const {
+  const std::vector<const Member*> usable = UsableAgents(request);
+  if (usable.empty()) {
+    return Duration::zero();
+  }
+  const Member* first = *std::ranges::min_element(
+      usable, {}, [](const Member* agent) { return agent->load.pushback_us; });
+  return std::max(Duration::zero(), Duration(first->load.pushback_us));
+}
+
 bool Router::IsLowerTierRunning(const RouteRequest& request) const {
   return std::ranges::any_of(
       UsableAgents(request), [&request](const Member* agent) {
@@ -76,7 +87,8 @@
       static_cast<double>(queued) * load.run_us / static_cast<double>(slots);
   const double prefill_us =
       static_cast<double>(load.prefill_us) * request.prompt_tokens;
-  return Duration(static_cast<int64_t>(wait_us + prefill_us));
+  return Duration(std::max<int64_t>(0, load.pushback_us) +
+                  static_cast<int64_t>(wait_us + prefill_us));
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/routing/router.h
+++ b/lavenderkeel/routing/router.h
@@ -53,12 +53,17 @@
     return !UsableAgents(request).empty();
   }
 
+  /// Returns the shortest time in which a server that can take the request ends
+  /// the rest that it asked for; zero if one of them does not rest, or if there
+  /// is none.
+  Duration ShortestRest(const RouteRequest& request) const;
+
   /// Returns true while repeatable work of a lower tier runs at an agent that
   /// can take the request.
   bool IsLowerTierRunning(const RouteRequest& request) const;
 
-  /// Returns the sum of the queueing time behind this and higher tiers and the
-  /// prefill time, both at the agent's observed speed.
+  /// Returns the sum of the server's rest and of the queueing time behind this
+  /// and higher tiers and the prefill time, both at the agent's observed speed.
   static Duration EstimateFirstToken(const Member& agent,
                                      const RouteRequest& request);
 
--- a/test/dispatch/resting_engine_test.cc
+++ b/test/dispatch/resting_engine_test.cc
@@ -39,6 +39,12 @@
   return sum;
 }
 
+void TurnAwayAtAll(Simulation& simulation, Duration duration) {
+  for (size_t i = 0; i < simulation.processes() - simulation.entries(); ++i) {
+    simulation.TurnAway(i, duration);
+  }
+}
+
 }  // namespace
 
 // Guards against an idle engine that attracts requests while it turns them
@@ -66,6 +72,42 @@
   CheckGuarantees(simulation);
 }
 
+// Guards against callers that wait for the end of a long rest of all engines,
+// and against engines that get a request of each of them.
+BOOST_AUTO_TEST_CASE(RequestsAreRefusedWhileAllEnginesRest) {
+  Simulation simulation({});
+  TurnAwayAtAll(simulation, seconds(60));
+  Submit(simulation, 0, 3, Duration::zero());
+  BOOST_TEST(AreAllConcluded(simulation, seconds(1)));
+  const size_t turned_away = TurnedAwayByAll(simulation);
+  Submit(simulation, 3, 30, milliseconds(100));
+  BOOST_TEST(AreAllConcluded(simulation, seconds(1)));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kServerPushback) == 33U);
+  BOOST_TEST(TurnedAwayByAll(simulation) == turned_away);
+  simulation.RunFor(seconds(60));
+  Submit(simulation, 33, 5, milliseconds(100));
+  BOOST_TEST(AreAllConcluded(simulation, seconds(5)));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kAnswered) == 5U);
+  CheckGuarantees(simulation);
+}
+
+// Guards against requests that are held back for good once the running ones of
+// their team were refused: 700 ms later the rest is too short to refuse them.
+BOOST_AUTO_TEST_CASE(HeldBackRequestsAreRefusedWhileAllEnginesRest) {
+  Simulation::Options options{.entries = 1, .team_running = 2};
+  options.entry.dispatch.widen_after = milliseconds(700);
+  Simulation simulation(options);
+  TurnAwayAtAll(simulation, milliseconds(8200));
+  Submit(simulation, 0, 20, Duration::zero());
+  BOOST_TEST(AreAllConcluded(simulation, seconds(10)));
+  // A reservation may cross the report of the last rest; its request waits.
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kServerPushback) >= 18U);
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kServerPushback) +
+                 simulation.oracle().Count(ResultCode::kAnswered) ==
+             20U);
+  CheckGuarantees(simulation);
+}
+
 // Guards against a request that goes from engine to engine without end while
 // all turn it away and ask for no rest.
 BOOST_AUTO_TEST_CASE(AttemptsAreLimitedWithoutARest) {
@@ -80,4 +122,20 @@
   CheckGuarantees(simulation);
 }
 
+// Guards against a request with a deadline that waits for a rest which ends
+// after it.
+BOOST_AUTO_TEST_CASE(RequestIsRefusedIfItsDeadlineIsInTheRest) {
+  Simulation simulation({.entries = 1});
+  TurnAwayAtAll(simulation, seconds(4));
+  Submit(simulation, 0, 3, milliseconds(200));
+  const std::string key = simulation.NewKey();
+  simulation.Submit(0, key, "r9x", /*repeatable=*/false, 3,
+                    /*deadline_ms=*/2000);
+  simulation.RunFor(milliseconds(200));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kServerPushback) == 1U);
+  BOOST_TEST(AreAllConcluded(simulation, seconds(10)));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kAnswered) == 3U);
+  CheckGuarantees(simulation);
+}
+
 }  // namespace lavenderkeel::fuzz
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -26,10 +26,13 @@
 constexpr char kTeamKey[] = "team-key";
 constexpr char kOperatorKey[] = "operator-key";
 
-std::string ConfigText(const std::string& marker) {
+std::string ConfigText(const std::string& marker, uint32_t team_running) {
   json::object team{{"name", "board"},
                     {"key_sha256", Sha256Hex(kTeamKey)},
                     {"work", json::array{"check", "lookup"}}};
+  if (team_running > 0) {
+    team["limits"] = json::object{{"running", team_running}};
+  }
   return json::serialize(json::object{
       {"tiers", json::array{json::object{{"name", "collection"},
                                          {"rank", 0},
@@ -790,7 +793,7 @@
   request.method = "POST";
   request.path = "/admin/v1/config";
   request.bearer = kOperatorKey;
-  request.body = ConfigText(marker);
+  request.body = ConfigText(marker, options_.team_running);
   return SendOperatorRequest(index, request);
 }
 
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -31,6 +31,8 @@
     /// Options of every entry and of every agent.
     EntryNode::Options entry;
     AgentNode::Options agent;
+    /// The team's limit of running requests at an entry; zero for none.
+    uint32_t team_running = 0;
     /// Called with each line that a process logs, prefixed with the time and
     /// the instance.
     std::function<void(const std::string& line)> log;
--- a/test/process/failure_test.cc
+++ b/test/process/failure_test.cc
@@ -191,6 +191,29 @@
   BOOST_TEST(std::stoi(refusals) <= 2);
 }
 
+// Guards against callers that wait for the end of a rest of all engines, or are
+// told 504: they get 503 and the end of the first rest.
+BOOST_AUTO_TEST_CASE(RequestsAreRefusedWhileAllEnginesAskForRest) {
+  Cluster cluster({.entries = 1, .agents = 2});
+  cluster.Call(cluster.EngineAddress(0), "POST", "/fault/busy?seconds=40.5");
+  cluster.Call(cluster.EngineAddress(1), "POST", "/fault/busy?seconds=900");
+  for (const char* work : {"lookup", "check", "lookup"}) {
+    const auto request = cluster.SubmitRequest(0, cluster.NewKey(), work, 10);
+    BOOST_REQUIRE(cluster.Wait([&] { return request->done; }));
+    BOOST_TEST(request->result.status == 503);
+    BOOST_TEST(BodyContains(*request, "\"name\":\"server_pushback\""));
+    BOOST_REQUIRE(request->result.retry_after.size() == 1U);
+    const int retry_after = std::stoi(request->result.retry_after.front());
+    BOOST_TEST(retry_after > 20);
+    BOOST_TEST(retry_after <= 41);
+  }
+  for (size_t i = 0; i < 2; ++i) {
+    const std::string refusals =
+        cluster.Call(cluster.EngineAddress(i), "GET", "/refusals").body;
+    BOOST_TEST(std::stoi(refusals) == 1);
+  }
+}
+
 // One of two engines is slowed tenfold. All checks are still answered, and most
 // go to the other engine once the slots of the slow one are full.
 BOOST_AUTO_TEST_CASE(EngineSlowedTenfold) {
