Fuzzer: engines turn requests away with Retry-After

A generated step: an engine turns away what it has not started for up to 12 s and states the time left, or zero. Guards against a "not run" that is false, and against requests left without an outcome around a rest.

--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -125,6 +125,12 @@
         simulation_.CrashEngine(agent,
                                 std::chrono::milliseconds(20 * step.argument));
         break;
+      case Step::kTurnAway:
+        simulation_.TurnAway(
+            agent, std::chrono::milliseconds(60 * step.argument),
+            step.argument % 3 == 0 ? std::optional<std::string>("0")
+                                   : std::nullopt);
+        break;
       default:
         break;
     }
--- a/test/fuzz/step.h
+++ b/test/fuzz/step.h
@@ -41,6 +41,9 @@
     kCrash,
     kWait,
     kCrashEngine,
+    /// An engine turns requests away with Retry-After, which states the time
+    /// left or zero.
+    kTurnAway,
     /// Number of kinds that AnyStep generates.
     kGeneratedKinds,
     /// Submits one key to all entries at once.
