--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -26,10 +26,13 @@
 constexpr char kTeamKey[] = "team-key";
 constexpr char kOperatorKey[] = "operator-key";
 
-std::string ConfigText(const std::string& marker) {
+std::string ConfigText(const std::string& marker, uint32_t team_running) {
   json::object team{{"name", "board"},
                     {"key_sha256", Sha256Hex(kTeamKey)},
                     {"work", json::array{"check", "lookup"}}};
+  if (team_running > 0) {
+    team["limits"] = json::object{{"running", team_running}};
+  }
   return json::serialize(json::object{
       {"tiers", json::array{json::object{{"name", "collection"},
                                          {"rank", 0},
@@ -98,6 +101,7 @@
   for (size_t i = 0; i < options_.agents; ++i) {
     engines_.emplace_back();
     engine_up_at_.push_back(clock_.Now());
+    turning_away_.emplace_back();
     MakeEngine(i);
   }
   for (size_t i = 0; i < processes_.size(); ++i) {
@@ -156,6 +160,13 @@
   processes_[index]->streams.clear();
 }
 
+void Simulation::TurnAway(size_t agent,
+                          Duration duration,
+                          const std::optional<std::string>& stated) {
+  turning_away_[agent].until = clock_.Now() + duration;
+  turning_away_[agent].stated = stated;
+}
+
 void Simulation::ScheduleServerDisconnect(size_t index,
                                           RunId run,
                                           ServerDisconnect disconnect) {
@@ -616,6 +627,18 @@
                              ServerDisconnect::kUnreachable);
     return;
   }
+  TurningAway& turning_away = turning_away_[index - options_.entries];
+  if (started != nullptr && clock_.Now() < turning_away.until) {
+    ++turning_away.count;
+    const std::string retry_after = turning_away.stated.value_or(
+        std::to_string(ToSeconds(turning_away.until - clock_.Now())));
+    ScheduleIn(index, clock_.Now() + Delay(),
+               [this, index, run = started->run, retry_after] {
+                 processes_[index]->agent->gate().server().OnServerPushback(
+                     run, {retry_after});
+               });
+    return;
+  }
   if (resumed != nullptr && engine.Find(resumed->request_id) == nullptr) {
     ScheduleServerDisconnect(index, resumed->run, ServerDisconnect::kRefused);
     return;
@@ -770,7 +793,7 @@
   request.method = "POST";
   request.path = "/admin/v1/config";
   request.bearer = kOperatorKey;
-  request.body = ConfigText(marker);
+  request.body = ConfigText(marker, options_.team_running);
   return SendOperatorRequest(index, request);
 }
 
