Slot scheduler: reports the queue and the grants of each rank

Cause: an entry can't predict the wait of a request of some rank from the total of waiting requests, in which the most urgent and the least urgent are one. SlotGroupReport::ranks has for each rank the waiting requests, those of them that are late, and the total of grants. Late requests go behind the others of their rank, so a request that arrives is not delayed by them; without the count, the clients that come back would close their rank to new work. `late` is a new last field of RankLoad; absent, no request counts as late.

Callers get the same before and after: nothing reads the field yet. It holds with entries of other versions, since the field is added at the end of its table.

--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -35,7 +35,8 @@
       ranks.push_back({.priority = rank->priority,
                        .route_priority = rank->route_priority,
                        .waiting = static_cast<int>(rank->waiting),
-                       .granted = rank->granted});
+                       .granted = rank->granted,
+                       .late = static_cast<int>(rank->late)});
     }
   }
   return ranks;
@@ -222,6 +223,7 @@
       rank->route_priority = load.route_priority;
       rank->waiting = static_cast<uint32_t>(load.waiting);
       rank->granted = load.granted;
+      rank->late = static_cast<uint32_t>(load.late);
       gate_status->ranks.push_back(std::move(rank));
     }
     status.gates.push_back(std::move(gate_status));
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -33,6 +33,9 @@
   int waiting = 0;
   /// Slots granted to the rank since the start of the scheduler's entry.
   uint64_t granted = 0;
+  /// Waiting requests that can no longer be in time, which go behind the others
+  /// of the rank.
+  int late = 0;
 
   friend bool operator==(const RankLoad&, const RankLoad&) = default;
 };
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -219,6 +219,9 @@
   std::erase_if(last_request_times_, [this](const auto& item) {
     return clock_.Now() - item.second > options_.group_expiry;
   });
+  std::erase_if(granted_counts_, [this](const auto& item) {
+    return !last_request_times_.contains(item.first);
+  });
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
@@ -298,7 +301,10 @@
                            .server = key,
                            .in_flight = occupancy_.InFlight(hash),
                            .pace_ms = load.speed().pace_ms().value_or(0)};
-  const CrashSuspicion suspicion = waiting_by_attempt_.at(id).request.suspicion;
+  const SlotRequest& request = waiting_by_attempt_.at(id).request;
+  const CrashSuspicion suspicion = request.suspicion;
+  ++granted_counts_[QueueKeyOf(request)]
+                   [{request.priority, request.route_priority}];
   Remove(id);
   grants_[id] = {
       .server = key, .granted_at = clock_.Now(), .suspicion = suspicion};
@@ -316,11 +322,37 @@
         {.service_hash = HashBytes(key.service),
          .group = key.group,
          .free = FreeCapacity(key.service, key.group),
-         .waiting = static_cast<int>(waiting(key.service, key.group))});
+         .waiting = static_cast<int>(waiting(key.service, key.group)),
+         .ranks = RankLoads(key)});
   }
   return reports;
 }
 
+std::vector<RankLoad> SlotScheduler::RankLoads(const QueueKey& key) const {
+  std::map<std::pair<int, int>, RankLoad> loads;
+  if (const auto granted = granted_counts_.find(key);
+      granted != granted_counts_.end()) {
+    for (const auto& [rank, count] : granted->second) {
+      loads[rank].granted = count;
+    }
+  }
+  if (const auto queue = queues_.find(key); queue != queues_.end()) {
+    for (const QueuePosition& position : queue->second) {
+      RankLoad& load = loads[{position.priority, position.route_priority}];
+      ++load.waiting;
+      load.late += position.late ? 1 : 0;
+    }
+  }
+  std::vector<RankLoad> ranks;
+  ranks.reserve(loads.size());
+  for (auto& [rank, load] : loads) {
+    load.priority = rank.first;
+    load.route_priority = rank.second;
+    ranks.push_back(load);
+  }
+  return ranks;
+}
+
 size_t SlotScheduler::waiting(const std::string& service,
                               const SlotGroup& group) const {
   const auto found = queues_.find({.service = service, .group = group});
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -130,6 +130,8 @@
   };
   using Grants = std::map<AttemptKey, ActiveGrant>;
 
+  /// Returns the queues of a group by rank, with the grants since the start.
+  std::vector<RankLoad> RankLoads(const QueueKey& key) const;
   static QueueKey QueueKeyOf(const SlotRequest& request) {
     return {.service = request.service, .group = request.group};
   }
@@ -172,6 +174,8 @@
   /// Time of the last slot request for each group.
   std::map<QueueKey, TimePoint> last_request_times_;
   std::map<AttemptKey, WaitingRequest> waiting_by_attempt_;
+  /// Grants by priority and route priority.
+  std::map<QueueKey, std::map<std::pair<int, int>, uint64_t>> granted_counts_;
   /// Requests that are not late yet, by the time at which they become late.
   std::set<std::pair<TimePoint, AttemptKey>> late_times_;
   Grants grants_;
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -4846,6 +4846,7 @@
   int32_t route_priority = 0;
   uint32_t waiting = 0;
   uint64_t granted = 0;
+  uint32_t late = 0;
 };
 
 struct RankLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4856,7 +4857,8 @@
     VT_PRIORITY = 4,
     VT_ROUTE_PRIORITY = 6,
     VT_WAITING = 8,
-    VT_GRANTED = 10
+    VT_GRANTED = 10,
+    VT_LATE = 12
   };
   int32_t priority() const {
     return GetField<int32_t>(VT_PRIORITY, 0);
@@ -4870,12 +4872,16 @@
   uint64_t granted() const {
     return GetField<uint64_t>(VT_GRANTED, 0);
   }
+  uint32_t late() const {
+    return GetField<uint32_t>(VT_LATE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<int32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint64_t>(verifier, VT_GRANTED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LATE, 4) &&
            verifier.EndTable();
   }
   RankLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4899,6 +4905,9 @@
   void add_granted(uint64_t granted) {
     fbb_.AddElement<uint64_t>(RankLoad::VT_GRANTED, granted, 0);
   }
+  void add_late(uint32_t late) {
+    fbb_.AddElement<uint32_t>(RankLoad::VT_LATE, late, 0);
+  }
   explicit RankLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4915,9 +4924,11 @@
     int32_t priority = 0,
     int32_t route_priority = 0,
     uint32_t waiting = 0,
-    uint64_t granted = 0) {
+    uint64_t granted = 0,
+    uint32_t late = 0) {
   RankLoadBuilder builder_(_fbb);
   builder_.add_granted(granted);
+  builder_.add_late(late);
   builder_.add_waiting(waiting);
   builder_.add_route_priority(route_priority);
   builder_.add_priority(priority);
@@ -8026,7 +8037,8 @@
       (lhs.priority == rhs.priority) &&
       (lhs.route_priority == rhs.route_priority) &&
       (lhs.waiting == rhs.waiting) &&
-      (lhs.granted == rhs.granted);
+      (lhs.granted == rhs.granted) &&
+      (lhs.late == rhs.late);
 }
 
 inline bool operator!=(const RankLoadT &lhs, const RankLoadT &rhs) {
@@ -8047,6 +8059,7 @@
   { auto _e = route_priority(); _o->route_priority = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = granted(); _o->granted = _e; }
+  { auto _e = late(); _o->late = _e; }
 }
 
 inline flatbuffers::Offset<RankLoad> RankLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8061,12 +8074,14 @@
   auto _route_priority = _o->route_priority;
   auto _waiting = _o->waiting;
   auto _granted = _o->granted;
+  auto _late = _o->late;
   return lavenderkeel::fbs::CreateRankLoad(
       _fbb,
       _priority,
       _route_priority,
       _waiting,
-      _granted);
+      _granted,
+      _late);
 }
 
 
