Admission control with early refusal (module overload)

Cause: under a burst beyond the capacity, requests that get no slot wait for seconds before their 503, and their clients come back together with a Retry-After that promises the same slots to all. With load.early_refusal an entry refuses on arrival what would get no slot, before the team's rate is used, and keeps a schedule of the returns that it promised.

The prediction counts the requests in time ahead of a new one, by rank, over the rate of grants that reaches its rank, measured while requests wait. Nothing is refused while a slot is free, without reports of the last 400 ms, or with fewer than ten grants seen; never a retry, a begun stream, or a request that was sent. Retries wait for .9 of the client's patience instead of .7, since a refusal before gives them nothing, and are told from new requests by the .95 quantile of the times left, since after a burst most requests are retries.

It holds because the decision needs no state of other entries beyond the reports, and every uncertainty admits: an entry that is lost loses promises only. Off, every decision is as before.

--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -138,7 +138,10 @@
                                .at = clock_.Now()};
   controller_.OnRelayedTotals(name, RelayedFromWire(status));
   if (!member.info.leaving) {
-    slot_router_.OnReport(name, GroupReportsFromWire(status));
+    const std::vector<SlotGroupReport> group_reports =
+        GroupReportsFromWire(status);
+    slot_router_.OnReport(name, group_reports);
+    controller_.OnSlotGroupReports(name, group_reports);
   }
 }
 
@@ -321,6 +324,7 @@
   slot_scheduler_.OnReport(members_.self().id.ToString(), report.in_flight);
   const std::vector<SlotGroupReport> group_reports = slot_scheduler_.Reports();
   slot_router_.OnReport(members_.self().id.ToString(), group_reports);
+  controller_.OnSlotGroupReports(members_.self().id.ToString(), group_reports);
   std::erase_if(report.team_totals, [&](const auto& total) {
     const bool unchanged = std::exchange(last_sent_totals_[total.first],
                                          total.second) == total.second;
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -19,6 +19,28 @@
 /// request has time for few of these.
 constexpr size_t kMaxServersTried = 6;
 
+/// How retries are told from first attempts with early refusal.
+constexpr RequestAgeEstimator::Options kAgeWithEarlyRefusal = {
+    // All requests beyond the capacity are refused and come back within the
+    // same seconds: after a burst most requests are retries, and the usual time
+    // left is that of the few new ones.
+    .quantile = 0.95,
+    // Below the least of first attempts, relative to that quantile. Retries
+    // have at most three quarters of their time left.
+    .first_attempt_fraction = 0.75};
+
+RequestTiming::Options TimingOf(const ForwardController::Options& options) {
+  RequestTiming::Options timing = options.timing;
+  if (options.early_refusal) {
+    // Clients come back once, and earlier than without early refusal. A refusal
+    // before their patience is over gives them nothing; the rest of it is for
+    // the answer.
+    constexpr double kRetryWaitPerPatience = 0.9;
+    timing.retry_wait_per_patience = kRetryWaitPerPatience;
+  }
+  return timing;
+}
+
 SlotResult::Kind ResultKindOf(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kRejected:
@@ -49,7 +71,7 @@
                                      Metrics& metrics)
     : options_(options),
       codec_(std::move(codec)),
-      timing_(options.timing),
+      timing_(TimingOf(options)),
       port_(port),
       directory_(directory),
       slot_router_(slot_router),
@@ -61,8 +83,19 @@
       metrics_(metrics),
       refusals_(codec_, port, metrics, options.retry_after),
       request_log_(directory, notices, clock, log, metrics),
+      early_refusal_({.max_retry_after = options.timing.max_retry_after},
+                     clock,
+                     log,
+                     metrics),
       admission_({.rates = options.rates,
-                  .max_buffered_body_bytes = options.max_buffered_body_bytes},
+                  .max_buffered_body_bytes = options.max_buffered_body_bytes,
+                  .request_age = options.early_refusal
+                                     ? kAgeWithEarlyRefusal
+                                     : RequestAgeEstimator::Options{},
+                  .refuse_early =
+                      [this](ForwardedRequest& request) {
+                        return RefuseEarly(request);
+                      }},
                  route_history_,
                  clock,
                  log),
@@ -285,6 +318,13 @@
   request.attempt = ++last_attempt_;
   attempts_[request.attempt] = request.exchange;
   SlotRequest slot_request = MakeSlotRequest(request);
+  if (options_.early_refusal) {
+    early_refusal_.OnSlotRequest(
+        request.service,
+        {.priority = slot_request.priority,
+         .route_priority = slot_request.route_priority},
+        clock_.Now() >= slot_request.in_time_until);
+  }
   // The slot may be granted before this call returns.
   slot_router_.RequestSlot(std::move(slot_request));
 }
@@ -336,18 +376,68 @@
       request.is_long && history.long_requests.ShouldGoLast();
   slot_request.by_length =
       request.tried.empty() && (!request.is_long || goes_last);
-  if (slot_request.by_length && goes_last &&
-      route.priority > table_->first_priority()) {
-    // A long request is queued with the next rank, except in the most urgent
-    // rank, whose target also holds for long requests.
-    ++slot_request.route_priority;
-    slot_request.priority += request.has_team_priority ? 0 : 1;
+  if (slot_request.by_length) {
+    const SlotRank rank = RankOf(request);
+    slot_request.priority = rank.priority;
+    slot_request.route_priority = rank.route_priority;
   }
   return slot_request;
 }
 
+SlotRank ForwardController::RankOf(const ForwardedRequest& request) {
+  const Route& route = *request.route;
+  SlotRank rank = {.priority = request.priority,
+                   .route_priority = route.priority};
+  // A long request is queued with the next rank, except in the most urgent
+  // rank, whose target also holds for long requests.
+  if (request.is_long && route.priority > table_->first_priority() &&
+      route_history_[route.name].long_requests.ShouldGoLast()) {
+    ++rank.route_priority;
+    rank.priority += request.has_team_priority ? 0 : 1;
+  }
+  return rank;
+}
+
+EarlyRefusal::Request ForwardController::MakeEarlyRequest(
+    const ForwardedRequest& request) {
+  const TimePoint now = clock_.Now();
+  return {.id = request.metadata.request_id,
+          .service = request.service,
+          .rank = RankOf(request),
+          .max_wait = timing_.SlotWaitEnd(request) - now,
+          .time_left = request.due - now,
+          .is_retry = request.is_retry(),
+          .was_begun = !request.tried.empty() || request.head_sent ||
+                       !request.last_event_id.empty()};
+}
+
+std::optional<Refusal> ForwardController::RefuseEarly(
+    ForwardedRequest& request) {
+  if (!options_.early_refusal) {
+    return std::nullopt;
+  }
+  const EarlyRefusal::Decision decision =
+      early_refusal_.Decide(MakeEarlyRequest(request));
+  request.predicted_wait = decision.predicted_wait;
+  if (!decision.refused()) {
+    return std::nullopt;
+  }
+  return Refusal{.code = ResultCode::kOverloaded,
+                 .retry_after = decision.retry_after.value_or(
+                     timing_.RetryAfter(request))};
+}
+
 void ForwardController::RecordEndOfWait(const ForwardedRequest& request,
                                         bool got_slot) {
+  if (request.predicted_wait.has_value() && request.tried.empty()) {
+    // The prediction is for the queue of requests that can be in time.
+    const TimePoint in_time_until = timing_.LatestStartInTime(
+        request, route_history_[request.route->name].AnswerTimeQuantile());
+    early_refusal_.OnWaitEnded(
+        request.service, RankOf(request), *request.predicted_wait,
+        std::min(clock_.Now(), std::max(in_time_until, request.waiting_since)) -
+            request.waiting_since);
+  }
   if (request.streams() && request.tried.empty()) {
     route_history_[request.route->name].long_requests.OnEndOfWait(
         request.is_long, got_slot);
@@ -755,11 +845,18 @@
                             .retry_after = *blocked_until - now});
     return;
   }
+  std::optional<Duration> retry_after;
+  if (options_.early_refusal) {
+    retry_after = early_refusal_.PromiseReturn(MakeEarlyRequest(request));
+  }
+  if (!retry_after.has_value()) {
+    retry_after = timing_.RetryAfter(request);
+  }
   const bool no_server = directory_.Usable(request.service).empty() ||
                          blocked_until == TimePoint::max();
   RefuseRequest(request, {.code = no_server ? ResultCode::kNoServer
                                             : ResultCode::kOverloaded,
-                          .retry_after = timing_.RetryAfter(request)});
+                          .retry_after = retry_after});
 }
 
 void ForwardController::Tick() {
@@ -851,6 +948,14 @@
   admission_.rates().ForgetPeer(peer);
 }
 
+void ForwardController::OnSlotGroupReports(
+    const std::string& scheduler,
+    const std::vector<SlotGroupReport>& reports) {
+  if (options_.early_refusal) {
+    early_refusal_.OnReports(scheduler, reports);
+  }
+}
+
 void ForwardController::OnPeerCount(size_t known, size_t reporting) {
   admission_.rates().share().OnPeerCount(known, reporting, clock_.Now());
   const size_t sharing_count =
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -33,6 +33,7 @@
 #include "lavenderkeel/forward/team_demand.h"
 #include "lavenderkeel/forward/team_rates.h"
 #include "lavenderkeel/notice/server_notices.h"
+#include "lavenderkeel/overload/early_refusal.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
@@ -158,6 +159,9 @@
   void OnRelayedTotals(const std::string& coordinator,
                        const UsageTotals& totals);
   void OnPeerLost(const std::string& peer);
+  /// Records the state of the groups whose slots an entry schedules.
+  void OnSlotGroupReports(const std::string& scheduler,
+                          const std::vector<SlotGroupReport>& reports);
   /// Sets the number of entries that share the bounds, and of those that report
   /// here; both include this entry.
   void OnPeerCount(size_t known, size_t reporting);
@@ -212,6 +216,11 @@
   /// Returns the share of the request's team relative to other teams: its
   /// configured rate, 1 if it has none.
   static double WeightOf(const ForwardedRequest& request);
+  /// Returns the rank of a request that was not sent before.
+  SlotRank RankOf(const ForwardedRequest& request);
+  EarlyRefusal::Request MakeEarlyRequest(const ForwardedRequest& request);
+  /// Refuses a request on arrival that would get no slot within its wait.
+  std::optional<Refusal> RefuseEarly(ForwardedRequest& request);
   SlotRequest MakeSlotRequest(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
@@ -261,6 +270,7 @@
   RefusalWriter refusals_;
   RequestLog request_log_;
   RouteHistories route_history_;
+  EarlyRefusal early_refusal_;
   RequestAdmission admission_;
   AnswerForwarder answers_;
   std::shared_ptr<const RouteTable> table_;
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -53,6 +53,8 @@
 
   State state = State::kWaiting;
   TimePoint waiting_since;
+  /// Predicted wait of a new request; nothing if none was predicted.
+  std::optional<Duration> predicted_wait;
   /// Whether the request waits without a slot request.
   bool held = false;
   /// Crash suspicion at the time of the slot request.
@@ -93,6 +95,11 @@
   bool fresh() const {
     return tried.empty() && !head_sent && suspicion == CrashSuspicion::kClear;
   }
+  /// Returns whether the client was refused before and came back. The times
+  /// left of clients that send for the first time differ by less.
+  bool is_retry() const {
+    return arrived - first_sent >= std::chrono::milliseconds(100);
+  }
   bool streams() const { return route->streaming; }
   bool may_repeat() const { return route->may_repeat(); }
 };
--- a/lavenderkeel/forward/request_admission.cc
+++ b/lavenderkeel/forward/request_admission.cc
@@ -35,8 +35,10 @@
                route.timeout > Duration::zero() ? route.timeout : kMaxTimeLeft);
   request.first_sent =
       request.arrived -
-      request_age_estimators_[{route.name, route.timeout}].OnRequest(
-          std::max(request.due - request.arrived, kMinTimeForAttempt));
+      request_age_estimators_
+          .try_emplace({route.name, route.timeout}, options_.request_age)
+          .first->second.OnRequest(
+              std::max(request.due - request.arrived, kMinTimeForAttempt));
   request.last_event_id = request.metadata.last_event_id;
   request.is_long = route.streaming &&
                     route_history_[route.name].sizes.IsLong(request.metadata);
@@ -44,6 +46,11 @@
       options_.max_buffered_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
   }
+  if (options_.refuse_early) {
+    if (const std::optional<Refusal> refusal = options_.refuse_early(request)) {
+      return refusal;
+    }
+  }
   return UseTeamRate(request);
 }
 
--- a/lavenderkeel/forward/request_admission.h
+++ b/lavenderkeel/forward/request_admission.h
@@ -2,6 +2,7 @@
 #define LAVENDERKEEL_FORWARD_REQUEST_ADMISSION_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,17 +27,20 @@
     TeamRates::Options rates;
     /// Limit for the bodies of all requests that are held.
     size_t max_buffered_body_bytes = size_t{64} << 20;
+    RequestAgeEstimator::Options request_age = {};
+    /// Refuses a request before it uses units of its team's rate; empty: none.
+    std::function<std::optional<Refusal>(ForwardedRequest&)> refuse_early = {};
   };
 
-  RequestAdmission(const Options& options,
+  RequestAdmission(Options options,
                    RouteHistories& route_history,
                    const Clock& clock,
                    const EventLog& log)
-      : options_(options),
+      : options_(std::move(options)),
         route_history_(route_history),
         clock_(clock),
         log_(log),
-        rates_(options.rates, clock.Now()) {}
+        rates_(options_.rates, clock.Now()) {}
 
   /// Fills in what the configuration says about the request, and takes its
   /// units from the rate of its team.
--- a/lavenderkeel/forward/request_timing.cc
+++ b/lavenderkeel/forward/request_timing.cc
@@ -14,8 +14,13 @@
     return std::min(request.due, request.last_event_at + FromSeconds(patience));
   }
   const double total = ToSeconds(request.due - request.arrived);
-  const double wait = std::min(patience * options_.wait_per_patience,
-                               total * options_.wait_per_time_left);
+  // The rest of the patience of a retry is for its answer.
+  const double max_wait =
+      request.is_retry() && options_.retry_wait_per_patience.has_value()
+          ? std::max(0.0, patience * *options_.retry_wait_per_patience -
+                              ToSeconds(PromptReadTime(request)))
+          : patience * options_.wait_per_patience;
+  const double wait = std::min(max_wait, total * options_.wait_per_time_left);
   return std::min(request.due, request.arrived + FromSeconds(wait));
 }
 
--- a/lavenderkeel/forward/request_timing.h
+++ b/lavenderkeel/forward/request_timing.h
@@ -25,6 +25,9 @@
     /// third to the client.
     double wait_per_patience = 0.7;
     double wait_per_time_left = 0.4;
+    /// Fraction of the patience for a client that came back, and does so only
+    /// once; the time for its prompt is deducted. Nothing: as for all.
+    std::optional<double> retry_wait_per_patience = {};
     /// A client that got no slot is to come back after this fraction of its
     /// time left. In a burst of some seconds, a client that came back after 0.3
     /// s waited and was refused again, and clients come back only once; later
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -49,7 +49,7 @@
           .server_kind = "servers",
           .decode_table =
               [this](const std::string&) -> leaf::result<RouteTableContent> {
-            RouteTableContent content = ForwardSimulation::Table();
+            RouteTableContent content = options_.table;
             content.teams.front().rate = options_.rate;
             return content;
           },
@@ -285,7 +285,12 @@
           return;
         }
         const auto [from, to, other_end] = found->second;
-        if (processes_[to].node != nullptr && !ArePartitioned(from, to)) {
+        const bool arrives =
+            !options_.on_delivery ||
+            options_.on_delivery(static_cast<int>(from), static_cast<int>(to),
+                                 *message);
+        if (arrives && processes_[to].node != nullptr &&
+            !ArePartitioned(from, to)) {
           ++processes_[to].received;
           processes_[to].node->OnMessage(other_end, std::move(*message));
           ExecuteActions(to);
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -31,6 +32,12 @@
     bool with_server = true;
     /// Token rate of the only team.
     TeamRate rate;
+    /// The configuration, but for that rate.
+    RouteTableContent table = ForwardSimulation::Table();
+    /// Called for each message on its delivery, which it may change.
+    ///
+    /// @return whether it is delivered
+    std::function<bool(int from, int to, Message&)> on_delivery = {};
     EventLog log = {};
     /// Latency of messages.
     Duration network_delay = std::chrono::milliseconds(1);
