--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -13,6 +13,7 @@
 #include "bench/fitted_line.h"
 #include "lavenderkeel/dispatch.h"
 #include "lavenderkeel/gate.h"
+#include "lavenderkeel/overload.h"
 #include "lavenderkeel/wire.h"
 #include "test/fuzz/simulation.h"
 #include "test/fuzz/virtual_clock.h"
@@ -380,6 +381,42 @@
   return calls_of(starts) - calls_without_starts;
 }
 
+/// Returns the time of a thousand decisions on early refusal, with a number of
+/// waiting requests at a service whose servers are in a number of groups.
+double EarlyDecisionTime(size_t waiting, size_t groups) {
+  VirtualClock clock;
+  const EventLog log;
+  Metrics metrics;
+  EarlyRefusal decisions({}, clock, log, metrics);
+  const auto group_count = static_cast<uint32_t>(groups);
+  for (int round = 0; round <= 10; ++round) {
+    std::vector<SlotGroupReport> reports;
+    for (uint32_t i = 0; i < group_count; ++i) {
+      SlotGroupReport report = {.service_hash = HashBytes("service"),
+                                .group = {.index = i, .count = group_count},
+                                .waiting = static_cast<int>(waiting)};
+      for (int rank = 0; rank < 3; ++rank) {
+        report.ranks.push_back({.route_priority = rank,
+                                .waiting = static_cast<int>(waiting / 3),
+                                .granted = static_cast<uint64_t>(round) * 10});
+      }
+      reports.push_back(report);
+    }
+    decisions.OnReports("scheduler", reports);
+    clock.Advance(std::chrono::milliseconds(round < 10 ? 100 : 0));
+  }
+  constexpr int kDecisions = 1000;
+  const double before = UserMicroseconds();
+  for (int i = 0; i < kDecisions; ++i) {
+    decisions.Decide({.id = std::to_string(i),
+                      .service = "service",
+                      .rank = {.route_priority = i % 3},
+                      .max_wait = std::chrono::seconds(1),
+                      .time_left = std::chrono::seconds(9)});
+  }
+  return (UserMicroseconds() - before) / kDecisions;
+}
+
 json::object ToJson(const FittedLine& line) {
   return {{"name", line.name},
           {"per", line.per},
@@ -448,6 +485,11 @@
   add(MeasureLine("waiting_memory", "request", "B", requests, [](size_t n) {
     return MeasureRequests(n, RequestQuantity::kMemory);
   }));
+  add(MeasureLine("early_decision_time", "waiting request", "us", counts,
+                  [](size_t n) { return EarlyDecisionTime(n, 1); }));
+  add(MeasureLine("early_decision_time_by_servers", "group of 16 servers", "us",
+                  {2, 8, 32, 128},
+                  [](size_t n) { return EarlyDecisionTime(1000, n); }));
   add(MeasureLine("entry_start_calls", "start", "1", starts,
                   [](size_t n) { return RestartCalls(n, true); }));
   add(MeasureLine("agent_start_calls", "start", "1", starts,
--- a/lavenderkeel/overload/group_load.cc
+++ b/lavenderkeel/overload/group_load.cc
@@ -52,16 +52,19 @@
     busy_seconds += ToSeconds(to.at - from.at);
     for (const RankLoad& load : to.report.ranks) {
       const RankLoad* former = FindRank(from.report, load);
+      // The total of a rank that was not reported says nothing about the time
+      // between the reports.
       const uint64_t granted =
-          load.granted - (former == nullptr ? 0 : former->granted);
+          former == nullptr ? 0 : load.granted - former->granted;
       RankRates& rates = ranks_[RankOf(load)];
       grants_seen_ += granted;
       rates.granted_per_second += static_cast<double>(granted);
-      const int growth =
-          load.waiting - (former == nullptr ? 0 : former->waiting);
+      const double growth = static_cast<double>(load.waiting) -
+                            (former == nullptr ? 0 : former->waiting);
+      const double late_growth = static_cast<double>(load.late) -
+                                 (former == nullptr ? 0 : former->late);
       rates.growth_per_second += growth;
-      rates.in_time_growth_per_second +=
-          growth - (load.late - (former == nullptr ? 0 : former->late));
+      rates.in_time_growth_per_second += growth - late_growth;
     }
   }
   if (busy_seconds > 0) {
--- a/test/overload/service_load_test.cc
+++ b/test/overload/service_load_test.cc
@@ -148,6 +148,27 @@
       boost::test_tools::tolerance(0.01));
 }
 
+// A rank that is reported again after a pause shows all grants since the start
+// of its scheduler; taken for those of 100 ms, they admit a whole burst.
+BOOST_AUTO_TEST_CASE(GrantsBeforeTheFirstReportOfARankDoNotCount) {
+  ReportedService service;
+  service.ReportFullSecond();
+  service.clock.Advance(milliseconds(100));
+  service.load.OnReport(
+      service.scheduler,
+      {.service_hash = 1,
+       .waiting = 30,
+       .ranks = {{.route_priority = 1,
+                  .waiting = 20,
+                  .granted = service.usual_granted + 8},
+                 {.route_priority = 2, .waiting = 10, .granted = 1'000'000}}},
+      service.clock.Now());
+  const std::optional<QueueAhead> ahead =
+      service.load.Predict(kUsual, service.clock.Now());
+  BOOST_REQUIRE(ahead.has_value());
+  BOOST_TEST(ahead->total_rate < 110);
+}
+
 // With two groups a request goes to the one that has slots.
 BOOST_AUTO_TEST_CASE(FreeSlotsOfAnyGroupCount) {
   ReportedService service;
