--- a/lavenderkeel/overload/early_refusal.h
+++ b/lavenderkeel/overload/early_refusal.h
@@ -42,7 +42,7 @@
     /// At least this fraction is refused while more late requests of the rank
     /// wait than will be served within their wait: most of them are retries,
     /// whose clients don't come back again.
-    double fraction_for_late = 0.15;
+    double fraction_for_late = 0.08;
     /// Upper bound of Retry-After, absolute and relative to the time that the
     /// client has left; clients wait for no longer.
     Duration max_retry_after = std::chrono::seconds(4);
