Early refusal: a refusal on arrival never promises an early return

Cause: the queue may shrink by refusals and by waits that end, while more requests still arrive than are granted.

It holds because a refusal on arrival itself says that more arrive than are granted, so that the last tenth of the permitted time is the best guess for its return.

--- a/lavenderkeel/overload/early_refusal.cc
+++ b/lavenderkeel/overload/early_refusal.cc
@@ -80,7 +80,9 @@
 EarlyRefusal::Decision EarlyRefusal::Decide(const Request& request) {
   Decision decision = Judge(request);
   if (decision.refused()) {
-    decision.retry_after = PromiseReturn(request);
+    // The queue may shrink although more arrive than are granted: by refusals,
+    // and by requests that end their wait.
+    decision.retry_after = Promise(request, /*overload_lasts=*/true);
   }
   Log(request, decision);
   return decision;
@@ -144,6 +146,11 @@
 }
 
 std::optional<Duration> EarlyRefusal::PromiseReturn(const Request& request) {
+  return Promise(request, /*overload_lasts=*/false);
+}
+
+std::optional<Duration> EarlyRefusal::Promise(const Request& request,
+                                              bool overload_lasts) {
   const TimePoint now = clock_.Now();
   ServiceState* state = Find(request.service);
   const std::optional<QueueAhead> ahead =
@@ -157,7 +164,7 @@
                   options_.retry_after_per_time_left));
   Duration earliest =
       FromSeconds(ToSeconds(latest) * options_.min_return_fraction);
-  if (ahead->growth < 0) {
+  if (!overload_lasts && ahead->growth < 0) {
     const double seconds = (ahead->requests + ahead->late) / -ahead->growth;
     earliest =
         std::min(earliest, FromSeconds(std::min(seconds, ToSeconds(latest))));
--- a/lavenderkeel/overload/early_refusal.h
+++ b/lavenderkeel/overload/early_refusal.h
@@ -47,9 +47,9 @@
     /// client has left; clients wait for no longer.
     Duration max_retry_after = std::chrono::seconds(4);
     double retry_after_per_time_left = 1.0 / 3;
-    /// While the queue does not shrink, returns are promised in the rest of the
-    /// permitted time after this fraction. Clients come back once, and a burst
-    /// lasts some seconds.
+    /// While more arrive than are granted, returns are promised in the rest of
+    /// the permitted time after this fraction. Clients come back once, and a
+    /// burst lasts some seconds.
     double min_return_fraction = 0.9;
     ServiceLoad::Options load;
   };
@@ -120,8 +120,8 @@
                    Duration actual);
 
   Decision Decide(const Request& request);
-  /// Returns when the client of a refused request is to come back, and records
-  /// the promise; nothing if the load of the service is not known.
+  /// Returns when the client of a request that ended its wait is to come back,
+  /// and records the promise; nothing if the load of the service is not known.
   std::optional<Duration> PromiseReturn(const Request& request);
 
   static const char* OutcomeName(Outcome outcome);
@@ -136,6 +136,8 @@
   /// Returns null if no scheduler reports the service.
   ServiceState* Find(const std::string& service);
   Decision Judge(const Request& request);
+  /// @param overload_lasts whether the end of the overload is not in sight
+  std::optional<Duration> Promise(const Request& request, bool overload_lasts);
   void Log(const Request& request, const Decision& decision);
 
   Options options_;
--- a/test/overload/early_refusal_test.cc
+++ b/test/overload/early_refusal_test.cc
@@ -202,6 +202,17 @@
       queue.decisions.PromiseReturn(queue.NewRequest());
   BOOST_REQUIRE(first.has_value());
   BOOST_TEST((*first < milliseconds(500)));
+  // A refusal on arrival means that more arrive than are granted.
+  const EarlyRefusal::Decision decision = [&queue] {
+    while (true) {
+      const EarlyRefusal::Decision next =
+          queue.decisions.Decide(queue.NewRequest());
+      if (next.refused()) {
+        return next;
+      }
+    }
+  }();
+  BOOST_TEST((*decision.retry_after >= milliseconds(2700)));
 }
 
 }  // namespace lavenderkeel
