--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -14,6 +14,7 @@
 #include "lavenderkeel/dispatch.h"
 #include "lavenderkeel/fairness.h"
 #include "lavenderkeel/gate.h"
+#include "lavenderkeel/overload.h"
 #include "lavenderkeel/rates.h"
 #include "lavenderkeel/wire.h"
 #include "test/fuzz/simulation.h"
@@ -468,6 +469,42 @@
   return calls_of(starts) - calls_without_starts;
 }
 
+/// Returns the time of a thousand decisions on early refusal, with a number of
+/// waiting requests at a service whose servers are in a number of groups.
+double EarlyDecisionTime(size_t waiting, size_t groups) {
+  VirtualClock clock;
+  const EventLog log;
+  Metrics metrics;
+  EarlyRefusal decisions({}, clock, log, metrics);
+  const auto group_count = static_cast<uint32_t>(groups);
+  for (int round = 0; round <= 10; ++round) {
+    std::vector<SlotGroupReport> reports;
+    for (uint32_t i = 0; i < group_count; ++i) {
+      SlotGroupReport report = {.service_hash = HashBytes("service"),
+                                .group = {.index = i, .count = group_count},
+                                .waiting = static_cast<int>(waiting)};
+      for (int rank = 0; rank < 3; ++rank) {
+        report.ranks.push_back({.route_priority = rank,
+                                .waiting = static_cast<int>(waiting / 3),
+                                .granted = static_cast<uint64_t>(round) * 10});
+      }
+      reports.push_back(report);
+    }
+    decisions.OnReports("scheduler", reports);
+    clock.Advance(std::chrono::milliseconds(round < 10 ? 100 : 0));
+  }
+  constexpr int kDecisions = 1000;
+  const double before = UserMicroseconds();
+  for (int i = 0; i < kDecisions; ++i) {
+    decisions.Decide({.id = std::to_string(i),
+                      .service = "service",
+                      .rank = {.route_priority = i % 3},
+                      .max_wait = std::chrono::seconds(1),
+                      .time_left = std::chrono::seconds(9)});
+  }
+  return (UserMicroseconds() - before) / kDecisions;
+}
+
 json::object ToJson(const FittedLine& line) {
   return {{"name", line.name},
           {"per", line.per},
@@ -542,6 +579,11 @@
   add(MeasureLine("slot_queue_time_by_team", "team", "us", teams,
                   [](size_t n) { return QueueTime(20'000, n); }));
   add(MeasureLine("slot_queue_memory", "team", "B", teams, QueueBytes));
+  add(MeasureLine("early_decision_time", "waiting request", "us", counts,
+                  [](size_t n) { return EarlyDecisionTime(n, 1); }));
+  add(MeasureLine("early_decision_time_by_servers", "group of 16 servers", "us",
+                  {2, 8, 32, 128},
+                  [](size_t n) { return EarlyDecisionTime(1000, n); }));
   add(MeasureLine("entry_start_calls", "start", "1", starts,
                   [](size_t n) { return RestartCalls(n, true); }));
   add(MeasureLine("agent_start_calls", "start", "1", starts,
--- a/lavenderkeel/fairness/slot_queue.cc
+++ b/lavenderkeel/fairness/slot_queue.cc
@@ -95,6 +95,7 @@
     team.bands[band].waiting.insert(position);
   });
   ++rank.waiting;
+  rank.late += band == kInTime ? 0 : 1;
   ++size_;
 }
 
@@ -113,6 +114,7 @@
   Change(rank->second, id, team->second,
          [&](Team& changed) { changed.bands[band].waiting.erase(position); });
   --rank->second.waiting;
+  rank->second.late -= band == kInTime ? 0 : 1;
   --size_;
   ForgetIdle(rank);
 }
@@ -132,6 +134,7 @@
     team.bands[BandOf(position)].waiting.erase(position);
   });
   --rank.waiting;
+  rank.late -= position.late ? 1 : 0;
   --size_;
   ++running_;
   ForgetIdle(found);
@@ -184,7 +187,8 @@
   sizes.reserve(ranks_.size());
   for (const auto& [key, rank] : ranks_) {
     if (rank.waiting > 0) {
-      sizes.push_back({.rank = key, .waiting = rank.waiting});
+      sizes.push_back(
+          {.rank = key, .waiting = rank.waiting, .late = rank.late});
     }
   }
   return sizes;
--- a/lavenderkeel/fairness/slot_queue.h
+++ b/lavenderkeel/fairness/slot_queue.h
@@ -60,6 +60,8 @@
   struct RankSize {
     RequestRank rank;
     size_t waiting = 0;
+    /// Those of the waiting that can no longer be in time.
+    size_t late = 0;
 
     friend bool operator==(const RankSize&, const RankSize&) = default;
   };
@@ -175,6 +177,7 @@
     /// The largest tag of any team so far.
     double max_tag = 0;
     size_t waiting = 0;
+    size_t late = 0;
     size_t teams_waiting = 0;
     std::unordered_map<uint64_t, Team> teams;
     /// The team of each candidate.
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -32,6 +32,7 @@
 #include "lavenderkeel/forward/slot_scheduler.h"
 #include "lavenderkeel/forward/team_rates.h"
 #include "lavenderkeel/notice/server_notices.h"
+#include "lavenderkeel/overload/early_refusal.h"
 #include "lavenderkeel/rates/team_demand.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
@@ -167,6 +168,9 @@
   void OnRelayedDemand(const std::string& coordinator,
                        const DemandTotals& totals);
   void OnPeerLost(const std::string& peer);
+  /// Records the state of the groups whose slots an entry schedules.
+  void OnSlotGroupReports(const std::string& scheduler,
+                          const std::vector<SlotGroupReport>& reports);
   /// Sets the number of entries that share the bounds, and of those that report
   /// here; both include this entry.
   void OnPeerCount(size_t known, size_t reporting);
@@ -220,6 +224,11 @@
   void RecordEndOfWait(const ForwardedRequest& request, bool got_slot);
   /// Returns the weight of the request's team; 1 without a team.
   static double WeightOf(const ForwardedRequest& request);
+  /// Returns the rank of a request that was not sent before.
+  SlotRank RankOf(const ForwardedRequest& request);
+  EarlyRefusal::Request MakeEarlyRequest(const ForwardedRequest& request);
+  /// Refuses a request on arrival that would get no slot within its wait.
+  std::optional<Refusal> RefuseEarly(ForwardedRequest& request);
   SlotRequest MakeSlotRequest(const ForwardedRequest& request);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
@@ -269,6 +278,7 @@
   RefusalWriter refusals_;
   RequestLog request_log_;
   RouteHistories route_history_;
+  EarlyRefusal early_refusal_;
   RequestAdmission admission_;
   AnswerForwarder answers_;
   std::shared_ptr<const RouteTable> table_;
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -409,8 +409,10 @@
       ranks[rank].granted = grants.count;
     }
     if (const auto queue = queues_.find(key); queue != queues_.end()) {
-      for (const auto& [rank, waiting] : queue->second.RankSizes()) {
-        ranks[rank].waiting = static_cast<int>(waiting);
+      for (const SlotQueue::RankSize& size : queue->second.RankSizes()) {
+        RankLoad& load = ranks[size.rank];
+        load.waiting = static_cast<int>(size.waiting);
+        load.late = static_cast<int>(size.late);
       }
     }
     SlotGroupReport report = {
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -291,7 +291,12 @@
           return;
         }
         const auto [from, to, other_end] = found->second;
-        if (processes_[to].node != nullptr && !ArePartitioned(from, to)) {
+        const bool arrives =
+            !options_.on_delivery ||
+            options_.on_delivery(static_cast<int>(from), static_cast<int>(to),
+                                 *message);
+        if (arrives && processes_[to].node != nullptr &&
+            !ArePartitioned(from, to)) {
           ++processes_[to].received;
           processes_[to].node->OnMessage(other_end, std::move(*message));
           ExecuteActions(to);
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -37,6 +37,10 @@
     /// empty.
     std::optional<RouteTableContent> table = {};
     int server_slots = 5;
+    /// Called for each message on its delivery, which it may change.
+    ///
+    /// @return whether it is delivered
+    std::function<bool(int from, int to, Message&)> on_delivery = {};
     EventLog log = {};
     /// Latency of messages.
     Duration network_delay = std::chrono::milliseconds(1);
