Placement: the data centre of the entry that holds a request counts, not the scheduler's

Cause: one scheduler grants slots to the entries of all data centres, but the cost of another data centre was counted from its own. A request from an entry elsewhere was sent across, though a free server stood beside that entry.

Now their own data centre's servers come first, and the others when these are full or slower by more than the cost. A request that names no data centre, of an older entry, counts as one of the scheduler's.

Why this holds: the cost without distance is computed once per queue as before; the factor is applied where the load is, one comparison for each server considered.

--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -74,14 +74,10 @@
   return std::max(1, static_cast<int>(std::lround(server.slots * per_slot)));
 }
 
-double Placement::BaseCost(const BackendServer& server,
-                           const std::string& start_key,
+double Placement::BaseCost(const std::string& start_key,
                            double relative_pace,
                            bool unconfirmed) const {
   double cost = relative_pace;
-  if (server.data_centre != options_.data_centre) {
-    cost *= 1 + options_.other_data_centre_cost;
-  }
   constexpr uint64_t kSteps = 1024;
   const uint64_t rank =
       HashBytes(start_key, HashBytes(options_.entry)) % kSteps;
@@ -136,7 +132,7 @@
     const Candidate candidate = {
         .server = known.server,
         .hash = known.hash,
-        .cost = BaseCost(*known.server, known.key, relative_pace,
+        .cost = BaseCost(known.key, relative_pace,
                          state.directory.IsUnconfirmed(known.key)),
         .in_flight = in_flight,
         .capacity = std::min(
@@ -176,6 +172,12 @@
   double cost =
       candidate.cost * (1 + options_.full_server_cost * candidate.in_flight /
                                 candidate.capacity);
+  // One scheduler grants slots to entries of all data centres.
+  const std::string& home =
+      request.data_centre.empty() ? options_.data_centre : request.data_centre;
+  if (candidate.server->data_centre != home) {
+    cost *= 1 + options_.other_data_centre_cost;
+  }
   // A server at which this request failed before is the last choice of all.
   if (std::ranges::find(request.tried, candidate.hash) != request.tried.end()) {
     cost *= kLastResortCostFactor * kLastResortCostFactor;
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -26,6 +26,8 @@
  public:
   struct Options {
     std::string entry;
+    /// Data centre of this entry; stands in for that of a request that has
+    /// none.
     std::string data_centre;
     /// Capacity of a model server: requests in flight per slot, over all
     /// entries. Beyond its slots a model server queues first come, first
@@ -35,8 +37,9 @@
     /// some 30 ms; one waiting request per slot hides the round trip to the
     /// next one.
     double places_per_plain_slot = 2.0;
-    /// Additional relative cost of another data centre. Its price and its round
-    /// trip of 2 ms are small compared to a request, so it decides ties only.
+    /// Additional relative cost of a server outside the data centre of the
+    /// entry that holds the request. The default decides ties only: price and
+    /// round trip (2 ms) are small compared to a request.
     double other_data_centre_cost = 0.05;
     /// Additional relative cost of a full server over an empty one: a batch of
     /// full size makes each token some 10% slower.
@@ -73,7 +76,7 @@
   struct Candidate {
     const BackendServer* server = nullptr;
     uint64_t hash = 0;
-    /// Relative cost by speed and distance, without load; see Choose.
+    /// Relative cost by speed, without load and distance; see Choose.
     double cost = 1;
     int in_flight = 0;
     int capacity = 1;
@@ -144,13 +147,13 @@
                           const Admits& admits,
                           TimePoint now) const;
   int CapacityOf(const BackendServer& server, bool model_server) const;
-  /// Returns the cost including the load, and the crash risk for the request
-  /// and the requests at the server.
+  /// Returns the cost including the load, the distance from the entry that
+  /// holds the request, and the crash risk for the request and the requests at
+  /// the server.
   double CostWithLoad(const SlotRequest& request,
                       const Candidate& candidate,
                       const SuspectRuns& suspects) const;
-  double BaseCost(const BackendServer& server,
-                  const std::string& start_key,
+  double BaseCost(const std::string& start_key,
                   double relative_pace,
                   bool unconfirmed) const;
 
--- a/test/forward/scheduler_harness.h
+++ b/test/forward/scheduler_harness.h
@@ -11,6 +11,16 @@
 
 /// Scheduler under a virtual clock that records its grants.
 struct SchedulerHarness {
+  SchedulerHarness() : SchedulerHarness(SlotScheduler::Options()) {}
+  explicit SchedulerHarness(const SlotScheduler::Options& options)
+      : scheduler(options,
+                  directory,
+                  notices,
+                  clock,
+                  [this](const std::string&, const SlotGrant& grant) {
+                    granted[grant.attempt] = grant.server;
+                  }) {}
+
   /// @return the server, or "none" for a request that has not been granted
   std::string ServerOf(AttemptId attempt) const {
     const auto found = granted.find(attempt);
@@ -22,13 +32,7 @@
   std::map<AttemptId, std::string> granted;
   EventLog log;
   ServerNotices notices{{.self = "self"}, clock, log};
-  SlotScheduler scheduler{{},
-                          directory,
-                          notices,
-                          clock,
-                          [this](const std::string&, const SlotGrant& grant) {
-                            granted[grant.attempt] = grant.server;
-                          }};
+  SlotScheduler scheduler;
 };
 
 }  // namespace lavenderkeel
