Slot requests say whether they may run again

Cause: a scheduler that tries a server which failed lately needs a request whose loss does no harm, and could not tell one from another.

WantSlot has `repeatable` at its end, from the route: idempotent, or a stream that can be resumed. An entry of an older version sends none, which counts as not repeatable; an older scheduler ignores it. Nothing uses it yet, so callers get the same.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -312,7 +312,8 @@
       .suspicion = request.suspicion,
       .team = request.team.empty() ? 0 : HashBytes(request.team),
       .team_weight = WeightOf(request),
-      .data_centre = options_.data_centre};
+      .data_centre = options_.data_centre,
+      .repeatable = request.may_repeat()};
   for (const std::string& server : request.tried) {
     slot_request.tried.push_back(HashBytes(server));
   }
--- a/lavenderkeel/forward/internal/forward_wire.cc
+++ b/lavenderkeel/forward/internal/forward_wire.cc
@@ -125,6 +125,7 @@
   want.team = slot_request.team;
   want.weight = slot_request.team_weight;
   want.data_centre = slot_request.data_centre;
+  want.repeatable = slot_request.repeatable;
   return want;
 }
 
@@ -150,7 +151,8 @@
               std::min(want.crash_standing, kLastSuspicion)),
           .team = want.team,
           .team_weight = want.weight > 0 ? want.weight : 1,
-          .data_centre = want.data_centre};
+          .data_centre = want.data_centre,
+          .repeatable = want.repeatable};
 }
 
 HaveSlot ToWire(const SlotGrant& grant) {
--- a/lavenderkeel/forward/slot.h
+++ b/lavenderkeel/forward/slot.h
@@ -90,6 +90,8 @@
   double team_weight = 1;
   /// Data centre of the requesting entry; empty if it is not known.
   std::string data_centre = {};
+  /// Whether the request may run again if its answer is lost.
+  bool repeatable = false;
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -4953,6 +4953,7 @@
   uint64_t team = 0;
   double weight = 1.0;
   std::string data_centre{};
+  bool repeatable = false;
 };
 
 struct WantSlot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4979,7 +4980,8 @@
     VT_CANARY_VERSION = 36,
     VT_TEAM = 38,
     VT_WEIGHT = 40,
-    VT_DATA_CENTRE = 42
+    VT_DATA_CENTRE = 42,
+    VT_REPEATABLE = 44
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -5041,6 +5043,9 @@
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
+  bool repeatable() const {
+    return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -5068,6 +5073,7 @@
            VerifyField<double>(verifier, VT_WEIGHT, 8) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
+           VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
            verifier.EndTable();
   }
   WantSlotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5139,6 +5145,9 @@
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
     fbb_.AddOffset(WantSlot::VT_DATA_CENTRE, data_centre);
   }
+  void add_repeatable(bool repeatable) {
+    fbb_.AddElement<uint8_t>(WantSlot::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
+  }
   explicit WantSlotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5171,7 +5180,8 @@
     flatbuffers::Offset<flatbuffers::String> canary_version = 0,
     uint64_t team = 0,
     double weight = 1.0,
-    flatbuffers::Offset<flatbuffers::String> data_centre = 0) {
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    bool repeatable = false) {
   WantSlotBuilder builder_(_fbb);
   builder_.add_weight(weight);
   builder_.add_team(team);
@@ -5190,6 +5200,7 @@
   builder_.add_groups(groups);
   builder_.add_group(group);
   builder_.add_service(service);
+  builder_.add_repeatable(repeatable);
   builder_.add_crash_standing(crash_standing);
   builder_.add_by_length(by_length);
   builder_.add_model_server(model_server);
@@ -5222,7 +5233,8 @@
     const char *canary_version = nullptr,
     uint64_t team = 0,
     double weight = 1.0,
-    const char *data_centre = nullptr) {
+    const char *data_centre = nullptr,
+    bool repeatable = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
@@ -5249,7 +5261,8 @@
       canary_version__,
       team,
       weight,
-      data_centre__);
+      data_centre__,
+      repeatable);
 }
 
 flatbuffers::Offset<WantSlot> CreateWantSlot(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8091,7 +8104,8 @@
       (lhs.canary_version == rhs.canary_version) &&
       (lhs.team == rhs.team) &&
       (lhs.weight == rhs.weight) &&
-      (lhs.data_centre == rhs.data_centre);
+      (lhs.data_centre == rhs.data_centre) &&
+      (lhs.repeatable == rhs.repeatable);
 }
 
 inline bool operator!=(const WantSlotT &lhs, const WantSlotT &rhs) {
@@ -8128,6 +8142,7 @@
   { auto _e = team(); _o->team = _e; }
   { auto _e = weight(); _o->weight = _e; }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = repeatable(); _o->repeatable = _e; }
 }
 
 inline flatbuffers::Offset<WantSlot> WantSlot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantSlotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8158,6 +8173,7 @@
   auto _team = _o->team;
   auto _weight = _o->weight;
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _repeatable = _o->repeatable;
   return lavenderkeel::fbs::CreateWantSlot(
       _fbb,
       _attempt,
@@ -8179,7 +8195,8 @@
       _canary_version,
       _team,
       _weight,
-      _data_centre);
+      _data_centre,
+      _repeatable);
 }
 
 
