Fakes: servers with a speed each, and servers that fail some requests

SimulatedServers takes a slowness by server, which may change while requests run, and a period of error answers. FleetSimulation can have a plain service.

--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -51,6 +51,9 @@
               [this](const std::string&) -> leaf::result<RouteTableContent> {
             RouteTableContent content = ForwardSimulation::Table();
             content.teams.front().rate = options_.rate;
+            if (options_.plain_service) {
+              content.services.front().batch_slots = 0;
+            }
             return content;
           },
           .decode_server =
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -29,6 +29,8 @@
     int seeds = 3;
     /// Whether the store lists a server "s" from the start.
     bool with_server = true;
+    /// Whether the servers are a plain service instead of engines.
+    bool plain_service = false;
     /// Token rate of the only team.
     TeamRate rate;
     EventLog log = {};
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -12,6 +12,7 @@
 constexpr Duration kStep = std::chrono::milliseconds(10);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -128,7 +129,8 @@
       .status = status,
       .fields = {{"Request-Id", run.attempt.Field("Request-Id")}},
       .framing = BodyFraming::kLength};
-  head.fields.push_back(status == kOk ? HttpField{"Response-Seal", "seal"}
+  const bool has_run = status == kOk || status == kServerError;
+  head.fields.push_back(has_run ? HttpField{"Response-Seal", "seal"}
                                       : HttpField{"Not-Executed", "1"});
   if (status != kMisdirected) {
     const Server& server = servers_[run.server];
@@ -199,15 +201,23 @@
     }
     return;
   }
-  if (ran >= options_.answer_delay) {
+  if (run.worked >= options_.answer_delay) {
     std::erase_if(runs_, [&run](const Run& other) {
       return other.entry == run.entry &&
              other.attempt.attempt == run.attempt.attempt;
     });
-    Answer(run, kOk);
+    Answer(run, NextStatus(servers_[run.server]));
   }
 }
 
+int SimulatedServers::NextStatus(Server& server) {
+  ++server.answers;
+  return server.failing_period > 0 &&
+                 server.answers % server.failing_period == 0
+             ? kServerError
+             : kOk;
+}
+
 void SimulatedServers::Step() {
   for (size_t i = 0; i < servers_.size(); ++i) {
     if (!servers_[i].up && fleet_.Now() >= servers_[i].restart_at) {
@@ -222,6 +232,10 @@
       pending_removals_.erase(current);
     }
   }
+  for (Run& run : runs_) {
+    run.worked += std::chrono::duration_cast<Duration>(
+        kStep / servers_[run.server].slowness);
+  }
   for (int entry = 0; entry < fleet_.entries(); ++entry) {
     if (fleet_.IsRunning(entry)) {
       ReceiveAttempts(entry);
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -55,6 +55,15 @@
     servers_[ToIndex(server)].pushback = retry_after;
     servers_[ToIndex(server)].only_entry = only_entry;
   }
+  /// Makes runs at the server take longer by this factor from now on.
+  void SetSlowness(int server, double slowness) {
+    servers_[ToIndex(server)].slowness = slowness;
+  }
+  /// Makes the server answer one in `period` requests with an error; zero:
+  /// none.
+  void SetFailing(int server, int period) {
+    servers_[ToIndex(server)].failing_period = period;
+  }
   /// Makes the server add fields to its answers.
   void SetAnswerFields(int server, const HttpFields& fields) {
     servers_[ToIndex(server)].answer_fields = fields;
@@ -95,6 +104,10 @@
     bool leaving = false;
     std::optional<Duration> pushback;
     int only_entry = -1;
+    double slowness = 1;
+    int failing_period = 0;
+    /// Number of answers since the start.
+    int answers = 0;
   };
   struct Run {
     int entry = 0;
@@ -103,6 +116,8 @@
     std::string body;
     size_t server = 0;
     TimePoint started_at;
+    /// Work done so far, as time at a server of usual speed.
+    Duration worked{};
   };
 
   static size_t ToIndex(int server) { return static_cast<size_t>(server); }
@@ -118,6 +133,8 @@
   std::vector<Run> TakeRuns(size_t server);
   void Fail(const Run& run, AttemptFailure failure);
   void Answer(const Run& run, int status);
+  /// Returns the status of the server's next answer to a run that is complete.
+  int NextStatus(Server& server);
   /// Whether the entry still waits for the answer of the run.
   bool IsAwaited(const Run& run) const;
 
