Placement: servers that were slow or failed are probed, equal servers get equal shares

Cause: the pace of a server was the mean of its last samples, however old. A server that had been slow got no requests, so no samples, and stayed out of use. A server in backoff got a full load at its end. Among equal servers a fixed order by hash decided, so the first were filled first. A stalled server showed only when its late answers came.

With `server_probes` a scheduler keeps, for each server, its pace relative to the service in the same seconds, the running grants that take longer than most, and how a server returns: single probes by requests of the least urgent rank, then a capacity that grows with each answer. Streams take turns among equal servers; other requests go to the least loaded, then to the one without a new request for longest. Off, decisions are as before.

Why this holds: a pace without samples returns to the long-term one, which some slow seconds hardly move; a probe each half second shows the rest.

--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/forward/internal/forward_wire.h"
+#include "lavenderkeel/pace/pace_log.h"
 
 namespace lavenderkeel {
 
@@ -84,6 +85,7 @@
       notices_(WithSelf(options_.notices, self_name_), clock, log),
       slot_scheduler_(
           {.placement = options_.placement,
+           .paces = {.on_event = PaceLog(log, metrics)},
            .fair_shares = options_.fair_shares},
           directory_,
           notices_,
--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <optional>
-#include <set>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
@@ -35,6 +36,7 @@
   uint64_t hash = 0;
   /// Null before the first attempt at the server ends.
   const ServerLoad* load = nullptr;
+  PaceTracker::View view;
 };
 
 /// Returns the median over the servers that have a sample; it stands in for the
@@ -78,10 +80,12 @@
                            double relative_pace,
                            bool unconfirmed) const {
   double cost = relative_pace;
-  constexpr uint64_t kSteps = 1024;
-  const uint64_t rank =
-      HashBytes(start_key, HashBytes(options_.entry)) % kSteps;
-  cost *= 1 + options_.entry_cost_spread * static_cast<double>(rank) / kSteps;
+  if (!options_.server_probes) {
+    constexpr uint64_t kSteps = 1024;
+    const uint64_t rank =
+        HashBytes(start_key, HashBytes(options_.entry)) % kSteps;
+    cost *= 1 + options_.entry_cost_spread * static_cast<double>(rank) / kSteps;
+  }
   return unconfirmed ? cost * kLastResortCostFactor : cost;
 }
 
@@ -96,10 +100,14 @@
     const uint64_t hash = HashBytes(key);
     if (group.Contains(hash) && !state.notices.BlocksAllEntries(key)) {
       const ServerLoad* load = FindLoad(state.loads, key);
-      servers.push_back({.server = server,
-                         .key = std::move(key),
-                         .hash = hash,
-                         .load = load});
+      servers.push_back(
+          {.server = server,
+           .key = std::move(key),
+           .hash = hash,
+           .load = load,
+           .view = options_.server_probes
+                       ? state.paces.ViewOf(hash, model_server, now)
+                       : PaceTracker::View()});
     }
   }
   // Crashed servers always have free capacity, so they would attract requests
@@ -108,27 +116,52 @@
   const auto is_in_backoff = [&](const KnownServer& known) {
     return known.load != nullptr && known.load->IsInBackoff(now);
   };
-  std::set<std::string_view> healthy_versions;
+  struct VersionHealth {
+    int healthy = 0;
+    int failed = 0;
+  };
+  std::map<std::string_view, VersionHealth> health_by_version;
   for (const KnownServer& known : servers) {
-    if (!is_in_backoff(known)) {
-      healthy_versions.insert(known.server->version);
-    }
+    VersionHealth& health = health_by_version[known.server->version];
+    ++(is_in_backoff(known) || known.view.probes_only ? health.failed
+                                                      : health.healthy);
   }
+  // Where most servers fail, as under a fault that all share, the others could
+  // not serve the load of all.
+  const auto gets_probes_only = [&](const KnownServer& known) {
+    const VersionHealth& health = health_by_version.at(known.server->version);
+    return known.view.probes_only && health.healthy >= health.failed;
+  };
   std::erase_if(servers, [&](const KnownServer& known) {
-    return is_in_backoff(known) &&
-           healthy_versions.contains(known.server->version);
+    return is_in_backoff(known) && !gets_probes_only(known) &&
+           health_by_version.at(known.server->version).healthy > 0;
   });
   const double median_pace_ms =
-      MedianOf(servers, &ServerSpeed::pace_ms).value_or(0);
+      options_.server_probes
+          ? state.paces.ServicePaceMs(service)
+          : MedianOf(servers, &ServerSpeed::pace_ms).value_or(0);
   const double median_read_ms_per_token =
       MedianOf(servers, &ServerSpeed::read_ms_per_token).value_or(0);
   Candidates candidates;
   for (const KnownServer& known : servers) {
     const double pace_ms =
-        MeasuredOr(known.load, &ServerSpeed::pace_ms, median_pace_ms);
-    const double relative_pace =
-        median_pace_ms > 0 ? pace_ms / median_pace_ms : 1;
+        options_.server_probes
+            ? median_pace_ms * known.view.relative_pace
+            : MeasuredOr(known.load, &ServerSpeed::pace_ms, median_pace_ms);
+    double relative_pace = median_pace_ms > 0 ? pace_ms / median_pace_ms : 1;
+    if (options_.server_probes) {
+      relative_pace = known.view.relative_pace;
+    }
     const int in_flight = state.occupancy.InFlight(known.hash);
+    const int full_capacity = CapacityOf(*known.server, model_server);
+    const bool probes_only = gets_probes_only(known);
+    int capacity = full_capacity;
+    if (options_.server_probes) {
+      capacity = std::min(capacity, known.view.capacity);
+      if (probes_only) {
+        capacity = in_flight + (known.view.probe_due ? 1 : 0);
+      }
+    }
     const Candidate candidate = {
         .server = known.server,
         .hash = known.hash,
@@ -136,13 +169,21 @@
                          state.directory.IsUnconfirmed(known.key)),
         .in_flight = in_flight,
         .capacity = std::min(
-            CapacityOf(*known.server, model_server),
+            capacity,
             in_flight + state.rate_limiter.Permits(known.key).value_or(
                             std::numeric_limits<int>::max() - in_flight)),
+        .full_capacity = full_capacity,
         .pace_ms = pace_ms,
         .read_ms_per_token =
             MeasuredOr(known.load, &ServerSpeed::read_ms_per_token,
-                       median_read_ms_per_token)};
+                       median_read_ms_per_token),
+        .probes_only = probes_only,
+        .probe_due = options_.server_probes && known.view.probe_due,
+        .in_backoff = is_in_backoff(known),
+        .last_grant_at = known.view.last_grant_at,
+        .order = static_cast<double>(candidates.servers.size()) /
+                 static_cast<double>(servers.size())};
+    candidates.probes_due = candidates.probes_due || candidate.probe_due;
     candidates.free += std::max(0, candidate.capacity - candidate.in_flight);
     candidates.capacity += candidate.capacity;
     candidates.servers.push_back(candidate);
@@ -166,12 +207,16 @@
   return stalls ? Fit::kStallsStreams : Fit::kGood;
 }
 
+double Placement::LoadFactor(const Candidate& candidate) const {
+  const int capacity =
+      options_.server_probes ? candidate.full_capacity : candidate.capacity;
+  return 1 + options_.full_server_cost * candidate.in_flight / capacity;
+}
+
 double Placement::CostWithLoad(const SlotRequest& request,
                                const Candidate& candidate,
                                const SuspectRuns& suspects) const {
-  double cost =
-      candidate.cost * (1 + options_.full_server_cost * candidate.in_flight /
-                                candidate.capacity);
+  double cost = candidate.cost * LoadFactor(candidate);
   // One scheduler grants slots to entries of all data centres.
   const std::string& home =
       request.data_centre.empty() ? options_.data_centre : request.data_centre;
@@ -215,7 +260,7 @@
     if (!MatchesVersion(request.canary_version, candidate)) {
       continue;
     }
-    if (candidate.in_flight >= candidate.capacity ||
+    if (candidate.probes_only || candidate.in_flight >= candidate.capacity ||
         FitOf(request, candidate, now) == Fit::kTooSlow ||
         !suspects.Admits(candidate.hash, request.suspicion) ||
         !admits(candidate.hash)) {
@@ -230,8 +275,77 @@
   return best;
 }
 
+Placement::Candidate* Placement::ChooseProbe(const SlotRequest& request,
+                                             Candidates& candidates,
+                                             const SuspectRuns& suspects,
+                                             const Admits& admits,
+                                             TimePoint now) const {
+  // The estimate may be too low.
+  constexpr double kProbeTimeFactor = 2;
+  const double left_ms = ToFractionalMilliseconds(request.due - now);
+  for (Candidate& candidate : candidates.servers) {
+    if (!candidate.probe_due || candidate.in_flight >= candidate.capacity ||
+        !MatchesVersion(request.version, candidate) ||
+        (candidate.in_backoff && !request.repeatable) ||
+        kProbeTimeFactor * candidate.pace_ms > left_ms ||
+        FitOf(request, candidate, now) != Fit::kGood ||
+        !suspects.Admits(candidate.hash, request.suspicion) ||
+        !admits(candidate.hash) ||
+        std::ranges::find(request.tried, candidate.hash) !=
+            request.tried.end()) {
+      continue;
+    }
+    return &candidate;
+  }
+  return nullptr;
+}
+
+Placement::Candidate* Placement::ChooseAmongEquals(const SlotRequest& request,
+                                                   Candidates& candidates,
+                                                   Candidate& best,
+                                                   TimePoint now) const {
+  const auto cost_without_load = [this](const Candidate& candidate) {
+    return candidate.total_cost / LoadFactor(candidate);
+  };
+  const double max_cost =
+      cost_without_load(best) * (1 + options_.equal_cost_tolerance);
+  const bool streams = request.event_gap_target > Duration::zero();
+  // Streams go to the first servers in an order that changes with time, since a
+  // long prompt needs a server without streams. Other requests go to the server
+  // with the least load, then to the one that has been without a new request
+  // for the longest time.
+  constexpr double kGoldenRatio = 0.6180339887498949;
+  const double shift =
+      kGoldenRatio * static_cast<double>(now.time_since_epoch() /
+                                         options_.first_server_period);
+  const auto key = [&](const Candidate& candidate) {
+    const double load =
+        static_cast<double>(candidate.in_flight) / candidate.full_capacity;
+    const double order = candidate.order + shift;
+    const double stream_cost =
+        LoadFactor(candidate) *
+        (1 + options_.entry_cost_spread * (order - std::floor(order)));
+    return std::tuple(streams ? stream_cost : load, candidate.last_grant_at,
+                      candidate.order);
+  };
+  Candidate* chosen = &best;
+  auto chosen_key = key(best);
+  for (Candidate& candidate : candidates.servers) {
+    if (candidate.total_cost < 0 || cost_without_load(candidate) > max_cost) {
+      continue;
+    }
+    const auto candidate_key = key(candidate);
+    if (candidate_key < chosen_key) {
+      chosen = &candidate;
+      chosen_key = candidate_key;
+    }
+  }
+  return chosen;
+}
+
 Placement::Candidate* Placement::Choose(const SlotRequest& request,
                                         bool late,
+                                        bool can_probe,
                                         Candidates& candidates,
                                         const SuspectRuns& suspects,
                                         const Admits& admits,
@@ -240,9 +354,15 @@
           ChooseCanary(request, candidates, suspects, admits, now)) {
     return canary;
   }
+  if (can_probe && candidates.probes_due) {
+    if (Candidate* probed =
+            ChooseProbe(request, candidates, suspects, admits, now)) {
+      return probed;
+    }
+  }
   Fit worst_accepted_fit = Fit::kTooSlow;
   for (Candidate& candidate : candidates.servers) {
-    if (!MatchesVersion(request.version, candidate)) {
+    if (candidate.probes_only || !MatchesVersion(request.version, candidate)) {
       continue;
     }
     candidate.fit = FitOf(request, candidate, now);
@@ -254,7 +374,8 @@
   Candidate* best = nullptr;
   double best_cost = 0;
   for (Candidate& candidate : candidates.servers) {
-    if (!MatchesVersion(request.version, candidate) ||
+    candidate.total_cost = -1;
+    if (candidate.probes_only || !MatchesVersion(request.version, candidate) ||
         candidate.in_flight >= candidate.capacity ||
         candidate.fit > worst_accepted_fit ||
         !suspects.Admits(candidate.hash, request.suspicion) ||
@@ -262,12 +383,15 @@
       continue;
     }
     const double cost = CostWithLoad(request, candidate, suspects);
+    candidate.total_cost = cost;
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
     }
   }
-  return best;
+  return options_.server_probes && best != nullptr
+             ? ChooseAmongEquals(request, candidates, *best, now)
+             : best;
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -12,6 +12,7 @@
 #include "lavenderkeel/forward/slot_occupancy.h"
 #include "lavenderkeel/forward/suspect_runs.h"
 #include "lavenderkeel/notice/server_rate_limiter.h"
+#include "lavenderkeel/pace/pace_tracker.h"
 
 namespace lavenderkeel {
 
@@ -60,6 +61,11 @@
     /// Whether servers that were slow are tried again, and equal servers get
     /// equal shares at low load.
     bool server_probes = false;
+    /// Relative cost difference up to which servers count as equal: the noise
+    /// of the measured pace.
+    double equal_cost_tolerance = 0.1;
+    /// After this time another of the equal model servers gets streams first.
+    Duration first_server_period = std::chrono::milliseconds(500);
   };
 
   /// Suitability of a server for a request, best first.
@@ -80,12 +86,24 @@
     double cost = 1;
     int in_flight = 0;
     int capacity = 1;
+    /// Capacity of the server when it is well; its load is relative to this.
+    int full_capacity = 1;
     /// Time between two events of a stream, and time per prompt token; zero if
     /// unknown.
     double pace_ms = 0;
     double read_ms_per_token = 0;
+    /// Whether the server gets probes only.
+    bool probes_only = false;
+    bool probe_due = false;
+    /// Whether the server failed so recently that a request is likely lost.
+    bool in_backoff = false;
+    TimePoint last_grant_at;
+    /// Place in the fixed order of the servers, from 0 to 1.
+    double order = 0;
     /// For the request that was last passed to Choose.
     Fit fit = Fit::kGood;
+    /// Cost for that request; below zero if the server can't get it.
+    double total_cost = -1;
   };
 
   /// Servers of a group that may get requests. Computed once per queue: a burst
@@ -94,11 +112,14 @@
     std::vector<Candidate> servers;
     int free = 0;
     int capacity = 0;
+    /// Whether some server is to be probed.
+    bool probes_due = false;
 
     /// Counts one more request at the server.
     void AddRequest(Candidate& candidate) {
       ++candidate.in_flight;
       --free;
+      candidate.probe_due = false;
     }
   };
 
@@ -109,6 +130,7 @@
     const SlotOccupancy& occupancy;
     const ServerNotices& notices;
     const ServerRateLimiter& rate_limiter;
+    const PaceTracker& paces;
   };
 
   explicit Placement(Options options) : options_(std::move(options)) {}
@@ -122,11 +144,14 @@
   /// Returns whether a server accepts requests of the entry that asks.
   using Admits = std::function<bool(uint64_t server)>;
 
+  /// @param can_probe whether the request may be sent to a server that is
+  ///     likely slow or failing
   /// @param late whether the request can no longer be in time
   /// @return the best candidate with free capacity that fits the request, or
   ///     null
   Candidate* Choose(const SlotRequest& request,
                     bool late,
+                    bool can_probe,
                     Candidates& candidates,
                     const SuspectRuns& suspects,
                     const Admits& admits,
@@ -146,6 +171,18 @@
                           const SuspectRuns& suspects,
                           const Admits& admits,
                           TimePoint now) const;
+  /// @return a server that is to be probed and that the request fits, or null
+  Candidate* ChooseProbe(const SlotRequest& request,
+                         Candidates& candidates,
+                         const SuspectRuns& suspects,
+                         const Admits& admits,
+                         TimePoint now) const;
+  /// Returns the preferred one of the servers that cost about as much as the
+  /// best.
+  Candidate* ChooseAmongEquals(const SlotRequest& request,
+                               Candidates& candidates,
+                               Candidate& best,
+                               TimePoint now) const;
   int CapacityOf(const BackendServer& server, bool model_server) const;
   /// Returns the cost including the load, the distance from the entry that
   /// holds the request, and the crash risk for the request and the requests at
@@ -153,6 +190,7 @@
   double CostWithLoad(const SlotRequest& request,
                       const Candidate& candidate,
                       const SuspectRuns& suspects) const;
+  double LoadFactor(const Candidate& candidate) const;
   double BaseCost(const std::string& start_key,
                   double relative_pace,
                   bool unconfirmed) const;
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -7,6 +7,16 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+PaceTracker::Options PaceOptionsOf(const SlotScheduler::Options& options) {
+  PaceTracker::Options paces = options.paces;
+  paces.enabled = options.placement.server_probes;
+  return paces;
+}
+
+}  // namespace
+
 SlotScheduler::SlotScheduler(Options options,
                              const ServerDirectory& directory,
                              const ServerNotices& notices,
@@ -19,12 +29,14 @@
       notices_(notices),
       placement_(options_.placement),
       rate_limiter_(options_.rate_limits, notices, clock),
+      paces_(PaceOptionsOf(options_)),
       pushbacks_(options_.pushbacks) {}
 
 void SlotScheduler::RequestSlot(const std::string& entry,
                                 const SlotRequest& request) {
   const AttemptKey id = {entry, request.attempt};
   last_request_times_[QueueKeyOf(request)] = clock_.Now();
+  paces_.OnRequest(request, clock_.Now());
   // The entry asks again after a reconnect: the slot that it has is offered
   // again.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
@@ -65,14 +77,18 @@
 }
 
 Duration SlotScheduler::LengthPenalty(const SlotRequest& request) const {
+  return request.by_length ? FromMilliseconds(UsualMs(request))
+                           : Duration::zero();
+}
+
+double SlotScheduler::UsualMs(const SlotRequest& request) const {
   const auto found = speeds_.find(request.service);
-  if (found == speeds_.end() || !request.by_length) {
-    return Duration::zero();
+  if (found == speeds_.end()) {
+    return 0;
   }
   const ServerSpeed& speed = found->second;
-  return FromMilliseconds(request.size.prompt_tokens *
-                              speed.read_ms_per_token().value_or(0) +
-                          request.size.events * speed.pace_ms().value_or(0));
+  return request.size.prompt_tokens * speed.read_ms_per_token().value_or(0) +
+         request.size.events * speed.pace_ms().value_or(0);
 }
 
 void SlotScheduler::DemoteLateRequests() {
@@ -113,14 +129,20 @@
     return;
   }
   const std::string server = granted->second.server;
+  // Failures count before the pace tracker sees whether they led to a backoff.
+  const BackendServer* known = directory_.Find(server);
+  if (known != nullptr) {
+    ServerLoad& load = loads_[server];
+    load.OnEnd(result, clock_.Now());
+    paces_.OnEnd(id, result, load.IsInBackoff(clock_.Now()), clock_.Now());
+  }
   EraseGrant(granted);
   occupancy_.RemoveGrant(entry, HashBytes(server));
   if (result.pushback > Duration::zero()) {
     pushbacks_.OnPushback(entry, HashBytes(server),
                           clock_.Now() + result.pushback);
   }
-  if (const BackendServer* known = directory_.Find(server)) {
-    loads_[server].OnEnd(result, clock_.Now());
+  if (known != nullptr) {
     speeds_[known->service].OnEnd(result);
     GrantFreeSlotsOfService(std::string(known->service));
   }
@@ -166,6 +188,7 @@
 
 SlotScheduler::Grants::iterator SlotScheduler::EraseGrant(
     Grants::iterator grant) {
+  paces_.OnGrantGone(grant->first);
   suspects_.Remove(HashBytes(grant->second.server), grant->second.suspicion);
   return grants_.erase(grant);
 }
@@ -222,6 +245,7 @@
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
+  paces_.Tick(directory_);
   rate_limiter_.Tick();
   pushbacks_.Tick(clock_.Now());
   GrantFreeSlots();
@@ -232,7 +256,8 @@
           .loads = loads_,
           .occupancy = occupancy_,
           .notices = notices_,
-          .rate_limiter = rate_limiter_};
+          .rate_limiter = rate_limiter_,
+          .paces = paces_};
 }
 
 void SlotScheduler::GrantFreeSlotsInQueue(const QueueKey& key,
@@ -257,9 +282,12 @@
       ++position;
       continue;
     }
+    const SlotRequest& request =
+        waiting_by_attempt_.at(current.attempt).request;
     Placement::Candidate* chosen = placement_.Choose(
-        waiting_by_attempt_.at(current.attempt).request, current.late,
-        candidates, suspects_,
+        request, current.late,
+        candidates.probes_due && paces_.CanProbe(request, now), candidates,
+        suspects_,
         [&](uint64_t server) { return pushbacks_.Admits(entry, server, now); },
         now);
     if (chosen == nullptr) {
@@ -273,8 +301,9 @@
       ++position;
       continue;
     }
+    const bool probe = chosen->probe_due;
     candidates.AddRequest(*chosen);
-    Grant(current.attempt, *chosen->server);
+    Grant(current.attempt, *chosen->server, probe);
     // The grant may have added or removed other requests.
     position = queue.upper_bound(current);
   }
@@ -290,7 +319,9 @@
       });
 }
 
-void SlotScheduler::Grant(const AttemptKey& id, const BackendServer& server) {
+void SlotScheduler::Grant(const AttemptKey& id,
+                          const BackendServer& server,
+                          bool probe) {
   const std::string key = server.start_key();
   const uint64_t hash = HashBytes(key);
   const ServerLoad& load = loads_[key];
@@ -298,7 +329,9 @@
                            .server = key,
                            .in_flight = occupancy_.InFlight(hash),
                            .pace_ms = load.speed().pace_ms().value_or(0)};
-  const CrashSuspicion suspicion = waiting_by_attempt_.at(id).request.suspicion;
+  const SlotRequest& request = waiting_by_attempt_.at(id).request;
+  const CrashSuspicion suspicion = request.suspicion;
+  paces_.OnGrant(id, key, request, UsualMs(request), probe, clock_.Now());
   Remove(id);
   grants_[id] = {
       .server = key, .granted_at = clock_.Now(), .suspicion = suspicion};
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -21,6 +21,7 @@
 #include "lavenderkeel/forward/slot_occupancy.h"
 #include "lavenderkeel/forward/suspect_runs.h"
 #include "lavenderkeel/notice/server_rate_limiter.h"
+#include "lavenderkeel/pace/pace_tracker.h"
 
 namespace lavenderkeel {
 
@@ -50,6 +51,8 @@
     Placement::Options placement;
     ServerRateLimiter::Options rate_limits;
     EntryPushbacks::Options pushbacks;
+    /// Enabled by `placement.server_probes`.
+    PaceTracker::Options paces;
     /// A grant that the entry's reports do not show after this time was lost,
     /// or the message about its end was. Twice the report period plus a network
     /// delay.
@@ -150,7 +153,10 @@
   bool IsPushedBackByAll(const std::string& entry,
                          const Placement::Candidates& candidates) const;
   void Remove(const AttemptKey& id);
-  void Grant(const AttemptKey& id, const BackendServer& server);
+  /// @param probe whether the request is to show whether the server is well
+  void Grant(const AttemptKey& id, const BackendServer& server, bool probe);
+  /// Returns the estimated time of a stream in milliseconds; zero if unknown.
+  double UsualMs(const SlotRequest& request) const;
   /// Removes a grant whose attempt no longer runs; the request counts of the
   /// server stay.
   Grants::iterator EraseGrant(Grants::iterator grant);
@@ -166,6 +172,7 @@
   SlotOccupancy occupancy_;
   ServerRateLimiter rate_limiter_;
   ServerLoads loads_;
+  PaceTracker paces_;
   /// Recent speed of each service, over all of its servers.
   std::map<std::string, ServerSpeed> speeds_;
   std::map<QueueKey, std::set<QueuePosition>> queues_;
