Pace: a server whose slowness was forgotten returns gradually too

Cause: whether a server had been slow was asked at the time of its next answer. When no probe had come and the mean had returned by itself, the answer was no: there was no server_returned line and no slow start. Now the state after the last sample counts.

--- a/lavenderkeel/pace/pace_tracker.cc
+++ b/lavenderkeel/pace/pace_tracker.cc
@@ -104,7 +104,7 @@
                              Server& server,
                              const SlotResult& result,
                              TimePoint now) {
-  const bool slow_before = server.pace.IsSlow(now);
+  const bool slow_before = server.pace.was_slow();
   bool improved = false;
   if (result.pace_ms.has_value()) {
     ServicePace& service = services_[running.service].pace;
@@ -120,7 +120,7 @@
   if (server.trial.OnAnswered(improved, grant, now)) {
     Emit(PaceEvent::Kind::kReturned, server, grant, now);
   }
-  const bool slow = server.pace.IsSlow(now);
+  const bool slow = server.pace.was_slow();
   if (slow == slow_before) {
     return;
   }
--- a/lavenderkeel/pace/relative_pace.h
+++ b/lavenderkeel/pace/relative_pace.h
@@ -104,6 +104,8 @@
     return slow_ && DecayedRecent(now) >
                         RestingPace(now) + std::log(options_.recovered_ratio);
   }
+  /// Returns whether the last sample left the server slow.
+  bool was_slow() const { return slow_; }
   /// Returns whether the server is faster than it usually is.
   bool IsFast(TimePoint now) const {
     constexpr double kFastRatio = 1.25;
--- a/test/forward/uneven_servers_test.cc
+++ b/test/forward/uneven_servers_test.cc
@@ -93,7 +93,7 @@
                            .requests_per_second = rate,
                            .seed = seed});
     servers.Simulate(seconds(20));
-    const Counts counts = servers.phase(1);
+    Counts counts = servers.phase(1);
     BOOST_TEST_MESSAGE("probes " << server_probes << ", rate " << rate
                                  << ", seed " << seed << ": "
                                  << Describe(counts));
