--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -12,6 +12,7 @@
 
 #include "bench/fitted_line.h"
 #include "lavenderkeel/dispatch.h"
+#include "lavenderkeel/forward.h"
 #include "lavenderkeel/gate.h"
 #include "lavenderkeel/wire.h"
 #include "test/fuzz/simulation.h"
@@ -380,6 +381,46 @@
   return calls_of(starts) - calls_without_starts;
 }
 
+/// Returns the time of a slot request, its grant and its end at a scheduler of
+/// plain servers that are half full.
+double GrantTime(size_t servers, bool server_probes) {
+  VirtualClock clock;
+  const EventLog log;
+  ServerDirectory directory;
+  ServerNotices notices({.self = "self"}, clock, log);
+  for (size_t i = 0; i < servers; ++i) {
+    directory.Apply(
+        {.id = "server-" + std::to_string(i), .service = "plain", .slots = 4});
+  }
+  SlotScheduler scheduler({.placement = {.server_probes = server_probes}},
+                          directory, notices, clock,
+                          [](const std::string&, const SlotGrant&) {});
+  const auto request = [&](AttemptId attempt) {
+    scheduler.RequestSlot(
+        "entry", {.attempt = attempt,
+                  .service = "plain",
+                  .in_time_until = clock.Now() + std::chrono::milliseconds(300),
+                  .due = clock.Now() + std::chrono::seconds(10),
+                  .repeatable = true});
+  };
+  // Half of the eight requests that a server of four slots may have.
+  constexpr size_t kRequestsPerServer = 4;
+  const AttemptId running = kRequestsPerServer * servers;
+  AttemptId last = 0;
+  while (last < running) {
+    request(++last);
+  }
+  constexpr AttemptId kGrants = 4000;
+  const double before = UserMicroseconds();
+  for (AttemptId i = 0; i < kGrants; ++i) {
+    clock.Advance(std::chrono::milliseconds(1));
+    scheduler.ReleaseSlot("entry", last - running + 1,
+                          {.kind = SlotResult::Kind::kAnswered, .pace_ms = 60});
+    request(++last);
+  }
+  return (UserMicroseconds() - before) / kGrants;
+}
+
 json::object ToJson(const FittedLine& line) {
   return {{"name", line.name},
           {"per", line.per},
@@ -448,6 +489,11 @@
   add(MeasureLine("waiting_memory", "request", "B", requests, [](size_t n) {
     return MeasureRequests(n, RequestQuantity::kMemory);
   }));
+  const std::vector<size_t> servers = {10, 20, 40, 80};
+  add(MeasureLine("grant_time", "server", "us", servers,
+                  [](size_t n) { return GrantTime(n, false); }));
+  add(MeasureLine("grant_time_with_probes", "server", "us", servers,
+                  [](size_t n) { return GrantTime(n, true); }));
   add(MeasureLine("entry_start_calls", "start", "1", starts,
                   [](size_t n) { return RestartCalls(n, true); }));
   add(MeasureLine("agent_start_calls", "start", "1", starts,
