--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -131,7 +131,7 @@
       .framing = BodyFraming::kLength};
   const bool has_run = status == kOk || status == kServerError;
   head.fields.push_back(has_run ? HttpField{"Response-Seal", "seal"}
-                                      : HttpField{"Not-Executed", "1"});
+                                : HttpField{"Not-Executed", "1"});
   if (status != kMisdirected) {
     const Server& server = servers_[run.server];
     if (server.limit.has_value()) {
