Pace: slow seconds hardly move the usual pace of a server with few samples

Cause: the samples just before a server counts as slow, and those of slow streams that end after it has recovered, went into the long-term mean in full. With few requests, probes also went to the first server in the list.

A sample moves the mean by at most a factor of 1.5 once it is established, differences within the error of the seconds measured do not count, and of the servers that are due for a probe the one without a new request for longest is chosen.

--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -283,6 +283,7 @@
   // The estimate may be too low.
   constexpr double kProbeTimeFactor = 2;
   const double left_ms = ToFractionalMilliseconds(request.due - now);
+  Candidate* chosen = nullptr;
   for (Candidate& candidate : candidates.servers) {
     if (!candidate.probe_due || candidate.in_flight >= candidate.capacity ||
         !MatchesVersion(request.version, candidate) ||
@@ -295,9 +296,12 @@
             request.tried.end()) {
       continue;
     }
-    return &candidate;
+    // With few requests all servers may be due; each has its turn.
+    if (chosen == nullptr || candidate.last_grant_at < chosen->last_grant_at) {
+      chosen = &candidate;
+    }
   }
-  return nullptr;
+  return chosen;
 }
 
 Placement::Candidate* Placement::ChooseAmongEquals(const SlotRequest& request,
--- a/lavenderkeel/pace/relative_pace.h
+++ b/lavenderkeel/pace/relative_pace.h
@@ -40,7 +40,7 @@
     double max_sample_noise = 1.75;
     /// The same for the mean of a second: a server may be slow for that long
     /// now and then.
-    double max_second_noise = 0.8;
+    double max_second_noise = 1.2;
     /// Ratio to the long-term mean above which a server counts as slow. Its
     /// samples then have the least weight in the long-term mean: some slow
     /// seconds soon after the start must not make slowness usual.
@@ -121,11 +121,17 @@
 
  private:
   void UpdateLongTerm(double log_sample, TimePoint now) {
-    const bool outlier = IsEstablished(now) && IsSlow(now);
+    const bool established = IsEstablished(now);
+    const double weight =
+        established && IsSlow(now)
+            ? options_.long_term_weight
+            : std::max(options_.long_term_weight, 1 / samples_);
+    // Samples of slow seconds also come before and after the time in which the
+    // server counts as slow.
+    const double change = log_sample - long_term_;
+    const double limit = std::log(options_.slow_ratio);
     long_term_ +=
-        (outlier ? options_.long_term_weight
-                 : std::max(options_.long_term_weight, 1 / samples_)) *
-        (log_sample - long_term_);
+        weight * (established ? std::clamp(change, -limit, limit) : change);
   }
   double RemainingWeight(TimePoint now) const {
     return std::exp2(-ToSeconds(now - last_sample_at_) /
