--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -13,6 +13,7 @@
 #include "bench/fitted_line.h"
 #include "lavenderkeel/dispatch.h"
 #include "lavenderkeel/fairness.h"
+#include "lavenderkeel/forward.h"
 #include "lavenderkeel/gate.h"
 #include "lavenderkeel/overload.h"
 #include "lavenderkeel/rates.h"
@@ -505,6 +506,46 @@
   return (UserMicroseconds() - before) / kDecisions;
 }
 
+/// Returns the time of a slot request, its grant and its end at a scheduler of
+/// plain servers that are half full.
+double GrantTime(size_t servers, bool server_probes) {
+  VirtualClock clock;
+  const EventLog log;
+  ServerDirectory directory;
+  ServerNotices notices({.self = "self"}, clock, log);
+  for (size_t i = 0; i < servers; ++i) {
+    directory.Apply(
+        {.id = "server-" + std::to_string(i), .service = "plain", .slots = 4});
+  }
+  SlotScheduler scheduler({.placement = {.server_probes = server_probes}},
+                          directory, notices, clock,
+                          [](const std::string&, const SlotGrant&) {});
+  const auto request = [&](AttemptId attempt) {
+    scheduler.RequestSlot(
+        "entry", {.attempt = attempt,
+                  .service = "plain",
+                  .in_time_until = clock.Now() + std::chrono::milliseconds(300),
+                  .due = clock.Now() + std::chrono::seconds(10),
+                  .repeatable = true});
+  };
+  // Half of the eight requests that a server of four slots may have.
+  constexpr size_t kRequestsPerServer = 4;
+  const AttemptId running = kRequestsPerServer * servers;
+  AttemptId last = 0;
+  while (last < running) {
+    request(++last);
+  }
+  constexpr AttemptId kGrants = 4000;
+  const double before = UserMicroseconds();
+  for (AttemptId i = 0; i < kGrants; ++i) {
+    clock.Advance(std::chrono::milliseconds(1));
+    scheduler.ReleaseSlot("entry", last - running + 1,
+                          {.kind = SlotResult::Kind::kAnswered, .pace_ms = 60});
+    request(++last);
+  }
+  return (UserMicroseconds() - before) / kGrants;
+}
+
 json::object ToJson(const FittedLine& line) {
   return {{"name", line.name},
           {"per", line.per},
@@ -584,6 +625,11 @@
   add(MeasureLine("early_decision_time_by_servers", "group of 16 servers", "us",
                   {2, 8, 32, 128},
                   [](size_t n) { return EarlyDecisionTime(1000, n); }));
+  const std::vector<size_t> servers = {10, 20, 40, 80};
+  add(MeasureLine("grant_time", "server", "us", servers,
+                  [](size_t n) { return GrantTime(n, false); }));
+  add(MeasureLine("grant_time_with_probes", "server", "us", servers,
+                  [](size_t n) { return GrantTime(n, true); }));
   add(MeasureLine("entry_start_calls", "start", "1", starts,
                   [](size_t n) { return RestartCalls(n, true); }));
   add(MeasureLine("agent_start_calls", "start", "1", starts,
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/forward/internal/forward_wire.h"
+#include "lavenderkeel/pace/pace_log.h"
 
 namespace lavenderkeel {
 
@@ -85,6 +86,7 @@
       share_log_(log, metrics),
       slot_scheduler_(
           {.placement = options_.placement,
+           .paces = {.on_event = PaceLog(log, metrics)},
            .fair_shares = options_.fair_shares,
            .on_share_decision =
                [this](const ShareDecision& decision) {
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -25,6 +25,12 @@
   return true;
 }
 
+PaceTracker::Options PaceOptionsOf(const SlotScheduler::Options& options) {
+  PaceTracker::Options paces = options.paces;
+  paces.enabled = options.placement.server_probes;
+  return paces;
+}
+
 }  // namespace
 
 SlotScheduler::SlotScheduler(Options options,
@@ -39,6 +45,7 @@
       notices_(notices),
       placement_(options_.placement),
       rate_limiter_(options_.rate_limits, notices, clock),
+      paces_(PaceOptionsOf(options_)),
       pushbacks_(options_.pushbacks) {}
 
 void SlotScheduler::RequestSlot(const std::string& entry,
@@ -47,6 +54,7 @@
   const QueueKey key = QueueKeyOf(request);
   const TimePoint now = clock_.Now();
   groups_[key].last_request_time = now;
+  paces_.OnRequest(request, now);
   // The entry asks again after a reconnect: the slot that it has is offered
   // again.
   if (const auto granted = grants_.find(id); granted != grants_.end()) {
@@ -90,14 +98,18 @@
 }
 
 Duration SlotScheduler::LengthPenalty(const SlotRequest& request) const {
+  return request.by_length ? FromMilliseconds(UsualMs(request))
+                           : Duration::zero();
+}
+
+double SlotScheduler::UsualMs(const SlotRequest& request) const {
   const auto found = speeds_.find(request.service);
-  if (found == speeds_.end() || !request.by_length) {
-    return Duration::zero();
+  if (found == speeds_.end()) {
+    return 0;
   }
   const ServerSpeed& speed = found->second;
-  return FromMilliseconds(request.size.prompt_tokens *
-                              speed.read_ms_per_token().value_or(0) +
-                          request.size.events * speed.pace_ms().value_or(0));
+  return request.size.prompt_tokens * speed.read_ms_per_token().value_or(0) +
+         request.size.events * speed.pace_ms().value_or(0);
 }
 
 void SlotScheduler::DemoteLateRequests() {
@@ -147,14 +159,20 @@
     return;
   }
   const std::string server = granted->second.server;
+  // Failures count before the pace tracker sees whether they led to a backoff.
+  const BackendServer* known = directory_.Find(server);
+  if (known != nullptr) {
+    ServerLoad& load = loads_[server];
+    load.OnEnd(result, clock_.Now());
+    paces_.OnEnd(id, result, load.IsInBackoff(clock_.Now()), clock_.Now());
+  }
   EraseGrant(granted, /*ran=*/MayHaveRun(result.kind));
   occupancy_.RemoveGrant(entry, HashBytes(server));
   if (result.pushback > Duration::zero()) {
     pushbacks_.OnPushback(entry, HashBytes(server),
                           clock_.Now() + result.pushback);
   }
-  if (const BackendServer* known = directory_.Find(server)) {
-    loads_[server].OnEnd(result, clock_.Now());
+  if (known != nullptr) {
     speeds_[known->service].OnEnd(result);
     GrantFreeSlotsOfService(std::string(known->service));
   }
@@ -201,6 +219,7 @@
 SlotScheduler::Grants::iterator SlotScheduler::EraseGrant(
     Grants::iterator grant,
     bool ran) {
+  paces_.OnGrantGone(grant->first);
   if (const auto queue = queues_.find(grant->second.queue);
       queue != queues_.end()) {
     queue->second.End(grant->second.charge, ran);
@@ -269,6 +288,7 @@
   std::erase_if(loads_, [this](const auto& item) {
     return directory_.Find(item.first) == nullptr;
   });
+  paces_.Tick(directory_);
   rate_limiter_.Tick();
   pushbacks_.Tick(clock_.Now());
   GrantFreeSlots();
@@ -279,7 +299,8 @@
           .loads = loads_,
           .occupancy = occupancy_,
           .notices = notices_,
-          .rate_limiter = rate_limiter_};
+          .rate_limiter = rate_limiter_,
+          .paces = paces_};
 }
 
 void SlotScheduler::GrantFreeSlotsInQueue(const QueueKey& key,
@@ -305,9 +326,12 @@
     if (blocked_entries.contains(entry)) {
       continue;
     }
+    const SlotRequest& request =
+        waiting_by_attempt_.at(current->attempt).request;
     Placement::Candidate* chosen = placement_.Choose(
-        waiting_by_attempt_.at(current->attempt).request, current->late,
-        candidates, suspects_,
+        request, current->late,
+        candidates.probes_due && paces_.CanProbe(request, now), candidates,
+        suspects_,
         [&](uint64_t server) { return pushbacks_.Admits(entry, server, now); },
         now);
     if (chosen == nullptr) {
@@ -321,9 +345,10 @@
       pass->OnSkipped();
       continue;
     }
+    const bool probe = chosen->probe_due;
     candidates.AddRequest(*chosen);
     // The grant may add or remove other requests.
-    Grant(current->attempt, *chosen->server);
+    Grant(current->attempt, *chosen->server, probe);
   }
   pass.reset();
   if (candidates.free > 0) {
@@ -341,7 +366,9 @@
       });
 }
 
-void SlotScheduler::Grant(const AttemptKey& id, const BackendServer& server) {
+void SlotScheduler::Grant(const AttemptKey& id,
+                          const BackendServer& server,
+                          bool probe) {
   const std::string key = server.start_key();
   const uint64_t hash = HashBytes(key);
   const ServerLoad& load = loads_[key];
@@ -363,6 +390,8 @@
   }
   const SlotCharge charge =
       queues_.at(queue).Grant(waiting.position, waiting.work);
+  paces_.OnGrant(id, key, waiting.request, UsualMs(waiting.request), probe,
+                 now);
   Remove(id);
   grants_[id] = {.server = key,
                  .granted_at = now,
--- a/test/fairness/slot_queue_test.cc
+++ b/test/fairness/slot_queue_test.cc
@@ -474,7 +474,7 @@
   teams.Add({.team = 2}, {.priority = 1}, /*late=*/true);
   teams.Add({.team = 1}, {.priority = 1, .route_priority = 2});
   const std::vector<SlotQueue::RankSize> expected = {
-      {.rank = {.priority = 1}, .waiting = 2},
+      {.rank = {.priority = 1}, .waiting = 2, .late = 1},
       {.rank = {.priority = 1, .route_priority = 2}, .waiting = 1}};
   BOOST_TEST((teams.queue().RankSizes() == expected));
 }
