Rollouts: slowness blames a version only if more than two fifths of its servers are slow

Cause: the baseline's requests avoid servers of slow hardware, while the canary fills each of its servers in turn. A sound version on the same hardware mix therefore has more slow answers, and the pooled score reached 10 at servers of a third of the fleet.

Slow answers are now scored per server (CUSUM); the highest scores, two fifths of the usable servers, are left out, and a server adds at most half of the alarm score. A version with one server is judged by that server alone.

--- a/lavenderkeel/rollout/rollout_progress.cc
+++ b/lavenderkeel/rollout/rollout_progress.cc
@@ -87,6 +87,7 @@
   if (IsTerminal(phase_)) {
     return false;
   }
+  comparison_.set_servers(input.canary_servers);
   if (comparison_.worse()) {
     return EnterPhase(RolloutPhase::kRolledBack, "worse", input.now);
   }
--- a/lavenderkeel/rollout/version_comparison.cc
+++ b/lavenderkeel/rollout/version_comparison.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <limits>
+#include <vector>
 
 namespace lavenderkeel {
 
@@ -55,17 +58,43 @@
   return allowed;
 }
 
-void VersionComparison::AddScore(double& score,
-                                 double& total,
-                                 double samples,
-                                 double bad,
-                                 double baseline,
-                                 double worse_version) {
-  const double change =
-      bad * std::log(worse_version / baseline) +
-      (samples - bad) * std::log((1 - worse_version) / (1 - baseline));
-  score = std::max(0.0, score + change);
-  total = std::max(0.0, total + change);
+double VersionComparison::ScoreChange(double samples,
+                                      double bad,
+                                      double baseline,
+                                      double worse_version) {
+  return bad * std::log(worse_version / baseline) +
+         (samples - bad) * std::log((1 - worse_version) / (1 - baseline));
+}
+
+void VersionComparison::AddScore(double change,
+                                 double max_score,
+                                 double& score) {
+  score = std::clamp(score + change, 0.0, max_score);
+}
+
+size_t VersionComparison::servers_not_compared() const {
+  return static_cast<size_t>(options_.max_slow_servers *
+                             static_cast<double>(servers_));
+}
+
+double VersionComparison::max_slow_score_of_server() const {
+  const size_t compared =
+      std::max<size_t>(servers_, 1) - servers_not_compared();
+  return compared > 1 ? options_.alarm_score / 2 : options_.alarm_score * 2;
+}
+
+double VersionComparison::SlowScore(
+    const std::map<uint64_t, double>& by_server) const {
+  std::vector<double> scores;
+  for (const auto& [server, score] : by_server) {
+    scores.push_back(score);
+  }
+  std::ranges::sort(scores, std::greater());
+  double sum = 0;
+  for (size_t i = servers_not_compared(); i < scores.size(); ++i) {
+    sum += scores[i];
+  }
+  return sum;
 }
 
 void VersionComparison::AddBaseline(uint64_t route, const AnswerCounts& added) {
@@ -81,7 +110,6 @@
   RouteState& state = routes_[route];
   answers_ += added.answered;
   failures_.AddServer(server);
-  slow_.AddServer(server);
   if (added.answered > 0) {
     const double baseline = state.failures.Estimate(options_.min_failures);
     const double worse_version =
@@ -90,16 +118,21 @@
                      options_.failure_increase);
     const double bad = failures_.Add(
         server, added.failed + options_.broken_weight * added.broken, options_);
-    AddScore(state.failure_score, total_failure_score_, added.answered, bad,
-             baseline, worse_version);
+    const double change =
+        ScoreChange(added.answered, bad, baseline, worse_version);
+    constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+    AddScore(change, kUnlimited, state.failure_score);
+    AddScore(change, kUnlimited, total_failure_score_);
   }
   if (added.timed > 0) {
     const double baseline = state.slow.Estimate(options_.min_slow);
     const double worse_version =
         std::min(kMaxBadFraction, baseline + options_.slow_increase);
-    const double bad = slow_.Add(server, added.slow, options_);
-    AddScore(state.slow_score, total_slow_score_, added.timed, bad, baseline,
-             worse_version);
+    const double change =
+        ScoreChange(added.timed, added.slow, baseline, worse_version);
+    const double max_score = max_slow_score_of_server();
+    AddScore(change, max_score, state.slow_scores[server]);
+    AddScore(change, max_score, total_slow_scores_[server]);
   }
 }
 
@@ -112,9 +145,9 @@
 }
 
 double VersionComparison::slow_score() const {
-  double highest = total_slow_score_;
+  double highest = SlowScore(total_slow_scores_);
   for (const auto& [route, state] : routes_) {
-    highest = std::max(highest, state.slow_score);
+    highest = std::max(highest, SlowScore(state.slow_scores));
   }
   return highest;
 }
--- a/lavenderkeel/rollout/version_comparison.h
+++ b/lavenderkeel/rollout/version_comparison.h
@@ -36,11 +36,15 @@
     /// Weight of a lost connection relative to a failed answer; lower, since
     /// servers of any version may crash.
     double broken_weight = 0.25;
-    /// Bad answers of a single server count up to the first value plus the
+    /// Failed answers of a single server count up to the first value plus the
     /// second times the mean of the other servers: a fault of a server affects
     /// that server, a fault of a version affects all of them.
     double max_from_one_server = 2;
     double per_others_mean = 2;
+    /// Slowness counts only if more servers of the new version are slow than
+    /// this fraction: servers of a service may differ in speed, and the
+    /// baseline avoids the slow ones.
+    double max_slow_servers = 0.4;
   };
 
   explicit VersionComparison(const Options& options) : options_(options) {}
@@ -52,6 +56,8 @@
   /// Returns the highest sum over all routes and the total.
   double failure_score() const;
   double slow_score() const;
+  /// Sets the number of usable servers of the new version.
+  void set_servers(size_t servers) { servers_ = servers; }
   double score() const { return std::max(failure_score(), slow_score()); }
   bool worse() const { return score() >= options_.alarm_score; }
   bool in_doubt() const { return score() >= options_.doubt_score; }
@@ -74,9 +80,10 @@
     RecentFraction failures;
     RecentFraction slow;
     double failure_score = 0;
-    double slow_score = 0;
+    /// By server.
+    std::map<uint64_t, double> slow_scores;
   };
-  /// Bad answers per server, to distinguish a bad server from a bad version.
+  /// Failed answers per server, to distinguish a bad server from a bad version.
   class BadAnswersByServer {
    public:
     /// @return how many of the `added` bad answers count against the version
@@ -88,19 +95,23 @@
     double total_ = 0;
   };
 
-  static void AddScore(double& score,
-                       double& total,
-                       double samples,
-                       double bad,
-                       double baseline,
-                       double worse_version);
+  /// Returns the change of a sum of log likelihood ratios.
+  static double ScoreChange(double samples,
+                            double bad,
+                            double baseline,
+                            double worse_version);
+  static void AddScore(double change, double max_score, double& score);
+  /// Returns the sum of the scores of all but the slowest servers.
+  double SlowScore(const std::map<uint64_t, double>& by_server) const;
+  double max_slow_score_of_server() const;
+  size_t servers_not_compared() const;
 
   Options options_;
   std::map<uint64_t, RouteState> routes_;
   BadAnswersByServer failures_;
-  BadAnswersByServer slow_;
   double total_failure_score_ = 0;
-  double total_slow_score_ = 0;
+  std::map<uint64_t, double> total_slow_scores_;
+  size_t servers_ = 0;
   uint32_t answers_ = 0;
 };
 
--- a/test/rollout/version_comparison_test.cc
+++ b/test/rollout/version_comparison_test.cc
@@ -26,6 +26,21 @@
   }
 }
 
+/// Adds answers of the canary at eight servers in rotation; all answers of the
+/// first `slow_servers` are slow.
+void AddSlowCanary(VersionComparison& comparison,
+                   int answers,
+                   uint64_t slow_servers) {
+  constexpr uint64_t kServers = 8;
+  comparison.set_servers(kServers);
+  for (int i = 0; i < answers; ++i) {
+    const uint64_t server = static_cast<uint64_t>(i) % kServers;
+    const uint32_t slow = server < slow_servers ? 1 : 0;
+    comparison.AddCanary(kRoute, server,
+                         {.answered = 1, .timed = 1, .slow = slow});
+  }
+}
+
 }  // namespace
 
 // Guards against rejecting, by chance, a version that fails as often as the
@@ -78,4 +93,29 @@
   BOOST_TEST(!comparison.worse());
 }
 
+// Guards against rejecting a version because a third of its servers are slow
+// hardware, which the baseline has too but avoids.
+BOOST_AUTO_TEST_CASE(SlowServersDoNotBlameTheVersion) {
+  VersionComparison comparison = WithBaseline(1000, 10);
+  AddSlowCanary(comparison, 160, 3);
+  BOOST_TEST(!comparison.in_doubt());
+}
+
+// Guards against missing a version that is slow at all of its servers.
+BOOST_AUTO_TEST_CASE(VersionThatIsSlowAtAllServersIsFound) {
+  VersionComparison comparison = WithBaseline(1000, 10);
+  AddSlowCanary(comparison, 40, 8);
+  BOOST_TEST(comparison.worse());
+}
+
+// Guards against missing a slow version that has a single server.
+BOOST_AUTO_TEST_CASE(SlowVersionWithOneServerIsFound) {
+  VersionComparison comparison = WithBaseline(1000, 10);
+  comparison.set_servers(1);
+  for (int i = 0; i < 8; ++i) {
+    comparison.AddCanary(kRoute, 1, {.answered = 1, .timed = 1, .slow = 1});
+  }
+  BOOST_TEST(comparison.worse());
+}
+
 }  // namespace lavenderkeel
