Rollouts: an attempt that is silent for too long counts as slow, not as failed

Cause: an attempt that is ended because nothing arrived was counted as a failed answer. A test for small increases of failures can't tell this from a bad version.

The attempt now counts as a slow answer of its server, where slowness of a few servers doesn't blame the version; a version that hangs is slow at all its servers.

Ruled out as the source of those failures: the route "once" (its answers fail equally often at both versions).

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -615,7 +615,7 @@
     crashes_.OnServerUnreachable(HashBytes(request.server));
   }
   if (failure == AttemptFailure::kSilent) {
-    version_selector_.OnFailed(request.service, request.version_attempt);
+    version_selector_.OnSilent(request.service, request.version_attempt);
   } else if (failure == AttemptFailure::kDisconnected ||
              failure == AttemptFailure::kBroken) {
     version_selector_.OnBroken(request.service, request.version_attempt);
--- a/lavenderkeel/rollout/version_selector.cc
+++ b/lavenderkeel/rollout/version_selector.cc
@@ -287,6 +287,17 @@
   }
 }
 
+void VersionSelector::OnSilent(const std::string& service, Attempt& attempt) {
+  RolloutState* rollout = FindCounted(service, attempt);
+  if (rollout == nullptr || !attempt.sampled || attempt.slow) {
+    return;
+  }
+  attempt.slow = true;
+  AnswerCounts& counts = CountsOf(*rollout, attempt);
+  ++counts.timed;
+  ++counts.slow;
+}
+
 std::vector<RolloutCounts> VersionSelector::Report() const {
   std::vector<RolloutCounts> report;
   for (const auto& [service, rollout] : rollouts_) {
--- a/lavenderkeel/rollout/version_selector.h
+++ b/lavenderkeel/rollout/version_selector.h
@@ -117,6 +117,8 @@
   void OnNoAnswerYet(const std::string& service,
                      Attempt& attempt,
                      Duration since);
+  /// Records that the attempt was ended because nothing arrived for too long.
+  void OnSilent(const std::string& service, Attempt& attempt);
 
   std::vector<RolloutCounts> Report() const;
   ServiceVersions& versions() { return versions_; }
--- a/test/rollout/version_selector_test.cc
+++ b/test/rollout/version_selector_test.cc
@@ -157,4 +157,20 @@
   BOOST_TEST(harness.selector.Admits("plain", "v2"));
 }
 
+// Guards against counting an attempt that was silent for too long as a failure:
+// a stream at slow hardware falls silent at any version.
+BOOST_AUTO_TEST_CASE(SilentAttemptCountsAsSlow) {
+  Harness harness;
+  harness.SetPlan(RolloutPhase::kRamp, /*share=*/0.3);
+  VersionSelector::Attempt attempt = harness.selector.OnSent(
+      "plain", "route", *harness.directory.Find("v2"), 0, /*fresh=*/true);
+  harness.selector.OnSilent("plain", attempt);
+  harness.selector.OnSilent("plain", attempt);
+  const std::vector<RolloutCounts> report = harness.selector.Report();
+  BOOST_REQUIRE(report.size() == 1);
+  BOOST_REQUIRE(report[0].canary.size() == 1);
+  BOOST_TEST((report[0].canary.begin()->second ==
+              AnswerCounts{.timed = 1, .slow = 1}));
+}
+
 }  // namespace lavenderkeel
