Rollouts: the shift waits until nothing recent suggests a small increase of failures

Cause: the shift began 1.5 s into the ramp with 0.65 of the exposure limit used, as long as the score was below 4.

- The ramp uses 0.95 of the limit, 45 in 100 requests, and lasts until half of the moving time is left, and up to 100 answers.
- A second sum per route and in total tests for a small increase (0.045); the shift waits while it is above a limit, also past the order's end, within the exposure limit.
On a route that rarely fails one failure holds the version back for some 45 answers.
A version still in doubt at twice the order's time is rolled back.
- The old version's fraction is estimated over 1500 samples instead of 400 and from 0.002 instead of 0.005: a failure where the old version has none weighs more.
- A coordinator that resumes a rollout grants no slack until an entry reports requests from before: after a restart of all entries the larger ramp would otherwise exceed the limit.

--- a/lavenderkeel/rollout/rollout_controller.cc
+++ b/lavenderkeel/rollout/rollout_controller.cc
@@ -12,6 +12,10 @@
 /// than the order's duration plus this is ignored.
 constexpr Duration kMaxOverdue = std::chrono::minutes(1);
 
+/// Coordinators read a new order within this time of its start; one that reads
+/// it later has started, or reconnected to the store, since then.
+constexpr Duration kStarting = std::chrono::seconds(1);
+
 RolloutPhase PhaseFromState(RolloutRecord::State state) {
   switch (state) {
     case RolloutRecord::State::kServing:
@@ -87,7 +91,8 @@
     if (plausible) {
       rollout.started = order.record->started;
       rollout.progress =
-          RolloutProgress(options_.progress, now - elapsed, order.duration);
+          RolloutProgress(options_.progress, now - elapsed, order.duration,
+                          /*resumed=*/elapsed > kStarting);
     }
     rollout.from = order.record->from;
   }
@@ -165,18 +170,20 @@
        .canary_servers = versions_.CountServers(order.service, order.to)});
   if (changed) {
     const VersionComparison& comparison = progress.comparison();
-    log_.Info("rollout_phase", {{"service", order.service},
-                                {"to", order.to},
-                                {"from", rollout.from},
-                                {"former", RolloutPhaseName(former)},
-                                {"phase", RolloutPhaseName(progress.phase())},
-                                {"reason", progress.reason()},
-                                {"failure_score", comparison.failure_score()},
-                                {"slow_score", comparison.slow_score()},
-                                {"answers", comparison.answers()},
-                                {"sent", progress.sent()},
-                                {"sent_to_canary", progress.sent_to_canary()},
-                                {"decides", cluster.decides}});
+    log_.Info("rollout_phase",
+              {{"service", order.service},
+               {"to", order.to},
+               {"from", rollout.from},
+               {"former", RolloutPhaseName(former)},
+               {"phase", RolloutPhaseName(progress.phase())},
+               {"reason", progress.reason()},
+               {"failure_score", comparison.failure_score()},
+               {"small_failure_score", comparison.small_failure_score()},
+               {"slow_score", comparison.slow_score()},
+               {"answers", comparison.answers()},
+               {"sent", progress.sent()},
+               {"sent_to_canary", progress.sent_to_canary()},
+               {"decides", cluster.decides}});
   }
   const bool must_write =
       !order.answered() ||
--- a/lavenderkeel/rollout/rollout_progress.cc
+++ b/lavenderkeel/rollout/rollout_progress.cc
@@ -6,16 +6,21 @@
 
 RolloutProgress::RolloutProgress(const Options& options,
                                  TimePoint started,
-                                 Duration duration)
+                                 Duration duration,
+                                 bool resumed)
     : options_(options),
       started_(started),
       duration_(duration),
+      resumed_(resumed),
       phase_since_(started),
       comparison_(options.comparison) {}
 
 void RolloutProgress::OnCounts(const std::string& entry,
                                const RolloutCounts& counts,
                                TimePoint now) {
+  if (!reports_.contains(entry) && counts.sent_to_canary > 0) {
+    resumed_ = false;
+  }
   EntryReport& report = reports_[entry];
   const auto increase = [](uint32_t next, uint32_t former) {
     return next > former ? next - former : 0;
@@ -50,16 +55,18 @@
   reason_ = "recorded";
 }
 
+double RolloutProgress::exposure_limit() const {
+  return options_.bounds.share * sent_ + (resumed_ ? 0 : options_.bounds.slack);
+}
+
 double RolloutProgress::share() const {
-  const double exposure_limit =
-      options_.bounds.share * sent_ + options_.bounds.slack;
   switch (phase_) {
     case RolloutPhase::kCanary:
-      return sent_to_canary_ < options_.canary_fraction * exposure_limit
+      return sent_to_canary_ < options_.canary_fraction * exposure_limit()
                  ? options_.canary_fraction * options_.bounds.share
                  : 0;
     case RolloutPhase::kRamp:
-      return sent_to_canary_ < options_.ramp_fraction * exposure_limit
+      return sent_to_canary_ < options_.ramp_fraction * exposure_limit()
                  ? options_.ramp_share
                  : 0;
     default:
@@ -72,6 +79,10 @@
                     options_.min_move_time, options_.max_move_time);
 }
 
+Duration RolloutProgress::shift_time() const {
+  return FromSeconds(ToSeconds(move_time()) * options_.shift_fraction);
+}
+
 bool RolloutProgress::EnterPhase(RolloutPhase phase,
                                  const char* reason,
                                  TimePoint now) {
@@ -124,9 +135,17 @@
   if (input.store_lost || !input.majority) {
     return EnterPhase(RolloutPhase::kCanary, "held", now);
   }
-  if (comparison_.in_doubt()) {
-    return now >= end() - options_.end_margin &&
-           EnterPhase(RolloutPhase::kRolledBack, "in_doubt", now);
+  if (!comparison_.as_good()) {
+    // The comparison continues past the order's end, within the exposure limit.
+    if (now < end() + duration_) {
+      return false;
+    }
+    if (comparison_.in_doubt()) {
+      return EnterPhase(RolloutPhase::kRolledBack, "in_doubt", now);
+    }
+  }
+  if (now < end() - shift_time()) {
+    return false;
   }
   const uint32_t answers = comparison_.answers() - answers_at_phase_start_;
   const uint32_t sent = sent_ - sent_at_phase_start_;
--- a/lavenderkeel/rollout/rollout_progress.h
+++ b/lavenderkeel/rollout/rollout_progress.h
@@ -25,17 +25,20 @@
     VersionComparison::Options comparison;
     /// Fractions of the exposure limit that the canary and the ramp may use.
     double canary_fraction = 0.4;
-    double ramp_fraction = 0.65;
+    double ramp_fraction = 0.95;
     /// Fraction of the service's requests sent to the new version during the
     /// ramp, while the exposure limit allows it.
-    double ramp_share = 0.3;
+    double ramp_share = 0.45;
     /// The ramp begins this fraction of the order's duration before its end.
     double move_fraction = 0.4;
+    /// The shift doesn't begin before this fraction of the time from the ramp's
+    /// begin to the order's end is left: until then the comparison continues.
+    double shift_fraction = 0.5;
     Duration min_move_time = std::chrono::milliseconds(2500);
     Duration max_move_time = std::chrono::seconds(12);
     /// The ramp lasts at least this long, and until this many answers arrived.
     Duration min_ramp_time = std::chrono::milliseconds(1500);
-    uint32_t ramp_answers = 40;
+    uint32_t ramp_answers = 100;
     /// The ramp doesn't begin, and doesn't end, before this many answers
     /// arrived.
     uint32_t min_answers = 8;
@@ -62,7 +65,11 @@
     size_t canary_servers = 0;
   };
 
-  RolloutProgress(const Options& options, TimePoint started, Duration duration);
+  /// @param resumed whether the rollout was begun before this object existed
+  RolloutProgress(const Options& options,
+                  TimePoint started,
+                  Duration duration,
+                  bool resumed = false);
 
   void OnCounts(const std::string& entry,
                 const RolloutCounts& counts,
@@ -93,11 +100,17 @@
   bool IsBaselineIdle(const StepInput& input) const;
   TimePoint end() const { return started_ + duration_; }
   Duration move_time() const;
+  Duration shift_time() const;
+  /// Returns the number of requests that the new version may get by now.
+  double exposure_limit() const;
 
   Options options_;
   TimePoint started_;
   Duration duration_;
   RolloutPhase phase_ = RolloutPhase::kCanary;
+  /// Whether the rollout was begun before and no entry has reported requests
+  /// of that time: the slack may be used up.
+  bool resumed_ = false;
   const char* reason_ = "ordered";
   TimePoint phase_since_;
   VersionComparison comparison_;
--- a/lavenderkeel/rollout/version_comparison.cc
+++ b/lavenderkeel/rollout/version_comparison.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Sample count above which both sums are halved, so that old samples fade.
-constexpr double kMaxSamples = 400;
+constexpr double kMaxSamples = 1500;
 
 /// Samples of the prior, one of which is bad.
 constexpr double kPriorSamples = 20;
@@ -86,6 +86,7 @@
 double VersionComparison::SlowScore(
     const std::map<uint64_t, double>& by_server) const {
   std::vector<double> scores;
+  scores.reserve(by_server.size());
   for (const auto& [server, score] : by_server) {
     scores.push_back(score);
   }
@@ -123,6 +124,11 @@
     constexpr double kUnlimited = std::numeric_limits<double>::infinity();
     AddScore(change, kUnlimited, state.failure_score);
     AddScore(change, kUnlimited, total_failure_score_);
+    const double small_change = ScoreChange(
+        added.answered, bad, baseline,
+        std::min(kMaxBadFraction, baseline + options_.small_failure_increase));
+    AddScore(small_change, kUnlimited, state.small_failure_score);
+    AddScore(small_change, kUnlimited, total_small_failure_score_);
   }
   if (added.timed > 0) {
     const double baseline = state.slow.Estimate(options_.min_slow);
@@ -144,6 +150,19 @@
   return highest;
 }
 
+double VersionComparison::small_failure_score() const {
+  double highest = total_small_failure_score_ / options_.max_small_score_total;
+  for (const auto& [route, state] : routes_) {
+    const bool reliable = state.failures.Estimate(options_.min_failures) <
+                          options_.small_failure_increase;
+    highest = std::max(
+        highest, state.small_failure_score /
+                     (reliable ? options_.max_small_score
+                               : options_.max_small_score_unreliable_route));
+  }
+  return highest;
+}
+
 double VersionComparison::slow_score() const {
   double highest = SlowScore(total_slow_scores_);
   for (const auto& [route, state] : routes_) {
--- a/lavenderkeel/rollout/version_comparison.h
+++ b/lavenderkeel/rollout/version_comparison.h
@@ -28,8 +28,21 @@
     /// by the first value plus the second times the baseline's fraction.
     double failure_increase = 0.04;
     double failure_increase_per_baseline = 0.7;
+    /// The increase that as_good() tests for. It doesn't grow with the
+    /// baseline's fraction, so a route that often fails contributes little.
+    double small_failure_increase = 0.045;
+    /// The new version is as good if the sums for the small increase are not
+    /// above these: of a route whose baseline fails less often than the small
+    /// increase, of a route that fails more often, and in total. On a route
+    /// that rarely fails a single recent failure exceeds the first; on one that
+    /// often fails chance alone reaches 1 within a few dozen answers.
+    double max_small_score = 0.3;
+    double max_small_score_unreliable_route = 2.5;
+    double max_small_score_total = 1;
+    /// The same for slow answers.
+    double max_slow_score = 3;
     /// Lower bound of the baseline's estimated failure fraction.
-    double min_failures = 0.005;
+    double min_failures = 0.002;
     /// The corresponding increase and lower bound for slow answers.
     double slow_increase = 0.4;
     double min_slow = 0.03;
@@ -55,12 +68,18 @@
 
   /// Returns the highest sum over all routes and the total.
   double failure_score() const;
+  /// Returns the highest sum for the small increase relative to its maximum.
+  double small_failure_score() const;
   double slow_score() const;
   /// Sets the number of usable servers of the new version.
   void set_servers(size_t servers) { servers_ = servers; }
   double score() const { return std::max(failure_score(), slow_score()); }
   bool worse() const { return score() >= options_.alarm_score; }
   bool in_doubt() const { return score() >= options_.doubt_score; }
+  /// Returns whether nothing recent suggests that the version is worse.
+  bool as_good() const {
+    return small_failure_score() < 1 && slow_score() < options_.max_slow_score;
+  }
   /// Returns the number of answers of the new version that were compared.
   uint32_t answers() const { return answers_; }
 
@@ -80,6 +99,7 @@
     RecentFraction failures;
     RecentFraction slow;
     double failure_score = 0;
+    double small_failure_score = 0;
     /// By server.
     std::map<uint64_t, double> slow_scores;
   };
@@ -110,6 +130,7 @@
   std::map<uint64_t, RouteState> routes_;
   BadAnswersByServer failures_;
   double total_failure_score_ = 0;
+  double total_small_failure_score_ = 0;
   std::map<uint64_t, double> total_slow_scores_;
   size_t servers_ = 0;
   uint32_t answers_ = 0;
--- a/lavenderkeel/rollout/version_selector.h
+++ b/lavenderkeel/rollout/version_selector.h
@@ -33,7 +33,7 @@
     /// Fractions of this entry's share of the exposure limit that the canary
     /// and the ramp may use.
     double canary_fraction = 0.4;
-    double ramp_fraction = 0.65;
+    double ramp_fraction = 0.95;
     /// An answer that takes longer than this many times the usual latency of
     /// the baseline is slow.
     double slow_factor = 2;
--- a/test/rollout/rollout_controller_test.cc
+++ b/test/rollout/rollout_controller_test.cc
@@ -169,4 +169,48 @@
   BOOST_TEST((harness.Phase() == RolloutPhase::kRamp));
 }
 
+// Guards against moving all traffic to a version with a recent failure, and
+// against rolling that version back before its comparison is conclusive.
+BOOST_AUTO_TEST_CASE(ShiftWaitsPastTheEndForAsGoodAnswers) {
+  Harness harness;
+  harness.rollouts.OnList({harness.Order(5)});
+  RolloutCounts counts = {.order = KeyOf(harness.Order(0)), .sent = 1000};
+  counts.baseline[1] = {.answered = 900, .timed = 900};
+  counts.canary[{1, 1}] = {.answered = 20, .timed = 20};
+  harness.rollouts.OnCounts("other", counts);
+  harness.clock.Advance(seconds(9));
+  harness.Tick();
+  BOOST_TEST((harness.Phase() == RolloutPhase::kRamp));
+  counts.canary[{1, 1}] = {.answered = 140, .failed = 1, .timed = 140};
+  counts.canary[{1, 2}] = {.answered = 1, .failed = 1, .timed = 1};
+  harness.rollouts.OnCounts("other", counts);
+  harness.clock.Advance(seconds(4));
+  harness.Tick();
+  BOOST_TEST((harness.Phase() == RolloutPhase::kRamp));
+  counts.canary[{1, 1}] = {.answered = 240, .failed = 1, .timed = 240};
+  harness.rollouts.OnCounts("other", counts);
+  harness.Tick();
+  BOOST_TEST((harness.Phase() == RolloutPhase::kShift));
+}
+
+// Guards against granting the slack again after all entries restarted.
+BOOST_AUTO_TEST_CASE(ResumedRolloutGrantsNoSlackAgain) {
+  Harness harness;
+  harness.clock.Advance(seconds(20));
+  RolloutOrder order = harness.Order(9);
+  order.record = {.state = State::kServing,
+                  .to = "v2",
+                  .from = "v1",
+                  .duration = seconds(12),
+                  .created = 3,
+                  .started = harness.clock.WallNow() - seconds(6)};
+  harness.rollouts.OnList({order});
+  harness.Tick();
+  BOOST_TEST(harness.rollouts.Plans().front().share == 0);
+  harness.rollouts.OnCounts(
+      "other", {.order = KeyOf(order), .sent = 400, .sent_to_canary = 10});
+  harness.Tick();
+  BOOST_TEST(harness.rollouts.Plans().front().share > 0);
+}
+
 }  // namespace lavenderkeel
--- a/test/rollout/version_comparison_test.cc
+++ b/test/rollout/version_comparison_test.cc
@@ -99,6 +99,7 @@
   VersionComparison comparison = WithBaseline(1000, 10);
   AddSlowCanary(comparison, 160, 3);
   BOOST_TEST(!comparison.in_doubt());
+  BOOST_TEST(comparison.as_good());
 }
 
 // Guards against missing a version that is slow at all of its servers.
@@ -118,4 +119,23 @@
   BOOST_TEST(comparison.worse());
 }
 
+// Guards against letting a version through right after a failure on a route
+// that doesn't fail at the baseline.
+BOOST_AUTO_TEST_CASE(RecentFailureIsNotAsGood) {
+  VersionComparison comparison = WithBaseline(1000, 0);
+  AddCanary(comparison, 40, 40);
+  BOOST_TEST(!comparison.in_doubt());
+  BOOST_TEST(!comparison.as_good());
+  AddCanary(comparison, 60, 0);
+  BOOST_TEST(comparison.as_good());
+}
+
+// Guards against holding a version back because of a route that fails as often
+// at the baseline.
+BOOST_AUTO_TEST_CASE(UsualFailuresAreAsGood) {
+  VersionComparison comparison = WithBaseline(1000, 100);
+  AddCanary(comparison, 100, 9);
+  BOOST_TEST(comparison.as_good());
+}
+
 }  // namespace lavenderkeel
