--- a/lavenderkeel/rollout/version_selector.h
+++ b/lavenderkeel/rollout/version_selector.h
@@ -33,7 +33,7 @@
     /// Fractions of this entry's share of the exposure limit that the canary
     /// and the ramp may use.
     double canary_fraction = 0.4;
-    double ramp_fraction = 0.65;
+    double ramp_fraction = 0.95;
     /// An answer that takes longer than this many times the usual latency of
     /// the baseline is slow.
     double slow_factor = 2;
@@ -117,6 +117,8 @@
   void OnNoAnswerYet(const std::string& service,
                      Attempt& attempt,
                      Duration since);
+  /// Records that the attempt was ended because nothing arrived for too long.
+  void OnSilent(const std::string& service, Attempt& attempt);
 
   std::vector<RolloutCounts> Report() const;
   ServiceVersions& versions() { return versions_; }
