--- a/test/forward/new_server_test.cc
+++ b/test/forward/new_server_test.cc
@@ -31,8 +31,8 @@
   const TimePoint begin = simulation.fleet().Now();
   simulation.SendTraffic(seconds(2));
   const auto arrivals = [&](int server) {
-    return simulation.history().CountArrivals(
-        simulation.servers().IdOf(server), begin);
+    return simulation.history().CountArrivals(simulation.servers().IdOf(server),
+                                              begin);
   };
   BOOST_TEST(arrivals(1) > arrivals(0) / 2);
 }
