Reports: queues by rank only with early refusal

Cause: the queues by rank are as long as all else in a report of a slot scheduler, which goes to every entry ten times a second (some 200 bytes for five ranks, 600 kB a second at a scheduler of 300 entries), and only early refusal reads them. Callers get the same before and after.

--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -88,6 +88,7 @@
           {.placement = options_.placement,
            .paces = {.on_event = PaceLog(log, metrics)},
            .fair_shares = options_.fair_shares,
+           .reports_ranks = options_.controller.early_refusal,
            .on_share_decision =
                [this](const ShareDecision& decision) {
                  share_log_.OnDecision(decision);
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -433,32 +433,40 @@
 std::vector<SlotGroupReport> SlotScheduler::Reports() const {
   std::vector<SlotGroupReport> reports;
   for (const auto& [key, group] : groups_) {
-    std::map<RequestRank, RankLoad> ranks;
-    for (const auto& [rank, grants] : group.grants) {
-      ranks[rank].granted = grants.count;
-    }
-    if (const auto queue = queues_.find(key); queue != queues_.end()) {
-      for (const SlotQueue::RankSize& size : queue->second.RankSizes()) {
-        RankLoad& load = ranks[size.rank];
-        load.waiting = static_cast<int>(size.waiting);
-        load.late = static_cast<int>(size.late);
-      }
-    }
-    SlotGroupReport report = {
-        .service_hash = HashBytes(key.service),
-        .group = key.group,
-        .free = FreeCapacity(key.service, key.group),
-        .waiting = static_cast<int>(waiting(key.service, key.group))};
-    for (auto& [rank, load] : ranks) {
-      load.priority = rank.priority;
-      load.route_priority = rank.route_priority;
-      report.ranks.push_back(load);
-    }
-    reports.push_back(std::move(report));
+    reports.push_back(
+        {.service_hash = HashBytes(key.service),
+         .group = key.group,
+         .free = FreeCapacity(key.service, key.group),
+         .waiting = static_cast<int>(waiting(key.service, key.group)),
+         .ranks = options_.reports_ranks ? RankLoads(key, group)
+                                         : std::vector<RankLoad>()});
   }
   return reports;
 }
 
+std::vector<RankLoad> SlotScheduler::RankLoads(const QueueKey& key,
+                                               const Group& group) const {
+  std::map<RequestRank, RankLoad> by_rank;
+  for (const auto& [rank, grants] : group.grants) {
+    by_rank[rank].granted = grants.count;
+  }
+  if (const auto queue = queues_.find(key); queue != queues_.end()) {
+    for (const SlotQueue::RankSize& size : queue->second.RankSizes()) {
+      RankLoad& load = by_rank[size.rank];
+      load.waiting = static_cast<int>(size.waiting);
+      load.late = static_cast<int>(size.late);
+    }
+  }
+  std::vector<RankLoad> loads;
+  loads.reserve(by_rank.size());
+  for (auto& [rank, load] : by_rank) {
+    load.priority = rank.priority;
+    load.route_priority = rank.route_priority;
+    loads.push_back(load);
+  }
+  return loads;
+}
+
 size_t SlotScheduler::waiting(const std::string& service,
                               const SlotGroup& group) const {
   const auto found = queues_.find({.service = service, .group = group});
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -69,6 +69,9 @@
     Duration group_expiry = std::chrono::seconds(2);
     /// Whether teams of equal rank share the slots by weight.
     bool fair_shares = false;
+    /// Whether reports have the queues by rank, which are as long as all else
+    /// in a report and go to every entry.
+    bool reports_ranks = false;
     /// Receives the decisions on requests of ranks in which several teams wait,
     /// with `fair_shares`.
     std::function<void(const ShareDecision&)> on_share_decision = {};
@@ -139,6 +142,9 @@
   };
   using Grants = std::map<AttemptKey, ActiveGrant>;
 
+  /// Returns the queues of a group by rank, and the grants since the start.
+  std::vector<RankLoad> RankLoads(const QueueKey& key,
+                                  const Group& group) const;
   static QueueKey QueueKeyOf(const SlotRequest& request) {
     return {.service = request.service, .group = request.group};
   }
--- a/test/fairness/fair_scheduler_test.cc
+++ b/test/fairness/fair_scheduler_test.cc
@@ -25,7 +25,7 @@
 /// Scheduler of one service with `servers` servers of two slots.
 struct Harness : SchedulerHarness {
   explicit Harness(bool fair_shares, int servers = 1)
-      : SchedulerHarness({.fair_shares = fair_shares}) {
+      : SchedulerHarness({.fair_shares = fair_shares, .reports_ranks = true}) {
     for (int i = 1; i <= servers; ++i) {
       directory.Apply({.id = "s" + std::to_string(i),
                        .service = "engines",
--- a/test/overload/early_refusal_controller_test.cc
+++ b/test/overload/early_refusal_controller_test.cc
@@ -95,7 +95,7 @@
 
 // Entries predict by the queue and the grants of each rank.
 BOOST_AUTO_TEST_CASE(SchedulerReportsTheQueueOfEachRank) {
-  SchedulerHarness harness;
+  SchedulerHarness harness({.reports_ranks = true});
   harness.directory.ApplyList(
       {{.id = "s", .service = "engines", .address = "10.0.0.1:1", .slots = 2}},
       harness.clock.Now());
