Placement: versions with shared errors are not looked for while the fraction is 1

Find runs for each grant, and built counts by version that could not matter with the default. Callers get the same before and after; the tests of placement and of the scheduler pass as they are.

--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -68,6 +68,10 @@
     const std::vector<KnownServer>& servers,
     double max_fraction,
     TimePoint now) {
+  // Find is called for each grant; with this fraction no version qualifies.
+  if (max_fraction >= 1) {
+    return {};
+  }
   struct Counts {
     int reachable = 0;
     int with_errors = 0;
