Logs and metrics tell each retry decision and the use of the bound

The lines could not tell apart whether the bound is exceeded by lives of a process, by entries that disagree about their number, or by when a retry is counted: only a retried server error left a line, and none said how much of the bound was used. Each decision now leaves retry or no_retry with its reason and the numbers behind it. No decision changes.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -668,9 +668,6 @@
                        .pushback = PushbackOf(request.server)});
   ++request.runs;
   if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
-    log_.Info("retry", {{"id", request.metadata.request_id},
-                        {"server", request.server},
-                        {"status", status}});
     Enqueue(request);
     return;
   }
@@ -730,24 +727,37 @@
   }
 }
 
-bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
-  const TimePoint now = clock_.Now();
-  if (request.due - now < kMinTimeForAttempt ||
-      request.tried.size() >= kMaxServersTried) {
-    return false;
+RetryRefusal ForwardController::CheckRepeatable(
+    const ForwardedRequest& request) const {
+  if (request.due - clock_.Now() < kMinTimeForAttempt) {
+    return RetryRefusal::kTime;
   }
-  const bool may_have_run = request.runs > 0;
-  if (may_have_run &&
-      (!request.may_repeat() || request.runs >= request.route->max_attempts)) {
-    return false;
+  if (request.tried.size() >= kMaxServersTried) {
+    return RetryRefusal::kServersTried;
+  }
+  if (request.runs > 0 && !request.may_repeat()) {
+    return RetryRefusal::kNotRepeatable;
+  }
+  if (request.runs >= std::max(1, request.route->max_attempts)) {
+    return RetryRefusal::kMaxAttempts;
   }
-  // After an event without an id the stream cannot be resumed.
   if (request.head_sent &&
       (!request.streams() || request.last_event_id.empty())) {
-    return false;
+    return RetryRefusal::kNoEventId;
   }
-  return state == RunState::kUnsent ||
-         retry_windows_.at(request.service).TryRetry(now);
+  return RetryRefusal::kNone;
+}
+
+bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
+  RetryWindow& window = retry_windows_.at(request.service);
+  const RetryUsage usage = window.UsageAt(clock_.Now());
+  RetryRefusal refusal = CheckRepeatable(request);
+  if (refusal == RetryRefusal::kNone && state != RunState::kUnsent &&
+      !window.TryRetry(clock_.Now())) {
+    refusal = RetryRefusal::kBound;
+  }
+  request_log_.OnRetryDecision(request, refusal, usage, sharing_entries_);
+  return refusal == RetryRefusal::kNone;
 }
 
 void ForwardController::GiveUp(ForwardedRequest& request, RunState state) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -24,6 +24,7 @@
 #include "lavenderkeel/forward/request_log.h"
 #include "lavenderkeel/forward/request_metadata.h"
 #include "lavenderkeel/forward/request_timing.h"
+#include "lavenderkeel/forward/retry_decision.h"
 #include "lavenderkeel/forward/retry_window.h"
 #include "lavenderkeel/forward/route_history.h"
 #include "lavenderkeel/forward/route_table.h"
@@ -247,7 +248,10 @@
   /// Ends the attempt, whether or not it was sent, and frees its slot.
   void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
+  /// Decides whether to send the request again, and counts the retry if so.
   bool MayRetry(ForwardedRequest& request, RunState state);
+  /// Returns why the request itself may not be sent again, if so.
+  RetryRefusal CheckRepeatable(const ForwardedRequest& request) const;
   void GiveUp(ForwardedRequest& request, RunState state);
   void FinishNonStream(ForwardedRequest& request);
   void FinishStream(ForwardedRequest& request);
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -37,6 +37,32 @@
                AttemptFailureName(failure) + "\"}");
 }
 
+void RequestLog::OnRetryDecision(const ForwardedRequest& request,
+                                 RetryRefusal refusal,
+                                 const RetryUsage& usage,
+                                 size_t sharing_entries) const {
+  const bool allowed = refusal == RetryRefusal::kNone;
+  log_.Info(allowed ? "retry" : "no_retry",
+            {{"id", request.metadata.request_id},
+             {"service", request.service},
+             {"server", request.server},
+             {"reason", RetryRefusalName(refusal)},
+             {"attempts", request.tried.size()},
+             {"runs", request.runs},
+             {"used", usage.retries},
+             {"bound", usage.bound},
+             {"requests", usage.requests},
+             {"extra", usage.extra},
+             {"sharing_entries", sharing_entries},
+             {"left_ms", ToMilliseconds(request.due - clock_.Now())}});
+  metrics_.Add(allowed ? "retries{service=\"" + request.service + "\"}"
+                       : std::string("retries_refused{reason=\"") +
+                             RetryRefusalName(refusal) + "\"}");
+  metrics_.Set("retry_bound{service=\"" + request.service + "\"}", usage.bound);
+  metrics_.Set("retry_bound_used{service=\"" + request.service + "\"}",
+               usage.retries + (allowed ? 1 : 0));
+}
+
 void RequestLog::OnEnd(const ForwardedRequest& request,
                        std::string_view outcome,
                        int status,
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -9,6 +9,7 @@
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/forwarded_request.h"
+#include "lavenderkeel/forward/retry_decision.h"
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/notice/server_notices.h"
@@ -35,6 +36,13 @@
               const SlotGrant& grant) const;
   void OnAttemptFailed(const ForwardedRequest& request,
                        AttemptFailure failure) const;
+  /// Logs whether a request is sent again after a failed attempt.
+  /// @param usage how much of the bound was used before the decision
+  /// @param sharing_entries the entries that share the bound's extra part
+  void OnRetryDecision(const ForwardedRequest& request,
+                       RetryRefusal refusal,
+                       const RetryUsage& usage,
+                       size_t sharing_entries) const;
   /// @param scheduler the scheduler that last received a slot request
   void OnEnd(const ForwardedRequest& request,
              std::string_view outcome,
--- a/lavenderkeel/forward/retry_window.h
+++ b/lavenderkeel/forward/retry_window.h
@@ -6,6 +6,7 @@
 #include <deque>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/forward/retry_decision.h"
 
 namespace lavenderkeel {
 
@@ -35,17 +36,24 @@
 
   /// @return whether one more retry is allowed; counts it if so
   bool TryRetry(TimePoint now) {
-    DropExpired(now);
-    const double bound = kCountedFraction * options_.ratio *
-                             static_cast<double>(TotalOf(requests_)) +
-                         options_.extra;
-    if (static_cast<double>(TotalOf(retries_)) + 1 > bound) {
+    const RetryUsage usage = UsageAt(now);
+    if (usage.retries + 1 > usage.bound) {
       return false;
     }
     AddTo(retries_, now);
     return true;
   }
 
+  RetryUsage UsageAt(TimePoint now) {
+    DropExpired(now);
+    const double requests = TotalOf(requests_);
+    return {
+        .requests = requests,
+        .retries = static_cast<double>(TotalOf(retries_)),
+        .bound = kCountedFraction * options_.ratio * requests + options_.extra,
+        .extra = options_.extra};
+  }
+
   void set_extra(double extra) { options_.extra = extra; }
 
  private:
