--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -25,7 +25,7 @@
   for (int i = 0; i < options_.entries; ++i) {
     processes_[ToIndex(i)].address = "10.0.0." + std::to_string(i + 1) + ":1";
   }
-  for (int i = 0; i < options_.entries; ++i) {
+  for (int i = 0; i < options_.started.value_or(options_.entries); ++i) {
     Start(i);
   }
 }
@@ -102,7 +102,7 @@
     const std::function<void(const RecordWrite&)>& done) {
   RecordWrite write;
   StoredObject& object = objects_[{"rollouts", order.name}];
-  if (!store_down_) {
+  if (!store_down_ && !store_cuts_.contains(entry)) {
     const bool same = object.revision == order.revision && !object.removed;
     write.outcome =
         same ? RecordWrite::Outcome::kDone : RecordWrite::Outcome::kConflict;
@@ -125,7 +125,7 @@
 
 bool FleetSimulation::Answer(const WaitingRead& waiting) {
   ObjectReadResult result;
-  if (!store_down_) {
+  if (!store_down_ && !store_cuts_.contains(waiting.entry)) {
     result = {.outcome = ObjectReadResult::Outcome::kOk, .revision = revision_};
     const bool is_watch = waiting.read.kind == ObjectRead::Kind::kWatch;
     for (const auto& [id, object] : objects_) {
@@ -140,11 +140,14 @@
     }
   }
   Schedule([this, waiting, result] {
-    const Process& process = processes_[waiting.entry];
-    if (process.incarnation == waiting.incarnation && process.node != nullptr) {
-      waiting.done(result);
-      ExecuteActions(waiting.entry);
-    }
+    RunUnlessFrozen(waiting.entry, [this, waiting, result] {
+      const Process& process = processes_[waiting.entry];
+      if (process.incarnation == waiting.incarnation &&
+          process.node != nullptr) {
+        waiting.done(result);
+        ExecuteActions(waiting.entry);
+      }
+    });
   });
   return true;
 }
@@ -200,14 +203,45 @@
   }
 }
 
+void FleetSimulation::set_store_cut(int entry, bool cut) {
+  if (cut) {
+    store_cuts_.insert(ToIndex(entry));
+  } else {
+    store_cuts_.erase(ToIndex(entry));
+  }
+}
+
+void FleetSimulation::set_frozen(int entry, bool frozen) {
+  Process& process = processes_[ToIndex(entry)];
+  process.frozen = frozen;
+  if (!frozen) {
+    for (const auto& task : std::exchange(process.postponed, {})) {
+      task();
+    }
+  }
+}
+
+void FleetSimulation::RunUnlessFrozen(size_t entry,
+                                      std::function<void()> task) {
+  if (processes_[entry].frozen) {
+    processes_[entry].postponed.push_back(std::move(task));
+  } else {
+    task();
+  }
+}
+
 void FleetSimulation::RunIn(int entry,
                             const std::function<void(ForwardNode&)>& task) {
-  task(node(entry));
-  ExecuteActions(ToIndex(entry));
+  RunUnlessFrozen(ToIndex(entry), [this, entry, task] {
+    task(node(entry));
+    ExecuteActions(ToIndex(entry));
+  });
 }
 
 void FleetSimulation::Start(int entry) {
   Process& process = processes_[ToIndex(entry)];
+  process.frozen = false;
+  process.postponed.clear();
   // Calendar time of the start in microseconds, as for real processes.
   process.incarnation = static_cast<uint64_t>(
       clock_.WallNow().time_since_epoch().count() + entry);
@@ -256,7 +290,7 @@
       tick += kTick;
       AnswerWatches();
       for (size_t entry = 0; entry < processes_.size(); ++entry) {
-        if (processes_[entry].node != nullptr) {
+        if (processes_[entry].node != nullptr && !processes_[entry].frozen) {
           processes_[entry].node->Tick();
           ExecuteActions(entry);
         }
@@ -289,26 +323,32 @@
       }
       auto message = std::make_shared<Message>(std::move(send->message));
       Schedule([this, link = send->link, message] {
-        const auto found = links_.find(link);
-        if (found == links_.end()) {
-          return;
-        }
-        const auto [from, to, other_end] = found->second;
-        const bool arrives =
-            !options_.on_delivery ||
-            options_.on_delivery(static_cast<int>(from), static_cast<int>(to),
-                                 *message);
-        if (arrives && processes_[to].node != nullptr &&
-            !ArePartitioned(from, to)) {
-          ++processes_[to].received;
-          processes_[to].node->OnMessage(other_end, std::move(*message));
-          ExecuteActions(to);
+        const auto sent_over = links_.find(link);
+        if (sent_over != links_.end()) {
+          RunUnlessFrozen(sent_over->second.to,
+                          [this, link, message] { Deliver(link, *message); });
         }
       });
     }
   }
 }
 
+void FleetSimulation::Deliver(LinkId link, Message& message) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) {
+    return;
+  }
+  const auto [from, to, other_end] = found->second;
+  const bool arrives = !options_.on_delivery ||
+                       options_.on_delivery(static_cast<int>(from),
+                                            static_cast<int>(to), message);
+  if (arrives && processes_[to].node != nullptr && !ArePartitioned(from, to)) {
+    ++processes_[to].received;
+    processes_[to].node->OnMessage(other_end, std::move(message));
+    ExecuteActions(to);
+  }
+}
+
 void FleetSimulation::Connect(size_t from, const std::string& address) {
   const auto found = std::ranges::find(processes_, address, &Process::address);
   if (processes_[from].node == nullptr) {
@@ -320,6 +360,10 @@
     processes_[from].node->OnDialFailed(address);
     return;
   }
+  if (processes_[to].frozen) {
+    processes_[from].node->OnDialFailed(address);
+    return;
+  }
   const LinkId here = ++last_link_;
   const LinkId there = ++last_link_;
   links_[here] = {.from = from, .to = to, .other_end = there};
@@ -339,10 +383,12 @@
   links_.erase(link);
   links_.erase(closed.other_end);
   Schedule([this, closed] {
-    if (processes_[closed.to].node != nullptr) {
-      processes_[closed.to].node->OnLinkDown(closed.other_end);
-      ExecuteActions(closed.to);
-    }
+    RunUnlessFrozen(closed.to, [this, closed] {
+      if (processes_[closed.to].node != nullptr) {
+        processes_[closed.to].node->OnLinkDown(closed.other_end);
+        ExecuteActions(closed.to);
+      }
+    });
   });
 }
 
@@ -351,20 +397,19 @@
                                     const std::string& body,
                                     const std::string& key,
                                     Duration time_left) {
-  Process& process = processes_[ToIndex(entry)];
   const ExchangeId exchange = ++last_exchange_;
   const std::string id = "r" + std::to_string(exchange);
   requested_at_[id] = clock_.Now();
-  process.node->controller().OnRequest(
-      exchange,
-      {.method = "POST",
-       .target = "/" + route + "/x",
-       .fields = {{"Host", "h"},
-                  {"Request-Id", id},
-                  {"Authorization", "Bearer " + key},
-                  {"Deadline-Ms", std::to_string(ToMilliseconds(time_left))}}},
-      body);
-  ExecuteActions(ToIndex(entry));
+  const RequestHead head = {
+      .method = "POST",
+      .target = "/" + route + "/x",
+      .fields = {{"Host", "h"},
+                 {"Request-Id", id},
+                 {"Authorization", "Bearer " + key},
+                 {"Deadline-Ms", std::to_string(ToMilliseconds(time_left))}}};
+  RunIn(entry, [exchange, head, body](ForwardNode& node) {
+    node.controller().OnRequest(exchange, head, body);
+  });
   return exchange;
 }
 
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -24,6 +24,9 @@
  public:
   struct Options {
     int entries = 4;
+    /// Number of entries that run from the start, the first ones; all if
+    /// nothing.
+    std::optional<int> started = std::nullopt;
     /// Number of entries, the first ones, with five times the processor share
     /// of the others.
     int strong_entries = 0;
@@ -90,6 +93,11 @@
   std::string StatusOf(const std::string& kind, const std::string& name) const;
   /// Sets whether the store is down, which fails every read and write.
   void set_store_down(bool down) { store_down_ = down; }
+  /// Sets whether the entry is partitioned from the store.
+  void set_store_cut(int entry, bool cut);
+  /// Suspends a process, or resumes it: meanwhile it does nothing, and what is
+  /// sent to it waits.
+  void set_frozen(int entry, bool frozen);
   /// Number of reads by entries since the last ResetCounts.
   uint64_t store_reads() const { return store_reads_; }
 
@@ -99,7 +107,7 @@
   /// Records what the entry sent to servers and clients since its start.
   FakeForwardPort& port(int entry) { return *processes_[ToIndex(entry)].port; }
   /// Calls a function on the entry's node, then executes the node's actions, as
-  /// for an external event.
+  /// for an external event; later if the process is frozen.
   void RunIn(int entry, const std::function<void(ForwardNode&)>& task);
   TimePoint Now() const { return clock_.Now(); }
   uint64_t incarnation(int entry) const {
@@ -138,6 +146,9 @@
     uint64_t incarnation = 0;
     uint64_t sent = 0;
     uint64_t received = 0;
+    bool frozen = false;
+    /// What was to happen while the process was frozen.
+    std::vector<std::function<void()>> postponed;
   };
   struct Link {
     size_t from = 0;
@@ -169,10 +180,13 @@
   void AnswerWatches();
   ForwardSource SourceOf(size_t entry);
   void ExecuteActions(size_t entry);
+  void Deliver(LinkId link, Message& message);
   void Connect(size_t from, const std::string& address);
   void CloseLinkOf(LinkId link);
   /// Schedules a task after the network delay.
   void Schedule(std::function<void()> task);
+  /// Runs a task of a process, or postpones it while the process is frozen.
+  void RunUnlessFrozen(size_t entry, std::function<void()> task);
   bool ArePartitioned(size_t a, size_t b) const {
     return partitions_.contains(std::minmax(a, b));
   }
@@ -192,6 +206,7 @@
   uint64_t list_entries_sent_ = 0;
   uint64_t server_updates_sent_ = 0;
   bool store_down_ = false;
+  std::set<size_t> store_cuts_;
   std::set<std::pair<size_t, size_t>> partitions_;
   LinkId last_link_ = 0;
   ExchangeId last_exchange_ = 0;
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -15,6 +15,18 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
+/// Events of a whole stream, and of one that is cut.
+constexpr int kStreamEvents = 5;
+constexpr int kCutAfterEvents = 2;
+
+/// Whether the request's route in ForwardSimulation::Table() streams.
+bool IsStream(const SentAttempt& attempt) {
+  RequestReader reader({});
+  reader.Feed(attempt.bytes);
+  const std::string& target = reader.head().target;
+  return target.starts_with("/stream/") || target.starts_with("/once-stream/");
+}
+
 }  // namespace
 
 SimulatedServers::SimulatedServers(FleetSimulation& fleet,
@@ -115,9 +127,10 @@
 
 void SimulatedServers::Fail(const Run& run, AttemptFailure failure) {
   if (IsAwaited(run)) {
-    fleet_.RunIn(run.entry, [&](ForwardNode& node) {
-      node.controller().OnAttemptFailed(run.attempt.attempt, failure);
-    });
+    fleet_.RunIn(run.entry,
+                 [attempt = run.attempt.attempt, failure](ForwardNode& node) {
+                   node.controller().OnAttemptFailed(attempt, failure);
+                 });
   }
 }
 
@@ -142,7 +155,7 @@
     if (server.leaving) {
       head.fields.push_back({"Server-Leaving", "1"});
     }
-    if (status == kUnavailable &&
+    if (status == kUnavailable && server.pushback.has_value() &&
         FindField(server.answer_fields, "Retry-After") == nullptr) {
       head.fields.push_back(
           {"Retry-After", std::to_string(ToSeconds(*server.pushback))});
@@ -151,11 +164,68 @@
     }
     history_.OnAnswer(server.id, {run.entry, run.incarnation}, fleet_.Now());
   }
-  fleet_.RunIn(run.entry, [&](ForwardNode& node) {
-    node.controller().OnAnswerHead(run.attempt.attempt, head, /*fresh=*/true);
-    node.controller().OnAnswerChunk(run.attempt.attempt, "answer");
-    node.controller().OnAnswerEnd(run.attempt.attempt);
+  fleet_.RunIn(run.entry,
+               [attempt = run.attempt.attempt, head](ForwardNode& node) {
+                 node.controller().OnAnswerHead(attempt, head, /*fresh=*/true);
+                 node.controller().OnAnswerChunk(attempt, "answer");
+                 node.controller().OnAnswerEnd(attempt);
+               });
+}
+
+void SimulatedServers::AnswerStream(const Run& run, bool complete) {
+  if (!IsAwaited(run)) {
+    return;
+  }
+  const std::string last = run.attempt.Field("Last-Event-Id");
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  const int end = complete ? kStreamEvents
+                           : std::min(kStreamEvents, first + kCutAfterEvents);
+  const ResponseHead head = {
+      .status = kOk,
+      .fields = {{"Request-Id", run.attempt.Field("Request-Id")},
+                 {"Response-Seal", "seal"},
+                 {"Content-Type", "text/event-stream"}},
+      .framing = BodyFraming::kChunked};
+  fleet_.RunIn(run.entry, [attempt = run.attempt.attempt, head, first, end,
+                           complete](ForwardNode& node) {
+    ForwardController& controller = node.controller();
+    controller.OnAnswerHead(attempt, head, /*fresh=*/true);
+    controller.OnAnswerChunk(attempt, ForwardSimulation::EventText(first, end));
+    if (complete) {
+      controller.OnAnswerEnd(attempt);
+    }
   });
+  if (!complete) {
+    Fail(run, AttemptFailure::kDisconnected);
+  }
+}
+
+void SimulatedServers::Finish(const Run& run) {
+  switch (run.fate) {
+    case Fate::kError:
+      Answer(run, kServerError);
+      return;
+    case Fate::kLost:
+      Fail(run, AttemptFailure::kDisconnected);
+      return;
+    case Fate::kGarbled:
+      Fail(run, AttemptFailure::kBroken);
+      return;
+    case Fate::kCut:
+      if (IsStream(run.attempt)) {
+        AnswerStream(run, /*complete=*/false);
+      } else {
+        Fail(run, AttemptFailure::kBroken);
+      }
+      return;
+    default:
+      break;
+  }
+  if (IsStream(run.attempt)) {
+    AnswerStream(run, /*complete=*/true);
+  } else {
+    Answer(run, NextStatus(servers_[run.server]));
+  }
 }
 
 void SimulatedServers::ReceiveAttempts(int entry) {
@@ -169,23 +239,31 @@
 void SimulatedServers::ReceiveAttempt(int entry, const SentAttempt& attempt) {
   const auto server =
       std::ranges::find(servers_, attempt.address, &Server::address);
-  const Run run = {.entry = entry,
-                   .incarnation = fleet_.incarnation(entry),
-                   .attempt = attempt,
-                   .body = BodyOf(attempt),
-                   .server = static_cast<size_t>(server - servers_.begin()),
-                   .started_at = fleet_.Now()};
+  Run run = {.entry = entry,
+             .incarnation = fleet_.incarnation(entry),
+             .attempt = attempt,
+             .body = BodyOf(attempt),
+             .server = static_cast<size_t>(server - servers_.begin()),
+             .started_at = fleet_.Now()};
   if (!server->up) {
     Fail(run, AttemptFailure::kNotConnected);
   } else if (attempt.Field("Expect-Instance") != server->id) {
     Answer(run, kMisdirected);
   } else {
     arrival_times_[run.body].push_back(fleet_.Now());
+    if (options_.on_arrival) {
+      options_.on_arrival(attempt.Field("Request-Id"));
+    }
+    if (options_.decide_fate) {
+      run.fate = options_.decide_fate(static_cast<int>(run.server));
+    }
     history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now(),
                        fleet_.RequestedAt(attempt.Field("Request-Id")));
     if (server->pushback.has_value() &&
         (server->only_entry < 0 || server->only_entry == entry)) {
       Answer(run, kUnavailable);
+    } else if (run.fate == Fate::kRejected) {
+      Answer(run, kUnavailable);
     } else {
       runs_.push_back(run);
     }
@@ -206,7 +284,7 @@
       return other.entry == run.entry &&
              other.attempt.attempt == run.attempt.attempt;
     });
-    Answer(run, NextStatus(servers_[run.server]));
+    Finish(run);
   }
 }
 
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -19,6 +19,21 @@
 /// the same address.
 class SimulatedServers {
  public:
+  /// What becomes of a request that reaches a server.
+  enum class Fate {
+    kAnswered,
+    /// The server answers with an error after it ran the request.
+    kError,
+    /// The server does not run the request, and says so.
+    kRejected,
+    /// The server runs the request; its connection ends before the answer.
+    kLost,
+    /// The answer ends early: a stream after a part of its events.
+    kCut,
+    /// The bytes received are no answer.
+    kGarbled,
+  };
+
   struct Options {
     int servers = 8;
     /// From the start of a run to its answer.
@@ -29,6 +44,9 @@
     Duration restart_delay = std::chrono::seconds(3);
     /// From the crash of a server to its removal from the store.
     Duration removal_delay = std::chrono::milliseconds(3600);
+    /// Called for each request that reaches a running server.
+    std::function<Fate(int server)> decide_fate = {};
+    std::function<void(const std::string& request_id)> on_arrival = {};
   };
 
   SimulatedServers(FleetSimulation& fleet, const Options& options);
@@ -115,6 +133,7 @@
     SentAttempt attempt;
     std::string body;
     size_t server = 0;
+    Fate fate = Fate::kAnswered;
     TimePoint started_at;
     /// Work done so far, as time at a server of usual speed.
     Duration worked{};
@@ -133,6 +152,10 @@
   std::vector<Run> TakeRuns(size_t server);
   void Fail(const Run& run, AttemptFailure failure);
   void Answer(const Run& run, int status);
+  /// Ends a run as its fate says.
+  void Finish(const Run& run);
+  /// Delivers the events after the last one that the client has, all or a part.
+  void AnswerStream(const Run& run, bool complete);
   /// Returns the status of the server's next answer to a run that is complete.
   int NextStatus(Server& server);
   /// Whether the entry still waits for the answer of the run.
