Retries: the bound holds in windows from any moment

Servers got more retries than allowed where requests came in bursts with pauses: 78 in ten seconds, 55 allowed (BurstsOfTrafficKeepTheSharedRetryBound).

An entry compared the retries of its last window with three quarters of the requests of that window. The bound compares any window with the requests of that window, of the one before or of the one half a window before, counted over all entries; where traffic stops and comes back none of them has the requests that allowed the retries.

RetryBound checks every window that contains the retry, as if no further request came. A window allows retries by the requests in it and in the one before, half by each: a sum over requests, so that entries that keep their parts keep the whole when requests move between them; the largest of three windows would not be one. Retries may arrive half a second late, and buckets of a hundredth of the window round against the sender. The property now plays several entries, moving traffic and late arrivals, and compares any window.

With steady traffic more is allowed than before (.19 per request instead of .15); at once after a quiet time half of the ratio instead of three quarters.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -105,10 +105,9 @@
                version_selector,
                clock,
                metrics),
-      sharing_entries_(admission_.rates().share().EntryCount(clock.Now())) {
-  options_.retries.extra =
-      options_.retry_extra / static_cast<double>(sharing_entries_);
-}
+      sharing_entries_(admission_.rates().share().EntryCount(clock.Now())),
+      retry_extra_(options.retry_extra /
+                   static_cast<double>(sharing_entries_)) {}
 
 void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
   assert(table != nullptr);
@@ -250,7 +249,7 @@
   held_body_bytes_ += request->body.size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
-  retry_windows_.try_emplace(admitted.service, options_.retries)
+  retry_bounds_.try_emplace(admitted.service, options_.retries)
       .first->second.OnRequest(clock_.Now());
   crashes_.OnRequestArrived(admitted.fingerprint);
   Enqueue(admitted);
@@ -749,11 +748,11 @@
 }
 
 bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
-  RetryWindow& window = retry_windows_.at(request.service);
-  const RetryUsage usage = window.UsageAt(clock_.Now());
+  RetryBound& bound = retry_bounds_.at(request.service);
+  const RetryUsage usage = bound.UsageAt(clock_.Now(), retry_extra_);
   RetryRefusal refusal = CheckRepeatable(request);
   if (refusal == RetryRefusal::kNone && state != RunState::kUnsent &&
-      !window.TryRetry(clock_.Now())) {
+      !bound.TrySend(clock_.Now(), retry_extra_)) {
     refusal = RetryRefusal::kBound;
   }
   request_log_.OnRetryDecision(request, refusal, usage, sharing_entries_);
@@ -994,11 +993,7 @@
   if (std::exchange(sharing_entries_, sharing_count) == sharing_count) {
     return;
   }
-  options_.retries.extra =
-      options_.retry_extra / static_cast<double>(sharing_entries_);
-  for (auto& [service, window] : retry_windows_) {
-    window.set_extra(options_.retries.extra);
-  }
+  retry_extra_ = options_.retry_extra / static_cast<double>(sharing_entries_);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -24,8 +24,6 @@
 #include "lavenderkeel/forward/request_log.h"
 #include "lavenderkeel/forward/request_metadata.h"
 #include "lavenderkeel/forward/request_timing.h"
-#include "lavenderkeel/forward/retry_decision.h"
-#include "lavenderkeel/forward/retry_window.h"
 #include "lavenderkeel/forward/route_history.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/forward/server_directory.h"
@@ -35,6 +33,7 @@
 #include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/overload/early_refusal.h"
 #include "lavenderkeel/rates/team_demand.h"
+#include "lavenderkeel/retry/retry_bound.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
@@ -62,9 +61,9 @@
   struct Options {
     /// Data centre of this entry.
     std::string data_centre;
-    RetryWindow::Options retries;
+    RetryBound::Options retries;
     TeamRates::Options rates;
-    /// Extra retries of all entries together, see RetryWindow.
+    /// Extra retries of all entries together, see RetryBound.
     double retry_extra = 52;
     RequestTiming::Options timing;
     /// Idle connections to servers are reused up to this idle time.
@@ -289,9 +288,12 @@
   std::map<ExchangeId, EarlyRequest> early_requests_;
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
-  std::map<std::string, RetryWindow> retry_windows_;
+  /// By service.
+  std::map<std::string, RetryBound> retry_bounds_;
   /// Entries that share the bound on retries.
   size_t sharing_entries_;
+  /// This entry's part of the extra retries.
+  double retry_extra_;
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   bool refuses_new_ = false;
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -9,10 +9,10 @@
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/forwarded_request.h"
-#include "lavenderkeel/forward/retry_decision.h"
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/notice/server_notices.h"
+#include "lavenderkeel/retry/retry_decision.h"
 
 namespace lavenderkeel {
 
--- a/lavenderkeel/forward/retry_decision.h
+++ b/lavenderkeel/retry/retry_decision.h
@@ -1,5 +1,5 @@
-#ifndef LAVENDERKEEL_FORWARD_RETRY_DECISION_H_
-#define LAVENDERKEEL_FORWARD_RETRY_DECISION_H_
+#ifndef LAVENDERKEEL_RETRY_RETRY_DECISION_H_
+#define LAVENDERKEEL_RETRY_RETRY_DECISION_H_
 
 #include <cstddef>
 
@@ -43,9 +43,9 @@
   return "none";
 }
 
-/// How much of the bound on the retries of a service is used at this entry.
+/// How much of an entry's part of the bound on retries is used in a window.
 struct RetryUsage {
-  /// Requests in the window.
+  /// Requests that count for the window.
   double requests = 0;
   /// Retries in the window, and how many are allowed.
   double retries = 0;
@@ -58,4 +58,4 @@
 
 }  // namespace lavenderkeel
 
-#endif  // LAVENDERKEEL_FORWARD_RETRY_DECISION_H_
+#endif  // LAVENDERKEEL_RETRY_RETRY_DECISION_H_
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -240,8 +240,6 @@
 
 void FleetSimulation::Start(int entry) {
   Process& process = processes_[ToIndex(entry)];
-  process.frozen = false;
-  process.postponed.clear();
   // Calendar time of the start in microseconds, as for real processes.
   process.incarnation = static_cast<uint64_t>(
       clock_.WallNow().time_since_epoch().count() + entry);
@@ -266,6 +264,8 @@
 
 void FleetSimulation::Kill(int entry) {
   processes_[ToIndex(entry)].node.reset();
+  processes_[ToIndex(entry)].frozen = false;
+  processes_[ToIndex(entry)].postponed.clear();
   std::vector<LinkId> dropped;
   for (const auto& [link, state] : links_) {
     if (state.from == ToIndex(entry)) {
