Retries: counted when they are sent, reserved while they wait for a slot

A decided retry is now a reservation; it counts when it is sent, against the windows of that moment. One whose requests have left the window meanwhile is not sent: the no_retry line says so. A retry that found no connection reached no server and is given back; whether an attempt is a retry goes by what may have reached a server before, rejected or not. The send line has retry=1, the metric retries_sent counts them.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -483,6 +483,12 @@
     Enqueue(*request);
     return true;
   }
+  if (!CountIfRetry(*request)) {
+    EndAttempt(*request, {});
+    GiveUp(*request,
+           request->runs > 0 ? RunState::kMayHaveRun : RunState::kProvedNotRun);
+    return true;
+  }
   SendTo(*request, *server, scheduler, grant);
   return true;
 }
@@ -666,7 +672,8 @@
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .pushback = PushbackOf(request.server)});
   ++request.runs;
-  if (error && !request.head_sent && MayRetry(request, RunState::kMayHaveRun)) {
+  ++request.arrivals;
+  if (error && !request.head_sent && MayRetry(request)) {
     Enqueue(request);
     return;
   }
@@ -719,7 +726,11 @@
                        .pushback = PushbackOf(request.server)});
   const RunState state = RunStateAfter(failure);
   request.runs += state == RunState::kMayHaveRun ? 1 : 0;
-  if (MayRetry(request, state)) {
+  request.arrivals += state == RunState::kUnsent ? 0 : 1;
+  if (state == RunState::kUnsent && request.counted_as_retry) {
+    retry_bounds_.at(request.service).OnUnsent(request.sent_at);
+  }
+  if (MayRetry(request)) {
     Enqueue(request);
   } else {
     GiveUp(request, state);
@@ -747,18 +758,38 @@
   return RetryRefusal::kNone;
 }
 
-bool ForwardController::MayRetry(ForwardedRequest& request, RunState state) {
+bool ForwardController::MayRetry(ForwardedRequest& request) {
   RetryBound& bound = retry_bounds_.at(request.service);
   const RetryUsage usage = bound.UsageAt(clock_.Now(), retry_extra_);
   RetryRefusal refusal = CheckRepeatable(request);
-  if (refusal == RetryRefusal::kNone && state != RunState::kUnsent &&
-      !bound.TrySend(clock_.Now(), retry_extra_)) {
-    refusal = RetryRefusal::kBound;
+  if (refusal == RetryRefusal::kNone && request.arrivals > 0) {
+    request.retry_reserved = bound.TryReserve(clock_.Now(), retry_extra_);
+    refusal =
+        request.retry_reserved ? RetryRefusal::kNone : RetryRefusal::kBound;
   }
   request_log_.OnRetryDecision(request, refusal, usage, sharing_entries_);
   return refusal == RetryRefusal::kNone;
 }
 
+bool ForwardController::CountIfRetry(ForwardedRequest& request) {
+  request.counted_as_retry = request.arrivals > 0;
+  if (!request.counted_as_retry) {
+    return true;
+  }
+  RetryBound& bound = retry_bounds_.at(request.service);
+  if (std::exchange(request.retry_reserved, false)) {
+    bound.ReleaseReservation();
+  }
+  if (bound.TrySend(clock_.Now(), retry_extra_)) {
+    return true;
+  }
+  // Requests that allowed the retry have left the window while it waited.
+  request_log_.OnRetryDecision(request, RetryRefusal::kBound,
+                               bound.UsageAt(clock_.Now(), retry_extra_),
+                               sharing_entries_);
+  return false;
+}
+
 void ForwardController::GiveUp(ForwardedRequest& request, RunState state) {
   if (request.head_sent) {
     port_.Abort(request.exchange);
@@ -924,6 +955,9 @@
 void ForwardController::RemoveRequest(ExchangeId exchange) {
   const auto found = requests_.find(exchange);
   held_body_bytes_ -= found->second->body.size();
+  if (found->second->retry_reserved) {
+    retry_bounds_.at(found->second->service).ReleaseReservation();
+  }
   if (found->second->attempt != 0) {
     EndAttempt(*found->second, {});
   }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -247,8 +247,11 @@
   /// Ends the attempt, whether or not it was sent, and frees its slot.
   void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
-  /// Decides whether to send the request again, and counts the retry if so.
-  bool MayRetry(ForwardedRequest& request, RunState state);
+  /// Decides whether to send the request again, and reserves the retry if so.
+  bool MayRetry(ForwardedRequest& request);
+  /// Counts the attempt that is about to be sent if it is a retry.
+  /// @return whether the bound on retries allows the attempt
+  bool CountIfRetry(ForwardedRequest& request);
   /// Returns why the request itself may not be sent again, if so.
   RetryRefusal CheckRepeatable(const ForwardedRequest& request) const;
   void GiveUp(ForwardedRequest& request, RunState state);
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -82,6 +82,13 @@
   std::vector<std::string> tried;
   /// Number of attempts after which the request may have run.
   int runs = 0;
+  /// Number of attempts after which the request may have reached a server,
+  /// whether or not it ran.
+  int arrivals = 0;
+  /// Whether a retry is reserved for the next attempt, see RetryBound.
+  bool retry_reserved = false;
+  /// Whether the attempt that was sent last is counted as a retry.
+  bool counted_as_retry = false;
   /// The client has the head of an incomplete answer.
   bool head_sent = false;
   /// Id of the last event that was sent to the client.
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -15,6 +15,7 @@
                      {"server", server.start_key()},
                      {"version", server.version},
                      {"attempt", request.tried.size() + 1},
+                     {"retry", request.counted_as_retry ? 1 : 0},
                      {"gate", scheduler},
                      {"config_version", request.table->version()},
                      {"priority", request.priority},
@@ -22,6 +23,9 @@
                      {"pace_ms", grant.pace_ms},
                      {"waited_ms", ToMilliseconds(now - request.waiting_since)},
                      {"left_ms", ToMilliseconds(request.due - now)}});
+  if (request.counted_as_retry) {
+    metrics_.Add("retries_sent{service=\"" + request.service + "\"}");
+  }
 }
 
 void RequestLog::OnAttemptFailed(const ForwardedRequest& request,
--- a/lavenderkeel/retry/retry_bound.cc
+++ b/lavenderkeel/retry/retry_bound.cc
@@ -60,6 +60,15 @@
   requests_.Add(BucketOf(now), 1);
 }
 
+bool RetryBound::TryReserve(TimePoint now, double extra) {
+  const RetryUsage usage = UsageAt(now, extra);
+  if (usage.retries + reserved_ + 1 > usage.bound) {
+    return false;
+  }
+  ++reserved_;
+  return true;
+}
+
 bool RetryBound::TrySend(TimePoint now, double extra) {
   const RetryUsage usage = UsageAt(now, extra);
   if (usage.retries + 1 > usage.bound) {
@@ -75,12 +84,15 @@
   const Sums retries(retries_, last - kBucketsPerWindow - delay_buckets_, last);
   std::optional<RetryUsage> tightest;
   // A window begins somewhere in its first bucket. Counted are all retries that
-  // may arrive in it, and the requests that are in it wherever it begins.
+  // may arrive in it, and the requests that count wherever it begins: those of
+  // the first bucket are in the window or in the one before.
   for (int64_t first = last - kBucketsPerWindow; first <= last + delay_buckets_;
        ++first) {
     const int64_t end = first + kBucketsPerWindow;
     const double counted =
         kSameWindowFraction * requests.Between(first + 1, end - 1) +
+        std::min(kSameWindowFraction, 1 - kSameWindowFraction) *
+            requests.Between(first, first) +
         (1 - kSameWindowFraction) *
             requests.Between(first - kBucketsPerWindow + 1, first - 1);
     const RetryUsage usage = {.requests = counted,
--- a/lavenderkeel/retry/retry_bound.h
+++ b/lavenderkeel/retry/retry_bound.h
@@ -38,12 +38,19 @@
 
   void OnRequest(TimePoint now);
 
+  /// Reserves a retry that is to be sent later, unless those sent and reserved
+  /// use the bound up.
+  bool TryReserve(TimePoint now, double extra);
+  void ReleaseReservation() { --reserved_; }
+
   /// Records a retry unless the bound would be exceeded in some window that
   /// contains it, even without any further request.
   /// @param extra this entry's part of the retries that do not depend on
   ///     requests
   /// @return whether the retry may be sent
   bool TrySend(TimePoint now, double extra);
+  /// Takes back a retry that was recorded at that time and reached no server.
+  void OnUnsent(TimePoint sent_at) { retries_.Add(BucketOf(sent_at), -1); }
 
   /// Returns the use of the bound in the window that leaves the least room for
   /// a retry.
@@ -57,6 +64,7 @@
   int64_t delay_buckets_;
   internal::BucketCounts requests_;
   internal::BucketCounts retries_;
+  int reserved_ = 0;
 };
 
 }  // namespace lavenderkeel
--- a/test/retry/retry_bound_test.cc
+++ b/test/retry/retry_bound_test.cc
@@ -72,6 +72,32 @@
   BOOST_TEST(bound.TrySend(kStart + milliseconds(1600), 1));
 }
 
+// Guards against more waiting retries than may be sent, and against one that is
+// sent although the requests that allowed it have left the window.
+BOOST_AUTO_TEST_CASE(ReservedRetryIsSentOnlyWhileTheBoundAllowsIt) {
+  RetryBound bound({.window = kWindow, .ratio = 0.2});
+  for (int request = 0; request < 11; ++request) {
+    bound.OnRequest(kStart);
+  }
+  const TimePoint soon = kStart + seconds(1);
+  BOOST_TEST(bound.TryReserve(soon, 0));
+  BOOST_TEST(!bound.TryReserve(soon, 0));
+  bound.ReleaseReservation();
+  BOOST_TEST(bound.TryReserve(soon, 0));
+  bound.ReleaseReservation();
+  BOOST_TEST(!bound.TrySend(kStart + 2 * kWindow, 0));
+  BOOST_TEST(bound.TrySend(soon, 0));
+}
+
+// Guards against a bound that retries use up which no server got.
+BOOST_AUTO_TEST_CASE(UnsentRetryIsAvailableAgain) {
+  RetryBound bound({.window = kWindow, .ratio = 0});
+  BOOST_TEST(bound.TrySend(kStart, 1));
+  bound.OnUnsent(kStart);
+  BOOST_TEST(bound.TrySend(kStart + seconds(1), 1));
+  BOOST_TEST(!bound.TrySend(kStart + seconds(2), 1));
+}
+
 // Guards against a bound that allows much less than it may: with steady traffic
 // nearly the whole ratio, and half of it at once when servers fail.
 BOOST_AUTO_TEST_CASE(SteadyTrafficMayRetryNearlyTheWholeRatio) {
