--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -57,6 +57,7 @@
                              const ServerLog& servers,
                              CrashGuard& crashes,
                              RolloutExchange& rollouts,
+                             RegistryExchange& registry,
                              ServerNotices& notices,
                              const Clock& clock)
     : options_(options),
@@ -68,6 +69,7 @@
       servers_(servers),
       crashes_(crashes),
       rollouts_(rollouts),
+      registry_(registry),
       notices_(notices),
       clock_(clock),
       entry_directory_(options.entry_directory, members.self()) {
@@ -97,6 +99,7 @@
   coordinator_status_.erase(peer);
   feed_receivers_.erase(peer);
   rollouts_.OnPeerLost(peer);
+  registry_.OnPeerLost(peer);
   entry_directory_.OnUnavailable(peer);
   OnEntryDirectoryChange();
 }
@@ -125,6 +128,7 @@
   controller_.OnPeerReport(name, report);
   slot_scheduler_.OnReport(name, report.in_flight);
   rollouts_.OnStatus(peer, status);
+  registry_.OnStatus(peer, members_.AnyLinkTo(peer), status);
   const bool is_relay = RelaysUsageOf(peer.instance);
   relay_.OnTotals(peer, report.team_totals, is_relay);
   demand_relay_.OnTotals(peer, ToRelayTotals(report.demand), is_relay);
@@ -349,6 +353,7 @@
   to_coordinator.store_lost = own_state.store_lost;
   PutNotices(NoticesToReport(include_unchanged), clock_.Now(), to_coordinator);
   rollouts_.PutCounts(members_.self().id, include_unchanged, to_coordinator);
+  registry_.PutStatus(coordinates, to_coordinator);
   if (coordinates) {
     rollouts_.PutPlans(own_state.rollout_change, to_coordinator);
   }
--- a/lavenderkeel/forward/entry_exchange.h
+++ b/lavenderkeel/forward/entry_exchange.h
@@ -14,6 +14,7 @@
 #include "lavenderkeel/crash/crash_guard.h"
 #include "lavenderkeel/forward/entry_directory.h"
 #include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/forward/registry_exchange.h"
 #include "lavenderkeel/forward/rollout_exchange.h"
 #include "lavenderkeel/forward/server_log.h"
 #include "lavenderkeel/forward/slot_router.h"
@@ -87,6 +88,7 @@
                 const ServerLog& servers,
                 CrashGuard& crashes,
                 RolloutExchange& rollouts,
+                RegistryExchange& registry,
                 ServerNotices& notices,
                 const Clock& clock);
 
@@ -173,6 +175,7 @@
   const ServerLog& servers_;
   CrashGuard& crashes_;
   RolloutExchange& rollouts_;
+  RegistryExchange& registry_;
   ServerNotices& notices_;
   const Clock& clock_;
   EntryDirectory entry_directory_;
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -104,10 +104,7 @@
                port,
                version_selector,
                clock,
-               metrics),
-      sharing_entries_(admission_.rates().share().EntryCount(clock.Now())),
-      retry_extra_(options.retry_extra /
-                   static_cast<double>(sharing_entries_)) {}
+               metrics) {}
 
 void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
   assert(table != nullptr);
@@ -760,14 +757,14 @@
 
 bool ForwardController::MayRetry(ForwardedRequest& request) {
   RetryBound& bound = retry_bounds_.at(request.service);
-  const RetryUsage usage = bound.UsageAt(clock_.Now(), retry_extra_);
+  const RetryUsage usage = bound.UsageAt(clock_.Now(), retry_extra());
   RetryRefusal refusal = CheckRepeatable(request);
   if (refusal == RetryRefusal::kNone && request.arrivals > 0) {
-    request.retry_reserved = bound.TryReserve(clock_.Now(), retry_extra_);
+    request.retry_reserved = bound.TryReserve(clock_.Now(), retry_extra());
     refusal =
         request.retry_reserved ? RetryRefusal::kNone : RetryRefusal::kBound;
   }
-  request_log_.OnRetryDecision(request, refusal, usage, sharing_entries_);
+  request_log_.OnRetryDecision(request, refusal, usage, retry_share_);
   return refusal == RetryRefusal::kNone;
 }
 
@@ -780,13 +777,13 @@
   if (std::exchange(request.retry_reserved, false)) {
     bound.ReleaseReservation();
   }
-  if (bound.TrySend(clock_.Now(), retry_extra_)) {
+  if (bound.TrySend(clock_.Now(), retry_extra())) {
     return true;
   }
   // Requests that allowed the retry have left the window while it waited.
   request_log_.OnRetryDecision(request, RetryRefusal::kBound,
-                               bound.UsageAt(clock_.Now(), retry_extra_),
-                               sharing_entries_);
+                               bound.UsageAt(clock_.Now(), retry_extra()),
+                               retry_share_);
   return false;
 }
 
@@ -1022,12 +1019,6 @@
 
 void ForwardController::OnPeerCount(size_t known, size_t reporting) {
   admission_.rates().share().OnPeerCount(known, reporting, clock_.Now());
-  const size_t sharing_count =
-      admission_.rates().share().EntryCount(clock_.Now());
-  if (std::exchange(sharing_entries_, sharing_count) == sharing_count) {
-    return;
-  }
-  retry_extra_ = options_.retry_extra / static_cast<double>(sharing_entries_);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -33,6 +33,7 @@
 #include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/overload/early_refusal.h"
 #include "lavenderkeel/rates/team_demand.h"
+#include "lavenderkeel/registry/share_state.h"
 #include "lavenderkeel/retry/retry_bound.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
@@ -171,9 +172,11 @@
   /// Records the state of the groups whose slots an entry schedules.
   void OnSlotGroupReports(const std::string& scheduler,
                           const std::vector<SlotGroupReport>& reports);
-  /// Sets the number of entries that share the bounds, and of those that report
-  /// here; both include this entry.
+  /// Sets the number of known entries, which share the rates, and of those that
+  /// report here; both include this entry.
   void OnPeerCount(size_t known, size_t reporting);
+  /// Sets this entry's share of the extra retries.
+  void set_retry_share(const ShareState& share) { retry_share_ = share; }
   /// Records that an entry is connected that started before this one.
   void OnOlderPeer() { admission_.rates().share().OnOlderPeer(); }
 
@@ -252,6 +255,10 @@
   /// Counts the attempt that is about to be sent if it is a retry.
   /// @return whether the bound on retries allows the attempt
   bool CountIfRetry(ForwardedRequest& request);
+  /// Returns this entry's part of the extra retries.
+  double retry_extra() const {
+    return options_.retry_extra * retry_share_.fraction();
+  }
   /// Returns why the request itself may not be sent again, if so.
   RetryRefusal CheckRepeatable(const ForwardedRequest& request) const;
   void GiveUp(ForwardedRequest& request, RunState state);
@@ -293,10 +300,7 @@
   std::unordered_map<AttemptId, ExchangeId> attempts_;
   /// By service.
   std::map<std::string, RetryBound> retry_bounds_;
-  /// Entries that share the bound on retries.
-  size_t sharing_entries_;
-  /// This entry's part of the extra retries.
-  double retry_extra_;
+  ShareState retry_share_ = {.status = ShareStatus::kUsable, .entries = 1};
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   bool refuses_new_ = false;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -46,6 +46,14 @@
   return options;
 }
 
+/// What a former process used counts as long as a retry does.
+RegistryExchange::Options RegistryOptions(const ForwardNode::Options& node) {
+  RegistryExchange::Options options = node.registry;
+  const RetryBound::Options& retries = node.controller.retries;
+  options.registry.window = retries.window + retries.arrival_delay;
+  return options;
+}
+
 /// Returns the options of the watch on the servers. Servers change in groups (a
 /// start, a release), and a server that leaves accepts requests for two more
 /// seconds, so this watch gathers changes for longer.
@@ -128,6 +136,17 @@
                 log,
                 source_.write_rollout),
       rollout_exchange_(rollouts_, version_selector_),
+      registry_(
+          RegistryOptions(options_),
+          source_.registry,
+          members_.self().id.instance,
+          [this](ObjectWatch& watch, uint64_t call, const ObjectRead& read) {
+            Read(watch, call, read);
+          },
+          outbox_,
+          clock,
+          random_,
+          log),
       controller_(options_.controller,
                   std::move(codec),
                   port,
@@ -148,6 +167,7 @@
                 server_log_,
                 crashes_,
                 rollout_exchange_,
+                registry_,
                 notices_,
                 clock),
       config_watch_(WithKind(options_.watch, source_.config_kind),
@@ -193,6 +213,7 @@
   for (const std::string& seed : options_.seeds) {
     members_.AddSeed(seed);
   }
+  controller_.set_retry_share(registry_.Share());
 }
 
 void ForwardNode::Start() {
@@ -201,6 +222,7 @@
   }
   config_watch_.Start();
   server_watch_.Start();
+  registry_.Start();
   if (options_.exposure.enabled) {
     rollout_watch_.set_wait(options_.max_watch_wait);
     rollout_watch_.Start();
@@ -410,6 +432,7 @@
   config_watch_.SetPaused(is_fed && controller_.table() != nullptr);
   server_watch_.SetPaused(is_fed);
   rollout_watch_.SetPaused(is_fed && version_selector_.known());
+  registry_.SetPaused(is_fed && registry_.registry().last_change() > 0);
   const bool lost = is_fed && exchange_.feed_source_lost_store();
   if (std::exchange(feed_source_lost_store_, lost) == lost) {
     return;
@@ -429,6 +452,8 @@
   config_watch_.Tick();
   server_watch_.Tick();
   rollout_watch_.Tick();
+  registry_.Tick(exchange_.entry_directory());
+  controller_.set_retry_share(registry_.Share());
   UpdatePeerCounts();
   UpdateStoreReads();
   directory_.Tick(clock_.Now());
@@ -452,6 +477,7 @@
   members_.ResetSilenceTimers();
   config_watch_.Restart();
   server_watch_.Restart();
+  registry_.OnFreeze();
   if (options_.exposure.enabled) {
     rollout_watch_.Restart();
   }
@@ -514,6 +540,8 @@
           OnServerFeed(body);
         } else if constexpr (std::is_same_v<T, CrashNews>) {
           exchange_.OnCrashNews(*member, body);
+        } else if constexpr (std::is_same_v<T, RegistryFeed>) {
+          registry_.OnFeed(body);
         } else if constexpr (std::is_same_v<T, KnownEntries>) {
           exchange_.OnKnownEntries(body);
         } else if constexpr (std::is_same_v<T, ConfigPull>) {
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -15,6 +15,7 @@
 #include "lavenderkeel/forward/entry_exchange.h"
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/forward/lost_entries.h"
+#include "lavenderkeel/forward/registry_exchange.h"
 #include "lavenderkeel/membership.h"
 #include "lavenderkeel/watch.h"
 
@@ -35,6 +36,7 @@
   std::function<leaf::result<RolloutOrder>(const StoredObject&)>
       decode_rollout = {};
   RolloutController::Write write_rollout = {};
+  RegistryExchange::Source registry;
   /// Starts a read; `done` is called once, after the function returns.
   std::function<void(const ObjectRead&,
                      std::function<void(const ObjectReadResult&)> done)>
@@ -61,6 +63,7 @@
     /// The wait of these options applies while few other entries watch the
     /// store.
     ObjectWatch::Options watch;
+    RegistryExchange::Options registry;
     /// If more entries than this watch the store, their wait grows, so that
     /// together they renew their watches no more often.
     size_t entries_at_base_wait = 4;
@@ -104,12 +107,13 @@
   ForwardController& controller() { return controller_; }
   MemberTable& members() { return members_; }
   const EntryExchange& exchange() const { return exchange_; }
+  const RegistryExchange& registry() const { return registry_; }
   const ServerDirectory& directory() const { return directory_; }
   const CrashGuard& crashes() const { return crashes_; }
   Outbox& outbox() { return outbox_; }
   uint64_t store_calls() const {
     return config_watch_.calls() + server_watch_.calls() +
-           rollout_watch_.calls();
+           rollout_watch_.calls() + registry_.store_calls();
   }
 
  private:
@@ -170,6 +174,7 @@
   VersionSelector version_selector_;
   RolloutController rollouts_;
   RolloutExchange rollout_exchange_;
+  RegistryExchange registry_;
   ForwardController controller_;
   EntryExchange exchange_;
   ObjectWatch config_watch_;
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -44,7 +44,7 @@
 void RequestLog::OnRetryDecision(const ForwardedRequest& request,
                                  RetryRefusal refusal,
                                  const RetryUsage& usage,
-                                 size_t sharing_entries) const {
+                                 const ShareState& share) const {
   const bool allowed = refusal == RetryRefusal::kNone;
   log_.Info(allowed ? "retry" : "no_retry",
             {{"id", request.metadata.request_id},
@@ -57,7 +57,8 @@
              {"bound", usage.bound},
              {"requests", usage.requests},
              {"extra", usage.extra},
-             {"sharing_entries", sharing_entries},
+             {"sharing_entries", share.entries},
+             {"share", ShareStatusName(share.status)},
              {"left_ms", ToMilliseconds(request.due - clock_.Now())}});
   metrics_.Add(allowed ? "retries{service=\"" + request.service + "\"}"
                        : std::string("retries_refused{reason=\"") +
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -12,6 +12,7 @@
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/notice/server_notices.h"
+#include "lavenderkeel/registry/share_state.h"
 #include "lavenderkeel/retry/retry_decision.h"
 
 namespace lavenderkeel {
@@ -38,11 +39,11 @@
                        AttemptFailure failure) const;
   /// Logs whether a request is sent again after a failed attempt.
   /// @param usage how much of the bound was used before the decision
-  /// @param sharing_entries the entries that share the bound's extra part
+  /// @param share this entry's share of the extra retries
   void OnRetryDecision(const ForwardedRequest& request,
                        RetryRefusal refusal,
                        const RetryUsage& usage,
-                       size_t sharing_entries) const;
+                       const ShareState& share) const;
   /// @param scheduler the scheduler that last received a slot request
   void OnEnd(const ForwardedRequest& request,
              std::string_view outcome,
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -145,6 +145,8 @@
   uint64_t revision() const { return revision_; }
   /// Revision of the latest change received.
   uint64_t last_change() const { return last_change_; }
+  /// Time of the store's last answer.
+  TimePoint answered_at() const { return answered_at_; }
   /// Returns true if the store failed to answer more than once in a row: a
   /// single watch may be cut off.
   bool lost() const { return failures_ > 1; }
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -178,6 +178,14 @@
 struct CrashNewsBuilder;
 struct CrashNewsT;
 
+struct RegistryFeed;
+struct RegistryFeedBuilder;
+struct RegistryFeedT;
+
+struct FedRegistration;
+struct FedRegistrationBuilder;
+struct FedRegistrationT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -264,6 +272,10 @@
 bool operator!=(const CrashEvidenceT &lhs, const CrashEvidenceT &rhs);
 bool operator==(const CrashNewsT &lhs, const CrashNewsT &rhs);
 bool operator!=(const CrashNewsT &lhs, const CrashNewsT &rhs);
+bool operator==(const RegistryFeedT &lhs, const RegistryFeedT &rhs);
+bool operator!=(const RegistryFeedT &lhs, const RegistryFeedT &rhs);
+bool operator==(const FedRegistrationT &lhs, const FedRegistrationT &rhs);
+bool operator!=(const FedRegistrationT &lhs, const FedRegistrationT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 
@@ -299,11 +311,12 @@
   SlotEnd = 28,
   ServerFeed = 29,
   CrashNews = 30,
+  RegistryFeed = 31,
   MIN = NONE,
-  MAX = CrashNews
+  MAX = RegistryFeed
 };
 
-inline const Body (&EnumValuesBody())[31] {
+inline const Body (&EnumValuesBody())[32] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -335,13 +348,14 @@
     Body::HaveSlot,
     Body::SlotEnd,
     Body::ServerFeed,
-    Body::CrashNews
+    Body::CrashNews,
+    Body::RegistryFeed
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[32] = {
+  static const char * const names[33] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -373,13 +387,14 @@
     "SlotEnd",
     "ServerFeed",
     "CrashNews",
+    "RegistryFeed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashNews)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RegistryFeed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -508,6 +523,10 @@
   static const Body enum_value = Body::CrashNews;
 };
 
+template<> struct BodyTraits<lavenderkeel::fbs::RegistryFeed> {
+  static const Body enum_value = Body::RegistryFeed;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -632,6 +651,10 @@
   static const Body enum_value = Body::CrashNews;
 };
 
+template<> struct BodyUnionTraits<lavenderkeel::fbs::RegistryFeedT> {
+  static const Body enum_value = Body::RegistryFeed;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -902,6 +925,14 @@
     return type == Body::CrashNews ?
       reinterpret_cast<const lavenderkeel::fbs::CrashNewsT *>(value) : nullptr;
   }
+  lavenderkeel::fbs::RegistryFeedT *AsRegistryFeed() {
+    return type == Body::RegistryFeed ?
+      reinterpret_cast<lavenderkeel::fbs::RegistryFeedT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::RegistryFeedT *AsRegistryFeed() const {
+    return type == Body::RegistryFeed ?
+      reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(value) : nullptr;
+  }
 };
 
 
@@ -1031,6 +1062,10 @@
       return *(reinterpret_cast<const lavenderkeel::fbs::CrashNewsT *>(lhs.value)) ==
              *(reinterpret_cast<const lavenderkeel::fbs::CrashNewsT *>(rhs.value));
     }
+    case Body::RegistryFeed: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -3688,6 +3723,10 @@
   uint64_t rollout_change = 0;
   std::vector<std::unique_ptr<lavenderkeel::fbs::NoticeReportT>> notices{};
   std::unique_ptr<lavenderkeel::fbs::LoadReportT> load{};
+  uint64_t entries_change = 0;
+  uint64_t entries_basis = 0;
+  uint64_t entries_counted_by_all = 0;
+  int64_t entries_age_ms = -1LL;
   ForwardStatusT() = default;
   ForwardStatusT(const ForwardStatusT &o);
   ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3717,7 +3756,11 @@
     VT_PLANS = 34,
     VT_ROLLOUT_CHANGE = 36,
     VT_NOTICES = 38,
-    VT_LOAD = 40
+    VT_LOAD = 40,
+    VT_ENTRIES_CHANGE = 42,
+    VT_ENTRIES_BASIS = 44,
+    VT_ENTRIES_COUNTED_BY_ALL = 46,
+    VT_ENTRIES_AGE_MS = 48
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3776,6 +3819,18 @@
   const lavenderkeel::fbs::LoadReport *load() const {
     return GetPointer<const lavenderkeel::fbs::LoadReport *>(VT_LOAD);
   }
+  uint64_t entries_change() const {
+    return GetField<uint64_t>(VT_ENTRIES_CHANGE, 0);
+  }
+  uint64_t entries_basis() const {
+    return GetField<uint64_t>(VT_ENTRIES_BASIS, 0);
+  }
+  uint64_t entries_counted_by_all() const {
+    return GetField<uint64_t>(VT_ENTRIES_COUNTED_BY_ALL, 0);
+  }
+  int64_t entries_age_ms() const {
+    return GetField<int64_t>(VT_ENTRIES_AGE_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3812,6 +3867,10 @@
            verifier.VerifyVectorOfTables(notices()) &&
            VerifyOffset(verifier, VT_LOAD) &&
            verifier.VerifyTable(load()) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRIES_CHANGE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRIES_BASIS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRIES_COUNTED_BY_ALL, 8) &&
+           VerifyField<int64_t>(verifier, VT_ENTRIES_AGE_MS, 8) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3880,6 +3939,18 @@
   void add_load(flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load) {
     fbb_.AddOffset(ForwardStatus::VT_LOAD, load);
   }
+  void add_entries_change(uint64_t entries_change) {
+    fbb_.AddElement<uint64_t>(ForwardStatus::VT_ENTRIES_CHANGE, entries_change, 0);
+  }
+  void add_entries_basis(uint64_t entries_basis) {
+    fbb_.AddElement<uint64_t>(ForwardStatus::VT_ENTRIES_BASIS, entries_basis, 0);
+  }
+  void add_entries_counted_by_all(uint64_t entries_counted_by_all) {
+    fbb_.AddElement<uint64_t>(ForwardStatus::VT_ENTRIES_COUNTED_BY_ALL, entries_counted_by_all, 0);
+  }
+  void add_entries_age_ms(int64_t entries_age_ms) {
+    fbb_.AddElement<int64_t>(ForwardStatus::VT_ENTRIES_AGE_MS, entries_age_ms, -1LL);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3911,8 +3982,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::RolloutPlan>>> plans = 0,
     uint64_t rollout_change = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>>> notices = 0,
-    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0) {
+    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0,
+    uint64_t entries_change = 0,
+    uint64_t entries_basis = 0,
+    uint64_t entries_counted_by_all = 0,
+    int64_t entries_age_ms = -1LL) {
   ForwardStatusBuilder builder_(_fbb);
+  builder_.add_entries_age_ms(entries_age_ms);
+  builder_.add_entries_counted_by_all(entries_counted_by_all);
+  builder_.add_entries_basis(entries_basis);
+  builder_.add_entries_change(entries_change);
   builder_.add_rollout_change(rollout_change);
   builder_.add_server_change(server_change);
   builder_.add_table_version(table_version);
@@ -3960,7 +4039,11 @@
     const std::vector<flatbuffers::Offset<lavenderkeel::fbs::RolloutPlan>> *plans = nullptr,
     uint64_t rollout_change = 0,
     const std::vector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> *notices = nullptr,
-    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0) {
+    flatbuffers::Offset<lavenderkeel::fbs::LoadReport> load = 0,
+    uint64_t entries_change = 0,
+    uint64_t entries_basis = 0,
+    uint64_t entries_counted_by_all = 0,
+    int64_t entries_age_ms = -1LL) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
@@ -3991,7 +4074,11 @@
       plans__,
       rollout_change,
       notices__,
-      load);
+      load,
+      entries_change,
+      entries_basis,
+      entries_counted_by_all,
+      entries_age_ms);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5993,6 +6080,199 @@
 
 flatbuffers::Offset<CrashNews> CreateCrashNews(flatbuffers::FlatBufferBuilder &_fbb, const CrashNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RegistryFeedT : public flatbuffers::NativeTable {
+  typedef RegistryFeed TableType;
+  uint64_t change = 0;
+  std::vector<std::unique_ptr<lavenderkeel::fbs::FedRegistrationT>> entries{};
+  int64_t age_ms = 0;
+  RegistryFeedT() = default;
+  RegistryFeedT(const RegistryFeedT &o);
+  RegistryFeedT(RegistryFeedT&&) FLATBUFFERS_NOEXCEPT = default;
+  RegistryFeedT &operator=(RegistryFeedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RegistryFeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RegistryFeedT NativeTableType;
+  typedef RegistryFeedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CHANGE = 4,
+    VT_ENTRIES = 6,
+    VT_AGE_MS = 8
+  };
+  uint64_t change() const {
+    return GetField<uint64_t>(VT_CHANGE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>> *>(VT_ENTRIES);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGE, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           verifier.EndTable();
+  }
+  RegistryFeedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RegistryFeedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RegistryFeed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RegistryFeedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RegistryFeedBuilder {
+  typedef RegistryFeed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_change(uint64_t change) {
+    fbb_.AddElement<uint64_t>(RegistryFeed::VT_CHANGE, change, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>>> entries) {
+    fbb_.AddOffset(RegistryFeed::VT_ENTRIES, entries);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(RegistryFeed::VT_AGE_MS, age_ms, 0);
+  }
+  explicit RegistryFeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RegistryFeed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RegistryFeed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RegistryFeed> CreateRegistryFeed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t change = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>>> entries = 0,
+    int64_t age_ms = 0) {
+  RegistryFeedBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_change(change);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct RegistryFeed::Traits {
+  using type = RegistryFeed;
+  static auto constexpr Create = CreateRegistryFeed;
+};
+
+inline flatbuffers::Offset<RegistryFeed> CreateRegistryFeedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t change = 0,
+    const std::vector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>> *entries = nullptr,
+    int64_t age_ms = 0) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>>(*entries) : 0;
+  return lavenderkeel::fbs::CreateRegistryFeed(
+      _fbb,
+      change,
+      entries__,
+      age_ms);
+}
+
+flatbuffers::Offset<RegistryFeed> CreateRegistryFeed(flatbuffers::FlatBufferBuilder &_fbb, const RegistryFeedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FedRegistrationT : public flatbuffers::NativeTable {
+  typedef FedRegistration TableType;
+  std::string name{};
+  uint64_t revision = 0;
+  uint8_t state = 0;
+};
+
+struct FedRegistration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FedRegistrationT NativeTableType;
+  typedef FedRegistrationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_REVISION = 6,
+    VT_STATE = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           verifier.EndTable();
+  }
+  FedRegistrationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FedRegistrationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FedRegistration> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FedRegistrationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FedRegistrationBuilder {
+  typedef FedRegistration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(FedRegistration::VT_NAME, name);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(FedRegistration::VT_REVISION, revision, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(FedRegistration::VT_STATE, state, 0);
+  }
+  explicit FedRegistrationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FedRegistration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FedRegistration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FedRegistration> CreateFedRegistration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t revision = 0,
+    uint8_t state = 0) {
+  FedRegistrationBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_name(name);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct FedRegistration::Traits {
+  using type = FedRegistration;
+  static auto constexpr Create = CreateFedRegistration;
+};
+
+inline flatbuffers::Offset<FedRegistration> CreateFedRegistrationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t revision = 0,
+    uint8_t state = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return lavenderkeel::fbs::CreateFedRegistration(
+      _fbb,
+      name__,
+      revision,
+      state);
+}
+
+flatbuffers::Offset<FedRegistration> CreateFedRegistration(flatbuffers::FlatBufferBuilder &_fbb, const FedRegistrationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   lavenderkeel::fbs::BodyUnion body{};
@@ -6103,6 +6383,9 @@
   const lavenderkeel::fbs::CrashNews *body_as_CrashNews() const {
     return body_type() == lavenderkeel::fbs::Body::CrashNews ? static_cast<const lavenderkeel::fbs::CrashNews *>(body()) : nullptr;
   }
+  const lavenderkeel::fbs::RegistryFeed *body_as_RegistryFeed() const {
+    return body_type() == lavenderkeel::fbs::Body::RegistryFeed ? static_cast<const lavenderkeel::fbs::RegistryFeed *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6235,6 +6518,10 @@
   return body_as_CrashNews();
 }
 
+template<> inline const lavenderkeel::fbs::RegistryFeed *Frame::body_as<lavenderkeel::fbs::RegistryFeed>() const {
+  return body_as_RegistryFeed();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7489,7 +7776,11 @@
       (lhs.plans.size() == rhs.plans.size() && std::equal(lhs.plans.cbegin(), lhs.plans.cend(), rhs.plans.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::RolloutPlanT> const &a, std::unique_ptr<lavenderkeel::fbs::RolloutPlanT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.rollout_change == rhs.rollout_change) &&
       (lhs.notices.size() == rhs.notices.size() && std::equal(lhs.notices.cbegin(), lhs.notices.cend(), rhs.notices.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &a, std::unique_ptr<lavenderkeel::fbs::NoticeReportT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      ((lhs.load == rhs.load) || (lhs.load && rhs.load && *lhs.load == *rhs.load));
+      ((lhs.load == rhs.load) || (lhs.load && rhs.load && *lhs.load == *rhs.load)) &&
+      (lhs.entries_change == rhs.entries_change) &&
+      (lhs.entries_basis == rhs.entries_basis) &&
+      (lhs.entries_counted_by_all == rhs.entries_counted_by_all) &&
+      (lhs.entries_age_ms == rhs.entries_age_ms);
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -7512,7 +7803,11 @@
         feed_wanted(o.feed_wanted),
         plans_known(o.plans_known),
         rollout_change(o.rollout_change),
-        load((o.load) ? new lavenderkeel::fbs::LoadReportT(*o.load) : nullptr) {
+        load((o.load) ? new lavenderkeel::fbs::LoadReportT(*o.load) : nullptr),
+        entries_change(o.entries_change),
+        entries_basis(o.entries_basis),
+        entries_counted_by_all(o.entries_counted_by_all),
+        entries_age_ms(o.entries_age_ms) {
   gates.reserve(o.gates.size());
   for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
   rollout_counts.reserve(o.rollout_counts.size());
@@ -7543,6 +7838,10 @@
   std::swap(rollout_change, o.rollout_change);
   std::swap(notices, o.notices);
   std::swap(load, o.load);
+  std::swap(entries_change, o.entries_change);
+  std::swap(entries_basis, o.entries_basis);
+  std::swap(entries_counted_by_all, o.entries_counted_by_all);
+  std::swap(entries_age_ms, o.entries_age_ms);
   return *this;
 }
 
@@ -7574,6 +7873,10 @@
   { auto _e = rollout_change(); _o->rollout_change = _e; }
   { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<lavenderkeel::fbs::NoticeReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<lavenderkeel::fbs::LoadReportT>(_e->UnPack(_resolver)); }
+  { auto _e = entries_change(); _o->entries_change = _e; }
+  { auto _e = entries_basis(); _o->entries_basis = _e; }
+  { auto _e = entries_counted_by_all(); _o->entries_counted_by_all = _e; }
+  { auto _e = entries_age_ms(); _o->entries_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7603,6 +7906,10 @@
   auto _rollout_change = _o->rollout_change;
   auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::NoticeReport>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateNoticeReport(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _load = _o->load ? CreateLoadReport(_fbb, _o->load.get(), _rehasher) : 0;
+  auto _entries_change = _o->entries_change;
+  auto _entries_basis = _o->entries_basis;
+  auto _entries_counted_by_all = _o->entries_counted_by_all;
+  auto _entries_age_ms = _o->entries_age_ms;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
@@ -7623,7 +7930,11 @@
       _plans,
       _rollout_change,
       _notices,
-      _load);
+      _load,
+      _entries_change,
+      _entries_basis,
+      _entries_counted_by_all,
+      _entries_age_ms);
 }
 
 
@@ -8605,6 +8916,110 @@
 }
 
 
+inline bool operator==(const RegistryFeedT &lhs, const RegistryFeedT &rhs) {
+  return
+      (lhs.change == rhs.change) &&
+      (lhs.entries.size() == rhs.entries.size() && std::equal(lhs.entries.cbegin(), lhs.entries.cend(), rhs.entries.cbegin(), [](std::unique_ptr<lavenderkeel::fbs::FedRegistrationT> const &a, std::unique_ptr<lavenderkeel::fbs::FedRegistrationT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.age_ms == rhs.age_ms);
+}
+
+inline bool operator!=(const RegistryFeedT &lhs, const RegistryFeedT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RegistryFeedT::RegistryFeedT(const RegistryFeedT &o)
+      : change(o.change),
+        age_ms(o.age_ms) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new lavenderkeel::fbs::FedRegistrationT(*entries_) : nullptr); }
+}
+
+inline RegistryFeedT &RegistryFeedT::operator=(RegistryFeedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(change, o.change);
+  std::swap(entries, o.entries);
+  std::swap(age_ms, o.age_ms);
+  return *this;
+}
+
+inline RegistryFeedT *RegistryFeed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RegistryFeedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RegistryFeed::UnPackTo(RegistryFeedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = change(); _o->change = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<lavenderkeel::fbs::FedRegistrationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<RegistryFeed> RegistryFeed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RegistryFeedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRegistryFeed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RegistryFeed> CreateRegistryFeed(flatbuffers::FlatBufferBuilder &_fbb, const RegistryFeedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RegistryFeedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _change = _o->change;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<lavenderkeel::fbs::FedRegistration>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateFedRegistration(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _age_ms = _o->age_ms;
+  return lavenderkeel::fbs::CreateRegistryFeed(
+      _fbb,
+      _change,
+      _entries,
+      _age_ms);
+}
+
+
+inline bool operator==(const FedRegistrationT &lhs, const FedRegistrationT &rhs) {
+  return
+      (lhs.name == rhs.name) &&
+      (lhs.revision == rhs.revision) &&
+      (lhs.state == rhs.state);
+}
+
+inline bool operator!=(const FedRegistrationT &lhs, const FedRegistrationT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline FedRegistrationT *FedRegistration::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FedRegistrationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FedRegistration::UnPackTo(FedRegistrationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = state(); _o->state = _e; }
+}
+
+inline flatbuffers::Offset<FedRegistration> FedRegistration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FedRegistrationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFedRegistration(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FedRegistration> CreateFedRegistration(flatbuffers::FlatBufferBuilder &_fbb, const FedRegistrationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FedRegistrationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _revision = _o->revision;
+  auto _state = _o->state;
+  return lavenderkeel::fbs::CreateFedRegistration(
+      _fbb,
+      _name,
+      _revision,
+      _state);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -8769,6 +9184,10 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::CrashNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RegistryFeed: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeed *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8908,6 +9327,10 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::CrashNews *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::RegistryFeed: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeed *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9035,6 +9458,10 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::CrashNewsT *>(value);
       return CreateCrashNews(_fbb, ptr, _rehasher).Union();
     }
+    case Body::RegistryFeed: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(value);
+      return CreateRegistryFeed(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9161,6 +9588,10 @@
       value = new lavenderkeel::fbs::CrashNewsT(*reinterpret_cast<lavenderkeel::fbs::CrashNewsT *>(u.value));
       break;
     }
+    case Body::RegistryFeed: {
+      value = new lavenderkeel::fbs::RegistryFeedT(*reinterpret_cast<lavenderkeel::fbs::RegistryFeedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9318,6 +9749,11 @@
       delete ptr;
       break;
     }
+    case Body::RegistryFeed: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::RegistryFeedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/lavenderkeel/wire/message.h
+++ b/lavenderkeel/wire/message.h
@@ -42,6 +42,7 @@
 using SlotEnd = fbs::SlotEndT;
 using CrashEvidence = fbs::CrashEvidenceT;
 using CrashNews = fbs::CrashNewsT;
+using RegistryFeed = fbs::RegistryFeedT;
 
 using Message = std::variant<Hello,
                              Heartbeat,
@@ -72,7 +73,8 @@
                              HaveSlot,
                              SlotEnd,
                              ServerFeed,
-                             CrashNews>;
+                             CrashNews,
+                             RegistryFeed>;
 
 inline fbs::Key ToWire(const RequestKey& key) {
   return {key.hi, key.lo};
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -1,5 +1,6 @@
 // Fake of the platform's object store: objects by kind, lists and watches over
-// HTTP. PUT /objects/KIND/NAME sets an object's spec. PUT
+// HTTP. PUT /objects/KIND/NAME sets an object's spec. POST /objects/KIND
+// creates the object that the request names, unless it exists. PUT
 // /objects/KIND/NAME/status sets its status, if the object still has the
 // revision in the request. DELETE /objects/KIND/NAME removes the object.
 #include <boost/json.hpp>
@@ -90,8 +91,15 @@
     } else if (request.method == "PUT") {
       Put(kind, name, json::parse(request.body));
       Answer(request.id, json::object());
+    } else if (request.method == "POST") {
+      Create(request.id, kind, json::parse(request.body));
     } else if (request.method == "DELETE") {
-      Remove(kind, name);
+      const uint64_t revision = QueryNumber(request.query, "revision");
+      const auto found = objects_[kind].find(name);
+      if (revision == 0 || (found != objects_[kind].end() &&
+                            found->second.revision == revision)) {
+        Remove(kind, name);
+      }
       Answer(request.id, json::object());
     } else if (request.query.find("watch=") != std::string::npos) {
       watches_.push_back(
@@ -113,6 +121,17 @@
     RecordChange(kind, name, object);
   }
 
+  void Create(CallerId caller, const std::string& kind, json::value body) {
+    constexpr int kConflict = 409;
+    const std::string name(body.at("metadata").at("name").as_string());
+    if (objects_[kind].contains(name)) {
+      Answer(caller, ToJson(name, objects_[kind][name]), kConflict);
+      return;
+    }
+    Put(kind, name, body.at("spec"));
+    Answer(caller, ToJson(name, objects_[kind][name]));
+  }
+
   void PutStatus(CallerId caller,
                  const std::string& kind,
                  const std::string& name,
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "platform/registration_codec.h"
 #include "platform/rollout_codec.h"
 
 namespace lavenderkeel::fakes {
@@ -80,6 +81,12 @@
                             const RolloutRecord& record, const auto& done) {
                 WriteStatus(entry, order, record, done);
               },
+          .registry = {.kind = "entries",
+                       .decode = hybrid::DecodeRegistration,
+                       .write =
+                           [this, entry](const RegistryWrite& write) {
+                             WriteRegistry(entry, write);
+                           }},
           .read =
               [this, entry](const ObjectRead& read, const auto& done) {
                 ++store_reads_;
@@ -95,6 +102,30 @@
               }};
 }
 
+void FleetSimulation::WriteRegistry(size_t entry, const RegistryWrite& write) {
+  if (store_down_ || store_cuts_.contains(entry)) {
+    return;
+  }
+  const auto found = objects_.find({"entries", write.entry.name});
+  const bool exists = found != objects_.end() && !found->second.removed;
+  if (write.kind == RegistryWrite::Kind::kCreate) {
+    if (!exists) {
+      PutObject("entries", write.entry.name, "{}");
+    }
+    return;
+  }
+  if (!exists || found->second.revision != write.entry.revision) {
+    return;
+  }
+  if (write.kind == RegistryWrite::Kind::kRemove) {
+    RemoveObject("entries", write.entry.name);
+    return;
+  }
+  found->second.status = hybrid::EncodeRegistrationState(write.entry.state);
+  found->second.revision = ++revision_;
+  AnswerWatches();
+}
+
 void FleetSimulation::WriteStatus(
     size_t entry,
     const RolloutOrder& order,
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -169,6 +169,8 @@
 
   static size_t ToIndex(int entry) { return static_cast<size_t>(entry); }
   InstanceInfo InfoOf(size_t entry) const;
+  /// Performs a write to the registry of entries.
+  void WriteRegistry(size_t entry, const RegistryWrite& write);
   void WriteStatus(size_t entry,
                    const RolloutOrder& order,
                    const RolloutRecord& record,
--- a/test/forward/retry_simulation.h
+++ b/test/forward/retry_simulation.h
@@ -25,6 +25,7 @@
     int servers = 6;
     Duration answer_delay = std::chrono::milliseconds(100);
     fakes::RetryHistory::Bound bound = {};
+    EntryRegistry::Options registry = {};
     /// Routes of ForwardSimulation::Table() that clients use in rotation.
     std::vector<std::string> routes = {"lookup", "stream"};
     /// Decides the fate of requests; answered if empty.
@@ -40,7 +41,7 @@
                 .seeds = std::min(3, options.entries),
                 .with_server = false,
                 .log = options.log,
-                .node = NodeOptions(options.bound)}),
+                .node = NodeOptions(options)}),
         servers_(fleet_,
                  {.servers = options.servers,
                   .answer_delay = options.answer_delay,
@@ -144,12 +145,12 @@
     ExchangeId exchange = 0;
   };
 
-  static ForwardNode::Options NodeOptions(
-      const fakes::RetryHistory::Bound& bound) {
+  static ForwardNode::Options NodeOptions(const Options& options) {
     ForwardNode::Options node;
-    node.controller.retries.window = bound.window;
-    node.controller.retries.ratio = bound.ratio;
-    node.controller.retry_extra = bound.extra;
+    node.controller.retries.window = options.bound.window;
+    node.controller.retries.ratio = options.bound.ratio;
+    node.controller.retry_extra = options.bound.extra;
+    node.registry.registry = options.registry;
     return node;
   }
 
--- a/test/forward/shared_retry_bound_test.cc
+++ b/test/forward/shared_retry_bound_test.cc
@@ -72,6 +72,64 @@
   CheckBound(simulation);
 }
 
+// Guards against entries that use their part after the others have shared it
+// out, since they could not read that they were removed.
+BOOST_AUTO_TEST_CASE(EntriesRemovedWhileCutOffKeepTheSharedRetryBound) {
+  RetrySimulation simulation(
+      {.bound = {.ratio = 0},
+       .registry = {.lease = seconds(40), .forget_after = seconds(30)},
+       .decide_fate = AlwaysLost});
+  simulation.SetPartition(2, true);
+  for (const int entry : {2, 3}) {
+    simulation.fleet().set_store_cut(entry, true);
+  }
+  simulation.SendTraffic(kFewRequests, seconds(150));
+  BOOST_TEST(simulation.fleet().node(0).registry().Share().entries == 2U);
+  BOOST_TEST(simulation.fleet().node(3).registry().Share().fraction() == 0);
+
+  simulation.SetPartition(2, false);
+  for (const int entry : {2, 3}) {
+    simulation.fleet().set_store_cut(entry, false);
+  }
+  simulation.SendTraffic(kFewRequests, seconds(40));
+  for (int entry = 0; entry < simulation.entries(); ++entry) {
+    BOOST_TEST(simulation.fleet().node(entry).registry().Share().fraction() ==
+               1.0 / simulation.entries());
+  }
+  CheckBound(simulation);
+}
+
+// Guards against the removal of entries that are cut off from the others, but
+// not from the store.
+BOOST_AUTO_TEST_CASE(EntriesThatReadTheStoreKeepTheirShareWhileCutOff) {
+  RetrySimulation simulation(
+      {.bound = {.ratio = 0},
+       .registry = {.lease = seconds(40), .forget_after = seconds(30)},
+       .decide_fate = AlwaysLost});
+  simulation.SetPartition(2, true);
+  simulation.SendTraffic(kFewRequests, seconds(150));
+  for (int entry = 0; entry < simulation.entries(); ++entry) {
+    BOOST_TEST(simulation.fleet().node(entry).registry().Share().fraction() ==
+               1.0 / simulation.entries());
+  }
+  CheckBound(simulation);
+}
+
+// Guards against an entry that was frozen and takes the requests that it reads
+// when it wakes up for new ones.
+BOOST_AUTO_TEST_CASE(FrozenEntryKeepsTheSharedRetryBound) {
+  RetrySimulation simulation({.entries = 1,
+                              .servers = 20,
+                              .bound = {.extra = 0},
+                              .decide_fate = AlwaysLost});
+  simulation.Advance(seconds(20));
+  simulation.fleet().set_frozen(0, true);
+  simulation.SendTraffic(50, seconds(25));
+  simulation.fleet().set_frozen(0, false);
+  simulation.SendTraffic(0, seconds(5));
+  CheckBound(simulation);
+}
+
 // Guards against an added entry that uses a part before the others have made
 // theirs smaller.
 BOOST_AUTO_TEST_CASE(AddedEntriesKeepTheSharedRetryBound) {
@@ -172,6 +230,8 @@
                      .servers = 2 + Draw(6),
                      .answer_delay = milliseconds(20 + Draw(600)),
                      .bound = {.extra = 4.0 + Draw(50)},
+                     .registry = {.lease = seconds(35),
+                                  .forget_after = seconds(1 + Draw(40))},
                      .routes = {"lookup", "stream", "once", "once-stream"},
                      .decide_fate = [this](int) { return DrawFate(); }}) {}
 
