Retries: requests read after a freeze count at its begin

A process that was frozen reads at once what clients sent meanwhile.

A request counts at the earliest time at which its client may have sent it: the tick before it was read, or the last one before a gap of ticks. Windows that are still open then contain it no longer than they contain the real moment. After a suspension, in which the clock stopped, all former requests are older than they seem and are forgotten; retries and waits only seem later, which allows less.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -19,6 +19,11 @@
 /// request has time for few of these.
 constexpr size_t kMaxServersTried = 6;
 
+/// Two ticks further apart than this mean that the process did not run, and
+/// requests that it reads within the backlog time may be as old as the former.
+constexpr Duration kMaxTickGap = std::chrono::milliseconds(300);
+constexpr Duration kBacklogTime = std::chrono::milliseconds(500);
+
 /// How retries are told from first attempts with early refusal.
 constexpr RequestAgeEstimator::Options kAgeWithEarlyRefusal = {
     // All requests beyond the capacity are refused and come back within the
@@ -104,7 +109,8 @@
                port,
                version_selector,
                clock,
-               metrics) {}
+               metrics),
+      ticked_at_(clock.Now()) {}
 
 void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
   assert(table != nullptr);
@@ -247,7 +253,7 @@
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
   retry_bounds_.try_emplace(admitted.service, options_.retries)
-      .first->second.OnRequest(clock_.Now());
+      .first->second.OnRequest(EarliestSendTime(arrived));
   crashes_.OnRequestArrived(admitted.fingerprint);
   Enqueue(admitted);
 }
@@ -905,8 +911,24 @@
                           .retry_after = retry_after});
 }
 
+TimePoint ForwardController::EarliestSendTime(TimePoint arrived) const {
+  return clock_.Now() < backlog_until_ ? backlog_since_
+                                       : std::min(arrived, ticked_at_);
+}
+
+void ForwardController::OnSuspended() {
+  for (auto& [service, bound] : retry_bounds_) {
+    bound.ForgetRequests();
+  }
+}
+
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
+  if (now - ticked_at_ > kMaxTickGap) {
+    backlog_since_ = ticked_at_;
+    backlog_until_ = now + kBacklogTime;
+  }
+  ticked_at_ = now;
   CheckEarlyRequests(now);
   std::vector<ExchangeId> exchanges;
   exchanges.reserve(requests_.size());
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -186,6 +186,10 @@
     return admission_.rates().share().ShareAt(clock_.Now());
   }
 
+  /// Handles that the clock stopped for some time: all requests are older than
+  /// it seems.
+  void OnSuspended();
+
   /// Ends waits, silent attempts and requests whose time is over.
   void Tick();
 
@@ -259,6 +263,8 @@
   double retry_extra() const {
     return options_.retry_extra * retry_share_.fraction();
   }
+  /// Returns the earliest time at which the client may have sent a request.
+  TimePoint EarliestSendTime(TimePoint arrived) const;
   /// Returns why the request itself may not be sent again, if so.
   RetryRefusal CheckRepeatable(const ForwardedRequest& request) const;
   void GiveUp(ForwardedRequest& request, RunState state);
@@ -301,6 +307,11 @@
   /// By service.
   std::map<std::string, RetryBound> retry_bounds_;
   ShareState retry_share_ = {.status = ShareStatus::kUsable, .entries = 1};
+  TimePoint ticked_at_;
+  /// Requests that are read up to a time may have been sent since another, see
+  /// EarliestSendTime.
+  TimePoint backlog_since_;
+  TimePoint backlog_until_ = TimePoint::min();
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   bool refuses_new_ = false;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -483,6 +483,11 @@
   }
 }
 
+void ForwardNode::OnSuspended() {
+  controller_.OnSuspended();
+  OnFreeze();
+}
+
 void ForwardNode::Leave() {
   if (std::exchange(leaving_, true)) {
     return;
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -91,6 +91,8 @@
   /// Handles a suspension of the process, after which its state may be out of
   /// date.
   void OnFreeze();
+  /// Handles a suspension of the machine, during which the clock stopped.
+  void OnSuspended();
   /// Makes the entry not ready; accepted requests are finished.
   void Leave();
 
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -194,7 +194,7 @@
 void ForwardDaemon::CheckForFreeze() {
   const Duration suspended = BootTime() - clock_.Now().time_since_epoch();
   if (suspended - suspended_time_ > kMinSuspension) {
-    node_.OnFreeze();
+    node_.OnSuspended();
   }
   suspended_time_ = suspended;
 }
--- a/lavenderkeel/retry/retry_bound.h
+++ b/lavenderkeel/retry/retry_bound.h
@@ -37,6 +37,7 @@
   explicit RetryBound(const Options& options);
 
   void OnRequest(TimePoint now);
+  void ForgetRequests() { requests_.Clear(); }
 
   /// Reserves a retry that is to be sent later, unless those sent and reserved
   /// use the bound up.
--- a/test/forward/shared_retry_bound_test.cc
+++ b/test/forward/shared_retry_bound_test.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "test/forward/retry_simulation.h"
 
@@ -311,8 +312,9 @@
 
 }  // namespace
 
-// Guards against orders of failures that nobody thought of. RETRY_PLAYS and
-// RETRY_SEED set the number of plays and the first seed.
+// Guards against orders of failures that nobody thought of, and those that once
+// failed. RETRY_PLAYS and RETRY_SEED set the number of plays and the first
+// seed.
 BOOST_AUTO_TEST_CASE(SharedRetryBoundHoldsInRandomPlays) {
   const auto number = [](const char* name, uint64_t otherwise) {
     const char* const text = std::getenv(name);
@@ -320,7 +322,11 @@
   };
   const uint64_t first = number("RETRY_SEED", 1);
   const uint64_t plays = number("RETRY_PLAYS", 20);
+  std::vector<uint64_t> seeds = {248};
   for (uint64_t seed = first; seed < first + plays; ++seed) {
+    seeds.push_back(seed);
+  }
+  for (const uint64_t seed : seeds) {
     RetryPlay play(seed);
     play.Run();
     BOOST_TEST_CONTEXT("seed " << seed) {
