Retries: three quarters of the ratio by the requests of the same window

A process that has just started, or traffic that has just begun, has no window before: half of the ratio was all it could use for ten seconds, while a quiet fleet could use half of the ratio at once, more than runs at its servers.

--- a/lavenderkeel/retry/retry_bound.cc
+++ b/lavenderkeel/retry/retry_bound.cc
@@ -12,7 +12,7 @@
 /// The fraction of the ratio that counts requests of the same window; the rest
 /// counts those of the window before. The former allows retries when traffic
 /// has just begun, the latter many at once when servers fail.
-constexpr double kSameWindowFraction = 0.5;
+constexpr double kSameWindowFraction = 0.75;
 
 /// Sums over ranges of buckets.
 class Sums {
--- a/lavenderkeel/retry/retry_bound.h
+++ b/lavenderkeel/retry/retry_bound.h
@@ -17,11 +17,11 @@
 /// remaining servers doubles and the overload does not end.
 ///
 /// Retries of a window are allowed by the requests of this entry in that window
-/// and in the one before, half by each. What is allowed thus is a sum over
-/// requests, so entries that keep their parts keep the whole, however requests
-/// move between them and whether or not they can reach each other. Requests
-/// before a process started count for nothing, as its predecessor may have used
-/// them.
+/// and, to a smaller part, in the one before. What is allowed thus is a sum
+/// over requests, so entries that keep their parts keep the whole, however
+/// requests move between them and whether or not they can reach each other.
+/// Requests before a process started count for nothing, as its predecessor may
+/// have used them.
 class RetryBound {
  public:
   struct Options {
