--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -259,10 +259,10 @@
     }
     history_.OnArrival(server->id, {run.entry, run.incarnation}, fleet_.Now(),
                        fleet_.RequestedAt(attempt.Field("Request-Id")));
-    if (server->pushback.has_value() &&
-        (server->only_entry < 0 || server->only_entry == entry)) {
-      Answer(run, kUnavailable);
-    } else if (run.fate == Fate::kRejected) {
+    const bool turned_away =
+        server->pushback.has_value() &&
+        (server->only_entry < 0 || server->only_entry == entry);
+    if (turned_away || run.fate == Fate::kRejected) {
       Answer(run, kUnavailable);
     } else {
       runs_.push_back(run);
