Soak: counts retries over all entries and all lives of their processes

The checker did not know the bound on retries, so the soak could not find the incident. It now counts arrivals at the servers beyond the first of each request in windows from any moment, against what clients sent. Arrivals are taken where the bytes leave the relay, so that a paused server does not date them. Entries get a bound with a short window; servers reject, answer with errors or lose answers for some seconds, and entries are killed, stopped and paused meanwhile. The steps of former seeds stay, the new ones are added to them. "large" runs plans of several dozen processes.

--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -2,10 +2,16 @@
 // and answers all other requests with a single body. Appends the id of each
 // request that it runs to RUNS_FILE, which the tests compare with the answers
 // of clients.
+//
+// PUT /failing with the body "WHAT PERCENT" makes it fail a part of the
+// requests from then on: "reject" turns them away, "error" answers with an
+// error, "lose" ends the connection after a part of the answer.
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <random>
+#include <sstream>
 #include <string>
 
 #include "lavenderkeel/io.h"
@@ -18,7 +24,10 @@
 using lavenderkeel::HttpRequest;
 
 constexpr int kEvents = 12;
+constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr int kServerError = 500;
 
 class FakeBackend {
  public:
@@ -43,9 +52,28 @@
     std::string request;
     bool stream = false;
     int next = 1;
+    /// Whether the answer is lost, or an error.
+    bool lost = false;
+    bool error = false;
   };
 
+  void SetFailing(const HttpRequest& request) {
+    std::istringstream(request.body) >> failure_ >> failing_percent_;
+    http_.Handle(lavenderkeel::ReplyComplete{.caller = request.id});
+  }
+
+  /// Decides whether a request fails in the way.
+  bool Fails(const std::string& failure) {
+    constexpr int kAll = 100;
+    return failure_ == failure && std::uniform_int_distribution<int>(
+                                      1, kAll)(random_) <= failing_percent_;
+  }
+
   void OnRequest(const HttpRequest& request) {
+    if (request.path == "/failing") {
+      SetFailing(request);
+      return;
+    }
     const std::string expected = request.header("Expect-Instance").value_or("");
     if (expected != id_) {
       http_.Handle(
@@ -54,11 +82,21 @@
                                       .headers = {{"Instance-Id", id_}}});
       return;
     }
+    if (Fails("reject")) {
+      http_.Handle(
+          lavenderkeel::ReplyComplete{.caller = request.id,
+                                      .status = kUnavailable,
+                                      .headers = {{"Not-Executed", "1"}}});
+      return;
+    }
     Running run{.request = request.header("Request-Id").value_or(""),
-                .stream = request.path.starts_with("/stream/")};
+                .stream = request.path.starts_with("/stream/"),
+                .lost = Fails("lose"),
+                .error = Fails("error")};
     runs_ << run.request << '\n' << std::flush;
     const auto last = request.header("Last-Event-Id");
     run.next = last.has_value() ? std::atoi(last->c_str()) + 1 : 1;
+    run.stream = run.stream && !run.error;
     if (run.stream) {
       HttpHeaders headers = Headers(run);
       headers.emplace_back("Content-Type", "text/event-stream");
@@ -90,12 +128,21 @@
       if (run.next++ < kStepsOfWork) {
         return false;
       }
+      if (run.lost) {
+        http_.Handle(lavenderkeel::ReplyAbort{.caller = caller});
+        return true;
+      }
       http_.Handle(
           lavenderkeel::ReplyComplete{.caller = caller,
+                                      .status = run.error ? kServerError : kOk,
                                       .headers = Headers(run),
                                       .body = "answer to " + run.request});
       return true;
     }
+    if (run.lost && run.next > kEvents / 2) {
+      http_.Handle(lavenderkeel::ReplyAbort{.caller = caller});
+      return true;
+    }
     if (run.next > kEvents) {
       http_.Handle(lavenderkeel::ReplyEnd{.caller = caller});
       return true;
@@ -113,6 +160,9 @@
   lavenderkeel::EventLoop loop_;
   lavenderkeel::HttpServer http_;
   std::map<CallerId, Running> running_;
+  std::string failure_;
+  int failing_percent_ = 0;
+  std::minstd_rand random_;
 };
 
 }  // namespace
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -133,6 +133,9 @@
         remaining.push_back(std::move(queued));
         continue;
       }
+      if (queued.to_target && on_forwarded_) {
+        on_forwarded_(queued.bytes);
+      }
       bufferevent_write(queued.to_target ? pair->out : pair->in,
                         queued.bytes.data(), queued.bytes.size());
     }
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -1,8 +1,10 @@
 #ifndef LAVENDERKEEL_TEST_PROCESS_RELAY_H_
 #define LAVENDERKEEL_TEST_PROCESS_RELAY_H_
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/io/event_loop.h"
@@ -33,6 +35,10 @@
   /// until it is unblocked; new connections are accepted but carry nothing in
   /// that direction.
   void SetBlocked(bool to_target, bool from_target);
+  /// Sets a function that is called with the bytes that go to the target.
+  void set_on_forwarded(std::function<void(const std::string&)> on_forwarded) {
+    on_forwarded_ = std::move(on_forwarded);
+  }
 
  private:
   struct ConnectionPair;
@@ -51,6 +57,7 @@
   Duration delay_{};
   bool to_target_blocked_ = false;
   bool from_target_blocked_ = false;
+  std::function<void(const std::string&)> on_forwarded_;
 };
 
 }  // namespace lavenderkeel::test
--- a/test/soak/checker.cc
+++ b/test/soak/checker.cc
@@ -1,5 +1,7 @@
 #include "test/soak/checker.h"
 
+#include <sstream>
+
 namespace lavenderkeel::soak {
 
 namespace {
@@ -91,6 +93,17 @@
       violations_.push_back("reported as not run, but ran: " + id);
     }
   }
+  for (const std::string& id : runs) {
+    if (runs.count(id) > arrivals_.count(id)) {
+      violations_.push_back("ran more often than it reached a server: " + id);
+    }
+  }
+  const fakes::RetryHistory::Window worst = retries_.WorstWindow();
+  if (worst.excess() > 0) {
+    std::ostringstream text;
+    text << "retries beyond the bound: " << worst;
+    violations_.push_back(text.str());
+  }
 }
 
 void Checker::OnRequestAfterRecovery(const RequestRecord& record) {
--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "test/fakes/retry_history.h"
 #include "test/soak/client.h"
+#include "test/soak/plan.h"
 
 namespace lavenderkeel::soak {
 
@@ -19,7 +21,15 @@
 
   /// Checks a request that has ended at its client.
   void OnRequestDone(const RequestRecord& record);
-  /// Checks how often each request ran, once the servers run nothing more.
+  /// Records that a client sends a request.
+  void OnRequest(TimePoint now) { retries_.OnRequest(now); }
+  /// Records that a request reached a server.
+  void OnArrival(const std::string& id, TimePoint now) {
+    arrivals_.insert(id);
+    retries_.OnArrival(id, now);
+  }
+  /// Checks how often each request ran and was sent again, once the servers run
+  /// nothing more.
   ///
   /// @param runs the id of each run's request
   void OnRuns(const std::multiset<std::string>& runs);
@@ -35,6 +45,10 @@
   size_t refused() const { return refused_; }
   /// Number of requests with another status or without a complete answer.
   size_t lost() const { return lost_; }
+  /// Returns the window with the most retries compared with the bound.
+  fakes::RetryHistory::Window WorstRetryWindow() const {
+    return retries_.WorstWindow();
+  }
 
  private:
   void AddViolation(const RequestRecord& record, const std::string& guarantee);
@@ -42,6 +56,8 @@
   void CheckStream(const RequestRecord& record, bool complete);
 
   bool timed_;
+  fakes::RetryHistory retries_{kRetryBound};
+  std::multiset<std::string> arrivals_;
   std::vector<std::string> violations_;
   std::set<std::string> non_idempotent_;
   std::set<std::string> reported_not_run_;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <random>
 
 namespace lavenderkeel::soak {
@@ -9,34 +10,75 @@
 namespace {
 
 constexpr std::array<const char*, kFaultKinds> kFaultNames = {
-    "kill entry",         "stop entry",          "pause entry",
-    "kill all entries",   "kill server",         "pause server",
-    "drain server",       "reset server links",  "silence server links",
-    "delay server links", "cut server one way",  "pause store",
-    "reset store links",  "silence store links", "cut store one way",
-    "reset peer links",   "silence peer links",  "cut peer one way",
-    "change config"};
+    "kill entry",          "stop entry",          "pause entry",
+    "kill all entries",    "kill server",         "pause server",
+    "drain server",        "reset server links",  "silence server links",
+    "delay server links",  "cut server one way",  "pause store",
+    "reset store links",   "silence store links", "cut store one way",
+    "reset peer links",    "silence peer links",  "cut peer one way",
+    "change config",       "server rejects",      "server errs",
+    "server loses answers"};
+
+constexpr int kFaultsEndMs = 8000;
+constexpr int kMaxFaultMs = 2500;
+
+/// Adds servers that fail a part of their requests, and further ends of
+/// entries meanwhile: those are when retries are most frequent.
+void AddFailingServers(Plan& plan) {
+  std::mt19937_64 random(plan.seed + 1);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  const auto failure = [&pick] {
+    return static_cast<Fault>(static_cast<int>(Fault::kServerRejects) +
+                              pick(0, 2));
+  };
+  const int begin = pick(0, kFaultsEndMs / 2);
+  const int end = pick(begin, kFaultsEndMs);
+  for (int server = 0; server < plan.servers; ++server) {
+    plan.steps.push_back({.at = std::chrono::milliseconds(begin),
+                          .fault = failure(),
+                          .target = server,
+                          .duration = std::chrono::milliseconds(end - begin)});
+  }
+  constexpr Fault kEnds[] = {Fault::kKillEntry, Fault::kStopEntry,
+                             Fault::kPauseEntry, Fault::kKillAllEntries};
+  for (int ends = pick(0, 4); ends > 0; --ends) {
+    plan.steps.push_back(
+        {.at = std::chrono::milliseconds(pick(begin, end)),
+         .fault = kEnds[pick(0, static_cast<int>(std::size(kEnds)) - 1)],
+         .target = pick(0, plan.entries - 1),
+         .duration = std::chrono::milliseconds(pick(200, kMaxFaultMs))});
+  }
+}
 
 }  // namespace
 
-Plan MakePlan(uint64_t seed) {
+Plan MakePlan(uint64_t seed, bool large) {
   std::mt19937_64 random(seed);
   const auto pick = [&random](int min, int max) {
     return std::uniform_int_distribution<int>(min, max)(random);
   };
   Plan plan{.seed = seed, .entries = pick(2, 4), .servers = pick(3, 6)};
-  constexpr int kFaultsEndMs = 8000;
-  constexpr int kMaxFaultMs = 2500;
+  if (large) {
+    constexpr int kTimesEntries = 4;
+    constexpr int kTimesServers = 6;
+    plan.entries *= kTimesEntries;
+    plan.servers *= kTimesServers;
+    plan.clients *= kTimesEntries;
+  }
   const int count = pick(4, 14);
   for (int i = 0; i < count; ++i) {
     const int at = pick(300, kFaultsEndMs - kMaxFaultMs);
     plan.steps.push_back(
         {.at = std::chrono::milliseconds(at),
-         .fault = static_cast<Fault>(pick(0, kFaultKinds - 1)),
+         .fault = static_cast<Fault>(
+             pick(0, static_cast<int>(Fault::kChangeConfig))),
          .target = pick(0, 7),
          .duration = std::chrono::milliseconds(pick(200, kMaxFaultMs))});
   }
-  std::ranges::sort(plan.steps, {}, &Step::at);
+  AddFailingServers(plan);
+  std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
 }
 
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "test/fakes/retry_history.h"
 
 namespace lavenderkeel::soak {
 
@@ -31,9 +32,21 @@
   kSilencePeerLinks,
   kCutPeerOneWay,
   kChangeConfig,
+  /// These make a server fail a part of its requests.
+  kServerRejects,
+  kServerErrs,
+  kServerLosesAnswers,
 };
 
-inline constexpr int kFaultKinds = static_cast<int>(Fault::kChangeConfig) + 1;
+inline constexpr int kFaultKinds =
+    static_cast<int>(Fault::kServerLosesAnswers) + 1;
+
+/// The bound on retries that the entries are started with. Its window is short,
+/// so that the faults of a plan spread over several.
+inline constexpr fakes::RetryHistory::Bound kRetryBound = {
+    .window = std::chrono::seconds(3),
+    .ratio = 0.02,
+    .extra = 8};
 
 /// One fault of a plan.
 struct Step {
@@ -54,6 +67,7 @@
   uint64_t seed = 0;
   int entries = 3;
   int servers = 4;
+  int clients = 10;
   /// Duration of the traffic.
   Duration traffic = std::chrono::seconds(12);
   std::vector<Step> steps;
@@ -62,7 +76,9 @@
 /// Generates the plan of a seed, deterministically. Faults may follow each
 /// other closely and overlap. The last third of the traffic has no faults, so
 /// that recovery is observable.
-Plan MakePlan(uint64_t seed);
+///
+/// @param large whether the system has several dozen processes
+Plan MakePlan(uint64_t seed, bool large);
 
 std::string Describe(const Step& step);
 
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -1,9 +1,10 @@
 // Soak test: runs the real programs under generated fault plans and checks the
 // system's guarantees.
-// Usage: soak FIRST_SEED [RUNS [timed]]. "timed" also checks answer times, for
-// a machine that runs nothing else. Prints one line per seed and, on a
-// violation, the plan, the violated guarantees with the ids of the requests,
-// and the directory of the logs.
+// Usage: soak FIRST_SEED [RUNS [timed | large]]. "timed" also checks answer
+// times, for a machine that runs nothing else; "large" runs dozens of
+// processes. Prints one line per seed and, on a violation, the plan, the
+// violated guarantees with the ids of the requests, and the directory of the
+// logs.
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -20,14 +21,16 @@
 
 namespace {
 
-constexpr size_t kClients = 10;
 constexpr Duration kRecoveryTime = std::chrono::seconds(12);
 
 /// Test run of one seed, from the start of the processes to the result.
 class Run {
  public:
-  Run(uint64_t seed, bool timed)
-      : plan_(MakePlan(seed)), system_(plan_, loop_), checker_(timed) {
+  Run(uint64_t seed, bool timed, bool large)
+      : plan_(MakePlan(seed, large)), system_(plan_, loop_), checker_(timed) {
+    system_.set_on_arrival([this](const std::string& id) {
+      checker_.OnArrival(id, clock_.Now());
+    });
     // Stops the loop periodically, so that callers of Run() can test their
     // conditions.
     loop_.Every(std::chrono::milliseconds(4), [this] { loop_.Stop(); });
@@ -39,7 +42,7 @@
       system_.KeepLogs();
       return false;
     }
-    for (size_t i = 0; i < kClients; ++i) {
+    for (size_t i = 0; i < static_cast<size_t>(plan_.clients); ++i) {
       clients_.push_back(std::make_unique<Client>(
           loop_, system_.EntryAddress(i % system_.entries()),
           [this](const RequestRecord& record) {
@@ -62,6 +65,7 @@
       client.Tick();
       if (!client.busy()) {
         const std::string id = "r" + std::to_string(++sent_);
+        checker_.OnRequest(clock_.Now());
         client.Send(id, kRoutes[sent_ % std::size(kRoutes)]);
       }
     }
@@ -124,7 +128,7 @@
               << " servers, " << plan_.steps.size() << " faults, " << sent_
               << " requests, " << checker_.served() << " served, "
               << checker_.refused() << " refused, " << checker_.lost()
-              << " lost" << std::endl;
+              << " lost, " << checker_.WorstRetryWindow() << std::endl;
     if (holds) {
       return true;
     }
@@ -151,18 +155,19 @@
 
 int Main(int argc, char** argv) {
   if (argc < 2) {
-    std::cerr << "usage: soak FIRST_SEED [RUNS [timed]]\n";
+    std::cerr << "usage: soak FIRST_SEED [RUNS [timed | large]]\n";
     return kBadUseStatus;
   }
   PrepareProcess();
   const uint64_t first = std::strtoull(argv[1], nullptr, 10);
   const uint64_t runs = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
-  constexpr int kTimedArgument = 3;
-  const bool timed =
-      argc > kTimedArgument && std::string(argv[kTimedArgument]) == "timed";
+  constexpr int kVariantArgument = 3;
+  const std::string variant =
+      argc > kVariantArgument ? argv[kVariantArgument] : "";
   uint64_t failed = 0;
   for (uint64_t seed = first; seed < first + runs; ++seed) {
-    failed += Run(seed, timed).Execute() ? 0 : 1;
+    failed +=
+        Run(seed, variant == "timed", variant == "large").Execute() ? 0 : 1;
   }
   std::cout << runs - failed << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -42,6 +42,8 @@
                         .relay = std::make_unique<test::Relay>(loop_)});
   }
   for (Server& server : servers_) {
+    server.relay->set_on_forwarded(
+        [this](const std::string& bytes) { OnForwarded(bytes); });
     StartServer(server);
   }
   PutConfig();
@@ -78,7 +80,11 @@
                           << R"("peers": "127.0.0.1:0", "advertise": ")"
                           << entry.peers->address() << R"("}, "store": ")"
                           << entry.store->address() << R"(", "seeds": [)"
-                          << seeds << "]}";
+                          << seeds << R"(], "bounds": {"retry_window_s": )"
+                          << ToSeconds(kRetryBound.window)
+                          << R"(, "retry_ratio": )" << kRetryBound.ratio
+                          << R"(, "retry_extra": )" << kRetryBound.extra
+                          << "}}";
   processes_.Spawn(
       entry.name,
       {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
@@ -210,6 +216,32 @@
   }
 }
 
+void System::FailRequests(const Step& step,
+                          const std::string& failure,
+                          Server& server) {
+  constexpr const char* kPercent = "60";
+  SetFailing(server, failure + " " + kPercent);
+  Schedule(step.duration, [this, &server] { SetFailing(server, "none 0"); });
+}
+
+void System::SetFailing(const Server& server, const std::string& failing) {
+  http_.Start({.address = processes_.Address(server.name, "http"),
+               .method = "PUT",
+               .path = "/failing",
+               .body = failing,
+               .timeout = std::chrono::seconds(20),
+               .on_done = [](const HttpResult&) {}});
+}
+
+void System::OnForwarded(const std::string& bytes) {
+  static constexpr std::string_view kField = "Request-Id: ";
+  for (size_t at = bytes.find(kField); at != std::string::npos;
+       at = bytes.find(kField, at)) {
+    at += kField.size();
+    on_arrival_(bytes.substr(at, bytes.find('\r', at) - at));
+  }
+}
+
 void System::InjectAtServer(const Step& step, Server& server) {
   test::Relay& relay = *server.relay;
   switch (step.fault) {
@@ -254,6 +286,15 @@
       relay.SetBlocked(/*to_target=*/false, /*from_target=*/true);
       Schedule(step.duration, [&relay] { relay.SetBlocked(false, false); });
       return;
+    case Fault::kServerRejects:
+      FailRequests(step, "reject", server);
+      return;
+    case Fault::kServerErrs:
+      FailRequests(step, "error", server);
+      return;
+    case Fault::kServerLosesAnswers:
+      FailRequests(step, "lose", server);
+      return;
     default:
       return;
   }
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/io/event_loop.h"
@@ -37,6 +38,11 @@
 
   std::string EntryAddress(size_t entry) const;
   size_t entries() const { return entries_.size(); }
+  /// Called with the id of each request that reaches a server, whether or not
+  /// the server runs it.
+  void set_on_arrival(std::function<void(const std::string&)> on_arrival) {
+    on_arrival_ = std::move(on_arrival);
+  }
   /// Ids of the requests that servers ran, once for each run.
   std::multiset<std::string> Runs() const;
   const std::string& directory() const { return processes_.directory(); }
@@ -78,6 +84,14 @@
   void InjectAtEntry(const Step& step, Entry& entry);
   void InjectAtServer(const Step& step, Server& server);
   void Pause(const std::string& name, Duration duration);
+  /// Makes the server fail a part of the requests until the step's end.
+  /// @param failure as in fake_backend.cc
+  void FailRequests(const Step& step,
+                    const std::string& failure,
+                    Server& server);
+  void SetFailing(const Server& server, const std::string& failing);
+  /// Finds the ids of requests in bytes that go to a server.
+  void OnForwarded(const std::string& bytes);
 
   Plan plan_;
   EventLoop& loop_;
@@ -88,6 +102,7 @@
   std::vector<Server> servers_;
   std::vector<PendingAction> pending_;
   uint64_t config_version_ = 0;
+  std::function<void(const std::string&)> on_arrival_;
 };
 
 }  // namespace lavenderkeel::soak
