--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -14,16 +14,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 
-/// Maximum number of servers that one request is sent to, whether or not they
-/// run it. An attempt that finds no connection costs a connect timeout, and a
-/// request has time for few of these.
-constexpr size_t kMaxServersTried = 6;
-
-/// Two ticks further apart than this mean that the process did not run, and
-/// requests that it reads within the backlog time may be as old as the former.
-constexpr Duration kMaxTickGap = std::chrono::milliseconds(300);
-constexpr Duration kBacklogTime = std::chrono::milliseconds(500);
-
 /// How retries are told from first attempts with early refusal.
 constexpr RequestAgeEstimator::Options kAgeWithEarlyRefusal = {
     // All requests beyond the capacity are refused and come back within the
@@ -110,7 +100,7 @@
                version_selector,
                clock,
                metrics),
-      ticked_at_(clock.Now()) {}
+      retries_(options.retries, request_log_, clock) {}
 
 void ForwardController::OnRouteTable(std::shared_ptr<const RouteTable> table) {
   assert(table != nullptr);
@@ -252,8 +242,7 @@
   held_body_bytes_ += request->body.size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
-  retry_bounds_.try_emplace(admitted.service, options_.retries)
-      .first->second.OnRequest(EarliestSendTime(arrived));
+  retries_.OnAdmitted(admitted);
   crashes_.OnRequestArrived(admitted.fingerprint);
   Enqueue(admitted);
 }
@@ -486,10 +475,9 @@
     Enqueue(*request);
     return true;
   }
-  if (!CountIfRetry(*request)) {
+  if (!retries_.OnSend(*request)) {
     EndAttempt(*request, {});
-    GiveUp(*request,
-           request->runs > 0 ? RunState::kMayHaveRun : RunState::kProvedNotRun);
+    GiveUp(*request, request->last_run_state);
     return true;
   }
   SendTo(*request, *server, scheduler, grant);
@@ -515,6 +503,7 @@
   request.last_received_at = now;
   request.answer_head.reset();
   request.answer_body.clear();
+  request.has_error_answer = false;
   request.rejected = false;
   request.events = EventStreamReader();
   request.event_count = 0;
@@ -675,13 +664,19 @@
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .pushback = PushbackOf(request.server)});
   ++request.runs;
-  ++request.arrivals;
-  if (error && !request.head_sent && MayRetry(request)) {
-    Enqueue(request);
+  retries_.OnAttemptEnded(request, RunState::kMayHaveRun);
+  request.last_run_state = RunState::kMayHaveRun;
+  request.has_error_answer = error && !request.head_sent;
+  if (request.has_error_answer) {
+    SendAgainOrEnd(request, retries_.Decide(request));
     return;
   }
+  FinishWithAnswer(request);
+}
+
+void ForwardController::FinishWithAnswer(ForwardedRequest& request) {
   answers_.Finish(request);
-  LogEnd(request, "answered", status);
+  LogEnd(request, "answered", request.answer_head->status);
   RemoveRequest(request.exchange);
 }
 
@@ -729,71 +724,29 @@
                        .pushback = PushbackOf(request.server)});
   const RunState state = RunStateAfter(failure);
   request.runs += state == RunState::kMayHaveRun ? 1 : 0;
-  request.arrivals += state == RunState::kUnsent ? 0 : 1;
-  if (state == RunState::kUnsent && request.counted_as_retry) {
-    retry_bounds_.at(request.service).OnUnsent(request.sent_at);
-  }
-  if (MayRetry(request)) {
-    Enqueue(request);
-  } else {
-    GiveUp(request, state);
-  }
-}
-
-RetryRefusal ForwardController::CheckRepeatable(
-    const ForwardedRequest& request) const {
-  if (request.due - clock_.Now() < kMinTimeForAttempt) {
-    return RetryRefusal::kTime;
-  }
-  if (request.tried.size() >= kMaxServersTried) {
-    return RetryRefusal::kServersTried;
-  }
-  if (request.runs > 0 && !request.may_repeat()) {
-    return RetryRefusal::kNotRepeatable;
-  }
-  if (request.runs >= std::max(1, request.route->max_attempts)) {
-    return RetryRefusal::kMaxAttempts;
-  }
-  if (request.head_sent &&
-      (!request.streams() || request.last_event_id.empty())) {
-    return RetryRefusal::kNoEventId;
-  }
-  return RetryRefusal::kNone;
-}
-
-bool ForwardController::MayRetry(ForwardedRequest& request) {
-  RetryBound& bound = retry_bounds_.at(request.service);
-  const RetryUsage usage = bound.UsageAt(clock_.Now(), retry_extra());
-  RetryRefusal refusal = CheckRepeatable(request);
-  if (refusal == RetryRefusal::kNone && request.arrivals > 0) {
-    request.retry_reserved = bound.TryReserve(clock_.Now(), retry_extra());
-    refusal =
-        request.retry_reserved ? RetryRefusal::kNone : RetryRefusal::kBound;
-  }
-  request_log_.OnRetryDecision(request, refusal, usage, retry_share_);
-  return refusal == RetryRefusal::kNone;
+  request.last_run_state = state;
+  retries_.OnAttemptEnded(request, state);
+  SendAgainOrEnd(request, retries_.Decide(request));
 }
 
-bool ForwardController::CountIfRetry(ForwardedRequest& request) {
-  request.counted_as_retry = request.arrivals > 0;
-  if (!request.counted_as_retry) {
-    return true;
-  }
-  RetryBound& bound = retry_bounds_.at(request.service);
-  if (std::exchange(request.retry_reserved, false)) {
-    bound.ReleaseReservation();
-  }
-  if (bound.TrySend(clock_.Now(), retry_extra())) {
-    return true;
+void ForwardController::SendAgainOrEnd(ForwardedRequest& request,
+                                       RequestRetries::Decision decision) {
+  switch (decision) {
+    case RequestRetries::Decision::kSendAgain:
+      Enqueue(request);
+      return;
+    case RequestRetries::Decision::kAwaitLoan:
+      return;
+    case RequestRetries::Decision::kEnd:
+      GiveUp(request, request.last_run_state);
   }
-  // Requests that allowed the retry have left the window while it waited.
-  request_log_.OnRetryDecision(request, RetryRefusal::kBound,
-                               bound.UsageAt(clock_.Now(), retry_extra()),
-                               retry_share_);
-  return false;
 }
 
 void ForwardController::GiveUp(ForwardedRequest& request, RunState state) {
+  if (request.has_error_answer) {
+    FinishWithAnswer(request);
+    return;
+  }
   if (request.head_sent) {
     port_.Abort(request.exchange);
     LogEnd(request, "cut", 0);
@@ -838,6 +791,10 @@
 
 void ForwardController::CheckTimeLimits(ForwardedRequest& request,
                                         TimePoint now) {
+  if (request.loan_wait_end.has_value()) {
+    SendAgainOrEnd(request, retries_.CheckLoan(request));
+    return;
+  }
   if (now >= request.due) {
     if (request.state == State::kSent) {
       port_.Cancel(request.attempt);
@@ -911,24 +868,9 @@
                           .retry_after = retry_after});
 }
 
-TimePoint ForwardController::EarliestSendTime(TimePoint arrived) const {
-  return clock_.Now() < backlog_until_ ? backlog_since_
-                                       : std::min(arrived, ticked_at_);
-}
-
-void ForwardController::OnSuspended() {
-  for (auto& [service, bound] : retry_bounds_) {
-    bound.ForgetRequests();
-  }
-}
-
 void ForwardController::Tick() {
   const TimePoint now = clock_.Now();
-  if (now - ticked_at_ > kMaxTickGap) {
-    backlog_since_ = ticked_at_;
-    backlog_until_ = now + kBacklogTime;
-  }
-  ticked_at_ = now;
+  retries_.Tick();
   CheckEarlyRequests(now);
   std::vector<ExchangeId> exchanges;
   exchanges.reserve(requests_.size());
@@ -974,9 +916,7 @@
 void ForwardController::RemoveRequest(ExchangeId exchange) {
   const auto found = requests_.find(exchange);
   held_body_bytes_ -= found->second->body.size();
-  if (found->second->retry_reserved) {
-    retry_bounds_.at(found->second->service).ReleaseReservation();
-  }
+  retries_.Release(*found->second);
   if (found->second->attempt != 0) {
     EndAttempt(*found->second, {});
   }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -23,6 +23,7 @@
 #include "lavenderkeel/forward/request_admission.h"
 #include "lavenderkeel/forward/request_log.h"
 #include "lavenderkeel/forward/request_metadata.h"
+#include "lavenderkeel/forward/request_retries.h"
 #include "lavenderkeel/forward/request_timing.h"
 #include "lavenderkeel/forward/route_history.h"
 #include "lavenderkeel/forward/route_table.h"
@@ -33,8 +34,6 @@
 #include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/overload/early_refusal.h"
 #include "lavenderkeel/rates/team_demand.h"
-#include "lavenderkeel/registry/share_state.h"
-#include "lavenderkeel/retry/retry_bound.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
@@ -62,10 +61,8 @@
   struct Options {
     /// Data centre of this entry.
     std::string data_centre;
-    RetryBound::Options retries;
+    RequestRetries::Options retries;
     TeamRates::Options rates;
-    /// Extra retries of all entries together, see RetryBound.
-    double retry_extra = 52;
     RequestTiming::Options timing;
     /// Idle connections to servers are reused up to this idle time.
     Duration max_reuse_idle_time = std::chrono::seconds(8);
@@ -175,8 +172,7 @@
   /// Sets the number of known entries, which share the rates, and of those that
   /// report here; both include this entry.
   void OnPeerCount(size_t known, size_t reporting);
-  /// Sets this entry's share of the extra retries.
-  void set_retry_share(const ShareState& share) { retry_share_ = share; }
+  RequestRetries& retries() { return retries_; }
   /// Records that an entry is connected that started before this one.
   void OnOlderPeer() { admission_.rates().share().OnOlderPeer(); }
 
@@ -186,10 +182,6 @@
     return admission_.rates().share().ShareAt(clock_.Now());
   }
 
-  /// Handles that the clock stopped for some time: all requests are older than
-  /// it seems.
-  void OnSuspended();
-
   /// Ends waits, silent attempts and requests whose time is over.
   void Tick();
 
@@ -254,21 +246,14 @@
   /// Ends the attempt, whether or not it was sent, and frees its slot.
   void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
-  /// Decides whether to send the request again, and reserves the retry if so.
-  bool MayRetry(ForwardedRequest& request);
-  /// Counts the attempt that is about to be sent if it is a retry.
-  /// @return whether the bound on retries allows the attempt
-  bool CountIfRetry(ForwardedRequest& request);
-  /// Returns this entry's part of the extra retries.
-  double retry_extra() const {
-    return options_.retry_extra * retry_share_.fraction();
-  }
-  /// Returns the earliest time at which the client may have sent a request.
-  TimePoint EarliestSendTime(TimePoint arrived) const;
-  /// Returns why the request itself may not be sent again, if so.
-  RetryRefusal CheckRepeatable(const ForwardedRequest& request) const;
+  void SendAgainOrEnd(ForwardedRequest& request,
+                      RequestRetries::Decision decision);
+  /// Ends a request that is not sent again, with the error that a server
+  /// answered if there is one.
   void GiveUp(ForwardedRequest& request, RunState state);
   void FinishNonStream(ForwardedRequest& request);
+  /// Gives the client the answer of the attempt.
+  void FinishWithAnswer(ForwardedRequest& request);
   void FinishStream(ForwardedRequest& request);
   /// Reports to the rollout what the complete answer shows of the version.
   void ReportVersionOutcome(ForwardedRequest& request, bool error);
@@ -304,14 +289,7 @@
   std::map<ExchangeId, EarlyRequest> early_requests_;
   std::unordered_map<ExchangeId, RequestPtr> requests_;
   std::unordered_map<AttemptId, ExchangeId> attempts_;
-  /// By service.
-  std::map<std::string, RetryBound> retry_bounds_;
-  ShareState retry_share_ = {.status = ShareStatus::kUsable, .entries = 1};
-  TimePoint ticked_at_;
-  /// Requests that are read up to a time may have been sent since another, see
-  /// EarliestSendTime.
-  TimePoint backlog_since_;
-  TimePoint backlog_until_ = TimePoint::min();
+  RequestRetries retries_;
   size_t held_body_bytes_ = 0;
   AttemptId last_attempt_ = 0;
   bool refuses_new_ = false;
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -49,8 +49,8 @@
 /// What a former process used counts as long as a retry does.
 RegistryExchange::Options RegistryOptions(const ForwardNode::Options& node) {
   RegistryExchange::Options options = node.registry;
-  const RetryBound::Options& retries = node.controller.retries;
-  options.registry.window = retries.window + retries.arrival_delay;
+  const RetryBound::Options& retries = node.controller.retries.bound;
+  options.registry.window = retries.MaxAge();
   return options;
 }
 
@@ -158,6 +158,7 @@
                   clock,
                   log,
                   metrics),
+      retry_lending_({}, controller_, members_, registry_, outbox_, clock),
       exchange_(options_.exchange,
                 members_,
                 outbox_,
@@ -213,7 +214,7 @@
   for (const std::string& seed : options_.seeds) {
     members_.AddSeed(seed);
   }
-  controller_.set_retry_share(registry_.Share());
+  controller_.retries().set_share(registry_.Share());
 }
 
 void ForwardNode::Start() {
@@ -453,7 +454,7 @@
   server_watch_.Tick();
   rollout_watch_.Tick();
   registry_.Tick(exchange_.entry_directory());
-  controller_.set_retry_share(registry_.Share());
+  controller_.retries().set_share(registry_.Share());
   UpdatePeerCounts();
   UpdateStoreReads();
   directory_.Tick(clock_.Now());
@@ -484,7 +485,7 @@
 }
 
 void ForwardNode::OnSuspended() {
-  controller_.OnSuspended();
+  controller_.retries().OnSuspended();
   OnFreeze();
 }
 
@@ -545,6 +546,10 @@
           OnServerFeed(body);
         } else if constexpr (std::is_same_v<T, CrashNews>) {
           exchange_.OnCrashNews(*member, body);
+        } else if constexpr (std::is_same_v<T, WantRetries>) {
+          retry_lending_.OnWantRetries(*member, link, body);
+        } else if constexpr (std::is_same_v<T, HaveRetries>) {
+          retry_lending_.OnHaveRetries(*member, body);
         } else if constexpr (std::is_same_v<T, RegistryFeed>) {
           registry_.OnFeed(body);
         } else if constexpr (std::is_same_v<T, KnownEntries>) {
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -16,6 +16,7 @@
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/forward/lost_entries.h"
 #include "lavenderkeel/forward/registry_exchange.h"
+#include "lavenderkeel/forward/retry_lending.h"
 #include "lavenderkeel/membership.h"
 #include "lavenderkeel/watch.h"
 
@@ -178,6 +179,7 @@
   RolloutExchange rollout_exchange_;
   RegistryExchange registry_;
   ForwardController controller_;
+  RetryLending retry_lending_;
   EntryExchange exchange_;
   ObjectWatch config_watch_;
   ObjectWatch server_watch_;
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/http/event_stream.h"
 #include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/retry/retry_decision.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
 namespace lavenderkeel {
@@ -85,10 +86,21 @@
   /// Number of attempts after which the request may have reached a server,
   /// whether or not it ran.
   int arrivals = 0;
+  /// What is known of the run of the last attempt that failed.
+  RunState last_run_state = RunState::kUnsent;
   /// Whether a retry is reserved for the next attempt, see RetryBound.
   bool retry_reserved = false;
-  /// Whether the attempt that was sent last is counted as a retry.
-  bool counted_as_retry = false;
+  /// Until when the retry that is borrowed for the next attempt is valid.
+  std::optional<TimePoint> borrowed_until;
+  /// The same for the attempt that was sent last.
+  std::optional<TimePoint> sent_on_loan_until;
+  /// The request waits for a loan up to this time.
+  std::optional<TimePoint> loan_wait_end;
+  /// The part of the bound on retries that the attempt that was sent last
+  /// counts against; nothing if it is no retry, or was borrowed.
+  std::optional<RetrySource> counted_against;
+  /// The last attempt brought a complete answer, an error.
+  bool has_error_answer = false;
   /// The client has the head of an incomplete answer.
   bool head_sent = false;
   /// Id of the last event that was sent to the client.
--- a/lavenderkeel/forward/registry_exchange.cc
+++ b/lavenderkeel/forward/registry_exchange.cc
@@ -119,6 +119,7 @@
 
 void RegistryExchange::PutStatus(bool coordinates,
                                  ForwardStatus& status) const {
+  status.shares_registry = true;
   status.entries_change = registry_.last_change();
   status.entries_basis = registry_.Basis();
   if (!coordinates) {
@@ -134,6 +135,9 @@
 void RegistryExchange::OnStatus(const PeerId& peer,
                                 std::optional<LinkId> link,
                                 const ForwardStatus& status) {
+  if (!status.shares_registry) {
+    return;
+  }
   const TimePoint now = clock_.Now();
   watch_.OnPeerRevision(status.entries_change);
   registry_.OnPeerBasis(peer.instance, status.entries_basis);
@@ -182,7 +186,7 @@
                          .state = StateFromWire(fed->state)});
     }
   }
-  registry_.OnList(entries);
+  registry_.OnPeerList(entries);
   registry_.OnRead(feed.change, clock_.Now() -
                                     std::chrono::milliseconds(feed.age_ms) -
                                     options_.max_status_delay);
--- a/lavenderkeel/forward/registry_exchange.h
+++ b/lavenderkeel/forward/registry_exchange.h
@@ -68,6 +68,10 @@
   void OnFeed(const RegistryFeed& feed);
   void OnPeerLost(const PeerId& peer);
 
+  /// Returns whether the entry reported here that it uses the registry, too.
+  bool IsSharedWith(const std::string& entry) const {
+    return registry_.HasPeer(entry);
+  }
   ShareState Share() const { return registry_.Share(); }
   const EntryRegistry& registry() const { return registry_; }
   uint64_t store_calls() const { return watch_.calls() + writes_; }
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -15,7 +15,7 @@
                      {"server", server.start_key()},
                      {"version", server.version},
                      {"attempt", request.tried.size() + 1},
-                     {"retry", request.counted_as_retry ? 1 : 0},
+                     {"retry", request.arrivals > 0 ? 1 : 0},
                      {"gate", scheduler},
                      {"config_version", request.table->version()},
                      {"priority", request.priority},
@@ -23,7 +23,7 @@
                      {"pace_ms", grant.pace_ms},
                      {"waited_ms", ToMilliseconds(now - request.waiting_since)},
                      {"left_ms", ToMilliseconds(request.due - now)}});
-  if (request.counted_as_retry) {
+  if (request.arrivals > 0) {
     metrics_.Add("retries_sent{service=\"" + request.service + "\"}");
   }
 }
@@ -57,15 +57,32 @@
              {"bound", usage.bound},
              {"requests", usage.requests},
              {"extra", usage.extra},
+             {"extra_left", usage.extra_left},
+             {"borrowed", request.borrowed_until.has_value() ? 1 : 0},
              {"sharing_entries", share.entries},
              {"share", ShareStatusName(share.status)},
              {"left_ms", ToMilliseconds(request.due - clock_.Now())}});
   metrics_.Add(allowed ? "retries{service=\"" + request.service + "\"}"
                        : std::string("retries_refused{reason=\"") +
                              RetryRefusalName(refusal) + "\"}");
-  metrics_.Set("retry_bound{service=\"" + request.service + "\"}", usage.bound);
-  metrics_.Set("retry_bound_used{service=\"" + request.service + "\"}",
-               usage.retries + (allowed ? 1 : 0));
+  if (request.borrowed_until.has_value()) {
+    metrics_.Add("retries_borrowed{service=\"" + request.service + "\"}");
+  }
+}
+
+void RequestLog::OnRetriesLent(const std::string& borrower,
+                               const RetryLoanRequest& request,
+                               int lent,
+                               const RetryUsage& usage) const {
+  log_.Info("retries_lent", {{"service", request.service},
+                             {"to", borrower},
+                             {"wanted", request.retries},
+                             {"lent", lent},
+                             {"used", usage.retries},
+                             {"bound", usage.bound},
+                             {"extra", usage.extra}});
+  metrics_.Add("retries_lent{service=\"" + request.service + "\"}",
+               static_cast<uint64_t>(lent));
 }
 
 void RequestLog::OnEnd(const ForwardedRequest& request,
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -14,6 +14,7 @@
 #include "lavenderkeel/notice/server_notices.h"
 #include "lavenderkeel/registry/share_state.h"
 #include "lavenderkeel/retry/retry_decision.h"
+#include "lavenderkeel/retry/retry_loans.h"
 
 namespace lavenderkeel {
 
@@ -44,6 +45,12 @@
                        RetryRefusal refusal,
                        const RetryUsage& usage,
                        const ShareState& share) const;
+  /// Logs what another entry asked for of this entry's part of the bound.
+  /// @param usage how much of the bound was used before
+  void OnRetriesLent(const std::string& borrower,
+                     const RetryLoanRequest& request,
+                     int lent,
+                     const RetryUsage& usage) const;
   /// @param scheduler the scheduler that last received a slot request
   void OnEnd(const ForwardedRequest& request,
              std::string_view outcome,
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -63,11 +63,11 @@
   JsonReader bounds(ObjectOrEmpty(reader, "bounds"), "/bounds", faults);
   ReadSeconds(bounds, "stop_s", settings.stop_time);
   ForwardController::Options& controller = settings.node.controller;
-  ReadSeconds(bounds, "retry_window_s", controller.retries.window);
-  controller.retries.ratio =
-      bounds.NonNegativeNumber("retry_ratio", controller.retries.ratio);
-  controller.retry_extra =
-      bounds.NonNegativeNumber("retry_extra", controller.retry_extra);
+  ReadSeconds(bounds, "retry_window_s", controller.retries.bound.window);
+  controller.retries.bound.ratio =
+      bounds.NonNegativeNumber("retry_ratio", controller.retries.bound.ratio);
+  controller.retries.extra =
+      bounds.NonNegativeNumber("retry_extra", controller.retries.extra);
   TeamTokenBucket::Tolerance& tolerance = controller.rates.tolerance;
   tolerance.over = bounds.NonNegativeNumber("rate_over", tolerance.over);
   tolerance.slack = bounds.NonNegativeNumber("rate_slack", tolerance.slack);
--- a/lavenderkeel/registry/entry_registry.cc
+++ b/lavenderkeel/registry/entry_registry.cc
@@ -18,19 +18,26 @@
       log_(log),
       write_(std::move(write)),
       started_at_(clock.Now()),
-      unused_from_(started_at_) {}
+      basis_known_from_(started_at_ + options.window) {}
 
 void EntryRegistry::OnList(const std::vector<RegisteredEntry>& entries) {
+  if (!listed_ && std::ranges::find(entries, self_, &RegisteredEntry::name) ==
+                      entries.end()) {
+    has_predecessor_ = false;
+    basis_known_from_ = started_at_;
+  }
+  OnPeerList(entries);
+}
+
+void EntryRegistry::OnPeerList(const std::vector<RegisteredEntry>& entries) {
   const auto is_listed = [&entries](const std::string& name) {
     return std::ranges::find(entries, name, &RegisteredEntry::name) !=
            entries.end();
   };
-  const bool is_first = !std::exchange(listed_, true);
-  if (is_first && is_listed(self_)) {
-    unused_from_ = started_at_ + options_.window;
-  }
+  listed_ = true;
   log_.Info("registry_read", {{"entries", entries.size()},
-                              {"registered", is_listed(self_) ? 1 : 0}});
+                              {"registered", is_listed(self_) ? 1 : 0},
+                              {"has_predecessor", has_predecessor_ ? 1 : 0}});
   std::vector<std::string> removed;
   for (const auto& [name, peer] : entries_) {
     if (!is_listed(name)) {
@@ -111,7 +118,7 @@
 }
 
 uint64_t EntryRegistry::Basis() const {
-  if (!listed_ || clock_.Now() < unused_from_) {
+  if (!listed_ || clock_.Now() < basis_known_from_) {
     return 0;
   }
   return former_bases_.empty() ? last_change_ : former_bases_.front().change;
@@ -150,7 +157,8 @@
 ShareState EntryRegistry::Share() const {
   const TimePoint now = clock_.Now();
   ShareState share = {.status = ShareStatus::kUsable,
-                      .entries = entries_.size()};
+                      .entries = entries_.size(),
+                      .has_predecessor = has_predecessor_};
   if (!listed_) {
     share.status = ShareStatus::kUnread;
   } else if (!settled_) {
@@ -158,8 +166,6 @@
   } else if (!requested_at_.has_value() ||
              now - *requested_at_ >= options_.lease) {
     share.status = ShareStatus::kExpired;
-  } else if (now < unused_from_) {
-    share.status = ShareStatus::kWaiting;
   }
   return share;
 }
--- a/lavenderkeel/registry/entry_registry.h
+++ b/lavenderkeel/registry/entry_registry.h
@@ -25,8 +25,8 @@
 ///    reach.
 ///  - A new entry waits until every registered entry counts one entry more, and
 ///    until what these used of their larger shares has left the window.
-///  - A process that starts waits until what its predecessor used has left the
-///    window.
+///  - A process that starts uses the share at a rate that what its predecessor
+///    used leaves room for, see ExtraRetries.
 ///  - An entry that nobody hears of is removed only after an announcement in
 ///    the registry, which it either reads and withdraws, or cannot read; then
 ///    it stops using its share, as for any entry that has not read the registry
@@ -61,6 +61,9 @@
 
   /// Handles the complete registry as read from the store.
   void OnList(const std::vector<RegisteredEntry>& entries);
+  /// Handles the complete registry as another entry knows it, which may not be
+  /// the latest.
+  void OnPeerList(const std::vector<RegisteredEntry>& entries);
   void OnChange(const RegisteredEntry& entry);
   void OnRemoved(const std::string& name);
   /// Records what was read last: the latest change, and a time before the read
@@ -70,6 +73,10 @@
   /// Records the basis of another entry, see Basis().
   void OnPeerBasis(const std::string& name, uint64_t change);
   void OnPeerLost(const std::string& name) { peer_bases_.erase(name); }
+  /// Returns whether the entry reported its basis.
+  bool HasPeer(const std::string& name) const {
+    return peer_bases_.contains(name);
+  }
   /// Records that another entry was connected or listed just now.
   void OnHeard(const std::string& name);
   /// Records that all registered entries count those of the change.
@@ -125,6 +132,7 @@
   Write write_;
   TimePoint started_at_;
   bool listed_ = false;
+  bool has_predecessor_ = true;
   std::map<std::string, Peer> entries_;
   uint64_t last_change_ = 0;
   std::optional<TimePoint> requested_at_;
@@ -133,8 +141,9 @@
   uint64_t counted_by_all_ = 0;
   /// Whether all others count this entry.
   bool settled_ = false;
-  /// When what a former process may have used has left the window.
-  TimePoint unused_from_;
+  /// When what a former process may have used of another share has left the
+  /// window.
+  TimePoint basis_known_from_;
   /// Whether the share was usable since the last change.
   bool was_usable_ = false;
   std::deque<FormerBasis> former_bases_;
--- a/lavenderkeel/registry/share_state.h
+++ b/lavenderkeel/registry/share_state.h
@@ -14,8 +14,6 @@
   /// The other entries may not have counted this one in what they used within
   /// the window.
   kUnsettled,
-  /// A former process of this entry may have used the share within the window.
-  kWaiting,
   /// The registry was not read for so long that this entry may have been
   /// removed.
   kExpired,
@@ -29,8 +27,6 @@
       return "unread";
     case ShareStatus::kUnsettled:
       return "unsettled";
-    case ShareStatus::kWaiting:
-      return "waiting";
     case ShareStatus::kExpired:
       return "expired";
   }
@@ -42,6 +38,8 @@
   ShareStatus status = ShareStatus::kUnread;
   /// Number of entries that share.
   size_t entries = 0;
+  /// Whether a former process of this entry may have used the share.
+  bool has_predecessor = false;
 
   /// Returns the fraction that this entry may use.
   double fraction() const {
--- a/lavenderkeel/retry/retry_decision.h
+++ b/lavenderkeel/retry/retry_decision.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_RETRY_RETRY_DECISION_H_
 #define LAVENDERKEEL_RETRY_RETRY_DECISION_H_
 
+#include <algorithm>
 #include <cstddef>
 
 namespace lavenderkeel {
@@ -43,15 +44,32 @@
   return "none";
 }
 
+/// The part of the bound that allows a retry.
+enum class RetrySource {
+  /// The part that grows with the requests.
+  kRequests,
+  /// The part that does not depend on them.
+  kExtra,
+};
+
 /// How much of an entry's part of the bound on retries is used in a window.
 struct RetryUsage {
   /// Requests that count for the window.
   double requests = 0;
-  /// Retries in the window, and how many are allowed.
+  /// Retries in the window that these allowed, and how many they allow.
   double retries = 0;
   double bound = 0;
-  /// The part of the bound that does not depend on requests.
+  /// This entry's share of the extra retries, and how many are left now.
   double extra = 0;
+  double extra_left = 0;
+
+  int LeftByRequests() const {
+    return static_cast<int>(std::max(0.0, bound - retries));
+  }
+  /// Returns the number of retries that are still allowed.
+  int Left() const {
+    return LeftByRequests() + static_cast<int>(std::max(0.0, extra_left));
+  }
 
   friend bool operator==(const RetryUsage&, const RetryUsage&) = default;
 };
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -182,6 +182,14 @@
 struct RegistryFeedBuilder;
 struct RegistryFeedT;
 
+struct WantRetries;
+struct WantRetriesBuilder;
+struct WantRetriesT;
+
+struct HaveRetries;
+struct HaveRetriesBuilder;
+struct HaveRetriesT;
+
 struct FedRegistration;
 struct FedRegistrationBuilder;
 struct FedRegistrationT;
@@ -274,6 +282,10 @@
 bool operator!=(const CrashNewsT &lhs, const CrashNewsT &rhs);
 bool operator==(const RegistryFeedT &lhs, const RegistryFeedT &rhs);
 bool operator!=(const RegistryFeedT &lhs, const RegistryFeedT &rhs);
+bool operator==(const WantRetriesT &lhs, const WantRetriesT &rhs);
+bool operator!=(const WantRetriesT &lhs, const WantRetriesT &rhs);
+bool operator==(const HaveRetriesT &lhs, const HaveRetriesT &rhs);
+bool operator!=(const HaveRetriesT &lhs, const HaveRetriesT &rhs);
 bool operator==(const FedRegistrationT &lhs, const FedRegistrationT &rhs);
 bool operator!=(const FedRegistrationT &lhs, const FedRegistrationT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
@@ -312,11 +324,13 @@
   ServerFeed = 29,
   CrashNews = 30,
   RegistryFeed = 31,
+  WantRetries = 32,
+  HaveRetries = 33,
   MIN = NONE,
-  MAX = RegistryFeed
+  MAX = HaveRetries
 };
 
-inline const Body (&EnumValuesBody())[32] {
+inline const Body (&EnumValuesBody())[34] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -349,13 +363,15 @@
     Body::SlotEnd,
     Body::ServerFeed,
     Body::CrashNews,
-    Body::RegistryFeed
+    Body::RegistryFeed,
+    Body::WantRetries,
+    Body::HaveRetries
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[33] = {
+  static const char * const names[35] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -388,13 +404,15 @@
     "ServerFeed",
     "CrashNews",
     "RegistryFeed",
+    "WantRetries",
+    "HaveRetries",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RegistryFeed)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::HaveRetries)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -527,6 +545,14 @@
   static const Body enum_value = Body::RegistryFeed;
 };
 
+template<> struct BodyTraits<lavenderkeel::fbs::WantRetries> {
+  static const Body enum_value = Body::WantRetries;
+};
+
+template<> struct BodyTraits<lavenderkeel::fbs::HaveRetries> {
+  static const Body enum_value = Body::HaveRetries;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -655,6 +681,14 @@
   static const Body enum_value = Body::RegistryFeed;
 };
 
+template<> struct BodyUnionTraits<lavenderkeel::fbs::WantRetriesT> {
+  static const Body enum_value = Body::WantRetries;
+};
+
+template<> struct BodyUnionTraits<lavenderkeel::fbs::HaveRetriesT> {
+  static const Body enum_value = Body::HaveRetries;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -933,6 +967,22 @@
     return type == Body::RegistryFeed ?
       reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(value) : nullptr;
   }
+  lavenderkeel::fbs::WantRetriesT *AsWantRetries() {
+    return type == Body::WantRetries ?
+      reinterpret_cast<lavenderkeel::fbs::WantRetriesT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::WantRetriesT *AsWantRetries() const {
+    return type == Body::WantRetries ?
+      reinterpret_cast<const lavenderkeel::fbs::WantRetriesT *>(value) : nullptr;
+  }
+  lavenderkeel::fbs::HaveRetriesT *AsHaveRetries() {
+    return type == Body::HaveRetries ?
+      reinterpret_cast<lavenderkeel::fbs::HaveRetriesT *>(value) : nullptr;
+  }
+  const lavenderkeel::fbs::HaveRetriesT *AsHaveRetries() const {
+    return type == Body::HaveRetries ?
+      reinterpret_cast<const lavenderkeel::fbs::HaveRetriesT *>(value) : nullptr;
+  }
 };
 
 
@@ -1066,6 +1116,14 @@
       return *(reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(lhs.value)) ==
              *(reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(rhs.value));
     }
+    case Body::WantRetries: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::WantRetriesT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::WantRetriesT *>(rhs.value));
+    }
+    case Body::HaveRetries: {
+      return *(reinterpret_cast<const lavenderkeel::fbs::HaveRetriesT *>(lhs.value)) ==
+             *(reinterpret_cast<const lavenderkeel::fbs::HaveRetriesT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -3727,6 +3785,7 @@
   uint64_t entries_basis = 0;
   uint64_t entries_counted_by_all = 0;
   int64_t entries_age_ms = -1LL;
+  bool shares_registry = false;
   ForwardStatusT() = default;
   ForwardStatusT(const ForwardStatusT &o);
   ForwardStatusT(ForwardStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3760,7 +3819,8 @@
     VT_ENTRIES_CHANGE = 42,
     VT_ENTRIES_BASIS = 44,
     VT_ENTRIES_COUNTED_BY_ALL = 46,
-    VT_ENTRIES_AGE_MS = 48
+    VT_ENTRIES_AGE_MS = 48,
+    VT_SHARES_REGISTRY = 50
   };
   uint64_t table_version() const {
     return GetField<uint64_t>(VT_TABLE_VERSION, 0);
@@ -3831,6 +3891,9 @@
   int64_t entries_age_ms() const {
     return GetField<int64_t>(VT_ENTRIES_AGE_MS, -1LL);
   }
+  bool shares_registry() const {
+    return GetField<uint8_t>(VT_SHARES_REGISTRY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_VERSION, 8) &&
@@ -3871,6 +3934,7 @@
            VerifyField<uint64_t>(verifier, VT_ENTRIES_BASIS, 8) &&
            VerifyField<uint64_t>(verifier, VT_ENTRIES_COUNTED_BY_ALL, 8) &&
            VerifyField<int64_t>(verifier, VT_ENTRIES_AGE_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SHARES_REGISTRY, 1) &&
            verifier.EndTable();
   }
   ForwardStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3951,6 +4015,9 @@
   void add_entries_age_ms(int64_t entries_age_ms) {
     fbb_.AddElement<int64_t>(ForwardStatus::VT_ENTRIES_AGE_MS, entries_age_ms, -1LL);
   }
+  void add_shares_registry(bool shares_registry) {
+    fbb_.AddElement<uint8_t>(ForwardStatus::VT_SHARES_REGISTRY, static_cast<uint8_t>(shares_registry), 0);
+  }
   explicit ForwardStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3986,7 +4053,8 @@
     uint64_t entries_change = 0,
     uint64_t entries_basis = 0,
     uint64_t entries_counted_by_all = 0,
-    int64_t entries_age_ms = -1LL) {
+    int64_t entries_age_ms = -1LL,
+    bool shares_registry = false) {
   ForwardStatusBuilder builder_(_fbb);
   builder_.add_entries_age_ms(entries_age_ms);
   builder_.add_entries_counted_by_all(entries_counted_by_all);
@@ -4008,6 +4076,7 @@
   builder_.add_teams(teams);
   builder_.add_in_flight(in_flight);
   builder_.add_servers(servers);
+  builder_.add_shares_registry(shares_registry);
   builder_.add_plans_known(plans_known);
   builder_.add_feed_wanted(feed_wanted);
   builder_.add_store_lost(store_lost);
@@ -4043,7 +4112,8 @@
     uint64_t entries_change = 0,
     uint64_t entries_basis = 0,
     uint64_t entries_counted_by_all = 0,
-    int64_t entries_age_ms = -1LL) {
+    int64_t entries_age_ms = -1LL,
+    bool shares_registry = false) {
   auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint32_t>(*in_flight) : 0;
   auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
@@ -4078,7 +4148,8 @@
       entries_change,
       entries_basis,
       entries_counted_by_all,
-      entries_age_ms);
+      entries_age_ms,
+      shares_registry);
 }
 
 flatbuffers::Offset<ForwardStatus> CreateForwardStatus(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6179,6 +6250,182 @@
 
 flatbuffers::Offset<RegistryFeed> CreateRegistryFeed(flatbuffers::FlatBufferBuilder &_fbb, const RegistryFeedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct WantRetriesT : public flatbuffers::NativeTable {
+  typedef WantRetries TableType;
+  uint64_t call = 0;
+  std::string service{};
+  uint32_t retries = 0;
+  int64_t validity_us = 0;
+};
+
+struct WantRetries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WantRetriesT NativeTableType;
+  typedef WantRetriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_SERVICE = 6,
+    VT_RETRIES = 8,
+    VT_VALIDITY_US = 10
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t retries() const {
+    return GetField<uint32_t>(VT_RETRIES, 0);
+  }
+  int64_t validity_us() const {
+    return GetField<int64_t>(VT_VALIDITY_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_RETRIES, 4) &&
+           VerifyField<int64_t>(verifier, VT_VALIDITY_US, 8) &&
+           verifier.EndTable();
+  }
+  WantRetriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WantRetriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WantRetries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantRetriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WantRetriesBuilder {
+  typedef WantRetries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(WantRetries::VT_CALL, call, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(WantRetries::VT_SERVICE, service);
+  }
+  void add_retries(uint32_t retries) {
+    fbb_.AddElement<uint32_t>(WantRetries::VT_RETRIES, retries, 0);
+  }
+  void add_validity_us(int64_t validity_us) {
+    fbb_.AddElement<int64_t>(WantRetries::VT_VALIDITY_US, validity_us, 0);
+  }
+  explicit WantRetriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WantRetries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WantRetries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WantRetries> CreateWantRetries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t retries = 0,
+    int64_t validity_us = 0) {
+  WantRetriesBuilder builder_(_fbb);
+  builder_.add_validity_us(validity_us);
+  builder_.add_call(call);
+  builder_.add_retries(retries);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct WantRetries::Traits {
+  using type = WantRetries;
+  static auto constexpr Create = CreateWantRetries;
+};
+
+inline flatbuffers::Offset<WantRetries> CreateWantRetriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *service = nullptr,
+    uint32_t retries = 0,
+    int64_t validity_us = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return lavenderkeel::fbs::CreateWantRetries(
+      _fbb,
+      call,
+      service__,
+      retries,
+      validity_us);
+}
+
+flatbuffers::Offset<WantRetries> CreateWantRetries(flatbuffers::FlatBufferBuilder &_fbb, const WantRetriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct HaveRetriesT : public flatbuffers::NativeTable {
+  typedef HaveRetries TableType;
+  uint64_t call = 0;
+  uint32_t retries = 0;
+};
+
+struct HaveRetries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HaveRetriesT NativeTableType;
+  typedef HaveRetriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_RETRIES = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  uint32_t retries() const {
+    return GetField<uint32_t>(VT_RETRIES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRIES, 4) &&
+           verifier.EndTable();
+  }
+  HaveRetriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HaveRetriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HaveRetries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HaveRetriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HaveRetriesBuilder {
+  typedef HaveRetries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(HaveRetries::VT_CALL, call, 0);
+  }
+  void add_retries(uint32_t retries) {
+    fbb_.AddElement<uint32_t>(HaveRetries::VT_RETRIES, retries, 0);
+  }
+  explicit HaveRetriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HaveRetries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HaveRetries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HaveRetries> CreateHaveRetries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    uint32_t retries = 0) {
+  HaveRetriesBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_retries(retries);
+  return builder_.Finish();
+}
+
+struct HaveRetries::Traits {
+  using type = HaveRetries;
+  static auto constexpr Create = CreateHaveRetries;
+};
+
+flatbuffers::Offset<HaveRetries> CreateHaveRetries(flatbuffers::FlatBufferBuilder &_fbb, const HaveRetriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FedRegistrationT : public flatbuffers::NativeTable {
   typedef FedRegistration TableType;
   std::string name{};
@@ -6386,6 +6633,12 @@
   const lavenderkeel::fbs::RegistryFeed *body_as_RegistryFeed() const {
     return body_type() == lavenderkeel::fbs::Body::RegistryFeed ? static_cast<const lavenderkeel::fbs::RegistryFeed *>(body()) : nullptr;
   }
+  const lavenderkeel::fbs::WantRetries *body_as_WantRetries() const {
+    return body_type() == lavenderkeel::fbs::Body::WantRetries ? static_cast<const lavenderkeel::fbs::WantRetries *>(body()) : nullptr;
+  }
+  const lavenderkeel::fbs::HaveRetries *body_as_HaveRetries() const {
+    return body_type() == lavenderkeel::fbs::Body::HaveRetries ? static_cast<const lavenderkeel::fbs::HaveRetries *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6522,6 +6775,14 @@
   return body_as_RegistryFeed();
 }
 
+template<> inline const lavenderkeel::fbs::WantRetries *Frame::body_as<lavenderkeel::fbs::WantRetries>() const {
+  return body_as_WantRetries();
+}
+
+template<> inline const lavenderkeel::fbs::HaveRetries *Frame::body_as<lavenderkeel::fbs::HaveRetries>() const {
+  return body_as_HaveRetries();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7780,7 +8041,8 @@
       (lhs.entries_change == rhs.entries_change) &&
       (lhs.entries_basis == rhs.entries_basis) &&
       (lhs.entries_counted_by_all == rhs.entries_counted_by_all) &&
-      (lhs.entries_age_ms == rhs.entries_age_ms);
+      (lhs.entries_age_ms == rhs.entries_age_ms) &&
+      (lhs.shares_registry == rhs.shares_registry);
 }
 
 inline bool operator!=(const ForwardStatusT &lhs, const ForwardStatusT &rhs) {
@@ -7807,7 +8069,8 @@
         entries_change(o.entries_change),
         entries_basis(o.entries_basis),
         entries_counted_by_all(o.entries_counted_by_all),
-        entries_age_ms(o.entries_age_ms) {
+        entries_age_ms(o.entries_age_ms),
+        shares_registry(o.shares_registry) {
   gates.reserve(o.gates.size());
   for (const auto &gates_ : o.gates) { gates.emplace_back((gates_) ? new lavenderkeel::fbs::GateStatusT(*gates_) : nullptr); }
   rollout_counts.reserve(o.rollout_counts.size());
@@ -7842,6 +8105,7 @@
   std::swap(entries_basis, o.entries_basis);
   std::swap(entries_counted_by_all, o.entries_counted_by_all);
   std::swap(entries_age_ms, o.entries_age_ms);
+  std::swap(shares_registry, o.shares_registry);
   return *this;
 }
 
@@ -7877,6 +8141,7 @@
   { auto _e = entries_basis(); _o->entries_basis = _e; }
   { auto _e = entries_counted_by_all(); _o->entries_counted_by_all = _e; }
   { auto _e = entries_age_ms(); _o->entries_age_ms = _e; }
+  { auto _e = shares_registry(); _o->shares_registry = _e; }
 }
 
 inline flatbuffers::Offset<ForwardStatus> ForwardStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7910,6 +8175,7 @@
   auto _entries_basis = _o->entries_basis;
   auto _entries_counted_by_all = _o->entries_counted_by_all;
   auto _entries_age_ms = _o->entries_age_ms;
+  auto _shares_registry = _o->shares_registry;
   return lavenderkeel::fbs::CreateForwardStatus(
       _fbb,
       _table_version,
@@ -7934,7 +8200,8 @@
       _entries_change,
       _entries_basis,
       _entries_counted_by_all,
-      _entries_age_ms);
+      _entries_age_ms,
+      _shares_registry);
 }
 
 
@@ -8975,6 +9242,96 @@
 }
 
 
+inline bool operator==(const WantRetriesT &lhs, const WantRetriesT &rhs) {
+  return
+      (lhs.call == rhs.call) &&
+      (lhs.service == rhs.service) &&
+      (lhs.retries == rhs.retries) &&
+      (lhs.validity_us == rhs.validity_us);
+}
+
+inline bool operator!=(const WantRetriesT &lhs, const WantRetriesT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline WantRetriesT *WantRetries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WantRetriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WantRetries::UnPackTo(WantRetriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = retries(); _o->retries = _e; }
+  { auto _e = validity_us(); _o->validity_us = _e; }
+}
+
+inline flatbuffers::Offset<WantRetries> WantRetries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WantRetriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWantRetries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WantRetries> CreateWantRetries(flatbuffers::FlatBufferBuilder &_fbb, const WantRetriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WantRetriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _retries = _o->retries;
+  auto _validity_us = _o->validity_us;
+  return lavenderkeel::fbs::CreateWantRetries(
+      _fbb,
+      _call,
+      _service,
+      _retries,
+      _validity_us);
+}
+
+
+inline bool operator==(const HaveRetriesT &lhs, const HaveRetriesT &rhs) {
+  return
+      (lhs.call == rhs.call) &&
+      (lhs.retries == rhs.retries);
+}
+
+inline bool operator!=(const HaveRetriesT &lhs, const HaveRetriesT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline HaveRetriesT *HaveRetries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HaveRetriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HaveRetries::UnPackTo(HaveRetriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = retries(); _o->retries = _e; }
+}
+
+inline flatbuffers::Offset<HaveRetries> HaveRetries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HaveRetriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHaveRetries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HaveRetries> CreateHaveRetries(flatbuffers::FlatBufferBuilder &_fbb, const HaveRetriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HaveRetriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _retries = _o->retries;
+  return lavenderkeel::fbs::CreateHaveRetries(
+      _fbb,
+      _call,
+      _retries);
+}
+
+
 inline bool operator==(const FedRegistrationT &lhs, const FedRegistrationT &rhs) {
   return
       (lhs.name == rhs.name) &&
@@ -9188,6 +9545,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeed *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::WantRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantRetries *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::HaveRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveRetries *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9331,6 +9696,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeed *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::WantRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantRetries *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::HaveRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveRetries *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9462,6 +9835,14 @@
       auto ptr = reinterpret_cast<const lavenderkeel::fbs::RegistryFeedT *>(value);
       return CreateRegistryFeed(_fbb, ptr, _rehasher).Union();
     }
+    case Body::WantRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::WantRetriesT *>(value);
+      return CreateWantRetries(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::HaveRetries: {
+      auto ptr = reinterpret_cast<const lavenderkeel::fbs::HaveRetriesT *>(value);
+      return CreateHaveRetries(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9592,6 +9973,14 @@
       value = new lavenderkeel::fbs::RegistryFeedT(*reinterpret_cast<lavenderkeel::fbs::RegistryFeedT *>(u.value));
       break;
     }
+    case Body::WantRetries: {
+      value = new lavenderkeel::fbs::WantRetriesT(*reinterpret_cast<lavenderkeel::fbs::WantRetriesT *>(u.value));
+      break;
+    }
+    case Body::HaveRetries: {
+      value = new lavenderkeel::fbs::HaveRetriesT(*reinterpret_cast<lavenderkeel::fbs::HaveRetriesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9754,6 +10143,16 @@
       delete ptr;
       break;
     }
+    case Body::WantRetries: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::WantRetriesT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::HaveRetries: {
+      auto ptr = reinterpret_cast<lavenderkeel::fbs::HaveRetriesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/lavenderkeel/wire/message.h
+++ b/lavenderkeel/wire/message.h
@@ -43,6 +43,8 @@
 using CrashEvidence = fbs::CrashEvidenceT;
 using CrashNews = fbs::CrashNewsT;
 using RegistryFeed = fbs::RegistryFeedT;
+using WantRetries = fbs::WantRetriesT;
+using HaveRetries = fbs::HaveRetriesT;
 
 using Message = std::variant<Hello,
                              Heartbeat,
@@ -74,7 +76,9 @@
                              SlotEnd,
                              ServerFeed,
                              CrashNews,
-                             RegistryFeed>;
+                             RegistryFeed,
+                             WantRetries,
+                             HaveRetries>;
 
 inline fbs::Key ToWire(const RequestKey& key) {
   return {key.hi, key.lo};
