Rates: entries that are out of contact keep their part

A team got more than its rate where entries were cut from each other or started cut off: 1,443 requests in eight seconds where 1,050 are allowed (one of four entries starts alone), 1,685 (two halves forget each other), 1,750 (two halves restart apart).

The same cause as with the retries: an entry divides the rate by the entries that it knows. One that starts alone knew none; a lost one was forgotten after ten seconds; and until a cut was noticed, after two seconds, both sides used the whole. Now registered entries count although this process never met them, lost ones count for a minute, as for the limits of servers, and the usage of an entry whose last report is older than 0.3 s is taken for unknown. Those that left do not count.

What it costs: after entries were killed for good, the others have their part of a team's rate for a minute in place of ten seconds (OtherEntriesReplaceLostCoordinators now checks both).

--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -58,6 +58,7 @@
                              CrashGuard& crashes,
                              RolloutExchange& rollouts,
                              RegistryExchange& registry,
+                             const LostEntries& lost_entries,
                              ServerNotices& notices,
                              const Clock& clock)
     : options_(options),
@@ -70,6 +71,7 @@
       crashes_(crashes),
       rollouts_(rollouts),
       registry_(registry),
+      lost_entries_(lost_entries),
       notices_(notices),
       clock_(clock),
       entry_directory_(options.entry_directory, members.self()) {
@@ -97,6 +99,7 @@
 
 void EntryExchange::OnPeerLost(const PeerId& peer) {
   coordinator_status_.erase(peer);
+  reported_at_.erase(peer);
   feed_receivers_.erase(peer);
   rollouts_.OnPeerLost(peer);
   registry_.OnPeerLost(peer);
@@ -124,6 +127,7 @@
                              const ForwardStatus& status) {
   const PeerId& peer = member.info.id;
   const std::string name = peer.ToString();
+  reported_at_[peer] = clock_.Now();
   const ForwardReport report = FromWire(status);
   controller_.OnPeerReport(name, report);
   slot_scheduler_.OnReport(name, report.in_flight);
@@ -145,7 +149,9 @@
     return;
   }
   coordinator_status_[peer] = {.counts = {.known = status.entries_known,
-                                          .reporting = status.entries_heard},
+                                          .reporting = status.entries_heard,
+                                          .current = status.entries_heard,
+                                          .sharing = status.entries_known},
                                .server_change = status.server_change,
                                .table_version = status.table_version,
                                .store_lost = status.store_lost,
@@ -310,16 +316,33 @@
   });
 }
 
+EntryExchange::Counts EntryExchange::CountMembers() const {
+  const TimePoint now = clock_.Now();
+  Counts counts;
+  for (const Member* member : members_.Members(Role::kEntry)) {
+    if (member->info.leaving) {
+      continue;
+    }
+    ++counts.known;
+    if (!member->live()) {
+      continue;
+    }
+    ++counts.reporting;
+    const auto reported_at = reported_at_.find(member->info.id);
+    counts.current +=
+        reported_at != reported_at_.end() &&
+                now - reported_at->second <= options_.max_usage_age
+            ? 1
+            : 0;
+  }
+  counts.sharing =
+      std::max(counts.known, counts.reporting + lost_entries_.CountAt(now));
+  return counts;
+}
+
 EntryExchange::Counts EntryExchange::Count() const {
   if (entry_directory_.self_coordinates()) {
-    Counts counts;
-    for (const Member* member : members_.Members(Role::kEntry)) {
-      if (!member->info.leaving) {
-        ++counts.known;
-        counts.reporting += member->live() ? 1 : 0;
-      }
-    }
-    return counts;
+    return CountMembers();
   }
   // The coordinator with the most reporting entries relays their usage here.
   std::optional<Counts> most;
@@ -329,8 +352,10 @@
       most = latest_status.counts;
     }
   }
+  const size_t lost = lost_entries_.CountAt(clock_.Now());
   return most.value_or(
-      Counts{.known = entry_directory_.size(), .reporting = 1});
+      Counts{.known = entry_directory_.size(),
+             .sharing = std::max(entry_directory_.size(), 1 + lost)});
 }
 
 void EntryExchange::SendStatus(const OwnState& own_state) {
@@ -359,8 +384,8 @@
   }
   const Counts counts = Count();
   if (coordinates) {
-    to_coordinator.entries_known = static_cast<uint32_t>(counts.known);
-    to_coordinator.entries_heard = static_cast<uint32_t>(counts.reporting);
+    to_coordinator.entries_known = static_cast<uint32_t>(counts.sharing);
+    to_coordinator.entries_heard = static_cast<uint32_t>(counts.current);
   }
   // An entry without a slot scheduler needs no counts of what runs at the
   // servers.
--- a/lavenderkeel/forward/entry_exchange.h
+++ b/lavenderkeel/forward/entry_exchange.h
@@ -14,6 +14,7 @@
 #include "lavenderkeel/crash/crash_guard.h"
 #include "lavenderkeel/forward/entry_directory.h"
 #include "lavenderkeel/forward/forward_controller.h"
+#include "lavenderkeel/forward/lost_entries.h"
 #include "lavenderkeel/forward/registry_exchange.h"
 #include "lavenderkeel/forward/rollout_exchange.h"
 #include "lavenderkeel/forward/server_log.h"
@@ -56,6 +57,10 @@
     /// if the receiver has not confirmed it within this time. A list of 3,000
     /// servers takes a second on the slowest link.
     Duration feed_resend_after = std::chrono::seconds(5);
+    /// Entries that are cut from each other share the rates once their last
+    /// reports are older than this, long before they count as lost: until then
+    /// each side uses the whole.
+    Duration max_usage_age = std::chrono::milliseconds(300);
     /// If no coordinator has had an answer from the store for longer than this,
     /// every entry reads the store itself: the store may reject only the
     /// coordinators.
@@ -70,11 +75,16 @@
     uint64_t rollout_change = 0;
   };
 
-  /// Number of known entries and of those whose rate usage is reported to this
-  /// entry; both include this entry.
+  /// Numbers of entries; all include this entry.
   struct Counts {
     size_t known = 1;
+    /// Those that report to this entry.
     size_t reporting = 1;
+    /// Those whose last report is so recent that their use of the teams' rates
+    /// is known.
+    size_t current = 1;
+    /// Those that may use what all entries share, known or not.
+    size_t sharing = 1;
 
     friend bool operator==(const Counts&, const Counts&) = default;
   };
@@ -89,6 +99,7 @@
                 CrashGuard& crashes,
                 RolloutExchange& rollouts,
                 RegistryExchange& registry,
+                const LostEntries& lost_entries,
                 ServerNotices& notices,
                 const Clock& clock);
 
@@ -118,6 +129,9 @@
   const EntryDirectory& entry_directory() const { return entry_directory_; }
 
  private:
+  /// Counts by the connections of this entry, a coordinator.
+  Counts CountMembers() const;
+
   struct CoordinatorStatus {
     Counts counts;
     uint64_t server_change = 0;
@@ -176,11 +190,14 @@
   CrashGuard& crashes_;
   RolloutExchange& rollouts_;
   RegistryExchange& registry_;
+  const LostEntries& lost_entries_;
   ServerNotices& notices_;
   const Clock& clock_;
   EntryDirectory entry_directory_;
   UsageRelay relay_;
   DemandRelay demand_relay_;
+  /// Times of the last reports.
+  std::map<PeerId, TimePoint> reported_at_;
   std::map<PeerId, CoordinatorStatus> coordinator_status_;
   /// The coordinator that the list of servers comes from; none if this entry
   /// coordinates or receives no status of a coordinator.
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -169,6 +169,7 @@
                 crashes_,
                 rollout_exchange_,
                 registry_,
+                lost_entries_,
                 notices_,
                 clock),
       config_watch_(WithKind(options_.watch, source_.config_kind),
@@ -277,7 +278,7 @@
     return;
   }
   const EntryExchange::Counts counts = exchange_.Count();
-  version_selector_.set_entries(counts.known);
+  version_selector_.set_entries(counts.sharing);
   constexpr size_t kHalf = 2;
   rollouts_.Tick({.decides = rollout_exchange_.decider() == members_.self().id,
                   .reachable_entries = counts.reporting,
@@ -454,6 +455,7 @@
   server_watch_.Tick();
   rollout_watch_.Tick();
   registry_.Tick(exchange_.entry_directory());
+  CountRegisteredEntries();
   controller_.retries().set_share(registry_.Share());
   UpdatePeerCounts();
   UpdateStoreReads();
@@ -473,6 +475,21 @@
                   .rollout_change = rollout_watch_.last_change()});
 }
 
+void ForwardNode::CountRegisteredEntries() {
+  const EntryRegistry& registry = registry_.registry();
+  if (std::exchange(counted_registry_change_, registry.last_change()) ==
+      registry.last_change()) {
+    return;
+  }
+  for (const RegisteredEntry& entry : registry.Entries()) {
+    const Member* member = members_.Find(entry.name);
+    const bool connected = member != nullptr && member->live();
+    if (entry.name != members_.self().id.instance && !connected) {
+      lost_entries_.OnRegistered(entry.name, clock_.Now());
+    }
+  }
+}
+
 void ForwardNode::OnFreeze() {
   log_.Warn("woke_up", {});
   members_.ResetSilenceTimers();
@@ -683,22 +700,12 @@
 
 void ForwardNode::UpdatePeerCounts() {
   const EntryExchange::Counts counts = exchange_.Count();
-  controller_.OnPeerCount(counts.known, counts.reporting);
-  lost_entries_.Tick(clock_.Now());
-  slot_scheduler_.set_rate_share(RateLimitShare(counts.reporting));
+  controller_.OnPeerCount(counts.sharing, counts.current);
+  slot_scheduler_.set_rate_share(controller_.rate_share());
   SetWatchWait(std::min(counts.reporting,
                         exchange_.entry_directory().coordinators().size()));
 }
 
-double ForwardNode::RateLimitShare(size_t reporting) const {
-  // Entries that were lost a while ago count no longer as known, but entries
-  // that are cut off from each other would then each use the whole limit.
-  const double with_lost =
-      static_cast<double>(reporting) /
-      static_cast<double>(reporting + lost_entries_.size());
-  return std::min(controller_.rate_share(), with_lost);
-}
-
 void ForwardNode::SetWatchWait(size_t watchers) {
   // If each of hundreds of entries renews its watches every two seconds, each
   // makes one call a second, which is billed and returns no change. A change or
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -150,9 +150,8 @@
   void OnConfigPull(LinkId link);
   void PullNewerConfig();
   void UpdatePeerCounts();
-  /// Returns the fraction of the servers' rate limits that the schedulers at
-  /// this entry may use.
-  double RateLimitShare(size_t reporting) const;
+  /// Counts registered entries that are not connected as lost.
+  void CountRegisteredEntries();
   /// @param watchers entries that watch the store, with this one
   void SetWatchWait(size_t watchers);
   void RecordStoreLost(const PeerId& peer, bool lost);
@@ -180,6 +179,8 @@
   RegistryExchange registry_;
   ForwardController controller_;
   RetryLending retry_lending_;
+  LostEntries lost_entries_;
+  uint64_t counted_registry_change_ = 0;
   EntryExchange exchange_;
   ObjectWatch config_watch_;
   ObjectWatch server_watch_;
@@ -198,7 +199,6 @@
   TimePoint newer_config_since_;
   /// Peers that report that the store does not answer them.
   std::set<PeerId> peers_without_store_;
-  LostEntries lost_entries_;
   /// Highest number of watching entries, this one included, since the watches
   /// were last confirmed after the loss of half of these entries.
   size_t watchers_when_confirmed_ = 1;
--- a/test/forward/fleet_test.cc
+++ b/test/forward/fleet_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <vector>
 
 #include "test/fakes/fleet_simulation.h"
@@ -30,12 +31,15 @@
   return max_messages;
 }
 
+/// @param sharing the number of entries that they take to share the rates; all
+///     of them if nothing
 int CountFullyConnected(FleetSimulation& fleet,
-                        const std::vector<int>& entries) {
-  const EntryExchange::Counts all = {.known = entries.size(),
-                                     .reporting = entries.size()};
+                        const std::vector<int>& entries,
+                        std::optional<size_t> sharing = std::nullopt) {
   return static_cast<int>(std::ranges::count_if(entries, [&](int entry) {
-    return fleet.node(entry).exchange().Count() == all;
+    const EntryExchange::Counts counts = fleet.node(entry).exchange().Count();
+    return counts.reporting == entries.size() &&
+           counts.sharing == sharing.value_or(entries.size());
   }));
 }
 
@@ -117,6 +121,9 @@
     fleet.Kill(entry);
   }
   fleet.Advance(seconds(14));
+  // Those that were lost keep their part of the rates for a minute.
+  BOOST_TEST(CountFullyConnected(fleet, Range(6, 40), 40) == 34);
+  fleet.Advance(seconds(56));
   BOOST_TEST(CountFullyConnected(fleet, Range(6, 40)) == 34);
 }
 
