Dispatch: an entry's retries are bounded over all its processes

Each process of the product's own interface started with 20 retries in hand, so an entry that was killed five times within ten seconds could send 100 beside one in ten successes.

RetryBudget is replaced by RetryBound: one retry in ten requests, and 30 extra in any window, 20 of them at once, whichever process sends them. A process has no burst if an object of its instance was registered before it; the registration tells.

A request that is not run again says why: retry and no_retry lines, the metric retries_refused, and the history that explain shows, with the use of the bound.

--- a/lavenderkeel/dispatch.h
+++ b/lavenderkeel/dispatch.h
@@ -12,7 +12,6 @@
 #include "lavenderkeel/dispatch/entry_request.h"
 #include "lavenderkeel/dispatch/request_controller.h"
 #include "lavenderkeel/dispatch/reservation_placer.h"
-#include "lavenderkeel/dispatch/retry_budget.h"
 #include "lavenderkeel/dispatch/team_usage.h"
 
 #endif  // LAVENDERKEEL_DISPATCH_H_
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -1,6 +1,7 @@
 #include "lavenderkeel/dispatch/dispatch_controller.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace lavenderkeel {
@@ -8,7 +9,10 @@
 using State = EntryRequest::State;
 
 DispatchController::DispatchController(EntryContext& context)
-    : context_(context), placer_(context), retries_(context.options.retries) {}
+    : context_(context),
+      placer_(context),
+      retries_(context.options.retries),
+      started_at_(context.clock.Now()) {}
 
 void DispatchController::Admit(EntryRequest& request) {
   context_.crashes.OnRequestArrived(request.fingerprint);
@@ -24,6 +28,7 @@
     context_.conclude(request, refusal->code);
     return;
   }
+  retries_.OnRequest(context_.clock.Now());
   CountWaiting(request);
   Enqueue(request);
 }
@@ -447,11 +452,54 @@
   Enqueue(request);
 }
 
-bool DispatchController::MayRunAgain(const EntryRequest& request) {
-  return request.properties.repeatable &&
-         !context_.caller_subscriptions.HasDelivered(request.key) &&
-         request.attempts < context_.options.max_attempts &&
-         retries_.TryRetry();
+ExtraShare DispatchController::extra_retries() const {
+  return {.retries = context_.options.extra_retries,
+          .since = context_.has_predecessor ? std::optional(started_at_)
+                                            : std::nullopt};
+}
+
+RetryRefusal DispatchController::CheckRetry(const EntryRequest& request) {
+  if (!request.properties.repeatable) {
+    return RetryRefusal::kNotRepeatable;
+  }
+  if (context_.caller_subscriptions.HasDelivered(request.key)) {
+    return RetryRefusal::kPartDelivered;
+  }
+  if (request.attempts >= context_.options.max_attempts) {
+    return RetryRefusal::kMaxAttempts;
+  }
+  const TimePoint now = context_.clock.Now();
+  return retries_.TrySend(now, extra_retries()).has_value()
+             ? RetryRefusal::kNone
+             : RetryRefusal::kBound;
+}
+
+bool DispatchController::MayRunAgain(EntryRequest& request) {
+  const RetryUsage usage =
+      retries_.UsageAt(context_.clock.Now(), extra_retries());
+  const RetryRefusal refusal = CheckRetry(request);
+  const bool allowed = refusal == RetryRefusal::kNone;
+  const std::string reason = RetryRefusalName(refusal);
+  context_.log.Info(allowed ? "retry" : "no_retry",
+                    {{"key", request.key.ToString()},
+                     {"reason", reason},
+                     {"attempts", request.attempts},
+                     {"used", usage.retries},
+                     {"bound", usage.bound},
+                     {"requests", usage.requests},
+                     {"extra", usage.extra},
+                     {"extra_left", usage.extra_left}});
+  context_.metrics.Add(allowed ? std::string("retries")
+                               : "retries_refused{reason=\"" + reason + "\"}");
+  if (!allowed) {
+    std::ostringstream note;
+    note << "not run again: " << reason
+         << " (retries of this entry: " << usage.retries << " of "
+         << usage.bound << " by requests, " << usage.extra_left << " of "
+         << usage.extra << " extra left)";
+    context_.Note(request, note.str());
+  }
+  return allowed;
 }
 
 void DispatchController::ReportToCrashGuard(const EntryRequest& request,
@@ -474,7 +522,6 @@
   }
   const Outcome outcome = Describe(code).outcome;
   if (outcome == Outcome::kAnswered) {
-    retries_.OnSuccess();
     context_.conclude(request, code);
     return;
   }
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -68,12 +68,17 @@
   void ReleaseHeldBack(const std::string& team);
   void AttachSubscriptions(EntryRequest& request, LinkId link);
   void SetWaitingTimer(EntryRequest& request);
-  bool MayRunAgain(const EntryRequest& request);
+  /// Decides whether to run the request again, and counts the retry if so.
+  bool MayRunAgain(EntryRequest& request);
+  ExtraShare extra_retries() const;
+  /// Returns why the request may not run again, if so.
+  RetryRefusal CheckRetry(const EntryRequest& request);
 
   EntryContext& context_;
   ReservationPlacer placer_;
   TeamUsage usage_;
-  RetryBudget retries_;
+  RetryBound retries_;
+  TimePoint started_at_;
   size_t waiting_ = 0;
   std::vector<size_t> waiting_by_tier_;
 };
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -11,9 +11,9 @@
 #include "lavenderkeel/crash.h"
 #include "lavenderkeel/dispatch/caller_subscriptions.h"
 #include "lavenderkeel/dispatch/request_table.h"
-#include "lavenderkeel/dispatch/retry_budget.h"
 #include "lavenderkeel/dispatch/team_usage.h"
 #include "lavenderkeel/membership.h"
+#include "lavenderkeel/retry.h"
 #include "lavenderkeel/routing.h"
 
 namespace lavenderkeel {
@@ -36,7 +36,9 @@
   Duration suspect_period = std::chrono::milliseconds(100);
   size_t max_waiting = 5000;
   uint32_t max_attempts = 4;
-  RetryBudget::Options retries;
+  /// The bound on the retries of this entry, over all its processes.
+  RetryBound::Options retries = {.ratio = 0.1, .extra_burst_fraction = 2.0 / 3};
+  double extra_retries = 30;
 };
 
 /// State shared by the controllers of an entry, and the callbacks by which they
@@ -70,6 +72,8 @@
   TimePoint unconfirmed_loss_at = TimePoint::min();
   /// An agent that can take a request was known at some time since the start.
   bool has_seen_agent = false;
+  /// A former process of this entry may have sent retries.
+  bool has_predecessor = true;
   bool leaving = false;
   TimePoint leaving_since = TimePoint::max();
   /// When another entry may last have presumed this one lost: until then it may
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -178,6 +178,7 @@
   UpdateJoined();
   members_.Tick();
   registration_.Tick();
+  context_.has_predecessor = registration_.has_predecessor();
   claims_.Tick();
   ranking_.ForgetLostBefore(clock_.WallNow() - options_.claims.retention);
   if (ranking_.HasUnconfirmedLoss()) {
--- a/lavenderkeel/membership/registration.cc
+++ b/lavenderkeel/membership/registration.cc
@@ -21,6 +21,9 @@
       update_({.object = "instances/" + self.id.instance,
                .next = [this](const std::optional<std::string>& present)
                    -> std::optional<std::string> {
+                 if (!std::exchange(read_, true)) {
+                   has_predecessor_ = present.has_value();
+                 }
                  std::string wanted = RegistrationBody(self_);
                  return present == wanted ? std::nullopt
                                           : std::optional(std::move(wanted));
--- a/lavenderkeel/membership/registration.h
+++ b/lavenderkeel/membership/registration.h
@@ -39,6 +39,9 @@
   void Tick();
   /// Writes the state `leaving` into the registration.
   void Leave();
+  /// Returns whether this process may have a predecessor: another of this
+  /// instance that had registered.
+  bool has_predecessor() const { return has_predecessor_; }
   /// Returns true if the instance list was read at least once.
   bool has_list() const { return has_list_; }
 
@@ -55,6 +58,8 @@
   TimePoint next_list_;
   bool reading_ = false;
   bool has_list_ = false;
+  bool read_ = false;
+  bool has_predecessor_ = true;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/retry/retry_decision.h
+++ b/lavenderkeel/retry/retry_decision.h
@@ -20,6 +20,8 @@
   kMaxAttempts,
   /// The client has a part of the stream that no event id marks.
   kNoEventId,
+  /// The client has a part of the answer.
+  kPartDelivered,
   /// The retries of its service have reached their bound.
   kBound,
 };
@@ -38,6 +40,8 @@
       return "max_attempts";
     case RetryRefusal::kNoEventId:
       return "no_event_id";
+    case RetryRefusal::kPartDelivered:
+      return "part_delivered";
     case RetryRefusal::kBound:
       return "bound";
   }
