Attempts given up are reset, so that a held-up request does not arrive later

An attempt that was given up while the link to its server held up its bytes was still delivered when the link came back, up to four seconds later (the user timeout): one arrival more, in a window whose requests had not allowed it. Closing a socket keeps the unsent bytes; a reset discards them.

--- a/lavenderkeel/io/socket_options.h
+++ b/lavenderkeel/io/socket_options.h
@@ -34,6 +34,12 @@
              sizeof(kUserTimeoutMs));
 }
 
+/// Makes the next close discard what was written and not acknowledged.
+inline void ResetOnClose(int socket) {
+  constexpr linger kReset = {.l_onoff = 1, .l_linger = 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &kReset, sizeof(kReset));
+}
+
 }  // namespace lavenderkeel
 
 #endif  // LAVENDERKEEL_IO_SOCKET_OPTIONS_H_
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -298,9 +298,13 @@
 
 void UpstreamPort::Cancel(AttemptId attempt) {
   const auto found = attempts_.find(attempt);
-  if (found != attempts_.end()) {
-    Close(found->second);
+  if (found == attempts_.end()) {
+    return;
   }
+  // Without a reset, a request that a broken link holds up would still reach
+  // the server, seconds after it was given up here.
+  ResetOnClose(bufferevent_getfd(connections_.at(found->second)->events));
+  Close(found->second);
 }
 
 void UpstreamPort::FailAndClose(ConnectionId id, AttemptFailure failure) {
