Dispatch: suspected requests run at an agent apart from doubtful ones

What callers saw: a harmless lookup got server_crashed (504), since it ran beside a crashing one at three engines in turn and was then presumed to be the cause itself.

Cause: after the loss of an engine its requests are queued again at the same moment, get reservations at the same idle agents and take the first slot that is offered. The crash guard states that a doubtful request runs at no server together with another suspected one; only the forwarding path did so.

Now an agent's offer is declined where they would meet, and the request is placed again after the suspect period. SuspectRuns, which decides it on the forwarding path, moves to crash/.

Ruled out: the bound on retries, which allowed each retry (the retry lines say reason=none, 15 of 30 extra retries left).

--- a/lavenderkeel/crash.h
+++ b/lavenderkeel/crash.h
@@ -10,5 +10,6 @@
 #include "lavenderkeel/crash/crash_suspicion.h"
 #include "lavenderkeel/crash/crash_wire.h"
 #include "lavenderkeel/crash/request_fingerprint.h"
+#include "lavenderkeel/crash/suspect_runs.h"
 
 #endif  // LAVENDERKEEL_CRASH_H_
--- a/lavenderkeel/forward/suspect_runs.h
+++ b/lavenderkeel/crash/suspect_runs.h
@@ -1,5 +1,5 @@
-#ifndef LAVENDERKEEL_FORWARD_SUSPECT_RUNS_H_
-#define LAVENDERKEEL_FORWARD_SUSPECT_RUNS_H_
+#ifndef LAVENDERKEEL_CRASH_SUSPECT_RUNS_H_
+#define LAVENDERKEEL_CRASH_SUSPECT_RUNS_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -71,4 +71,4 @@
 
 }  // namespace lavenderkeel
 
-#endif  // LAVENDERKEEL_FORWARD_SUSPECT_RUNS_H_
+#endif  // LAVENDERKEEL_CRASH_SUSPECT_RUNS_H_
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <utility>
 
+#include "lavenderkeel/crash/suspect_runs.h"
+
 namespace lavenderkeel {
 
 using State = EntryRequest::State;
@@ -141,6 +143,26 @@
   });
 }
 
+bool DispatchController::MayRunAt(const EntryRequest& request,
+                                  const PeerId& agent) const {
+  const CrashSuspicion suspicion =
+      context_.crashes.SuspicionOf(request.fingerprint);
+  if (suspicion == CrashSuspicion::kClear) {
+    return true;
+  }
+  constexpr uint64_t kAgent = 0;
+  SuspectRuns suspects;
+  const auto runs_there = [&](const EntryRequest& other) {
+    return other.key != request.key && other.is_at_agent() &&
+           other.agent == agent;
+  };
+  for (const RequestKey& key : context_.requests.Select(runs_there)) {
+    const RequestFingerprint other = context_.requests.Find(key)->fingerprint;
+    suspects.Add(kAgent, context_.crashes.SuspicionOf(other));
+  }
+  return suspects.Admits(kAgent, suspicion);
+}
+
 bool DispatchController::HoldBackIfSuspect(EntryRequest& request) {
   const CrashDecision decision = DecideOnCrashes(request);
   if (decision.kind == CrashDecision::Kind::kRun) {
@@ -305,6 +327,16 @@
     Enqueue(*request);
     return;
   }
+  if (!MayRunAt(*request, agent->info.id)) {
+    context_.log.Info("offer_declined", {{"key", request->key.ToString()},
+                                         {"agent", agent->info.id.instance},
+                                         {"reason", "suspects_run_apart"}});
+    placer_.Withdraw(*request, PeerId());
+    request->state = State::kHeldBack;
+    request->is_suspect = true;
+    SetWaitingTimer(*request);
+    return;
+  }
   // Leaves kWaiting before the Go is sent, so that a simultaneous offer of
   // another agent is declined. A second Go would run the request twice.
   request->state = State::kSent;
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -55,6 +55,9 @@
   void UncountWaiting(const EntryRequest& request);
   void Enqueue(EntryRequest& request);
   CrashDecision DecideOnCrashes(const EntryRequest& request) const;
+  /// Returns whether the request may run at the agent beside the suspected
+  /// requests there.
+  bool MayRunAt(const EntryRequest& request, const PeerId& agent) const;
   /// Holds back or concludes a request that is suspected of crashing servers.
   /// @return false if the request may run
   bool HoldBackIfSuspect(EntryRequest& request);
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "lavenderkeel/crash/suspect_runs.h"
 #include "lavenderkeel/forward/server_directory.h"
 #include "lavenderkeel/forward/server_load.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/forward/slot_occupancy.h"
-#include "lavenderkeel/forward/suspect_runs.h"
 #include "lavenderkeel/notice/server_rate_limiter.h"
 #include "lavenderkeel/pace/pace_tracker.h"
 
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/crash/suspect_runs.h"
 #include "lavenderkeel/fairness.h"
 #include "lavenderkeel/forward/entry_pushbacks.h"
 #include "lavenderkeel/forward/placement.h"
@@ -20,7 +21,6 @@
 #include "lavenderkeel/forward/server_speed.h"
 #include "lavenderkeel/forward/slot.h"
 #include "lavenderkeel/forward/slot_occupancy.h"
-#include "lavenderkeel/forward/suspect_runs.h"
 #include "lavenderkeel/notice/server_rate_limiter.h"
 #include "lavenderkeel/pace/pace_tracker.h"
 
--- a/test/dispatch/crashing_lookup_test.cc
+++ b/test/dispatch/crashing_lookup_test.cc
@@ -159,6 +159,32 @@
   CheckInvariants(simulation);
 }
 
+// Guards against harmless lookups that are taken for the cause, since they run
+// beside the crashing one at each engine.
+BOOST_AUTO_TEST_CASE(LookupsOfALostEngineAreRunApart) {
+  constexpr uint64_t kSeeds = 40;
+  constexpr size_t kHarmless = 4;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation({.entries = 1, .agents = 4, .seed = seed});
+    simulation.SetCrashing(kCrashingPrompt);
+    simulation.RunFor(seconds(1));
+    simulation.Submit(0, simulation.NewKey(), kCrashingPrompt,
+                      /*repeatable=*/true, 5);
+    for (size_t i = 0; i < kHarmless; ++i) {
+      simulation.Submit(0, simulation.NewKey(), "r" + std::to_string(i) + "x",
+                        /*repeatable=*/true, 5);
+    }
+    simulation.RunUntil([&] { return simulation.oracle().open_callers() == 0; },
+                        seconds(60));
+    // A lookup is not run again if a part of its answer was delivered.
+    BOOST_TEST(simulation.oracle().Count(ResultCode::kAnswered) +
+                       simulation.oracle().Count(ResultCode::kServerLost) ==
+                   kHarmless,
+               "seed " << seed << ": " << simulation.oracle().Summary());
+    CheckInvariants(simulation);
+  }
+}
+
 // Guards against refusing equal lookups while engines crash for another reason.
 BOOST_AUTO_TEST_CASE(EqualLookupsAreServedWhileEnginesCrash) {
   Simulation simulation({.entries = 3, .agents = 8, .seed = 5});
