Soak: reports how many requests were sent again

The report showed only the window with the least room, which is an empty one where few requests are sent again: a run that sends none could not be told from one within its bound.

--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -45,6 +45,8 @@
   size_t refused() const { return refused_; }
   /// Number of requests with another status or without a complete answer.
   size_t lost() const { return lost_; }
+  /// Number of arrivals at servers beyond the first of each request.
+  size_t retries() const { return retries_.retries(); }
   /// Returns the window with the most retries compared with the bound.
   fakes::RetryHistory::Window WorstRetryWindow() const {
     return retries_.WorstWindow();
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -128,7 +128,8 @@
               << " servers, " << plan_.steps.size() << " faults, " << sent_
               << " requests, " << checker_.served() << " served, "
               << checker_.refused() << " refused, " << checker_.lost()
-              << " lost, " << checker_.WorstRetryWindow() << std::endl;
+              << " lost, " << checker_.retries() << " sent again, at most "
+              << checker_.WorstRetryWindow() << std::endl;
     if (holds) {
       return true;
     }
