--- a/lavenderkeel/base.h
+++ b/lavenderkeel/base.h
@@ -7,6 +7,7 @@
 #include "lavenderkeel/base/failure.h"
 #include "lavenderkeel/base/metrics.h"
 #include "lavenderkeel/base/peer_id.h"
+#include "lavenderkeel/base/prompt_part.h"
 #include "lavenderkeel/base/refusal_body.h"
 #include "lavenderkeel/base/rendezvous.h"
 #include "lavenderkeel/base/request_key.h"
--- a/lavenderkeel/forward/request_metadata.h
+++ b/lavenderkeel/forward/request_metadata.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/prompt_part.h"
 #include "lavenderkeel/http/message_head.h"
 #include "lavenderkeel/notice/answer_notices.h"
 
@@ -25,6 +27,9 @@
   uint64_t output_tokens = 0;
   /// Output tokens that the client expects; zero: not stated.
   uint64_t expected_output_tokens = 0;
+  /// The parts of the prompt in order. The last one belongs to the request or
+  /// its session, the others may be those of many requests.
+  std::vector<PromptPartId> prompt_parts = {};
   /// The client resumes a stream after this event.
   std::string last_event_id;
 
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -1,6 +1,8 @@
 #include "platform/header_codec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <vector>
 
 namespace lavenderkeel {
 
@@ -15,7 +17,7 @@
                      {"Deadline-Ms", "10000"},
                      {"Model", "m"},
                      {"Token-Count", "1460,80"},
-                     {"Prompt-Prefix", "5c1e:800"},
+                     {"Prompt-Prefix", "5c1e:800,e4402b7d:250"},
                      {"Last-Event-Id", "12"},
                      {"Tenant", "forged"},
                      {"Hold", "forged"},
@@ -37,9 +39,29 @@
                                     .time_left = std::chrono::seconds(10),
                                     .prompt_tokens = 1460,
                                     .output_tokens = 80,
+                                    .prompt_parts = {0x5c1e, 0xe4402b7d},
                                     .last_event_id = "12"}));
 }
 
+// Guards against refusing a request, or confusing its parts, because a part has
+// an unusual id.
+BOOST_AUTO_TEST_CASE(UnusualPromptPartsAreToldApart) {
+  const ForwardCodec codec = hybrid::MakeHeaderCodec();
+  const auto parts_of = [&codec](const std::string& value) {
+    const RequestHead head = {
+        .fields = {{"Request-Id", "1"}, {"Prompt-Prefix", value}}};
+    return codec.read_request(head)->prompt_parts;
+  };
+  BOOST_TEST((parts_of("ff:1") == std::vector<PromptPartId>{255}));
+  BOOST_TEST((parts_of("ff") == std::vector<PromptPartId>{255}));
+  BOOST_TEST(parts_of("").empty());
+  const std::vector<PromptPartId> parts =
+      parts_of("sheet-7:1,sheet-8:1,ffffffffffffffffffff:1,:,");
+  BOOST_TEST(parts.size() == 4U);
+  BOOST_TEST(std::set(parts.begin(), parts.end()).size() == 4U);
+  BOOST_TEST((parts_of("sheet-7:9").front() == parts.front()));
+}
+
 BOOST_AUTO_TEST_CASE(UnreadableFieldsAreRejected) {
   const ForwardCodec codec = hybrid::MakeHeaderCodec();
   for (const HttpField& bad : HttpFields{{"Deadline-Ms", "soon"},
@@ -62,15 +84,16 @@
                      .team = "hule",
                      .time_left = std::chrono::milliseconds(9000),
                      .last_event_id = "15"});
-  BOOST_TEST((sent.fields == HttpFields{{"Host", "h.example"},
-                                        {"Request-Id", "9c41"},
-                                        {"Model", "m"},
-                                        {"Token-Count", "1460,80"},
-                                        {"Prompt-Prefix", "5c1e:800"},
-                                        {"Deadline-Ms", "9000"},
-                                        {"Expect-Instance", "i-7f"},
-                                        {"Tenant", "hule"},
-                                        {"Last-Event-Id", "15"}}));
+  BOOST_TEST(
+      (sent.fields == HttpFields{{"Host", "h.example"},
+                                 {"Request-Id", "9c41"},
+                                 {"Model", "m"},
+                                 {"Token-Count", "1460,80"},
+                                 {"Prompt-Prefix", "5c1e:800,e4402b7d:250"},
+                                 {"Deadline-Ms", "9000"},
+                                 {"Expect-Instance", "i-7f"},
+                                 {"Tenant", "hule"},
+                                 {"Last-Event-Id", "15"}}));
 }
 
 BOOST_AUTO_TEST_CASE(AnswerMetadataIsDecoded) {
