Failing tests: parts of prompts that crash servers, and what sound callers get beside them

Real entries in memory with servers of their own, which crash when they begin to answer a prompt with certain parts and come back under new ids. Clients send sound requests that share their team, route and other parts, and come back once.

--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -427,17 +427,19 @@
                                     const std::string& route,
                                     const std::string& body,
                                     const std::string& key,
-                                    Duration time_left) {
+                                    Duration time_left,
+                                    const HttpFields& extra) {
   const ExchangeId exchange = ++last_exchange_;
   const std::string id = "r" + std::to_string(exchange);
   requested_at_[id] = clock_.Now();
-  const RequestHead head = {
+  RequestHead head = {
       .method = "POST",
       .target = "/" + route + "/x",
       .fields = {{"Host", "h"},
                  {"Request-Id", id},
                  {"Authorization", "Bearer " + key},
                  {"Deadline-Ms", std::to_string(ToMilliseconds(time_left))}}};
+  head.fields.insert(head.fields.end(), extra.begin(), extra.end());
   RunIn(entry, [exchange, head, body](ForwardNode& node) {
     node.controller().OnRequest(exchange, head, body);
   });
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -62,11 +62,13 @@
   /// Sends a request to an entry.
   /// @param key API key of the team
   /// @param time_left how long the client waits for the answer
+  /// @param extra further header fields
   ExchangeId Request(int entry,
                      const std::string& route = "lookup",
                      const std::string& body = "",
                      const std::string& key = "key",
-                     Duration time_left = std::chrono::seconds(10));
+                     Duration time_left = std::chrono::seconds(10),
+                     const HttpFields& extra = {});
   /// When the client sent the request with this id.
   TimePoint RequestedAt(const std::string& request_id) const {
     return requested_at_.at(request_id);
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -89,10 +89,23 @@
   pending_removals_[server.id] = fleet_.Now() + options_.removal_delay;
   ++crashes_;
   for (const Run& run : TakeRuns(index)) {
-    Fail(run, AttemptFailure::kDisconnected);
+    const auto events = static_cast<int>(kStreamEvents * ToSeconds(run.worked) /
+                                         ToSeconds(options_.answer_delay));
+    const bool has_begun = options_.cut_streams_midway && events > 0 &&
+                           IsStream(run.attempt) && !IsCrashing(run);
+    if (has_begun) {
+      AnswerStream(run, /*complete=*/false, events - 1);
+    } else {
+      Fail(run, AttemptFailure::kDisconnected);
+    }
   }
 }
 
+bool SimulatedServers::IsCrashing(const Run& run) const {
+  return options_.is_crashing ? options_.is_crashing(run.attempt)
+                              : crashing_bodies_.contains(run.body);
+}
+
 void SimulatedServers::ResetConnections(int server) {
   for (const Run& run : TakeRuns(ToIndex(server))) {
     Fail(run, AttemptFailure::kDisconnected);
@@ -172,14 +185,16 @@
                });
 }
 
-void SimulatedServers::AnswerStream(const Run& run, bool complete) {
+void SimulatedServers::AnswerStream(const Run& run,
+                                    bool complete,
+                                    int cut_after_events) {
   if (!IsAwaited(run)) {
     return;
   }
   const std::string last = run.attempt.Field("Last-Event-Id");
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
   const int end = complete ? kStreamEvents
-                           : std::min(kStreamEvents, first + kCutAfterEvents);
+                           : std::min(kStreamEvents, first + cut_after_events);
   const ResponseHead head = {
       .status = kOk,
       .fields = {{"Request-Id", run.attempt.Field("Request-Id")},
@@ -213,7 +228,7 @@
       return;
     case Fate::kCut:
       if (IsStream(run.attempt)) {
-        AnswerStream(run, /*complete=*/false);
+        AnswerStream(run, /*complete=*/false, kCutAfterEvents);
       } else {
         Fail(run, AttemptFailure::kBroken);
       }
@@ -222,7 +237,7 @@
       break;
   }
   if (IsStream(run.attempt)) {
-    AnswerStream(run, /*complete=*/true);
+    AnswerStream(run, /*complete=*/true, 0);
   } else {
     Answer(run, NextStatus(servers_[run.server]));
   }
@@ -272,9 +287,12 @@
 
 void SimulatedServers::Advance(const Run& run) {
   const Duration ran = fleet_.Now() - run.started_at;
-  if (crashing_bodies_.contains(run.body)) {
+  if (IsCrashing(run)) {
     if (ran >= options_.crash_delay) {
       crash_times_[run.body].push_back(fleet_.Now());
+      if (options_.on_crash) {
+        options_.on_crash(run.attempt.Field("Request-Id"));
+      }
       Crash(static_cast<int>(run.server));
     }
     return;
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -47,6 +47,14 @@
     /// Called for each request that reaches a running server.
     std::function<Fate(int server)> decide_fate = {};
     std::function<void(const std::string& request_id)> on_arrival = {};
+    /// Whether a request crashes the server that runs it; by its body if empty,
+    /// see SetCrashing.
+    std::function<bool(const SentAttempt&)> is_crashing = {};
+    /// Called for each request that crashes its server.
+    std::function<void(const std::string& request_id)> on_crash = {};
+    /// Whether the streams that a crash cuts have delivered the events of the
+    /// work done so far; else they have delivered nothing.
+    bool cut_streams_midway = false;
   };
 
   SimulatedServers(FleetSimulation& fleet, const Options& options);
@@ -144,6 +152,7 @@
   void Step();
   void ReceiveAttempts(int entry);
   void ReceiveAttempt(int entry, const SentAttempt& attempt);
+  bool IsCrashing(const Run& run) const;
   /// Answers a run that is due, or crashes its server.
   void Advance(const Run& run);
   void Start(size_t server);
@@ -154,8 +163,9 @@
   void Answer(const Run& run, int status);
   /// Ends a run as its fate says.
   void Finish(const Run& run);
-  /// Delivers the events after the last one that the client has, all or a part.
-  void AnswerStream(const Run& run, bool complete);
+  /// Delivers the events after the last one that the client has, all or some of
+  /// them before the connection ends.
+  void AnswerStream(const Run& run, bool complete, int cut_after_events);
   /// Returns the status of the server's next answer to a run that is complete.
   int NextStatus(Server& server);
   /// Whether the entry still waits for the answer of the run.
--- /dev/null
+++ b/test/forward/crashing_part_test.cc
@@ -0,0 +1,213 @@
+// Parts of prompts that crash the servers that begin to answer them, among
+// sound requests that share their other parts.
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "test/forward/part_simulation.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using Culprit = PartSimulation::Culprit;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr PromptPartId kCulprit = PartSimulation::kCulprit;
+constexpr PromptPartId kSecond = PartSimulation::kSecondCulprit;
+/// Requests that may reach servers after the fifth crash.
+constexpr int kMaxLateArrivals = 3;
+
+/// Returns whether `now` is the first step at or after `when`.
+bool At(Duration now, Duration when) {
+  return now >= when && now < when + milliseconds(10);
+}
+
+/// Checks that the culprits reach no more servers than they may, and that sound
+/// requests are served meanwhile and afterwards.
+void CheckStopped(PartSimulation& simulation, size_t culprits = 1) {
+  BOOST_TEST_MESSAGE(simulation.Summary());
+  for (size_t i = 0; i < culprits; ++i) {
+    BOOST_TEST(simulation.Crashes(i) > 0);
+    BOOST_TEST(simulation.LateArrivals(i) <= kMaxLateArrivals);
+    if (const std::optional<double> begun = simulation.BegunAfter(i)) {
+      BOOST_TEST(*begun >= simulation.BegunBefore(i) / 2);
+    }
+  }
+  BOOST_TEST(simulation.AreSoundPartsServed());
+}
+
+void Play(
+    const PartSimulation::Options& options,
+    Duration duration = seconds(50),
+    const std::function<void(PartSimulation&, Duration)>& during =
+        [](PartSimulation&, Duration) {}) {
+  PartSimulation simulation(options);
+  simulation.SendTraffic(duration,
+                         [&](Duration now) { during(simulation, now); });
+  CheckStopped(simulation, options.culprits.size());
+}
+
+}  // namespace
+
+// Guards against requests that are all different, of which one part crashes
+// server after server.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStopped) {
+  Play({});
+}
+
+// Guards against a part that is told apart only behind a common first part.
+BOOST_AUTO_TEST_CASE(CrashingFirstPartIsStopped) {
+  Play({.culprits = {{.parts = {kCulprit}, .first = true}}});
+}
+
+// Guards against losses that are forgotten between two requests with the part.
+BOOST_AUTO_TEST_CASE(RareCrashingPartIsStopped) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 100}},
+        .culprits_until = seconds(110)},
+       seconds(115));
+}
+
+// Guards against a part whose requests may run only once.
+BOOST_AUTO_TEST_CASE(CrashingPartOfNonRepeatableRequestsIsStopped) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 5, .route = "once"}}});
+}
+
+// Guards against losses that are all at the same moment, each time.
+BOOST_AUTO_TEST_CASE(CrashingPartInBurstsAtAllEntriesIsStopped) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 0}}}, seconds(50),
+       [](PartSimulation& simulation, Duration now) {
+         constexpr Duration kPeriod = seconds(8);
+         if (now >= seconds(5) && At(now % kPeriod, {})) {
+           for (int i = 0; i < 12; ++i) {
+             simulation.SendCulprit(i % 4, {.parts = {kCulprit}});
+           }
+         }
+       });
+}
+
+// Guards against several requests with the part in one batch, which hide each
+// other.
+BOOST_AUTO_TEST_CASE(CrashingPartInOneBatchIsStopped) {
+  Play({.servers = 3,
+        .request_every = milliseconds(60),
+        .culprits = {{.parts = {kCulprit}, .one_in = 2}}});
+}
+
+// Guards against two parts, each hidden by the losses of the other.
+BOOST_AUTO_TEST_CASE(TwoCrashingPartsAreStopped) {
+  Play({.culprits = {{.parts = {kCulprit}},
+                     {.parts = {kSecond}, .one_in = 6, .route = "lookup"}}});
+}
+
+// Guards against parts that crash servers only together, and against holding
+// either of them alone.
+BOOST_AUTO_TEST_CASE(PartsThatCrashTogetherAreStopped) {
+  Play({.culprits = {{.parts = {kCulprit, kSecond}}}});
+}
+
+// Guards against blaming a sound part that nearly always comes with the
+// culprit.
+BOOST_AUTO_TEST_CASE(CompanionOfACrashingPartIsServed) {
+  Play({.culprits = {
+            {.parts = {kCulprit}, .companion = PartSimulation::kCompanion}}});
+}
+
+// Guards against evidence that ends with the process of an entry.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughEntriesAreKilled) {
+  Play({}, seconds(50), [](PartSimulation& simulation, Duration now) {
+    for (int entry = 0; entry < 4; ++entry) {
+      if (At(now, milliseconds(5600 + 4000 * entry))) {
+        simulation.Kill(entry);
+      } else if (At(now, milliseconds(6600 + 4000 * entry))) {
+        simulation.Start(entry);
+      }
+    }
+  });
+}
+
+// Guards against evidence that ends with the processes of all entries.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughAllEntriesRestart) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 30}}}, seconds(50),
+       [](PartSimulation& simulation, Duration now) {
+         if (At(now, seconds(12)) || At(now, seconds(25))) {
+           simulation.RestartAll();
+         }
+       });
+}
+
+// Guards against an entry that was added and knows nothing.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughEntriesAreAdded) {
+  Play({.entries = 6, .started = 4}, seconds(50),
+       [](PartSimulation& simulation, Duration now) {
+         if (At(now, seconds(10))) {
+           simulation.Start(4);
+           simulation.Start(5);
+         }
+       });
+}
+
+// Guards against evidence that does not reach entries out of contact with the
+// others.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughEntriesAreCut) {
+  Play({}, seconds(50), [](PartSimulation& simulation, Duration now) {
+    if (At(now, seconds(4)) || At(now, seconds(30))) {
+      simulation.SetPartition(2, now < seconds(30));
+    }
+  });
+}
+
+// Guards against blaming parts for servers that crash by themselves, one after
+// the other or all at once, and for connections that are reset.
+BOOST_AUTO_TEST_CASE(SoundPartsAreServedThoughServersCrashByThemselves) {
+  PartSimulation simulation({.culprits = {}});
+  simulation.SendTraffic(seconds(40), [&](Duration now) {
+    for (int i = 0; i < 100; ++i) {
+      if (At(now, seconds(2) + milliseconds(200) * i)) {
+        simulation.servers().Crash((i * 7) % 18);
+      }
+      if (At(now, seconds(22) + milliseconds(100) * i)) {
+        simulation.servers().ResetConnections((i * 5) % 18);
+      }
+    }
+    if (At(now, seconds(33)) || At(now, milliseconds(36'500))) {
+      for (int server = 0; server < 18; ++server) {
+        simulation.servers().Crash(server);
+      }
+    }
+  });
+  BOOST_TEST(simulation.SoundRefusedAsCrashing() == 0);
+  BOOST_TEST(simulation.AreSoundPartsServed());
+}
+
+// Guards against a part that is not found while servers also crash by
+// themselves.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedBesideOtherCrashes) {
+  Play({}, seconds(50), [](PartSimulation& simulation, Duration now) {
+    for (int i = 0; i < 60; ++i) {
+      if (At(now, seconds(2) + milliseconds(700) * i)) {
+        simulation.servers().Crash((i * 7) % 18);
+      }
+    }
+    if (At(now, seconds(20))) {
+      for (int server = 0; server < 18; ++server) {
+        simulation.servers().Crash(server);
+      }
+    }
+  });
+}
+
+// Guards against holding the requests of a route because of their common part.
+BOOST_AUTO_TEST_CASE(RouteOfACrashingPartIsServed) {
+  PartSimulation simulation({});
+  simulation.SendTraffic(seconds(50));
+  BOOST_TEST_MESSAGE(simulation.Summary());
+  const PartSimulation::Outcomes outcomes =
+      simulation.OutcomesOf(seconds(5), seconds(45));
+  BOOST_TEST(simulation.SoundRefusedAsCrashing() == 0);
+  BOOST_TEST(outcomes.answered() >= outcomes.sent * 0.98);
+}
+
+}  // namespace lavenderkeel
