--- a/lavenderkeel/crash/crash_guard.cc
+++ b/lavenderkeel/crash/crash_guard.cc
@@ -1,6 +1,8 @@
 #include "lavenderkeel/crash/crash_guard.h"
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <utility>
 
 #include "lavenderkeel/crash/crash_wire.h"
@@ -11,19 +13,8 @@
 
 constexpr Duration kForgetPeriod = std::chrono::seconds(1);
 
-std::string_view SuspicionName(CrashSuspicion suspicion) {
-  switch (suspicion) {
-    case CrashSuspicion::kClear:
-      return "clear";
-    case CrashSuspicion::kSuspect:
-      return "suspect";
-    case CrashSuspicion::kDoubtful:
-      return "doubtful";
-    case CrashSuspicion::kBlocked:
-      return "blocked";
-  }
-  return "clear";
-}
+/// Above this many, the oldest answers are no longer confirmed.
+constexpr size_t kMaxUnconfirmedAnswers = 256;
 
 std::string_view KindName(CrashReport::Kind kind) {
   switch (kind) {
@@ -37,6 +28,8 @@
       return "comes_again";
     case CrashReport::Kind::kTrialStarted:
       return "tried";
+    case CrashReport::Kind::kTrialEnded:
+      return "no_result";
   }
   return "server_lost";
 }
@@ -55,31 +48,31 @@
       rank_(std::move(rank)),
       ledger_(options.ledger) {}
 
-void CrashGuard::Join() {
+void CrashGuard::Join(const JoinSources& sources) {
   joining_since_ = clock_.Now();
+  awaited_ = sources;
 }
 
 bool CrashGuard::IsJoining() const {
-  return joining_since_.has_value() &&
+  return joining_since_.has_value() && (awaited_.peers || awaited_.store) &&
          clock_.Now() - *joining_since_ < options_.join_timeout;
 }
 
-TimePoint CrashGuard::TrialTime(RequestFingerprint request,
-                                const CrashAssessment& assessment) {
+TimePoint CrashGuard::TrialTime(const CrashAssessment& assessment) {
   const TimePoint now = clock_.Now();
-  const auto rank =
-      static_cast<int64_t>(std::min(rank_(request), options_.max_rank));
+  const auto rank = static_cast<int64_t>(
+      std::min(rank_(SuspectHash()(assessment.suspect)), options_.max_rank));
   if (now < assessment.next_run) {
-    pending_trials_.erase(request);
+    pending_trials_.erase(assessment.suspect);
     return assessment.next_run + options_.trial_interval * rank;
   }
-  // Long after the last loss, the request may arrive at all entries at the same
+  // Long after the last loss, the suspect may arrive at all entries at the same
   // moment; if each ran it, each could lose a server. The first entry in rank
   // order runs it immediately. Each other entry waits for the result, or until
   // the trial intervals of the entries before it have passed without a run,
-  // since the request may not arrive there.
+  // since the suspect may not arrive there.
   const auto [position, first] = pending_trials_.try_emplace(
-      request, PendingTrial{now, assessment.next_run});
+      assessment.suspect, PendingTrial{now, assessment.next_run});
   PendingTrial& trial = position->second;
   const bool interval_passed =
       now - trial.since > options_.trial_interval * (rank + 2);
@@ -89,68 +82,99 @@
   return trial.since + options_.trial_interval * rank;
 }
 
-CrashDecision CrashGuard::Decide(RequestFingerprint request,
-                                 const std::function<bool()>& equal_runs) {
+CrashDecision CrashGuard::Decide(const RequestTraits& request,
+                                 const OtherRuns& other_runs) {
   using Kind = CrashDecision::Kind;
-  const CrashAssessment assessment = ledger_.Assess(request);
+  const std::vector<CrashAssessment> assessments = ledger_.AssessAll(request);
+  const CrashAssessment gravest =
+      assessments.empty() ? CrashAssessment() : assessments.front();
   if (IsJoining()) {
     return {.kind = Kind::kWait,
-            .assessment = assessment,
+            .assessment = gravest,
             .retry_after = options_.retry_after};
   }
-  if (assessment.suspicion < CrashSuspicion::kDoubtful) {
-    return {.kind = Kind::kRun, .assessment = assessment};
-  }
   const TimePoint now = clock_.Now();
-  const TimePoint earliest =
-      RunsSequentially(assessment) ? TrialTime(request, assessment) : now;
-  if (now >= earliest && !equal_runs()) {
-    return {.kind = Kind::kRun, .assessment = assessment};
-  }
-  const bool blocked = assessment.suspicion == CrashSuspicion::kBlocked;
-  return {.kind = blocked ? Kind::kRefuse : Kind::kWait,
-          .assessment = assessment,
-          .retry_after = std::max(earliest - now, options_.retry_after)};
-}
-
-void CrashGuard::OnSent(RequestFingerprint request) {
-  if (RunsSequentially(ledger_.Assess(request))) {
-    const TimePoint now = clock_.Now();
-    AddLocalReport({.kind = CrashReport::Kind::kTrialStarted,
-                    .request = request,
-                    .sent = now,
-                    .ended = now});
+  for (const CrashAssessment& assessment : assessments) {
+    if (assessment.suspicion < CrashSuspicion::kDoubtful) {
+      continue;
+    }
+    const TimePoint earliest = RunsSequentially(assessment)
+                                   ? TrialTime(assessment)
+                                   : std::max(now, assessment.next_run);
+    if (now >= earliest && !other_runs(assessment.suspect)) {
+      continue;
+    }
+    const bool blocked = assessment.suspicion == CrashSuspicion::kBlocked;
+    return {.kind = blocked ? Kind::kRefuse : Kind::kWait,
+            .assessment = assessment,
+            .retry_after = std::max(earliest - now, options_.retry_after)};
   }
+  return {.kind = Kind::kRun, .assessment = gravest};
 }
 
-void CrashGuard::OnRequestArrived(RequestFingerprint request) {
-  if (SuspicionOf(request) < CrashSuspicion::kBlocked) {
+bool CrashGuard::OnSent(const RequestTraits& request) {
+  if (SuspicionOf(request) < CrashSuspicion::kDoubtful) {
+    return false;
+  }
+  const TimePoint now = clock_.Now();
+  AddLocalReport({.kind = CrashReport::Kind::kTrialStarted,
+                  .request = request,
+                  .sent = now,
+                  .ended = now});
+  return true;
+}
+
+void CrashGuard::OnTrialEnded(const RequestTraits& request) {
+  const TimePoint now = clock_.Now();
+  AddLocalReport({.kind = CrashReport::Kind::kTrialEnded,
+                  .request = request,
+                  .sent = now,
+                  .ended = now});
+}
+
+void CrashGuard::OnRequestArrived(const RequestTraits& request) {
+  const CrashAssessment assessment = ledger_.Assess(request);
+  if (assessment.suspicion < CrashSuspicion::kBlocked) {
     return;
   }
   const TimePoint now = clock_.Now();
   const CrashReport report = {.kind = CrashReport::Kind::kRequestArrived,
-                              .request = request,
+                              .request = TraitsOf(assessment.suspect),
                               .ended = now};
   ledger_.AddReport(report, now);
-  const auto [last_reminder, first] = last_reminders_.try_emplace(request, now);
+  const auto [last_reminder, first] =
+      last_reminders_.try_emplace(assessment.suspect, now);
   if (!first && now - last_reminder->second >= options_.remind_period) {
     last_reminder->second = now;
     outgoing_.push_back(report);
   }
 }
 
-void CrashGuard::OnServerLost(RequestFingerprint request,
-                              uint64_t server,
-                              TimePoint sent) {
+void CrashGuard::OnServerLost(const Run& run) {
   metrics_.Add("server_losses_counted");
+  std::erase_if(unconfirmed_answers_, [&run](const UnconfirmedAnswer& answer) {
+    return answer.run.server == run.server;
+  });
+  ledger_.RememberLoss(run.server, clock_.Now() - run.sent, clock_.Now());
   AddLocalReport({.kind = CrashReport::Kind::kLost,
-                  .request = request,
-                  .server = server,
-                  .sent = sent,
+                  .request = run.request,
+                  .server = run.server,
+                  .place = run.place,
+                  .sent = run.sent,
                   .ended = clock_.Now()});
 }
 
 void CrashGuard::OnServerAnswered(uint64_t server, TimePoint sent) {
+  const auto confirmed = std::ranges::stable_partition(
+      unconfirmed_answers_, [&](const UnconfirmedAnswer& answer) {
+        return answer.run.server != server || answer.ended > sent;
+      });
+  const std::vector<UnconfirmedAnswer> survived(confirmed.begin(),
+                                                confirmed.end());
+  unconfirmed_answers_.erase(confirmed.begin(), confirmed.end());
+  for (const UnconfirmedAnswer& answer : survived) {
+    OnServerSurvived(answer.run);
+  }
   if (ledger_.HasLossOf(server) && !unreachable_servers_.contains(server)) {
     AddLocalReport({.kind = CrashReport::Kind::kServerAlive,
                     .server = server,
@@ -165,14 +189,25 @@
   }
 }
 
-void CrashGuard::OnServerSurvived(RequestFingerprint request) {
-  if (ledger_.IsKnown(request)) {
+void CrashGuard::OnServerSurvived(const Run& run) {
+  const TimePoint now = clock_.Now();
+  ledger_.RememberAnswer(run.request, now - run.sent, now);
+  const Suspect place = {.kind = Suspect::Kind::kPlace, .first = run.place};
+  if (ledger_.IsKnown(run.request) || ledger_.IsKnown(place)) {
     AddLocalReport({.kind = CrashReport::Kind::kSurvived,
-                    .request = request,
-                    .ended = clock_.Now()});
+                    .request = run.request,
+                    .place = run.place,
+                    .ended = now});
   }
 }
 
+void CrashGuard::OnConnectionEnded(const Run& run) {
+  if (unconfirmed_answers_.size() >= kMaxUnconfirmedAnswers) {
+    unconfirmed_answers_.erase(unconfirmed_answers_.begin());
+  }
+  unconfirmed_answers_.push_back({.run = run, .ended = clock_.Now()});
+}
+
 void CrashGuard::OnReports(const CrashNews& message, bool pass_on) {
   for (const CrashReport& report : FromWire(message, clock_.Now())) {
     if (AddReport(report, "peer") && pass_on) {
@@ -180,8 +215,15 @@
     }
   }
   if (message.complete) {
-    joining_since_.reset();
+    awaited_.peers = false;
+  }
+}
+
+void CrashGuard::OnStoredReports(const std::vector<CrashReport>& reports) {
+  for (const CrashReport& report : reports) {
+    AddReport(report, "store");
   }
+  awaited_.store = false;
 }
 
 void CrashGuard::AddLocalReport(const CrashReport& report) {
@@ -198,15 +240,53 @@
   log_.Info("crash_evidence",
             {{"seen", KindName(report.kind)},
              {"from", from},
-             {"fingerprint", report.request},
+             {"fingerprint", report.request.fingerprint},
+             {"parts", JoinPromptParts(report.request.parts)},
              {"server_hash", report.server},
              {"age_ms", ToMilliseconds(clock_.Now() - report.ended)},
-             {"standing", SuspicionName(assessment.suspicion)},
+             {"standing", CrashSuspicionName(assessment.suspicion)},
+             {"suspect", SuspectName(assessment.suspect)},
              {"lost", assessment.lost},
              {"in_turn", assessment.in_turn}});
+  LogChanges(report.request);
   return true;
 }
 
+void CrashGuard::LogChanges(const RequestTraits& request) {
+  BySuspect<CrashAssessment> assessed;
+  for (const CrashAssessment& assessment : ledger_.AssessAll(request)) {
+    assessed[assessment.suspect] = assessment;
+  }
+  for (const Suspect& suspect : SuspectsOf(request)) {
+    const auto found = assessed.find(suspect);
+    const CrashAssessment assessment =
+        found == assessed.end() ? CrashAssessment() : found->second;
+    const auto last = logged_.find(suspect);
+    const CrashSuspicion former =
+        last == logged_.end() ? CrashSuspicion::kClear : last->second;
+    if (assessment.suspicion == former) {
+      continue;
+    }
+    if (assessment.suspicion == CrashSuspicion::kClear) {
+      logged_.erase(last);
+    } else {
+      logged_[suspect] = assessment.suspicion;
+    }
+    if (std::max(assessment.suspicion, former) < CrashSuspicion::kDoubtful) {
+      continue;
+    }
+    log_.Info("crash_suspect",
+              {{"suspect", SuspectName(suspect)},
+               {"standing", CrashSuspicionName(assessment.suspicion)},
+               {"former", CrashSuspicionName(former)},
+               {"lost", assessment.lost},
+               {"in_turn", assessment.in_turn},
+               {"chance", assessment.chance},
+               {"was_answered", assessment.was_answered ? 1 : 0},
+               {"has_alternative", assessment.has_alternative ? 1 : 0}});
+  }
+}
+
 std::vector<CrashReport> CrashGuard::TakeNewReports() {
   return std::exchange(outgoing_, {});
 }
@@ -220,9 +300,24 @@
   ledger_.ForgetExpired(now);
   std::erase_if(unreachable_servers_,
                 [this](uint64_t server) { return !ledger_.HasLossOf(server); });
-  std::erase_if(last_reminders_, [this](const auto& item) {
+  const auto is_forgotten = [this](const auto& item) {
     return !ledger_.IsKnown(item.first);
+  };
+  std::erase_if(last_reminders_, is_forgotten);
+  std::erase_if(pending_trials_, is_forgotten);
+  std::erase_if(logged_, is_forgotten);
+  std::erase_if(unconfirmed_answers_, [&](const UnconfirmedAnswer& answer) {
+    return now - answer.ended > options_.confirm_timeout;
   });
+  const std::vector<Suspect> culprits = ledger_.Culprits();
+  for (const Suspect::Kind kind :
+       {Suspect::Kind::kRequest, Suspect::Kind::kPart, Suspect::Kind::kPartPair,
+        Suspect::Kind::kPlace}) {
+    metrics_.Set(
+        std::string("crash_culprits{kind=\"") + SuspectKindName(kind) + "\"}",
+        static_cast<double>(
+            std::ranges::count(culprits, kind, &Suspect::kind)));
+  }
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/crash/crash_guard.h
+++ b/lavenderkeel/crash/crash_guard.h
@@ -21,13 +21,14 @@
 struct CrashDecision {
   enum class Kind {
     kRun,
-    /// Wait until the run of an equal request has a result, this entry's trial
+    /// Wait until a run with the same suspect has a result, this entry's trial
     /// interval begins, or the entry has received the reports of another.
     kWait,
     kRefuse,
   };
 
   Kind kind = Kind::kRun;
+  /// Of the suspect that decided; the gravest if the request may run.
   CrashAssessment assessment;
   /// When the caller may retry a refused request.
   Duration retry_after{};
@@ -37,75 +38,102 @@
 
 /// Keeps poison requests from reaching more servers.
 ///
-/// A request that crashes each server that starts to run it, and is sent again,
-/// crashes one server after another, and all requests that run there fail. A
-/// single loss doesn't distinguish it from the requests that ran at the same
-/// server, but the losses of equal requests, counted over all entries, do. A
-/// harmless request is cleared by its next answer. Until then a doubtful
-/// request runs at no server together with another suspected one, so that none
-/// is lost a second time because of another.
+/// A request that crashes each server that starts to run it, or a part of its
+/// prompt that does so in any request, crashes one server after another, and
+/// all requests that run there fail. A single loss doesn't distinguish the
+/// cause from what else ran at the same server, but the losses and answers
+/// counted over all entries do, see CrashLedger. What is harmless is cleared by
+/// its next answer. Until then a doubtful request runs at no server together
+/// with another suspected one, so that none is lost a second time because of
+/// another, and one request at a time runs with a doubtful suspect.
 class CrashGuard {
  public:
   struct Options {
     CrashLedger::Options ledger;
-    /// Time between the runs of the same request at different entries: the
+    /// Time between the runs with the same suspect at different entries: the
     /// result of one run is known everywhere before the next.
     Duration trial_interval = std::chrono::seconds(1);
     /// Entries with a higher rank share the last interval.
     size_t max_rank = 8;
     /// How long an entry that has just started waits for the reports of
-    /// another.
+    /// another, and for those in the store.
     Duration join_timeout = std::chrono::milliseconds(500);
-    /// How often other entries are reminded of a blocked request.
+    /// How often other entries are reminded of a blocked suspect.
     Duration remind_period = std::chrono::minutes(2);
-    /// Retry-After of a request that waits for an equal one.
+    /// Retry-After of a request that waits for another with the same suspect.
     Duration retry_after = std::chrono::seconds(1);
+    /// How long an answer that ended with its connection may be confirmed.
+    Duration confirm_timeout = std::chrono::seconds(10);
   };
 
-  /// The number of entries that may try the request before this one.
-  using Rank = std::function<size_t(RequestFingerprint)>;
+  /// The number of entries that may try a suspect before this one.
+  using Rank = std::function<size_t(uint64_t suspect_hash)>;
+  /// Whether another request of this entry that has the suspect is at a server
+  /// or queued for one.
+  using OtherRuns = std::function<bool(const Suspect&)>;
 
   CrashGuard(
       const Options& options,
       const Clock& clock,
       const EventLog& log,
       Metrics& metrics,
-      Rank rank = [](RequestFingerprint) { return size_t{0}; });
+      Rank rank = [](uint64_t) { return size_t{0}; });
 
-  /// Holds back all requests until another entry has sent its reports or
+  /// What an entry that has just started waits for.
+  struct JoinSources {
+    bool peers = true;
+    bool store = false;
+  };
+  /// Holds back all requests until these have sent their reports or
   /// join_timeout has passed.
-  void Join();
-  /// @param equal_runs whether an equal request of this entry is at a server or
-  ///     queued for one; called only if it matters
-  CrashDecision Decide(RequestFingerprint request,
-                       const std::function<bool()>& equal_runs);
+  void Join(const JoinSources& sources);
+  void Join() { Join({}); }
+
+  CrashDecision Decide(const RequestTraits& request,
+                       const OtherRuns& other_runs);
   /// Handles that the request was sent to a server, as decided.
-  void OnSent(RequestFingerprint request);
-  /// Returns the suspicion against the request.
-  CrashSuspicion SuspicionOf(RequestFingerprint request) const {
+  /// @return whether this is a trial run, whose end is to be reported
+  bool OnSent(const RequestTraits& request);
+  /// Handles that a trial run ended, with or without a result.
+  void OnTrialEnded(const RequestTraits& request);
+  /// Returns the gravest suspicion against the request.
+  CrashSuspicion SuspicionOf(const RequestTraits& request) const {
     return ledger_.Assess(request).suspicion;
   }
   /// Handles that the request arrived at this entry.
-  void OnRequestArrived(RequestFingerprint request);
-
-  /// Handles the loss of a server that had the request.
-  void OnServerLost(RequestFingerprint request,
-                    uint64_t server,
-                    TimePoint sent);
+  void OnRequestArrived(const RequestTraits& request);
+
+  /// A request at a server.
+  struct Run {
+    RequestTraits request;
+    /// Hash of the server's incarnation.
+    uint64_t server = 0;
+    /// Hash of the server's address; zero if it is not known.
+    uint64_t place = 0;
+    TimePoint sent;
+  };
+  /// Handles the loss of the server that had the request.
+  void OnServerLost(const Run& run);
   /// Handles that a server answered a request that was sent to it at `sent`.
   void OnServerAnswered(uint64_t server, TimePoint sent);
   /// Handles that a server accepted no connection: a later answer comes from
   /// its restarted successor.
   void OnServerUnreachable(uint64_t server);
   /// Handles that a server ran the request to its end.
-  void OnServerSurvived(RequestFingerprint request);
+  void OnServerSurvived(const Run& run);
+  /// Handles that the answer to the request ended with its connection. Whether
+  /// the server survived shows when it answers a later request.
+  void OnConnectionEnded(const Run& run);
 
   /// Adds the reports of another entry.
   /// @param pass_on whether new reports are forwarded to other entries
   void OnReports(const CrashNews& message, bool pass_on);
+  /// Adds the reports that the store has.
+  void OnStoredReports(const std::vector<CrashReport>& reports);
   /// Returns the reports for other entries since the last call.
   std::vector<CrashReport> TakeNewReports();
   std::vector<CrashReport> All() const { return ledger_.All(); }
+  const CrashLedger& ledger() const { return ledger_; }
   void Tick();
 
  private:
@@ -116,19 +144,27 @@
     /// The CrashAssessment::next_run that the trial waits for.
     TimePoint next_run;
   };
+  struct UnconfirmedAnswer {
+    Run run;
+    TimePoint ended;
+  };
+  template <typename Value>
+  using BySuspect = std::unordered_map<Suspect, Value, SuspectHash>;
 
   bool IsJoining() const;
-  /// Returns whether so many servers were lost while running the request that
-  /// the entries run it one after the other.
+  /// Returns whether so many servers were lost with the suspect that the
+  /// entries run it one after the other.
   bool RunsSequentially(const CrashAssessment& assessment) const {
     return assessment.lost >= options_.ledger.blocked_at_losses;
   }
-  /// Returns when this entry may run the request, unless another entry runs it
+  /// Returns when this entry may run the suspect, unless another entry runs it
   /// before.
-  TimePoint TrialTime(RequestFingerprint request,
-                      const CrashAssessment& assessment);
+  TimePoint TrialTime(const CrashAssessment& assessment);
   bool AddReport(const CrashReport& report, std::string_view from);
   void AddLocalReport(const CrashReport& report);
+  /// Writes a line for each suspect of the request that became or no longer is
+  /// doubtful or blocked.
+  void LogChanges(const RequestTraits& request);
 
   Options options_;
   const Clock& clock_;
@@ -139,12 +175,16 @@
   std::vector<CrashReport> outgoing_;
   /// Servers with a counted loss that have accepted no connection since.
   std::set<uint64_t> unreachable_servers_;
-  /// When other entries were last reminded of the request.
-  std::unordered_map<RequestFingerprint, TimePoint> last_reminders_;
+  /// When other entries were last reminded of the suspect.
+  BySuspect<TimePoint> last_reminders_;
   TimePoint next_forget_;
   std::optional<TimePoint> joining_since_;
-  /// Requests that this entry would run if its trial interval had begun.
-  std::unordered_map<RequestFingerprint, PendingTrial> pending_trials_;
+  JoinSources awaited_;
+  /// Suspects that this entry would run if its trial interval had begun.
+  BySuspect<PendingTrial> pending_trials_;
+  /// The suspicions that were logged last; clear ones are left out.
+  BySuspect<CrashSuspicion> logged_;
+  std::vector<UnconfirmedAnswer> unconfirmed_answers_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/crash/crash_ledger.cc
+++ b/lavenderkeel/crash/crash_ledger.cc
@@ -1,72 +1,153 @@
 #include "lavenderkeel/crash/crash_ledger.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace lavenderkeel {
 
+namespace {
+
+/// Losses and answers from this time before the first loss of a suspect count
+/// for what is usual.
+constexpr Duration kRateTime = std::chrono::seconds(2);
+/// The resolution of the times at which runs end.
+constexpr Duration kMinRun = std::chrono::milliseconds(1);
+
+std::vector<Suspect> SuspectsOf(const CrashReport& report) {
+  std::vector<Suspect> suspects = SuspectsOf(report.request);
+  if (report.place != 0) {
+    suspects.push_back({.kind = Suspect::Kind::kPlace, .first = report.place});
+  }
+  return suspects;
+}
+
+}  // namespace
+
 bool CrashLedger::AddReport(const CrashReport& report, TimePoint now) {
   switch (report.kind) {
     case CrashReport::Kind::kLost:
-      if (!AddLoss(report)) {
+      if (!AddLoss(report, now)) {
         return false;
       }
-      requests_.at(report.request).last_arrival = now;
       EvictExcess();
-      return true;
+      break;
     case CrashReport::Kind::kSurvived:
-      return AddSurvival(report);
+      if (!AddSurvival(report)) {
+        return false;
+      }
+      break;
     case CrashReport::Kind::kServerAlive:
-      return AddServerAlive(report);
+      if (!AddServerAlive(report)) {
+        return false;
+      }
+      break;
     case CrashReport::Kind::kRequestArrived:
       return AddArrival(report);
     case CrashReport::Kind::kTrialStarted:
       return AddTrial(report);
+    case CrashReport::Kind::kTrialEnded:
+      return EndTrial(report);
   }
-  return false;
+  FindCulprits();
+  return true;
 }
 
 bool CrashLedger::AddArrival(const CrashReport& report) {
-  const auto found = requests_.find(report.request);
-  if (found == requests_.end() || found->second.last_arrival >= report.ended) {
-    return false;
+  bool changed = false;
+  for (const Suspect& suspect : SuspectsOf(report)) {
+    const auto found = suspects_.find(suspect);
+    if (found != suspects_.end() && found->second.last_arrival < report.ended) {
+      found->second.last_arrival = report.ended;
+      changed = true;
+    }
   }
-  found->second.last_arrival = report.ended;
-  return true;
+  return changed;
 }
 
 bool CrashLedger::AddTrial(const CrashReport& report) {
-  const auto found = requests_.find(report.request);
-  if (found == requests_.end()) {
-    return false;
+  bool changed = false;
+  for (const CrashAssessment& assessment : AssessAll(report.request)) {
+    if (assessment.suspicion < CrashSuspicion::kDoubtful) {
+      continue;
+    }
+    std::optional<TimePoint>& last_trial =
+        suspects_.at(assessment.suspect).last_trial;
+    if (!last_trial.has_value() || *last_trial < report.sent) {
+      last_trial = report.sent;
+      changed = true;
+    }
   }
-  std::optional<TimePoint>& last_trial = found->second.last_trial;
-  if (last_trial.has_value() && *last_trial >= report.sent) {
-    return false;
+  return changed;
+}
+
+bool CrashLedger::EndTrial(const CrashReport& report) {
+  bool changed = false;
+  for (const Suspect& suspect : SuspectsOf(report)) {
+    const auto found = suspects_.find(suspect);
+    if (found != suspects_.end() && found->second.last_trial.has_value() &&
+        *found->second.last_trial <= report.ended) {
+      found->second.last_trial.reset();
+      changed = true;
+    }
   }
-  last_trial = report.sent;
-  return true;
+  return changed;
 }
 
-bool CrashLedger::AddLoss(const CrashReport& report) {
+bool CrashLedger::AddLoss(const CrashReport& report, TimePoint now) {
   const auto alive = alive_until_.find(report.server);
   if (alive != alive_until_.end() && alive->second >= report.ended) {
     return false;
   }
-  Request& request = requests_[report.request];
-  if (request.last_survival.has_value() &&
-      *request.last_survival >= report.ended) {
+  const auto known = lost_servers_.find(report.server);
+  const bool is_known =
+      known != lost_servers_.end() &&
+      std::ranges::find(known->second.runs, report.request,
+                        &LostRun::request) != known->second.runs.end();
+  if (is_known) {
+    return false;
+  }
+  bool counts = false;
+  for (const Suspect& suspect : SuspectsOf(report)) {
+    counts |= AddLossTo(
+        suspect,
+        {.server = report.server, .sent = report.sent, .ended = report.ended},
+        now);
+  }
+  const auto lost = lost_servers_.find(report.server);
+  if (!counts || lost == lost_servers_.end()) {
+    return false;
+  }
+  lost->second.runs.push_back({.request = report.request,
+                               .place = report.place,
+                               .sent = report.sent,
+                               .ended = report.ended});
+  return true;
+}
+
+bool CrashLedger::AddLossTo(const Suspect& suspect,
+                            const Loss& loss,
+                            TimePoint now) {
+  const std::optional<TimePoint> last_answer =
+      answered_.LastAnswer(suspect, now);
+  if (last_answer.has_value() && *last_answer >= loss.ended) {
     return false;
   }
-  std::vector<Loss>& losses = request.losses;
-  if (std::ranges::find(losses, report.server, &Loss::server) != losses.end()) {
+  Record& record = suspects_[suspect];
+  record.last_arrival = std::max(record.last_arrival, now);
+  record.was_answered |= last_answer.has_value();
+  if (record.last_survival.has_value() && *record.last_survival >= loss.ended) {
     return false;
   }
-  const auto after =
-      std::ranges::upper_bound(losses, report.ended, {}, &Loss::ended);
-  losses.insert(
-      after,
-      {.server = report.server, .sent = report.sent, .ended = report.ended});
-  CountLoss(report.server);
+  std::vector<Loss>& losses = record.losses;
+  const auto same = std::ranges::find(losses, loss.server, &Loss::server);
+  if (same != losses.end()) {
+    same->sent = std::min(same->sent, loss.sent);
+    return true;
+  }
+  losses.insert(std::ranges::upper_bound(losses, loss.ended, {}, &Loss::ended),
+                loss);
+  ++lost_servers_[loss.server].counted;
   if (losses.size() > options_.max_losses) {
     // Drops a loss that doesn't add to the sequential count, else the oldest.
     const std::vector<size_t> sequential = SequentialLosses(losses);
@@ -76,49 +157,69 @@
       ++redundant;
     }
     const size_t dropped = redundant < losses.size() ? redundant : 0;
-    UncountLoss(losses[dropped].server);
+    const uint64_t server = losses[dropped].server;
     losses.erase(losses.begin() + static_cast<ptrdiff_t>(dropped));
+    UncountLoss(server);
   }
   return true;
 }
 
-bool CrashLedger::AddSurvival(const CrashReport& report) {
-  const auto found = requests_.find(report.request);
-  if (found == requests_.end()) {
-    return false;
-  }
-  Request& request = found->second;
-  const bool has_earlier_loss = std::ranges::any_of(
-      request.losses,
-      [&](const Loss& loss) { return loss.ended <= report.ended; });
-  if (!has_earlier_loss) {
-    return false;
-  }
-  request.last_survival =
-      std::max(request.last_survival.value_or(report.ended), report.ended);
-  std::erase_if(request.losses, [&](const Loss& loss) {
-    const bool before = loss.ended <= report.ended;
-    if (before) {
-      UncountLoss(loss.server);
+template <typename Predicate>
+bool CrashLedger::RemoveLosses(Record& record, Predicate predicate) {
+  std::vector<uint64_t> servers;
+  std::erase_if(record.losses, [&](const Loss& loss) {
+    const bool removed = predicate(loss);
+    if (removed) {
+      servers.push_back(loss.server);
     }
-    return before;
+    return removed;
   });
-  return true;
+  for (const uint64_t server : servers) {
+    UncountLoss(server);
+  }
+  return !servers.empty();
+}
+
+bool CrashLedger::AddSurvival(const CrashReport& report) {
+  bool changed = false;
+  for (const Suspect& suspect : SuspectsOf(report)) {
+    const auto found = suspects_.find(suspect);
+    if (found == suspects_.end()) {
+      continue;
+    }
+    Record& record = found->second;
+    const bool cleared = RemoveLosses(
+        record, [&](const Loss& loss) { return loss.ended <= report.ended; });
+    if (cleared) {
+      record.blocked_at = 0;
+      record.was_answered = true;
+      record.last_survival =
+          std::max(record.last_survival.value_or(report.ended), report.ended);
+      record.last_trial.reset();
+    }
+    changed |= cleared;
+  }
+  return changed;
 }
 
 bool CrashLedger::AddServerAlive(const CrashReport& report) {
-  if (!HasLossOf(report.server)) {
+  const auto lost = lost_servers_.find(report.server);
+  if (lost == lost_servers_.end()) {
     return false;
   }
   bool changed = false;
-  for (auto& [fingerprint, request] : requests_) {
-    const size_t voided = std::erase_if(request.losses, [&](const Loss& loss) {
-      return loss.server == report.server && loss.ended < report.sent;
-    });
-    for (size_t i = 0; i < voided; ++i) {
-      UncountLoss(report.server);
+  // Removing the last loss of the server also removes its runs.
+  const std::vector<LostRun> runs = lost->second.runs;
+  for (const LostRun& run : runs) {
+    for (const Suspect& suspect :
+         SuspectsOf({.request = run.request, .place = run.place})) {
+      const auto found = suspects_.find(suspect);
+      changed |=
+          found != suspects_.end() &&
+          RemoveLosses(found->second, [&](const Loss& loss) {
+            return loss.server == report.server && loss.ended < report.sent;
+          });
     }
-    changed = changed || voided > 0;
   }
   if (changed) {
     alive_until_[report.server] = report.sent;
@@ -128,13 +229,23 @@
 
 std::vector<CrashReport> CrashLedger::All() const {
   std::vector<CrashReport> all;
-  for (const auto& [fingerprint, request] : requests_) {
-    for (const Loss& loss : request.losses) {
+  for (const auto& [server, lost] : lost_servers_) {
+    for (const LostRun& run : lost.runs) {
       all.push_back({.kind = CrashReport::Kind::kLost,
-                     .request = fingerprint,
-                     .server = loss.server,
-                     .sent = loss.sent,
-                     .ended = loss.ended});
+                     .request = run.request,
+                     .server = server,
+                     .place = run.place,
+                     .sent = run.sent,
+                     .ended = run.ended});
+    }
+  }
+  for (const auto& [suspect, record] : suspects_) {
+    if (record.last_survival.has_value()) {
+      const bool is_place = suspect.kind == Suspect::Kind::kPlace;
+      all.push_back({.kind = CrashReport::Kind::kSurvived,
+                     .request = TraitsOf(suspect),
+                     .place = is_place ? suspect.first : 0,
+                     .ended = *record.last_survival});
     }
   }
   return all;
@@ -153,64 +264,299 @@
   return sequential;
 }
 
-CrashAssessment CrashLedger::Assess(RequestFingerprint request) const {
-  const auto found = requests_.find(request);
-  if (found == requests_.end() || found->second.losses.empty()) {
-    return {};
+double CrashLedger::ChanceOf(const Record& record,
+                             const std::vector<Duration>& runs,
+                             TimePoint since) const {
+  const LossRate::Estimate rate = loss_rate_.Since(since, [&](uint64_t server) {
+    return !explained_.contains(server) &&
+           std::ranges::find(record.losses, server, &Loss::server) ==
+               record.losses.end();
+  });
+  // The probability that none of the runs would have been answered, times that
+  // of ends as early as these, which are uniform if the cause is another: for
+  // the product z of n uniform numbers, the sum of z (-ln z)^i / i! for i < n.
+  double all_lost = 1;
+  double product = 1;
+  for (const Duration run : runs) {
+    const double seconds =
+        ToSeconds(std::max({run, rate.answer_time, kMinRun}));
+    all_lost *= 1 - std::exp(-rate.per_second * seconds);
+    product *= ToSeconds(std::max(run, kMinRun)) / seconds;
+  }
+  double ends_early = 0;
+  double term = product;
+  for (size_t i = 0; i < runs.size(); ++i) {
+    ends_early += term;
+    term *= -std::log(product) / static_cast<double>(i + 1);
+  }
+  return all_lost * ends_early;
+}
+
+CrashLedger::Count CrashLedger::CountOf(const Record& record,
+                                        const std::vector<Loss>& losses) const {
+  Count count = {.lost = losses.size()};
+  if (losses.empty()) {
+    return count;
+  }
+  std::vector<Duration> runs;
+  for (const size_t index : SequentialLosses(losses)) {
+    runs.push_back(losses[index].ended - losses[index].sent);
+  }
+  if (record.was_answered) {
+    runs.erase(std::ranges::max_element(runs));
+    count.lost = runs.size();
+  }
+  count.in_turn = runs.size();
+  // Includes what was usual right before.
+  count.chance = ChanceOf(record, runs, losses.front().sent - kRateTime);
+  return count;
+}
+
+CrashSuspicion CrashLedger::SuspicionOf(const Count& count) const {
+  if (count.lost == 0) {
+    return CrashSuspicion::kClear;
+  }
+  if (count.in_turn >= options_.blocked_at_losses &&
+      count.chance <= options_.max_chance) {
+    return CrashSuspicion::kBlocked;
+  }
+  const bool doubtful = (count.in_turn + 1 >= options_.blocked_at_losses &&
+                         count.chance <= std::sqrt(options_.max_chance)) ||
+                        count.lost >= options_.blocked_at_losses;
+  return doubtful ? CrashSuspicion::kDoubtful : CrashSuspicion::kSuspect;
+}
+
+void CrashLedger::FindCulprits() {
+  culprits_.clear();
+  explained_.clear();
+  std::vector<std::pair<Suspect, Record*>> candidates;
+  for (auto& [suspect, record] : suspects_) {
+    if (record.losses.size() >= options_.blocked_at_losses) {
+      candidates.emplace_back(suspect, &record);
+    }
+  }
+  for (size_t order = 0; !candidates.empty(); ++order) {
+    // Zero for those that are not blocked.
+    std::vector<size_t> counts;
+    for (const auto& [suspect, record] : candidates) {
+      const Count count = CountOf(*record, UnexplainedLosses(suspect, *record));
+      const bool blocked = SuspicionOf(count) == CrashSuspicion::kBlocked;
+      counts.push_back(blocked ? count.in_turn : 0);
+    }
+    const size_t most = *std::ranges::max_element(counts);
+    if (most == 0) {
+      return;
+    }
+    std::vector<std::pair<Suspect, Record*>> others;
+    std::vector<uint64_t> servers;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+      const auto& [suspect, record] = candidates[i];
+      if (counts[i] < most) {
+        others.push_back(candidates[i]);
+        continue;
+      }
+      for (const Loss& loss : UnexplainedLosses(suspect, *record)) {
+        servers.push_back(loss.server);
+      }
+      culprits_[suspect] = order;
+      record->blocked_at = record->blocked_at == 0 ? most : record->blocked_at;
+    }
+    for (const uint64_t server : servers) {
+      explained_.try_emplace(server, order);
+    }
+    candidates = std::move(others);
+  }
+}
+
+std::vector<CrashLedger::Loss> CrashLedger::UnexplainedLosses(
+    const Suspect& suspect,
+    const Record& record) const {
+  const auto culprit = culprits_.find(suspect);
+  std::vector<Loss> losses;
+  for (const Loss& loss : record.losses) {
+    const auto explained = explained_.find(loss.server);
+    const bool counts =
+        explained == explained_.end() ||
+        (culprit != culprits_.end() && culprit->second <= explained->second);
+    if (counts) {
+      losses.push_back(loss);
+    }
+  }
+  return losses;
+}
+
+bool CrashLedger::HasAlternative(const std::vector<Loss>& losses,
+                                 const RequestTraits& request) const {
+  const auto had_all = [&](const Suspect& suspect) {
+    const auto found = suspects_.find(suspect);
+    return found != suspects_.end() &&
+           std::ranges::all_of(losses, [&](const Loss& loss) {
+             return std::ranges::find(found->second.losses, loss.server,
+                                      &Loss::server) !=
+                    found->second.losses.end();
+           });
+  };
+  const auto lost = lost_servers_.find(losses.front().server);
+  if (lost == lost_servers_.end()) {
+    return false;
+  }
+  for (const LostRun& run : lost->second.runs) {
+    for (const Suspect& suspect :
+         SuspectsOf({.request = run.request, .place = run.place})) {
+      if (!HasSuspect(request, suspect) && had_all(suspect)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+Duration CrashLedger::RetestDelay(size_t failed_retests) const {
+  Duration delay = options_.retest_delay;
+  for (size_t i = 0; i < failed_retests; ++i) {
+    delay =
+        std::min(delay * options_.retest_backoff, options_.max_retest_delay);
+  }
+  return delay;
+}
+
+CrashAssessment CrashLedger::AssessSuspect(const Suspect& suspect,
+                                           const Record& record,
+                                           const RequestTraits& request) const {
+  const std::vector<Loss> losses = UnexplainedLosses(suspect, record);
+  const Count count = CountOf(record, losses);
+  CrashAssessment assessment = {.suspicion = SuspicionOf(count),
+                                .suspect = suspect,
+                                .lost = count.lost,
+                                .in_turn = count.in_turn,
+                                .chance = count.chance,
+                                .was_answered = record.was_answered};
+  if (assessment.suspicion == CrashSuspicion::kClear) {
+    return assessment;
   }
-  const std::vector<Loss>& losses = found->second.losses;
   const TimePoint last = losses.back().ended;
-  CrashAssessment assessment = {.suspicion = CrashSuspicion::kSuspect,
-                                .lost = losses.size(),
-                                .in_turn = SequentialLosses(losses).size(),
-                                .next_run = last};
-  if (assessment.in_turn >= options_.blocked_at_losses) {
-    assessment.suspicion = CrashSuspicion::kBlocked;
-    const bool retests_used_up =
-        assessment.in_turn >= options_.blocked_at_losses + options_.max_retests;
-    assessment.next_run =
-        retests_used_up ? found->second.last_arrival + options_.forget_after
-                        : last + options_.retest_delay;
-  } else if (assessment.in_turn + 1 >= options_.blocked_at_losses ||
-             assessment.lost >= options_.blocked_at_losses) {
-    assessment.suspicion = CrashSuspicion::kDoubtful;
-  }
-  const std::optional<TimePoint>& last_trial = found->second.last_trial;
-  if (last_trial.has_value() && *last_trial > last) {
-    assessment.next_run =
-        std::max(assessment.next_run, *last_trial + options_.trial_timeout);
+  assessment.next_run = last;
+  if (assessment.suspicion == CrashSuspicion::kBlocked) {
+    assessment.has_alternative = HasAlternative(losses, request);
+    if (assessment.has_alternative) {
+      assessment.suspicion = CrashSuspicion::kDoubtful;
+    } else {
+      assessment.next_run =
+          last + RetestDelay(count.in_turn -
+                             std::min(count.in_turn, record.blocked_at));
+    }
+  }
+  if (record.last_trial.has_value() && *record.last_trial > last) {
+    assessment.next_run = std::max(assessment.next_run,
+                                   *record.last_trial + options_.trial_timeout);
   }
   return assessment;
 }
 
+std::vector<CrashAssessment> CrashLedger::AssessAll(
+    const RequestTraits& request) const {
+  std::vector<CrashAssessment> assessments;
+  if (suspects_.empty()) {
+    return assessments;
+  }
+  for (const Suspect& suspect : SuspectsOf(request)) {
+    const auto found = suspects_.find(suspect);
+    if (found == suspects_.end()) {
+      continue;
+    }
+    const CrashAssessment assessment =
+        AssessSuspect(suspect, found->second, request);
+    if (assessment.suspicion != CrashSuspicion::kClear) {
+      assessments.push_back(assessment);
+    }
+  }
+  std::ranges::stable_sort(
+      assessments, std::ranges::greater(), [](const CrashAssessment& item) {
+        return std::tuple(item.suspicion, item.in_turn, item.lost);
+      });
+  return assessments;
+}
+
+CrashAssessment CrashLedger::Assess(const RequestTraits& request) const {
+  const std::vector<CrashAssessment> all = AssessAll(request);
+  return all.empty() ? CrashAssessment() : all.front();
+}
+
+std::vector<Suspect> CrashLedger::Culprits() const {
+  std::vector<Suspect> culprits;
+  for (const auto& [suspect, order] : culprits_) {
+    culprits.push_back(suspect);
+  }
+  std::ranges::sort(culprits);
+  return culprits;
+}
+
+std::vector<CrashReport> CrashLedger::LossesOf(const Suspect& suspect) const {
+  std::vector<CrashReport> reports;
+  const auto found = suspects_.find(suspect);
+  if (found == suspects_.end()) {
+    return reports;
+  }
+  for (const Loss& loss : UnexplainedLosses(suspect, found->second)) {
+    reports.push_back({.kind = CrashReport::Kind::kLost,
+                       .request = TraitsOf(suspect),
+                       .server = loss.server,
+                       .sent = loss.sent,
+                       .ended = loss.ended});
+  }
+  return reports;
+}
+
+std::optional<TimePoint> CrashLedger::LastSurvival(
+    const Suspect& suspect) const {
+  const auto found = suspects_.find(suspect);
+  return found == suspects_.end() ? std::nullopt : found->second.last_survival;
+}
+
+bool CrashLedger::IsKnown(const RequestTraits& request) const {
+  return !suspects_.empty() &&
+         std::ranges::any_of(
+             SuspectsOf(request),
+             [this](const Suspect& suspect) { return IsKnown(suspect); });
+}
+
 void CrashLedger::UncountLoss(uint64_t server) {
-  const auto found = loss_counts_.find(server);
-  if (--found->second == 0) {
-    loss_counts_.erase(found);
+  const auto found = lost_servers_.find(server);
+  if (--found->second.counted == 0) {
+    lost_servers_.erase(found);
   }
 }
 
-void CrashLedger::Erase(Requests::iterator request) {
-  for (const Loss& loss : request->second.losses) {
+void CrashLedger::Erase(Suspects::iterator suspect) {
+  for (const Loss& loss : suspect->second.losses) {
     UncountLoss(loss.server);
   }
-  requests_.erase(request);
+  suspects_.erase(suspect);
 }
 
 void CrashLedger::EvictExcess() {
-  while (requests_.size() > options_.max_requests) {
-    // Blocked requests are evicted last.
-    Erase(std::ranges::min_element(requests_, {}, [this](const auto& item) {
-      const bool blocked =
-          Assess(item.first).suspicion == CrashSuspicion::kBlocked;
-      return std::pair(blocked, item.second.last_arrival);
-    }));
+  if (suspects_.size() <= options_.max_suspects) {
+    return;
+  }
+  using Rank = std::tuple<bool, TimePoint, Suspect>;
+  std::vector<Rank> ranks;
+  for (const auto& [suspect, record] : suspects_) {
+    // Culprits are evicted last.
+    ranks.emplace_back(culprits_.contains(suspect), record.last_arrival,
+                       suspect);
+  }
+  const auto excess =
+      static_cast<ptrdiff_t>(suspects_.size() - options_.max_suspects);
+  std::ranges::nth_element(ranks, ranks.begin() + excess);
+  for (auto rank = ranks.begin(); rank != ranks.begin() + excess; ++rank) {
+    Erase(suspects_.find(std::get<Suspect>(*rank)));
   }
 }
 
 void CrashLedger::ForgetExpired(TimePoint now) {
-  for (auto request = requests_.begin(); request != requests_.end();) {
-    const auto current = request++;
+  const size_t before = suspects_.size();
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    const auto current = suspect++;
     if (now - current->second.last_arrival > options_.forget_after) {
       Erase(current);
     }
@@ -218,6 +564,9 @@
   std::erase_if(alive_until_, [&](const auto& item) {
     return now - item.second > options_.forget_after;
   });
+  if (suspects_.size() != before) {
+    FindCulprits();
+  }
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/crash/crash_ledger.h
+++ b/lavenderkeel/crash/crash_ledger.h
@@ -2,60 +2,91 @@
 #define LAVENDERKEEL_CRASH_CRASH_LEDGER_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/crash/answered_suspects.h"
 #include "lavenderkeel/crash/crash_report.h"
 #include "lavenderkeel/crash/crash_suspicion.h"
+#include "lavenderkeel/crash/loss_rate.h"
+#include "lavenderkeel/crash/request_traits.h"
+#include "lavenderkeel/crash/suspect.h"
 
 namespace lavenderkeel {
 
-/// The counted losses of a request and the suspicion that follows from them.
+/// The counted losses of a suspect and the suspicion that follows from them.
 struct CrashAssessment {
   CrashSuspicion suspicion = CrashSuspicion::kClear;
-  /// Servers lost while they had the request, since a server last answered it.
+  Suspect suspect;
+  /// Servers lost with the suspect since a server last answered a request that
+  /// has it, without those that a culprit explains.
   size_t lost = 0;
   /// Sequential losses: those whose run began after the previous such loss.
   size_t in_turn = 0;
-  /// When a single run may test the request again; meaningful for
-  /// kDoubtful and kBlocked only.
+  /// The probability of the sequential losses, given how often runs without the
+  /// suspect are lost.
+  double chance = 1;
+  /// Whether requests with the suspect were answered before the losses.
+  bool was_answered = false;
+  /// Whether there is a suspect that the assessed request does not have and
+  /// that all the losses had, too. Then a run of the request tells which of the
+  /// two is the cause.
+  bool has_alternative = false;
+  /// When a single run may test the suspect again; meaningful for kDoubtful
+  /// and kBlocked only.
   TimePoint next_run;
 
   friend bool operator==(const CrashAssessment&,
                          const CrashAssessment&) = default;
 };
 
-/// The record of lost servers by the requests that they ran.
+/// The record of lost servers, and of what may have crashed them.
 ///
-/// Losses count only until a server answers the request. A poison request is
-/// never answered, and a harmless equal request is cleared by its next answer.
-/// Runs that overlap in time count once, since one cause may have ended all
-/// their servers at that moment. A loss is removed if the server answers a
-/// request that was sent to it afterwards: then only connections had broken.
+/// Each loss is held against all suspects that the server had: the requests
+/// that it ran, the parts of their prompts, the pairs of these, and its place.
+/// The evidence tells them apart:
+///  - Losses count only until a server answers a request that has the suspect.
+///    A culprit is never answered; what is sound is cleared by its next answer.
+///    A part that was answered before its losses is forgiven one, and several
+///    at the same moment say nothing about it.
+///  - Runs that overlap in time count once, since one cause may have ended all
+///    their servers at that moment.
+///  - The more runs without the suspect are lost, and the longer those with it
+///    took until they were, the more losses are needed to take it for the
+///    cause.
+///  - The suspects with the most losses, if there are enough, are the culprits.
+///    They explain the losses that they were part of, which no longer count
+///    against the other suspects.
+///  - A loss is removed if the server answers a request that was sent to it
+///    afterwards: then only connections had broken.
 ///
 /// Entries that share their reports come to the same assessment.
 class CrashLedger {
  public:
   struct Options {
-    /// Sequential losses at which a request is blocked.
+    /// Sequential losses at which a suspect is blocked, at least.
     size_t blocked_at_losses = 3;
-    /// A blocked request may run once more this long after the last loss: the
+    /// A suspect is blocked only if its losses have less than this probability
+    /// without it.
+    double max_chance = 0.0001;
+    /// A blocked suspect may run once more this long after the last loss: the
     /// cause may be gone, or the servers may have ended for another reason.
     Duration retest_delay = std::chrono::seconds(60);
-    /// The number of these retests; after them the request stays blocked until
-    /// it is forgotten.
-    size_t max_retests = 1;
+    /// The delay grows by this factor with each retest that fails.
+    int retest_backoff = 10;
+    Duration max_retest_delay = std::chrono::minutes(100);
     /// How long the result of a trial run is awaited before another may begin.
     Duration trial_timeout = std::chrono::seconds(8);
-    /// A request that has not arrived for this long is forgotten.
+    /// A suspect of which no request has arrived for this long is forgotten.
     Duration forget_after = std::chrono::minutes(10);
-    /// Above this many requests the one that arrived longest ago is evicted.
-    size_t max_requests = 4096;
-    /// The number of losses kept per request.
-    size_t max_losses = 8;
+    /// Above this many suspects the one that arrived longest ago is evicted.
+    size_t max_suspects = 16384;
+    /// The number of losses kept per suspect.
+    size_t max_losses = 16;
   };
 
   CrashLedger() = default;
@@ -64,57 +95,139 @@
   /// Adds a report of this entry or another.
   /// @return whether the report changed the ledger
   bool AddReport(const CrashReport& report, TimePoint now);
-  /// Returns all losses, for an entry that has just started.
+  /// Records that a run of this entry was answered. Other entries do not learn
+  /// of it, unless it clears a suspect.
+  void RememberAnswer(const RequestTraits& request,
+                      Duration run,
+                      TimePoint now) {
+    answered_.Add(request, now);
+    loss_rate_.OnAnswered(run, now);
+  }
+  /// Records that a run of this entry was lost with its server.
+  void RememberLoss(uint64_t server, Duration run, TimePoint now) {
+    loss_rate_.OnLost(server, run, now);
+  }
+  /// Returns all that is needed to come to the same assessments, for an entry
+  /// that has just started.
   std::vector<CrashReport> All() const;
 
-  CrashAssessment Assess(RequestFingerprint request) const;
-  bool IsKnown(RequestFingerprint request) const {
-    return requests_.contains(request);
+  /// Returns the assessments of the request's suspects that are not clear, the
+  /// gravest first.
+  std::vector<CrashAssessment> AssessAll(const RequestTraits& request) const;
+  /// Returns the gravest assessment of a suspect of the request.
+  CrashAssessment Assess(const RequestTraits& request) const;
+  /// Returns the suspects that are taken for the cause of losses.
+  std::vector<Suspect> Culprits() const;
+  /// Returns the losses that make a suspect a culprit, as reports of the least
+  /// requests that have it.
+  std::vector<CrashReport> LossesOf(const Suspect& suspect) const;
+  /// Returns when a request with the suspect was last answered after a loss.
+  std::optional<TimePoint> LastSurvival(const Suspect& suspect) const;
+  /// Returns whether a suspect of the request has losses or survived some.
+  bool IsKnown(const RequestTraits& request) const;
+  bool IsKnown(const Suspect& suspect) const {
+    return suspects_.contains(suspect);
   }
   /// Returns whether a loss of this server's incarnation is counted.
   bool HasLossOf(uint64_t server) const {
-    return loss_counts_.contains(server);
+    return lost_servers_.contains(server);
   }
   void ForgetExpired(TimePoint now);
-  size_t size() const { return requests_.size(); }
+  /// Returns the number of suspects.
+  size_t size() const { return suspects_.size(); }
 
  private:
   struct Loss {
     uint64_t server = 0;
+    /// The begin of the first lost run that had the suspect.
     TimePoint sent;
     TimePoint ended;
   };
-  struct Request {
+  struct Record {
     /// Sorted by the time of the loss.
     std::vector<Loss> losses;
     /// The end of the last run that a server survived.
     std::optional<TimePoint> last_survival;
-    /// When the last trial run began.
+    /// When the last trial run began that has no result yet.
     std::optional<TimePoint> last_trial;
     TimePoint last_arrival;
+    /// Whether it was answered before its first loss.
+    bool was_answered = false;
+    /// Sequential losses when it was first taken for a culprit; zero: it is
+    /// none.
+    size_t blocked_at = 0;
+  };
+  /// A run that ended with its server.
+  struct LostRun {
+    RequestTraits request;
+    uint64_t place = 0;
+    TimePoint sent;
+    TimePoint ended;
+  };
+  struct LostServer {
+    std::vector<LostRun> runs;
+    /// Losses of suspects that are counted because of this server.
+    size_t counted = 0;
+  };
+  struct Count {
+    size_t lost = 0;
+    size_t in_turn = 0;
+    double chance = 1;
   };
-  using Requests = std::unordered_map<RequestFingerprint, Request>;
+  using Suspects = std::unordered_map<Suspect, Record, SuspectHash>;
 
-  bool AddLoss(const CrashReport& report);
+  bool AddLoss(const CrashReport& report, TimePoint now);
+  bool AddLossTo(const Suspect& suspect, const Loss& loss, TimePoint now);
   bool AddSurvival(const CrashReport& report);
   bool AddServerAlive(const CrashReport& report);
   bool AddTrial(const CrashReport& report);
+  bool EndTrial(const CrashReport& report);
   bool AddArrival(const CrashReport& report);
   /// Returns the indices of the sequential losses: the largest set of losses
   /// whose runs don't overlap.
   static std::vector<size_t> SequentialLosses(const std::vector<Loss>& losses);
-  void CountLoss(uint64_t server) { ++loss_counts_[server]; }
+  /// Removes the losses for which the predicate holds; returns whether there
+  /// were any.
+  template <typename Predicate>
+  bool RemoveLosses(Record& record, Predicate predicate);
   void UncountLoss(uint64_t server);
-  void Erase(Requests::iterator request);
+  void Erase(Suspects::iterator suspect);
   void EvictExcess();
+  /// Finds the culprits anew.
+  void FindCulprits();
+  /// Returns the losses that no culprit explains, other than the suspect.
+  std::vector<Loss> UnexplainedLosses(const Suspect& suspect,
+                                      const Record& record) const;
+  /// Counts these losses of the suspect.
+  Count CountOf(const Record& record, const std::vector<Loss>& losses) const;
+  /// Returns the probability that runs which were lost after these times, one
+  /// after the other, were lost by another cause than the suspect.
+  double ChanceOf(const Record& record,
+                  const std::vector<Duration>& runs,
+                  TimePoint since) const;
+  CrashSuspicion SuspicionOf(const Count& count) const;
+  /// Returns whether some suspect that the request does not have was lost with
+  /// all these servers.
+  bool HasAlternative(const std::vector<Loss>& losses,
+                      const RequestTraits& request) const;
+  CrashAssessment AssessSuspect(const Suspect& suspect,
+                                const Record& record,
+                                const RequestTraits& request) const;
+  Duration RetestDelay(size_t failed_retests) const;
 
   Options options_;
-  Requests requests_;
-  /// The number of losses kept per server.
-  std::unordered_map<uint64_t, size_t> loss_counts_;
+  Suspects suspects_;
+  std::unordered_map<uint64_t, LostServer> lost_servers_;
   /// The latest time at which a server was found alive after a loss, so that a
   /// late report of that loss is ignored.
   std::map<uint64_t, TimePoint> alive_until_;
+  AnsweredSuspects answered_;
+  LossRate loss_rate_;
+  /// The culprits by their order: those with more losses come first, equals
+  /// together.
+  std::unordered_map<Suspect, size_t, SuspectHash> culprits_;
+  /// The order of the first culprits that explain the loss, by server.
+  std::unordered_map<uint64_t, size_t> explained_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/crash/crash_report.h
+++ b/lavenderkeel/crash/crash_report.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 
 #include "lavenderkeel/base/clock.h"
-#include "lavenderkeel/crash/request_fingerprint.h"
+#include "lavenderkeel/crash/request_traits.h"
 
 namespace lavenderkeel {
 
@@ -24,13 +24,18 @@
     /// An entry started a trial run at `sent` to test whether the request still
     /// crashes servers.
     kTrialStarted = 4,
+    /// A trial run ended at `ended` without a result.
+    kTrialEnded = 5,
   };
 
   Kind kind = Kind::kLost;
-  /// Zero for kServerAlive.
-  RequestFingerprint request = 0;
+  /// Empty for kServerAlive.
+  RequestTraits request = {};
   /// Hash of the server's incarnation; set for kLost and kServerAlive.
   uint64_t server = 0;
+  /// Hash of the server's address; set for kLost and kSurvived, zero if it is
+  /// not known.
+  uint64_t place = 0;
   TimePoint sent;
   TimePoint ended;
 
--- a/lavenderkeel/crash/crash_wire.cc
+++ b/lavenderkeel/crash/crash_wire.cc
@@ -22,8 +22,10 @@
   for (const CrashReport& report : reports) {
     auto evidence = std::make_unique<CrashEvidence>();
     evidence->kind = static_cast<uint8_t>(report.kind);
-    evidence->request = report.request;
+    evidence->request = report.request.fingerprint;
+    evidence->parts = report.request.parts;
     evidence->server = report.server;
+    evidence->place = report.place;
     evidence->sent_age_us = (now - report.sent).count();
     evidence->ended_age_us = (now - report.ended).count();
     message.evidence.push_back(std::move(evidence));
@@ -32,15 +34,17 @@
 }
 
 std::vector<CrashReport> FromWire(const CrashNews& message, TimePoint now) {
-  constexpr auto kLast = static_cast<uint8_t>(CrashReport::Kind::kTrialStarted);
+  constexpr auto kLast = static_cast<uint8_t>(CrashReport::Kind::kTrialEnded);
   std::vector<CrashReport> reports;
   for (const auto& evidence : message.evidence) {
     if (evidence == nullptr || evidence->kind > kLast) {
       continue;
     }
     reports.push_back({.kind = static_cast<CrashReport::Kind>(evidence->kind),
-                       .request = evidence->request,
+                       .request = {.fingerprint = evidence->request,
+                                   .parts = evidence->parts},
                        .server = evidence->server,
+                       .place = evidence->place,
                        .sent = now - AgeFromWire(evidence->sent_age_us),
                        .ended = now - AgeFromWire(evidence->ended_age_us)});
   }
--- /dev/null
+++ b/lavenderkeel/crash/request_traits.h
@@ -0,0 +1,32 @@
+#ifndef LAVENDERKEEL_CRASH_REQUEST_TRAITS_H_
+#define LAVENDERKEEL_CRASH_REQUEST_TRAITS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "lavenderkeel/base/prompt_part.h"
+#include "lavenderkeel/crash/request_fingerprint.h"
+#include "lavenderkeel/crash/suspect.h"
+
+namespace lavenderkeel {
+
+/// What a request may have in common with others that crash servers.
+struct RequestTraits {
+  /// Zero: unknown.
+  RequestFingerprint fingerprint = 0;
+  std::vector<PromptPartId> parts = {};
+
+  friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
+};
+
+/// Returns all suspects that the request has: itself, each of the first 64
+/// parts, and each pair among the first eight.
+std::vector<Suspect> SuspectsOf(const RequestTraits& request);
+/// Returns the least traits that have the suspect; empty for a place.
+RequestTraits TraitsOf(const Suspect& suspect);
+/// Returns whether SuspectsOf() contains the suspect.
+bool HasSuspect(const RequestTraits& request, const Suspect& suspect);
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CRASH_REQUEST_TRAITS_H_
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -17,7 +17,7 @@
       started_at_(context.clock.Now()) {}
 
 void DispatchController::Admit(EntryRequest& request) {
-  context_.crashes.OnRequestArrived(request.fingerprint);
+  context_.crashes.OnRequestArrived(request.traits);
   if (const std::optional<ResultCode> refusal = CheckAdmission(request)) {
     context_.conclude(request, *refusal);
     return;
@@ -133,11 +133,11 @@
 
 CrashDecision DispatchController::DecideOnCrashes(
     const EntryRequest& request) const {
-  return context_.crashes.Decide(request.fingerprint, [&] {
-    const auto runs = [&request](const EntryRequest& other) {
+  return context_.crashes.Decide(request.traits, [&](const Suspect& suspect) {
+    const auto runs = [&](const EntryRequest& other) {
       return other.key != request.key &&
-             other.fingerprint == request.fingerprint &&
-             (other.is_at_agent() || other.state == State::kWaiting);
+             (other.is_at_agent() || other.state == State::kWaiting) &&
+             HasSuspect(other.traits, suspect);
     };
     return !context_.requests.Select(runs).empty();
   });
@@ -145,8 +145,7 @@
 
 bool DispatchController::MayRunAt(const EntryRequest& request,
                                   const PeerId& agent) const {
-  const CrashSuspicion suspicion =
-      context_.crashes.SuspicionOf(request.fingerprint);
+  const CrashSuspicion suspicion = context_.crashes.SuspicionOf(request.traits);
   if (suspicion == CrashSuspicion::kClear) {
     return true;
   }
@@ -157,7 +156,7 @@
            other.agent == agent;
   };
   for (const RequestKey& key : context_.requests.Select(runs_there)) {
-    const RequestFingerprint other = context_.requests.Find(key)->fingerprint;
+    const RequestTraits& other = context_.requests.Find(key)->traits;
     suspects.Add(kAgent, context_.crashes.SuspicionOf(other));
   }
   return suspects.Admits(kAgent, suspicion);
@@ -174,7 +173,8 @@
     context_.log.Info(
         "crash_refused",
         {{"key", request.key.ToString()},
-         {"fingerprint", request.fingerprint},
+         {"fingerprint", request.traits.fingerprint},
+         {"suspect", SuspectName(decision.assessment.suspect)},
          {"lost", decision.assessment.lost},
          {"in_turn", decision.assessment.in_turn},
          {"attempts", request.attempts},
@@ -342,7 +342,7 @@
   request->state = State::kSent;
   request->agent = agent->info.id;
   request->sent_at = context_.clock.Now();
-  context_.crashes.OnSent(request->fingerprint);
+  request->is_crash_trial = context_.crashes.OnSent(request->traits);
   ++request->attempts;
   UncountWaiting(*request);
   context_.requests.ClearTimer(*request);
@@ -477,6 +477,7 @@
 }
 
 void DispatchController::Requeue(EntryRequest& request) {
+  EndCrashTrial(request);
   context_.caller_subscriptions.Restart(request.key);
   request.agent = {};
   request.unreachable_since.reset();
@@ -534,21 +535,39 @@
   return allowed;
 }
 
-void DispatchController::ReportToCrashGuard(const EntryRequest& request,
-                                            ResultCode code) {
+void DispatchController::EndCrashTrial(EntryRequest& request) {
+  if (std::exchange(request.is_crash_trial, false)) {
+    context_.crashes.OnTrialEnded(request.traits);
+  }
+}
+
+void DispatchController::ReportToCrashGuard(EntryRequest& request,
+                                            ResultCode code,
+                                            uint64_t server_life) {
+  const uint64_t place = HashBytes(request.agent.instance);
   if (code == ResultCode::kServerCrashed) {
-    // Each crashed run counts as the loss of a different server.
+    // Agents of former versions don't tell the lives of their servers apart;
+    // each run is taken for the loss of another server then.
+    const uint64_t life =
+        server_life != 0 ? server_life
+                         : HashBytes(request.key.ToString()) + request.attempts;
     const uint64_t server =
-        HashBytes(request.agent.ToString(), HashBytes(request.key.ToString())) +
-        request.attempts;
-    context_.crashes.OnServerLost(request.fingerprint, server, request.sent_at);
+        HashBytes(std::to_string(life), HashBytes(request.agent.ToString()));
+    context_.crashes.OnServerLost({.request = request.traits,
+                                   .server = server,
+                                   .place = place,
+                                   .sent = request.sent_at});
   } else if (code == ResultCode::kAnswered) {
-    context_.crashes.OnServerSurvived(request.fingerprint);
+    context_.crashes.OnServerSurvived(
+        {.request = request.traits, .place = place, .sent = request.sent_at});
   }
+  EndCrashTrial(request);
 }
 
-void DispatchController::OnRunEnded(EntryRequest& request, ResultCode code) {
-  ReportToCrashGuard(request, code);
+void DispatchController::OnRunEnded(EntryRequest& request,
+                                    ResultCode code,
+                                    uint64_t server_life) {
+  ReportToCrashGuard(request, code, server_life);
   if (code == ResultCode::kServerUnreachable) {
     request.agents_without_server.insert(request.agent);
   }
@@ -648,6 +667,7 @@
 }
 
 void DispatchController::Release(EntryRequest& request) {
+  EndCrashTrial(request);
   if (request.is_waiting()) {
     UncountWaiting(request);
     // Excludes this request from the search for a held-back one to enqueue
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -29,7 +29,9 @@
   /// late copies.
   void OnGoNotReceived(EntryRequest& request);
   /// Concludes or retries the request after its run ended with `code`.
-  void OnRunEnded(EntryRequest& request, ResultCode code);
+  /// @param server_life equal for runs between two restarts of the agent's
+  ///     server; zero if it is not known
+  void OnRunEnded(EntryRequest& request, ResultCode code, uint64_t server_life);
 
   void OnAgentUp(const PeerId& agent);
   void OnAgentLost(const PeerId& agent);
@@ -61,7 +63,11 @@
   /// Holds back or concludes a request that is suspected of crashing servers.
   /// @return false if the request may run
   bool HoldBackIfSuspect(EntryRequest& request);
-  void ReportToCrashGuard(const EntryRequest& request, ResultCode code);
+  void ReportToCrashGuard(EntryRequest& request,
+                          ResultCode code,
+                          uint64_t server_life);
+  /// Reports the end of a trial run, if the request's is one.
+  void EndCrashTrial(EntryRequest& request);
   void AddReservations(EntryRequest& request);
   /// Returns whether all servers rest for longer than the request waits for a
   /// server.
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -83,7 +83,7 @@
                clock,
                log,
                metrics,
-               [this](RequestFingerprint request) { return RankFor(request); }),
+               [this](uint64_t suspect_hash) { return RankFor(suspect_hash); }),
       context_{.options = options_.dispatch,
                .clock = clock,
                .random = random_,
@@ -219,13 +219,13 @@
   return true;
 }
 
-size_t EntryNode::RankFor(RequestFingerprint request) const {
-  const uint64_t own = RendezvousWeight(request, members_.self().id.instance);
+size_t EntryNode::RankFor(uint64_t key) const {
+  const uint64_t own = RendezvousWeight(key, members_.self().id.instance);
   const std::vector<const Member*> entries = members_.Members(Role::kEntry);
   return static_cast<size_t>(
       std::ranges::count_if(entries, [&](const Member* entry) {
         return entry->live() &&
-               RendezvousWeight(request, entry->info.id.instance) > own;
+               RendezvousWeight(key, entry->info.id.instance) > own;
       }));
 }
 
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -97,7 +97,7 @@
   void HandOverClaims();
   void SendCrashReports();
   /// Number of live entries with a higher rendezvous weight for the request.
-  size_t RankFor(RequestFingerprint request) const;
+  size_t RankFor(uint64_t key) const;
   void AdvanceLeaving();
   bool IsSameRegion(const std::string& instance) const;
 
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -10,7 +10,7 @@
 #include "lavenderkeel/action/action.h"
 #include "lavenderkeel/base.h"
 #include "lavenderkeel/claim/claim.h"
-#include "lavenderkeel/crash/request_fingerprint.h"
+#include "lavenderkeel/crash/request_traits.h"
 #include "lavenderkeel/routing/router.h"
 
 namespace lavenderkeel {
@@ -84,8 +84,9 @@
   bool observer = false;
   WorkProperties properties;
   uint64_t body_hash = 0;
-  /// Equal for requests of the same team with the same work class and content.
-  RequestFingerprint fingerprint = 0;
+  /// The fingerprint is equal for requests of the same team with the same work
+  /// class and content.
+  RequestTraits traits;
   Payload payload;
   State state = State::kClaiming;
   TimePoint arrived;
@@ -129,6 +130,8 @@
   TimePoint sent_at;
   /// CrashGuard holds the request back.
   bool is_suspect = false;
+  /// The run is a trial, see CrashGuard.
+  bool is_crash_trial = false;
   bool counted_admitted = false;
   bool counted_running = false;
   ResultCode result = ResultCode::kAnswered;
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -48,8 +48,9 @@
   request.observer = false;
   request.properties = std::move(submission.properties);
   request.body_hash = submission.body_hash;
-  request.fingerprint = HashBytes(request.properties.team, request.body_hash);
   request.payload = std::move(submission.payload);
+  request.traits = {.fingerprint =
+                        HashBytes(request.properties.team, request.body_hash)};
   request.arrived = context_.clock.Now();
   request.deadline.reset();
   if (submission.deadline.has_value()) {
@@ -189,7 +190,7 @@
        {"outcome", OutcomeName(info.outcome)},
        {"code", static_cast<uint32_t>(code)},
        {"result", info.name},
-       {"fingerprint", request.fingerprint},
+       {"fingerprint", request.traits.fingerprint},
        {"took_ms", ToMilliseconds(context_.clock.Now() - request.arrived)}});
   context_.metrics.Add("requests_total{tier=\"" + request.properties.tier_name +
                        "\",result=\"" + std::string(info.name) + "\"}");
@@ -381,7 +382,7 @@
     request->agent = peer;
     Conclude(*request, code);
   } else if (request->is_at_agent() && request->agent == peer) {
-    dispatch_.OnRunEnded(*request, code);
+    dispatch_.OnRunEnded(*request, code, finish.server_life);
   }
 }
 
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -234,16 +234,19 @@
     Refuse(exchange, request->metadata.request_id, *refusal);
     return;
   }
-  request->fingerprint = FingerprintOf({.team = request->team,
-                                        .method = request->head.method,
-                                        .host = *host,
-                                        .target = request->head.target,
-                                        .body = request->body});
+  request->traits = {.fingerprint = FingerprintOf({
+                         .team = request->team,
+                         .method = request->head.method,
+                         .host = *host,
+                         .target = request->head.target,
+                         .body = request->body,
+                     }),
+                     .parts = request->metadata.prompt_parts};
   held_body_bytes_ += request->body.size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
   retries_.OnAdmitted(admitted);
-  crashes_.OnRequestArrived(admitted.fingerprint);
+  crashes_.OnRequestArrived(admitted.traits);
   Enqueue(admitted);
 }
 
@@ -253,20 +256,31 @@
 
 CrashDecision ForwardController::DecideOnCrashes(
     const ForwardedRequest& request) const {
-  return crashes_.Decide(request.fingerprint, [&] {
+  return crashes_.Decide(request.traits, [&](const Suspect& suspect) {
     return std::ranges::any_of(requests_, [&](const auto& item) {
       const ForwardedRequest& other = *item.second;
       return &other != &request && other.attempt != 0 &&
-             other.fingerprint == request.fingerprint;
+             HasSuspect(other.traits, suspect);
     });
   });
 }
 
+CrashGuard::Run ForwardController::RunOf(const ForwardedRequest& request) {
+  return {.request = request.traits,
+          .server = HashBytes(request.server),
+          .place = HashBytes(request.server_address),
+          .sent = request.sent_at};
+}
+
 void ForwardController::RefuseAsCrashing(ForwardedRequest& request,
                                          const CrashDecision& decision) {
+  const Suspect& suspect = decision.assessment.suspect;
+  metrics_.Add(std::string("crash_refused{kind=\"") +
+               SuspectKindName(suspect.kind) + "\"}");
   log_.Info("crash_refused",
             {{"id", request.metadata.request_id},
-             {"fingerprint", request.fingerprint},
+             {"fingerprint", request.traits.fingerprint},
+             {"suspect", SuspectName(suspect)},
              {"lost", decision.assessment.lost},
              {"in_turn", decision.assessment.in_turn},
              {"runs", request.runs},
@@ -299,10 +313,12 @@
     const bool suspected =
         decision.assessment.suspicion != CrashSuspicion::kClear;
     if (!held_before && suspected) {
-      log_.Info("crash_waits", {{"id", request.metadata.request_id},
-                                {"fingerprint", request.fingerprint},
-                                {"lost", decision.assessment.lost},
-                                {"in_turn", decision.assessment.in_turn}});
+      log_.Info("crash_waits",
+                {{"id", request.metadata.request_id},
+                 {"fingerprint", request.traits.fingerprint},
+                 {"suspect", SuspectName(decision.assessment.suspect)},
+                 {"lost", decision.assessment.lost},
+                 {"in_turn", decision.assessment.in_turn}});
     }
     return;
   }
@@ -470,7 +486,7 @@
   // hold the request or change its placement.
   if (!version_selector_.Admits(request->service, server->version) ||
       DecideOnCrashes(*request).kind != CrashDecision::Kind::kRun ||
-      crashes_.SuspicionOf(request->fingerprint) > request->suspicion) {
+      crashes_.SuspicionOf(request->traits) > request->suspicion) {
     EndAttempt(*request, {});
     Enqueue(*request);
     return true;
@@ -492,12 +508,13 @@
   const std::string key = server.start_key();
   request_log_.OnSend(request, server, scheduler, grant);
   RecordEndOfWait(request, /*got_slot=*/true);
-  crashes_.OnSent(request.fingerprint);
+  request.is_crash_trial = crashes_.OnSent(request.traits);
   request.version_attempt =
       version_selector_.OnSent(request.service, request.route->name, server,
                                grant.in_flight, request.fresh());
   request.state = State::kSent;
   request.server = key;
+  request.server_address = server.address;
   request.tried.push_back(key);
   request.sent_at = now;
   request.last_received_at = now;
@@ -532,6 +549,9 @@
   const AttemptId attempt = std::exchange(request.attempt, 0);
   attempts_.erase(attempt);
   version_selector_.OnAttemptEnd(request.service, request.version_attempt);
+  if (std::exchange(request.is_crash_trial, false)) {
+    crashes_.OnTrialEnded(request.traits);
+  }
   request.state = State::kWaiting;
   slot_router_.ReleaseSlot(attempt, result);
 }
@@ -626,6 +646,14 @@
   }
 }
 
+void ForwardController::ReportSurvival(const ForwardedRequest& request) {
+  if (request.answer_head->framing == BodyFraming::kUntilClose) {
+    crashes_.OnConnectionEnded(RunOf(request));
+  } else {
+    crashes_.OnServerSurvived(RunOf(request));
+  }
+}
+
 void ForwardController::FinishStream(ForwardedRequest& request) {
   // A server may end its answer properly in the middle of an event.
   if (request.events.has_incomplete_event() || !request.head_sent) {
@@ -644,7 +672,7 @@
   EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .read = PromptReadOf(request)});
-  crashes_.OnServerSurvived(request.fingerprint);
+  ReportSurvival(request);
   port_.RespondEnd(request.exchange);
   LogEnd(request, "answered", request.answer_head->status);
   RemoveRequest(request.exchange);
@@ -654,7 +682,7 @@
   const int status = request.answer_head->status;
   const bool error = status >= kFirstServerError;
   if (!error) {
-    crashes_.OnServerSurvived(request.fingerprint);
+    ReportSurvival(request);
     route_history_[request.route->name].answer_ms.Add(
         ToFractionalMilliseconds(clock_.Now() - request.sent_at));
   }
@@ -709,8 +737,7 @@
                                      AttemptFailure failure) {
   request_log_.OnAttemptFailed(request, failure);
   if (failure == AttemptFailure::kDisconnected) {
-    crashes_.OnServerLost(request.fingerprint, HashBytes(request.server),
-                          request.sent_at);
+    crashes_.OnServerLost(RunOf(request));
   } else if (failure == AttemptFailure::kNotConnected) {
     crashes_.OnServerUnreachable(HashBytes(request.server));
   }
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -218,6 +218,9 @@
   /// request or for the rollout plans.
   void Enqueue(ForwardedRequest& request);
   CrashDecision DecideOnCrashes(const ForwardedRequest& request) const;
+  static CrashGuard::Run RunOf(const ForwardedRequest& request);
+  /// Reports that the server lived on after its answer, if that is certain.
+  void ReportSurvival(const ForwardedRequest& request);
   void RefuseAsCrashing(ForwardedRequest& request,
                         const CrashDecision& decision);
   void RecordEndOfWait(const ForwardedRequest& request, bool got_slot);
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -126,8 +126,8 @@
                clock,
                log,
                metrics,
-               [this](RequestFingerprint request) {
-                 return exchange_.entry_directory().RankFor(request);
+               [this](uint64_t suspect_hash) {
+                 return exchange_.entry_directory().RankFor(suspect_hash);
                }),
       version_selector_({.bounds = options_.exposure}, directory_, clock, log),
       rollouts_({.progress = {.bounds = options_.exposure}},
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -8,7 +8,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/crash/crash_suspicion.h"
-#include "lavenderkeel/crash/request_fingerprint.h"
+#include "lavenderkeel/crash/request_traits.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/request_metadata.h"
 #include "lavenderkeel/forward/route_table.h"
@@ -39,7 +39,7 @@
   std::string service;
   bool model_server = false;
   std::string team;
-  RequestFingerprint fingerprint = 0;
+  RequestTraits traits;
   int priority = 0;
   /// Whether the priority is that of the team, not of the route.
   bool has_team_priority = false;
@@ -63,9 +63,12 @@
 
   AttemptId attempt = 0;
   std::string server;
+  std::string server_address;
   /// Rollout data of the attempt that was sent last.
   VersionSelector::Attempt version_attempt = {};
   TimePoint sent_at;
+  /// Whether the attempt is a trial run, see CrashGuard.
+  bool is_crash_trial = false;
   /// When the last byte arrived, or the attempt was sent.
   TimePoint last_received_at;
   std::optional<ResponseHead> answer_head;
--- a/lavenderkeel/gate/answer_subscriptions.cc
+++ b/lavenderkeel/gate/answer_subscriptions.cc
@@ -118,6 +118,7 @@
   finish.code = static_cast<uint32_t>(
       is_answer_dropped ? ResultCode::kAnswerGone : run->code);
   finish.length = length;
+  finish.server_life = run->server_life;
   // The reader compares length and checksum before it ends the caller's answer,
   // so that bytes lost or reordered on the way can't pass as a complete answer.
   finish.checksum = HashBytes(run->answer);
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -66,6 +66,7 @@
                    "." + std::to_string(run.run);
   run.started = now;
   run.last_event = now;
+  run.server_life = server_life_;
   run.answer = run.go.head.empty() ? "" : run.go.head + "\n";
   runs_.BindRun(key, run.run);
   running_.insert(run.run);
@@ -261,6 +262,7 @@
   run->unreachable_resumes =
       end == ServerDisconnect::kUnreachable ? run->unreachable_resumes + 1 : 0;
   if (HasEngineEnded(*run, end)) {
+    server_life_ = std::max(server_life_, run->server_life + 1);
     metrics_.Add("wasted_prefill_tokens{cause=\"server_crashed\"}",
                  run->reservation.prompt_tokens);
     Finish(key, ResultCode::kServerCrashed);
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -132,6 +132,9 @@
   std::set<RunId> running_;
   std::set<RunId> cancelling_;
   RunId last_run_ = 0;
+  /// Number of the server's restarts that were noticed, and one. Runs that have
+  /// the same number ended at the same moment if one of them ended by a crash.
+  uint64_t server_life_ = 1;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/gate/run_table.h
+++ b/lavenderkeel/gate/run_table.h
@@ -47,6 +47,8 @@
   uint32_t resumes = 0;
   /// Consecutive resumes for which the server accepted no connection.
   uint32_t unreachable_resumes = 0;
+  /// See RunController::server_life_.
+  uint64_t server_life = 0;
 
   bool started_here() const {
     return state == State::kReady || state == State::kRunning ||
--- a/lavenderkeel/wire/flatc-output/messages_generated.h
+++ b/lavenderkeel/wire/flatc-output/messages_generated.h
@@ -2446,6 +2446,7 @@
   uint32_t code = 0;
   uint64_t length = 0;
   uint64_t checksum = 0;
+  uint64_t server_life = 0;
 };
 
 struct Finished FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2457,7 +2458,8 @@
     VT_SUBSCRIPTION = 6,
     VT_CODE = 8,
     VT_LENGTH = 10,
-    VT_CHECKSUM = 12
+    VT_CHECKSUM = 12,
+    VT_SERVER_LIFE = 14
   };
   const lavenderkeel::fbs::Key *key() const {
     return GetStruct<const lavenderkeel::fbs::Key *>(VT_KEY);
@@ -2474,6 +2476,9 @@
   uint64_t checksum() const {
     return GetField<uint64_t>(VT_CHECKSUM, 0);
   }
+  uint64_t server_life() const {
+    return GetField<uint64_t>(VT_SERVER_LIFE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<lavenderkeel::fbs::Key>(verifier, VT_KEY, 8) &&
@@ -2481,6 +2486,7 @@
            VerifyField<uint32_t>(verifier, VT_CODE, 4) &&
            VerifyField<uint64_t>(verifier, VT_LENGTH, 8) &&
            VerifyField<uint64_t>(verifier, VT_CHECKSUM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_LIFE, 8) &&
            verifier.EndTable();
   }
   FinishedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2507,6 +2513,9 @@
   void add_checksum(uint64_t checksum) {
     fbb_.AddElement<uint64_t>(Finished::VT_CHECKSUM, checksum, 0);
   }
+  void add_server_life(uint64_t server_life) {
+    fbb_.AddElement<uint64_t>(Finished::VT_SERVER_LIFE, server_life, 0);
+  }
   explicit FinishedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2524,8 +2533,10 @@
     uint64_t subscription = 0,
     uint32_t code = 0,
     uint64_t length = 0,
-    uint64_t checksum = 0) {
+    uint64_t checksum = 0,
+    uint64_t server_life = 0) {
   FinishedBuilder builder_(_fbb);
+  builder_.add_server_life(server_life);
   builder_.add_checksum(checksum);
   builder_.add_length(length);
   builder_.add_subscription(subscription);
@@ -5970,6 +5981,8 @@
   uint64_t server = 0;
   int64_t sent_age_us = 0;
   int64_t ended_age_us = 0;
+  std::vector<uint64_t> parts{};
+  uint64_t place = 0;
 };
 
 struct CrashEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5981,7 +5994,9 @@
     VT_REQUEST = 6,
     VT_SERVER = 8,
     VT_SENT_AGE_US = 10,
-    VT_ENDED_AGE_US = 12
+    VT_ENDED_AGE_US = 12,
+    VT_PARTS = 14,
+    VT_PLACE = 16
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -5998,6 +6013,12 @@
   int64_t ended_age_us() const {
     return GetField<int64_t>(VT_ENDED_AGE_US, 0);
   }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  uint64_t place() const {
+    return GetField<uint64_t>(VT_PLACE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -6005,6 +6026,9 @@
            VerifyField<uint64_t>(verifier, VT_SERVER, 8) &&
            VerifyField<int64_t>(verifier, VT_SENT_AGE_US, 8) &&
            VerifyField<int64_t>(verifier, VT_ENDED_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint64_t>(verifier, VT_PLACE, 8) &&
            verifier.EndTable();
   }
   CrashEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6031,6 +6055,12 @@
   void add_ended_age_us(int64_t ended_age_us) {
     fbb_.AddElement<int64_t>(CrashEvidence::VT_ENDED_AGE_US, ended_age_us, 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(CrashEvidence::VT_PARTS, parts);
+  }
+  void add_place(uint64_t place) {
+    fbb_.AddElement<uint64_t>(CrashEvidence::VT_PLACE, place, 0);
+  }
   explicit CrashEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6048,12 +6078,16 @@
     uint64_t request = 0,
     uint64_t server = 0,
     int64_t sent_age_us = 0,
-    int64_t ended_age_us = 0) {
+    int64_t ended_age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint64_t place = 0) {
   CrashEvidenceBuilder builder_(_fbb);
+  builder_.add_place(place);
   builder_.add_ended_age_us(ended_age_us);
   builder_.add_sent_age_us(sent_age_us);
   builder_.add_server(server);
   builder_.add_request(request);
+  builder_.add_parts(parts);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -6063,6 +6097,27 @@
   static auto constexpr Create = CreateCrashEvidence;
 };
 
+inline flatbuffers::Offset<CrashEvidence> CreateCrashEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t request = 0,
+    uint64_t server = 0,
+    int64_t sent_age_us = 0,
+    int64_t ended_age_us = 0,
+    const std::vector<uint64_t> *parts = nullptr,
+    uint64_t place = 0) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return lavenderkeel::fbs::CreateCrashEvidence(
+      _fbb,
+      kind,
+      request,
+      server,
+      sent_age_us,
+      ended_age_us,
+      parts__,
+      place);
+}
+
 flatbuffers::Offset<CrashEvidence> CreateCrashEvidence(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct CrashNewsT : public flatbuffers::NativeTable {
@@ -7411,7 +7466,8 @@
       (lhs.subscription == rhs.subscription) &&
       (lhs.code == rhs.code) &&
       (lhs.length == rhs.length) &&
-      (lhs.checksum == rhs.checksum);
+      (lhs.checksum == rhs.checksum) &&
+      (lhs.server_life == rhs.server_life);
 }
 
 inline bool operator!=(const FinishedT &lhs, const FinishedT &rhs) {
@@ -7433,6 +7489,7 @@
   { auto _e = code(); _o->code = _e; }
   { auto _e = length(); _o->length = _e; }
   { auto _e = checksum(); _o->checksum = _e; }
+  { auto _e = server_life(); _o->server_life = _e; }
 }
 
 inline flatbuffers::Offset<Finished> Finished::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FinishedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7448,13 +7505,15 @@
   auto _code = _o->code;
   auto _length = _o->length;
   auto _checksum = _o->checksum;
+  auto _server_life = _o->server_life;
   return lavenderkeel::fbs::CreateFinished(
       _fbb,
       _key,
       _subscription,
       _code,
       _length,
-      _checksum);
+      _checksum,
+      _server_life);
 }
 
 
@@ -9083,7 +9142,9 @@
       (lhs.request == rhs.request) &&
       (lhs.server == rhs.server) &&
       (lhs.sent_age_us == rhs.sent_age_us) &&
-      (lhs.ended_age_us == rhs.ended_age_us);
+      (lhs.ended_age_us == rhs.ended_age_us) &&
+      (lhs.parts == rhs.parts) &&
+      (lhs.place == rhs.place);
 }
 
 inline bool operator!=(const CrashEvidenceT &lhs, const CrashEvidenceT &rhs) {
@@ -9105,6 +9166,8 @@
   { auto _e = server(); _o->server = _e; }
   { auto _e = sent_age_us(); _o->sent_age_us = _e; }
   { auto _e = ended_age_us(); _o->ended_age_us = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = place(); _o->place = _e; }
 }
 
 inline flatbuffers::Offset<CrashEvidence> CrashEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9120,13 +9183,17 @@
   auto _server = _o->server;
   auto _sent_age_us = _o->sent_age_us;
   auto _ended_age_us = _o->ended_age_us;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _place = _o->place;
   return lavenderkeel::fbs::CreateCrashEvidence(
       _fbb,
       _kind,
       _request,
       _server,
       _sent_age_us,
-      _ended_age_us);
+      _ended_age_us,
+      _parts,
+      _place);
 }
 
 
--- a/test/crash/crash_guard_test.cc
+++ b/test/crash/crash_guard_test.cc
@@ -11,25 +11,26 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr RequestFingerprint kRequest = 7;
+const RequestTraits kRequest = {.fingerprint = 7};
 
 struct Harness {
   explicit Harness(size_t rank = 0)
-      : guard({}, clock, log, metrics, [rank](RequestFingerprint) {
-          return rank;
-        }) {}
+      : guard({}, clock, log, metrics, [rank](uint64_t) { return rank; }) {}
 
   /// Simulates that the request crashes this many servers, one after the other.
   void LoseServers(int servers) {
     for (int i = 0; i < servers; ++i) {
       const TimePoint sent = clock.Now();
       clock.Advance(milliseconds(50));
-      guard.OnServerLost(kRequest, ++last_server, sent);
+      guard.OnServerLost(
+          {.request = kRequest, .server = ++last_server, .sent = sent});
       clock.Advance(milliseconds(50));
     }
   }
   Kind Decide(bool equal_runs = false) {
-    return guard.Decide(kRequest, [equal_runs] { return equal_runs; }).kind;
+    return guard
+        .Decide(kRequest, [equal_runs](const Suspect&) { return equal_runs; })
+        .kind;
   }
 
   fuzz::VirtualClock clock;
@@ -64,12 +65,12 @@
   Harness harness;
   harness.LoseServers(3);
   const CrashDecision decision =
-      harness.guard.Decide(kRequest, [] { return false; });
+      harness.guard.Decide(kRequest, [](const Suspect&) { return false; });
   BOOST_CHECK(decision.kind == Kind::kRefuse);
   BOOST_CHECK(decision.retry_after > seconds(55));
   harness.clock.Advance(decision.retry_after);
   BOOST_CHECK(harness.Decide() == Kind::kRun);
-  harness.guard.OnServerSurvived(kRequest);
+  harness.guard.OnServerSurvived({.request = kRequest});
   BOOST_CHECK(harness.Decide(/*equal_runs=*/true) == Kind::kRun);
 }
 
--- a/test/crash/crash_ledger_test.cc
+++ b/test/crash/crash_ledger_test.cc
@@ -11,15 +11,16 @@
 using std::chrono::seconds;
 using Kind = CrashReport::Kind;
 
-constexpr RequestFingerprint kRequest = 7;
+constexpr RequestFingerprint kFingerprint = 7;
+const RequestTraits kRequest = {.fingerprint = kFingerprint};
 const TimePoint kStart = TimePoint(std::chrono::hours(1));
 
 CrashReport Lost(uint64_t server,
                  Duration sent,
                  Duration ended,
-                 RequestFingerprint request = kRequest) {
+                 RequestFingerprint request = kFingerprint) {
   return {.kind = Kind::kLost,
-          .request = request,
+          .request = {.fingerprint = request},
           .server = server,
           .sent = kStart + sent,
           .ended = kStart + ended};
@@ -135,7 +136,7 @@
 // Guards against memory that grows with the requests of lost servers, and
 // against evicting a blocked request before suspect ones.
 BOOST_AUTO_TEST_CASE(BlockedRequestsAreEvictedLast) {
-  CrashLedger ledger({.max_requests = 10});
+  CrashLedger ledger({.max_suspects = 10, .max_losses = 8});
   for (const CrashReport& report : MakeBlockedLedger().All()) {
     ledger.AddReport(report, kStart);
   }
