--- a/lavenderkeel/crash/crash_report.h
+++ b/lavenderkeel/crash/crash_report.h
@@ -30,7 +30,7 @@
 
   Kind kind = Kind::kLost;
   /// Empty for kServerAlive.
-  RequestTraits request = {};
+  RequestTraits request;
   /// Hash of the server's incarnation; set for kLost and kServerAlive.
   uint64_t server = 0;
   /// Hash of the server's address; set for kLost and kSurvived, zero if it is
--- a/lavenderkeel/crash/request_traits.h
+++ b/lavenderkeel/crash/request_traits.h
@@ -14,7 +14,7 @@
 struct RequestTraits {
   /// Zero: unknown.
   RequestFingerprint fingerprint = 0;
-  std::vector<PromptPartId> parts = {};
+  std::vector<PromptPartId> parts;
 
   friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
 };
