Crashes: the evidence against culprits is kept in the platform's store

Cause: what one entry learns outlived its process only at another entry.

CrashArchive keeps the losses of culprits as one object of the store, which each entry watches. It is written by one entry in rank order when there is a new culprit, one is answered, or a retest fails; answers are recorded, too, so that an entry that missed them does not write the losses anew. While reports do not reach all registered entries, doubtful suspects are written as well, and add up.

--- a/lavenderkeel/base/peer_id.h
+++ b/lavenderkeel/base/peer_id.h
@@ -25,6 +25,14 @@
   friend auto operator<=>(const PeerId&, const PeerId&) = default;
 };
 
+/// Returns whether `one` started well before `other`. An incarnation is the
+/// calendar time of the start in microseconds; processes that are killed
+/// together start within half a second of each other.
+constexpr bool StartedBefore(const PeerId& one, const PeerId& other) {
+  constexpr uint64_t kMaxJointStartSpreadUs = 1'000'000;
+  return one.incarnation + kMaxJointStartSpreadUs < other.incarnation;
+}
+
 }  // namespace lavenderkeel
 
 #endif  // LAVENDERKEEL_BASE_PEER_ID_H_
--- /dev/null
+++ b/lavenderkeel/crash/crash_archive.h
@@ -0,0 +1,104 @@
+#ifndef LAVENDERKEEL_CRASH_CRASH_ARCHIVE_H_
+#define LAVENDERKEEL_CRASH_CRASH_ARCHIVE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+#include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/event_log.h"
+#include "lavenderkeel/crash/crash_guard.h"
+#include "lavenderkeel/crash/crash_report.h"
+
+namespace lavenderkeel {
+
+/// A write of the evidence in the store; the outcome shows in what is read.
+struct CrashArchiveWrite {
+  /// The revision that the object must still have; zero: it is created, and
+  /// written once it exists.
+  uint64_t revision = 0;
+  std::vector<CrashReport> reports = {};
+
+  friend bool operator==(const CrashArchiveWrite&,
+                         const CrashArchiveWrite&) = default;
+};
+
+/// Keeps the evidence against culprits in the platform's store.
+///
+/// All entries may end at the same moment, and some may reach the store but not
+/// each other. Without the archive each would lose as many servers again before
+/// it knew the culprit. What was answered since is recorded, too, so that an
+/// entry that has not heard of it does not write the losses anew.
+class CrashArchive {
+ public:
+  struct Options {
+    /// Time between two writes of an entry.
+    Duration write_interval = std::chrono::seconds(1);
+    /// An entry waits for this time per entry before it in rank order, which
+    /// knows the same.
+    Duration rank_delay = std::chrono::milliseconds(300);
+    /// Entries that start together know each other, and so their ranks, after
+    /// this time.
+    Duration create_delay = std::chrono::seconds(2);
+    /// Evidence of this age is left out of the next write.
+    Duration max_age = std::chrono::minutes(10);
+    /// Above this number, the suspects with the oldest losses are left out.
+    size_t max_suspects = 64;
+  };
+
+  using Write = std::function<void(const CrashArchiveWrite&)>;
+
+  CrashArchive(const Options& options,
+               CrashGuard& guard,
+               const Clock& clock,
+               const EventLog& log,
+               Write write);
+
+  /// Handles the object as read; revision zero: it does not exist.
+  void OnRead(uint64_t revision, const std::vector<CrashReport>& reports);
+  /// Whom this entry reaches.
+  struct Contact {
+    /// The number of entries that write before this one.
+    size_t rank = 0;
+    /// Whether reports reach all entries. If not, doubtful suspects are written
+    /// too, so that entries which reach only the store add up what they know.
+    bool reaches_all = true;
+  };
+  /// Writes what the store lacks.
+  void Tick(const Contact& contact);
+
+ private:
+  struct Evidence {
+    std::vector<CrashReport> losses;
+    /// When the suspect was last answered after a loss.
+    std::optional<TimePoint> survived;
+  };
+  using Suspects = std::map<Suspect, Evidence>;
+
+  /// Returns what the store should have.
+  Suspects Merged(bool with_doubtful, TimePoint now) const;
+  /// Returns whether the store lacks something that matters.
+  bool Lacks(const Suspects& wanted) const;
+  static std::vector<CrashReport> ReportsOf(const Suspects& suspects);
+
+  Options options_;
+  CrashGuard& guard_;
+  const Clock& clock_;
+  const EventLog& log_;
+  Write write_;
+  bool read_ = false;
+  uint64_t revision_ = 0;
+  Suspects stored_;
+  /// What was compared last.
+  std::tuple<uint64_t, uint64_t, bool> compared_;
+  /// When the store was first found to lack something.
+  std::optional<TimePoint> lacking_since_;
+  TimePoint write_due_;
+};
+
+}  // namespace lavenderkeel
+
+#endif  // LAVENDERKEEL_CRASH_CRASH_ARCHIVE_H_
--- a/lavenderkeel/crash/crash_guard.cc
+++ b/lavenderkeel/crash/crash_guard.cc
@@ -208,14 +208,15 @@
   unconfirmed_answers_.push_back({.run = run, .ended = clock_.Now()});
 }
 
-void CrashGuard::OnReports(const CrashNews& message, bool pass_on) {
+void CrashGuard::OnReports(const CrashNews& message, const Sender& sender) {
   for (const CrashReport& report : FromWire(message, clock_.Now())) {
-    if (AddReport(report, "peer") && pass_on) {
+    if (AddReport(report, "peer") && sender.pass_on) {
       outgoing_.push_back(report);
     }
   }
   if (message.complete) {
     awaited_.peers = false;
+    awaited_.store = awaited_.store && !sender.is_older;
   }
 }
 
--- a/lavenderkeel/crash/crash_guard.h
+++ b/lavenderkeel/crash/crash_guard.h
@@ -125,9 +125,16 @@
   /// the server survived shows when it answers a later request.
   void OnConnectionEnded(const Run& run);
 
+  /// What is known of the sender of reports.
+  struct Sender {
+    /// Whether new reports are forwarded to other entries.
+    bool pass_on = false;
+    /// Whether it started well before this entry, so that it has what the store
+    /// has.
+    bool is_older = false;
+  };
   /// Adds the reports of another entry.
-  /// @param pass_on whether new reports are forwarded to other entries
-  void OnReports(const CrashNews& message, bool pass_on);
+  void OnReports(const CrashNews& message, const Sender& sender);
   /// Adds the reports that the store has.
   void OnStoredReports(const std::vector<CrashReport>& reports);
   /// Returns the reports for other entries since the last call.
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -317,7 +317,7 @@
     }
   } else if (const auto* reports = std::get_if<CrashNews>(&message)) {
     // Each entry sends its reports to all other entries of the region itself.
-    crashes_.OnReports(*reports, /*pass_on=*/false);
+    crashes_.OnReports(*reports, {});
   } else if (const auto* head = std::get_if<ConfigHeadNotice>(&message)) {
     config_distributor_.OnHead(link, *head);
   } else if (const auto* pull = std::get_if<ConfigPull>(&message)) {
--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -450,7 +450,9 @@
   // A coordinator sends its crash reports to all entries itself.
   const bool pass_on = entry_directory_.self_coordinates() &&
                        !entry_directory_.IsCoordinator(member.info.id.instance);
-  crashes_.OnReports(news, pass_on);
+  crashes_.OnReports(
+      news, {.pass_on = pass_on,
+             .is_older = StartedBefore(member.info.id, members_.self().id)});
 }
 
 void EntryExchange::SendCrashReports() {
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -21,15 +21,6 @@
 /// machine delays ticks by some hundred milliseconds.
 constexpr Duration kMaxTickGap = std::chrono::milliseconds(900);
 
-/// Returns whether `one` started well before `other`. An incarnation is the
-/// calendar time of the start in microseconds; processes that are killed
-/// together start within half a second of each other.
-bool StartedBefore(const PeerId& one, const PeerId& other) {
-  constexpr Duration kMaxJointStartSpread = std::chrono::seconds(1);
-  return one.incarnation + static_cast<uint64_t>(kMaxJointStartSpread.count()) <
-         other.incarnation;
-}
-
 SlotRouter::Options WithSelf(SlotRouter::Options options, std::string self) {
   options.self = std::move(self);
   return options;
@@ -129,6 +120,16 @@
                [this](uint64_t suspect_hash) {
                  return exchange_.entry_directory().RankFor(suspect_hash);
                }),
+      crash_archive_(
+          options_.crash_archive,
+          source_.crash_archive,
+          [this](ObjectWatch& watch, uint64_t call, const ObjectRead& read) {
+            Read(watch, call, read);
+          },
+          crashes_,
+          clock,
+          random_,
+          log),
       version_selector_({.bounds = options_.exposure}, directory_, clock, log),
       rollouts_({.progress = {.bounds = options_.exposure}},
                 version_selector_.versions(),
@@ -219,9 +220,9 @@
 }
 
 void ForwardNode::Start() {
-  if (!options_.seeds.empty()) {
-    crashes_.Join();
-  }
+  crashes_.Join(
+      {.peers = !options_.seeds.empty(), .store = crash_archive_.enabled()});
+  crash_archive_.Start();
   config_watch_.Start();
   server_watch_.Start();
   registry_.Start();
@@ -435,6 +436,8 @@
   server_watch_.SetPaused(is_fed);
   rollout_watch_.SetPaused(is_fed && version_selector_.known());
   registry_.SetPaused(is_fed && registry_.registry().last_change() > 0);
+  // Coordinators send the evidence that they read.
+  crash_archive_.SetPaused(is_fed);
   const bool lost = is_fed && exchange_.feed_source_lost_store();
   if (std::exchange(feed_source_lost_store_, lost) == lost) {
     return;
@@ -465,6 +468,9 @@
     return directory_.Find(server) != nullptr;
   });
   crashes_.Tick();
+  crash_archive_.Tick(
+      [this](uint64_t key) { return exchange_.entry_directory().RankFor(key); },
+      reaches_all_);
   StepRollouts();
   slot_router_.Tick();
   slot_scheduler_.Tick();
@@ -496,6 +502,7 @@
   config_watch_.Restart();
   server_watch_.Restart();
   registry_.OnFreeze();
+  crash_archive_.OnFreeze();
   if (options_.exposure.enabled) {
     rollout_watch_.Restart();
   }
@@ -702,6 +709,7 @@
   const EntryExchange::Counts counts = exchange_.Count();
   controller_.OnPeerCount(counts.sharing, counts.current);
   slot_scheduler_.set_rate_share(controller_.rate_share());
+  reaches_all_ = counts.reporting >= registry_.registry().size();
   SetWatchWait(std::min(counts.reporting,
                         exchange_.entry_directory().coordinators().size()));
 }
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -12,6 +12,7 @@
 
 #include "lavenderkeel/action.h"
 #include "lavenderkeel/base.h"
+#include "lavenderkeel/forward/crash_archive_exchange.h"
 #include "lavenderkeel/forward/entry_exchange.h"
 #include "lavenderkeel/forward/forward_controller.h"
 #include "lavenderkeel/forward/lost_entries.h"
@@ -38,6 +39,7 @@
       decode_rollout = {};
   RolloutController::Write write_rollout = {};
   RegistryExchange::Source registry;
+  CrashArchiveExchange::Source crash_archive = {};
   /// Starts a read; `done` is called once, after the function returns.
   std::function<void(const ObjectRead&,
                      std::function<void(const ObjectReadResult&)> done)>
@@ -65,6 +67,7 @@
     /// store.
     ObjectWatch::Options watch;
     RegistryExchange::Options registry;
+    CrashArchiveExchange::Options crash_archive;
     /// If more entries than this watch the store, their wait grows, so that
     /// together they renew their watches no more often.
     size_t entries_at_base_wait = 4;
@@ -116,7 +119,8 @@
   Outbox& outbox() { return outbox_; }
   uint64_t store_calls() const {
     return config_watch_.calls() + server_watch_.calls() +
-           rollout_watch_.calls() + registry_.store_calls();
+           rollout_watch_.calls() + registry_.store_calls() +
+           crash_archive_.store_calls();
   }
 
  private:
@@ -173,6 +177,7 @@
   SlotScheduler slot_scheduler_;
   SlotRouter slot_router_;
   CrashGuard crashes_;
+  CrashArchiveExchange crash_archive_;
   VersionSelector version_selector_;
   RolloutController rollouts_;
   RolloutExchange rollout_exchange_;
@@ -192,6 +197,8 @@
   bool servers_listed_ = false;
   bool is_fed_ = false;
   bool feed_source_lost_store_ = false;
+  /// Whether reports reach all registered entries.
+  bool reaches_all_ = true;
   bool leaving_ = false;
   /// A peer with a newer configuration, and since when it is known.
   std::optional<PeerId> newer_config_peer_;
--- a/lavenderkeel/registry/entry_registry.h
+++ b/lavenderkeel/registry/entry_registry.h
@@ -102,6 +102,7 @@
   /// that passed it on; nothing if that is not known.
   std::optional<TimePoint> requested_at() const { return requested_at_; }
   std::vector<RegisteredEntry> Entries() const;
+  size_t size() const { return entries_.size(); }
   ShareState Share() const;
 
  private:
--- a/test/crash/crash_guard_test.cc
+++ b/test/crash/crash_guard_test.cc
@@ -43,7 +43,7 @@
 void SendReports(Harness& from, Harness& to) {
   to.guard.OnReports(
       ToWire(from.guard.TakeNewReports(), /*complete=*/false, from.clock.Now()),
-      /*pass_on=*/false);
+      {.pass_on = false});
 }
 
 }  // namespace
@@ -115,7 +115,7 @@
   harness.guard.Join();
   BOOST_CHECK(harness.Decide() == Kind::kWait);
   harness.guard.OnReports(ToWire({}, /*complete=*/true, harness.clock.Now()),
-                          /*pass_on=*/false);
+                          {.pass_on = false});
   BOOST_CHECK(harness.Decide() == Kind::kRun);
   harness.guard.Join();
   harness.clock.Advance(seconds(1));
--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "platform/crash_archive_codec.h"
 #include "platform/registration_codec.h"
 #include "platform/rollout_codec.h"
 
@@ -87,6 +88,13 @@
                            [this, entry](const RegistryWrite& write) {
                              WriteRegistry(entry, write);
                            }},
+          .crash_archive = {.kind = "crash-evidence",
+                            .object = "main",
+                            .decode = hybrid::DecodeCrashReports,
+                            .write =
+                                [this, entry](const CrashArchiveWrite& write) {
+                                  WriteCrashArchive(entry, write);
+                                }},
           .read =
               [this, entry](const ObjectRead& read, const auto& done) {
                 ++store_reads_;
@@ -126,6 +134,25 @@
   AnswerWatches();
 }
 
+void FleetSimulation::WriteCrashArchive(size_t entry,
+                                        const CrashArchiveWrite& write) {
+  if (store_down_ || store_cuts_.contains(entry)) {
+    return;
+  }
+  const auto found = objects_.find({"crash-evidence", "main"});
+  if (write.revision == 0) {
+    if (found == objects_.end()) {
+      PutObject("crash-evidence", "main", "{}");
+    }
+    return;
+  }
+  if (found != objects_.end() && found->second.revision == write.revision) {
+    found->second.status = hybrid::EncodeCrashReports(write.reports, clock_);
+    found->second.revision = ++revision_;
+    AnswerWatches();
+  }
+}
+
 void FleetSimulation::WriteStatus(
     size_t entry,
     const RolloutOrder& order,
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -173,6 +173,8 @@
   InstanceInfo InfoOf(size_t entry) const;
   /// Performs a write to the registry of entries.
   void WriteRegistry(size_t entry, const RegistryWrite& write);
+  /// Performs a write to the evidence of crashes.
+  void WriteCrashArchive(size_t entry, const CrashArchiveWrite& write);
   void WriteStatus(size_t entry,
                    const RolloutOrder& order,
                    const RolloutRecord& record,
--- a/test/forward/crashing_part_test.cc
+++ b/test/forward/crashing_part_test.cc
@@ -138,6 +138,34 @@
        });
 }
 
+// Guards against evidence that is gathered again after each restart of all
+// entries, where it takes longer than the time in which they are not in
+// contact.
+BOOST_AUTO_TEST_CASE(RareCrashingPartIsStoppedThoughAllEntriesRestart) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 100}},
+        .culprits_until = seconds(170)},
+       seconds(175), [](PartSimulation& simulation, Duration now) {
+         if (At(now, seconds(40)) || At(now, seconds(80)) ||
+             At(now, seconds(120))) {
+           simulation.RestartAll();
+         }
+       });
+}
+
+// Guards against evidence that each entry gathers for itself while none reaches
+// another.
+BOOST_AUTO_TEST_CASE(RareCrashingPartIsStoppedThoughNoEntryReachesAnother) {
+  Play({.culprits = {{.parts = {kCulprit}, .one_in = 60}},
+        .culprits_until = seconds(100)},
+       seconds(105), [](PartSimulation& simulation, Duration now) {
+         if (At(now, seconds(1))) {
+           for (int first = 1; first < 4; ++first) {
+             simulation.SetPartition(first, true);
+           }
+         }
+       });
+}
+
 // Guards against an entry that was added and knows nothing.
 BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughEntriesAreAdded) {
   Play({.entries = 6, .started = 4}, seconds(50),
--- /dev/null
+++ b/test/platform/crash_archive_codec_test.cc
@@ -0,0 +1,80 @@
+#include "platform/crash_archive_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test/fuzz/virtual_clock.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+using std::chrono::seconds;
+
+StoredObject ObjectWith(const std::string& status) {
+  return {.name = "main", .revision = 3, .status = status};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(CrashReportsAreStored) {
+  const fuzz::VirtualClock clock;
+  const std::vector<CrashReport> reports = {
+      {.kind = CrashReport::Kind::kLost,
+       .request = {.fingerprint = 0xffffffffffffffff, .parts = {1, 0xbad}},
+       .server = 12,
+       .sent = clock.Now() - seconds(5),
+       .ended = clock.Now() - seconds(4)},
+      {.kind = CrashReport::Kind::kSurvived,
+       .request = {.parts = {7}},
+       .sent = clock.Now() - seconds(1),
+       .ended = clock.Now() - seconds(1)}};
+  const auto read = Catch([&] {
+    return hybrid::DecodeCrashReports(
+        ObjectWith(hybrid::EncodeCrashReports(reports, clock)), clock);
+  });
+  BOOST_REQUIRE(static_cast<bool>(read));
+  BOOST_TEST((*read.value == reports));
+}
+
+// Guards against losses in the future, which no answer would clear, if the
+// calendar of the writer is ahead.
+BOOST_AUTO_TEST_CASE(StoredReportsAreNotOfTheFuture) {
+  const fuzz::VirtualClock clock;
+  const fuzz::VirtualClock ahead(&clock, seconds(30));
+  const std::vector<CrashReport> reports = {
+      {.request = {.parts = {1}},
+       .sent = clock.Now() - seconds(5),
+       .ended = clock.Now() - seconds(4)},
+      {.request = {.parts = {2}},
+       .sent = clock.Now() - seconds(3),
+       .ended = clock.Now() - seconds(2)}};
+  const auto read = Catch([&] {
+    return hybrid::DecodeCrashReports(
+        ObjectWith(hybrid::EncodeCrashReports(reports, ahead)), clock);
+  });
+  BOOST_REQUIRE(static_cast<bool>(read));
+  BOOST_CHECK(read.value->back().ended == clock.Now());
+  BOOST_CHECK(read.value->front().ended == clock.Now() - seconds(2));
+}
+
+// Guards against an entry that stops on an object of another writer.
+BOOST_AUTO_TEST_CASE(UnreadableCrashReportsAreRejected) {
+  const fuzz::VirtualClock clock;
+  for (const char* status :
+       {"[", "7", R"({"reports":[{"kind":"lost"}]})",
+        R"({"reports":[{"kind":"lost","sentUs":1,"endedUs":2,"server":"x"}]})",
+        R"({"reports":[{"kind":"lost","sentUs":"a","endedUs":2}]})"}) {
+    const auto read = Catch(
+        [&] { return hybrid::DecodeCrashReports(ObjectWith(status), clock); });
+    BOOST_TEST(!static_cast<bool>(read), status);
+  }
+  for (const char* status :
+       {"", "{}", R"({"reports":[{"kind":"of a later version"}]})"}) {
+    const auto read = Catch(
+        [&] { return hybrid::DecodeCrashReports(ObjectWith(status), clock); });
+    BOOST_REQUIRE_MESSAGE(static_cast<bool>(read), status);
+    BOOST_TEST(read.value->empty());
+  }
+}
+
+}  // namespace lavenderkeel
