Product's interface: parts of prompts are suspects of crashes

What callers saw: lookups that all differ, but share a paragraph on which engines crash, ended one engine after the other at the product's own interface; requests beside them were lost.

Cause: the interface gave the ledger of crashes the fingerprint of the whole request only. The ledger itself weighs parts.

Now: the paragraphs of a prompt, or of each message, are its parts (prompt_parts.*). request_done lists them; explain tells which suspect held a request back or refused it, and how many servers were lost with it.

Left: this interface keeps its evidence in the entries only; if all of them restart at once it is gone. Only the forwarding path has the archive.

--- a/lavenderkeel/crash.h
+++ b/lavenderkeel/crash.h
@@ -5,6 +5,7 @@
 /// that run them. Covers how they are recognised, the evidence that entries
 /// exchange, and when a request is kept from further servers.
 #include "lavenderkeel/crash/answered_suspects.h"
+#include "lavenderkeel/crash/crash_archive.h"
 #include "lavenderkeel/crash/crash_guard.h"
 #include "lavenderkeel/crash/crash_ledger.h"
 #include "lavenderkeel/crash/crash_report.h"
--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -250,7 +250,8 @@
                         .required_backend = "service/" + service,
                         .prompt_tokens = 1,
                         .max_tokens = 1,
-                        .prefix = {}};
+                        .prefix = {},
+                        .prompt_parts = {}};
   return std::nullopt;
 }
 
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -10,6 +10,17 @@
 
 using State = EntryRequest::State;
 
+namespace {
+
+std::string DescribeEvidence(const CrashAssessment& assessment) {
+  return SuspectName(assessment.suspect) + " is " +
+         CrashSuspicionName(assessment.suspicion) + ", lost with " +
+         std::to_string(assessment.lost) + " servers, " +
+         std::to_string(assessment.in_turn) + " of them in turn";
+}
+
+}  // namespace
+
 DispatchController::DispatchController(EntryContext& context)
     : context_(context),
       placer_(context),
@@ -169,14 +180,16 @@
     return false;
   }
   request.state = State::kHeldBack;
+  const CrashAssessment& assessment = decision.assessment;
   if (decision.kind == CrashDecision::Kind::kRefuse) {
+    context_.Note(request, "refused: " + DescribeEvidence(assessment));
     context_.log.Info(
         "crash_refused",
         {{"key", request.key.ToString()},
          {"fingerprint", request.traits.fingerprint},
-         {"suspect", SuspectName(decision.assessment.suspect)},
-         {"lost", decision.assessment.lost},
-         {"in_turn", decision.assessment.in_turn},
+         {"suspect", SuspectName(assessment.suspect)},
+         {"lost", assessment.lost},
+         {"in_turn", assessment.in_turn},
          {"attempts", request.attempts},
          {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
     // A request that was sent before may have run.
@@ -186,7 +199,10 @@
     return true;
   }
   if (!std::exchange(request.is_suspect, true)) {
-    context_.Note(request, "held back by the crash guard");
+    context_.Note(request,
+                  assessment.lost == 0
+                      ? "held back until the evidence of crashes is known"
+                      : "held back: " + DescribeEvidence(assessment));
   }
   SetWaitingTimer(request);
   return true;
--- a/lavenderkeel/dispatch/request_body.cc
+++ b/lavenderkeel/dispatch/request_body.cc
@@ -6,6 +6,7 @@
 
 #include "lavenderkeel/base/rendezvous.h"
 #include "lavenderkeel/config/json_reader.h"
+#include "lavenderkeel/dispatch/prompt_parts.h"
 
 namespace lavenderkeel::internal {
 
@@ -21,14 +22,28 @@
 constexpr size_t kPrefixBlockBytes = 1024;
 constexpr size_t kMaxPrefixBlocks = 16;
 
-std::string JoinMessages(JsonReader& reader, Faults& faults) {
-  std::string prompt;
-  reader.Array("messages",
-               [&](const json::value& item, const std::string& path) {
-                 JsonReader message(item, path, faults);
-                 prompt += message.String("role", {.required = true}) + ": ";
-                 prompt += message.String("content", {.required = true}) + "\n";
-               });
+struct Prompt {
+  std::string text;
+  std::vector<PromptPartId> parts;
+};
+
+Prompt JoinMessages(JsonReader& reader, Faults& faults) {
+  Prompt prompt;
+  reader.Array("messages", [&](const json::value& item,
+                               const std::string& path) {
+    JsonReader message(item, path, faults);
+    prompt.text += message.String("role", {.required = true});
+    const std::string content = message.String("content", {.required = true});
+    prompt.text += ": " + content + "\n";
+    AddPromptParts(content, prompt.parts);
+  });
+  return prompt;
+}
+
+Prompt ReadPrompt(JsonReader& reader) {
+  Prompt prompt = {.text = reader.String("prompt", {.required = true}),
+                   .parts = {}};
+  AddPromptParts(prompt.text, prompt.parts);
   return prompt;
 }
 
@@ -56,8 +71,8 @@
   Faults faults;
   JsonReader reader(value, "", faults);
   const std::string model = reader.String("model", {.required = true});
-  const std::string prompt = chat ? JoinMessages(reader, faults)
-                                  : reader.String("prompt", {.required = true});
+  const Prompt prompt =
+      chat ? JoinMessages(reader, faults) : ReadPrompt(reader);
   if (chat && !reader.Has("messages")) {
     reader.Fault("messages", "is missing");
   }
@@ -73,7 +88,7 @@
   // Other fields set by the caller, such as temperature, are passed through.
   json::object engine_body = value.get_object();
   engine_body.erase("messages");
-  engine_body["prompt"] = prompt;
+  engine_body["prompt"] = prompt.text;
   engine_body["max_tokens"] = max_tokens;
   parsed.payload = {
       .service = false,
@@ -84,9 +99,10 @@
           {"kind", chat ? "chat" : "completion"}, {"model", model}}),
       .required_backend = "engine",
       .prompt_tokens =
-          static_cast<uint32_t>(prompt.size() / kBytesPerToken + 1),
+          static_cast<uint32_t>(prompt.text.size() / kBytesPerToken + 1),
       .max_tokens = static_cast<uint32_t>(max_tokens),
-      .prefix = PrefixHashes(prompt)};
+      .prefix = PrefixHashes(prompt.text),
+      .prompt_parts = prompt.parts};
   return parsed;
 }
 
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -49,8 +49,9 @@
   request.properties = std::move(submission.properties);
   request.body_hash = submission.body_hash;
   request.payload = std::move(submission.payload);
-  request.traits = {.fingerprint =
-                        HashBytes(request.properties.team, request.body_hash)};
+  request.traits = {
+      .fingerprint = HashBytes(request.properties.team, request.body_hash),
+      .parts = request.payload.prompt_parts};
   request.arrived = context_.clock.Now();
   request.deadline.reset();
   if (submission.deadline.has_value()) {
@@ -191,6 +192,7 @@
        {"code", static_cast<uint32_t>(code)},
        {"result", info.name},
        {"fingerprint", request.traits.fingerprint},
+       {"parts", JoinPromptParts(request.traits.parts)},
        {"took_ms", ToMilliseconds(context_.clock.Now() - request.arrived)}});
   context_.metrics.Add("requests_total{tier=\"" + request.properties.tier_name +
                        "\",result=\"" + std::string(info.name) + "\"}");
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -139,7 +139,10 @@
       oracle_.AddViolation(process.info.id.instance +
                            " got work after leaving");
     }
-    if (crashing_words_.contains(prompt.substr(0, prompt.find(' ')))) {
+    const bool has_text = !crashing_text_.empty() &&
+                          prompt.find(crashing_text_) != std::string::npos;
+    if (has_text ||
+        crashing_words_.contains(prompt.substr(0, prompt.find(' ')))) {
       Schedule(clock_.Now() + kCrashDelay,
                [this, agent] { CrashEngine(agent, kCrashDowntime); });
     }
@@ -735,7 +738,7 @@
   }
   request.body =
       json::serialize(json::object{{"model", "m"},
-                                   {"prompt", word + " letter"},
+                                   {"prompt", word + " letter" + prompt_text_},
                                    {"max_tokens", tokens},
                                    {"stream", HashBytes(word) % 2 == 0}});
   oracle_.OnSubmit(caller, word, repeatable, tokens);
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -85,6 +85,11 @@
   /// Makes every engine crash soon after it starts a prompt that begins with
   /// this word.
   void SetCrashing(const std::string& word) { crashing_words_.insert(word); }
+  /// Makes every engine crash soon after it starts a prompt that contains this
+  /// text.
+  void SetCrashingText(const std::string& text) { crashing_text_ = text; }
+  /// Appends a text to the prompts submitted from now on.
+  void SetPromptText(const std::string& text) { prompt_text_ = text; }
   /// Crashes the engine, which loses its streams and restarts after `down`.
   void CrashEngine(size_t agent, Duration down);
   /// Makes the engine turn away what it has not started, with Retry-After.
@@ -171,6 +176,8 @@
   std::vector<TimePoint> engine_up_at_;
   std::vector<TimePoint> engine_crash_times_;
   std::set<std::string> crashing_words_;
+  std::string crashing_text_;
+  std::string prompt_text_;
   std::vector<TurningAway> turning_away_;
   std::map<LinkId, std::unique_ptr<PeerLink>> links_;
   std::set<std::pair<size_t, size_t>> partitions_;
