Crashes: answers that end with their connection count when their server is lost

What callers saw: a part of a prompt crashed server after server if the answers have neither a length nor chunks. The crash looks like the end of a short answer: the run counted neither as answered nor as lost.

Now: if a run at the same server is lost, or the server accepts no connection, within a second after such an answer, the answer is lost with it. A server that answers again confirms the answer as before.

--- a/lavenderkeel/crash/crash_guard.cc
+++ b/lavenderkeel/crash/crash_guard.cc
@@ -151,28 +151,49 @@
 }
 
 void CrashGuard::OnServerLost(const Run& run) {
+  LoseUnconfirmedAnswers(run.server);
+  AddLoss(run, clock_.Now());
+}
+
+void CrashGuard::AddLoss(const Run& run, TimePoint ended) {
   metrics_.Add("server_losses_counted");
-  std::erase_if(unconfirmed_answers_, [&run](const UnconfirmedAnswer& answer) {
-    return answer.run.server == run.server;
-  });
-  ledger_.RememberLoss(run.server, clock_.Now() - run.sent, clock_.Now());
+  ledger_.RememberLoss(run.server, ended - run.sent, ended);
   AddLocalReport({.kind = CrashReport::Kind::kLost,
                   .request = run.request,
                   .server = run.server,
                   .place = run.place,
                   .sent = run.sent,
-                  .ended = clock_.Now()});
+                  .ended = ended});
+}
+
+void CrashGuard::LoseUnconfirmedAnswers(uint64_t server) {
+  const TimePoint now = clock_.Now();
+  for (const UnconfirmedAnswer& answer :
+       TakeUnconfirmedAnswers([&](const UnconfirmedAnswer& candidate) {
+         return candidate.run.server == server;
+       })) {
+    if (now - answer.ended <= options_.lost_with_answer_time) {
+      AddLoss(answer.run, answer.ended);
+    }
+  }
+}
+
+template <typename Predicate>
+std::vector<CrashGuard::UnconfirmedAnswer> CrashGuard::TakeUnconfirmedAnswers(
+    Predicate predicate) {
+  const auto first = std::stable_partition(
+      unconfirmed_answers_.begin(), unconfirmed_answers_.end(),
+      [&](const UnconfirmedAnswer& answer) { return !predicate(answer); });
+  std::vector<UnconfirmedAnswer> taken(first, unconfirmed_answers_.end());
+  unconfirmed_answers_.erase(first, unconfirmed_answers_.end());
+  return taken;
 }
 
 void CrashGuard::OnServerAnswered(uint64_t server, TimePoint sent) {
-  const auto confirmed = std::ranges::stable_partition(
-      unconfirmed_answers_, [&](const UnconfirmedAnswer& answer) {
-        return answer.run.server != server || answer.ended > sent;
-      });
-  const std::vector<UnconfirmedAnswer> survived(confirmed.begin(),
-                                                confirmed.end());
-  unconfirmed_answers_.erase(confirmed.begin(), confirmed.end());
-  for (const UnconfirmedAnswer& answer : survived) {
+  for (const UnconfirmedAnswer& answer :
+       TakeUnconfirmedAnswers([&](const UnconfirmedAnswer& candidate) {
+         return candidate.run.server == server && candidate.ended <= sent;
+       })) {
     OnServerSurvived(answer.run);
   }
   if (ledger_.HasLossOf(server) && !unreachable_servers_.contains(server)) {
@@ -184,6 +205,7 @@
 }
 
 void CrashGuard::OnServerUnreachable(uint64_t server) {
+  LoseUnconfirmedAnswers(server);
   if (ledger_.HasLossOf(server)) {
     unreachable_servers_.insert(server);
   }
--- a/lavenderkeel/crash/crash_guard.h
+++ b/lavenderkeel/crash/crash_guard.h
@@ -64,6 +64,9 @@
     Duration retry_after = std::chrono::seconds(1);
     /// How long an answer that ended with its connection may be confirmed.
     Duration confirm_timeout = std::chrono::seconds(10);
+    /// If the server is found lost within this time after such an answer, the
+    /// answer counts as lost with it.
+    Duration lost_with_answer_time = std::chrono::seconds(1);
   };
 
   /// The number of entries that may try a suspect before this one.
@@ -122,7 +125,8 @@
   /// Handles that a server ran the request to its end.
   void OnServerSurvived(const Run& run);
   /// Handles that the answer to the request ended with its connection. Whether
-  /// the server survived shows when it answers a later request.
+  /// the server survived shows when it answers a later request or is found
+  /// lost.
   void OnConnectionEnded(const Run& run);
 
   /// What is known of the sender of reports.
@@ -169,6 +173,11 @@
   TimePoint TrialTime(const CrashAssessment& assessment);
   bool AddReport(const CrashReport& report, std::string_view from);
   void AddLocalReport(const CrashReport& report);
+  void AddLoss(const Run& run, TimePoint ended);
+  /// Counts the server's last answers as lost with it.
+  void LoseUnconfirmedAnswers(uint64_t server);
+  template <typename Predicate>
+  std::vector<UnconfirmedAnswer> TakeUnconfirmedAnswers(Predicate predicate);
   /// Writes a line for each suspect of the request that became or no longer is
   /// doubtful or blocked.
   void LogChanges(const RequestTraits& request);
--- a/test/crash/crash_guard_test.cc
+++ b/test/crash/crash_guard_test.cc
@@ -134,6 +134,31 @@
   BOOST_CHECK(harness.guard.SuspicionOf(kRequest) == CrashSuspicion::kDoubtful);
 }
 
+// Guards against a crash that looks like the end of an answer, since the answer
+// ends with its connection.
+BOOST_AUTO_TEST_CASE(AnswerThatEndsWithItsServerCountsAsLost) {
+  Harness harness;
+  for (uint64_t server = 1; server <= 3; ++server) {
+    const TimePoint sent = harness.clock.Now();
+    harness.clock.Advance(milliseconds(50));
+    harness.guard.OnConnectionEnded(
+        {.request = kRequest, .server = server, .sent = sent});
+    harness.clock.Advance(milliseconds(50));
+    harness.guard.OnServerUnreachable(server);
+  }
+  BOOST_CHECK(harness.guard.SuspicionOf(kRequest) == CrashSuspicion::kBlocked);
+}
+
+// Guards against blaming an answer for a server that ended later.
+BOOST_AUTO_TEST_CASE(AnswerLongBeforeTheLossOfItsServerCountsForNothing) {
+  Harness harness;
+  harness.guard.OnConnectionEnded(
+      {.request = kRequest, .server = 1, .sent = harness.clock.Now()});
+  harness.clock.Advance(seconds(5));
+  harness.guard.OnServerUnreachable(1);
+  BOOST_CHECK(harness.guard.SuspicionOf(kRequest) == CrashSuspicion::kClear);
+}
+
 // Guards against forgetting a blocked request at entries where it doesn't
 // arrive at present, but may arrive again.
 BOOST_AUTO_TEST_CASE(ArrivalOfABlockedRequestIsReported) {
--- a/test/fakes/simulated_servers.cc
+++ b/test/fakes/simulated_servers.cc
@@ -95,12 +95,32 @@
                            IsStream(run.attempt) && !IsCrashing(run);
     if (has_begun) {
       AnswerStream(run, /*complete=*/false, events - 1);
+    } else if (options_.end_with_connection && IsCrashing(run)) {
+      EndAfterHead(run);
     } else {
       Fail(run, AttemptFailure::kDisconnected);
     }
   }
 }
 
+void SimulatedServers::EndAfterHead(const Run& run) {
+  if (!IsAwaited(run)) {
+    return;
+  }
+  const ResponseHead head = {
+      .status = kOk,
+      .fields = {{"Request-Id", run.attempt.Field("Request-Id")},
+                 {"Response-Seal", "seal"},
+                 {"Content-Type",
+                  IsStream(run.attempt) ? "text/event-stream" : "text/plain"}},
+      .framing = BodyFraming::kUntilClose};
+  fleet_.RunIn(run.entry,
+               [attempt = run.attempt.attempt, head](ForwardNode& node) {
+                 node.controller().OnAnswerHead(attempt, head, /*fresh=*/true);
+                 node.controller().OnAnswerEnd(attempt);
+               });
+}
+
 bool SimulatedServers::IsCrashing(const Run& run) const {
   return options_.is_crashing ? options_.is_crashing(run.attempt)
                               : crashing_bodies_.contains(run.body);
@@ -154,7 +174,8 @@
   ResponseHead head = {
       .status = status,
       .fields = {{"Request-Id", run.attempt.Field("Request-Id")}},
-      .framing = BodyFraming::kLength};
+      .framing = options_.end_with_connection ? BodyFraming::kUntilClose
+                                              : BodyFraming::kLength};
   const bool has_run = status == kOk || status == kServerError;
   head.fields.push_back(has_run ? HttpField{"Response-Seal", "seal"}
                                 : HttpField{"Not-Executed", "1"});
@@ -200,17 +221,23 @@
       .fields = {{"Request-Id", run.attempt.Field("Request-Id")},
                  {"Response-Seal", "seal"},
                  {"Content-Type", "text/event-stream"}},
-      .framing = BodyFraming::kChunked};
-  fleet_.RunIn(run.entry, [attempt = run.attempt.attempt, head, first, end,
-                           complete](ForwardNode& node) {
+      .framing = options_.end_with_connection ? BodyFraming::kUntilClose
+                                              : BodyFraming::kChunked};
+  std::string events = ForwardSimulation::EventText(first, end);
+  const bool ends_orderly = complete || options_.end_with_connection;
+  if (!complete && options_.end_with_connection) {
+    events += "id: " + std::to_string(end) + "\ndata: to";
+  }
+  fleet_.RunIn(run.entry, [attempt = run.attempt.attempt, head, events,
+                           ends_orderly](ForwardNode& node) {
     ForwardController& controller = node.controller();
     controller.OnAnswerHead(attempt, head, /*fresh=*/true);
-    controller.OnAnswerChunk(attempt, ForwardSimulation::EventText(first, end));
-    if (complete) {
+    controller.OnAnswerChunk(attempt, events);
+    if (ends_orderly) {
       controller.OnAnswerEnd(attempt);
     }
   });
-  if (!complete) {
+  if (!ends_orderly) {
     Fail(run, AttemptFailure::kDisconnected);
   }
 }
--- a/test/fakes/simulated_servers.h
+++ b/test/fakes/simulated_servers.h
@@ -55,6 +55,9 @@
     /// Whether the streams that a crash cuts have delivered the events of the
     /// work done so far; else they have delivered nothing.
     bool cut_streams_midway = false;
+    /// Whether answers have neither a length nor chunks and end with their
+    /// connection, also those that a crash cuts.
+    bool end_with_connection = false;
   };
 
   SimulatedServers(FleetSimulation& fleet, const Options& options);
@@ -161,6 +164,8 @@
   std::vector<Run> TakeRuns(size_t server);
   void Fail(const Run& run, AttemptFailure failure);
   void Answer(const Run& run, int status);
+  /// Ends the answer of a run that crashed its server right after the head.
+  void EndAfterHead(const Run& run);
   /// Ends a run as its fate says.
   void Finish(const Run& run);
   /// Delivers the events after the last one that the client has, all or some of
--- a/test/forward/crashing_part_test.cc
+++ b/test/forward/crashing_part_test.cc
@@ -187,6 +187,20 @@
   });
 }
 
+// Guards against a crash that looks like the end of an answer, since answers
+// have neither a length nor chunks and end with their connection.
+BOOST_AUTO_TEST_CASE(CrashingPartIsStoppedThoughAnswersEndWithTheirConnection) {
+  for (const char* const route : {"stream", "once", "lookup"}) {
+    BOOST_TEST_CONTEXT("route " << route) {
+      PartSimulation simulation(
+          {.culprits = {{.parts = {kCulprit}, .one_in = 6, .route = route}},
+           .end_with_connection = true});
+      simulation.SendTraffic(seconds(55));
+      CheckStopped(simulation);
+    }
+  }
+}
+
 // Guards against blaming parts for servers that crash by themselves, one after
 // the other or all at once, and for connections that are reset.
 BOOST_AUTO_TEST_CASE(SoundPartsAreServedThoughServersCrashByThemselves) {
--- a/test/forward/part_simulation.cc
+++ b/test/forward/part_simulation.cc
@@ -63,7 +63,8 @@
                       return CulpritOf(PartsOf(attempt)).has_value();
                     },
                 .on_crash = [this](const std::string& id) { OnCrash(id); },
-                .cut_streams_midway = true}) {
+                .cut_streams_midway = true,
+                .end_with_connection = options.end_with_connection}) {
   std::ranges::fill(started_at_, fleet_.Now() - std::chrono::hours(1));
   servers_.Advance(std::chrono::seconds(5));
   start_ = fleet_.Now();
@@ -114,7 +115,9 @@
 void PartSimulation::SendNext() {
   const std::string& route =
       options_.routes[static_cast<size_t>(next_) % options_.routes.size()];
-  const int entry = next_++ % options_.entries;
+  const int next_entry = next_++ % options_.entries;
+  const bool is_preferred = preferred_.has_value() && Random(10) != 0;
+  const int entry = is_preferred ? *preferred_ : next_entry;
   const bool with_culprits =
       now() >= options_.culprits_from && now() < options_.culprits_until;
   if (with_culprits) {
@@ -360,6 +363,20 @@
   return fraction < 0 ? std::nullopt : std::optional(fraction);
 }
 
+double PartSimulation::ServedAtFirst(Duration from, Duration until) const {
+  int sent = 0;
+  int served = 0;
+  for (const Request& request : requests_) {
+    const Duration since_start = request.first_sent - start_;
+    if (!request.culprit.has_value() && since_start >= from &&
+        since_start < until) {
+      ++sent;
+      served += request.status == kOk && request.attempts == 1 ? 1 : 0;
+    }
+  }
+  return sent == 0 ? 0 : static_cast<double>(served) / sent;
+}
+
 PartSimulation::Outcomes PartSimulation::OutcomesOf(Duration from,
                                                     Duration until) const {
   Outcomes outcomes;
--- a/test/forward/part_simulation.h
+++ b/test/forward/part_simulation.h
@@ -49,6 +49,8 @@
     double companion_alone_one_in = 50;
     Duration crash_delay = std::chrono::milliseconds(60);
     Duration restart_delay = std::chrono::seconds(3);
+    /// Whether answers end with their connection.
+    bool end_with_connection = false;
     uint64_t seed = 1;
     EventLog log = {};
     ForwardNode::Options node = {};
@@ -81,6 +83,9 @@
   /// Sends one sound request that has the part.
   void SendWithPart(int entry, const std::string& route, PromptPartId part);
   void Advance(Duration duration);
+  /// Makes most requests arrive at this entry; nothing: all entries get as
+  /// many.
+  void SetPreferred(std::optional<int> entry) { preferred_ = entry; }
 
   void Kill(int entry);
   void Start(int entry);
@@ -99,6 +104,9 @@
   /// The same from two contact times after the fifth crash, or the last one,
   /// while the culprit still came; nothing if there are too few.
   std::optional<double> BegunAfter(size_t culprit = 0) const;
+  /// The fraction of sound requests sent in the time from the start of the
+  /// traffic that were answered at their first attempt.
+  double ServedAtFirst(Duration from, Duration until) const;
   /// Outcomes of sound requests sent in the time from the start of the traffic.
   Outcomes OutcomesOf(Duration from, Duration until) const;
   Outcomes AllOutcomes() const { return OutcomesOf({}, std::chrono::hours(1)); }
@@ -109,6 +117,7 @@
   bool AreSoundPartsServed();
   std::string Summary() const;
 
+  const std::vector<Culprit>& culprits() const { return options_.culprits; }
   fakes::FleetSimulation& fleet() { return fleet_; }
   fakes::SimulatedServers& servers() { return servers_; }
   Duration now() const { return fleet_.Now() - start_; }
@@ -177,6 +186,7 @@
   TimePoint start_;
   Duration next_due_{};
   int next_ = 0;
+  std::optional<int> preferred_;
   PromptPartId last_own_part_ = 0x100000;
 };
 
