--- a/lavenderkeel/crash/crash_guard.cc
+++ b/lavenderkeel/crash/crash_guard.cc
@@ -287,20 +287,25 @@
     const auto last = logged_.find(suspect);
     const CrashSuspicion former =
         last == logged_.end() ? CrashSuspicion::kClear : last->second;
-    if (assessment.suspicion == former) {
+    // Alternatives depend on the request, and would change the standing with
+    // each.
+    const CrashSuspicion standing = assessment.has_alternative
+                                        ? CrashSuspicion::kBlocked
+                                        : assessment.suspicion;
+    if (standing == former) {
       continue;
     }
-    if (assessment.suspicion == CrashSuspicion::kClear) {
+    if (standing == CrashSuspicion::kClear) {
       logged_.erase(last);
     } else {
-      logged_[suspect] = assessment.suspicion;
+      logged_[suspect] = standing;
     }
-    if (std::max(assessment.suspicion, former) < CrashSuspicion::kDoubtful) {
+    if (std::max(standing, former) < CrashSuspicion::kDoubtful) {
       continue;
     }
     log_.Info("crash_suspect",
               {{"suspect", SuspectName(suspect)},
-               {"standing", CrashSuspicionName(assessment.suspicion)},
+               {"standing", CrashSuspicionName(standing)},
                {"former", CrashSuspicionName(former)},
                {"lost", assessment.lost},
                {"in_turn", assessment.in_turn},
