Test: an entry that gets most connections serves them

Nine in ten requests go to one of four entries for ten seconds, then, once it is killed, to another; with and without a part that crashes servers.

--- a/test/forward/crashing_part_test.cc
+++ b/test/forward/crashing_part_test.cc
@@ -201,6 +201,36 @@
   }
 }
 
+// Guards against entries that can't serve more than their part of the requests:
+// most connections go to one of them, and to another once it has ended.
+BOOST_AUTO_TEST_CASE(EntryThatGetsMostConnectionsServesThem) {
+  for (const bool with_culprit : {false, true}) {
+    BOOST_TEST_CONTEXT("with culprit " << with_culprit) {
+      PartSimulation::Options options;
+      options.culprits.front().one_in = with_culprit ? 10 : 0;
+      PartSimulation simulation(options);
+      simulation.SendTraffic(seconds(30), [&](Duration now) {
+        if (At(now, seconds(10))) {
+          simulation.SetPreferred(1);
+        } else if (At(now, seconds(20))) {
+          simulation.Kill(1);
+          simulation.SetPreferred(2);
+        }
+      });
+      const double before = simulation.ServedAtFirst(seconds(0), seconds(5));
+      const double first = simulation.ServedAtFirst(
+          seconds(10) + PartSimulation::kContactTime, seconds(20));
+      const double second = simulation.ServedAtFirst(
+          seconds(20) + PartSimulation::kContactTime, seconds(30));
+      BOOST_TEST_MESSAGE("served at first attempt " << before << ", " << first
+                                                    << ", " << second);
+      BOOST_TEST(before >= 0.9);
+      BOOST_TEST(first >= before * 3 / 4);
+      BOOST_TEST(second >= before * 3 / 4);
+    }
+  }
+}
+
 // Guards against blaming parts for servers that crash by themselves, one after
 // the other or all at once, and for connections that are reset.
 BOOST_AUTO_TEST_CASE(SoundPartsAreServedThoughServersCrashByThemselves) {
