Crash archive: keeps the lost runs with all that they had

What callers saw: after a restart of all entries, requests with a sound part that seldom comes without a culprit were refused for up to a minute, or the culprit ended servers again.

Cause: the store had, for each culprit, reports of the least requests that have it. What else the runs had was gone, so a restarted entry could not see that another suspect explains the same losses: a sound part became the only suspect of its losses. And doubtful parts, the state after bursts at all entries, were not stored at all while the entries reached each other.

Now: the store has whole runs (request, parts, server, times) and when each of their suspects was last answered, also for doubtful parts that different requests share; a restarted ledger has the same evidence as before. Limits: 128 losses, culprits' last to go, and 256 survivals.

--- a/lavenderkeel/crash/crash_archive.cc
+++ b/lavenderkeel/crash/crash_archive.cc
@@ -1,25 +1,35 @@
 #include "lavenderkeel/crash/crash_archive.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace lavenderkeel {
 
 namespace {
 
-/// Returns the one suspect that a stored report is about.
-std::optional<Suspect> SuspectOf(const CrashReport& report) {
-  const std::vector<Suspect> suspects = SuspectsOf(report.request);
-  if (suspects.empty()) {
-    return std::nullopt;
-  }
-  // A pair comes after its parts.
-  return suspects.back();
+bool IsSameRun(const CrashReport& a, const CrashReport& b) {
+  return a.server == b.server && a.request == b.request;
+}
+
+bool Contains(const std::vector<CrashReport>& losses, const CrashReport& loss) {
+  return std::ranges::any_of(losses, [&loss](const CrashReport& other) {
+    return IsSameRun(other, loss);
+  });
 }
 
-bool IsCulpritPart(const std::vector<Suspect>& culprits, PromptPartId part) {
-  return std::ranges::find(culprits, Suspect{.kind = Suspect::Kind::kPart,
-                                             .first = part}) != culprits.end();
+/// Returns the servers that were lost with each suspect.
+std::map<Suspect, std::set<uint64_t>> ServersBySuspect(
+    const std::vector<CrashReport>& losses) {
+  std::map<Suspect, std::set<uint64_t>> servers;
+  for (const CrashReport& loss : losses) {
+    for (const Suspect& suspect : SuspectsOf(loss.request)) {
+      servers[suspect].insert(loss.server);
+    }
+  }
+  return servers;
 }
 
 }  // namespace
@@ -39,91 +49,112 @@
                           const std::vector<CrashReport>& reports) {
   read_ = true;
   revision_ = revision;
-  stored_.clear();
+  stored_ = {};
   for (const CrashReport& report : reports) {
-    const std::optional<Suspect> suspect = SuspectOf(report);
-    if (!suspect.has_value()) {
-      continue;
-    }
-    Evidence& evidence = stored_[*suspect];
     if (report.kind == CrashReport::Kind::kLost) {
-      evidence.losses.push_back(report);
+      stored_.losses.push_back(report);
     } else if (report.kind == CrashReport::Kind::kSurvived) {
-      evidence.survived = report.ended;
+      for (const Suspect& suspect : SuspectsOf(report.request)) {
+        TimePoint& last = stored_.survivals[suspect];
+        last = std::max(last, report.ended);
+      }
     }
   }
   log_.Info("crash_archive_read", {{"revision", revision},
-                                   {"suspects", stored_.size()},
-                                   {"reports", reports.size()}});
+                                   {"losses", stored_.losses.size()},
+                                   {"survivals", stored_.survivals.size()}});
   guard_.OnStoredReports(reports);
 }
 
-CrashArchive::Suspects CrashArchive::Merged(bool with_doubtful,
+CrashArchive::Evidence CrashArchive::Wanted(bool with_doubtful,
                                             TimePoint now) const {
-  Suspects merged = stored_;
   const CrashLedger& ledger = guard_.ledger();
-  const std::vector<Suspect> culprits =
-      with_doubtful ? ledger.DoubtfulSuspects() : ledger.Culprits();
-  for (const Suspect& suspect : culprits) {
-    const bool is_implied = suspect.kind == Suspect::Kind::kPartPair &&
-                            (IsCulpritPart(culprits, suspect.first) ||
-                             IsCulpritPart(culprits, suspect.second));
-    if (suspect.kind != Suspect::Kind::kPlace && !is_implied) {
-      merged[suspect] = {.losses = ledger.LossesOf(suspect)};
+  Evidence wanted = {.losses = {}, .survivals = stored_.survivals};
+  for (const CrashReport& loss : stored_.losses) {
+    if (ledger.IsEvidence(loss)) {
+      wanted.losses.push_back(loss);
+    }
+  }
+  std::vector<Suspect> suspects =
+      with_doubtful ? ledger.DoubtfulSuspects() : ledger.SharedDoubtfulParts();
+  const std::vector<Suspect> culprits = ledger.Culprits();
+  suspects.insert(suspects.end(), culprits.begin(), culprits.end());
+  for (const Suspect& suspect : suspects) {
+    for (const CrashReport& loss : ledger.LossesOf(suspect)) {
+      if (!Contains(wanted.losses, loss)) {
+        wanted.losses.push_back(loss);
+      }
     }
   }
-  for (auto& [suspect, evidence] : merged) {
+  std::vector<CrashReport> losses = stored_.losses;
+  losses.insert(losses.end(), wanted.losses.begin(), wanted.losses.end());
+  for (const auto& [suspect, servers] : ServersBySuspect(losses)) {
     const std::optional<TimePoint> survived = ledger.LastSurvival(suspect);
     if (survived.has_value()) {
-      evidence.survived =
-          std::max(evidence.survived.value_or(*survived), *survived);
+      TimePoint& last = wanted.survivals[suspect];
+      last = std::max(last, *survived);
     }
-    std::erase_if(evidence.losses, [&](const CrashReport& loss) {
-      return evidence.survived.has_value() && loss.ended <= *evidence.survived;
-    });
   }
-  const auto latest = [](const Evidence& evidence) {
-    return evidence.losses.empty() ? *evidence.survived
-                                   : evidence.losses.back().ended;
-  };
-  std::erase_if(merged, [&](const auto& item) {
-    const Evidence& evidence = item.second;
-    const bool is_empty =
-        evidence.losses.empty() && !evidence.survived.has_value();
-    return is_empty || now - latest(evidence) > options_.max_age;
+  Limit(wanted, now);
+  return wanted;
+}
+
+void CrashArchive::Limit(Evidence& evidence, TimePoint now) const {
+  std::erase_if(evidence.losses, [&](const CrashReport& loss) {
+    return now - loss.ended > options_.max_age;
+  });
+  std::erase_if(evidence.survivals, [&](const auto& item) {
+    return now - item.second > options_.max_age;
   });
-  while (merged.size() > options_.max_suspects) {
-    merged.erase(std::ranges::min_element(
-        merged, {}, [&](const auto& item) { return latest(item.second); }));
+  const std::vector<Suspect> culprits = guard_.ledger().Culprits();
+  const auto rank = [&culprits](const CrashReport& loss) {
+    const bool has_culprit =
+        std::ranges::any_of(culprits, [&loss](const Suspect& culprit) {
+          return HasSuspect(loss.request, culprit);
+        });
+    return std::pair(has_culprit, loss.ended);
+  };
+  while (evidence.losses.size() > options_.max_losses) {
+    evidence.losses.erase(std::ranges::min_element(evidence.losses, {}, rank));
+  }
+  while (evidence.survivals.size() > options_.max_survivals) {
+    evidence.survivals.erase(std::ranges::min_element(
+        evidence.survivals, {}, [](const auto& item) { return item.second; }));
   }
-  return merged;
 }
 
-bool CrashArchive::Lacks(const Suspects& wanted) const {
-  return std::ranges::any_of(wanted, [this](const auto& item) {
-    const auto& [suspect, evidence] = item;
-    const auto found = stored_.find(suspect);
-    if (found == stored_.end()) {
-      return !evidence.losses.empty();
-    }
-    const std::vector<CrashReport>& stored = found->second.losses;
-    if (evidence.losses.empty() || stored.empty()) {
-      return evidence.losses.empty() != stored.empty();
+bool CrashArchive::Lacks(const Evidence& wanted) const {
+  const auto is_missing = [this](const CrashReport& loss) {
+    return !Contains(stored_.losses, loss);
+  };
+  return std::ranges::any_of(wanted.losses, is_missing) || IsOutdated();
+}
+
+bool CrashArchive::IsOutdated() const {
+  const CrashLedger& ledger = guard_.ledger();
+  const std::map<Suspect, std::set<uint64_t>> stored =
+      ServersBySuspect(stored_.losses);
+  return std::ranges::any_of(stored, [&](const auto& item) {
+    const Suspect& suspect = item.first;
+    const std::optional<TimePoint> survived = ledger.LastSurvival(suspect);
+    if (suspect.kind == Suspect::Kind::kPartPair || item.second.size() < 2 ||
+        !survived.has_value()) {
+      return false;
     }
-    return evidence.losses.back().server != stored.back().server;
+    const auto known = stored_.survivals.find(suspect);
+    return std::ranges::any_of(stored_.losses, [&](const CrashReport& loss) {
+      return HasSuspect(loss.request, suspect) && loss.ended <= *survived &&
+             (known == stored_.survivals.end() || loss.ended > known->second);
+    });
   });
 }
 
-std::vector<CrashReport> CrashArchive::ReportsOf(const Suspects& suspects) {
-  std::vector<CrashReport> reports;
-  for (const auto& [suspect, evidence] : suspects) {
-    reports.insert(reports.end(), evidence.losses.begin(),
-                   evidence.losses.end());
-    if (evidence.survived.has_value()) {
-      reports.push_back({.kind = CrashReport::Kind::kSurvived,
-                         .request = TraitsOf(suspect),
-                         .ended = *evidence.survived});
-    }
+std::vector<CrashReport> CrashArchive::ReportsOf(const Evidence& evidence) {
+  std::vector<CrashReport> reports = evidence.losses;
+  for (const auto& [suspect, survived] : evidence.survivals) {
+    reports.push_back({.kind = CrashReport::Kind::kSurvived,
+                       .request = TraitsOf(suspect),
+                       .ended = survived});
   }
   return reports;
 }
@@ -139,7 +170,7 @@
       revision_ != 0) {
     return;
   }
-  const Suspects wanted = Merged(!contact.reaches_all, now);
+  const Evidence wanted = Wanted(!contact.reaches_all, now);
   // The object is created in advance, so that a culprit costs one write.
   if (!Lacks(wanted) && revision_ != 0) {
     lacking_since_.reset();
@@ -158,8 +189,8 @@
   const CrashArchiveWrite write = {.revision = revision_,
                                    .reports = ReportsOf(wanted)};
   log_.Info("crash_archive_write", {{"revision", revision_},
-                                    {"suspects", wanted.size()},
-                                    {"reports", write.reports.size()}});
+                                    {"losses", wanted.losses.size()},
+                                    {"survivals", wanted.survivals.size()}});
   write_(write);
 }
 
--- a/lavenderkeel/crash/crash_archive.h
+++ b/lavenderkeel/crash/crash_archive.h
@@ -26,7 +26,8 @@
                          const CrashArchiveWrite&) = default;
 };
 
-/// Keeps the evidence against culprits in the platform's store.
+/// Keeps the evidence against culprits, and against doubtful parts of prompts
+/// that different requests share, in the platform's store.
 ///
 /// All entries may end at the same moment, and some may reach the store but not
 /// each other. Without the archive each would lose as many servers again before
@@ -45,8 +46,11 @@
     Duration create_delay = std::chrono::seconds(2);
     /// Evidence of this age is left out of the next write.
     Duration max_age = std::chrono::minutes(10);
-    /// Above this number, the suspects with the oldest losses are left out.
-    size_t max_suspects = 64;
+    /// Above this number, losses are left out: those of doubtful suspects
+    /// before those of culprits, and the oldest first.
+    size_t max_losses = 128;
+    /// Above this number, the oldest survivals are left out.
+    size_t max_survivals = 256;
   };
 
   using Write = std::function<void(const CrashArchiveWrite&)>;
@@ -63,8 +67,9 @@
   struct Contact {
     /// The number of entries that write before this one.
     size_t rank = 0;
-    /// Whether reports reach all entries. If not, doubtful suspects are written
-    /// too, so that entries which reach only the store add up what they know.
+    /// Whether reports reach all entries. If not, all doubtful suspects are
+    /// written, so that entries which reach only the store add up what they
+    /// know.
     bool reaches_all = true;
   };
   /// Writes what the store lacks.
@@ -72,17 +77,22 @@
 
  private:
   struct Evidence {
+    /// The runs that were lost with a suspect, and all that they had.
     std::vector<CrashReport> losses;
-    /// When the suspect was last answered after a loss.
-    std::optional<TimePoint> survived;
+    /// When each suspect of the losses was last answered after one.
+    std::map<Suspect, TimePoint> survivals;
   };
-  using Suspects = std::map<Suspect, Evidence>;
 
   /// Returns what the store should have.
-  Suspects Merged(bool with_doubtful, TimePoint now) const;
+  Evidence Wanted(bool with_doubtful, TimePoint now) const;
+  /// Removes what is too old or exceeds the limits.
+  void Limit(Evidence& evidence, TimePoint now) const;
   /// Returns whether the store lacks something that matters.
-  bool Lacks(const Suspects& wanted) const;
-  static std::vector<CrashReport> ReportsOf(const Suspects& suspects);
+  bool Lacks(const Evidence& wanted) const;
+  /// Returns whether a suspect that the store has several losses of was
+  /// answered since.
+  bool IsOutdated() const;
+  static std::vector<CrashReport> ReportsOf(const Evidence& evidence);
 
   Options options_;
   CrashGuard& guard_;
@@ -91,7 +101,7 @@
   Write write_;
   bool read_ = false;
   uint64_t revision_ = 0;
-  Suspects stored_;
+  Evidence stored_;
   /// What was compared last.
   std::tuple<uint64_t, uint64_t, bool> compared_;
   /// When the store was first found to lack something.
--- a/lavenderkeel/crash/crash_ledger.cc
+++ b/lavenderkeel/crash/crash_ledger.cc
@@ -546,6 +546,35 @@
   return doubtful;
 }
 
+std::vector<Suspect> CrashLedger::SharedDoubtfulParts() const {
+  std::vector<Suspect> shared = DoubtfulSuspects();
+  std::erase_if(shared, [this](const Suspect& suspect) {
+    return suspect.kind != Suspect::Kind::kPart ||
+           !IsShared(suspect, suspects_.at(suspect));
+  });
+  return shared;
+}
+
+bool CrashLedger::IsShared(const Suspect& suspect, const Record& record) const {
+  std::optional<uint64_t> first;
+  for (const Loss& loss : record.losses) {
+    const auto lost = lost_servers_.find(loss.server);
+    if (lost == lost_servers_.end()) {
+      continue;
+    }
+    for (const LostRun& run : lost->second.runs) {
+      if (!HasSuspect(run.request, suspect)) {
+        continue;
+      }
+      if (run.request.fingerprint != first.value_or(run.request.fingerprint)) {
+        return true;
+      }
+      first = run.request.fingerprint;
+    }
+  }
+  return false;
+}
+
 std::vector<CrashReport> CrashLedger::LossesOf(const Suspect& suspect) const {
   std::vector<CrashReport> reports;
   const auto found = suspects_.find(suspect);
@@ -553,15 +582,32 @@
     return reports;
   }
   for (const Loss& loss : UnexplainedLosses(suspect, found->second)) {
-    reports.push_back({.kind = CrashReport::Kind::kLost,
-                       .request = TraitsOf(suspect),
-                       .server = loss.server,
-                       .sent = loss.sent,
-                       .ended = loss.ended});
+    for (const LostRun& run : lost_servers_.at(loss.server).runs) {
+      if (HasSuspect(run.request, suspect)) {
+        reports.push_back({.kind = CrashReport::Kind::kLost,
+                           .request = run.request,
+                           .server = loss.server,
+                           .sent = run.sent,
+                           .ended = run.ended});
+      }
+    }
   }
   return reports;
 }
 
+bool CrashLedger::IsEvidence(const CrashReport& loss) const {
+  const std::vector<Suspect> suspects = SuspectsOf(loss.request);
+  return std::ranges::any_of(suspects, [&](const Suspect& suspect) {
+    const auto found = suspects_.find(suspect);
+    if (found == suspects_.end() || found->second.losses.size() < 2) {
+      return false;
+    }
+    const std::vector<Loss>& losses = found->second.losses;
+    return std::ranges::find(losses, loss.server, &Loss::server) !=
+           losses.end();
+  });
+}
+
 std::optional<TimePoint> CrashLedger::LastSurvival(
     const Suspect& suspect) const {
   const auto found = suspects_.find(suspect);
--- a/lavenderkeel/crash/crash_ledger.h
+++ b/lavenderkeel/crash/crash_ledger.h
@@ -35,7 +35,7 @@
   size_t answers = 0;
   /// Whether there is a suspect that the assessed request does not have and
   /// that may as well be the cause. Then a run of the request tells which of
-  /// the two it is.
+  /// the two it is, and a suspect that would be blocked is only doubtful.
   bool has_alternative = false;
   /// When a single run may test the suspect again; meaningful for kDoubtful
   /// and kBlocked only.
@@ -126,11 +126,15 @@
   std::vector<Suspect> Culprits() const;
   /// Returns these and the doubtful suspects.
   std::vector<Suspect> DoubtfulSuspects() const;
+  /// Returns the doubtful parts of prompts that were lost with different
+  /// requests.
+  std::vector<Suspect> SharedDoubtfulParts() const;
   /// Returns a number that changes with the losses and answers.
   uint64_t generation() const { return generation_; }
-  /// Returns the losses that make a suspect a culprit, as reports of the least
-  /// requests that have it.
+  /// Returns the runs with the suspect whose losses no other culprit explains.
   std::vector<CrashReport> LossesOf(const Suspect& suspect) const;
+  /// Returns whether the loss counts against a suspect that has others, too.
+  bool IsEvidence(const CrashReport& loss) const;
   /// Returns when a request with the suspect was last answered after a loss.
   std::optional<TimePoint> LastSurvival(const Suspect& suspect) const;
   /// Returns whether a suspect of the request has losses or survived some.
@@ -215,6 +219,8 @@
                   const std::vector<Duration>& runs,
                   TimePoint since) const;
   CrashSuspicion SuspicionOf(const Count& count) const;
+  /// Returns whether different requests with the suspect were lost.
+  bool IsShared(const Suspect& suspect, const Record& record) const;
   /// Returns whether some suspect that the request does not have is as strongly
   /// suspected as the one with these losses, and explains them but for some
   /// that may have another cause.
