Soak: a part of prompts that crashes servers

soak SEED RUNS part: one request in twenty has a part on which the fake servers end; they come back under other ids. Entries and servers are killed beside it, all entries at once too. Checked: after the fifth crash and the time of contact at most three more requests with the part reach servers, and the guarantees as before.

--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -6,6 +6,9 @@
 // PUT /failing with the body "WHAT PERCENT" makes it fail a part of the
 // requests from then on: "reject" turns them away, "error" answers with an
 // error, "lose" ends the connection after a part of the answer.
+//
+// A request whose prompt has the part "dead" ends the process when it begins to
+// answer.
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -55,6 +58,7 @@
     /// Whether the answer is lost, or an error.
     bool lost = false;
     bool error = false;
+    bool crashes = false;
   };
 
   void SetFailing(const HttpRequest& request) {
@@ -89,14 +93,17 @@
                                       .headers = {{"Not-Executed", "1"}}});
       return;
     }
-    Running run{.request = request.header("Request-Id").value_or(""),
-                .stream = request.path.starts_with("/stream/"),
-                .lost = Fails("lose"),
-                .error = Fails("error")};
+    Running run{
+        .request = request.header("Request-Id").value_or(""),
+        .stream = request.path.starts_with("/stream/"),
+        .lost = Fails("lose"),
+        .error = Fails("error"),
+        .crashes = request.header("Prompt-Prefix").value_or("").find("dead:") !=
+                   std::string::npos};
     runs_ << run.request << '\n' << std::flush;
     const auto last = request.header("Last-Event-Id");
     run.next = last.has_value() ? std::atoi(last->c_str()) + 1 : 1;
-    run.stream = run.stream && !run.error;
+    run.stream = run.stream && !run.error && !run.crashes;
     if (run.stream) {
       HttpHeaders headers = Headers(run);
       headers.emplace_back("Content-Type", "text/event-stream");
@@ -128,6 +135,9 @@
       if (run.next++ < kStepsOfWork) {
         return false;
       }
+      if (run.crashes) {
+        std::_Exit(EXIT_FAILURE);
+      }
       if (run.lost) {
         http_.Handle(lavenderkeel::ReplyAbort{.caller = caller});
         return true;
--- a/test/soak/checker.cc
+++ b/test/soak/checker.cc
@@ -22,7 +22,21 @@
       std::to_string(ToMilliseconds(record.ended - record.sent)) + " ms)");
 }
 
+void Checker::OnArrival(const std::string& id, TimePoint now) {
+  constexpr size_t kCrashes = 5;
+  constexpr Duration kContactTime = std::chrono::seconds(3);
+  arrivals_.insert(id);
+  retries_.OnArrival(id, now);
+  if (HasCrashingPart(id) && crashes_.size() >= kCrashes &&
+      now > crashes_[kCrashes - 1] + kContactTime) {
+    ++late_culprits_;
+  }
+}
+
 void Checker::OnRequestDone(const RequestRecord& record) {
+  if (HasCrashingPart(record.id)) {
+    return;
+  }
   if (record.route == "once") {
     non_idempotent_.insert(record.id);
   }
@@ -98,6 +112,12 @@
       violations_.push_back("ran more often than it reached a server: " + id);
     }
   }
+  constexpr size_t kMaxLateCulprits = 3;
+  if (late_culprits_ > kMaxLateCulprits) {
+    violations_.push_back("requests with the crashing part reached servers " +
+                          std::to_string(late_culprits_) +
+                          " times after the fifth crash was known");
+  }
   const fakes::RetryHistory::Window worst = retries_.WorstWindow();
   if (worst.excess() > 0) {
     std::ostringstream text;
--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -24,9 +24,12 @@
   /// Records that a client sends a request.
   void OnRequest(TimePoint now) { retries_.OnRequest(now); }
   /// Records that a request reached a server.
-  void OnArrival(const std::string& id, TimePoint now) {
-    arrivals_.insert(id);
-    retries_.OnArrival(id, now);
+  void OnArrival(const std::string& id, TimePoint now);
+  /// Records that a request crashed a server.
+  void OnCrash(TimePoint now) { crashes_.push_back(now); }
+  /// Whether the request's prompt has the part that crashes servers.
+  static bool HasCrashingPart(const std::string& id) {
+    return id.starts_with('c');
   }
   /// Checks how often each request ran and was sent again, once the servers run
   /// nothing more.
@@ -47,6 +50,7 @@
   size_t lost() const { return lost_; }
   /// Number of arrivals at servers beyond the first of each request.
   size_t retries() const { return retries_.retries(); }
+  size_t crashes() const { return crashes_.size(); }
   /// Returns the window with the most retries compared with the bound.
   fakes::RetryHistory::Window WorstRetryWindow() const {
     return retries_.WorstWindow();
@@ -66,6 +70,8 @@
   size_t served_ = 0;
   size_t refused_ = 0;
   size_t lost_ = 0;
+  std::vector<TimePoint> crashes_;
+  size_t late_culprits_ = 0;
 };
 
 }  // namespace lavenderkeel::soak
--- a/test/soak/client.cc
+++ b/test/soak/client.cc
@@ -60,7 +60,9 @@
   }
 }
 
-void Client::Send(const std::string& id, const std::string& route) {
+void Client::Send(const std::string& id,
+                  const std::string& route,
+                  const std::string& prompt) {
   busy_ = true;
   record_ = {.id = id, .route = route, .sent = clock_.Now()};
   reader_ = ResponseReader({});
@@ -74,6 +76,7 @@
                                 {"Request-Id", id},
                                 {"Authorization", "Bearer key"},
                                 {"Deadline-Ms", "5000"},
+                                {"Prompt-Prefix", prompt},
                                 {"Token-Count", "100,20"}}},
                     "body of " + id);
   if (connection_ != nullptr) {
--- a/test/soak/client.h
+++ b/test/soak/client.h
@@ -41,7 +41,10 @@
   Client& operator=(const Client&) = delete;
 
   bool busy() const { return busy_; }
-  void Send(const std::string& id, const std::string& route);
+  /// @param prompt value of the field Prompt-Prefix
+  void Send(const std::string& id,
+            const std::string& route,
+            const std::string& prompt);
   /// Ends a request that has no answer within the request timeout.
   void Tick();
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -52,15 +52,28 @@
   }
 }
 
+void MakePartCrash(Plan& plan) {
+  constexpr int kTimesServers = 2;
+  plan.servers *= kTimesServers;
+  plan.has_crashing_part = true;
+  constexpr Fault kKinds[] = {
+      Fault::kKillEntry,       Fault::kStopEntry,      Fault::kKillAllEntries,
+      Fault::kKillServer,      Fault::kDrainServer,    Fault::kResetServerLinks,
+      Fault::kResetStoreLinks, Fault::kResetPeerLinks, Fault::kChangeConfig};
+  for (Step& step : plan.steps) {
+    step.fault = kKinds[static_cast<size_t>(step.fault) % std::size(kKinds)];
+  }
+}
+
 }  // namespace
 
-Plan MakePlan(uint64_t seed, bool large) {
+Plan MakePlan(uint64_t seed, Variant variant) {
   std::mt19937_64 random(seed);
   const auto pick = [&random](int min, int max) {
     return std::uniform_int_distribution<int>(min, max)(random);
   };
   Plan plan{.seed = seed, .entries = pick(2, 4), .servers = pick(3, 6)};
-  if (large) {
+  if (variant == Variant::kLarge) {
     constexpr int kTimesEntries = 4;
     constexpr int kTimesServers = 6;
     plan.entries *= kTimesEntries;
@@ -77,7 +90,11 @@
          .target = pick(0, 7),
          .duration = std::chrono::milliseconds(pick(200, kMaxFaultMs))});
   }
-  AddFailingServers(plan);
+  if (variant == Variant::kCrashingPart) {
+    MakePartCrash(plan);
+  } else {
+    AddFailingServers(plan);
+  }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
 }
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -48,6 +48,15 @@
     .ratio = 0.02,
     .extra = 8};
 
+enum class Variant {
+  kUsual,
+  /// The system has several dozen processes.
+  kLarge,
+  /// A part of some prompts crashes servers; processes end beside it, but all
+  /// that run reach each other.
+  kCrashingPart,
+};
+
 /// One fault of a plan.
 struct Step {
   /// Time since the start of the traffic.
@@ -68,6 +77,8 @@
   int entries = 3;
   int servers = 4;
   int clients = 10;
+  /// Whether a part of some prompts crashes the servers that answer them.
+  bool has_crashing_part = false;
   /// Duration of the traffic.
   Duration traffic = std::chrono::seconds(12);
   std::vector<Step> steps;
@@ -77,8 +88,7 @@
 /// other closely and overlap. The last third of the traffic has no faults, so
 /// that recovery is observable.
 ///
-/// @param large whether the system has several dozen processes
-Plan MakePlan(uint64_t seed, bool large);
+Plan MakePlan(uint64_t seed, Variant variant);
 
 std::string Describe(const Step& step);
 
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -1,16 +1,17 @@
 // Soak test: runs the real programs under generated fault plans and checks the
 // system's guarantees.
-// Usage: soak FIRST_SEED [RUNS [timed | large]]. "timed" also checks answer
-// times, for a machine that runs nothing else; "large" runs dozens of
-// processes. Prints one line per seed and, on a violation, the plan, the
-// violated guarantees with the ids of the requests, and the directory of the
-// logs.
+// Usage: soak FIRST_SEED [RUNS [timed | large | part]]. "timed" also checks
+// answer times, for a machine that runs nothing else; "large" runs dozens of
+// processes; with "part", a part of some prompts crashes servers. Prints one
+// line per seed and, on a violation, the plan, the violated guarantees with the
+// ids of the requests, and the directory of the logs.
 #include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "lavenderkeel/base/prompt_part.h"
 #include "lavenderkeel/io/daemon_main.h"
 #include "test/soak/checker.h"
 #include "test/soak/client.h"
@@ -22,12 +23,15 @@
 namespace {
 
 constexpr Duration kRecoveryTime = std::chrono::seconds(12);
+/// One in this many requests has the part that crashes servers.
+constexpr uint64_t kCulpritPeriod = 20;
 
 /// Test run of one seed, from the start of the processes to the result.
 class Run {
  public:
-  Run(uint64_t seed, bool timed, bool large)
-      : plan_(MakePlan(seed, large)), system_(plan_, loop_), checker_(timed) {
+  Run(uint64_t seed, Variant variant, bool timed)
+      : plan_(MakePlan(seed, variant)), system_(plan_, loop_), checker_(timed) {
+    system_.set_on_crash([this] { checker_.OnCrash(clock_.Now()); });
     system_.set_on_arrival([this](const std::string& id) {
       checker_.OnArrival(id, clock_.Now());
     });
@@ -64,19 +68,39 @@
       Client& client = *clients_[i];
       client.Tick();
       if (!client.busy()) {
-        const std::string id = "r" + std::to_string(++sent_);
+        ++sent_;
         checker_.OnRequest(clock_.Now());
-        client.Send(id, kRoutes[sent_ % std::size(kRoutes)]);
+        const bool crashes = sent_ % kCulpritPeriod == 0 && AreCulpritsDue();
+        client.Send((crashes ? "c" : "r") + std::to_string(sent_),
+                    crashes ? kRoutes[0] : kRoutes[sent_ % std::size(kRoutes)],
+                    PromptOf(crashes));
       }
     }
   }
 
+  bool AreCulpritsDue() const {
+    const Duration since_start = clock_.Now() - traffic_start_;
+    return plan_.has_crashing_part && !recovered_ &&
+           since_start > plan_.traffic / 8 &&
+           since_start < plan_.traffic * 3 / 4;
+  }
+
+  /// Returns a prompt with a part that all prompts have, one that some have or
+  /// that crashes servers, and one of its own.
+  std::string PromptOf(bool crashes) const {
+    constexpr uint64_t kDocuments = 10;
+    return "a1:100," +
+           (crashes ? std::string("dead:100")
+                    : PromptPartName(0xd0 + sent_ % kDocuments) + ":100") +
+           "," + PromptPartName(0x100000 + sent_) + ":100";
+  }
+
   void RunTraffic() {
-    const TimePoint start = clock_.Now();
+    traffic_start_ = clock_.Now();
     size_t next = 0;
-    while (clock_.Now() - start < plan_.traffic) {
+    while (clock_.Now() - traffic_start_ < plan_.traffic) {
       while (next < plan_.steps.size() &&
-             plan_.steps[next].at <= clock_.Now() - start) {
+             plan_.steps[next].at <= clock_.Now() - traffic_start_) {
         system_.Inject(plan_.steps[next++]);
       }
       system_.Tick();
@@ -127,8 +151,9 @@
               << ", " << plan_.entries << " entries, " << plan_.servers
               << " servers, " << plan_.steps.size() << " faults, " << sent_
               << " requests, " << checker_.served() << " served, "
-              << checker_.refused() << " refused, " << checker_.lost()
-              << " lost, " << checker_.retries() << " sent again, at most "
+              << checker_.refused() << " refused, " << checker_.crashes()
+              << " crashes, " << checker_.lost() << " lost, "
+              << checker_.retries() << " sent again, at most "
               << checker_.WorstRetryWindow() << std::endl;
     if (holds) {
       return true;
@@ -150,25 +175,28 @@
   System system_;
   Checker checker_;
   std::vector<std::unique_ptr<Client>> clients_;
+  TimePoint traffic_start_;
   uint64_t sent_ = 0;
   bool recovered_ = false;
 };
 
 int Main(int argc, char** argv) {
   if (argc < 2) {
-    std::cerr << "usage: soak FIRST_SEED [RUNS [timed | large]]\n";
+    std::cerr << "usage: soak FIRST_SEED [RUNS [timed | large | part]]\n";
     return kBadUseStatus;
   }
   PrepareProcess();
   const uint64_t first = std::strtoull(argv[1], nullptr, 10);
   const uint64_t runs = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
   constexpr int kVariantArgument = 3;
-  const std::string variant =
+  const std::string name =
       argc > kVariantArgument ? argv[kVariantArgument] : "";
+  const Variant variant = name == "large"  ? Variant::kLarge
+                          : name == "part" ? Variant::kCrashingPart
+                                           : Variant::kUsual;
   uint64_t failed = 0;
   for (uint64_t seed = first; seed < first + runs; ++seed) {
-    failed +=
-        Run(seed, variant == "timed", variant == "large").Execute() ? 0 : 1;
+    failed += Run(seed, variant, name == "timed").Execute() ? 0 : 1;
   }
   std::cout << runs - failed << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -248,15 +248,7 @@
     case Fault::kKillServer:
       if (processes_.Has(server.name)) {
         processes_.Kill(server.name);
-        relay.ResetOpenConnections();
-        Schedule(step.duration, [this, &server] {
-          http_.Start({.address = processes_.Address("store", "http"),
-                       .method = "DELETE",
-                       .path = "/objects/servers/" + server.id,
-                       .timeout = std::chrono::seconds(20),
-                       .on_done = [](const HttpResult&) {}});
-          StartServer(server);
-        });
+        RestartServer(server, step.duration);
       }
       return;
     case Fault::kPauseServer:
@@ -300,6 +292,31 @@
   }
 }
 
+void System::RestartServer(Server& server, Duration after) {
+  server.restarting = true;
+  server.relay->ResetOpenConnections();
+  Schedule(after, [this, &server] {
+    http_.Start({.address = processes_.Address("store", "http"),
+                 .method = "DELETE",
+                 .path = "/objects/servers/" + server.id,
+                 .timeout = std::chrono::seconds(20),
+                 .on_done = [](const HttpResult&) {}});
+    StartServer(server);
+    server.restarting = false;
+  });
+}
+
+void System::RestartEndedServers() {
+  constexpr Duration kRestartTime = std::chrono::milliseconds(1200);
+  for (Server& server : servers_) {
+    if (!server.restarting && processes_.Has(server.name) &&
+        processes_.TryJoin(server.name).has_value()) {
+      on_crash_();
+      RestartServer(server, kRestartTime);
+    }
+  }
+}
+
 void System::Tick() {
   std::vector<PendingAction> due;
   std::erase_if(pending_, [&](PendingAction& pending) {
@@ -312,6 +329,7 @@
   for (const PendingAction& pending : due) {
     pending.action();
   }
+  RestartEndedServers();
   // Restarts entries that have ended, after a short delay, as the platform
   // does.
   for (Entry& entry : entries_) {
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -43,6 +43,10 @@
   void set_on_arrival(std::function<void(const std::string&)> on_arrival) {
     on_arrival_ = std::move(on_arrival);
   }
+  /// Called when a server has crashed by a request.
+  void set_on_crash(std::function<void()> on_crash) {
+    on_crash_ = std::move(on_crash);
+  }
   /// Ids of the requests that servers ran, once for each run.
   std::multiset<std::string> Runs() const;
   const std::string& directory() const { return processes_.directory(); }
@@ -68,6 +72,8 @@
     std::string id;
     std::unique_ptr<test::Relay> relay;
     int starts = 0;
+    /// Whether the server has ended and its restart is scheduled.
+    bool restarting = false;
   };
   struct PendingAction {
     TimePoint at;
@@ -76,6 +82,9 @@
 
   void StartEntry(Entry& entry);
   void StartServer(Server& server);
+  /// Restarts a server that has ended, under another id.
+  void RestartServer(Server& server, Duration after);
+  void RestartEndedServers();
   void ListServer(const Server& server, bool draining);
   void PutObject(const std::string& path, const std::string& body);
   void PutConfig();
@@ -103,6 +112,7 @@
   std::vector<PendingAction> pending_;
   uint64_t config_version_ = 0;
   std::function<void(const std::string&)> on_arrival_;
+  std::function<void()> on_crash_;
 };
 
 }  // namespace lavenderkeel::soak
