--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -69,7 +69,8 @@
     {kServerUnreachable, "server_unreachable", kNotRun, 503,
      "the backend server accepted no connection"},
     {kCrashesServers, "crashes_servers", kNotRun, 503,
-     "servers that ran equal requests were lost each time"},
+     "servers that ran equal requests, or others with the same part of the "
+     "prompt, were lost each time"},
     {kServerPushback, "server_pushback", kNotRun, 503,
      "the backend servers turned requests away and asked for a rest"},
     {kServerLost, "server_lost", kUnknown, 504,
