Crash archive: entries don't replace each other's losses in a full store

If entries know more losses together than the store keeps, at the same times, each wrote its own in place of the others' every second: 196 writes in 100 s by two entries (FullStoreIsNotRewritten). No caller saw it; the store would have. A full store now lacks only losses of culprits: 4 writes at most.

--- a/lavenderkeel/crash/crash_archive.cc
+++ b/lavenderkeel/crash/crash_archive.cc
@@ -106,13 +106,8 @@
   std::erase_if(evidence.survivals, [&](const auto& item) {
     return now - item.second > options_.max_age;
   });
-  const std::vector<Suspect> culprits = guard_.ledger().Culprits();
-  const auto rank = [&culprits](const CrashReport& loss) {
-    const bool has_culprit =
-        std::ranges::any_of(culprits, [&loss](const Suspect& culprit) {
-          return HasSuspect(loss.request, culprit);
-        });
-    return std::pair(has_culprit, loss.ended);
+  const auto rank = [this](const CrashReport& loss) {
+    return std::pair(HasCulprit(loss), loss.ended);
   };
   while (evidence.losses.size() > options_.max_losses) {
     evidence.losses.erase(std::ranges::min_element(evidence.losses, {}, rank));
@@ -123,9 +118,18 @@
   }
 }
 
+bool CrashArchive::HasCulprit(const CrashReport& loss) const {
+  const std::vector<Suspect> culprits = guard_.ledger().Culprits();
+  return std::ranges::any_of(culprits, [&loss](const Suspect& culprit) {
+    return HasSuspect(loss.request, culprit);
+  });
+}
+
 bool CrashArchive::Lacks(const Evidence& wanted) const {
-  const auto is_missing = [this](const CrashReport& loss) {
-    return !Contains(stored_.losses, loss);
+  // Entries would replace each other's losses in a full store without end.
+  const bool is_full = stored_.losses.size() >= options_.max_losses;
+  const auto is_missing = [&](const CrashReport& loss) {
+    return !Contains(stored_.losses, loss) && (!is_full || HasCulprit(loss));
   };
   return std::ranges::any_of(wanted.losses, is_missing) || IsOutdated();
 }
--- a/lavenderkeel/crash/crash_archive.h
+++ b/lavenderkeel/crash/crash_archive.h
@@ -87,6 +87,7 @@
   Evidence Wanted(bool with_doubtful, TimePoint now) const;
   /// Removes what is too old or exceeds the limits.
   void Limit(Evidence& evidence, TimePoint now) const;
+  bool HasCulprit(const CrashReport& loss) const;
   /// Returns whether the store lacks something that matters.
   bool Lacks(const Evidence& wanted) const;
   /// Returns whether a suspect that the store has several losses of was
--- a/test/crash/crash_archive_test.cc
+++ b/test/crash/crash_archive_test.cc
@@ -25,17 +25,23 @@
 };
 
 struct Entry {
-  Entry(Store& shared, fuzz::VirtualClock& common)
+  Entry(Store& shared,
+        fuzz::VirtualClock& common,
+        const CrashArchive::Options& options = {})
       : store(shared),
         clock(common),
         guard({}, clock, log, metrics),
-        archive({}, guard, clock, log, [this](const CrashArchiveWrite& write) {
-          ++store.writes;
-          if (write.revision == store.revision) {
-            ++store.revision;
-            store.reports = write.reports;
-          }
-        }) {}
+        archive(options,
+                guard,
+                clock,
+                log,
+                [this](const CrashArchiveWrite& write) {
+                  ++store.writes;
+                  if (write.revision == store.revision) {
+                    ++store.revision;
+                    store.reports = write.reports;
+                  }
+                }) {}
 
   void Read() { archive.OnRead(store.revision, store.reports); }
   void LoseServers(int servers, bool are_requests_different = false) {
@@ -190,6 +196,35 @@
   BOOST_TEST(store.reports.size() == 3U);
 }
 
+// Guards against entries that replace each other's losses in a full store
+// without end.
+BOOST_AUTO_TEST_CASE(FullStoreIsNotRewritten) {
+  fuzz::VirtualClock clock;
+  Store store;
+  const CrashArchive::Options options = {.max_losses = 4};
+  Entry entries[] = {{store, clock, options}, {store, clock, options}};
+  const TimePoint sent = clock.Now();
+  clock.Advance(milliseconds(50));
+  for (Entry& entry : entries) {
+    for (uint64_t i = 0; i < options.max_losses; ++i) {
+      const auto own = static_cast<uint64_t>(&entry - entries);
+      entry.guard.OnServerLost(
+          {.request = {.fingerprint = 100 * own + i, .parts = {own + 1}},
+           .server = 100 * own + i + 1,
+           .sent = sent});
+    }
+  }
+  for (int i = 0; i < 100; ++i) {
+    for (Entry& entry : entries) {
+      entry.Read();
+      entry.archive.Tick({.reaches_all = false});
+    }
+    clock.Advance(seconds(1));
+  }
+  BOOST_TEST(store.reports.size() == options.max_losses);
+  BOOST_TEST(store.writes <= 4);
+}
+
 // Guards against a write that is not made again though the store did not take
 // it.
 BOOST_FIXTURE_TEST_CASE(WriteWithoutEffectIsRepeated, Fixture) {
