--- a/lavenderkeel/crash/suspect.cc
+++ b/lavenderkeel/crash/suspect.cc
@@ -31,7 +31,7 @@
 }
 
 std::string SuspectName(const Suspect& suspect) {
-  const std::string kind = std::string(SuspectKindName(suspect.kind)) + ":";
+  std::string kind = std::string(SuspectKindName(suspect.kind)) + ":";
   switch (suspect.kind) {
     case Suspect::Kind::kPart:
       return kind + PromptPartName(suspect.first);
