--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -27,7 +27,7 @@
   uint32_t prompt_tokens = 0;
   uint32_t max_tokens = 0;
   std::vector<uint64_t> prefix;
-  /// What may crash the server; empty for services.
+  /// The ids of the paragraphs of the prompt; empty for services.
   std::vector<PromptPartId> prompt_parts;
 
   friend bool operator==(const Payload&, const Payload&) = default;
