review: a second answer makes a request run twice

Seen: a server rejects a request and later sends the rejection a second time. The entry sends the request again on the same connection, takes the copy for the answer to the second attempt, and sends it a third time, or refuses it, while the server runs it. Code: OnAnswerHead matches by Request-Id only, and TakeIdle reuses the connection on which the same request was rejected.

--- a/review/stand_in/backend.cc
+++ b/review/stand_in/backend.cc
@@ -131,8 +131,10 @@
 bool Backend::Send(Connection& connection,
                    const std::string& answer,
                    std::string& second_answer) {
-  const int sent = ++answers_;
-  if (sent_twice_ + 1 <= second_answers_ * sent) {
+  ++answers_;
+  const double part = second_answers_;
+  faulty_answers_ += part > 0 ? 1 : 0;
+  if (sent_twice_ + 1 <= part * faulty_answers_) {
     ++sent_twice_;
     second_answer = answer;
     record_.Line("second answer due at " + options_.id);
--- a/review/stand_in/backend.h
+++ b/review/stand_in/backend.h
@@ -81,6 +81,8 @@
   std::mt19937 random_;
   std::atomic<double> second_answers_ = 0;
   std::atomic<int> answers_ = 0;
+  /// Answers while a part of them is sent twice.
+  std::atomic<int> faulty_answers_ = 0;
   std::atomic<int> sent_twice_ = 0;
   std::atomic<bool> ended_ = false;
   Server server_;
