--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -183,7 +183,7 @@
   for (std::thread& client : clients) {
     client.join();
   }
-  const bool all_run = fleet.AllRun();
+  const bool all_run = fleet.AllRun(record);
   fleet.EndAll();
   record.Line("sent " + std::to_string(outcomes.sent) + ", answered whole " +
               std::to_string(outcomes.whole) + ", refused or failed " +
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -171,7 +171,7 @@
   }
   users.Wait();
   SleepMs(kPauseMs);
-  const bool all_run = fleet.AllRun();
+  const bool all_run = fleet.AllRun(record);
   fleet.EndAll();
 
   const std::map<std::string, int> runs = server.Runs();
--- a/review/stand_in/http.cc
+++ b/review/stand_in/http.cc
@@ -254,16 +254,20 @@
   }
 }
 
-int FreePort() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+std::vector<int> FreePorts(size_t count) {
+  std::vector<int> sockets;
+  std::vector<int> ports;
   const sockaddr_in address = Loopback(0);
-  int port = 0;
-  if (bind(socket, reinterpret_cast<const sockaddr*>(&address),
-           sizeof(address)) == 0) {
-    port = PortOf(socket);
+  for (size_t i = 0; i < count; ++i) {
+    // All are bound at once, so that no port is given twice.
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockets.push_back(socket);
+    const int bound = bind(socket, reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address));
+    ports.push_back(bound == 0 ? PortOf(socket) : 0);
   }
-  close(socket);
-  return port;
+  std::ranges::for_each(sockets, close);
+  return ports;
 }
 
 void AppendFields(const Fields& fields, std::string& bytes) {
--- a/review/stand_in/http.h
+++ b/review/stand_in/http.h
@@ -95,8 +95,8 @@
   std::set<Connection*> open_;
 };
 
-/// Binds a free port of the loopback interface and releases it again.
-int FreePort();
+/// Binds free ports of the loopback interface and releases them again.
+std::vector<int> FreePorts(size_t count);
 
 /// Appends the lines of a head.
 void AppendFields(const Fields& fields, std::string& bytes);
--- a/review/stand_in/scene.cc
+++ b/review/stand_in/scene.cc
@@ -56,12 +56,14 @@
     : directory_(std::move(directory)),
       store_port_(store_port),
       bounds_(bounds) {
-  for (const std::string& zone : zones) {
-    entries_.push_back({.name = "front-" + std::to_string(entries_.size() + 1),
-                        .zone = zone,
-                        .clients = FreePort(),
-                        .status = FreePort(),
-                        .peers = FreePort()});
+  constexpr size_t kPorts = 3;
+  const std::vector<int> ports = FreePorts(kPorts * zones.size());
+  for (size_t i = 0; i < zones.size(); ++i) {
+    entries_.push_back({.name = "front-" + std::to_string(i + 1),
+                        .zone = zones[i],
+                        .clients = ports[kPorts * i],
+                        .status = ports[kPorts * i + 1],
+                        .peers = ports[kPorts * i + 2]});
   }
 }
 
@@ -145,10 +147,18 @@
   return true;
 }
 
-bool Fleet::AllRun() const {
-  return std::ranges::all_of(entries_, [](const Entry& entry) {
-    return entry.process > 0 && waitpid(entry.process, nullptr, WNOHANG) == 0;
-  });
+bool Fleet::AllRun(Record& record) {
+  bool all_run = true;
+  for (Entry& entry : entries_) {
+    int status = 0;
+    if (entry.process <= 0 || waitpid(entry.process, &status, WNOHANG) != 0) {
+      record.Line(entry.name + " has ended, wait status " +
+                  std::to_string(status));
+      entry.process = -1;
+      all_run = false;
+    }
+  }
+  return all_run;
 }
 
 void Fleet::EndAll() {
--- a/review/stand_in/scene.h
+++ b/review/stand_in/scene.h
@@ -68,8 +68,9 @@
   /// @return whether the entry's readiness is 200
   static bool IsReady(const Entry& entry);
   bool WaitUntilReady(int64_t ms) const;
+  /// Records the processes that have ended by themselves.
   /// @return whether every process still runs
-  bool AllRun() const;
+  bool AllRun(Record& record);
   void EndAll();
 
  private:
