review: a crashing part behind 64 others is never recognised

Seen: requests with a part that crashes servers, behind 64 other parts of the prompt, reach servers without end: 20 of 20 crash one, 12 of them later than contactMs after the fifth crash. Sound streams at these servers are cut. With the part at place 62 it ends after three crashes. Code: SuspectsOf looks at the first 64 parts (kMaxParts).

--- a/review/stand_in/backend.cc
+++ b/review/stand_in/backend.cc
@@ -21,6 +21,11 @@
   return size + "\r\n" + bytes + "\r\n";
 }
 
+bool HasPart(const std::string& prompt, const std::string& part) {
+  return !part.empty() &&
+         ("," + prompt).find("," + part + ":") != std::string::npos;
+}
+
 }  // namespace
 
 Backend::Backend(const Options& options, Record& record)
@@ -95,6 +100,13 @@
   }
   const Fields fields = {{"Request-Id", id},
                          {"Response-Seal", options_.id + "." + id}};
+  if (HasPart(FieldOf(request.head.fields, "Prompt-Prefix"),
+              options_.crashing_part)) {
+    SleepMs(options_.event_gap_ms);
+    record_.Line("crashed at " + options_.id + " by " + id);
+    End();
+    return false;
+  }
   bool open = false;
   if (request.head.target().starts_with(options_.stream_path)) {
     open = Stream(connection, fields);
--- a/review/stand_in/backend.h
+++ b/review/stand_in/backend.h
@@ -30,6 +30,9 @@
     std::string stream_path = "/stream/";
     int events = 20;
     int event_gap_ms = 80;
+    /// A prompt with this part crashes the server when it begins to write the
+    /// answer; empty: none does.
+    std::string crashing_part = {};
   };
   struct Arrival {
     std::string request;
@@ -45,6 +48,7 @@
   void SendSecondAnswers(double part) { second_answers_ = part; }
   /// The process exits: its connections end, whatever runs is cut.
   void End();
+  bool ended() const { return ended_; }
 
   /// Requests that reached the server and were not for another one.
   std::vector<Arrival> Arrivals() const;
