Attempts of a request never share a connection to a server

Callers of requests that may run once saw them run twice, or got a 503 although they had run.

Cause: answers were matched to attempts by the echoed id of the request alone. The id identifies the request, not the attempt: a rejected request went to the same server again on the same connection, and a second copy of the first rejection, sent where the second answer was due, was taken for it.

Ruled out: copies on other connections (the stand-in sends them on the connection of the original only) and rejections without an id (they count on the first request of a connection only). The new test plays the copy against the port alone and fails without the check (status 503 in place of 200).

Now each connection remembers the ids that it carried, and a request goes to one that has not carried its id; that holds for rejections, whole answers, errors and streams alike, and for callers that use an id twice. A connection is closed after 1,000 requests, which bounds what it remembers.

The relay of the soak sends answers a second time; fake_backend echoes the id in rejections, as servers do.

New: server_connections_passed_over and foreign_answers (metrics).

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -533,6 +533,7 @@
       request.attempt,
       {.server = key,
        .address = server.address,
+       .request_id = request.metadata.request_id,
        .bytes = EncodeRequest(head, request.body),
        .max_reuse_idle_time =
            request.may_repeat() ? options_.max_reuse_idle_time
@@ -590,6 +591,7 @@
   const bool foreign = !metadata.request_id.empty() &&
                        metadata.request_id != request->metadata.request_id;
   if (foreign) {
+    metrics_.Add("foreign_answers");
     log_.Warn("foreign_answer", {{"id", request->metadata.request_id},
                                  {"server", request->server},
                                  {"answers", metadata.request_id}});
--- a/lavenderkeel/forward/forward_port.h
+++ b/lavenderkeel/forward/forward_port.h
@@ -31,6 +31,9 @@
     /// used.
     std::string server;
     std::string address;
+    /// Echoed in every answer to the request. No connection carries the same id
+    /// twice, so that an answer with this id belongs to this attempt.
+    std::string request_id;
     std::string bytes;
     /// An idle connection may be reused within this time of its last use; zero:
     /// only a new connection.
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -243,6 +243,8 @@
     metrics_.Set("server_connects", static_cast<double>(upstream_.connects()));
     metrics_.Set("server_connection_reuses",
                  static_cast<double>(upstream_.reuses()));
+    metrics_.Set("server_connections_passed_over",
+                 static_cast<double>(upstream_.passed_over()));
     node_.controller().retries().PutMetrics(metrics_);
     metrics_.Set("store_calls", static_cast<double>(node_.store_calls()));
     reply.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -8,8 +8,10 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <unordered_set>
 #include <utility>
 
+#include "lavenderkeel/base/rendezvous.h"
 #include "lavenderkeel/io/address.h"
 #include "lavenderkeel/io/socket_options.h"
 
@@ -58,6 +60,8 @@
   bufferevent* events = nullptr;
   ResponseReader reader;
   AttemptId attempt = 0;
+  /// Hashes of the ids of all requests sent on this connection.
+  std::unordered_set<uint64_t> requests;
   bool connected = false;
   /// True until the first answer has arrived.
   bool fresh = true;
@@ -80,8 +84,7 @@
 
 void UpstreamPort::Send(AttemptId attempt,
                         const ForwardPort::OutgoingRequest& outgoing) {
-  Connection* connection =
-      TakeIdle(outgoing.server, outgoing.max_reuse_idle_time);
+  Connection* connection = TakeIdle(outgoing);
   if (connection == nullptr) {
     connection = Connect(outgoing);
   }
@@ -93,6 +96,7 @@
     return;
   }
   connection->attempt = attempt;
+  connection->requests.insert(HashBytes(outgoing.request_id));
   connection->head_taken = false;
   connection->skipping = false;
   connection->reader = ResponseReader(options_.answer);
@@ -101,20 +105,30 @@
                     outgoing.bytes.size());
 }
 
-UpstreamPort::Connection* UpstreamPort::TakeIdle(const std::string& server,
-                                                 Duration max_reuse_idle_time) {
-  const auto idle = idle_.find(server);
-  if (idle == idle_.end() || idle->second.empty()) {
+UpstreamPort::Connection* UpstreamPort::TakeIdle(
+    const ForwardPort::OutgoingRequest& outgoing) {
+  const auto idle = idle_.find(outgoing.server);
+  if (idle == idle_.end()) {
     return nullptr;
   }
-  Connection& latest = *connections_.at(idle->second.back());
-  const Duration age = clock_.Now() - latest.idle_since;
-  if (age > std::min(max_reuse_idle_time, latest.idle_time)) {
-    return nullptr;
+  const TimePoint now = clock_.Now();
+  const uint64_t request = HashBytes(outgoing.request_id);
+  std::vector<ConnectionId>& ids = idle->second;
+  for (size_t i = ids.size(); i-- > 0;) {
+    Connection& connection = *connections_.at(ids[i]);
+    if (now - connection.idle_since >
+        std::min(outgoing.max_reuse_idle_time, connection.idle_time)) {
+      continue;
+    }
+    if (connection.requests.contains(request)) {
+      ++passed_over_;
+      continue;
+    }
+    ids.erase(ids.begin() + static_cast<ptrdiff_t>(i));
+    ++reuses_;
+    return &connection;
   }
-  idle->second.pop_back();
-  ++reuses_;
-  return &latest;
+  return nullptr;
 }
 
 UpstreamPort::Connection* UpstreamPort::Connect(
@@ -276,6 +290,7 @@
   // connection.
   const bool reusable =
       head.keep_alive && head.framing != BodyFraming::kUntilClose &&
+      connection.requests.size() < options_.max_requests &&
       evbuffer_get_length(input) == 0 && evbuffer_get_length(output) == 0;
   attempts_.erase(attempt);
   if (reusable) {
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -25,6 +25,10 @@
 /// An idle connection is kept only if its state is certain: the answer ended
 /// exactly where its framing said, the request was written completely, and no
 /// byte followed the answer.
+///
+/// A server may send an answer again, at the point where the answer to a later
+/// request on that connection is expected. A request that is sent again
+/// therefore gets a connection that has not carried its id.
 class UpstreamPort {
  public:
   struct Options {
@@ -35,6 +39,9 @@
     /// Idle connections are closed after this time, or a second before the
     /// timeout that the server announces.
     Duration idle_time = std::chrono::seconds(8);
+    /// A connection is closed after this many requests, which bounds the ids
+    /// that it remembers.
+    size_t max_requests = 1000;
     /// Limits on a server's answer.
     ReadLimits answer = {.head_bytes = size_t{32} << 10,
                          .body_bytes = uint64_t{64} << 20};
@@ -67,12 +74,15 @@
 
   uint64_t connects() const { return connects_; }
   uint64_t reuses() const { return reuses_; }
+  /// Number of idle connections that were not reused because they had carried
+  /// the same request.
+  uint64_t passed_over() const { return passed_over_; }
 
  private:
   struct Connection;
   using ConnectionId = uint64_t;
 
-  Connection* TakeIdle(const std::string& server, Duration max_reuse_idle_time);
+  Connection* TakeIdle(const ForwardPort::OutgoingRequest& outgoing);
   Connection* Connect(const ForwardPort::OutgoingRequest& outgoing);
   void OnReadable(Connection& connection);
   /// Parses received bytes.
@@ -95,6 +105,7 @@
   std::map<std::string, std::vector<ConnectionId>> idle_;
   uint64_t connects_ = 0;
   uint64_t reuses_ = 0;
+  uint64_t passed_over_ = 0;
 };
 
 }  // namespace lavenderkeel
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -86,15 +86,16 @@
                                       .headers = {{"Instance-Id", id_}}});
       return;
     }
+    const std::string id = request.header("Request-Id").value_or("");
     if (Fails("reject")) {
-      http_.Handle(
-          lavenderkeel::ReplyComplete{.caller = request.id,
-                                      .status = kUnavailable,
-                                      .headers = {{"Not-Executed", "1"}}});
+      http_.Handle(lavenderkeel::ReplyComplete{
+          .caller = request.id,
+          .status = kUnavailable,
+          .headers = {{"Request-Id", id}, {"Not-Executed", "1"}}});
       return;
     }
     Running run{
-        .request = request.header("Request-Id").value_or(""),
+        .request = id,
         .stream = request.path.starts_with("/stream/"),
         .lost = Fails("lose"),
         .error = Fails("error"),
--- /dev/null
+++ b/test/fakes/scripted_server.cc
@@ -0,0 +1,111 @@
+#include "test/fakes/scripted_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "lavenderkeel/io/address.h"
+
+namespace lavenderkeel::fakes {
+
+struct ScriptedServer::Connection {
+  ~Connection() { bufferevent_free(events); }
+
+  ScriptedServer* server = nullptr;
+  ConnectionId id = 0;
+  bufferevent* events = nullptr;
+  /// Sent again and again if not empty.
+  std::string endless;
+};
+
+ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
+    : loop_(loop), script_(std::move(script)) {
+  sockaddr_storage storage{};
+  const auto length =
+      static_cast<int>(Address{.host = "127.0.0.1"}.ToSocketAddress(storage));
+  listener_ = evconnlistener_new_bind(
+      loop.base(),
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+        static_cast<ScriptedServer*>(self)->Accept(socket);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&storage),
+      length);
+  address_ = BoundAddress(evconnlistener_get_fd(listener_));
+}
+
+ScriptedServer::~ScriptedServer() {
+  connections_.clear();
+  evconnlistener_free(listener_);
+}
+
+void ScriptedServer::Accept(int socket) {
+  auto connection = std::make_unique<Connection>();
+  connection->server = this;
+  connection->id = ++last_;
+  connection->events =
+      bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      connection->events,
+      [](bufferevent*, void* arg) {
+        auto& self = *static_cast<Connection*>(arg);
+        self.server->OnReadable(self);
+      },
+      [](bufferevent*, void* arg) {
+        auto& self = *static_cast<Connection*>(arg);
+        self.server->OnWritable(self);
+      },
+      [](bufferevent*, short, void* arg) {
+        auto& self = *static_cast<Connection*>(arg);
+        self.server->connections_.erase(self.id);
+      },
+      connection.get());
+  bufferevent_enable(connection->events, EV_READ | EV_WRITE);
+  connections_[connection->id] = std::move(connection);
+}
+
+void ScriptedServer::OnReadable(Connection& connection) {
+  constexpr std::string_view kEndOfHead = "\r\n\r\n";
+  evbuffer* input = bufferevent_get_input(connection.events);
+  while (true) {
+    const evbuffer_ptr end =
+        evbuffer_search(input, kEndOfHead.data(), kEndOfHead.size(), nullptr);
+    if (end.pos < 0) {
+      return;
+    }
+    std::string request(static_cast<size_t>(end.pos) + kEndOfHead.size(), '\0');
+    evbuffer_remove(input, request.data(), request.size());
+    const ConnectionId id = connection.id;
+    const std::string answer = script_(id, request);
+    if (!IsOpen(id)) {
+      return;
+    }
+    Send(id, answer);
+  }
+}
+
+void ScriptedServer::OnWritable(Connection& connection) {
+  if (!connection.endless.empty()) {
+    endless_bytes_ += connection.endless.size();
+    bufferevent_write(connection.events, connection.endless.data(),
+                      connection.endless.size());
+  }
+}
+
+void ScriptedServer::Send(ConnectionId connection, std::string_view bytes) {
+  const auto found = connections_.find(connection);
+  if (found != connections_.end()) {
+    bufferevent_write(found->second->events, bytes.data(), bytes.size());
+  }
+}
+
+void ScriptedServer::SendWithoutEnd(ConnectionId connection,
+                                    std::string bytes) {
+  Connection& found = *connections_.at(connection);
+  found.endless = std::move(bytes);
+  OnWritable(found);
+}
+
+}  // namespace lavenderkeel::fakes
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -10,8 +10,11 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
+#include <map>
+#include <optional>
 
 #include "lavenderkeel/io/address.h"
+#include "test/fakes/scripted_server.h"
 
 namespace lavenderkeel {
 
@@ -64,8 +67,132 @@
   int socket_ = -1;
 };
 
+/// The answers of a server, taken by the id that they echo.
+class Client {
+ public:
+  struct Attempt {
+    std::string request_id;
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    std::optional<AttemptFailure> failure;
+  };
+
+  explicit Client(EventLoop& loop, UpstreamPort::Options options = {})
+      : loop_(loop),
+        port_(loop,
+              options,
+              clock_,
+              {.on_head = [this](AttemptId id,
+                                 const ResponseHead& head,
+                                 bool) { return OnHead(id, head); },
+               .on_chunk =
+                   [this](AttemptId id, const std::string& bytes) {
+                     attempts_.at(id).body += bytes;
+                     return true;
+                   },
+               .on_end =
+                   [this](AttemptId id) {
+                     attempts_.at(id).ended = true;
+                     loop_.Stop();
+                   },
+               .on_failed =
+                   [this](AttemptId id, AttemptFailure failure) {
+                     attempts_.at(id).failure = failure;
+                     loop_.Stop();
+                   }}) {}
+
+  /// Sends a request and waits for its outcome.
+  const Attempt& Call(const fakes::ScriptedServer& server,
+                      const std::string& request_id) {
+    const AttemptId id = ++last_;
+    attempts_[id].request_id = request_id;
+    port_.Send(id, {.server = "s",
+                    .address = server.address(),
+                    .request_id = request_id,
+                    .bytes = "GET / HTTP/1.1\r\nRequest-Id: " + request_id +
+                             "\r\n\r\n",
+                    .max_reuse_idle_time = std::chrono::seconds(8)});
+    loop_.Run();
+    return attempts_.at(id);
+  }
+  const UpstreamPort& port() const { return port_; }
+
+ private:
+  ForwardController::HeadVerdict OnHead(AttemptId id,
+                                        const ResponseHead& head) {
+    Attempt& attempt = attempts_.at(id);
+    if (*FindField(head.fields, "Request-Id") != attempt.request_id) {
+      return ForwardController::HeadVerdict::kSkip;
+    }
+    attempt.status = head.status;
+    return ForwardController::HeadVerdict::kTake;
+  }
+
+  EventLoop& loop_;
+  SystemClock clock_;
+  std::map<AttemptId, Attempt> attempts_;
+  AttemptId last_ = 0;
+  UpstreamPort port_;
+};
+
+std::string RequestIdOf(std::string_view request) {
+  constexpr std::string_view kField = "Request-Id: ";
+  const size_t at = request.find(kField) + kField.size();
+  return std::string(request.substr(at, request.find('\r', at) - at));
+}
+
+std::string Answer(const std::string& status,
+                   const std::string& request_id,
+                   const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\nRequest-Id: " + request_id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
 }  // namespace
 
+// Guards against a repeated answer that is taken for that of the next attempt.
+BOOST_AUTO_TEST_CASE(RepeatedAnswerIsNotThatOfTheNextAttempt) {
+  EventLoop loop;
+  int requests = 0;
+  std::map<int, std::string> last_answers;
+  fakes::ScriptedServer server(
+      loop, [&](int connection, std::string_view request) {
+        const std::string id = RequestIdOf(request);
+        const std::string repeated = last_answers[connection];
+        last_answers[connection] =
+            ++requests == 1 ? Answer("503 Service Unavailable", id, "rejected")
+                            : Answer("200 OK", id, "answer " + id);
+        return repeated + last_answers[connection];
+      });
+  Client client(loop);
+  BOOST_TEST(client.Call(server, "r").status == 503);
+  const Client::Attempt& again = client.Call(server, "r");
+  BOOST_TEST(again.status == 200);
+  BOOST_TEST(again.body == "answer r");
+  BOOST_TEST(client.port().passed_over() == 1U);
+  // Another request may use the first connection: the ids differ.
+  const Client::Attempt& other = client.Call(server, "other");
+  BOOST_TEST(other.status == 200);
+  BOOST_TEST(other.body == "answer other");
+  BOOST_TEST(server.accepted() == 2);
+}
+
+// Guards against a connection that remembers ids without bound.
+BOOST_AUTO_TEST_CASE(ConnectionIsClosedAfterItsLastRequest) {
+  EventLoop loop;
+  fakes::ScriptedServer server(loop, [](int, std::string_view request) {
+    return Answer("200 OK", RequestIdOf(request), "answer");
+  });
+  constexpr size_t kMaxRequests = 3;
+  Client client(loop, {.max_requests = kMaxRequests});
+  for (size_t i = 0; i <= kMaxRequests; ++i) {
+    BOOST_TEST(client.Call(server, "r" + std::to_string(i)).ended);
+  }
+  BOOST_TEST(server.accepted() == 2);
+}
+
 // Guards against a request that reaches its server after it was given up.
 BOOST_AUTO_TEST_CASE(CancelledAttemptIsReset) {
   EventLoop loop;
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -8,10 +8,46 @@
 #include <deque>
 #include <utility>
 
+#include "lavenderkeel/http/message_reader.h"
 #include "lavenderkeel/io/address.h"
 
 namespace lavenderkeel::test {
 
+/// Splits the bytes of a connection's answers into messages.
+class Relay::AnswerRecorder {
+ public:
+  /// @return the number of answers that the bytes completed
+  int Feed(std::string_view bytes) {
+    int completed = 0;
+    unread_ += bytes;
+    if (reader_.fault() != ReadFault::kNone) {
+      // Recording began in the middle of an answer.
+      *this = AnswerRecorder();
+      return 0;
+    }
+    while (!unread_.empty()) {
+      const size_t consumed = reader_.Feed(unread_);
+      current_ += unread_.substr(0, consumed);
+      unread_.erase(0, consumed);
+      reader_.TakeBody();
+      if (!reader_.done()) {
+        break;
+      }
+      last_ = std::exchange(current_, {});
+      reader_ = ResponseReader({});
+      ++completed;
+    }
+    return completed;
+  }
+  const std::string& last() const { return last_; }
+
+ private:
+  ResponseReader reader_{{}};
+  std::string unread_;
+  std::string current_;
+  std::string last_;
+};
+
 /// An accepted connection (`in`) and the connection to the target (`out`).
 struct Relay::ConnectionPair {
   ~ConnectionPair() {
@@ -32,6 +68,9 @@
   /// have been sent.
   bool half_closed = false;
   std::deque<QueuedBytes> queued;
+  AnswerRecorder answers;
+  /// Sent to the client once the next request has been forwarded.
+  std::string repeated_answer;
 
   bool Drained() const {
     return queued.empty() &&
@@ -138,6 +177,13 @@
       }
       bufferevent_write(queued.to_target ? pair->out : pair->in,
                         queued.bytes.data(), queued.bytes.size());
+      if (queued.to_target) {
+        const std::string repeated = std::exchange(pair->repeated_answer, {});
+        bufferevent_write(pair->in, repeated.data(), repeated.size());
+      } else if (repeat_period_ > 0 && pair->answers.Feed(queued.bytes) > 0 &&
+                 ++answers_ % repeat_period_ == 0) {
+        pair->repeated_answer = pair->answers.last();
+      }
     }
     pair->queued.swap(remaining);
     if (pair->half_closed && !pair->closed && pair->Drained()) {
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -35,6 +35,10 @@
   /// until it is unblocked; new connections are accepted but carry nothing in
   /// that direction.
   void SetBlocked(bool to_target, bool from_target);
+  /// Sets how often an HTTP answer is sent a second time, when the next request
+  /// on its connection has been forwarded: after each so many answers; zero:
+  /// never.
+  void set_repeat_period(int period) { repeat_period_ = period; }
   /// Sets a function that is called with the bytes that go to the target.
   void set_on_forwarded(std::function<void(const std::string&)> on_forwarded) {
     on_forwarded_ = std::move(on_forwarded);
@@ -42,6 +46,7 @@
 
  private:
   struct ConnectionPair;
+  class AnswerRecorder;
 
   void Accept(int socket);
   void Forward(ConnectionPair& pair, bool to_target);
@@ -57,6 +62,8 @@
   Duration delay_{};
   bool to_target_blocked_ = false;
   bool from_target_blocked_ = false;
+  int repeat_period_ = 0;
+  int answers_ = 0;
   std::function<void(const std::string&)> on_forwarded_;
 };
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -10,14 +10,29 @@
 namespace {
 
 constexpr std::array<const char*, kFaultKinds> kFaultNames = {
-    "kill entry",          "stop entry",          "pause entry",
-    "kill all entries",    "kill server",         "pause server",
-    "drain server",        "reset server links",  "silence server links",
-    "delay server links",  "cut server one way",  "pause store",
-    "reset store links",   "silence store links", "cut store one way",
-    "reset peer links",    "silence peer links",  "cut peer one way",
-    "change config",       "server rejects",      "server errs",
-    "server loses answers"};
+    "kill entry",
+    "stop entry",
+    "pause entry",
+    "kill all entries",
+    "kill server",
+    "pause server",
+    "drain server",
+    "reset server links",
+    "silence server links",
+    "delay server links",
+    "cut server one way",
+    "pause store",
+    "reset store links",
+    "silence store links",
+    "cut store one way",
+    "reset peer links",
+    "silence peer links",
+    "cut peer one way",
+    "change config",
+    "server rejects",
+    "server errs",
+    "server loses answers",
+    "server repeats answers"};
 
 constexpr int kFaultsEndMs = 8000;
 constexpr int kMaxFaultMs = 2500;
@@ -52,6 +67,25 @@
   }
 }
 
+/// Adds servers that send answers a second time, with steps of their own, so
+/// that the other steps of a seed don't depend on them.
+void AddRepeatedAnswers(Plan& plan) {
+  std::mt19937_64 random(plan.seed + 2);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  for (int server = 0; server < plan.servers; ++server) {
+    if (pick(0, 1) == 1) {
+      plan.steps.push_back(
+          {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
+           .fault = Fault::kServerRepeatsAnswers,
+           .target = server,
+           .duration =
+               std::chrono::milliseconds(pick(1000, kFaultsEndMs / 2))});
+    }
+  }
+}
+
 void MakePartCrash(Plan& plan) {
   constexpr int kTimesServers = 2;
   plan.servers *= kTimesServers;
@@ -94,6 +128,7 @@
     MakePartCrash(plan);
   } else {
     AddFailingServers(plan);
+    AddRepeatedAnswers(plan);
   }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -36,10 +36,12 @@
   kServerRejects,
   kServerErrs,
   kServerLosesAnswers,
+  /// Some answers are sent a second time, where the next one is expected.
+  kServerRepeatsAnswers,
 };
 
 inline constexpr int kFaultKinds =
-    static_cast<int>(Fault::kServerLosesAnswers) + 1;
+    static_cast<int>(Fault::kServerRepeatsAnswers) + 1;
 
 /// The bound on retries that the entries are started with. Its window is short,
 /// so that the faults of a plan spread over several.
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -287,6 +287,10 @@
     case Fault::kServerLosesAnswers:
       FailRequests(step, "lose", server);
       return;
+    case Fault::kServerRepeatsAnswers:
+      relay.set_repeat_period(/*period=*/3);
+      Schedule(step.duration, [&relay] { relay.set_repeat_period(0); });
+      return;
     default:
       return;
   }
