An object of the store that can't be read hides no other

Callers saw streams cut and requests fail: servers that left got requests until they exited, as long as one entry among the servers had half of a surrogate pair in a field.

Cause: the answer of the store was parsed as a whole. Boost.JSON rejects half of a surrogate pair, control bytes in strings, exponents out of range and deep nesting, so one value made the whole list, or each watch, an answer that did not arrive, and it was asked for again without end.

Ruled out: the store (its answers are complete), the watch (it does what it should after no answer).

Now the answer is split into the texts of its objects by strings and brackets alone, and each object is parsed by itself. One that can't be read is counted (objects_unreadable) and logged with its position; if its name can be read, a change to it replaces what the object was before, and a removal removes it. Repeated fields count as unreadable. Found on the way, with tests that fail without the change: a page whose last name can't be read ended the list, and names were not encoded in URLs; one report of the crash archive that can't be read hid all others; servers whose entry became unreadable after an outage stayed in use; content that can't be decoded was passed on to other entries.

--- a/lavenderkeel/crash/crash_archive.h
+++ b/lavenderkeel/crash/crash_archive.h
@@ -26,6 +26,16 @@
                          const CrashArchiveWrite&) = default;
 };
 
+/// The evidence as read from the store.
+struct StoredCrashReports {
+  std::vector<CrashReport> reports;
+  /// Number of reports that can't be read; they are left out.
+  size_t unreadable = 0;
+
+  friend bool operator==(const StoredCrashReports&,
+                         const StoredCrashReports&) = default;
+};
+
 /// Keeps the evidence against culprits, and against doubtful parts of prompts
 /// that different requests share, in the platform's store.
 ///
--- a/lavenderkeel/forward/crash_archive_exchange.cc
+++ b/lavenderkeel/forward/crash_archive_exchange.cc
@@ -75,8 +75,14 @@
                {"code", static_cast<uint32_t>(reports.failure.code)},
                {"faults", reports.failure.message}});
   }
-  archive_.OnRead(object.revision,
-                  reports ? *reports.value : std::vector<CrashReport>());
+  if (reports && reports.value->unreadable > 0) {
+    log_.Warn("crash_reports_unreadable",
+              {{"revision", object.revision},
+               {"reports", reports.value->unreadable},
+               {"readable", reports.value->reports.size()}});
+  }
+  archive_.OnRead(object.revision, reports ? reports.value->reports
+                                           : std::vector<CrashReport>());
 }
 
 void CrashArchiveExchange::Start() {
--- a/lavenderkeel/forward/crash_archive_exchange.h
+++ b/lavenderkeel/forward/crash_archive_exchange.h
@@ -29,8 +29,8 @@
     std::string kind;
     /// The one object of the kind.
     std::string object;
-    std::function<leaf::result<std::vector<CrashReport>>(const StoredObject&,
-                                                         const Clock&)>
+    std::function<leaf::result<StoredCrashReports>(const StoredObject&,
+                                                   const Clock&)>
         decode;
     CrashArchive::Write write;
   };
--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -32,6 +32,12 @@
   return options;
 }
 
+/// An object that can't be decoded is passed on without its content, which may
+/// be as large as the store allows.
+StoredObject WithoutContent(const StoredObject& object) {
+  return {.name = object.name, .revision = object.revision};
+}
+
 ObjectWatch::Options WithKind(ObjectWatch::Options options, std::string kind) {
   options.object_kind = std::move(kind);
   return options;
@@ -69,6 +75,7 @@
       source_(std::move(source)),
       clock_(clock),
       log_(log),
+      metrics_(metrics),
       random_(random_seed),
       members_(options_.members,
                std::move(self),
@@ -263,9 +270,10 @@
 }
 
 std::optional<RolloutOrder> ForwardNode::ReadRollout(
-    const StoredObject& object) const {
+    const StoredObject& object) {
   auto order = Catch([&] { return source_.decode_rollout(object); });
   if (!order) {
+    CountUnreadable(source_.rollout_kind);
     log_.Warn("rollout_unreadable",
               {{"rollout", object.name},
                {"code", static_cast<uint32_t>(order.failure.code)},
@@ -332,14 +340,23 @@
 void ForwardNode::Read(ObjectWatch& watch,
                        uint64_t call,
                        const ObjectRead& read) {
-  source_.read(read, [&watch, call](const ObjectReadResult& result) {
+  source_.read(read, [this, &watch, call,
+                      kind = read.object_kind](const ObjectReadResult& result) {
+    if (result.unreadable > 0) {
+      CountUnreadable(kind, result.unreadable);
+    }
     watch.OnResult(call, result);
   });
 }
 
+void ForwardNode::CountUnreadable(const std::string& kind, size_t objects) {
+  metrics_.Add("objects_unreadable{kind=\"" + kind + "\"}", objects);
+}
+
 void ForwardNode::OnConfig(const std::string& content, const char* from) {
   auto decoded = Catch([&] { return source_.decode_table(content); });
   if (!decoded) {
+    CountUnreadable(source_.config_kind);
     log_.Write(LogLevel::kError, "config_unreadable",
                {{"from", from},
                 {"code", static_cast<uint32_t>(decoded.failure.code)},
@@ -360,9 +377,10 @@
 }
 
 std::optional<BackendServer> ForwardNode::ReadServer(
-    const StoredObject& object) const {
+    const StoredObject& object) {
   auto server = Catch([&] { return source_.decode_server(object); });
   if (!server) {
+    CountUnreadable(source_.server_kind);
     log_.Warn("server_unreadable",
               {{"server", object.name}, {"faults", server.failure.message}});
   }
@@ -370,17 +388,19 @@
 }
 
 void ForwardNode::OnServer(const StoredObject& object) {
-  server_log_.OnChange(object, clock_.Now());
   if (object.removed) {
+    server_log_.OnChange(object, clock_.Now());
     log_.Info("server_removed",
               {{"server", object.name}, {"revision", object.revision}});
     directory_.Remove(object.name, clock_.Now());
     return;
   }
   const std::optional<BackendServer> server = ReadServer(object);
+  server_log_.OnChange(server.has_value() ? object : WithoutContent(object),
+                       clock_.Now());
   if (!server.has_value()) {
     // Regardless of who wrote it, the object names no server that can be used.
-    directory_.Remove(object.name, clock_.Now());
+    directory_.Discard(object.name);
     return;
   }
   log_.Info("server_listed", {{"server", object.name},
@@ -396,15 +416,20 @@
 
 void ForwardNode::OnServerList(const std::vector<StoredObject>& objects) {
   std::vector<BackendServer> servers;
+  std::vector<StoredObject> logged;
   for (const StoredObject& object : objects) {
     if (std::optional<BackendServer> server = ReadServer(object)) {
       servers.push_back(*std::move(server));
+      logged.push_back(object);
+    } else {
+      directory_.Discard(object.name);
+      logged.push_back(WithoutContent(object));
     }
   }
   log_.Info("servers_listed", {{"servers", servers.size()},
                                {"revision", server_watch_.revision()}});
   servers_listed_ = true;
-  server_log_.OnList(objects);
+  server_log_.OnList(logged);
   directory_.ApplyList(servers, clock_.Now());
   slot_scheduler_.GrantFreeSlots();
 }
--- a/lavenderkeel/forward/forward_node.h
+++ b/lavenderkeel/forward/forward_node.h
@@ -127,12 +127,13 @@
   ObjectWatch::Hooks ConfigHooks();
   ObjectWatch::Hooks ServerHooks();
   ObjectWatch::Hooks RolloutHooks();
-  std::optional<RolloutOrder> ReadRollout(const StoredObject& object) const;
+  std::optional<RolloutOrder> ReadRollout(const StoredObject& object);
   void StepRollouts();
   void Read(ObjectWatch& watch, uint64_t call, const ObjectRead& read);
   void OnConfig(const std::string& content, const char* from);
   /// Returns nothing and logs a warning if the object cannot be decoded.
-  std::optional<BackendServer> ReadServer(const StoredObject& object) const;
+  std::optional<BackendServer> ReadServer(const StoredObject& object);
+  void CountUnreadable(const std::string& kind, size_t objects = 1);
   void OnServer(const StoredObject& object);
   void OnServerList(const std::vector<StoredObject>& objects);
   void OnServerFeed(const ServerFeed& feed);
@@ -165,6 +166,7 @@
   ForwardSource source_;
   const Clock& clock_;
   const EventLog& log_;
+  Metrics& metrics_;
   std::mt19937_64 random_;
   Outbox outbox_;
   MemberTable members_;
--- a/lavenderkeel/forward/server_directory.cc
+++ b/lavenderkeel/forward/server_directory.cc
@@ -56,6 +56,13 @@
   }
 }
 
+void ServerDirectory::Discard(const std::string& id) {
+  if (const auto found = FindById(id); found != servers_.end()) {
+    ++generation_;
+    servers_.erase(found);
+  }
+}
+
 void ServerDirectory::OnOutage() {
   outage_ = true;
 }
--- a/lavenderkeel/forward/server_directory.h
+++ b/lavenderkeel/forward/server_directory.h
@@ -64,6 +64,9 @@
   void ApplyList(const std::vector<BackendServer>& servers, TimePoint now);
   void Apply(const BackendServer& server);
   void Remove(const std::string& id, TimePoint now);
+  /// Removes a server at once, also after an outage: its object is there, but
+  /// names no server.
+  void Discard(const std::string& id);
   /// Handles an outage of the list; its last state stays in force.
   void OnOutage();
   /// Handles the end of an outage.
--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -27,6 +27,7 @@
 }
 
 void ObjectWatch::List(const std::string& after_name) {
+  after_name_ = after_name;
   if (after_name.empty()) {
     listed_.clear();
   }
@@ -72,6 +73,7 @@
       if (result.unreadable > 0) {
         log_.Warn("objects_unreadable", {{"kind", options_.object_kind},
                                          {"objects", result.unreadable},
+                                         {"first", result.first_fault},
                                          {"revision", result.revision}});
       }
       if (pending_kind_ == ObjectRead::Kind::kList) {
@@ -105,14 +107,19 @@
 }
 
 void ObjectWatch::OnListed(const ObjectReadResult& result) {
-  const bool first_page = listed_.empty();
+  const bool first_page = after_name_.empty();
   listed_.insert(listed_.end(), result.objects.begin(), result.objects.end());
   // Later pages may show later changes; the watch continues from the revision
   // of the first page, so that a change to an object of a page already read is
   // not missed.
   revision_ = first_page ? result.revision : revision_;
-  if (result.more && !result.objects.empty()) {
-    List(result.objects.back().name);
+  if (result.more) {
+    // A page that does not lead to the next one would hide all that follow.
+    if (result.last_name.empty() || result.last_name == after_name_) {
+      RetryLater("page_without_end");
+      return;
+    }
+    List(result.last_name);
     return;
   }
   must_list_ = false;
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -60,8 +60,16 @@
 
   Outcome outcome = Outcome::kNoAnswer;
   std::vector<StoredObject> objects;
-  /// Objects whose names cannot be read; they are left out.
+  /// Whether the objects are changes rather than a page of all objects.
+  bool is_change = false;
+  /// Number of objects of which not even the metadata can be read. A change
+  /// whose name can be read is still among the objects, without content.
   size_t unreadable = 0;
+  /// Describes the first of these.
+  std::string first_fault = {};
+  /// The name after which the next page of a list begins: that of the last
+  /// object, whether or not it can be read. Not necessarily valid text.
+  std::string last_name = {};
   /// Further pages of the list follow.
   bool more = false;
   /// The store's revision as of this answer.
@@ -185,6 +193,8 @@
   uint64_t reported_revision_ = 0;
   TimePoint reported_at_;
   std::vector<StoredObject> listed_;
+  /// Where the page of the list begins that is being read.
+  std::string after_name_;
 };
 
 }  // namespace lavenderkeel
--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -1,6 +1,10 @@
 #include "platform/store_reader.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "platform/object_decoder.h"
 
@@ -32,6 +36,7 @@
                                 .objects = {{.name = "i-1",
                                              .revision = 7,
                                              .content = R"({"slots":5})"}},
+                                .last_name = "i-1",
                                 .more = true,
                                 .revision = 9}));
   const ObjectReadResult changes = StoreReader::Decode(
@@ -72,6 +77,118 @@
   BOOST_TEST(bytes.objects.size() == 2U);
 }
 
+namespace {
+
+std::string Nested(size_t depth) {
+  std::string text(depth, '[');
+  return text.append(depth, ']');
+}
+
+/// Values that a parser of whole documents rejects, or that name nothing.
+std::vector<std::string> UnreadableValues() {
+  return {R"("\udcff")",   R"("\ud800 \udc00")", "\"a\x01z\"",
+          "\"a\nz\"",      "\"\xff\xfe\"",       R"("\x")",
+          "1e99999999999", "-1e99999999999",     std::string(400, '9'),
+          "NaN",           "-Infinity",          "nul",
+          "[1}",           Nested(5000),         R"({"a":1,"a":2})"};
+}
+
+std::string SoundItem(const std::string& name) {
+  return R"({"metadata":{"name":")" + name +
+         R"(","revision":3},"spec":{"service":"s","address":"10.0.0.1:80",
+         "zone":"z","slots":2,"state":"draining"},"status":null})";
+}
+
+bool IsServer(const StoredObject& object) {
+  return static_cast<bool>(Catch([&] { return hybrid::DecodeServer(object); }));
+}
+
+}  // namespace
+
+// Guards against one unreadable object that hides the changes of the others.
+BOOST_AUTO_TEST_CASE(UnreadableObjectHidesNoOther) {
+  for (const std::string& value : UnreadableValues()) {
+    const std::vector<std::string> unreadable = {
+        value,
+        R"({"metadata":)" + value + "}",
+        R"({"metadata":{"name":)" + value + "}}",
+        R"({"metadata":{"name":"bad","revision":)" + value +
+            R"(},"spec":{"service":"s","address":"10.0.0.1:80","zone":"z",
+            "slots":2,"state":"ready"}})",
+        R"({"metadata":{"name":"bad"},"spec":)" + value + "}",
+        R"({"metadata":{"name":"bad"},"spec":{"service":"s",
+            "address":"10.0.0.1:80","zone":)" +
+            value + R"(,"slots":2,"state":"ready"}})"};
+    for (const std::string& item : unreadable) {
+      const ObjectReadResult list = StoreReader::Decode(
+          ObjectRead::Kind::kList, 200,
+          R"({"currentRev":9,"items":[)" + item + "," + SoundItem("i-1") + "," +
+              item + "," + SoundItem("i-2") + "," + item + "]}");
+      BOOST_REQUIRE_MESSAGE(list.outcome == ReadOutcome::kOk, item);
+      BOOST_TEST(std::ranges::count_if(list.objects, IsServer) == 2, item);
+      const ObjectReadResult changes = StoreReader::Decode(
+          ObjectRead::Kind::kWatch, 200,
+          R"({"events":[{"object":)" + item + R"(},{"tombstone":)" + value +
+              R"(,"object":)" + SoundItem("i-1") + R"(},{"object":)" +
+              SoundItem("i-2") + R"(},{"object":)" + item +
+              R"(}],"currentRev":9})");
+      BOOST_REQUIRE_MESSAGE(changes.outcome == ReadOutcome::kOk, item);
+      BOOST_TEST(std::ranges::count_if(changes.objects, IsServer) == 2, item);
+    }
+  }
+}
+
+// Guards against requests to a server after its object became unreadable.
+BOOST_AUTO_TEST_CASE(ChangeToAnUnreadableObjectIsReported) {
+  for (const std::string& value : UnreadableValues()) {
+    for (const std::string& fields :
+         {R"("revision":)" + value + R"(},"spec":{}})",
+          R"("revision":8},"spec":)" + value + "}"}) {
+      const ObjectReadResult changes = StoreReader::Decode(
+          ObjectRead::Kind::kWatch, 200,
+          R"({"events":[{"object":{"metadata":{"name":"i",)" + fields +
+              R"(}],"currentRev":9})");
+      BOOST_REQUIRE_MESSAGE(changes.objects.size() == 1U, fields);
+      BOOST_TEST(changes.objects[0].name == "i");
+      BOOST_TEST(changes.objects[0].revision >= 8U);
+      BOOST_TEST(!changes.objects[0].removed);
+      BOOST_TEST(!IsServer(changes.objects[0]));
+    }
+  }
+}
+
+// Guards against a removal that is not seen since its object can't be read.
+BOOST_AUTO_TEST_CASE(RemovalOfAnUnreadableObjectIsReported) {
+  const ObjectReadResult changes = StoreReader::Decode(
+      ObjectRead::Kind::kWatch, 200,
+      R"({"events":[{"tombstone":true,"object":{"metadata":{"name":"i",
+         "revision":1e999999999999},"spec":"\udcff"}}],"currentRev":9})");
+  BOOST_REQUIRE(changes.objects.size() == 1U);
+  BOOST_TEST(changes.objects[0].removed);
+  BOOST_TEST(changes.unreadable == 1U);
+  BOOST_TEST(changes.first_fault.find("/events/0/object") == 0U);
+}
+
+// Guards against a page that ends with an unreadable name and hides all that
+// follow.
+BOOST_AUTO_TEST_CASE(PageContinuesAfterAnUnreadableName) {
+  for (const auto& [name, encoded] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"(\udcff)", "%FF"},
+           {R"(a\ud800)", "a%ED%A0%80"},
+           {"a\x01", "a%01"},
+           {R"(a b&c/d?e)", "a%20b%26c%2Fd%3Fe"}}) {
+    const ObjectReadResult list = StoreReader::Decode(
+        ObjectRead::Kind::kList, 200,
+        R"({"items":[{"metadata":{"name":"i-1"}},{"metadata":{"name":")" +
+            name + R"("}}],"hasMore":true,"currentRev":9})");
+    BOOST_REQUIRE((list.outcome == ReadOutcome::kOk));
+    BOOST_TEST(StoreReader::PathOf(
+                   {.object_kind = "servers", .after_name = list.last_name}) ==
+               "/objects/servers?afterRev=" + encoded);
+  }
+}
+
 // Guards against losing a change for good: an answer that can be decoded only
 // in part counts as no answer.
 BOOST_AUTO_TEST_CASE(UnreadableAnswersCountAsNoAnswer) {
--- a/test/watch/object_watch_test.cc
+++ b/test/watch/object_watch_test.cc
@@ -79,6 +79,7 @@
   h.watch.Start();
   h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
                       .objects = {Object("a")},
+                      .last_name = "a",
                       .more = true,
                       .revision = 10});
   const Harness::Call second = h.Take();
@@ -101,6 +102,46 @@
   BOOST_TEST(h.Take().read.revision == 13U);
 }
 
+// Guards against a page without a readable object that ends the list.
+BOOST_AUTO_TEST_CASE(PageOfUnreadableObjectsDoesNotEndTheList) {
+  Harness h;
+  h.watch.Start();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
+                      .unreadable = 500,
+                      .last_name = "\xff",
+                      .more = true,
+                      .revision = 10});
+  const Harness::Call second = h.Take();
+  BOOST_TEST(second.read.after_name == "\xff");
+  h.Answer(
+      second,
+      {.outcome = ReadOutcome::kOk, .objects = {Object("b")}, .revision = 12});
+  BOOST_TEST((h.events == std::vector<std::string>{"list b"}));
+  BOOST_TEST(h.Take().read.revision == 10U);
+}
+
+// Guards against a partial list, from which servers would be missing, if a page
+// does not lead to the next one.
+BOOST_AUTO_TEST_CASE(PageThatLeadsNowhereIsReadAgain) {
+  for (const std::string& last_name : {std::string(), std::string("a")}) {
+    Harness h;
+    h.watch.Start();
+    h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
+                        .objects = {Object("a")},
+                        .last_name = "a",
+                        .more = true,
+                        .revision = 10});
+    h.Answer(h.Take(), {.outcome = ReadOutcome::kOk,
+                        .unreadable = 1,
+                        .last_name = last_name,
+                        .more = true,
+                        .revision = 10});
+    BOOST_TEST((h.events == std::vector<std::string>{"outage"}));
+    h.TickLater();
+    BOOST_TEST(h.Take().read.after_name.empty());
+  }
+}
+
 // The store drops its history while a change is made. By watching on, the
 // change would be missed, so all objects are listed again.
 BOOST_AUTO_TEST_CASE(MissingHistoryIsListedAgain) {
