All parts of a prompt are examined as causes of crashes

Callers lost sound streams at servers that crashed one after the other: a part that crashes servers and stands behind 64 others was never suspected, so each new request with it reached another server.

Cause: SuspectsOf looked at the first 64 parts (kMaxParts), to bound the cost of a request.

Now all distinct parts count, up to 16,384, which is more than a head of 16 KiB holds; the paragraphs of a body, at the product's own interface, are bounded by the same number. What the cost was bounded for is bounded where it arises: alternatives are sought among suspects with as many losses, not in all lost runs; a suspect with one loss needs no probability; parts beyond the first 64 are remembered as answered apart from the others; reports are sent in messages that fit a frame; the archive leaves out parts that only one loss has where it would outgrow its object. Pairs of parts stay bounded to the first eight.

--- a/lavenderkeel/crash/answered_suspects.h
+++ b/lavenderkeel/crash/answered_suspects.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/crash/request_traits.h"
@@ -21,6 +22,10 @@
     Duration max_age = std::chrono::minutes(10);
     /// Half of the number of suspects that are remembered.
     size_t generation_size = 8192;
+    /// The same for the parts of a request beyond its first `near_parts`, so
+    /// that long prompts don't displace what short ones have in common.
+    size_t far_generation_size = 2 * kMaxSuspectParts;
+    size_t near_parts = 64;
   };
 
   AnsweredSuspects() = default;
@@ -33,8 +38,15 @@
     if (shared.parts.size() > 1) {
       shared.parts.pop_back();
     }
+    size_t parts = 0;
     for (const Suspect& suspect : SuspectsOf(shared)) {
-      Add(suspect, now);
+      const bool is_far =
+          suspect.kind == Suspect::Kind::kPart && ++parts > options_.near_parts;
+      if (is_far) {
+        Add(suspect, now, options_.far_generation_size, far_);
+      } else {
+        Add(suspect, now, options_.generation_size, near_);
+      }
     }
   }
 
@@ -47,7 +59,8 @@
   /// Returns the answers to requests with the suspect that are remembered.
   Answers Find(const Suspect& suspect, TimePoint now) const {
     Answers answers;
-    for (const Generation* generation : {&former_, &latest_}) {
+    for (const Generation* generation :
+         {&near_.former, &near_.latest, &far_.former, &far_.latest}) {
       const auto found = generation->find(suspect);
       if (found != generation->end() &&
           now - found->second.last <= options_.max_age) {
@@ -60,19 +73,26 @@
 
  private:
   using Generation = std::unordered_map<Suspect, Answers, SuspectHash>;
+  struct Generations {
+    Generation latest;
+    Generation former;
+  };
 
-  void Add(const Suspect& suspect, TimePoint now) {
-    Answers& answers = latest_[suspect];
+  static void Add(const Suspect& suspect,
+                  TimePoint now,
+                  size_t max_size,
+                  Generations& generations) {
+    Answers& answers = generations.latest[suspect];
     ++answers.count;
     answers.last = std::max(answers.last, now);
-    if (latest_.size() >= options_.generation_size) {
-      former_ = std::exchange(latest_, {});
+    if (generations.latest.size() >= max_size) {
+      generations.former = std::exchange(generations.latest, {});
     }
   }
 
   Options options_;
-  Generation latest_;
-  Generation former_;
+  Generations near_;
+  Generations far_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/crash/crash_archive.cc
+++ b/lavenderkeel/crash/crash_archive.cc
@@ -4,14 +4,40 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace lavenderkeel {
 
 namespace {
 
+/// Returns whether these are the same run, of which one report may lack parts.
 bool IsSameRun(const CrashReport& a, const CrashReport& b) {
-  return a.server == b.server && a.request == b.request;
+  if (a.server != b.server || a.request.fingerprint != b.request.fingerprint) {
+    return false;
+  }
+  const auto& [fewer, more] =
+      std::minmax(a.request.parts, b.request.parts,
+                  [](const auto& left, const auto& right) {
+                    return left.size() < right.size();
+                  });
+  if (fewer.size() == more.size()) {
+    return fewer == more;
+  }
+  const std::unordered_set<PromptPartId> parts(more.begin(), more.end());
+  return !fewer.empty() &&
+         std::ranges::all_of(fewer, [&parts](PromptPartId part) {
+           return parts.contains(part);
+         });
+}
+
+size_t CountParts(const std::vector<CrashReport>& losses) {
+  size_t count = 0;
+  for (const CrashReport& loss : losses) {
+    count += loss.request.parts.size();
+  }
+  return count;
 }
 
 bool Contains(const std::vector<CrashReport>& losses, const CrashReport& loss) {
@@ -20,13 +46,17 @@
   });
 }
 
-/// Returns the servers that were lost with each suspect.
+/// Returns the servers that were lost with each suspect that has survived some
+/// run.
 std::map<Suspect, std::set<uint64_t>> ServersBySuspect(
-    const std::vector<CrashReport>& losses) {
+    const std::vector<CrashReport>& losses,
+    const CrashLedger& ledger) {
   std::map<Suspect, std::set<uint64_t>> servers;
   for (const CrashReport& loss : losses) {
     for (const Suspect& suspect : SuspectsOf(loss.request)) {
-      servers[suspect].insert(loss.server);
+      if (ledger.LastSurvival(suspect).has_value()) {
+        servers[suspect].insert(loss.server);
+      }
     }
   }
   return servers;
@@ -88,7 +118,7 @@
   }
   std::vector<CrashReport> losses = stored_.losses;
   losses.insert(losses.end(), wanted.losses.begin(), wanted.losses.end());
-  for (const auto& [suspect, servers] : ServersBySuspect(losses)) {
+  for (const auto& [suspect, servers] : ServersBySuspect(losses, ledger)) {
     const std::optional<TimePoint> survived = ledger.LastSurvival(suspect);
     if (survived.has_value()) {
       TimePoint& last = wanted.survivals[suspect];
@@ -112,12 +142,40 @@
   while (evidence.losses.size() > options_.max_losses) {
     evidence.losses.erase(std::ranges::min_element(evidence.losses, {}, rank));
   }
+  LimitParts(evidence);
   while (evidence.survivals.size() > options_.max_survivals) {
     evidence.survivals.erase(std::ranges::min_element(
         evidence.survivals, {}, [](const auto& item) { return item.second; }));
   }
 }
 
+void CrashArchive::LimitParts(Evidence& evidence) const {
+  std::vector<CrashReport>& losses = evidence.losses;
+  if (CountParts(losses) <= options_.max_parts) {
+    return;
+  }
+  std::unordered_map<PromptPartId, size_t> counts;
+  for (const CrashReport& loss : losses) {
+    for (const PromptPartId part : loss.request.parts) {
+      ++counts[part];
+    }
+  }
+  for (CrashReport& loss : losses) {
+    std::vector<PromptPartId>& parts = loss.request.parts;
+    if (!parts.empty()) {
+      // The last part belongs to the request and identifies it.
+      const PromptPartId last = parts.back();
+      std::erase_if(parts, [&](PromptPartId part) {
+        return counts[part] < 2 && part != last;
+      });
+    }
+  }
+  const auto oldest = [](const CrashReport& loss) { return loss.ended; };
+  while (CountParts(losses) > options_.max_parts) {
+    losses.erase(std::ranges::min_element(losses, {}, oldest));
+  }
+}
+
 bool CrashArchive::HasCulprit(const CrashReport& loss) const {
   const std::vector<Suspect> culprits = guard_.ledger().Culprits();
   return std::ranges::any_of(culprits, [&loss](const Suspect& culprit) {
@@ -137,7 +195,7 @@
 bool CrashArchive::IsOutdated() const {
   const CrashLedger& ledger = guard_.ledger();
   const std::map<Suspect, std::set<uint64_t>> stored =
-      ServersBySuspect(stored_.losses);
+      ServersBySuspect(stored_.losses, ledger);
   return std::ranges::any_of(stored, [&](const auto& item) {
     const Suspect& suspect = item.first;
     const std::optional<TimePoint> survived = ledger.LastSurvival(suspect);
--- a/lavenderkeel/crash/crash_archive.h
+++ b/lavenderkeel/crash/crash_archive.h
@@ -61,6 +61,9 @@
     size_t max_losses = 128;
     /// Above this number, the oldest survivals are left out.
     size_t max_survivals = 256;
+    /// Above this number of parts of all losses together, parts that only one
+    /// loss has are left out. It keeps the object well below 1 MiB.
+    size_t max_parts = 32768;
   };
 
   using Write = std::function<void(const CrashArchiveWrite&)>;
@@ -97,6 +100,7 @@
   Evidence Wanted(bool with_doubtful, TimePoint now) const;
   /// Removes what is too old or exceeds the limits.
   void Limit(Evidence& evidence, TimePoint now) const;
+  void LimitParts(Evidence& evidence) const;
   bool HasCulprit(const CrashReport& loss) const;
   /// Returns whether the store lacks something that matters.
   bool Lacks(const Evidence& wanted) const;
--- a/lavenderkeel/crash/crash_ledger.cc
+++ b/lavenderkeel/crash/crash_ledger.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
-#include <map>
-#include <set>
 #include <utility>
 
 namespace lavenderkeel {
@@ -323,6 +321,9 @@
     count.lost = runs.size();
   }
   count.in_turn = runs.size();
+  if (count.in_turn + 1 < options_.blocked_at_losses) {
+    return count;  // Too few for the probability to matter.
+  }
   // Includes what was usual right before.
   count.chance = ChanceOf(record, runs, losses.front().sent - kRateTime);
   return count;
@@ -402,34 +403,35 @@
 
 std::vector<Suspect> CrashLedger::AlternativesFor(
     const std::vector<Loss>& losses,
+    size_t min_losses,
     const RequestTraits& request) const {
-  std::map<Suspect, size_t> counts;
-  for (const Loss& loss : losses) {
-    const auto lost = lost_servers_.find(loss.server);
-    if (lost == lost_servers_.end()) {
-      continue;
-    }
-    std::set<Suspect> had;
-    for (const LostRun& run : lost->second.runs) {
-      const std::vector<Suspect> suspects =
-          SuspectsOf({.request = run.request, .place = run.place});
-      had.insert(suspects.begin(), suspects.end());
-    }
-    for (const Suspect& suspect : had) {
-      ++counts[suspect];
-    }
-  }
   constexpr size_t kHalf = 2;
   std::vector<Suspect> alternatives;
-  for (const auto& [suspect, count] : counts) {
-    if (count * kHalf >= losses.size() && !HasSuspect(request, suspect) &&
-        suspects_.contains(suspect)) {
+  for (const auto& [suspect, record] : suspects_) {
+    if (record.losses.size() < min_losses || HasSuspect(request, suspect)) {
+      continue;
+    }
+    const auto count =
+        std::ranges::count_if(losses, [&, &cause = suspect](const Loss& loss) {
+          return WasLostWith(loss.server, cause);
+        });
+    if (static_cast<size_t>(count) * kHalf >= losses.size()) {
       alternatives.push_back(suspect);
     }
   }
   return alternatives;
 }
 
+bool CrashLedger::WasLostWith(uint64_t server, const Suspect& suspect) const {
+  const auto lost = lost_servers_.find(server);
+  return lost != lost_servers_.end() &&
+         std::ranges::any_of(lost->second.runs, [&](const LostRun& run) {
+           return suspect.kind == Suspect::Kind::kPlace
+                      ? run.place == suspect.first
+                      : HasSuspect(run.request, suspect);
+         });
+}
+
 bool CrashLedger::HasAlternative(const std::vector<Loss>& losses,
                                  const Count& count,
                                  const RequestTraits& request) const {
@@ -447,7 +449,8 @@
     return ChanceOf(record, SequentialRuns(others), since) >=
            options_.min_plausible_chance;
   };
-  return std::ranges::any_of(AlternativesFor(losses, request), explains);
+  return std::ranges::any_of(AlternativesFor(losses, count.in_turn, request),
+                             explains);
 }
 
 Duration CrashLedger::RetestDelay(const std::vector<Loss>& losses) const {
@@ -639,12 +642,13 @@
   if (suspects_.size() <= options_.max_suspects) {
     return;
   }
-  using Rank = std::tuple<bool, TimePoint, Suspect>;
+  using Rank = std::tuple<bool, TimePoint, size_t, Suspect>;
   std::vector<Rank> ranks;
   for (const auto& [suspect, record] : suspects_) {
-    // Culprits are evicted last.
+    // Culprits are evicted last; of those that arrived together, the ones that
+    // were lost most often.
     ranks.emplace_back(culprits_.contains(suspect), record.last_arrival,
-                       suspect);
+                       record.losses.size(), suspect);
   }
   const auto excess =
       static_cast<ptrdiff_t>(suspects_.size() - options_.max_suspects);
--- a/lavenderkeel/crash/crash_ledger.h
+++ b/lavenderkeel/crash/crash_ledger.h
@@ -90,7 +90,7 @@
     /// A suspect of which no request has arrived for this long is forgotten.
     Duration forget_after = std::chrono::minutes(10);
     /// Above this many suspects the one that arrived longest ago is evicted.
-    size_t max_suspects = 16384;
+    size_t max_suspects = size_t{4} * kMaxSuspectParts;
     /// The number of losses kept per suspect.
     size_t max_losses = 16;
   };
@@ -228,9 +228,13 @@
                       const Count& count,
                       const RequestTraits& request) const;
   /// Returns the suspects other than those of the request that were lost with
-  /// at least half of these servers.
+  /// at least half of these servers, and have at least `min_losses`.
   std::vector<Suspect> AlternativesFor(const std::vector<Loss>& losses,
+                                       size_t min_losses,
                                        const RequestTraits& request) const;
+  /// Returns whether a request that the server ran when it was lost, or its
+  /// place, had the suspect.
+  bool WasLostWith(uint64_t server, const Suspect& suspect) const;
   CrashAssessment AssessSuspect(const Suspect& suspect,
                                 const Record& record,
                                 const RequestTraits& request) const;
--- a/lavenderkeel/crash/crash_wire.cc
+++ b/lavenderkeel/crash/crash_wire.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "lavenderkeel/wire/codec.h"
+
 namespace lavenderkeel {
 
 namespace {
@@ -33,6 +35,31 @@
   return message;
 }
 
+std::vector<CrashNews> ToMessages(const std::vector<CrashReport>& reports,
+                                  bool complete,
+                                  TimePoint now) {
+  // A part takes 8 bytes and a report below 128.
+  constexpr size_t kBytesPerPart = 8;
+  constexpr size_t kBytesPerReport = 128;
+  constexpr size_t kMaxBytes = kMaxFrameSize / 4;
+  std::vector<CrashNews> messages;
+  std::vector<CrashReport> batch;
+  size_t bytes = 0;
+  for (const CrashReport& report : reports) {
+    const size_t size =
+        kBytesPerReport + kBytesPerPart * report.request.parts.size();
+    if (!batch.empty() && bytes + size > kMaxBytes) {
+      messages.push_back(
+          ToWire(std::exchange(batch, {}), /*complete=*/false, now));
+      bytes = 0;
+    }
+    batch.push_back(report);
+    bytes += size;
+  }
+  messages.push_back(ToWire(batch, complete, now));
+  return messages;
+}
+
 std::vector<CrashReport> FromWire(const CrashNews& message, TimePoint now) {
   constexpr auto kLast = static_cast<uint8_t>(CrashReport::Kind::kTrialEnded);
   std::vector<CrashReport> reports;
--- a/lavenderkeel/crash/crash_wire.h
+++ b/lavenderkeel/crash/crash_wire.h
@@ -16,6 +16,11 @@
 CrashNews ToWire(const std::vector<CrashReport>& reports,
                  bool complete,
                  TimePoint now);
+/// The same as several messages, each of which fits a frame however many parts
+/// the requests have; the last one is marked as complete.
+std::vector<CrashNews> ToMessages(const std::vector<CrashReport>& reports,
+                                  bool complete,
+                                  TimePoint now);
 /// Decodes the reports of another entry; skips reports of an unknown kind.
 std::vector<CrashReport> FromWire(const CrashNews& message, TimePoint now);
 
--- a/lavenderkeel/crash/request_traits.cc
+++ b/lavenderkeel/crash/request_traits.cc
@@ -1,35 +1,58 @@
 #include "lavenderkeel/crash/request_traits.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace lavenderkeel {
 
 namespace {
 
-// A request with more parts than these costs no more to assess.
-constexpr size_t kMaxParts = 64;
+// The number of pairs grows with the square of the parts. Those beyond are
+// recognised by their single parts or by the whole request.
 constexpr size_t kMaxPairedParts = 8;
 
+/// Returns the parts without repetitions, in order.
+std::vector<PromptPartId> DistinctParts(
+    const std::vector<PromptPartId>& parts) {
+  // Below this number a search through the parts is faster than hashing them.
+  constexpr size_t kFewParts = 32;
+  std::vector<PromptPartId> distinct;
+  distinct.reserve(std::min(parts.size(), kMaxSuspectParts));
+  std::unordered_set<PromptPartId> seen;
+  for (const PromptPartId part : parts) {
+    const bool is_new =
+        parts.size() <= kFewParts
+            ? std::ranges::find(distinct, part) == distinct.end()
+            : seen.insert(part).second;
+    if (is_new) {
+      distinct.push_back(part);
+    }
+    if (distinct.size() == kMaxSuspectParts) {
+      break;
+    }
+  }
+  return distinct;
+}
+
 }  // namespace
 
+RequestTraits MakeTraits(RequestFingerprint fingerprint,
+                         const std::vector<PromptPartId>& parts) {
+  return {.fingerprint = fingerprint, .parts = DistinctParts(parts)};
+}
+
 std::vector<Suspect> SuspectsOf(const RequestTraits& request) {
   std::vector<Suspect> suspects;
   if (request.fingerprint != 0) {
     suspects.push_back(
         {.kind = Suspect::Kind::kRequest, .first = request.fingerprint});
   }
-  // A part may occur more than once in a prompt.
-  std::vector<PromptPartId> parts;
-  for (const PromptPartId part : request.parts) {
-    if (parts.size() < kMaxParts &&
-        std::ranges::find(parts, part) == parts.end()) {
-      parts.push_back(part);
-    }
-  }
+  const std::vector<PromptPartId> parts = DistinctParts(request.parts);
+  const size_t paired = std::min(parts.size(), kMaxPairedParts);
+  suspects.reserve(suspects.size() + parts.size() + paired * paired / 2);
   for (const PromptPartId part : parts) {
     suspects.push_back({.kind = Suspect::Kind::kPart, .first = part});
   }
-  const size_t paired = std::min(parts.size(), kMaxPairedParts);
   for (size_t i = 0; i < paired; ++i) {
     for (size_t j = i + 1; j < paired; ++j) {
       const auto [low, high] = std::minmax(parts[i], parts[j]);
--- a/lavenderkeel/crash/request_traits.h
+++ b/lavenderkeel/crash/request_traits.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_CRASH_REQUEST_TRAITS_H_
 #define LAVENDERKEEL_CRASH_REQUEST_TRAITS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -19,8 +20,17 @@
   friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
 };
 
-/// Returns all suspects that the request has: itself, each of the first 64
-/// parts, and each pair among the first eight.
+/// The number of distinct parts of a request that are examined, at least four
+/// times what the head of a request holds by default. It bounds the cost of a
+/// prompt whose parts are the paragraphs of a body.
+constexpr size_t kMaxSuspectParts = 16384;
+
+/// Returns the traits of a request, with the distinct parts of its prompt up to
+/// that number.
+RequestTraits MakeTraits(RequestFingerprint fingerprint,
+                         const std::vector<PromptPartId>& parts);
+/// Returns all suspects that the request has: itself, each part, and each pair
+/// among the first eight parts.
 std::vector<Suspect> SuspectsOf(const RequestTraits& request);
 /// Returns the least traits that have the suspect; empty for a place.
 RequestTraits TraitsOf(const Suspect& suspect);
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -214,7 +214,10 @@
     return false;
   }
   if (peer.role == Role::kEntry) {
-    outbox_.Send(link, ToWire(crashes_.All(), /*complete=*/true, clock_.Now()));
+    for (CrashNews& news :
+         ToMessages(crashes_.All(), /*complete=*/true, clock_.Now())) {
+      outbox_.Send(link, std::move(news));
+    }
   }
   return true;
 }
@@ -232,8 +235,10 @@
 void EntryNode::SendCrashReports() {
   const std::vector<CrashReport> reports = crashes_.TakeNewReports();
   if (!reports.empty()) {
-    members_.SendToAll(Role::kEntry,
-                       ToWire(reports, /*complete=*/false, clock_.Now()));
+    for (CrashNews& news :
+         ToMessages(reports, /*complete=*/false, clock_.Now())) {
+      members_.SendToAll(Role::kEntry, std::move(news));
+    }
   }
 }
 
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -49,9 +49,9 @@
   request.properties = std::move(submission.properties);
   request.body_hash = submission.body_hash;
   request.payload = std::move(submission.payload);
-  request.traits = {
-      .fingerprint = HashBytes(request.properties.team, request.body_hash),
-      .parts = request.payload.prompt_parts};
+  request.traits =
+      MakeTraits(HashBytes(request.properties.team, request.body_hash),
+                 request.payload.prompt_parts);
   request.arrived = context_.clock.Now();
   request.deadline.reset();
   if (submission.deadline.has_value()) {
--- a/lavenderkeel/forward/entry_exchange.cc
+++ b/lavenderkeel/forward/entry_exchange.cc
@@ -80,8 +80,10 @@
 
 void EntryExchange::OnLinkUp(LinkId link, const InstanceInfo& peer) {
   // Sent over each new connection: messages on a former connection may be lost.
-  outbox_.Send(link, lavenderkeel::ToWire(crashes_.All(), /*complete=*/true,
-                                          clock_.Now()));
+  for (CrashNews& news :
+       ToMessages(crashes_.All(), /*complete=*/true, clock_.Now())) {
+    outbox_.Send(link, std::move(news));
+  }
   // Both ends open a connection; the list is sent over the first.
   if (entry_directory_.OnConnected(peer, clock_.Now())) {
     SendList(link, peer.id.instance, entry_directory_.AvailableOthers(),
@@ -458,9 +460,10 @@
 void EntryExchange::SendCrashReports() {
   const std::vector<CrashReport> reports = crashes_.TakeNewReports();
   if (!reports.empty()) {
-    members_.SendToAll(
-        Role::kEntry,
-        lavenderkeel::ToWire(reports, /*complete=*/false, clock_.Now()));
+    for (CrashNews& news :
+         ToMessages(reports, /*complete=*/false, clock_.Now())) {
+      members_.SendToAll(Role::kEntry, std::move(news));
+    }
   }
 }
 
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -234,14 +234,14 @@
     Refuse(exchange, request->metadata.request_id, *refusal);
     return;
   }
-  request->traits = {.fingerprint = FingerprintOf({
-                         .team = request->team,
-                         .method = request->head.method,
-                         .host = *host,
-                         .target = request->head.target,
-                         .body = request->body,
-                     }),
-                     .parts = request->metadata.prompt_parts};
+  request->traits = MakeTraits(FingerprintOf({
+                                   .team = request->team,
+                                   .method = request->head.method,
+                                   .host = *host,
+                                   .target = request->head.target,
+                                   .body = request->body,
+                               }),
+                               request->metadata.prompt_parts);
   held_body_bytes_ += request->body.size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
--- a/test/crash/crash_archive_test.cc
+++ b/test/crash/crash_archive_test.cc
@@ -225,6 +225,38 @@
   BOOST_TEST(store.writes <= 4);
 }
 
+// Guards against evidence that the store refuses since it is too large, and
+// against a store that is rewritten since it lacks the parts left out.
+BOOST_FIXTURE_TEST_CASE(EvidenceOfLongPromptsIsLimited, Fixture) {
+  constexpr PromptPartId kCulprit = 7;
+  PromptPartId own = 1000;
+  for (uint64_t i = 1; i <= 20; ++i) {
+    std::vector<PromptPartId> parts(4000);
+    std::ranges::generate(parts, [&own] { return ++own; });
+    parts.insert(parts.begin() + 2000, kCulprit);
+    const TimePoint sent = clock.Now();
+    clock.Advance(milliseconds(50));
+    entry.guard.OnServerLost({.request = {.fingerprint = i, .parts = parts},
+                              .server = i,
+                              .sent = sent});
+    clock.Advance(milliseconds(50));
+  }
+  for (int i = 0; i < 20; ++i) {
+    entry.archive.Tick({.reaches_all = true});
+    clock.Advance(seconds(2));
+    entry.Read();
+  }
+  BOOST_TEST(store.writes <= 2);
+  BOOST_TEST(store.reports.size() >= 16U);
+  size_t total = 0;
+  for (const CrashReport& report : store.reports) {
+    total += report.request.parts.size();
+    BOOST_TEST(HasSuspect(report.request,
+                          {.kind = Suspect::Kind::kPart, .first = kCulprit}));
+  }
+  BOOST_TEST(total <= CrashArchive::Options().max_parts);
+}
+
 // Guards against a write that is not made again though the store did not take
 // it.
 BOOST_FIXTURE_TEST_CASE(WriteWithoutEffectIsRepeated, Fixture) {
--- a/test/crash/crash_ledger_test.cc
+++ b/test/crash/crash_ledger_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "lavenderkeel/crash.h"
+#include "lavenderkeel/wire/codec.h"
 
 namespace lavenderkeel {
 
@@ -172,4 +173,26 @@
   BOOST_TEST(FromWire(unknown, sent_at).empty());
 }
 
+// Guards against a connection that is closed for a message beyond the limit of
+// a frame.
+BOOST_AUTO_TEST_CASE(ReportsOfLongPromptsFitFrames) {
+  std::vector<CrashReport> reports;
+  for (uint64_t i = 0; i < 200; ++i) {
+    reports.push_back(
+        {.request = MakeTraits(i, std::vector<PromptPartId>(kMaxSuspectParts)),
+         .server = i});
+    reports.back().request.parts.resize(kMaxSuspectParts, i);
+  }
+  const std::vector<CrashNews> messages =
+      ToMessages(reports, /*complete=*/true, kStart);
+  size_t count = 0;
+  for (const CrashNews& message : messages) {
+    BOOST_TEST(EncodeFrame(message).size() <= kMaxFrameSize);
+    BOOST_TEST(message.complete == (&message == &messages.back()));
+    count += FromWire(message, kStart).size();
+  }
+  BOOST_TEST(count == reports.size());
+  BOOST_TEST(ToMessages({}, /*complete=*/true, kStart).size() == 1U);
+}
+
 }  // namespace lavenderkeel
--- a/test/crash/crash_suspects_test.cc
+++ b/test/crash/crash_suspects_test.cc
@@ -368,4 +368,46 @@
   }));
 }
 
+// Guards against a culprit that is not examined, or not told apart from the
+// others, behind as many parts as the head of a request holds.
+BOOST_AUTO_TEST_CASE(CulpritIsFoundAtAnyPlaceOfALongPrompt) {
+  constexpr size_t kParts = 4000;
+  for (const size_t place :
+       {size_t{0}, size_t{63}, size_t{64}, size_t{66}, size_t{1000}, kParts}) {
+    History history;
+    PromptPartId own = 10'000'000;
+    const auto prompt = [&](PromptPartId part) {
+      std::vector<PromptPartId> parts(kParts);
+      std::ranges::generate(parts, [&own] { return ++own; });
+      parts.insert(parts.begin() + static_cast<ptrdiff_t>(place), part);
+      parts.push_back(kCommon);
+      return parts;
+    };
+    for (int i = 0; i < 5; ++i) {
+      history.Answer(history.NewRequest(prompt(kOther)));
+      history.Lose({history.NewRequest(prompt(kCulprit)),
+                    history.NewRequest(prompt(kOther))});
+    }
+    history.Answer(history.NewRequest(prompt(kOther)));
+    BOOST_TEST(history.IsBlocked(history.NewRequest(prompt(kCulprit))), place);
+    BOOST_TEST((history.SuspicionOf(history.NewRequest(prompt(kOther))) <
+                CrashSuspicion::kDoubtful),
+               place);
+  }
+}
+
+// Guards against culprits that losses of long prompts displace.
+BOOST_AUTO_TEST_CASE(LongPromptsDoNotDisplaceTheCulprit) {
+  History history({.max_suspects = 1000});
+  PromptPartId own = 10'000'000;
+  for (int i = 0; i < 20; ++i) {
+    std::vector<PromptPartId> parts(600);
+    std::ranges::generate(parts, [&own] { return ++own; });
+    parts.push_back(kCulprit);
+    history.Lose({history.NewRequest(parts)});
+  }
+  BOOST_TEST(history.ledger.size() <= 1000U);
+  BOOST_TEST(history.IsBlocked(history.NewRequest({kCulprit})));
+}
+
 }  // namespace lavenderkeel
--- a/test/forward/crashing_part_test.cc
+++ b/test/forward/crashing_part_test.cc
@@ -68,6 +68,13 @@
   Play({.culprits = {{.parts = {kCulprit}, .first = true}}});
 }
 
+// Guards against a part that is not examined since many others precede it.
+BOOST_AUTO_TEST_CASE(CrashingPartBehindManyOthersIsStopped) {
+  for (const int own_parts : {64, 400}) {
+    Play({.own_parts = own_parts});
+  }
+}
+
 // Guards against losses that are forgotten between two requests with the part.
 BOOST_AUTO_TEST_CASE(RareCrashingPartIsStopped) {
   Play({.culprits = {{.parts = {kCulprit}, .one_in = 100}},
--- a/test/forward/part_simulation.cc
+++ b/test/forward/part_simulation.cc
@@ -166,6 +166,9 @@
 }
 
 size_t PartSimulation::Add(Request request) {
+  std::vector<PromptPartId> own(static_cast<size_t>(options_.own_parts));
+  std::ranges::generate(own, [this] { return ++last_own_part_; });
+  request.parts.insert(request.parts.begin() + 1, own.begin(), own.end());
   request.culprit = CulpritOf(request.parts);
   request.first_sent = fleet_.Now();
   request.time_left = kTimeLimit;
@@ -409,7 +412,7 @@
   std::set<std::pair<std::string, PromptPartId>> sound;
   for (const Request& request : requests_) {
     if (!request.culprit.has_value()) {
-      sound.insert({request.route, request.parts[1]});
+      sound.insert({request.route, request.parts.end()[-2]});
     }
   }
   const size_t first = requests_.size();
--- a/test/forward/part_simulation.h
+++ b/test/forward/part_simulation.h
@@ -36,6 +36,8 @@
     int entries = 4;
     std::optional<int> started = std::nullopt;
     int servers = 18;
+    /// Parts of its own that each prompt has after its first part.
+    int own_parts = 0;
     /// Interval between requests; the routes have them in rotation.
     Duration request_every = std::chrono::milliseconds(12);
     std::vector<std::string> routes = {"stream", "stream", "stream", "once",
