Answers without end are bounded and close their connection

Servers in trouble may send bytes that are no answer without end, in a head or a body. Bounded before were the head (32 KiB) and a body (64 MiB); read and kept without bound were the line of a chunk, a trailer and an event of a stream, read without bound interim responses and answers to other requests, and what was written to a client that reads slowly. A rejection whose body did not end held its request until the deadline, and calls to the store, to the platform and to engines had neither a bound on the answer nor on its time.

Now each of these ends its attempt: framing beyond the limit of a head, 1 MiB without the end of an event, 8 MiB or 64 messages that are skipped, 64 KiB or half a second of a rejection's body. An answer is not read on while 256 KiB wait for its client. Calls of HttpClient are bounded in bytes and as a whole in time. endless_answer lines and the metrics endless_answers and answers_paused tell them apart.

EndlessAnswersAreBoundedAndOthersAreServed plays eleven kinds against a real entry: memory, connection, one outcome a request, others served.

--- a/lavenderkeel/forward/answer_forwarder.cc
+++ b/lavenderkeel/forward/answer_forwarder.cc
@@ -35,9 +35,6 @@
 }
 
 void AnswerForwarder::OnChunk(ForwardedRequest& request, std::string bytes) {
-  if (request.rejected) {
-    return;
-  }
   if (request.answer_streams) {
     request.events.Feed(bytes);
     ForwardEvents(request);
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -615,6 +615,8 @@
     notices_.OnAnswer(request->server, metadata.notices, request->sent_at);
   }
   request->rejected = rejected;
+  request->rejected_at = clock_.Now();
+  request->rejection_bytes = 0;
   request->answer_streams = streams;
   request->answer_head = head;
   return HeadVerdict::kTake;
@@ -626,19 +628,51 @@
     return false;
   }
   request->last_received_at = clock_.Now();
+  if (request->rejected) {
+    request->rejection_bytes += bytes.size();
+    if (request->rejection_bytes > options_.max_rejection_bytes) {
+      AbandonEndlessAnswer(*request, "rejection");
+      return false;
+    }
+    return true;
+  }
   answers_.OnChunk(*request, std::move(bytes));
+  if (request->events.incomplete_bytes() > options_.max_event_bytes) {
+    AbandonEndlessAnswer(*request, "event");
+    return false;
+  }
   return true;
 }
 
+void ForwardController::OnAnswerPaused(AttemptId attempt) {
+  if (ForwardedRequest* request = FindByAttempt(attempt)) {
+    request->last_received_at = clock_.Now();
+  }
+}
+
+void ForwardController::AbandonEndlessAnswer(ForwardedRequest& request,
+                                             std::string_view what) {
+  metrics_.Add("endless_answers{what=\"" + std::string(what) + "\"}");
+  log_.Warn("endless_answer", {{"id", request.metadata.request_id},
+                               {"server", request.server},
+                               {"what", what}});
+  AfterFailure(request, request.rejected ? RejectionOf(request)
+                                         : AttemptFailure::kBroken);
+}
+
+AttemptFailure ForwardController::RejectionOf(const ForwardedRequest& request) {
+  return request.answer_head->status == kMisdirected
+             ? AttemptFailure::kWrongServer
+             : AttemptFailure::kRejected;
+}
+
 void ForwardController::OnAnswerEnd(AttemptId attempt) {
   ForwardedRequest* request = FindByAttempt(attempt);
   if (request == nullptr) {
     return;
   }
   if (request->rejected) {
-    const bool wrong_server = request->answer_head->status == kMisdirected;
-    AfterFailure(*request, wrong_server ? AttemptFailure::kWrongServer
-                                        : AttemptFailure::kRejected);
+    AfterFailure(*request, RejectionOf(*request));
     return;
   }
   if (request->answer_streams) {
@@ -841,6 +875,12 @@
     CheckWait(request, now);
     return;
   }
+  if (request.rejected &&
+      now - request.rejected_at >= options_.max_rejection_time) {
+    port_.Cancel(request.attempt);
+    AbandonEndlessAnswer(request, "rejection");
+    return;
+  }
   if (request.event_count == 0 && !request.answer_head.has_value()) {
     version_selector_.OnNoAnswerYet(request.service, request.version_attempt,
                                     now - request.sent_at);
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -74,6 +74,13 @@
     /// size, so that a truncated answer can be fetched again or reported as
     /// failed.
     size_t max_buffered_answer_bytes = size_t{256} << 10;
+    /// A single event of a stream may have this size. Bytes without the end of
+    /// an event are no stream.
+    size_t max_event_bytes = size_t{1} << 20;
+    /// The body of a rejection is not used; one that goes on beyond this size
+    /// or time is not awaited.
+    size_t max_rejection_bytes = size_t{64} << 10;
+    Duration max_rejection_time = std::chrono::milliseconds(500);
     /// Limit for the bodies of waiting and running requests together; above it,
     /// new requests are refused. Set from the memory of the instance.
     size_t max_buffered_body_bytes = size_t{64} << 20;
@@ -149,6 +156,9 @@
                            bool fresh);
   /// @return false if the attempt is no longer wanted
   bool OnAnswerChunk(AttemptId attempt, std::string bytes);
+  /// Handles that the answer is not read on for now, since the client does not
+  /// take it.
+  void OnAnswerPaused(AttemptId attempt);
   void OnAnswerEnd(AttemptId attempt);
   void OnAttemptFailed(AttemptId attempt, AttemptFailure failure);
 
@@ -249,6 +259,9 @@
   /// Ends the attempt, whether or not it was sent, and frees its slot.
   void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
+  /// Ends an attempt whose answer goes on without a sign of its end.
+  void AbandonEndlessAnswer(ForwardedRequest& request, std::string_view what);
+  static AttemptFailure RejectionOf(const ForwardedRequest& request);
   void SendAgainOrEnd(ForwardedRequest& request,
                       RequestRetries::Decision decision);
   /// Ends a request that is not sent again, with the error that a server
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -75,6 +75,9 @@
   std::string answer_body;
   /// The head of the answer states that the server did not run the request.
   bool rejected = false;
+  TimePoint rejected_at;
+  /// Size of the body of the rejection so far.
+  size_t rejection_bytes = 0;
   /// The answer is an event stream.
   bool answer_streams = false;
   EventStreamReader events;
--- a/lavenderkeel/http/event_stream.cc
+++ b/lavenderkeel/http/event_stream.cc
@@ -8,9 +8,9 @@
 
 /// Returns the position after the first empty line, or npos. Lines end in \n or
 /// \r\n.
-size_t EndOfEvent(std::string_view text) {
-  size_t line = 0;
-  for (size_t end = text.find('\n'); end != std::string_view::npos;
+/// @param line where to begin; set to the start of the last line
+size_t EndOfEvent(std::string_view text, size_t& line) {
+  for (size_t end = text.find('\n', line); end != std::string_view::npos;
        end = text.find('\n', line)) {
     const bool empty = end == line || (end == line + 1 && text[line] == '\r');
     line = end + 1;
@@ -46,12 +46,13 @@
 }  // namespace
 
 std::optional<StreamEvent> EventStreamReader::Next() {
-  const size_t end = EndOfEvent(pending_);
+  const size_t end = EndOfEvent(pending_, scanned_);
   if (end == std::string::npos) {
     return std::nullopt;
   }
   StreamEvent event{.bytes = pending_.substr(0, end), .id = {}};
   pending_.erase(0, end);
+  scanned_ = 0;
   event.id = IdOf(event.bytes);
   return event;
 }
--- a/lavenderkeel/http/event_stream.h
+++ b/lavenderkeel/http/event_stream.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_HTTP_EVENT_STREAM_H_
 #define LAVENDERKEEL_HTTP_EVENT_STREAM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,9 +33,13 @@
   /// Returns true if bytes of an incomplete event remain: the stream is not at
   /// an event boundary.
   bool has_incomplete_event() const { return !pending_.empty(); }
+  /// Returns the size of the incomplete event in bytes.
+  size_t incomplete_bytes() const { return pending_.size(); }
 
  private:
   std::string pending_;
+  /// Start of the first line that has not been found complete.
+  size_t scanned_ = 0;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -29,7 +29,8 @@
   static constexpr bool kIsRequest = std::is_same_v<Head, RequestHead>;
   using Base = http::basic_parser<kIsRequest>;
 
-  explicit Parser(ReadLimits limits) : body_limit_(limits.body_bytes) {
+  explicit Parser(ReadLimits limits)
+      : head_limit_(limits.head_bytes), body_limit_(limits.body_bytes) {
     this->eager(true);
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     // OnBody() counts the bytes instead, to distinguish a body over the limit
@@ -56,6 +57,12 @@
         this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
     has_unconsumed_bytes_ = consumed < bytes.size();
     RecordFault(error);
+    // Beast bounds the head, but neither the line of a chunk nor a trailer,
+    // which it parses only as a whole.
+    if (fault_ == ReadFault::kNone && this->is_header_done() &&
+        !this->is_done() && bytes.size() - consumed > head_limit_) {
+      fault_ = ReadFault::kMalformed;
+    }
     return consumed;
   }
 
@@ -199,6 +206,7 @@
     return body.size();
   }
 
+  size_t head_limit_;
   uint64_t body_limit_;
   Head head_;
   std::string body_;
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -22,7 +22,8 @@
   kTruncated,
 };
 
-/// Bounds on one message, in bytes.
+/// Bounds on one message, in bytes. The first also holds for the line of a
+/// chunk and for a trailer.
 struct ReadLimits {
   size_t head_bytes = size_t{16} << 10;
   uint64_t body_bytes = uint64_t{4} << 20;
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -279,6 +279,11 @@
   }
 }
 
+size_t ClientPort::UnsentBytes(ExchangeId exchange) {
+  const Connection* connection = FindExchange(exchange);
+  return connection == nullptr ? 0 : UnsentOf(connection->events);
+}
+
 void ClientPort::Finish(Connection& connection) {
   exchanges_.erase(connection.exchange);
   connection.exchange = 0;
@@ -298,6 +303,10 @@
 }
 
 void ClientPort::OnWritten(Connection& connection) {
+  if (connection.state == Connection::State::kBusy) {
+    hooks_.on_written(connection.exchange);
+    return;
+  }
   if (connection.state != Connection::State::kFlushing) {
     return;
   }
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -31,6 +31,8 @@
     std::function<void(ExchangeId, ResultCode)> on_bad_request;
     /// The client closed the connection before the answer was fully written.
     std::function<void(ExchangeId)> on_gone;
+    /// All that was written of an answer so far has been sent.
+    std::function<void(ExchangeId)> on_written;
     /// Returns the limits in force.
     std::function<ClientLimits()> limits;
   };
@@ -56,6 +58,8 @@
   void RespondChunk(ExchangeId exchange, std::string_view bytes);
   void RespondEnd(ExchangeId exchange);
   void Abort(ExchangeId exchange);
+  /// Returns the size of what was written to the client and is not sent yet.
+  size_t UnsentBytes(ExchangeId exchange);
 
   /// Closes connections that are idle or slow for too long.
   void Tick();
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -54,6 +54,7 @@
   }
   void RespondChunk(ExchangeId exchange, std::string_view bytes) override {
     daemon_.clients_.RespondChunk(exchange, bytes);
+    daemon_.PauseIfCongested(exchange);
   }
   void RespondEnd(ExchangeId exchange) override {
     daemon_.clients_.RespondEnd(exchange);
@@ -100,8 +101,11 @@
                },
            .on_gone =
                [this](ExchangeId exchange) {
+                 paused_.erase(exchange);
                  node_.controller().OnClientGone(exchange);
                },
+           .on_written =
+               [this](ExchangeId exchange) { ResumeAnswer(exchange); },
            .limits =
                [this] {
                  const auto& table = node_.controller().table();
@@ -117,8 +121,11 @@
                },
            .on_chunk =
                [this](AttemptId attempt, std::string bytes) {
-                 return node_.controller().OnAnswerChunk(attempt,
-                                                         std::move(bytes));
+                 reading_ = attempt;
+                 const bool wanted = node_.controller().OnAnswerChunk(
+                     attempt, std::move(bytes));
+                 reading_ = 0;
+                 return wanted;
                },
            .on_end =
                [this](AttemptId attempt) {
@@ -199,8 +206,37 @@
   suspended_time_ = suspended;
 }
 
+void ForwardDaemon::PauseIfCongested(ExchangeId exchange) {
+  constexpr size_t kMaxUnsentBytes = size_t{256} << 10;
+  if (reading_ == 0 || clients_.UnsentBytes(exchange) <= kMaxUnsentBytes) {
+    return;
+  }
+  if (paused_.insert_or_assign(exchange, reading_).second) {
+    metrics_.Add("answers_paused");
+  }
+  upstream_.SetReading(reading_, false);
+}
+
+void ForwardDaemon::ResumeAnswer(ExchangeId exchange) {
+  const auto paused = paused_.find(exchange);
+  if (paused != paused_.end()) {
+    upstream_.SetReading(paused->second, true);
+    paused_.erase(paused);
+  }
+}
+
+void ForwardDaemon::CheckPausedAnswers() {
+  std::erase_if(paused_, [this](const auto& item) {
+    return !upstream_.Has(item.second);
+  });
+  for (const auto& [exchange, attempt] : paused_) {
+    node_.controller().OnAnswerPaused(attempt);
+  }
+}
+
 void ForwardDaemon::OnTick() {
   CheckForFreeze();
+  CheckPausedAnswers();
   clients_.Tick();
   upstream_.Tick();
   node_.Tick();
--- a/lavenderkeel/io/forward_daemon.h
+++ b/lavenderkeel/io/forward_daemon.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <unordered_map>
 
 #include "lavenderkeel/base.h"
 #include "lavenderkeel/forward/forward_node.h"
@@ -43,6 +44,11 @@
   void ContinueLeaving();
   void ExecuteActions();
   void CheckForFreeze();
+  /// Stops reading an answer that its client does not take.
+  void PauseIfCongested(ExchangeId exchange);
+  void ResumeAnswer(ExchangeId exchange);
+  /// Keeps paused answers from being taken for silent ones.
+  void CheckPausedAnswers();
 
   ForwardSettings settings_;
   const EventLog& log_;
@@ -58,6 +64,10 @@
   HttpServer status_;
   ActionRunner runner_;
   TimePoint left_at_;
+  /// The attempt whose answer is being read; zero: none.
+  AttemptId reading_ = 0;
+  /// Attempts whose answers are not read on, by the exchange they belong to.
+  std::unordered_map<ExchangeId, AttemptId> paused_;
   /// True once new requests are no longer accepted.
   bool closed_ = false;
   /// Boot time minus steady time: the time that the machine was suspended.
--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -1,6 +1,8 @@
 #include "lavenderkeel/io/http_client.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -54,6 +56,17 @@
   return bytes;
 }
 
+/// Bounds what an answer occupies, also where the library looks for the end of
+/// a line without a bound of its own.
+void LimitAnswer(evhttp_connection* connection, size_t max_body_bytes) {
+  constexpr size_t kMaxHeadBytes = size_t{64} << 10;
+  evhttp_connection_set_max_headers_size(connection, kMaxHeadBytes);
+  evhttp_connection_set_max_body_size(connection,
+                                      static_cast<ev_ssize_t>(max_body_bytes));
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                           EV_READ, 0, max_body_bytes + kMaxHeadBytes);
+}
+
 }  // namespace
 
 struct HttpClient::Pending {
@@ -62,7 +75,14 @@
   Call call;
   evhttp_connection* connection = nullptr;
   evhttp_request* request = nullptr;
+  event* timer = nullptr;
   bool done = false;
+
+  ~Pending() {
+    if (timer != nullptr) {
+      event_free(timer);
+    }
+  }
 };
 
 HttpClient::HttpClient(EventLoop& loop) : loop_(loop) {}
@@ -95,6 +115,16 @@
       .tv_sec = raw->call.timeout.count() / kMicrosecondsPerSecond,
       .tv_usec = raw->call.timeout.count() % kMicrosecondsPerSecond};
   evhttp_connection_set_timeout_tv(raw->connection, &timeout);
+  LimitAnswer(raw->connection, raw->call.max_body_bytes);
+  // The library's own timeouts begin again with each byte.
+  raw->timer = evtimer_new(
+      loop_.base(),
+      [](evutil_socket_t, short, void* arg) {
+        auto* self = static_cast<Pending*>(arg);
+        self->client->OnDoneInLibrary(*self, nullptr);
+      },
+      raw);
+  evtimer_add(raw->timer, &timeout);
   raw->request = evhttp_request_new(
       [](evhttp_request* request, void* arg) {
         auto* self = static_cast<Pending*>(arg);
--- a/lavenderkeel/io/http_client.h
+++ b/lavenderkeel/io/http_client.h
@@ -48,7 +48,10 @@
     std::string path;
     HttpHeaders headers;
     std::string body;
+    /// For the whole call.
     Duration timeout = std::chrono::seconds(5);
+    /// A larger answer counts as none.
+    size_t max_body_bytes = size_t{16} << 20;
     /// Receives a streamed answer; the body of the result is empty then.
     OnData on_data;
     OnDone on_done;
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -14,6 +14,9 @@
 constexpr Duration kServiceTimeout = std::chrono::minutes(10);
 constexpr Duration kCancelTimeout = std::chrono::seconds(3);
 constexpr std::string_view kEventPrefix = "data: ";
+/// An event without an end is no event.
+constexpr size_t kMaxLineBytes = size_t{1} << 20;
+constexpr size_t kMaxStreamBytes = size_t{256} << 20;
 
 /// Returns whether the server turned the request away and asks for a rest.
 bool IsPushback(const HttpResult& result) {
@@ -55,6 +58,7 @@
 void ServerClient::OpenStream(RunId run, HttpClient::Call call) {
   Drop(run);
   call.timeout = kStreamTimeout;
+  call.max_body_bytes = kMaxStreamBytes;
   call.on_data = [this, run](std::string_view bytes) { OnBytes(run, bytes); };
   call.on_done = [this, run](const HttpResult& result) {
     OnStreamDone(run, result);
@@ -71,6 +75,11 @@
   for (const char c : bytes) {
     if (c != '\n') {
       stream.line += c;
+      if (stream.line.size() > kMaxLineBytes) {
+        Drop(run);
+        runs_.OnServerDisconnect(run, ServerDisconnect::kBroken);
+        break;
+      }
       continue;
     }
     const std::string line = std::exchange(stream.line, {});
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -69,6 +69,9 @@
   /// True if the current message is discarded, since it does not answer the
   /// current request.
   bool skipping = false;
+  /// What was discarded for the current request.
+  size_t skipped_messages = 0;
+  size_t skipped_bytes = 0;
   TimePoint connecting_since;
   TimePoint idle_since;
   Duration idle_time{};
@@ -99,6 +102,8 @@
   connection->requests.insert(HashBytes(outgoing.request_id));
   connection->head_taken = false;
   connection->skipping = false;
+  connection->skipped_messages = 0;
+  connection->skipped_bytes = 0;
   connection->reader = ResponseReader(options_.answer);
   attempts_[attempt] = connection->id;
   bufferevent_write(connection->events, outgoing.bytes.data(),
@@ -235,6 +240,9 @@
   if (reader.head_done() && !connection.head_taken && !TakeHead(connection)) {
     return false;
   }
+  if (connection.skipping && !MaySkip(connection, consumed)) {
+    return false;
+  }
   if (std::string chunk = reader.TakeBody();
       !chunk.empty() && !connection.skipping) {
     if (!hooks_.on_chunk(connection.attempt, std::move(chunk))) {
@@ -249,6 +257,7 @@
     return consumed > 0 && evbuffer_get_length(input) > 0;
   }
   if (connection.skipping) {
+    ++connection.skipped_messages;
     connection.skipping = false;
     connection.head_taken = false;
     connection.fresh = false;
@@ -259,6 +268,16 @@
   return false;
 }
 
+bool UpstreamPort::MaySkip(Connection& connection, size_t bytes) {
+  connection.skipped_bytes += bytes;
+  if (connection.skipped_bytes <= options_.max_skipped_bytes &&
+      connection.skipped_messages < options_.max_skipped_messages) {
+    return true;
+  }
+  FailAndClose(connection.id, AttemptFailure::kBroken);
+  return false;
+}
+
 bool UpstreamPort::TakeHead(Connection& connection) {
   const ResponseHead& head = connection.reader.head();
   connection.head_taken = true;
@@ -322,6 +341,19 @@
   Close(found->second);
 }
 
+void UpstreamPort::SetReading(AttemptId attempt, bool reads) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  bufferevent* events = connections_.at(found->second)->events;
+  if (reads) {
+    bufferevent_enable(events, EV_READ);
+  } else {
+    bufferevent_disable(events, EV_READ);
+  }
+}
+
 void UpstreamPort::FailAndClose(ConnectionId id, AttemptFailure failure) {
   const AttemptId attempt = connections_.at(id)->attempt;
   Close(id);
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -45,6 +45,10 @@
     /// Limits on a server's answer.
     ReadLimits answer = {.head_bytes = size_t{32} << 10,
                          .body_bytes = uint64_t{64} << 20};
+    /// Limits on what is read and discarded before the answer of an attempt:
+    /// answers to other requests, and interim responses.
+    size_t max_skipped_messages = 64;
+    size_t max_skipped_bytes = size_t{8} << 20;
   };
 
   struct Hooks {
@@ -68,6 +72,10 @@
 
   void Send(AttemptId attempt, const ForwardPort::OutgoingRequest& outgoing);
   void Cancel(AttemptId attempt);
+  /// Stops or resumes reading the answer of an attempt, so that the server
+  /// sends no more than the client takes.
+  void SetReading(AttemptId attempt, bool reads);
+  bool Has(AttemptId attempt) const { return attempts_.contains(attempt); }
   /// Fails overdue connection attempts and closes connections that are idle for
   /// too long.
   void Tick();
@@ -89,6 +97,8 @@
   /// @return false once the connection is closed or needs more bytes
   bool ParseInput(Connection& connection);
   bool TakeHead(Connection& connection);
+  /// Returns false and closes the connection if too much was discarded.
+  bool MaySkip(Connection& connection, size_t bytes);
   void OnComplete(Connection& connection);
   void OnEvent(Connection& connection, short what);
   void FailAndClose(ConnectionId id, AttemptFailure failure);
--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -5,6 +5,7 @@
 #include <event2/listener.h>
 #include <sys/socket.h>
 
+#include <csignal>
 #include <utility>
 
 #include "lavenderkeel/io/address.h"
@@ -23,6 +24,8 @@
 
 ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
     : loop_(loop), script_(std::move(script)) {
+  // A peer may close a connection while bytes are written to it.
+  std::signal(SIGPIPE, SIG_IGN);
   sockaddr_storage storage{};
   const auto length =
       static_cast<int>(Address{.host = "127.0.0.1"}.ToSocketAddress(storage));
--- a/test/http/message_reader_test.cc
+++ b/test/http/message_reader_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -169,4 +170,24 @@
   BOOST_TEST((kept == HttpFields{{"Host", "h"}, {"X-Kept", "2"}}));
 }
 
+// Guards against a line of a chunk, or a trailer, that is kept without bound.
+BOOST_AUTO_TEST_CASE(EndlessFramingIsMalformed) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& framing :
+       {std::string("5;extension="), std::string("0\r\nX: "),
+        std::string("0\r\nX: y\r\nZ: "), std::string("00000000000000")}) {
+    ResponseReader reader({.head_bytes = 1000, .body_bytes = 1000});
+    std::string unread = head + framing;
+    size_t most = 0;
+    for (int i = 0; i < 1000 && reader.fault() == ReadFault::kNone; ++i) {
+      unread.erase(0, reader.Feed(unread));
+      most = std::max(most, unread.size());
+      unread.append(100, '0');
+    }
+    BOOST_TEST((reader.fault() == ReadFault::kMalformed), framing);
+    BOOST_TEST(most < 2000U);
+  }
+}
+
 }  // namespace lavenderkeel
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
 #include <map>
+#include <memory>
 #include <optional>
 
 #include "lavenderkeel/io/address.h"
@@ -193,6 +194,45 @@
   BOOST_TEST(server.accepted() == 2);
 }
 
+// Guards against bytes without end that are kept, or read for ever, where a
+// head is expected.
+BOOST_AUTO_TEST_CASE(EndlessBytesBeforeAnAnswerCloseTheConnection) {
+  const std::string line(1000, 'x');
+  const std::string other = Answer("200 OK", "other", "answer");
+  struct Case {
+    std::string begin;
+    std::string repeated;
+  };
+  for (const Case& bytes :
+       std::vector<Case>{{"", line},
+                         {"", "\r\n"},
+                         {"HTTP/1.1 200 OK\r\n", "X: " + line + "\r\n"},
+                         {"HTTP/1.1 200 OK\r\nX: ", line},
+                         {"HTTP/1.1 200 ", line},
+                         {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+                         {"", other},
+                         {"HTTP/1.1 200 OK\r\nRequest-Id: "
+                          "other\r\nTransfer-Encoding: chunked\r\n\r\n",
+                          "3e8\r\n" + line + "\r\n"}}) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> server;
+    server = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view) {
+          server->Send(connection, bytes.begin);
+          server->SendWithoutEnd(connection, bytes.repeated);
+          return std::string();
+        });
+    Client client(loop);
+    const Client::Attempt& attempt = client.Call(*server, "r");
+    BOOST_TEST((attempt.failure == AttemptFailure::kBroken), bytes.repeated);
+    loop.Defer([&loop] { loop.Stop(); });
+    loop.Run();
+    BOOST_TEST(server->endless_bytes() < (size_t{32} << 20));
+    BOOST_TEST(client.Call(*server, "s").failure.has_value());
+    BOOST_TEST(server->accepted() == 2);
+  }
+}
+
 // Guards against a request that reaches its server after it was given up.
 BOOST_AUTO_TEST_CASE(CancelledAttemptIsReset) {
   EventLoop loop;
--- /dev/null
+++ b/test/process/endless_answer_test.cc
@@ -0,0 +1,253 @@
+// Backend servers that send bytes without end, before a real entry.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/io/event_loop.h"
+#include "lavenderkeel/io/http_client.h"
+#include "test/fakes/scripted_server.h"
+#include "test/process/process_set.h"
+
+namespace lavenderkeel::test {
+
+namespace {
+
+std::string RequestIdOf(std::string_view request) {
+  constexpr std::string_view kField = "Request-Id: ";
+  const size_t at = request.find(kField) + kField.size();
+  return std::string(request.substr(at, request.find('\r', at) - at));
+}
+
+/// An answer that begins like one and goes on without end.
+struct EndlessAnswer {
+  std::string name;
+  /// ID stands for the id of the request.
+  std::string begin;
+  std::string repeated;
+};
+
+std::vector<EndlessAnswer> EndlessAnswers() {
+  const std::string line(1000, 'x');
+  const std::string sealed =
+      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "3e8\r\n" + line + "\r\n";
+  return {{"no head", "", line},
+          {"field", "HTTP/1.1 200 OK\r\nX: ", line},
+          {"fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+          {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+          {"answers to others", "",
+           "HTTP/1.1 200 OK\r\nRequest-Id: o\r\nContent-Length: 2\r\n\r\nok"},
+          {"line of a chunk", sealed + chunked + "5;x=", line},
+          {"trailer", sealed + chunked + "0\r\nX: ", line},
+          {"body", sealed + chunked, chunk},
+          {"body until close", sealed + "Connection: close\r\n\r\n", line},
+          {"event", sealed + "Content-Type: text/event-stream\r\n" + chunked,
+           chunk},
+          {"rejection",
+           "HTTP/1.1 503 No\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n" + chunked,
+           chunk}};
+}
+
+/// An entry, a fake store, a sound server and one that answers without end.
+class EndlessProcesses {
+ public:
+  struct Outcome {
+    int outcomes = 0;
+    int status = 0;
+    std::string id;
+    std::string body;
+  };
+
+  explicit EndlessProcesses(const EndlessAnswer& answer)
+      : endless_(loop_, [this, answer](int connection, std::string_view head) {
+          std::string begin = answer.begin;
+          if (const size_t at = begin.find("ID\r\n"); at != std::string::npos) {
+            begin.replace(at, 2, RequestIdOf(head));
+          }
+          endless_.Send(connection, begin);
+          endless_.SendWithoutEnd(connection, answer.repeated);
+          return std::string();
+        }) {
+    loop_.Every(std::chrono::milliseconds(4), [this] { loop_.Stop(); });
+    processes_.Spawn("store", {Program("fake_store"), "127.0.0.1:0",
+                               processes_.ReadyFile("store")});
+    Wait([this] { return processes_.HasReadyFile("store"); });
+    Put("config/main", R"({"version": 1, "routes": [)" +
+                           Route("once", "non_idempotent") + "," +
+                           Route("lookup", "idempotent") + "," +
+                           Route("stream", "streaming") +
+                           R"(], "services": [{"name": "s"}],
+               "tenants": [{"name": "t", "apiKeys": ["key"]}]})");
+    processes_.Spawn("sound", {Program("fake_backend"), "127.0.0.1:0",
+                               processes_.ReadyFile("sound"), "sound",
+                               processes_.directory() + "/sound.runs"});
+    Wait([this] { return processes_.HasReadyFile("sound"); });
+    ListServer("sound", processes_.Address("sound", "http"), "ready");
+    ListServer("endless", endless_.address(), "ready");
+    StartEntry();
+  }
+
+  /// Sends requests and waits for their outcomes.
+  const std::vector<std::unique_ptr<Outcome>>& SendAll(int count) {
+    outcomes_.clear();
+    constexpr const char* kRoutes[] = {"once", "lookup", "stream"};
+    for (int i = 0; i < count; ++i) {
+      Send(kRoutes[static_cast<size_t>(i) % std::size(kRoutes)]);
+    }
+    Wait([this] {
+      return std::ranges::all_of(
+          outcomes_, [](const auto& outcome) { return outcome->outcomes > 0; });
+    });
+    return outcomes_;
+  }
+
+  /// Takes the server that answers without end out of use.
+  void RemoveEndless() {
+    ListServer("endless", endless_.address(), "draining");
+    constexpr Duration kTimeUntilKnown = std::chrono::seconds(2);
+    const TimePoint end = clock_.Now() + kTimeUntilKnown;
+    Wait([&] { return clock_.Now() > end; });
+  }
+
+  bool IsEndlessClosed() {
+    return Wait([this] { return endless_.open() == 0; });
+  }
+  int endless_connections() const { return endless_.accepted(); }
+  bool IsEntryRunning() const { return processes_.IsRunning("entry"); }
+  /// The most memory that the entry has used.
+  size_t EntryPeakKiB() const {
+    std::ifstream status("/proc/" + std::to_string(processes_.Pid("entry")) +
+                         "/status");
+    constexpr std::string_view kField = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with(kField)) {
+        return std::stoul(line.substr(kField.size()));
+      }
+    }
+    return 0;
+  }
+
+ private:
+  static std::string Program(const std::string& name) {
+    return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
+  }
+  static std::string Route(const std::string& name, const std::string& kind) {
+    return R"({"name": ")" + name + R"(", "host": "127.0.0.1",
+        "pathPrefix": "/)" +
+           name + R"(/", "kind": ")" + kind +
+           R"(", "timeoutMs": 4000, "targetLatencyMs": 300, "gapTargetMs": 300,
+        "service": "s", "maxAttempts": 3})";
+  }
+
+  bool Wait(const std::function<bool()>& condition) {
+    const TimePoint end = clock_.Now() + std::chrono::seconds(60);
+    while (!condition()) {
+      if (clock_.Now() > end) {
+        return false;
+      }
+      loop_.Run();
+    }
+    return true;
+  }
+
+  void Put(const std::string& object, const std::string& body) {
+    bool done = false;
+    http_.Start({.address = processes_.Address("store", "http"),
+                 .method = "PUT",
+                 .path = "/objects/" + object,
+                 .body = body,
+                 .on_done = [&done](const HttpResult&) { done = true; }});
+    Wait([&done] { return done; });
+  }
+
+  void ListServer(const std::string& id,
+                  const std::string& address,
+                  const std::string& state) {
+    Put("servers/" + id, R"({"service": "s", "address": ")" + address +
+                             R"(", "zone": "here", "slots": 4, "state": ")" +
+                             state + R"("})");
+  }
+
+  void StartEntry() {
+    const std::string settings = processes_.directory() + "/entry.json";
+    std::ofstream(settings)
+        << R"({"instance": "entry", "data_centre": "here", "listen":
+               {"clients": "127.0.0.1:0", "status": "127.0.0.1:0",
+                "peers": "127.0.0.1:0"}, "seeds": [], "store": ")"
+        << processes_.Address("store", "http") << "\"}";
+    processes_.Spawn(
+        "entry",
+        {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
+         "--ready_file=" + processes_.ReadyFile("entry")});
+    Wait([this] {
+      return processes_.Log("entry").find("event=servers_listed") !=
+             std::string::npos;
+    });
+  }
+
+  void Send(const std::string& route) {
+    outcomes_.push_back(std::make_unique<Outcome>());
+    Outcome& outcome = *outcomes_.back();
+    outcome.id = "q" + std::to_string(++sent_);
+    http_.Start({.address = processes_.Address("entry", "clients"),
+                 .path = "/" + route + "/x",
+                 .headers = {{"Request-Id", outcome.id},
+                             {"Authorization", "Bearer key"},
+                             {"Deadline-Ms", "4000"}},
+                 .timeout = std::chrono::seconds(10),
+                 .max_body_bytes = size_t{256} << 20,
+                 .on_done = [&outcome](const HttpResult& result) {
+                   ++outcome.outcomes;
+                   outcome.status = result.status;
+                   outcome.body = result.body;
+                 }});
+  }
+
+  SystemClock clock_;
+  EventLoop loop_;
+  HttpClient http_{loop_};
+  ProcessSet processes_;
+  fakes::ScriptedServer endless_;
+  std::vector<std::unique_ptr<Outcome>> outcomes_;
+  uint64_t sent_ = 0;
+};
+
+}  // namespace
+
+// Guards against an answer without end that exhausts the memory, keeps its
+// connection, or takes requests from other servers.
+BOOST_AUTO_TEST_CASE(EndlessAnswersAreBoundedAndOthersAreServed) {
+  for (const EndlessAnswer& answer : EndlessAnswers()) {
+    BOOST_TEST_CONTEXT(answer.name) {
+      EndlessProcesses processes(answer);
+      constexpr int kRequests = 60;
+      int served = 0;
+      for (const auto& outcome : processes.SendAll(kRequests)) {
+        BOOST_TEST(outcome->outcomes == 1);
+        const bool whole = outcome->body == "answer to " + outcome->id ||
+                           outcome->body.find("id: 12\ndata: " + outcome->id +
+                                              "\n\n") != std::string::npos;
+        served += outcome->status == 200 && whole ? 1 : 0;
+      }
+      // Half of the requests at least have the sound server.
+      BOOST_TEST(served >= kRequests / 2);
+      BOOST_TEST(processes.endless_connections() > 0);
+      BOOST_TEST(processes.IsEndlessClosed());
+      BOOST_TEST(processes.IsEntryRunning());
+      constexpr size_t kMaxKiB = size_t{160} << 10;
+      BOOST_TEST(processes.EntryPeakKiB() < kMaxKiB);
+      processes.RemoveEndless();
+      for (const auto& outcome : processes.SendAll(kRequests)) {
+        BOOST_TEST(outcome->status == 200);
+      }
+    }
+  }
+}
+
+}  // namespace lavenderkeel::test
