Soak: bytes without end, and objects that can't be read

The store's fake encodes values that JSON parsers reject; the relay of the soak follows answers with bytes without end.

--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/io.h"
@@ -208,7 +209,24 @@
         .caller = caller,
         .status = status,
         .headers = {{"Content-Type", "application/json"}},
-        .body = json::serialize(body)});
+        .body = WithUnreadableValues(json::serialize(body))});
+  }
+
+  /// Replaces texts that stand for values which a JSON parser rejects.
+  static std::string WithUnreadableValues(std::string text) {
+    const std::pair<std::string, std::string> values[] = {
+        {"\"@surrogate\"", R"("\udcff")"},
+        {"\"@control\"", "\"\x01\""},
+        {"\"@number\"", "1e99999999999"},
+        {"\"@nested\"", std::string(500, '[') + std::string(500, ']')}};
+    for (const auto& [name, value] : values) {
+      for (size_t at = text.find(name); at != std::string::npos;
+           at = text.find(name, at)) {
+        text.replace(at, name.size(), value);
+        at += value.size();
+      }
+    }
+    return text;
   }
 
   void RemoveWatches(CallerId caller) {
--- a/test/platform/crash_archive_codec_test.cc
+++ b/test/platform/crash_archive_codec_test.cc
@@ -88,8 +88,13 @@
         "{\"kind\":\"lost\",\"server\":\"\x01\"}"}) {
     const auto read = Catch([&] {
       return hybrid::DecodeCrashReports(
-          ObjectWith(R"({"reports":[)" + sound + "," + unreadable + "," +
-                     sound + "]}"),
+          ObjectWith(std::string(R"({"reports":[)")
+                         .append(sound)
+                         .append(",")
+                         .append(unreadable)
+                         .append(",")
+                         .append(sound)
+                         .append("]}")),
           clock);
     });
     BOOST_REQUIRE_MESSAGE(static_cast<bool>(read), unreadable);
--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -93,6 +95,14 @@
           "[1}",           Nested(5000),         R"({"a":1,"a":2})"};
 }
 
+std::string Join(std::initializer_list<std::string_view> texts) {
+  std::string joined;
+  for (const std::string_view text : texts) {
+    joined += text;
+  }
+  return joined;
+}
+
 std::string SoundItem(const std::string& name) {
   return R"({"metadata":{"name":")" + name +
          R"(","revision":3},"spec":{"service":"s","address":"10.0.0.1:80",
@@ -122,16 +132,16 @@
     for (const std::string& item : unreadable) {
       const ObjectReadResult list = StoreReader::Decode(
           ObjectRead::Kind::kList, 200,
-          R"({"currentRev":9,"items":[)" + item + "," + SoundItem("i-1") + "," +
-              item + "," + SoundItem("i-2") + "," + item + "]}");
+          Join({R"({"currentRev":9,"items":[)", item, ",", SoundItem("i-1"),
+                ",", item, ",", SoundItem("i-2"), ",", item, "]}"}));
       BOOST_REQUIRE_MESSAGE(list.outcome == ReadOutcome::kOk, item);
       BOOST_TEST(std::ranges::count_if(list.objects, IsServer) == 2, item);
       const ObjectReadResult changes = StoreReader::Decode(
           ObjectRead::Kind::kWatch, 200,
-          R"({"events":[{"object":)" + item + R"(},{"tombstone":)" + value +
-              R"(,"object":)" + SoundItem("i-1") + R"(},{"object":)" +
-              SoundItem("i-2") + R"(},{"object":)" + item +
-              R"(}],"currentRev":9})");
+          Join({R"({"events":[{"object":)", item, R"(},{"tombstone":)", value,
+                R"(,"object":)", SoundItem("i-1"), R"(},{"object":)",
+                SoundItem("i-2"), R"(},{"object":)", item,
+                R"(}],"currentRev":9})"}));
       BOOST_REQUIRE_MESSAGE(changes.outcome == ReadOutcome::kOk, item);
       BOOST_TEST(std::ranges::count_if(changes.objects, IsServer) == 2, item);
     }
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -71,6 +71,7 @@
   AnswerRecorder answers;
   /// Sent to the client once the next request has been forwarded.
   std::string repeated_answer;
+  bool endless = false;
 
   bool Drained() const {
     return queued.empty() &&
@@ -180,18 +181,32 @@
       if (queued.to_target) {
         const std::string repeated = std::exchange(pair->repeated_answer, {});
         bufferevent_write(pair->in, repeated.data(), repeated.size());
-      } else if (repeat_period_ > 0 && pair->answers.Feed(queued.bytes) > 0 &&
-                 ++answers_ % repeat_period_ == 0) {
+        continue;
+      }
+      pair->endless = pair->endless || endless_;
+      if (repeat_period_ > 0 && pair->answers.Feed(queued.bytes) > 0 &&
+          ++answers_ % repeat_period_ == 0) {
         pair->repeated_answer = pair->answers.last();
       }
     }
     pair->queued.swap(remaining);
+    SendEndless(*pair);
     if (pair->half_closed && !pair->closed && pair->Drained()) {
       pair->Close();
     }
   }
 }
 
+void Relay::SendEndless(ConnectionPair& pair) {
+  constexpr size_t kMaxUnsent = size_t{256} << 10;
+  if (!pair.endless || pair.closed ||
+      evbuffer_get_length(bufferevent_get_output(pair.in)) > kMaxUnsent) {
+    return;
+  }
+  const std::string bytes(kMaxUnsent, 'x');
+  bufferevent_write(pair.in, bytes.data(), bytes.size());
+}
+
 void Relay::SetBlocked(bool to_target, bool from_target) {
   to_target_blocked_ = to_target;
   from_target_blocked_ = from_target;
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -39,6 +39,9 @@
   /// on its connection has been forwarded: after each so many answers; zero:
   /// never.
   void set_repeat_period(int period) { repeat_period_ = period; }
+  /// Makes the target seem to send bytes without end after each answer, on all
+  /// connections that it answers on from now on.
+  void set_endless(bool endless) { endless_ = endless; }
   /// Sets a function that is called with the bytes that go to the target.
   void set_on_forwarded(std::function<void(const std::string&)> on_forwarded) {
     on_forwarded_ = std::move(on_forwarded);
@@ -52,6 +55,7 @@
   void Forward(ConnectionPair& pair, bool to_target);
   /// Forwards queued bytes that are due and not blocked.
   void Flush();
+  static void SendEndless(ConnectionPair& pair);
 
   EventLoop& loop_;
   evconnlistener* listener_;
@@ -64,6 +68,7 @@
   bool from_target_blocked_ = false;
   int repeat_period_ = 0;
   int answers_ = 0;
+  bool endless_ = false;
   std::function<void(const std::string&)> on_forwarded_;
 };
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -32,7 +32,9 @@
     "server rejects",
     "server errs",
     "server loses answers",
-    "server repeats answers"};
+    "server repeats answers",
+    "server never ends",
+    "store lists unreadable"};
 
 constexpr int kFaultsEndMs = 8000;
 constexpr int kMaxFaultMs = 2500;
@@ -67,9 +69,10 @@
   }
 }
 
-/// Adds servers that send answers a second time, with steps of their own, so
-/// that the other steps of a seed don't depend on them.
-void AddRepeatedAnswers(Plan& plan) {
+/// Adds servers that send answers a second time or bytes without end, and
+/// objects that can't be read, with steps of their own, so that the other steps
+/// of a seed don't depend on them.
+void AddFaultyBytes(Plan& plan) {
   std::mt19937_64 random(plan.seed + 2);
   const auto pick = [&random](int min, int max) {
     return std::uniform_int_distribution<int>(min, max)(random);
@@ -84,6 +87,18 @@
                std::chrono::milliseconds(pick(1000, kFaultsEndMs / 2))});
     }
   }
+  plan.steps.push_back(
+      {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
+       .fault = Fault::kServerNeverEnds,
+       .target = pick(0, plan.servers - 1),
+       .duration = std::chrono::milliseconds(pick(500, kMaxFaultMs))});
+  for (int objects = pick(0, 4); objects > 0; --objects) {
+    plan.steps.push_back(
+        {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
+         .fault = Fault::kStoreListsUnreadable,
+         .target = objects,
+         .duration = std::chrono::milliseconds(pick(1000, kFaultsEndMs / 2))});
+  }
 }
 
 void MakePartCrash(Plan& plan) {
@@ -128,7 +143,7 @@
     MakePartCrash(plan);
   } else {
     AddFailingServers(plan);
-    AddRepeatedAnswers(plan);
+    AddFaultyBytes(plan);
   }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -38,10 +38,14 @@
   kServerLosesAnswers,
   /// Some answers are sent a second time, where the next one is expected.
   kServerRepeatsAnswers,
+  /// Bytes without end follow the answers.
+  kServerNeverEnds,
+  /// Another writer lists servers that can't be read.
+  kStoreListsUnreadable,
 };
 
 inline constexpr int kFaultKinds =
-    static_cast<int>(Fault::kServerRepeatsAnswers) + 1;
+    static_cast<int>(Fault::kStoreListsUnreadable) + 1;
 
 /// The bound on retries that the entries are started with. Its window is short,
 /// so that the faults of a plan spread over several.
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -119,6 +120,14 @@
                .on_done = [](const HttpResult&) {}});
 }
 
+void System::RemoveObject(const std::string& object) {
+  http_.Start({.address = processes_.Address("store", "http"),
+               .method = "DELETE",
+               .path = "/objects/" + object,
+               .timeout = std::chrono::seconds(20),
+               .on_done = [](const HttpResult&) {}});
+}
+
 void System::PutConfig() {
   std::ostringstream body;
   const auto route = [](const std::string& name, const std::string& kind) {
@@ -164,6 +173,9 @@
     case Fault::kChangeConfig:
       PutConfig();
       return;
+    case Fault::kStoreListsUnreadable:
+      ListUnreadable(step);
+      return;
     default:
       InjectAtEntry(
           step, entries_[static_cast<size_t>(step.target) % entries_.size()]);
@@ -172,6 +184,19 @@
   }
 }
 
+void System::ListUnreadable(const Step& step) {
+  static constexpr const char* kValues[] = {"@surrogate", "@control", "@number",
+                                            "@nested"};
+  const auto index = static_cast<size_t>(step.target);
+  // Names before and after those of the servers.
+  const std::string name = (index % 2 == 0 ? "a" : "z") + std::to_string(index);
+  PutObject("/objects/servers/" + name,
+            R"({"service": "s", "address": "127.0.0.1:1", "zone": ")" +
+                std::string(kValues[index % std::size(kValues)]) +
+                R"(", "slots": 3, "state": "ready"})");
+  Schedule(step.duration, [this, name] { RemoveObject("servers/" + name); });
+}
+
 void System::InjectAtEntry(const Step& step, Entry& entry) {
   test::Relay& store = *entry.store;
   test::Relay& peers = *entry.peers;
@@ -291,6 +316,10 @@
       relay.set_repeat_period(/*period=*/3);
       Schedule(step.duration, [&relay] { relay.set_repeat_period(0); });
       return;
+    case Fault::kServerNeverEnds:
+      relay.set_endless(true);
+      Schedule(step.duration, [&relay] { relay.set_endless(false); });
+      return;
     default:
       return;
   }
@@ -300,11 +329,7 @@
   server.restarting = true;
   server.relay->ResetOpenConnections();
   Schedule(after, [this, &server] {
-    http_.Start({.address = processes_.Address("store", "http"),
-                 .method = "DELETE",
-                 .path = "/objects/servers/" + server.id,
-                 .timeout = std::chrono::seconds(20),
-                 .on_done = [](const HttpResult&) {}});
+    RemoveObject("servers/" + server.id);
     StartServer(server);
     server.restarting = false;
   });
