Changes that exceed an answer are listed in pages

An answer of the store is bounded at 16 MiB. Changes that together exceed it, as many objects of up to 1 MiB in one watch, would never be read: the same watch would be repeated without end. The watch is now replaced by a list, which comes in pages.

Tests for the bounds of HttpClient in bytes and time.

--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -76,6 +76,7 @@
   evhttp_connection* connection = nullptr;
   evhttp_request* request = nullptr;
   event* timer = nullptr;
+  bool too_large = false;
   bool done = false;
 
   ~Pending() {
@@ -131,6 +132,10 @@
         self->client->OnDoneInLibrary(*self, request);
       },
       raw);
+  evhttp_request_set_error_cb(raw->request, [](evhttp_request_error error,
+                                               void* arg) {
+    static_cast<Pending*>(arg)->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+  });
   if (raw->call.on_data) {
     evhttp_request_set_chunked_cb(
         raw->request, [](evhttp_request* request, void* arg) {
@@ -161,7 +166,9 @@
   }
   pending.done = true;
   HttpResult result;
-  if (request != nullptr) {
+  if (pending.too_large) {
+    result.kind = HttpResult::Kind::kTooLarge;
+  } else if (request != nullptr) {
     result.status = evhttp_request_get_response_code(request);
     // libevent reports a connection that was never established as status 0.
     result.kind = result.status == 0 ? HttpResult::Kind::kNotSent
--- a/lavenderkeel/io/http_client.h
+++ b/lavenderkeel/io/http_client.h
@@ -23,6 +23,8 @@
     kNotSent,
     /// The connection broke, or the answer did not arrive in time.
     kNoAnswer,
+    /// The answer is larger than the call allows.
+    kTooLarge,
   };
 
   Kind kind = Kind::kNoAnswer;
@@ -50,7 +52,6 @@
     std::string body;
     /// For the whole call.
     Duration timeout = std::chrono::seconds(5);
-    /// A larger answer counts as none.
     size_t max_body_bytes = size_t{16} << 20;
     /// Receives a streamed answer; the body of the result is empty then.
     OnData on_data;
--- a/test/io/http_client_test.cc
+++ b/test/io/http_client_test.cc
@@ -5,8 +5,13 @@
 #include <event2/listener.h>
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "lavenderkeel/io/address.h"
+#include "test/fakes/scripted_server.h"
 
 namespace lavenderkeel {
 
@@ -101,4 +106,73 @@
              boost::test_tools::per_element());
 }
 
+// Guards against an answer without end that is kept whole, or that is read for
+// longer than the call may take.
+BOOST_AUTO_TEST_CASE(EndlessAnswerEndsTheCall) {
+  const std::string line(1000, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  using Kind = HttpResult::Kind;
+  struct Case {
+    std::string begin;
+    std::string repeated;
+    std::set<Kind> expected;
+  };
+  for (const Case& answer : std::vector<Case>{
+           {chunked, "3e8\r\n" + line + "\r\n", {Kind::kTooLarge}},
+           {head + "\r\n", line, {Kind::kTooLarge}},
+           {head + "Content-Length: 99999999\r\n\r\n", line, {Kind::kTooLarge}},
+           {chunked + "5;x=", line, {Kind::kNoAnswer, Kind::kTooLarge}},
+           {head + "X: ", line, {Kind::kNoAnswer, Kind::kTooLarge}},
+           {head, "X: y\r\n", {Kind::kNoAnswer, Kind::kTooLarge}}}) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> server;
+    server = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view) {
+          server->Send(connection, answer.begin);
+          server->SendWithoutEnd(connection, answer.repeated);
+          return std::string();
+        });
+    HttpClient client(loop);
+    int calls = 0;
+    Kind kind{};
+    client.Start({.address = server->address(),
+                  .path = "/",
+                  .timeout = std::chrono::milliseconds(400),
+                  .max_body_bytes = size_t{1} << 20,
+                  .on_done = [&](const HttpResult& result) {
+                    ++calls;
+                    kind = result.kind;
+                    loop.Stop();
+                  }});
+    loop.Run();
+    BOOST_TEST(answer.expected.contains(kind), answer.begin);
+    BOOST_TEST(calls == 1);
+    BOOST_TEST(server->endless_bytes() < (size_t{16} << 20));
+  }
+}
+
+// Guards against a timeout that begins again with each byte.
+BOOST_AUTO_TEST_CASE(SlowAnswerEndsWithTheTimeOfTheCall) {
+  EventLoop loop;
+  fakes::ScriptedServer server(loop, [](int, std::string_view) {
+    return std::string("HTTP/1.1 200 OK\r\n\r\n");
+  });
+  loop.Every(std::chrono::milliseconds(20), [&] { server.Send(1, "x"); });
+  HttpClient client(loop);
+  const SystemClock clock;
+  const TimePoint begin = clock.Now();
+  HttpResult::Kind kind{};
+  client.Start({.address = server.address(),
+                .path = "/",
+                .timeout = std::chrono::milliseconds(300),
+                .on_done = [&](const HttpResult& result) {
+                  kind = result.kind;
+                  loop.Stop();
+                }});
+  loop.Run();
+  BOOST_TEST((kind == HttpResult::Kind::kNoAnswer));
+  BOOST_TEST((clock.Now() - begin < std::chrono::seconds(3)));
+}
+
 }  // namespace lavenderkeel
--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -199,6 +199,17 @@
   }
 }
 
+// Guards against changes that are never read, since together they are larger
+// than an answer may be.
+BOOST_AUTO_TEST_CASE(ChangesThatAreTooLargeAreListed) {
+  const HttpResult too_large = {.kind = HttpResult::Kind::kTooLarge};
+  BOOST_TEST(
+      (StoreReader::Decode(ObjectRead::Kind::kWatch, too_large).outcome ==
+       ReadOutcome::kHistoryGone));
+  BOOST_TEST((StoreReader::Decode(ObjectRead::Kind::kList, too_large).outcome ==
+              ReadOutcome::kNoAnswer));
+}
+
 // Guards against losing a change for good: an answer that can be decoded only
 // in part counts as no answer.
 BOOST_AUTO_TEST_CASE(UnreadableAnswersCountAsNoAnswer) {
