--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -60,8 +60,6 @@
 
   Outcome outcome = Outcome::kNoAnswer;
   std::vector<StoredObject> objects;
-  /// Whether the objects are changes rather than a page of all objects.
-  bool is_change = false;
   /// Number of objects of which not even the metadata can be read. A change
   /// whose name can be read is still among the objects, without content.
   size_t unreadable = 0;
