Tests: one fixture for a store, an entry and servers, one listener

EndlessProcesses repeated RolloutProcesses' start of the programs, writes to the store and waits; both now derive from PlatformProcesses. ScriptedServer and Relay bind with internal::NewListener, as the product's ports do.

--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -2,13 +2,11 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <sys/socket.h>
 
 #include <csignal>
 #include <utility>
 
-#include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/internal/listener.h"
 
 namespace lavenderkeel::fakes {
 
@@ -26,17 +24,10 @@
     : loop_(loop), script_(std::move(script)) {
   // A peer may close a connection while bytes are written to it.
   std::signal(SIGPIPE, SIG_IGN);
-  sockaddr_storage storage{};
-  const auto length =
-      static_cast<int>(Address{.host = "127.0.0.1"}.ToSocketAddress(storage));
-  listener_ = evconnlistener_new_bind(
-      loop.base(),
-      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-        static_cast<ScriptedServer*>(self)->Accept(socket);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&storage),
-      length);
-  address_ = BoundAddress(evconnlistener_get_fd(listener_));
+  constexpr int kDefaultBacklog = -1;
+  listener_ = internal::NewListener<ScriptedServer, &ScriptedServer::Accept>(
+      loop.base(), "127.0.0.1:0", kDefaultBacklog, *this);
+  address_ = internal::AddressOf(listener_).value();
 }
 
 ScriptedServer::~ScriptedServer() {
--- a/test/process/endless_answer_test.cc
+++ b/test/process/endless_answer_test.cc
@@ -8,10 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "lavenderkeel/io/event_loop.h"
-#include "lavenderkeel/io/http_client.h"
 #include "test/fakes/scripted_server.h"
-#include "test/process/process_set.h"
+#include "test/process/platform_processes.h"
 
 namespace lavenderkeel::test {
 
@@ -55,7 +53,7 @@
 }
 
 /// An entry, a fake store, a sound server and one that answers without end.
-class EndlessProcesses {
+class EndlessProcesses : public PlatformProcesses {
  public:
   struct Outcome {
     int outcomes = 0;
@@ -65,7 +63,7 @@
   };
 
   explicit EndlessProcesses(const EndlessAnswer& answer)
-      : endless_(loop_, [this, answer](int connection, std::string_view head) {
+      : endless_(loop(), [this, answer](int connection, std::string_view head) {
           std::string begin = answer.begin;
           if (const size_t at = begin.find("ID\r\n"); at != std::string::npos) {
             begin.replace(at, 2, RequestIdOf(head));
@@ -74,23 +72,16 @@
           endless_.SendWithoutEnd(connection, answer.repeated);
           return std::string();
         }) {
-    loop_.Every(std::chrono::milliseconds(4), [this] { loop_.Stop(); });
-    processes_.Spawn("store", {Program("fake_store"), "127.0.0.1:0",
-                               processes_.ReadyFile("store")});
-    Wait([this] { return processes_.HasReadyFile("store"); });
     Put("config/main", R"({"version": 1, "routes": [)" +
                            Route("once", "non_idempotent") + "," +
                            Route("lookup", "idempotent") + "," +
                            Route("stream", "streaming") +
                            R"(], "services": [{"name": "s"}],
                "tenants": [{"name": "t", "apiKeys": ["key"]}]})");
-    processes_.Spawn("sound", {Program("fake_backend"), "127.0.0.1:0",
-                               processes_.ReadyFile("sound"), "sound",
-                               processes_.directory() + "/sound.runs"});
-    Wait([this] { return processes_.HasReadyFile("sound"); });
-    ListServer("sound", processes_.Address("sound", "http"), "ready");
+    StartBackend("sound");
+    ListServer("sound", processes().Address("sound", "http"), "ready");
     ListServer("endless", endless_.address(), "ready");
-    StartEntry();
+    StartEntry(/*settings=*/"");
   }
 
   /// Sends requests and waits for their outcomes.
@@ -119,10 +110,10 @@
     return Wait([this] { return endless_.open() == 0; });
   }
   int endless_connections() const { return endless_.accepted(); }
-  bool IsEntryRunning() const { return processes_.IsRunning("entry"); }
+  bool IsEntryRunning() const { return processes().IsRunning("entry"); }
   /// The most memory that the entry has used.
   size_t EntryPeakKiB() const {
-    std::ifstream status("/proc/" + std::to_string(processes_.Pid("entry")) +
+    std::ifstream status("/proc/" + std::to_string(processes().Pid("entry")) +
                          "/status");
     constexpr std::string_view kField = "VmHWM:";
     for (std::string line; std::getline(status, line);) {
@@ -134,9 +125,6 @@
   }
 
  private:
-  static std::string Program(const std::string& name) {
-    return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
-  }
   static std::string Route(const std::string& name, const std::string& kind) {
     return R"({"name": ")" + name + R"(", "host": "127.0.0.1",
         "pathPrefix": "/)" +
@@ -145,27 +133,6 @@
         "service": "s", "maxAttempts": 3})";
   }
 
-  bool Wait(const std::function<bool()>& condition) {
-    const TimePoint end = clock_.Now() + std::chrono::seconds(60);
-    while (!condition()) {
-      if (clock_.Now() > end) {
-        return false;
-      }
-      loop_.Run();
-    }
-    return true;
-  }
-
-  void Put(const std::string& object, const std::string& body) {
-    bool done = false;
-    http_.Start({.address = processes_.Address("store", "http"),
-                 .method = "PUT",
-                 .path = "/objects/" + object,
-                 .body = body,
-                 .on_done = [&done](const HttpResult&) { done = true; }});
-    Wait([&done] { return done; });
-  }
-
   void ListServer(const std::string& id,
                   const std::string& address,
                   const std::string& state) {
@@ -174,45 +141,25 @@
                              state + R"("})");
   }
 
-  void StartEntry() {
-    const std::string settings = processes_.directory() + "/entry.json";
-    std::ofstream(settings)
-        << R"({"instance": "entry", "data_centre": "here", "listen":
-               {"clients": "127.0.0.1:0", "status": "127.0.0.1:0",
-                "peers": "127.0.0.1:0"}, "seeds": [], "store": ")"
-        << processes_.Address("store", "http") << "\"}";
-    processes_.Spawn(
-        "entry",
-        {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
-         "--ready_file=" + processes_.ReadyFile("entry")});
-    Wait([this] {
-      return processes_.Log("entry").find("event=servers_listed") !=
-             std::string::npos;
-    });
-  }
-
   void Send(const std::string& route) {
     outcomes_.push_back(std::make_unique<Outcome>());
     Outcome& outcome = *outcomes_.back();
     outcome.id = "q" + std::to_string(++sent_);
-    http_.Start({.address = processes_.Address("entry", "clients"),
-                 .path = "/" + route + "/x",
-                 .headers = {{"Request-Id", outcome.id},
-                             {"Authorization", "Bearer key"},
-                             {"Deadline-Ms", "4000"}},
-                 .timeout = std::chrono::seconds(10),
-                 .max_body_bytes = size_t{256} << 20,
-                 .on_done = [&outcome](const HttpResult& result) {
-                   ++outcome.outcomes;
-                   outcome.status = result.status;
-                   outcome.body = result.body;
-                 }});
+    http().Start({.address = processes().Address("entry", "clients"),
+                  .path = "/" + route + "/x",
+                  .headers = {{"Request-Id", outcome.id},
+                              {"Authorization", "Bearer key"},
+                              {"Deadline-Ms", "4000"}},
+                  .timeout = std::chrono::seconds(10),
+                  .max_body_bytes = size_t{256} << 20,
+                  .on_done = [&outcome](const HttpResult& result) {
+                    ++outcome.outcomes;
+                    outcome.status = result.status;
+                    outcome.body = result.body;
+                  }});
   }
 
   SystemClock clock_;
-  EventLoop loop_;
-  HttpClient http_{loop_};
-  ProcessSet processes_;
   fakes::ScriptedServer endless_;
   std::vector<std::unique_ptr<Outcome>> outcomes_;
   uint64_t sent_ = 0;
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -10,6 +10,7 @@
 
 #include "lavenderkeel/http/message_reader.h"
 #include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/internal/listener.h"
 
 namespace lavenderkeel::test {
 
@@ -90,17 +91,10 @@
 };
 
 Relay::Relay(EventLoop& loop) : loop_(loop) {
-  sockaddr_storage storage{};
-  const auto length =
-      static_cast<int>(Address{.host = "127.0.0.1"}.ToSocketAddress(storage));
-  listener_ = evconnlistener_new_bind(
-      loop.base(),
-      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-        static_cast<Relay*>(self)->Accept(socket);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&storage),
-      length);
-  address_ = BoundAddress(evconnlistener_get_fd(listener_));
+  constexpr int kDefaultBacklog = -1;
+  listener_ = internal::NewListener<Relay, &Relay::Accept>(
+      loop.base(), "127.0.0.1:0", kDefaultBacklog, *this);
+  address_ = internal::AddressOf(listener_).value();
   loop.Every(std::chrono::milliseconds(2), [this] { Flush(); });
 }
 
--- a/test/process/rollout_test.cc
+++ b/test/process/rollout_test.cc
@@ -1,13 +1,10 @@
 // Rollout orders by operators, with real processes and a fake store.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <functional>
-#include <set>
 #include <string>
 
-#include "lavenderkeel/io/event_loop.h"
-#include "lavenderkeel/io/http_client.h"
-#include "test/process/process_set.h"
+#include "test/process/platform_processes.h"
 
 namespace lavenderkeel::test {
 
@@ -15,13 +12,9 @@
 
 /// A forwarding entry, a fake store, servers of up to two versions, and a
 /// client.
-class RolloutProcesses {
+class RolloutProcesses : public PlatformProcesses {
  public:
   RolloutProcesses() {
-    loop_.Every(std::chrono::milliseconds(4), [this] { loop_.Stop(); });
-    processes_.Spawn("store", {Program("fake_store"), "127.0.0.1:0",
-                               processes_.ReadyFile("store")});
-    Wait([this] { return processes_.HasReadyFile("store"); });
     Put("config/main",
         R"({"version": 1, "routes": [{"name": "r", "host": "127.0.0.1",
             "pathPrefix": "/r/", "kind": "idempotent", "timeoutMs": 4000,
@@ -29,17 +22,14 @@
             "services": [{"name": "s"}],
             "tenants": [{"name": "t", "apiKeys": ["key"]}]})");
     StartServer("v1");
-    StartEntry();
+    StartEntry(R"("exposure": {"share": 0.1, "slack": 50}, )");
   }
 
   void StartServer(const std::string& version) {
-    processes_.Spawn(version, {Program("fake_backend"), "127.0.0.1:0",
-                               processes_.ReadyFile(version), version,
-                               processes_.directory() + "/" + version});
-    Wait([&] { return processes_.HasReadyFile(version); });
+    StartBackend(version);
     Put("servers/" + version,
         R"({"service": "s", "address": ")" +
-            processes_.Address(version, "http") +
+            processes().Address(version, "http") +
             R"(", "zone": "here", "slots": 4, "state": "ready", "version": ")" +
             version + R"("})");
   }
@@ -65,12 +55,12 @@
   std::string ReadRollouts() {
     std::string body;
     bool done = false;
-    http_.Start({.address = processes_.Address("store", "http"),
-                 .path = "/objects/rollouts",
-                 .on_done = [&](const HttpResult& result) {
-                   body = result.body;
-                   done = true;
-                 }});
+    http().Start({.address = processes().Address("store", "http"),
+                  .path = "/objects/rollouts",
+                  .on_done = [&](const HttpResult& result) {
+                    body = result.body;
+                    done = true;
+                  }});
     Wait([&] { return done; });
     return body;
   }
@@ -81,72 +71,25 @@
 
   /// Number of requests that the version's server has run.
   size_t CountRuns(const std::string& version) const {
-    const std::string runs = ReadFile(processes_.directory() + "/" + version);
+    const std::string runs = ReadFile(processes().directory() + "/" + version);
     return static_cast<size_t>(std::count(runs.begin(), runs.end(), '\n'));
   }
   int failed() const { return failed_; }
 
  private:
-  static std::string Program(const std::string& name) {
-    return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
-  }
-
-  bool Wait(const std::function<bool()>& condition) {
-    const TimePoint end = clock_.Now() + std::chrono::seconds(60);
-    while (!condition()) {
-      if (clock_.Now() > end) {
-        return false;
-      }
-      loop_.Run();
-    }
-    return true;
-  }
-
-  void Put(const std::string& object, const std::string& body) {
-    bool done = false;
-    http_.Start({.address = processes_.Address("store", "http"),
-                 .method = "PUT",
-                 .path = "/objects/" + object,
-                 .body = body,
-                 .on_done = [&done](const HttpResult&) { done = true; }});
-    Wait([&done] { return done; });
-  }
-
-  void StartEntry() {
-    const std::string settings = processes_.directory() + "/entry.json";
-    std::ofstream(settings)
-        << R"({"instance": "entry", "data_centre": "here", "listen":
-               {"clients": "127.0.0.1:0", "status": "127.0.0.1:0",
-                "peers": "127.0.0.1:0"}, "seeds": [],
-               "exposure": {"share": 0.1, "slack": 50}, "store": ")"
-        << processes_.Address("store", "http") << "\"}";
-    processes_.Spawn(
-        "entry",
-        {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
-         "--ready_file=" + processes_.ReadyFile("entry")});
-    Wait([this] {
-      return processes_.Log("entry").find("event=servers_listed") !=
-             std::string::npos;
-    });
-  }
-
   void Send() {
     ++in_flight_;
-    http_.Start({.address = processes_.Address("entry", "clients"),
-                 .path = "/r/x",
-                 .headers = {{"Request-Id", "q" + std::to_string(++sent_)},
-                             {"Authorization", "Bearer key"},
-                             {"Deadline-Ms", "4000"}},
-                 .on_done = [this](const HttpResult& result) {
-                   --in_flight_;
-                   failed_ += result.status == 200 ? 0 : 1;
-                 }});
+    http().Start({.address = processes().Address("entry", "clients"),
+                  .path = "/r/x",
+                  .headers = {{"Request-Id", "q" + std::to_string(++sent_)},
+                              {"Authorization", "Bearer key"},
+                              {"Deadline-Ms", "4000"}},
+                  .on_done = [this](const HttpResult& result) {
+                    --in_flight_;
+                    failed_ += result.status == 200 ? 0 : 1;
+                  }});
   }
 
-  SystemClock clock_;
-  EventLoop loop_;
-  HttpClient http_{loop_};
-  ProcessSet processes_;
   size_t in_flight_ = 0;
   uint64_t sent_ = 0;
   int failed_ = 0;
