Parts of requests are made distinct once

SuspectsOf removed repeated parts with each call, several times a request, though MakeTraits had already done so. Now the parts of RequestTraits are distinct throughout: reports of other entries and of the store go through MakeTraits, too (RepeatedPartsOfReportsAreOne).

--- a/lavenderkeel/crash/crash_wire.cc
+++ b/lavenderkeel/crash/crash_wire.cc
@@ -67,13 +67,13 @@
     if (evidence == nullptr || evidence->kind > kLast) {
       continue;
     }
-    reports.push_back({.kind = static_cast<CrashReport::Kind>(evidence->kind),
-                       .request = {.fingerprint = evidence->request,
-                                   .parts = evidence->parts},
-                       .server = evidence->server,
-                       .place = evidence->place,
-                       .sent = now - AgeFromWire(evidence->sent_age_us),
-                       .ended = now - AgeFromWire(evidence->ended_age_us)});
+    reports.push_back(
+        {.kind = static_cast<CrashReport::Kind>(evidence->kind),
+         .request = MakeTraits(evidence->request, evidence->parts),
+         .server = evidence->server,
+         .place = evidence->place,
+         .sent = now - AgeFromWire(evidence->sent_age_us),
+         .ended = now - AgeFromWire(evidence->ended_age_us)});
   }
   return reports;
 }
--- a/lavenderkeel/crash/request_traits.cc
+++ b/lavenderkeel/crash/request_traits.cc
@@ -47,7 +47,7 @@
     suspects.push_back(
         {.kind = Suspect::Kind::kRequest, .first = request.fingerprint});
   }
-  const std::vector<PromptPartId> parts = DistinctParts(request.parts);
+  const std::vector<PromptPartId>& parts = request.parts;
   const size_t paired = std::min(parts.size(), kMaxPairedParts);
   suspects.reserve(suspects.size() + parts.size() + paired * paired / 2);
   for (const PromptPartId part : parts) {
--- a/lavenderkeel/crash/request_traits.h
+++ b/lavenderkeel/crash/request_traits.h
@@ -15,6 +15,7 @@
 struct RequestTraits {
   /// Zero: unknown.
   RequestFingerprint fingerprint = 0;
+  /// Without repetitions; see MakeTraits().
   std::vector<PromptPartId> parts;
 
   friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
--- a/test/crash/crash_ledger_test.cc
+++ b/test/crash/crash_ledger_test.cc
@@ -195,4 +195,15 @@
   BOOST_TEST(ToMessages({}, /*complete=*/true, kStart).size() == 1U);
 }
 
+// Guards against a part that counts twice since it occurs twice in a prompt.
+BOOST_AUTO_TEST_CASE(RepeatedPartsOfReportsAreOne) {
+  CrashReport report = Lost(1, seconds(0), seconds(1));
+  report.request = {.fingerprint = 1, .parts = {7, 8, 7, 7, 8}};
+  const std::vector<CrashReport> read =
+      FromWire(ToWire({report}, /*complete=*/true, kStart), kStart);
+  BOOST_REQUIRE(read.size() == 1U);
+  BOOST_TEST((read[0].request == MakeTraits(1, {7, 8})));
+  BOOST_TEST(SuspectsOf(read[0].request).size() == 4U);
+}
+
 }  // namespace lavenderkeel
