--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -88,6 +88,12 @@
   }
 }
 
+std::string ScriptedServer::RequestIdOf(std::string_view request) {
+  constexpr std::string_view kField = "Request-Id: ";
+  const size_t at = request.find(kField) + kField.size();
+  return std::string(request.substr(at, request.find('\r', at) - at));
+}
+
 void ScriptedServer::Send(ConnectionId connection, std::string_view bytes) {
   const auto found = connections_.find(connection);
   if (found != connections_.end()) {
--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -43,6 +43,8 @@
   int accepted() const { return last_; }
   /// Bytes that were written without end.
   size_t endless_bytes() const { return endless_bytes_; }
+  /// Returns the value of a request's Request-Id field.
+  static std::string RequestIdOf(std::string_view request);
 
  private:
   struct Connection;
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -137,12 +137,6 @@
   UpstreamPort port_;
 };
 
-std::string RequestIdOf(std::string_view request) {
-  constexpr std::string_view kField = "Request-Id: ";
-  const size_t at = request.find(kField) + kField.size();
-  return std::string(request.substr(at, request.find('\r', at) - at));
-}
-
 std::string Answer(const std::string& status,
                    const std::string& request_id,
                    const std::string& body) {
@@ -160,7 +154,7 @@
   std::map<int, std::string> last_answers;
   fakes::ScriptedServer server(
       loop, [&](int connection, std::string_view request) {
-        const std::string id = RequestIdOf(request);
+        const std::string id = fakes::ScriptedServer::RequestIdOf(request);
         const std::string repeated = last_answers[connection];
         last_answers[connection] =
             ++requests == 1 ? Answer("503 Service Unavailable", id, "rejected")
@@ -184,7 +178,8 @@
 BOOST_AUTO_TEST_CASE(ConnectionIsClosedAfterItsLastRequest) {
   EventLoop loop;
   fakes::ScriptedServer server(loop, [](int, std::string_view request) {
-    return Answer("200 OK", RequestIdOf(request), "answer");
+    return Answer("200 OK", fakes::ScriptedServer::RequestIdOf(request),
+                  "answer");
   });
   constexpr size_t kMaxRequests = 3;
   Client client(loop, {.max_requests = kMaxRequests});
--- a/test/process/endless_answer_test.cc
+++ b/test/process/endless_answer_test.cc
@@ -1,7 +1,6 @@
 // Backend servers that send bytes without end, before a real entry.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <functional>
 #include <iterator>
 #include <memory>
@@ -15,12 +14,6 @@
 
 namespace {
 
-std::string RequestIdOf(std::string_view request) {
-  constexpr std::string_view kField = "Request-Id: ";
-  const size_t at = request.find(kField) + kField.size();
-  return std::string(request.substr(at, request.find('\r', at) - at));
-}
-
 /// An answer that begins like one and goes on without end.
 struct EndlessAnswer {
   std::string name;
@@ -66,18 +59,13 @@
       : endless_(loop(), [this, answer](int connection, std::string_view head) {
           std::string begin = answer.begin;
           if (const size_t at = begin.find("ID\r\n"); at != std::string::npos) {
-            begin.replace(at, 2, RequestIdOf(head));
+            begin.replace(at, 2, fakes::ScriptedServer::RequestIdOf(head));
           }
           endless_.Send(connection, begin);
           endless_.SendWithoutEnd(connection, answer.repeated);
           return std::string();
         }) {
-    Put("config/main", R"({"version": 1, "routes": [)" +
-                           Route("once", "non_idempotent") + "," +
-                           Route("lookup", "idempotent") + "," +
-                           Route("stream", "streaming") +
-                           R"(], "services": [{"name": "s"}],
-               "tenants": [{"name": "t", "apiKeys": ["key"]}]})");
+    PutConfig(std::chrono::seconds(4));
     StartBackend("sound");
     ListServer("sound", processes().Address("sound", "http"), "ready");
     ListServer("endless", endless_.address(), "ready");
@@ -111,36 +99,8 @@
   }
   int endless_connections() const { return endless_.accepted(); }
   bool IsEntryRunning() const { return processes().IsRunning("entry"); }
-  /// The most memory that the entry has used.
-  size_t EntryPeakKiB() const {
-    std::ifstream status("/proc/" + std::to_string(processes().Pid("entry")) +
-                         "/status");
-    constexpr std::string_view kField = "VmHWM:";
-    for (std::string line; std::getline(status, line);) {
-      if (line.starts_with(kField)) {
-        return std::stoul(line.substr(kField.size()));
-      }
-    }
-    return 0;
-  }
 
  private:
-  static std::string Route(const std::string& name, const std::string& kind) {
-    return R"({"name": ")" + name + R"(", "host": "127.0.0.1",
-        "pathPrefix": "/)" +
-           name + R"(/", "kind": ")" + kind +
-           R"(", "timeoutMs": 4000, "targetLatencyMs": 300, "gapTargetMs": 300,
-        "service": "s", "maxAttempts": 3})";
-  }
-
-  void ListServer(const std::string& id,
-                  const std::string& address,
-                  const std::string& state) {
-    Put("servers/" + id, R"({"service": "s", "address": ")" + address +
-                             R"(", "zone": "here", "slots": 4, "state": ")" +
-                             state + R"("})");
-  }
-
   void Send(const std::string& route) {
     outcomes_.push_back(std::make_unique<Outcome>());
     Outcome& outcome = *outcomes_.back();
--- a/test/process/platform_processes.cc
+++ b/test/process/platform_processes.cc
@@ -1,11 +1,23 @@
 #include "test/process/platform_processes.h"
 
 #include <fstream>
+#include <string_view>
 
 namespace lavenderkeel::test {
 
 namespace {
 
+std::string Route(const std::string& name,
+                  const std::string& kind,
+                  Duration timeout) {
+  return R"({"name": ")" + name + R"(", "host": "127.0.0.1",
+      "pathPrefix": "/)" +
+         name + R"(/", "kind": ")" + kind + R"(", "timeoutMs": )" +
+         std::to_string(ToMilliseconds(timeout)) +
+         R"(, "targetLatencyMs": 300, "gapTargetMs": 300, "service": "s",
+      "maxAttempts": 3})";
+}
+
 std::string Program(const std::string& name) {
   return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
 }
@@ -42,6 +54,35 @@
   });
 }
 
+void PlatformProcesses::PutConfig(Duration timeout) {
+  Put("config/main", R"({"version": 1, "routes": [)" +
+                         Route("once", "non_idempotent", timeout) + "," +
+                         Route("lookup", "idempotent", timeout) + "," +
+                         Route("stream", "streaming", timeout) +
+                         R"(], "services": [{"name": "s"}],
+             "tenants": [{"name": "t", "apiKeys": ["key"]}]})");
+}
+
+void PlatformProcesses::ListServer(const std::string& id,
+                                   const std::string& address,
+                                   const std::string& state) {
+  Put("servers/" + id, R"({"service": "s", "address": ")" + address +
+                           R"(", "zone": "here", "slots": 4, "state": ")" +
+                           state + R"("})");
+}
+
+size_t PlatformProcesses::EntryPeakKiB() const {
+  std::ifstream status("/proc/" + std::to_string(processes_.Pid("entry")) +
+                       "/status");
+  constexpr std::string_view kField = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) {
+      return std::stoul(line.substr(kField.size()));
+    }
+  }
+  return 0;
+}
+
 void PlatformProcesses::Put(const std::string& object,
                             const std::string& content) {
   bool done = false;
--- a/test/process/platform_processes.h
+++ b/test/process/platform_processes.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_TEST_PROCESS_PLATFORM_PROCESSES_H_
 #define LAVENDERKEEL_TEST_PROCESS_PLATFORM_PROCESSES_H_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -19,9 +20,17 @@
   void StartBackend(const std::string& name);
   /// Starts the entry and waits until it has read the list of servers.
   /// @param settings fields beside the usual ones, as JSON text that ends with
-  /// a
-  ///     comma, or nothing
+  ///     a comma, or nothing
   void StartEntry(const std::string& settings);
+  /// Writes a configuration with a route of each kind, `once`, `lookup` and
+  /// `stream`, to the service `s`.
+  void PutConfig(Duration timeout);
+  /// Lists a server of the service `s` with four slots.
+  void ListServer(const std::string& id,
+                  const std::string& address,
+                  const std::string& state);
+  /// Returns the most memory that the entry has used, in KiB.
+  size_t EntryPeakKiB() const;
   /// Writes the content of an object of the store.
   void Put(const std::string& object, const std::string& content);
   /// Runs the event loop until the condition holds.
