Pages of a list continue after the last name that can be read

A page that ended with an unreadable name continued after the bytes of that name. A store that does not understand them answers with an error or with an earlier page: the list failed each time, or never ended, and all changes stayed hidden. The object of a list whose revision can't be read was left out as if it were missing, so that after an outage its server stayed in use for up to two seconds.

Now the next page begins after the last readable name; it repeats the unreadable objects behind it, which are skipped again. Only a page without any readable name continues after bytes. A page that leads to one that was read before ends the attempt (page_without_end). Objects of lists whose names can be read are reported without content, as those of changes are.

--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -27,10 +27,11 @@
 }
 
 void ObjectWatch::List(const std::string& after_name) {
-  after_name_ = after_name;
   if (after_name.empty()) {
     listed_.clear();
+    pages_.clear();
   }
+  pages_.insert(after_name);
   Read({.kind = ObjectRead::Kind::kList,
         .object_kind = options_.object_kind,
         .after_name = after_name,
@@ -107,7 +108,7 @@
 }
 
 void ObjectWatch::OnListed(const ObjectReadResult& result) {
-  const bool first_page = after_name_.empty();
+  const bool first_page = pages_.size() == 1;
   listed_.insert(listed_.end(), result.objects.begin(), result.objects.end());
   // Later pages may show later changes; the watch continues from the revision
   // of the first page, so that a change to an object of a page already read is
@@ -115,7 +116,7 @@
   revision_ = first_page ? result.revision : revision_;
   if (result.more) {
     // A page that does not lead to the next one would hide all that follow.
-    if (result.last_name.empty() || result.last_name == after_name_) {
+    if (pages_.contains(result.last_name)) {
       RetryLater("page_without_end");
       return;
     }
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,13 +61,14 @@
 
   Outcome outcome = Outcome::kNoAnswer;
   std::vector<StoredObject> objects;
-  /// Number of objects of which not even the metadata can be read. A change
-  /// whose name can be read is still among the objects, without content.
+  /// Number of objects of which not even the metadata can be read. One whose
+  /// name can be read is still among the objects, without content.
   size_t unreadable = 0;
   /// Describes the first of these.
   std::string first_fault = {};
-  /// The name after which the next page of a list begins: that of the last
-  /// object, whether or not it can be read. Not necessarily valid text.
+  /// The name after which the next page of a list begins: the last that can be
+  /// read, even if others follow; only on a page without such a name the bytes
+  /// of the last one, which a store need not understand.
   std::string last_name = {};
   /// Further pages of the list follow.
   bool more = false;
@@ -191,8 +193,9 @@
   uint64_t reported_revision_ = 0;
   TimePoint reported_at_;
   std::vector<StoredObject> listed_;
-  /// Where the page of the list begins that is being read.
-  std::string after_name_;
+  /// The names after which the pages of the list begin that were read so far;
+  /// empty for the first.
+  std::set<std::string> pages_;
 };
 
 }  // namespace lavenderkeel
