An unreadable instance or key hides no other

The platform's list of instances was parsed as one document: with one value that the parser rejects, an entry learned no agents and no entries from it. Neither said which object was at fault.

Both now parse object by object. What can't be read is skipped, counted (instances_unreadable) and logged (instances_unreadable, key_sweep_incomplete). A list whose end is not certain is still rejected.

--- a/lavenderkeel/claim/key_arbiter.cc
+++ b/lavenderkeel/claim/key_arbiter.cc
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 #include <optional>
+#include <string_view>
+
+#include "lavenderkeel/config/json_fields.h"
 
 namespace lavenderkeel {
 
@@ -15,6 +18,14 @@
   return std::string(kObjectPrefix) + key.ToString();
 }
 
+/// Returns a field that is a string; empty if it can't be read.
+std::string TextOf(const JsonFields& fields, std::string_view name) {
+  const std::optional<json::value> value = fields.Parse(name);
+  return value.has_value() && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
 std::string_view DecisionName(KeyArbiter::Decision decision) {
   switch (decision) {
     case KeyArbiter::Decision::kGranted:
@@ -140,36 +151,40 @@
 }
 
 void KeyArbiter::OnList(const PlatformReply& reply) {
-  boost::system::error_code error;
-  const json::value list = json::parse(reply.body, error);
-  const json::value* objects = !reply.ok() || error || !list.is_object()
-                                   ? nullptr
-                                   : list.get_object().if_contains("objects");
-  if (objects == nullptr || !objects->is_array()) {
+  const std::optional<JsonFields> list =
+      reply.ok() ? JsonFields::Split(reply.body) : std::nullopt;
+  const auto items =
+      list.has_value()
+          ? SplitJsonArray(list->Find("objects").value_or(std::string_view()))
+          : std::nullopt;
+  if (!items.has_value()) {
     log_.Warn("key_sweep_failed", {{"status", reply.status}});
     return;
   }
   expired_objects_.clear();
+  size_t unreadable = 0;
   const WallTime oldest = clock_.WallNow() - options_.retention;
-  for (const json::value& item : objects->get_array()) {
-    const json::object* object = item.if_object();
-    const json::value* name =
-        object == nullptr ? nullptr : object->if_contains("name");
-    const json::value* version =
-        object == nullptr ? nullptr : object->if_contains("version");
-    if (name == nullptr || version == nullptr || !name->is_string() ||
-        !version->is_string() ||
-        !name->get_string().starts_with(kObjectPrefix)) {
+  for (const std::string_view item : *items) {
+    const std::optional<JsonFields> object = JsonFields::Split(item);
+    const std::string name = object.has_value() ? TextOf(*object, "name") : "";
+    const std::string version =
+        object.has_value() ? TextOf(*object, "version") : "";
+    if (name.empty() || version.empty()) {
+      ++unreadable;
       continue;
     }
-    const auto key = RequestKey::Parse(
-        std::string_view(name->get_string()).substr(kObjectPrefix.size()));
+    if (!name.starts_with(kObjectPrefix)) {
+      continue;
+    }
+    const auto key =
+        RequestKey::Parse(std::string_view(name).substr(kObjectPrefix.size()));
     if (key.has_value() && key->first_sent() < oldest) {
-      expired_objects_.push_back(
-          {.object = std::string(name->get_string()),
-           .version = std::string(version->get_string())});
+      expired_objects_.push_back({.object = name, .version = version});
     }
   }
+  if (unreadable > 0) {
+    log_.Warn("key_sweep_incomplete", {{"unreadable", unreadable}});
+  }
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -67,9 +67,7 @@
                     clock,
                     random_,
                     platform_,
-                    [this](const std::vector<InstanceInfo>& instances) {
-                      members_.OnInstanceList(instances);
-                    }),
+                    [this](const InstanceList& list) { OnInstances(list); }),
       router_(
           members_,
           random_,
@@ -222,6 +220,15 @@
   return true;
 }
 
+void EntryNode::OnInstances(const InstanceList& list) {
+  if (list.unreadable > 0) {
+    metrics_.Add("instances_unreadable", list.unreadable);
+    log_.Warn("instances_unreadable", {{"unreadable", list.unreadable},
+                                       {"readable", list.instances.size()}});
+  }
+  members_.OnInstanceList(list.instances);
+}
+
 size_t EntryNode::RankFor(uint64_t key) const {
   const uint64_t own = RendezvousWeight(key, members_.self().id.instance);
   const std::vector<const Member*> entries = members_.Members(Role::kEntry);
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -90,6 +90,7 @@
   void OnPeerLost(const PeerId& peer, Role role);
   void OnPeerLeaving(const PeerId& peer, Role role);
   void OnConfigActivated();
+  void OnInstances(const InstanceList& list);
   void SendPolicy(LinkId link, const std::string& instance);
   void OnClaimRequest(LinkId link, const ClaimRequest& request);
   /// Sends a claim to the entries that hold its key without this one.
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -36,7 +36,7 @@
                     clock,
                     random_,
                     platform_,
-                    [](const std::vector<InstanceInfo>&) {}),
+                    [](const InstanceList&) {}),
       fence_update_(
           {.object = "lavenderkeel/servers/" + members_.self().id.instance,
            .next =
--- a/lavenderkeel/membership/instance_info.cc
+++ b/lavenderkeel/membership/instance_info.cc
@@ -2,6 +2,11 @@
 
 #include <boost/json.hpp>
 #include <optional>
+#include <string_view>
+#include <utility>
+
+#include "lavenderkeel/config/json_fields.h"
+#include "lavenderkeel/config/json_reader.h"
 
 namespace lavenderkeel {
 
@@ -41,25 +46,29 @@
 
 }  // namespace
 
-leaf::result<std::vector<InstanceInfo>> ParseInstanceList(
-    const std::string& text) {
-  boost::system::error_code error;
-  const json::value document = json::parse(text, error);
-  if (error || !document.is_object()) {
+leaf::result<InstanceList> ParseInstanceList(const std::string& text) {
+  const std::optional<JsonFields> document = JsonFields::Split(text);
+  if (!document.has_value()) {
     return leaf::new_error(
         Failure{ResultCode::kMalformedJson, "instance list"});
   }
-  const json::value* list = document.get_object().if_contains("instances");
-  if (list == nullptr || !list->is_array()) {
+  const auto items =
+      SplitJsonArray(document->Find("instances").value_or(std::string_view()));
+  if (!items.has_value()) {
     return leaf::new_error(Failure{ResultCode::kWrongType, "/instances"});
   }
-  std::vector<InstanceInfo> instances;
-  for (const json::value& value : list->get_array()) {
-    if (std::optional<InstanceInfo> info = ParseInstance(value)) {
-      instances.push_back(*std::move(info));
+  InstanceList list;
+  for (const std::string_view item : *items) {
+    const auto value = Catch([&] { return ParseJson(std::string(item)); });
+    std::optional<InstanceInfo> info =
+        value ? ParseInstance(*value.value) : std::nullopt;
+    if (info.has_value()) {
+      list.instances.push_back(*std::move(info));
+    } else {
+      ++list.unreadable;
     }
   }
-  return instances;
+  return list;
 }
 
 std::string RegistrationBody(const InstanceInfo& info) {
--- a/lavenderkeel/membership/instance_info.h
+++ b/lavenderkeel/membership/instance_info.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_MEMBERSHIP_INSTANCE_INFO_H_
 #define LAVENDERKEEL_MEMBERSHIP_INSTANCE_INFO_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,10 +29,18 @@
   friend bool operator==(const InstanceInfo&, const InstanceInfo&) = default;
 };
 
-/// Parses the platform's `GET /instances`; unreadable items are skipped, since
-/// the list is only a hint.
-leaf::result<std::vector<InstanceInfo>> ParseInstanceList(
-    const std::string& json);
+/// The platform's list of instances.
+struct InstanceList {
+  std::vector<InstanceInfo> instances;
+  /// Number of items that can't be read; they are left out.
+  size_t unreadable = 0;
+
+  friend bool operator==(const InstanceList&, const InstanceList&) = default;
+};
+
+/// Parses the platform's `GET /instances`. An item that can't be read hides no
+/// other.
+leaf::result<InstanceList> ParseInstanceList(const std::string& json);
 
 /// Returns the body of a daemon's own registration object.
 std::string RegistrationBody(const InstanceInfo& info);
--- a/lavenderkeel/membership/registration.h
+++ b/lavenderkeel/membership/registration.h
@@ -16,7 +16,7 @@
 /// dial.
 class Registration {
  public:
-  using OnInstances = std::function<void(const std::vector<InstanceInfo>&)>;
+  using OnInstances = std::function<void(const InstanceList&)>;
 
   struct Options {
     /// Interval between two reads of the list; each process adds its own
--- a/test/claim/key_arbiter_test.cc
+++ b/test/claim/key_arbiter_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "test/fakes/platform_core.h"
+#include "test/fakes/unreadable_json.h"
 #include "test/fuzz/virtual_clock.h"
 
 namespace lavenderkeel {
@@ -142,4 +143,28 @@
                                               young.ToString()));
 }
 
+// Guards against one unreadable object that keeps all others from deletion.
+BOOST_AUTO_TEST_CASE(UnreadableObjectKeepsNoOtherFromDeletion) {
+  for (const std::string& value : fakes::UnreadableValues()) {
+    TwoEntries both;
+    const RequestKey old = both.NewKey();
+    both.clock.Advance(std::chrono::minutes(20));
+    both.second.key_arbiter.Tick();
+    both.clock.Advance(std::chrono::minutes(20));
+    both.second.key_arbiter.Tick();
+    const auto calls = both.second.outbox.Take();
+    BOOST_REQUIRE(!calls.empty());
+    both.second.port.OnReply(
+        std::get<PlatformCall>(calls.front()).call,
+        {.status = 200,
+         .body = R"({"objects":[{"name":)" + value + R"(,"version":"1"},)" +
+                 value + R"(,{"name":"lavenderkeel/keys/)" + old.ToString() +
+                 R"(","version":"1"}]})"});
+    both.second.key_arbiter.Tick();
+    const auto deletions = both.second.outbox.Take();
+    BOOST_REQUIRE_MESSAGE(deletions.size() == 1U, value);
+    BOOST_TEST(std::get<PlatformCall>(deletions.front()).method == "DELETE");
+  }
+}
+
 }  // namespace lavenderkeel
--- a/test/fakes/platform_core.cc
+++ b/test/fakes/platform_core.cc
@@ -90,12 +90,17 @@
 }
 
 std::string PlatformCore::InstanceList() const {
-  json::array instances;
+  // The bodies are not parsed: another writer's need not be valid.
+  std::string instances;
   for (auto it = objects_.lower_bound(std::string(kInstances));
        it != objects_.end() && it->first.starts_with(kInstances); ++it) {
-    instances.push_back(json::parse(it->second.body));
+    instances += (instances.empty() ? "" : ",") + it->second.body;
   }
-  return json::serialize(json::object{{"instances", std::move(instances)}});
+  return R"({"instances":[)" + instances + "]}";
+}
+
+void PlatformCore::Put(const std::string& name, const std::string& body) {
+  objects_[name] = {.body = body, .version = ++last_version_};
 }
 
 std::string PlatformCore::Names(const std::string& prefix) const {
--- a/test/fakes/platform_core.h
+++ b/test/fakes/platform_core.h
@@ -29,6 +29,9 @@
   /// the caller repeats the call.
   PlatformReply Handle(const PlatformCall& call);
 
+  /// Stores an object as another writer would, whatever it contains.
+  void Put(const std::string& name, const std::string& body);
+
   void set_mode(Mode mode) { mode_ = mode; }
   const std::map<std::string, Object>& objects() const { return objects_; }
   uint64_t calls() const { return calls_; }
--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -131,6 +131,9 @@
             step.argument % 3 == 0 ? std::optional<std::string>("0")
                                    : std::nullopt);
         break;
+      case Step::kListUnreadable:
+        simulation_.ListUnreadable(step.argument);
+        break;
       default:
         break;
     }
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/wire.h"
+#include "test/fakes/unreadable_json.h"
 
 namespace lavenderkeel::fuzz {
 
@@ -401,6 +402,13 @@
   StallLinks(a, b);
 }
 
+void Simulation::ListUnreadable(size_t index) {
+  const std::vector<std::string> values = fakes::UnreadableValues();
+  // Names before and after those of the processes.
+  const std::string name = (index % 2 == 0 ? "0" : "~") + std::to_string(index);
+  platform_.Put("instances/" + name, values[index % values.size()]);
+}
+
 void Simulation::Heal() {
   partitions_.clear();
   platform_.set_mode(fakes::PlatformCore::Mode::kUp);
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -76,6 +76,8 @@
   void StallLinks(size_t a, size_t b);
   /// Blocks all connections between the two processes until Heal().
   void Partition(size_t a, size_t b);
+  /// Lists an instance with the value of that index that can't be read.
+  void ListUnreadable(size_t index);
   void Heal();
   /// Stalls the streams from an agent's engine to the agent.
   ///
--- a/test/fuzz/step.cc
+++ b/test/fuzz/step.cc
@@ -9,16 +9,34 @@
 
 namespace {
 
-constexpr const char* kKindNames[] = {
-    "submit",        "submit-again",    "retry",
-    "read",          "delete",          "kill",
-    "kill-silently", "restart",         "freeze",
-    "leave",         "silence",         "partition",
-    "heal",          "outage",          "lose",
-    "slow",          "apply",           "preset",
-    "break-streams", "silence-streams", "slow-engine",
-    "burst",         "crash",           "wait",
-    "crash-engine",  "turn-away",       "submit-everywhere"};
+constexpr const char* kKindNames[] = {"submit",
+                                      "submit-again",
+                                      "retry",
+                                      "read",
+                                      "delete",
+                                      "kill",
+                                      "kill-silently",
+                                      "restart",
+                                      "freeze",
+                                      "leave",
+                                      "silence",
+                                      "partition",
+                                      "heal",
+                                      "outage",
+                                      "lose",
+                                      "slow",
+                                      "apply",
+                                      "preset",
+                                      "break-streams",
+                                      "silence-streams",
+                                      "slow-engine",
+                                      "burst",
+                                      "crash",
+                                      "wait",
+                                      "crash-engine",
+                                      "turn-away",
+                                      "list-unreadable",
+                                      "submit-everywhere"};
 static_assert(std::size(kKindNames) == Step::kAllKinds);
 
 }  // namespace
--- a/test/fuzz/step.h
+++ b/test/fuzz/step.h
@@ -44,6 +44,8 @@
     /// An engine turns requests away with Retry-After, which states the time
     /// left or zero.
     kTurnAway,
+    /// Another writer lists an instance that can't be read.
+    kListUnreadable,
     /// Number of kinds that AnyStep generates.
     kGeneratedKinds,
     /// Submits one key to all entries at once.
