Answers that end with their connection are kept until they are confirmed

Found by reading. Above 256 unconfirmed answers an entry dropped the oldest, which then counted neither as lost nor as answered. An entry with many servers, none of which answers it again within seconds, could so miss the crashes of a part whose answers end with their connections.

The answers are now kept by server without a bound of their own: all of a server overlapped the oldest one, since an answer to any later request confirms it, so that there are no more than ran at once. Looking them up takes a search for the server instead of one through all answers.

AnswersOfManyServersAreNotForgotten has 2,000 other answers between a crash and its notice; the mutant restores the bound.

--- a/lavenderkeel/crash/crash_guard.cc
+++ b/lavenderkeel/crash/crash_guard.cc
@@ -13,9 +13,6 @@
 
 constexpr Duration kForgetPeriod = std::chrono::seconds(1);
 
-/// Above this many, the oldest answers are no longer confirmed.
-constexpr size_t kMaxUnconfirmedAnswers = 256;
-
 std::string_view KindName(CrashReport::Kind kind) {
   switch (kind) {
     case CrashReport::Kind::kLost:
@@ -169,31 +166,34 @@
 void CrashGuard::LoseUnconfirmedAnswers(uint64_t server) {
   const TimePoint now = clock_.Now();
   for (const UnconfirmedAnswer& answer :
-       TakeUnconfirmedAnswers([&](const UnconfirmedAnswer& candidate) {
-         return candidate.run.server == server;
-       })) {
+       TakeUnconfirmedAnswers(server, /*latest_end=*/now)) {
     if (now - answer.ended <= options_.lost_with_answer_time) {
       AddLoss(answer.run, answer.ended);
     }
   }
 }
 
-template <typename Predicate>
 std::vector<CrashGuard::UnconfirmedAnswer> CrashGuard::TakeUnconfirmedAnswers(
-    Predicate predicate) {
-  const auto first = std::stable_partition(
-      unconfirmed_answers_.begin(), unconfirmed_answers_.end(),
-      [&](const UnconfirmedAnswer& answer) { return !predicate(answer); });
-  std::vector<UnconfirmedAnswer> taken(first, unconfirmed_answers_.end());
-  unconfirmed_answers_.erase(first, unconfirmed_answers_.end());
+    uint64_t server,
+    TimePoint latest_end) {
+  const auto found = unconfirmed_answers_.find(server);
+  if (found == unconfirmed_answers_.end()) {
+    return {};
+  }
+  std::vector<UnconfirmedAnswer>& answers = found->second;
+  const auto first = std::ranges::upper_bound(answers, latest_end, {},
+                                              &UnconfirmedAnswer::ended);
+  std::vector<UnconfirmedAnswer> taken(answers.begin(), first);
+  answers.erase(answers.begin(), first);
+  if (answers.empty()) {
+    unconfirmed_answers_.erase(found);
+  }
   return taken;
 }
 
 void CrashGuard::OnServerAnswered(uint64_t server, TimePoint sent) {
   for (const UnconfirmedAnswer& answer :
-       TakeUnconfirmedAnswers([&](const UnconfirmedAnswer& candidate) {
-         return candidate.run.server == server && candidate.ended <= sent;
-       })) {
+       TakeUnconfirmedAnswers(server, /*latest_end=*/sent)) {
     OnServerSurvived(answer.run);
   }
   if (ledger_.HasLossOf(server) && !unreachable_servers_.contains(server)) {
@@ -224,10 +224,8 @@
 }
 
 void CrashGuard::OnConnectionEnded(const Run& run) {
-  if (unconfirmed_answers_.size() >= kMaxUnconfirmedAnswers) {
-    unconfirmed_answers_.erase(unconfirmed_answers_.begin());
-  }
-  unconfirmed_answers_.push_back({.run = run, .ended = clock_.Now()});
+  unconfirmed_answers_[run.server].push_back(
+      {.run = run, .ended = clock_.Now()});
 }
 
 void CrashGuard::OnReports(const CrashNews& message, const Sender& sender) {
@@ -334,9 +332,13 @@
   std::erase_if(last_reminders_, is_forgotten);
   std::erase_if(pending_trials_, is_forgotten);
   std::erase_if(logged_, is_forgotten);
-  std::erase_if(unconfirmed_answers_, [&](const UnconfirmedAnswer& answer) {
-    return now - answer.ended > options_.confirm_timeout;
-  });
+  for (auto& [server, answers] : unconfirmed_answers_) {
+    std::erase_if(answers, [&](const UnconfirmedAnswer& answer) {
+      return now - answer.ended > options_.confirm_timeout;
+    });
+  }
+  std::erase_if(unconfirmed_answers_,
+                [](const auto& item) { return item.second.empty(); });
   const std::vector<Suspect> culprits = ledger_.Culprits();
   for (const Suspect::Kind kind :
        {Suspect::Kind::kRequest, Suspect::Kind::kPart, Suspect::Kind::kPartPair,
--- a/lavenderkeel/crash/crash_guard.h
+++ b/lavenderkeel/crash/crash_guard.h
@@ -176,8 +176,10 @@
   void AddLoss(const Run& run, TimePoint ended);
   /// Counts the server's last answers as lost with it.
   void LoseUnconfirmedAnswers(uint64_t server);
-  template <typename Predicate>
-  std::vector<UnconfirmedAnswer> TakeUnconfirmedAnswers(Predicate predicate);
+  /// Removes and returns the server's unconfirmed answers that ended no later
+  /// than this.
+  std::vector<UnconfirmedAnswer> TakeUnconfirmedAnswers(uint64_t server,
+                                                        TimePoint latest_end);
   /// Writes a line for each suspect of the request that became or no longer is
   /// doubtful or blocked.
   void LogChanges(const RequestTraits& request);
@@ -200,7 +202,10 @@
   BySuspect<PendingTrial> pending_trials_;
   /// The suspicions that were logged last; clear ones are left out.
   BySuspect<CrashSuspicion> logged_;
-  std::vector<UnconfirmedAnswer> unconfirmed_answers_;
+  /// By server, the oldest first. All overlapped the oldest one, which bounds
+  /// their number: any answer to a later request would have confirmed it.
+  std::unordered_map<uint64_t, std::vector<UnconfirmedAnswer>>
+      unconfirmed_answers_;
 };
 
 }  // namespace lavenderkeel
--- a/test/crash/crash_guard_test.cc
+++ b/test/crash/crash_guard_test.cc
@@ -149,6 +149,27 @@
   BOOST_CHECK(harness.guard.SuspicionOf(kRequest) == CrashSuspicion::kBlocked);
 }
 
+// Guards against a crash that is missed since too many other answers ended with
+// their connections before it was noticed.
+BOOST_AUTO_TEST_CASE(AnswersOfManyServersAreNotForgotten) {
+  constexpr uint64_t kOthers = 2000;
+  const RequestTraits other = {.fingerprint = 8};
+  Harness harness;
+  for (uint64_t server = 1; server <= 3; ++server) {
+    const TimePoint sent = harness.clock.Now();
+    harness.clock.Advance(milliseconds(50));
+    harness.guard.OnConnectionEnded(
+        {.request = kRequest, .server = server, .sent = sent});
+    for (uint64_t i = 0; i < kOthers; ++i) {
+      harness.guard.OnConnectionEnded(
+          {.request = other, .server = 100 + i, .sent = sent});
+    }
+    harness.clock.Advance(milliseconds(50));
+    harness.guard.OnServerUnreachable(server);
+  }
+  BOOST_CHECK(harness.guard.SuspicionOf(kRequest) == CrashSuspicion::kBlocked);
+}
+
 // Guards against blaming an answer for a server that ended later.
 BOOST_AUTO_TEST_CASE(AnswerLongBeforeTheLossOfItsServerCountsForNothing) {
   Harness harness;
