--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -107,6 +107,31 @@
        AnswerMetadata{.not_run = true}));
 }
 
+// Guards against an answer to another request that is taken since it names this
+// one, too.
+BOOST_AUTO_TEST_CASE(ContradictoryRequestIdsIdentifyNoRequest) {
+  const ForwardCodec codec = hybrid::MakeHeaderCodec();
+  const auto id_of = [&codec](const HttpFields& fields) {
+    return codec.read_answer({.status = 200, .fields = fields}).request_id;
+  };
+  BOOST_TEST(id_of({{"Request-Id", "a"}, {"request-id", "a"}}) == "a");
+  BOOST_TEST(id_of({{"Request-Id", "a"}, {"request-id", "b"}}).empty());
+}
+
+// Guards against parts of a prompt that are not examined as causes of crashes,
+// since another field, or a space, stands before them.
+BOOST_AUTO_TEST_CASE(PromptPartsOfAllFieldsAreRead) {
+  const ForwardCodec codec = hybrid::MakeHeaderCodec();
+  const auto metadata = codec.read_request({.fields = {
+                                                {"Request-Id", "r"},
+                                                {"Prompt-Prefix", "a1:8, b2:4"},
+                                                {"prompt-prefix", " c3 :2"},
+                                            }});
+  BOOST_REQUIRE(metadata.has_value());
+  BOOST_TEST(
+      (metadata->prompt_parts == std::vector<PromptPartId>{0xa1, 0xb2, 0xc3}));
+}
+
 // Guards against a leaving server whose notice no entry reads.
 BOOST_AUTO_TEST_CASE(ServerLeavingIsDecoded) {
   const AnswerMetadata metadata = hybrid::MakeHeaderCodec().read_answer(
