Soak: rejected requests return to a server that repeats its answers

The new variant `repeat` leaves one server for a time, which rejects requests and repeats its answers, under a wider bound. The usual plans are unchanged.

--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -17,7 +17,8 @@
  public:
   /// @param timed whether answer times are checked as well; only meaningful on
   ///     a machine that runs nothing else
-  explicit Checker(bool timed) : timed_(timed) {}
+  Checker(bool timed, const fakes::RetryHistory::Bound& retry_bound)
+      : timed_(timed), retries_(retry_bound) {}
 
   /// Checks a request that has ended at its client.
   void OnRequestDone(const RequestRecord& record);
@@ -62,7 +63,7 @@
   void CheckStream(const RequestRecord& record, bool complete);
 
   bool timed_;
-  fakes::RetryHistory retries_{kRetryBound};
+  fakes::RetryHistory retries_;
   std::multiset<std::string> arrivals_;
   std::vector<std::string> violations_;
   std::set<std::string> non_idempotent_;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -101,6 +101,34 @@
   }
 }
 
+/// Leaves a single server for a time, which rejects requests and repeats its
+/// answers: a rejected request returns to it.
+void AddRepeatedRejections(Plan& plan) {
+  plan.retry_bound.ratio = 1;
+  plan.retry_bound.extra = 200;
+  std::mt19937_64 random(plan.seed + 3);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  const Duration at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2));
+  const Duration duration =
+      std::chrono::milliseconds(pick(1000, kFaultsEndMs / 2));
+  const int remaining = pick(0, plan.servers - 1);
+  for (int server = 0; server < plan.servers; ++server) {
+    if (server != remaining) {
+      plan.steps.push_back({.at = at,
+                            .fault = Fault::kDrainServer,
+                            .target = server,
+                            .duration = duration});
+    }
+  }
+  for (const Fault fault :
+       {Fault::kServerRejects, Fault::kServerRepeatsAnswers}) {
+    plan.steps.push_back(
+        {.at = at, .fault = fault, .target = remaining, .duration = duration});
+  }
+}
+
 void MakePartCrash(Plan& plan) {
   constexpr int kTimesServers = 2;
   plan.servers *= kTimesServers;
@@ -145,6 +173,9 @@
     AddFailingServers(plan);
     AddFaultyBytes(plan);
   }
+  if (variant == Variant::kRepeatedRejections) {
+    AddRepeatedRejections(plan);
+  }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
 }
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -47,8 +47,8 @@
 inline constexpr int kFaultKinds =
     static_cast<int>(Fault::kStoreListsUnreadable) + 1;
 
-/// The bound on retries that the entries are started with. Its window is short,
-/// so that the faults of a plan spread over several.
+/// The usual bound on retries. Its window is short, so that the faults of a
+/// plan spread over several.
 inline constexpr fakes::RetryHistory::Bound kRetryBound = {
     .window = std::chrono::seconds(3),
     .ratio = 0.02,
@@ -61,6 +61,9 @@
   /// A part of some prompts crashes servers; processes end beside it, but all
   /// that run reach each other.
   kCrashingPart,
+  /// For a time a single server is left, which rejects requests and repeats its
+  /// answers, and retries are limited little.
+  kRepeatedRejections,
 };
 
 /// One fault of a plan.
@@ -85,6 +88,8 @@
   int clients = 10;
   /// Whether a part of some prompts crashes the servers that answer them.
   bool has_crashing_part = false;
+  /// The bound on retries that the entries are started with.
+  fakes::RetryHistory::Bound retry_bound = kRetryBound;
   /// Duration of the traffic.
   Duration traffic = std::chrono::seconds(12);
   std::vector<Step> steps;
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -1,10 +1,11 @@
 // Soak test: runs the real programs under generated fault plans and checks the
 // system's guarantees.
-// Usage: soak FIRST_SEED [RUNS [timed | large | part]]. "timed" also checks
-// answer times, for a machine that runs nothing else; "large" runs dozens of
-// processes; with "part", a part of some prompts crashes servers. Prints one
-// line per seed and, on a violation, the plan, the violated guarantees with the
-// ids of the requests, and the directory of the logs.
+// Usage: soak FIRST_SEED [RUNS [timed | large | part | repeat]]. "timed" also
+// checks answer times, for a machine that runs nothing else; "large" runs
+// dozens of processes; with "part", a part of some prompts crashes servers;
+// with "repeat", rejected requests return to a server that repeats its answers.
+// Prints one line per seed and, on a violation, the plan, the violated
+// guarantees with the ids of the requests, and the directory of the logs.
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -30,7 +31,9 @@
 class Run {
  public:
   Run(uint64_t seed, Variant variant, bool timed)
-      : plan_(MakePlan(seed, variant)), system_(plan_, loop_), checker_(timed) {
+      : plan_(MakePlan(seed, variant)),
+        system_(plan_, loop_),
+        checker_(timed, plan_.retry_bound) {
     system_.set_on_crash([this] { checker_.OnCrash(clock_.Now()); });
     system_.set_on_arrival([this](const std::string& id) {
       checker_.OnArrival(id, clock_.Now());
@@ -182,7 +185,8 @@
 
 int Main(int argc, char** argv) {
   if (argc < 2) {
-    std::cerr << "usage: soak FIRST_SEED [RUNS [timed | large | part]]\n";
+    std::cerr
+        << "usage: soak FIRST_SEED [RUNS [timed | large | part | repeat]]\n";
     return kBadUseStatus;
   }
   PrepareProcess();
@@ -191,9 +195,10 @@
   constexpr int kVariantArgument = 3;
   const std::string name =
       argc > kVariantArgument ? argv[kVariantArgument] : "";
-  const Variant variant = name == "large"  ? Variant::kLarge
-                          : name == "part" ? Variant::kCrashingPart
-                                           : Variant::kUsual;
+  const Variant variant = name == "large"    ? Variant::kLarge
+                          : name == "part"   ? Variant::kCrashingPart
+                          : name == "repeat" ? Variant::kRepeatedRejections
+                                             : Variant::kUsual;
   uint64_t failed = 0;
   for (uint64_t seed = first; seed < first + runs; ++seed) {
     failed += Run(seed, variant, name == "timed").Execute() ? 0 : 1;
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -82,9 +82,9 @@
                           << entry.peers->address() << R"("}, "store": ")"
                           << entry.store->address() << R"(", "seeds": [)"
                           << seeds << R"(], "bounds": {"retry_window_s": )"
-                          << ToSeconds(kRetryBound.window)
-                          << R"(, "retry_ratio": )" << kRetryBound.ratio
-                          << R"(, "retry_extra": )" << kRetryBound.extra
+                          << ToSeconds(plan_.retry_bound.window)
+                          << R"(, "retry_ratio": )" << plan_.retry_bound.ratio
+                          << R"(, "retry_extra": )" << plan_.retry_bound.extra
                           << "}}";
   processes_.Spawn(
       entry.name,
