--- a/test/claim/key_arbiter_test.cc
+++ b/test/claim/key_arbiter_test.cc
@@ -154,12 +154,15 @@
     both.second.key_arbiter.Tick();
     const auto calls = both.second.outbox.Take();
     BOOST_REQUIRE(!calls.empty());
-    both.second.port.OnReply(
-        std::get<PlatformCall>(calls.front()).call,
-        {.status = 200,
-         .body = R"({"objects":[{"name":)" + value + R"(,"version":"1"},)" +
-                 value + R"(,{"name":"lavenderkeel/keys/)" + old.ToString() +
-                 R"(","version":"1"}]})"});
+    std::string body = R"({"objects":[{"name":)";
+    body.append(value)
+        .append(R"(,"version":"1"},)")
+        .append(value)
+        .append(R"(,{"name":"lavenderkeel/keys/)")
+        .append(old.ToString())
+        .append(R"(","version":"1"}]})");
+    both.second.port.OnReply(std::get<PlatformCall>(calls.front()).call,
+                             {.status = 200, .body = body});
     both.second.key_arbiter.Tick();
     const auto deletions = both.second.outbox.Take();
     BOOST_REQUIRE_MESSAGE(deletions.size() == 1U, value);
--- a/test/membership/instance_info_test.cc
+++ b/test/membership/instance_info_test.cc
@@ -18,10 +18,14 @@
     for (const std::string& item :
          {value, R"({"instance":)" + value + "}",
           R"({"instance":"a","role":"agent","address":)" + value + "}"}) {
-      const auto list = Catch([&] {
-        return ParseInstanceList(R"({"instances":[)" + item + "," +
-                                 RegistrationBody(sound) + "," + item + "]}");
-      });
+      std::string text = R"({"instances":[)";
+      text.append(item)
+          .append(",")
+          .append(RegistrationBody(sound))
+          .append(",")
+          .append(item)
+          .append("]}");
+      const auto list = Catch([&] { return ParseInstanceList(text); });
       BOOST_REQUIRE_MESSAGE(list, item);
       BOOST_TEST(list.value->unreadable == 2U, item);
       BOOST_TEST((list.value->instances == std::vector{sound}), item);
