--- a/lavenderkeel/claim/key_arbiter.cc
+++ b/lavenderkeel/claim/key_arbiter.cc
@@ -18,14 +18,6 @@
   return std::string(kObjectPrefix) + key.ToString();
 }
 
-/// Returns a field that is a string; empty if it can't be read.
-std::string TextOf(const JsonFields& fields, std::string_view name) {
-  const std::optional<json::value> value = fields.Parse(name);
-  return value.has_value() && value->is_string()
-             ? std::string(value->get_string())
-             : std::string();
-}
-
 std::string_view DecisionName(KeyArbiter::Decision decision) {
   switch (decision) {
     case KeyArbiter::Decision::kGranted:
@@ -165,10 +157,9 @@
   size_t unreadable = 0;
   const WallTime oldest = clock_.WallNow() - options_.retention;
   for (const std::string_view item : *items) {
-    const std::optional<JsonFields> object = JsonFields::Split(item);
-    const std::string name = object.has_value() ? TextOf(*object, "name") : "";
-    const std::string version =
-        object.has_value() ? TextOf(*object, "version") : "";
+    const JsonFields fields = JsonFields::Split(item).value_or(JsonFields());
+    const std::string name = fields.StringOrEmpty("name");
+    const std::string version = fields.StringOrEmpty("version");
     if (name.empty() || version.empty()) {
       ++unreadable;
       continue;
--- a/lavenderkeel/config/json_fields.cc
+++ b/lavenderkeel/config/json_fields.cc
@@ -211,6 +211,13 @@
   return text.has_value() ? ParseJsonValue(*text) : std::nullopt;
 }
 
+std::string JsonFields::StringOrEmpty(std::string_view name) const {
+  const std::optional<boost::json::value> value = Parse(name);
+  return value.has_value() && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
 bool JsonFields::HasRepeated() const {
   std::set<std::string_view> names;
   return std::ranges::any_of(fields_, [&names](const Field& field) {
--- a/lavenderkeel/config/json_fields.h
+++ b/lavenderkeel/config/json_fields.h
@@ -26,6 +26,8 @@
   /// Returns the parsed field; nullopt if it is missing, repeated or can't be
   /// parsed.
   std::optional<boost::json::value> Parse(std::string_view name) const;
+  /// Returns a field that is a string; empty if it is not, or can't be read.
+  std::string StringOrEmpty(std::string_view name) const;
   bool HasRepeated() const;
 
  private:
