A report of the far future moves no other

The reports of a writer whose clock is ahead are all moved back by what the latest is ahead. One report with an impossible time, as, moved all others some hundred thousand years back, where they no longer count: one unreadable number hid the evidence against every culprit.

ReportOfTheFarFutureMovesNoOther fails without the change for an end in the far future, of a loss and of an answer, and for a run that ends before it begins. Such reports are now unreadable: skipped, logged as before, and counted (crash_reports_unreadable).

--- a/lavenderkeel/forward/crash_archive_exchange.cc
+++ b/lavenderkeel/forward/crash_archive_exchange.cc
@@ -26,12 +26,14 @@
     CrashGuard& guard,
     const Clock& clock,
     std::mt19937_64& random,
-    const EventLog& log)
+    const EventLog& log,
+    Metrics& metrics)
     : options_(options),
       source_(std::move(source)),
       read_(std::move(read)),
       clock_(clock),
       log_(log),
+      metrics_(metrics),
       archive_(options.archive,
                guard,
                clock,
@@ -76,6 +78,7 @@
                {"faults", reports.failure.message}});
   }
   if (reports && reports.value->unreadable > 0) {
+    metrics_.Add("crash_reports_unreadable", reports.value->unreadable);
     log_.Warn("crash_reports_unreadable",
               {{"revision", object.revision},
                {"reports", reports.value->unreadable},
--- a/lavenderkeel/forward/crash_archive_exchange.h
+++ b/lavenderkeel/forward/crash_archive_exchange.h
@@ -42,7 +42,8 @@
       CrashGuard& guard,
       const Clock& clock,
       std::mt19937_64& random,
-      const EventLog& log);
+      const EventLog& log,
+      Metrics& metrics);
 
   bool enabled() const { return !source_.kind.empty(); }
   void Start();
@@ -62,6 +63,7 @@
   std::function<void(ObjectWatch&, uint64_t, const ObjectRead&)> read_;
   const Clock& clock_;
   const EventLog& log_;
+  Metrics& metrics_;
   CrashArchive archive_;
   ObjectWatch watch_;
   uint64_t writes_ = 0;
--- a/test/platform/crash_archive_codec_test.cc
+++ b/test/platform/crash_archive_codec_test.cc
@@ -74,6 +74,30 @@
   }
 }
 
+// Guards against one impossible time that moves all other reports into the
+// past, where they no longer count.
+BOOST_AUTO_TEST_CASE(ReportOfTheFarFutureMovesNoOther) {
+  const fuzz::VirtualClock clock;
+  const std::vector<CrashReport> sound = {{.request = {.parts = {1}},
+                                           .sent = clock.Now() - seconds(5),
+                                           .ended = clock.Now() - seconds(4)}};
+  const std::string reports = hybrid::EncodeCrashReports(sound, clock);
+  const std::string before_end = reports.substr(0, reports.size() - 2);
+  for (const char* impossible :
+       {R"({"kind":"lost","sentUs":1,"endedUs":9223372036854775807})",
+        R"({"kind":"answered","endedUs":9e18})",
+        R"({"kind":"lost","sentUs":9223372036854775807,"endedUs":2})"}) {
+    const auto read = Catch([&] {
+      return hybrid::DecodeCrashReports(
+          ObjectWith(before_end + "," + impossible + "]}"), clock);
+    });
+    BOOST_REQUIRE_MESSAGE(static_cast<bool>(read), impossible);
+    BOOST_TEST(
+        (*read.value == StoredCrashReports{.reports = sound, .unreadable = 1}),
+        impossible);
+  }
+}
+
 // Guards against one unreadable report that hides the others.
 BOOST_AUTO_TEST_CASE(UnreadableReportHidesNoOther) {
   const fuzz::VirtualClock clock;
