Numbers beyond the range of a duration saturate

Numbers of clients, servers and the store were converted to microseconds with a product that overflows: Deadline-Ms: became -1 ms, so that a request whose client waits for ever counted as late; the start of a recorded rollout and the timeout of a Keep-Alive field likewise, and durations read as fractions were cast out of range. Each is undefined behaviour.

FromSeconds() and FromMilliseconds() saturate at 1,000 years, which can be added to any time of a clock, and all such numbers pass through them. Messages between entries are not changed: their numbers come from this program.

--- a/lavenderkeel/base/clock.h
+++ b/lavenderkeel/base/clock.h
@@ -1,7 +1,9 @@
 #ifndef LAVENDERKEEL_BASE_CLOCK_H_
 #define LAVENDERKEEL_BASE_CLOCK_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace lavenderkeel {
 
@@ -46,10 +48,26 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/// Converts seconds to a duration, rounded down to a microsecond.
+/// Numbers beyond this are converted to it: the sum of it and any time of a
+/// clock can be represented.
+inline constexpr Duration kMaxDuration = std::chrono::years(1000);
+
+namespace internal {
+
+inline Duration FromMicroseconds(double microseconds) {
+  constexpr auto kMax = static_cast<double>(kMaxDuration.count());
+  return std::isnan(microseconds) ? Duration::zero()
+                                  : Duration(static_cast<Duration::rep>(
+                                        std::clamp(microseconds, -kMax, kMax)));
+}
+
+}  // namespace internal
+
+/// Converts seconds to a duration, rounded toward zero to a microsecond; not a
+/// number to zero.
 inline Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  constexpr double kMicroseconds = 1e6;
+  return internal::FromMicroseconds(seconds * kMicroseconds);
 }
 
 /// Converts a duration to milliseconds with a fraction.
@@ -57,10 +75,10 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-/// Converts milliseconds to a duration, rounded down to a microsecond.
+/// Converts milliseconds to a duration, as FromSeconds() does.
 inline Duration FromMilliseconds(double milliseconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(milliseconds));
+  constexpr double kMicroseconds = 1e3;
+  return internal::FromMicroseconds(milliseconds * kMicroseconds);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -37,7 +37,7 @@
   if (error != std::errc() || end == begin) {
     return std::nullopt;
   }
-  return std::chrono::seconds(seconds);
+  return FromSeconds(static_cast<double>(seconds));
 }
 
 }  // namespace
--- a/test/platform/header_codec_test.cc
+++ b/test/platform/header_codec_test.cc
@@ -43,6 +43,19 @@
                                     .last_event_id = "12"}));
 }
 
+// Guards against a request that counts as late since its client would wait for
+// longer than a duration can express.
+BOOST_AUTO_TEST_CASE(HugeTimeLimitSaturates) {
+  const auto time_left = [](const std::string& milliseconds) {
+    const RequestHead head = {
+        .fields = {{"Request-Id", "1"}, {"Deadline-Ms", milliseconds}}};
+    return hybrid::MakeHeaderCodec().read_request(head)->time_left;
+  };
+  BOOST_CHECK(time_left("9223372036854775807") == kMaxDuration);
+  BOOST_CHECK(time_left("-9223372036854775808") == -kMaxDuration);
+  BOOST_CHECK(time_left("1500") == std::chrono::milliseconds(1500));
+}
+
 // Guards against refusing a request, or confusing its parts, because a part has
 // an unusual id.
 BOOST_AUTO_TEST_CASE(UnusualPromptPartsAreToldApart) {
--- a/test/platform/rollout_codec_test.cc
+++ b/test/platform/rollout_codec_test.cc
@@ -61,6 +61,23 @@
   BOOST_TEST(order.failure.message.find("/to") != std::string::npos);
 }
 
+// Guards against an order that has ended before it begins because its times are
+// beyond the range of a duration.
+BOOST_AUTO_TEST_CASE(HugeTimesOfAnOrderSaturate) {
+  for (const std::string huge : {"1e300", "9223372036854775807"}) {
+    const auto order = Catch([&] {
+      return hybrid::DecodeRollout(
+          Stored(R"({"service":"plain","to":"v2","durationS":)" + huge + "}",
+                 R"({"state":"serving","to":"v2","startedMs":)"
+                 R"(9223372036854775807})"));
+    });
+    BOOST_REQUIRE(static_cast<bool>(order));
+    BOOST_CHECK(order.value->duration == kMaxDuration);
+    BOOST_REQUIRE(order.value->record.has_value());
+    BOOST_CHECK(order.value->record->started == WallTime(kMaxDuration));
+  }
+}
+
 // Guards against losing an order because of an unreadable status from another
 // writer.
 BOOST_AUTO_TEST_CASE(UnreadableRecordIsIgnored) {
