A server's name adds no fields to requests

A server is named to itself in each request (Expect-Instance), with the name of its entry in the store. A readable name with a line break, which any writer may choose, began another field in the requests of clients, or another request.

NameWithControlBytesIsRejected fails without the change. Such an entry now names no server, as others that can't be read.

--- a/lavenderkeel/base.h
+++ b/lavenderkeel/base.h
@@ -2,6 +2,7 @@
 #ifndef LAVENDERKEEL_BASE_H_
 #define LAVENDERKEEL_BASE_H_
 
+#include "lavenderkeel/base/ascii.h"
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/event_log.h"
 #include "lavenderkeel/base/failure.h"
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -49,6 +49,24 @@
   BOOST_TEST(server.value->start_key() == "i-1");
 }
 
+// Guards against header fields that the name of an entry adds to the requests
+// of clients.
+BOOST_AUTO_TEST_CASE(NameWithControlBytesIsRejected) {
+  const std::string content = json::serialize(ValidEntry());
+  for (const std::string& name :
+       {std::string("i-1\r\nHold: x"), std::string("i-1\n"),
+        std::string("\0", 1), std::string("i\x7f"), std::string()}) {
+    const auto server = Catch([&] {
+      return hybrid::DecodeServer({.name = name, .content = content});
+    });
+    BOOST_TEST(!static_cast<bool>(server), name);
+  }
+  const auto unusual = Catch([&] {
+    return hybrid::DecodeServer({.name = "i 1/\xc3\xa9", .content = content});
+  });
+  BOOST_TEST(static_cast<bool>(unusual));
+}
+
 // Guards against sending requests to a server from an invalid entry of another
 // writer: a field is missing or of another type, or the state is unknown.
 BOOST_AUTO_TEST_CASE(InvalidEntriesAreRejected) {
