Values of log lines are bounded and have no control characters

Object names, faults and header fields of other writers are logged. Line breaks were replaced, other control bytes were not, and a value of a megabyte, as an object's name may be, was written whole.

--- a/lavenderkeel/base/event_log.cc
+++ b/lavenderkeel/base/event_log.cc
@@ -1,13 +1,24 @@
 #include "lavenderkeel/base/event_log.h"
 
+#include <algorithm>
+
+#include "lavenderkeel/base/ascii.h"
+
 namespace lavenderkeel {
 
 namespace {
 
-void AppendValue(const std::string& value, std::string& line) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos;
-  if (plain) {
+/// Longer values, such as names that other writers choose, are cut.
+constexpr size_t kMaxValueBytes = 4096;
+
+bool NeedsQuotes(char c) {
+  return c == ' ' || c == '"' || c == '=' || IsControlCharacter(c);
+}
+
+void AppendValue(std::string_view value, std::string& line) {
+  const bool cut = value.size() > kMaxValueBytes;
+  value = value.substr(0, kMaxValueBytes);
+  if (!value.empty() && !cut && std::ranges::none_of(value, NeedsQuotes)) {
     line += value;
     return;
   }
@@ -17,9 +28,9 @@
       line += '\\';
     }
     // A line break from a caller must not start a forged log line.
-    line += (c == '\n' || c == '\r') ? ' ' : c;
+    line += IsControlCharacter(c) ? ' ' : c;
   }
-  line += '"';
+  line += cut ? "...\"" : "\"";
 }
 
 }  // namespace
