A rollout whose object can't be read is not withdrawn

An object of the store that could be read before and can't any more was handled as if it were removed. For a server that is right: it names none to use. A rollout was withdrawn in the middle: its traffic went back, its record stayed at "serving" for ever, and a bad version was never rolled back.

Now the last order that could be read holds, as only a removal withdraws it. Its record is still written, on condition of the object's new revision. An entry that starts then takes the order from the record in the status, which is its own; the line rollout_unreadable says so (recorded=1).

--- a/lavenderkeel/forward/forward_node.cc
+++ b/lavenderkeel/forward/forward_node.cc
@@ -248,21 +248,27 @@
           .on_list =
               [this](const std::vector<StoredObject>& objects) {
                 std::vector<RolloutOrder> orders;
+                std::vector<RolloutController::UnreadableOrder> unreadable;
                 for (const StoredObject& object : objects) {
                   if (std::optional<RolloutOrder> order = ReadRollout(object)) {
                     orders.push_back(*std::move(order));
+                  } else {
+                    unreadable.push_back(
+                        {.name = object.name, .revision = object.revision});
                   }
                 }
-                rollouts_.OnList(orders);
+                rollouts_.OnList(orders, unreadable);
               },
           .on_change =
               [this](const StoredObject& object) {
-                const std::optional<RolloutOrder> order =
-                    object.removed ? std::nullopt : ReadRollout(object);
-                if (order.has_value()) {
+                if (object.removed) {
+                  rollouts_.OnRemoved(object.name);
+                } else if (const std::optional<RolloutOrder> order =
+                               ReadRollout(object)) {
                   rollouts_.OnOrder(*order);
                 } else {
-                  rollouts_.OnRemoved(object.name);
+                  rollouts_.OnUnreadable(
+                      {.name = object.name, .revision = object.revision});
                 }
                 exchange_.SendStatusSoon();
               },
@@ -273,12 +279,15 @@
 std::optional<RolloutOrder> ForwardNode::ReadRollout(
     const StoredObject& object) {
   auto order = Catch([&] { return source_.decode_rollout(object); });
-  if (!order) {
+  const std::optional<Failure> fault =
+      order ? order.value->fault : std::optional(order.failure);
+  if (fault.has_value()) {
     CountUnreadable(source_.rollout_kind);
     log_.Warn("rollout_unreadable",
               {{"rollout", object.name},
-               {"code", static_cast<uint32_t>(order.failure.code)},
-               {"faults", order.failure.message}});
+               {"recorded", order ? 1 : 0},
+               {"code", static_cast<uint32_t>(fault->code)},
+               {"faults", fault->message}});
   }
   return std::move(order.value);
 }
--- a/lavenderkeel/rollout/rollout_controller.cc
+++ b/lavenderkeel/rollout/rollout_controller.cc
@@ -41,9 +41,14 @@
       log_(log),
       write_(std::move(write)) {}
 
-void RolloutController::OnList(const std::vector<RolloutOrder>& orders) {
+void RolloutController::OnList(const std::vector<RolloutOrder>& orders,
+                               const std::vector<UnreadableOrder>& unreadable) {
   listed_ = true;
   std::set<std::string> names;
+  for (const UnreadableOrder& order : unreadable) {
+    names.insert(order.name);
+    OnUnreadable(order);
+  }
   for (const RolloutOrder& order : orders) {
     names.insert(order.name);
     OnOrder(order);
@@ -77,6 +82,15 @@
   UpdateOrder(rollout, order);
 }
 
+void RolloutController::OnUnreadable(const UnreadableOrder& unreadable) {
+  if (const auto found = rollouts_.find(unreadable.name);
+      found != rollouts_.end()) {
+    // The record is written on condition of the latest revision.
+    uint64_t& revision = found->second.order.revision;
+    revision = std::max(revision, unreadable.revision);
+  }
+}
+
 void RolloutController::AddRollout(const RolloutOrder& order) {
   const TimePoint now = clock_.Now();
   const WallTime wall = clock_.WallNow();
--- a/lavenderkeel/rollout/rollout_controller.h
+++ b/lavenderkeel/rollout/rollout_controller.h
@@ -70,8 +70,21 @@
                     const EventLog& log,
                     Write write);
 
-  void OnList(const std::vector<RolloutOrder>& orders);
+  /// An object whose order can't be read.
+  struct UnreadableOrder {
+    std::string name;
+    uint64_t revision = 0;
+
+    friend bool operator==(const UnreadableOrder&,
+                           const UnreadableOrder&) = default;
+  };
+
+  void OnList(const std::vector<RolloutOrder>& orders,
+              const std::vector<UnreadableOrder>& unreadable = {});
   void OnOrder(const RolloutOrder& order);
+  /// Handles that an object can't be read any more. Its last order holds, since
+  /// only its removal withdraws it.
+  void OnUnreadable(const UnreadableOrder& unreadable);
   void OnRemoved(const std::string& name);
   void OnCounts(const std::string& entry, const RolloutCounts& counts);
   void Tick(const ClusterState& cluster);
--- a/lavenderkeel/rollout/rollout_order.h
+++ b/lavenderkeel/rollout/rollout_order.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/base/failure.h"
 
 namespace lavenderkeel {
 
@@ -39,6 +40,8 @@
   /// The time within which the traffic must be moved.
   Duration duration{};
   std::optional<RolloutRecord> record;
+  /// Why the order itself can't be read, if it was taken from its record.
+  std::optional<Failure> fault = std::nullopt;
 
   /// Returns whether the record belongs to this order and not to an earlier one
   /// of the same name.
--- a/test/platform/rollout_codec_test.cc
+++ b/test/platform/rollout_codec_test.cc
@@ -78,6 +78,29 @@
   }
 }
 
+// Guards against an order that is lost because its object can't be read any
+// more, at an entry that starts then.
+BOOST_AUTO_TEST_CASE(UnreadableOrderIsThatOfItsRecord) {
+  const std::string status = hybrid::EncodeRecord(
+      {.to = "v2",
+       .from = "v1",
+       .duration = std::chrono::seconds(12),
+       .created = 7,
+       .started = WallTime(std::chrono::seconds(1'770'000'000))});
+  const auto order =
+      Catch([&] { return hybrid::DecodeRollout(Stored("", status)); });
+  const auto whole =
+      Catch([&] { return hybrid::DecodeRollout(Stored(kSpec, status)); });
+  BOOST_REQUIRE(static_cast<bool>(order));
+  BOOST_TEST((order.value->fault->code == ResultCode::kMalformedJson));
+  BOOST_TEST(order.value->answered());
+  BOOST_TEST(KeyOf(*order.value) == KeyOf(*whole.value));
+  // The record of an object of that name that was removed.
+  StoredObject later = Stored("", status);
+  later.created = 8;
+  BOOST_TEST(!Catch([&] { return hybrid::DecodeRollout(later); }));
+}
+
 // Guards against losing an order because of an unreadable status from another
 // writer.
 BOOST_AUTO_TEST_CASE(UnreadableRecordIsIgnored) {
--- a/test/rollout/rollout_fleet_test.cc
+++ b/test/rollout/rollout_fleet_test.cc
@@ -47,4 +47,28 @@
   BOOST_TEST(simulation.versions().cut_by_stop() == 0);
 }
 
+// Guards against an order that is withdrawn because another writer replaced it
+// by bytes that can't be read.
+BOOST_AUTO_TEST_CASE(OrderHoldsWhileItsObjectCannotBeRead) {
+  for (const char* unreadable : {"{", "", R"({"service":"engines","to":7})"}) {
+    for (const double failures : {0.0, 0.5}) {
+      RolloutSimulation simulation({});
+      simulation.RunFor(seconds(3));
+      simulation.OrderRollout();
+      simulation.versions().SetFault("v2", {.share = failures},
+                                     simulation.ordered_at());
+      simulation.RunFor(milliseconds(300));
+      simulation.fleet().PutObject("rollouts", "engines", unreadable);
+      simulation.RunFor(seconds(2));
+      simulation.Restart(3);
+      simulation.RunFor(seconds(14));
+      BOOST_TEST(simulation.State() ==
+                 (failures > 0 ? "rolled_back" : "completed"));
+      BOOST_TEST((failures == 0 || simulation.ExcessExposure() <= 0));
+      BOOST_TEST(simulation.LateArrivals() == 0);
+      BOOST_TEST(simulation.versions().cut_by_stop() == 0);
+    }
+  }
+}
+
 }  // namespace lavenderkeel
