A stream with an unreadable event is not delivered as whole

Callers of the product's own interface could get an answer without one of its texts, as complete.

An event of an engine that can't be parsed was skipped. The next one showed the gap, and a resume was queued; but the rest of the same read was handled first, and the end of the stream ended the run as answered, unless the engine also counted its texts. Where the event stayed unreadable the stream was resumed without a bound.

A stream is read no further after such an event, nor after a gap; resumes for a gap count against the limit of resumes. The line event_unreadable and server_events_unreadable_total tell them apart.

--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -91,12 +91,12 @@
   run.go.body = {};
 }
 
-void RunController::OnServerText(RunId id,
+bool RunController::OnServerText(RunId id,
                                  uint64_t index,
                                  std::string_view text) {
   Run* run = runs_.FindByRun(id);
   if (run == nullptr || run->state != Run::State::kRunning) {
-    return;
+    return false;
   }
   reachability_.OnAnswered();
   rest_.OnAccepted(id);
@@ -104,11 +104,11 @@
   const TimePoint now = clock_.Now();
   if (index < run->next_index) {
     // A resumed stream may repeat events that arrived before the break.
-    return;
+    return true;
   }
   if (index > run->next_index) {
-    Resume(id, *run);
-    return;
+    ResumeOrFail(id, *run);
+    return false;
   }
   if (!run->first_token.has_value()) {
     run->first_token = now;
@@ -127,9 +127,10 @@
   if (run->answer.size() > options_.max_answer_bytes) {
     Cancel(*run);
     Finish(key, ResultCode::kAnswerTooLarge);
-    return;
+    return false;
   }
   subscriptions_.OnProgress(key);
+  return true;
 }
 
 void RunController::OnServerFinish(RunId id, std::string_view finish_json) {
@@ -145,11 +146,7 @@
   const std::optional<uint64_t> count =
       internal::ParseCompletionTokens(finish_json);
   if (count.has_value() && *count > run->next_index) {
-    if (run->resumes < options_.max_resumes) {
-      Resume(id, *run);
-    } else {
-      Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
-    }
+    ResumeOrFail(id, *run);
     return;
   }
   run->answer += finish_json;
@@ -254,6 +251,13 @@
     return;
   }
   const RequestKey key = *runs_.KeyOf(id);
+  if (end == ServerDisconnect::kUnreadable) {
+    log_.Warn("event_unreadable", {{"key", key.ToString()},
+                                   {"server", self_.id.instance},
+                                   {"from", run->next_index},
+                                   {"resumes", run->resumes}});
+    metrics_.Add("server_events_unreadable_total");
+  }
   const bool nothing_received = run->next_index == 0 && run->resumes == 0;
   if (end == ServerDisconnect::kUnreachable && nothing_received) {
     Finish(key, ResultCode::kServerUnreachable);
@@ -292,6 +296,14 @@
          run.unreachable_resumes >= options_.refusals_until_ended;
 }
 
+void RunController::ResumeOrFail(RunId id, Run& run) {
+  if (run.resumes < options_.max_resumes) {
+    Resume(id, run);
+  } else {
+    Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
+  }
+}
+
 void RunController::Resume(RunId id, Run& run) {
   // The stream broke or stalled while the engine runs on. The engine keeps the
   // stream, so reading continues at the next event: the answer isn't cut off,
@@ -399,11 +411,7 @@
     if (!stalled || run->go.service) {
       continue;
     }
-    if (run->resumes >= options_.max_resumes) {
-      Finish(RequestKey(*runs_.KeyOf(id)), ResultCode::kServerFailed);
-    } else {
-      Resume(id, *run);
-    }
+    ResumeOrFail(id, *run);
   }
 }
 
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -27,6 +27,8 @@
   kBroken,
   /// The server no longer has the stream, never had it, or refused the request.
   kRefused,
+  /// The connection was closed, since an event of the stream can't be read.
+  kUnreadable,
 };
 
 /// The controller of the runs at one backend server.
@@ -72,7 +74,10 @@
   void Tick(TimePoint now);
 
   // Events from the backend server.
-  void OnServerText(RunId run, uint64_t index, std::string_view text);
+
+  /// @return whether further events of this stream are wanted, which is not so
+  ///     if texts are missing before this one
+  bool OnServerText(RunId run, uint64_t index, std::string_view text);
   void OnServerFinish(RunId run, std::string_view finish_json);
   void OnServiceReply(RunId run,
                       int status,
@@ -112,6 +117,9 @@
   bool HasEngineEnded(const Run& run, ServerDisconnect end) const;
   void ResumeStalledStreams(TimePoint now);
   void UpdateReachability(ServerDisconnect end);
+  /// Resumes a stream of which texts are missing, or ends the run if that was
+  /// tried often enough.
+  void ResumeOrFail(RunId id, Run& run);
   void BeginRest(RunId id, const std::vector<std::string>& retry_after);
   const Run* FindCheapestVictim(uint32_t tier) const;
 
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "lavenderkeel/config/json_fields.h"
+
 namespace lavenderkeel {
 
 namespace json = boost::json;
@@ -72,44 +74,62 @@
     return;
   }
   Stream& stream = found->second;
-  for (const char c : bytes) {
-    if (c != '\n') {
-      stream.line += c;
-      if (stream.line.size() > kMaxLineBytes) {
-        Drop(run);
-        runs_.OnServerDisconnect(run, ServerDisconnect::kBroken);
-        break;
-      }
-      continue;
+  bool reads = true;
+  while (reads && !bytes.empty()) {
+    const size_t end = bytes.find('\n');
+    stream.line += bytes.substr(0, end);
+    if (stream.line.size() > kMaxLineBytes) {
+      DropUnreadable(run, ServerDisconnect::kBroken);
+      break;
     }
-    const std::string line = std::exchange(stream.line, {});
-    if (std::string_view(line).starts_with(kEventPrefix)) {
-      OnEvent(run, stream, std::string_view(line).substr(kEventPrefix.size()));
+    if (end == std::string_view::npos) {
+      break;
     }
+    bytes.remove_prefix(end + 1);
+    reads = OnLine(run, stream, std::exchange(stream.line, {}));
   }
   execute_actions_();
 }
 
-void ServerClient::OnEvent(RunId run, Stream& stream, std::string_view event) {
-  if (event == "[DONE]") {
-    return;
+bool ServerClient::OnLine(RunId run, Stream& stream, std::string_view line) {
+  if (!line.starts_with(kEventPrefix)) {
+    return true;
   }
+  line.remove_prefix(kEventPrefix.size());
+  return line == "[DONE]" || OnEvent(run, stream, line);
+}
+
+bool ServerClient::OnEvent(RunId run, Stream& stream, std::string_view event) {
   boost::system::error_code error;
   const json::value value = json::parse(event, error);
   const json::object* object = value.if_object();
-  if (error || object == nullptr) {
-    return;
+  if (error || object == nullptr || JsonFields::Split(event)->HasRepeated()) {
+    DropUnreadable(run, ServerDisconnect::kUnreadable);
+    return false;
   }
-  const json::value* index = object->if_contains("index");
-  const json::value* text = object->if_contains("text");
   if (object->contains("finish_reason")) {
     stream.finished = true;
     runs_.OnServerFinish(run, event);
-  } else if (index != nullptr && index->is_int64() && text != nullptr &&
-             text->is_string()) {
-    runs_.OnServerText(run, static_cast<uint64_t>(index->get_int64()),
-                       text->get_string());
+    return true;
   }
+  const json::value* index = object->if_contains("index");
+  const json::value* text = object->if_contains("text");
+  if (text == nullptr) {
+    // An event of another kind.
+    return true;
+  }
+  if (index == nullptr || !index->is_int64() || index->get_int64() < 0 ||
+      !text->is_string()) {
+    DropUnreadable(run, ServerDisconnect::kUnreadable);
+    return false;
+  }
+  return runs_.OnServerText(run, static_cast<uint64_t>(index->get_int64()),
+                            text->get_string());
+}
+
+void ServerClient::DropUnreadable(RunId run, ServerDisconnect why) {
+  Drop(run);
+  runs_.OnServerDisconnect(run, why);
 }
 
 void ServerClient::OnStreamDone(RunId run, const HttpResult& result) {
--- a/lavenderkeel/io/server_client.h
+++ b/lavenderkeel/io/server_client.h
@@ -35,7 +35,11 @@
 
   void OpenStream(RunId run, HttpClient::Call call);
   void OnBytes(RunId run, std::string_view bytes);
-  void OnEvent(RunId run, Stream& stream, std::string_view event);
+  /// @return false if the rest of the stream is not read
+  bool OnLine(RunId run, Stream& stream, std::string_view line);
+  bool OnEvent(RunId run, Stream& stream, std::string_view event);
+  /// Closes a stream that can't be read any further.
+  void DropUnreadable(RunId run, ServerDisconnect why);
   void OnStreamDone(RunId run, const HttpResult& result);
   void CallService(const ServerStart& start);
   void Drop(RunId run);
