An unreadable fence is not counted from the start

An agent counts its processes in an object of the platform. If that could not be read, as after a write of another, it began again at 1: engines that check the fence would refuse its orders as outdated, for ever.

Which number was last is not known then, but the calendar time in milliseconds is above any count. UnreadableFenceIsNotCountedFromTheStart fails without the change for most of its 37 contents.

--- a/lavenderkeel/config/json_fields.cc
+++ b/lavenderkeel/config/json_fields.cc
@@ -255,6 +255,18 @@
   return error ? std::nullopt : std::optional(std::move(value));
 }
 
+std::optional<boost::json::value> ParseJsonObject(std::string_view text) {
+  const std::optional<JsonFields> fields = JsonFields::Split(text);
+  if (!fields.has_value() || fields->HasRepeated()) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  boost::json::value value = boost::json::parse(
+      boost::json::string_view(text.data(), text.size()), error);
+  return error || !value.is_object() ? std::nullopt
+                                     : std::optional(std::move(value));
+}
+
 std::optional<std::string> DecodeJsonString(std::string_view text) {
   if (text.size() < 2 || !text.starts_with('"') || !text.ends_with('"')) {
     return std::nullopt;
--- a/lavenderkeel/config/json_fields.h
+++ b/lavenderkeel/config/json_fields.h
@@ -46,6 +46,11 @@
 /// Parses JSON text that may contain bytes that are no UTF-8.
 std::optional<boost::json::value> ParseJsonValue(std::string_view text);
 
+/// Parses a JSON object.
+/// @return a value that is an object; nullopt if it can't be parsed, is no
+///     object or has two values for a field
+std::optional<boost::json::value> ParseJsonObject(std::string_view text);
+
 /// Decodes a JSON string, including one that a JSON parser rejects: half of a
 /// surrogate pair from U+DC80 to U+DCFF stands for a byte that is no UTF-8, as
 /// several writers of JSON encode it.
--- a/lavenderkeel/config/json_reader.h
+++ b/lavenderkeel/config/json_reader.h
@@ -44,7 +44,11 @@
                                        const boost::json::value& item,
                                        const std::string& path)>;
 
+  /// @param value must outlive the reader
   JsonReader(const boost::json::value& value, std::string path, Faults& faults);
+  JsonReader(boost::json::value&& value,
+             std::string path,
+             Faults& faults) = delete;
 
   std::string String(const std::string& name, const StringRule& rule);
   std::string String(const std::string& name) {
--- a/lavenderkeel/gate/agent_node.cc
+++ b/lavenderkeel/gate/agent_node.cc
@@ -3,10 +3,42 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "lavenderkeel/config/json_fields.h"
+
 namespace lavenderkeel {
 
 namespace json = boost::json;
 
+namespace {
+
+/// The object that counts the processes of an agent.
+struct FenceRecord {
+  uint64_t fence = 0;
+  uint64_t incarnation = 0;
+};
+
+std::optional<FenceRecord> ParseFenceRecord(const std::string& text) {
+  const std::optional<json::value> record = ParseJsonObject(text);
+  if (!record.has_value()) {
+    return std::nullopt;
+  }
+  const auto number = [&record](std::string_view name) {
+    const json::value* value = record->get_object().if_contains(name);
+    boost::system::error_code error;
+    const uint64_t result =
+        value == nullptr ? 0 : value->to_number<uint64_t>(error);
+    return value == nullptr || error ? std::nullopt : std::optional(result);
+  };
+  const std::optional<uint64_t> fence = number("fence");
+  const std::optional<uint64_t> incarnation = number("incarnation");
+  if (!fence.has_value() || !incarnation.has_value()) {
+    return std::nullopt;
+  }
+  return FenceRecord{.fence = *fence, .incarnation = *incarnation};
+}
+
+}  // namespace
+
 AgentNode::AgentNode(Options options,
                      InstanceInfo self,
                      const Clock& clock,
@@ -64,27 +96,25 @@
 
 std::optional<std::string> AgentNode::NextFence(
     const std::optional<std::string>& current) {
-  uint64_t fence = 0;
-  uint64_t incarnation = 0;
-  if (current.has_value()) {
-    boost::system::error_code error;
-    const json::value value = json::parse(*current, error);
-    if (!error && value.is_object()) {
-      const json::object& object = value.get_object();
-      const json::value* old_fence = object.if_contains("fence");
-      const json::value* holder = object.if_contains("incarnation");
-      fence = old_fence != nullptr ? old_fence->to_number<uint64_t>(error) : 0;
-      incarnation = holder != nullptr ? holder->to_number<uint64_t>(error) : 0;
-    }
-  }
   const uint64_t own = members_.self().id.incarnation;
-  if (incarnation == own) {
-    fence_ = fence;
+  std::optional<FenceRecord> record =
+      current.has_value() ? ParseFenceRecord(*current) : FenceRecord();
+  if (!record.has_value()) {
+    // The former number is not known, but no process before this one can have
+    // counted that far: a lower number would end this agent's orders.
+    record = {.fence = static_cast<uint64_t>(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      clock_.WallNow().time_since_epoch())
+                      .count())};
+    log_.Warn("fence_unreadable", {{"instance", members_.self().id.instance},
+                                   {"fence", record->fence + 1}});
+  }
+  if (record->incarnation == own) {
+    fence_ = record->fence;
     return std::nullopt;
   }
-  fence_ = fence + 1;
-  return json::serialize(
-      json::object{{"fence", fence + 1}, {"incarnation", own}});
+  fence_ = record->fence + 1;
+  return json::serialize(json::object{{"fence", fence_}, {"incarnation", own}});
 }
 
 void AgentNode::CheckForFreeze() {
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -100,20 +100,19 @@
 }
 
 bool ServerClient::OnEvent(RunId run, Stream& stream, std::string_view event) {
-  boost::system::error_code error;
-  const json::value value = json::parse(event, error);
-  const json::object* object = value.if_object();
-  if (error || object == nullptr || JsonFields::Split(event)->HasRepeated()) {
+  const std::optional<json::value> value = ParseJsonObject(event);
+  if (!value.has_value()) {
     DropUnreadable(run, ServerDisconnect::kUnreadable);
     return false;
   }
-  if (object->contains("finish_reason")) {
+  const json::object& object = value->get_object();
+  if (object.contains("finish_reason")) {
     stream.finished = true;
     runs_.OnServerFinish(run, event);
     return true;
   }
-  const json::value* index = object->if_contains("index");
-  const json::value* text = object->if_contains("text");
+  const json::value* index = object.if_contains("index");
+  const json::value* text = object.if_contains("text");
   if (text == nullptr) {
     // An event of another kind.
     return true;
--- a/lavenderkeel/membership/instance_info.cc
+++ b/lavenderkeel/membership/instance_info.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "lavenderkeel/config/json_fields.h"
-#include "lavenderkeel/config/json_reader.h"
 
 namespace lavenderkeel {
 
@@ -21,11 +20,7 @@
              : std::string();
 }
 
-std::optional<InstanceInfo> ParseInstance(const json::value& value) {
-  if (!value.is_object()) {
-    return std::nullopt;
-  }
-  const json::object& object = value.get_object();
+std::optional<InstanceInfo> ParseInstance(const json::object& object) {
   InstanceInfo info;
   info.id.instance = StringOrEmpty(object, "instance");
   info.address = StringOrEmpty(object, "address");
@@ -59,9 +54,9 @@
   }
   InstanceList list;
   for (const std::string_view item : *items) {
-    const auto value = Catch([&] { return ParseJson(std::string(item)); });
+    const std::optional<json::value> value = ParseJsonObject(item);
     std::optional<InstanceInfo> info =
-        value ? ParseInstance(*value.value) : std::nullopt;
+        value.has_value() ? ParseInstance(value->get_object()) : std::nullopt;
     if (info.has_value()) {
       list.instances.push_back(*std::move(info));
     } else {
