A message of an unknown type hides no other

A message whose type a later version adds ended the connection, and again after each reconnect, so that during an upgrade an entry of the former version would have seen no message of the later ones.

The frame verifies and has a length, so it is skipped, counted (peer_messages_skipped) and logged (message_skipped). A frame that does not verify, or another first message than a greeting, still ends the connection. MessageOfAnUnknownTypeIsSkipped gets one message of two without the change.

--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -109,6 +109,8 @@
      "the peer speaks another protocol version"},
     {kSettingsInvalid, "settings_invalid", kNotRun, 400,
      "the settings file has faults"},
+    {kUnknownMessage, "unknown_message", kNotRun, 400,
+     "a message is of a type that this version does not know"},
 });
 
 }  // namespace
--- a/lavenderkeel/base/result_code.h
+++ b/lavenderkeel/base/result_code.h
@@ -72,6 +72,7 @@
   kFrameTooLarge = 5002,
   kProtocolVersion = 5003,
   kSettingsInvalid = 5004,
+  kUnknownMessage = 5005,
 };
 
 struct ResultCodeInfo {
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -116,6 +116,8 @@
     metrics_.Set("peer_bytes_sent", static_cast<double>(peers_.bytes_sent()));
     metrics_.Set("peer_bytes_received",
                  static_cast<double>(peers_.bytes_received()));
+    metrics_.Set("peer_messages_skipped",
+                 static_cast<double>(peers_.messages_skipped()));
   }
   last_request_ = clock_.Now();
   node_.OnCallerRequest(std::move(read));
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -143,6 +143,16 @@
                        const std::vector<uint8_t>& frame) {
   const LinkId link = connection.id;
   auto message = Catch([&] { return DecodeFrame(frame); });
+  if (!message && message.failure.code == ResultCode::kUnknownMessage &&
+      connection.handshake_done) {
+    ++messages_skipped_;
+    log_.Warn("message_skipped",
+              {{"link", link},
+               {"code", static_cast<uint32_t>(message.failure.code)},
+               {"type", message.failure.message},
+               {"skipped", messages_skipped_}});
+    return true;
+  }
   if (!message) {
     Drop(link, std::string(Describe(message.failure.code).name));
     return false;
--- a/lavenderkeel/io/peer_port.h
+++ b/lavenderkeel/io/peer_port.h
@@ -65,6 +65,8 @@
   size_t unsent() const;
   uint64_t bytes_sent() const { return bytes_sent_; }
   uint64_t bytes_received() const { return bytes_received_; }
+  /// Number of messages of unknown types, which later versions send.
+  uint64_t messages_skipped() const { return messages_skipped_; }
 
  private:
   struct Connection;
@@ -87,6 +89,7 @@
   std::unordered_map<LinkId, std::unique_ptr<Connection>> connections_;
   uint64_t bytes_sent_ = 0;
   uint64_t bytes_received_ = 0;
+  uint64_t messages_skipped_ = 0;
   sigc::signal<void(LinkId, const InstanceInfo&, const std::string&)>
       signal_up_;
   sigc::signal<void(LinkId, Message&)> signal_message_;
--- a/lavenderkeel/wire/codec.cc
+++ b/lavenderkeel/wire/codec.cc
@@ -1,5 +1,6 @@
 #include "lavenderkeel/wire/codec.h"
 
+#include <string>
 #include <utility>
 
 namespace lavenderkeel {
@@ -51,12 +52,14 @@
     return leaf::new_error(
         Failure{ResultCode::kBadFrame, "frame does not verify"});
   }
+  const fbs::Frame& packed = *fbs::GetSizePrefixedFrame(frame.data());
+  const fbs::Body type = packed.body_type();
   fbs::FrameT unpacked;
-  fbs::GetSizePrefixedFrame(frame.data())->UnPackTo(&unpacked);
+  packed.UnPackTo(&unpacked);
   Message message;
   if (unpacked.body.value == nullptr || !MoveAnyBody(unpacked.body, message)) {
-    return leaf::new_error(
-        Failure{ResultCode::kBadFrame, "body of unknown type"});
+    return leaf::new_error(Failure{ResultCode::kUnknownMessage,
+                                   std::to_string(static_cast<int>(type))});
   }
   return message;
 }
--- a/lavenderkeel/wire/codec.h
+++ b/lavenderkeel/wire/codec.h
@@ -29,8 +29,8 @@
 ///
 /// @param frame the whole frame, aligned to 8 bytes: FlatBuffers aligns
 ///     against the start of the header.
-/// @return the message, or kBadFrame: the buffer does not verify, or its body
-///     is of a type that this version does not know.
+/// @return the message; kBadFrame if the buffer does not verify,
+///     kUnknownMessage if its body is of a type that this version does not know
 leaf::result<Message> DecodeFrame(std::span<const uint8_t> frame);
 
 /// Reads the length header; fails with kFrameTooLarge above kMaxFrameSize.
--- /dev/null
+++ b/test/io/peer_port_test.cc
@@ -0,0 +1,108 @@
+#include "lavenderkeel/io/peer_port.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/membership/greeting.h"
+#include "lavenderkeel/wire.h"
+#include "test/fakes/scripted_server.h"
+
+namespace lavenderkeel {
+
+namespace {
+
+InstanceInfo EntryNamed(const std::string& name) {
+  return {.id = {.instance = name, .incarnation = 1}, .address = "10.0.0.1:1"};
+}
+
+std::string HelloFrame() {
+  Hello hello = ToHello(EntryNamed("other"));
+  hello.protocol = kProtocolVersion;
+  return EncodeFrame(hello);
+}
+
+std::string HeartbeatFrame() {
+  Heartbeat heartbeat;
+  heartbeat.leaving = true;
+  return EncodeFrame(heartbeat);
+}
+
+/// Returns a frame whose body is of a type that a later version adds.
+std::string UnknownFrame() {
+  constexpr auto kLaterType = static_cast<fbs::Body>(200);
+  flatbuffers::FlatBufferBuilder builder;
+  const Heartbeat heartbeat;
+  const auto body = Heartbeat::TableType::Pack(builder, &heartbeat).Union();
+  builder.FinishSizePrefixed(fbs::CreateFrame(builder, kLaterType, body));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+/// A port that has a connection to a peer whose frames a test writes.
+class Peers {
+ public:
+  Peers()
+      : self_(EntryNamed("self")),
+        peer_(loop_, [](int, std::string_view) { return std::string(); }),
+        port_(loop_, {}, self_, log_) {
+    port_.signal_message().connect([this](LinkId, Message&) { ++messages_; });
+    port_.signal_down().connect([this](LinkId) { ++downs_; });
+    port_.signal_dial_failed().connect(
+        [this](const std::string&) { ++downs_; });
+    port_.Handle(Dial{.address = peer_.address()});
+    loop_.Every(std::chrono::milliseconds(5), [this] { loop_.Stop(); });
+    while (peer_.accepted() == 0) {
+      loop_.Run();
+    }
+  }
+
+  /// Lets the port receive bytes.
+  void Receive(const std::string& bytes) {
+    constexpr int kTurns = 5;
+    peer_.Send(1, bytes);
+    for (int i = 0; i < kTurns; ++i) {
+      loop_.Run();
+    }
+  }
+
+  int messages() const { return messages_; }
+  int downs() const { return downs_; }
+  const PeerPort& port() const { return port_; }
+
+ private:
+  EventLoop loop_;
+  EventLog log_;
+  InstanceInfo self_;
+  fakes::ScriptedServer peer_;
+  PeerPort port_;
+  int messages_ = 0;
+  int downs_ = 0;
+};
+
+}  // namespace
+
+// Guards against a message of a later version that hides all others of its
+// sender: the connection is dropped, and again after each reconnect.
+BOOST_AUTO_TEST_CASE(MessageOfAnUnknownTypeIsSkipped) {
+  Peers peers;
+  peers.Receive(HelloFrame());
+  peers.Receive(HeartbeatFrame() + UnknownFrame() + HeartbeatFrame());
+  BOOST_TEST(peers.messages() == 2);
+  BOOST_TEST(peers.downs() == 0);
+  BOOST_TEST(peers.port().messages_skipped() == 1U);
+}
+
+// Guards against bytes that are no frames but keep their connection.
+BOOST_AUTO_TEST_CASE(FrameThatDoesNotVerifyEndsTheConnection) {
+  Peers peers;
+  peers.Receive(HelloFrame());
+  peers.Receive(std::string("\x08\0\0\0", 4) + std::string(8, '\xff'));
+  BOOST_TEST(peers.downs() == 1);
+  Peers strangers;
+  strangers.Receive(UnknownFrame());
+  BOOST_TEST(strangers.downs() == 1);
+}
+
+}  // namespace lavenderkeel
