--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -118,6 +118,8 @@
                  static_cast<double>(peers_.bytes_received()));
     metrics_.Set("peer_messages_skipped",
                  static_cast<double>(peers_.messages_skipped()));
+    metrics_.Set("peer_messages_too_large",
+                 static_cast<double>(peers_.messages_too_large()));
   }
   last_request_ = clock_.Now();
   node_.OnCallerRequest(std::move(read));
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -283,6 +283,8 @@
                  static_cast<double>(upstream_.passed_over()));
     metrics_.Set("peer_messages_skipped",
                  static_cast<double>(peers_.messages_skipped()));
+    metrics_.Set("peer_messages_too_large",
+                 static_cast<double>(peers_.messages_too_large()));
     node_.controller().retries().PutMetrics(metrics_);
     metrics_.Set("store_calls", static_cast<double>(node_.store_calls()));
     reply.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -185,6 +185,15 @@
     return;
   }
   const std::string frame = EncodeFrame(send.message);
+  if (frame.size() > kFrameHeaderSize + kMaxFrameSize) {
+    // The peer would drop the connection, and after a reconnect again.
+    ++messages_too_large_;
+    log_.Write(LogLevel::kError, "message_too_large",
+               {{"link", send.link},
+                {"type", MessageName(send.message)},
+                {"bytes", frame.size()}});
+    return;
+  }
   bufferevent* events = found->second->events;
   bufferevent_write(events, frame.data(), frame.size());
   bytes_sent_ += frame.size();
--- a/lavenderkeel/io/peer_port.h
+++ b/lavenderkeel/io/peer_port.h
@@ -65,8 +65,10 @@
   size_t unsent() const;
   uint64_t bytes_sent() const { return bytes_sent_; }
   uint64_t bytes_received() const { return bytes_received_; }
-  /// Number of messages of unknown types, which later versions send.
+  /// Number of received messages of unknown types, which later versions send.
   uint64_t messages_skipped() const { return messages_skipped_; }
+  /// Number of messages that were not sent since they exceed a frame.
+  uint64_t messages_too_large() const { return messages_too_large_; }
 
  private:
   struct Connection;
@@ -90,6 +92,7 @@
   uint64_t bytes_sent_ = 0;
   uint64_t bytes_received_ = 0;
   uint64_t messages_skipped_ = 0;
+  uint64_t messages_too_large_ = 0;
   sigc::signal<void(LinkId, const InstanceInfo&, const std::string&)>
       signal_up_;
   sigc::signal<void(LinkId, Message&)> signal_message_;
--- a/test/io/peer_port_test.cc
+++ b/test/io/peer_port_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lavenderkeel/membership/greeting.h"
@@ -47,6 +48,8 @@
       : self_(EntryNamed("self")),
         peer_(loop_, [](int, std::string_view) { return std::string(); }),
         port_(loop_, {}, self_, log_) {
+    port_.signal_up().connect([this](LinkId link, const InstanceInfo&,
+                                     const std::string&) { link_ = link; });
     port_.signal_message().connect([this](LinkId, Message&) { ++messages_; });
     port_.signal_down().connect([this](LinkId) { ++downs_; });
     port_.signal_dial_failed().connect(
@@ -67,6 +70,10 @@
     }
   }
 
+  void Send(Message message) {
+    port_.Handle(SendMessage{.link = link_, .message = std::move(message)});
+  }
+
   int messages() const { return messages_; }
   int downs() const { return downs_; }
   const PeerPort& port() const { return port_; }
@@ -77,6 +84,7 @@
   InstanceInfo self_;
   fakes::ScriptedServer peer_;
   PeerPort port_;
+  LinkId link_ = 0;
   int messages_ = 0;
   int downs_ = 0;
 };
@@ -94,6 +102,20 @@
   BOOST_TEST(peers.port().messages_skipped() == 1U);
 }
 
+// Guards against a message that the peer rejects, and with it the connection.
+BOOST_AUTO_TEST_CASE(MessageBeyondAFrameIsNotSent) {
+  Peers peers;
+  peers.Receive(HelloFrame());
+  ConfigShards large;
+  large.bodies.emplace_back(kMaxFrameSize, 'x');
+  peers.Send(large);
+  BOOST_TEST(peers.port().messages_too_large() == 1U);
+  BOOST_TEST(peers.port().bytes_sent() == 0U);
+  peers.Send(Heartbeat());
+  BOOST_TEST(peers.port().bytes_sent() > 0U);
+  BOOST_TEST(peers.downs() == 0);
+}
+
 // Guards against bytes that are no frames but keep their connection.
 BOOST_AUTO_TEST_CASE(FrameThatDoesNotVerifyEndsTheConnection) {
   Peers peers;
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -49,6 +49,19 @@
   BOOST_TEST(server.value->start_key() == "i-1");
 }
 
+// Guards against an entry whose texts fill the memory and the messages between
+// entries.
+BOOST_AUTO_TEST_CASE(EntryWithTextsBeyondALimitIsRejected) {
+  constexpr size_t kTooLong = 513;
+  for (const char* field : {"service", "address", "zone", "version"}) {
+    json::object entry = ValidEntry();
+    entry[field] = std::string(kTooLong, 'x');
+    const auto server = Decode(entry);
+    BOOST_REQUIRE(!server);
+    BOOST_TEST(server.failure.message.find("longer than") != std::string::npos);
+  }
+}
+
 // Guards against header fields that the name of an entry adds to the requests
 // of clients.
 BOOST_AUTO_TEST_CASE(NameWithControlBytesIsRejected) {
