Idle connections to one server are bounded

An attempt never uses a connection that carried its id before. A client that sends the same id again and again, which is no proper use, so made a new connection with each request and left the former idle: as many as it sends in eight seconds, beyond what a server accepts, which then resets those of others.

Above 32 idle connections to a server the one that was used longest ago is closed.

--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -323,7 +323,11 @@
           std::min(connection.idle_time,
                    std::max(Duration::zero(), *bound - kIdleTimeMargin));
     }
-    idle_[connection.server].push_back(connection.id);
+    std::vector<ConnectionId>& idle = idle_[connection.server];
+    idle.push_back(connection.id);
+    if (idle.size() > options_.max_idle) {
+      Close(idle.front());
+    }
   } else {
     Close(connection.id);
   }
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -42,6 +42,10 @@
     /// A connection is closed after this many requests, which bounds the ids
     /// that it remembers.
     size_t max_requests = 1000;
+    /// Idle connections to one server above which the one that was used longest
+    /// ago is closed: a client that sends the same id again and again needs a
+    /// new connection each time, and a server accepts a limited number.
+    size_t max_idle = 32;
     /// Limits on a server's answer.
     ReadLimits answer = {.head_bytes = size_t{32} << 10,
                          .body_bytes = uint64_t{64} << 20};
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -189,6 +189,27 @@
   BOOST_TEST(server.accepted() == 2);
 }
 
+// Guards against connections that pile up at a server while a client sends the
+// same id again and again.
+BOOST_AUTO_TEST_CASE(IdleConnectionsOfOneServerAreBounded) {
+  EventLoop loop;
+  fakes::ScriptedServer server(loop, [](int, std::string_view request) {
+    return Answer("200 OK", fakes::ScriptedServer::RequestIdOf(request),
+                  "answer");
+  });
+  constexpr size_t kMaxIdle = 4;
+  constexpr int kRequests = 20;
+  Client client(loop, {.max_idle = kMaxIdle});
+  for (int i = 0; i < kRequests; ++i) {
+    BOOST_TEST(client.Call(server, "r").ended);
+  }
+  BOOST_TEST(server.accepted() == kRequests);
+  BOOST_TEST(server.open() <= kMaxIdle + 1);
+  // The connections that were used last are kept.
+  BOOST_TEST(client.Call(server, "other").ended);
+  BOOST_TEST(server.accepted() == kRequests);
+}
+
 // Guards against bytes without end that are kept, or read for ever, where a
 // head is expected.
 BOOST_AUTO_TEST_CASE(EndlessBytesBeforeAnAnswerCloseTheConnection) {
