Requests without a server let others through

A pass over the waiting requests ends after 64 that fit no free server. During a rollout, requests for a version whose servers are all full used up the 64, and requests behind them got no slot although servers of the other version were idle; the same with suspected requests that may not run beside another. Only requests of other teams passed, with fair shares.

Now a request that no free server may get, by entry, version or suspicion, is remembered for the pass, and those like it do not count, up to 512. Requests that do not fit (by their size or the time left) count as before.

RequestsWithoutAServerLetOthersThrough fails before in both its cases.

--- a/lavenderkeel/forward/placement.cc
+++ b/lavenderkeel/forward/placement.cc
@@ -281,6 +281,22 @@
   return version.empty() || candidate.server->version == version;
 }
 
+bool Placement::HasFreeServerFor(const SlotRequest& request,
+                                 const Candidates& candidates,
+                                 const SuspectRuns& suspects,
+                                 const Admits& admits) {
+  return std::ranges::any_of(
+      candidates.servers, [&](const Candidate& candidate) {
+        const bool matches =
+            MatchesVersion(request.version, candidate) ||
+            (!request.canary_version.empty() &&
+             MatchesVersion(request.canary_version, candidate));
+        return matches && candidate.in_flight < candidate.capacity &&
+               suspects.Admits(candidate.hash, request.suspicion) &&
+               admits(candidate.hash);
+      });
+}
+
 Placement::Candidate* Placement::ChooseCanary(const SlotRequest& request,
                                               Candidates& candidates,
                                               const SuspectRuns& suspects,
--- a/lavenderkeel/forward/placement.h
+++ b/lavenderkeel/forward/placement.h
@@ -160,6 +160,12 @@
                     const SuspectRuns& suspects,
                     const Admits& admits,
                     TimePoint now) const;
+  /// Returns whether some candidate with free capacity may get the request, if
+  /// it fits.
+  static bool HasFreeServerFor(const SlotRequest& request,
+                               const Candidates& candidates,
+                               const SuspectRuns& suspects,
+                               const Admits& admits);
 
  private:
   Fit FitOf(const SlotRequest& request,
--- a/lavenderkeel/forward/slot_scheduler.cc
+++ b/lavenderkeel/forward/slot_scheduler.cc
@@ -1,6 +1,8 @@
 #include "lavenderkeel/forward/slot_scheduler.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
@@ -25,6 +27,11 @@
   return true;
 }
 
+/// Entry, version, canary version and suspicion of a request: whether a server
+/// may get it if it fits there.
+using RequestKind =
+    std::tuple<std::string, std::string, std::string, CrashSuspicion>;
+
 PaceTracker::Options PaceOptionsOf(const SlotScheduler::Options& options) {
   PaceTracker::Options paces = options.paces;
   paces.enabled = options.placement.server_probes;
@@ -315,30 +322,37 @@
   // A request that fits no free server leaves the slot to those behind it.
   const TimePoint now = clock_.Now();
   int skipped = 0;
-  std::set<std::string> blocked_entries;
+  int passed_over = 0;
+  // No free server may get these. Counted, they would use up the limit of
+  // skipped requests, and those behind them would not get the free slots.
+  std::set<RequestKind, std::less<>> blocked;
   std::optional<SlotQueue::Pass> pass(std::in_place, queue);
-  while (candidates.free > 0 && skipped < options_.max_skipped_requests) {
+  while (candidates.free > 0 && skipped < options_.max_skipped_requests &&
+         passed_over < options_.max_blocked_requests) {
     const std::optional<QueuePosition> current = pass->Next();
     if (!current.has_value()) {
       break;
     }
     const std::string& entry = current->attempt.first;
-    if (blocked_entries.contains(entry)) {
-      continue;
-    }
     const SlotRequest& request =
         waiting_by_attempt_.at(current->attempt).request;
+    const auto kind = std::tie(entry, request.version, request.canary_version,
+                               request.suspicion);
+    if (blocked.contains(kind)) {
+      ++passed_over;
+      continue;
+    }
+    const Placement::Admits admits = [&](uint64_t server) {
+      return pushbacks_.Admits(entry, server, now);
+    };
     Placement::Candidate* chosen = placement_.Choose(
         request, current->late,
         candidates.probes_due && paces_.CanProbe(request, now), candidates,
-        suspects_,
-        [&](uint64_t server) { return pushbacks_.Admits(entry, server, now); },
-        now);
+        suspects_, admits, now);
     if (chosen == nullptr) {
-      // Its other requests would use up the limit of skipped requests, and
-      // those of other entries behind them would not get the free slots.
-      if (IsPushedBackByAll(entry, candidates)) {
-        blocked_entries.insert(entry);
+      if (!Placement::HasFreeServerFor(request, candidates, suspects_,
+                                       admits)) {
+        blocked.insert(RequestKind(kind));
         continue;
       }
       ++skipped;
@@ -356,16 +370,6 @@
   }
 }
 
-bool SlotScheduler::IsPushedBackByAll(
-    const std::string& entry,
-    const Placement::Candidates& candidates) const {
-  return std::ranges::none_of(
-      candidates.servers, [&](const Placement::Candidate& candidate) {
-        return candidate.in_flight < candidate.capacity &&
-               pushbacks_.Admits(entry, candidate.hash, clock_.Now());
-      });
-}
-
 void SlotScheduler::Grant(const AttemptKey& id,
                           const BackendServer& server,
                           bool probe) {
--- a/lavenderkeel/forward/slot_scheduler.h
+++ b/lavenderkeel/forward/slot_scheduler.h
@@ -62,6 +62,9 @@
     /// holds some hundred requests in a burst, and a scheduler may have a tenth
     /// of a core.
     int max_skipped_requests = 64;
+    /// The same for requests that no free server may get, as one passed over
+    /// before. They take a fraction of the time.
+    int max_blocked_requests = 512;
     /// Seconds added to a request's sort time for each second that it is
     /// estimated to hold its slot.
     double length_penalty_weight = 1.0;
@@ -159,10 +162,6 @@
   void GrantFreeSlotsOfService(const std::string& service);
   void GrantFreeSlotsInQueue(const QueueKey& key, SlotQueue& queue);
   Placement::ServerState State() const;
-  /// Returns whether all servers with free capacity want no requests of the
-  /// entry.
-  bool IsPushedBackByAll(const std::string& entry,
-                         const Placement::Candidates& candidates) const;
   void Remove(const AttemptKey& id);
   /// Reports a decision on a waiting request if several teams wait in its rank.
   void ReportShareDecision(const WaitingRequest& waiting, bool granted);
--- a/test/forward/slot_scheduler_test.cc
+++ b/test/forward/slot_scheduler_test.cc
@@ -100,6 +100,45 @@
   BOOST_TEST(h.ServerOf(3) == "s1");
 }
 
+// Guards against free servers that get no requests since those at the head of
+// the queue, more than a pass may skip, are for servers of another version or
+// may not run beside what the free ones run.
+BOOST_AUTO_TEST_CASE(RequestsWithoutAServerLetOthersThrough) {
+  for (const bool by_version : {true, false}) {
+    Harness h(2);
+    if (by_version) {
+      h.directory.Apply({.id = "s1",
+                         .service = "engines",
+                         .address = "127.0.0.1:1",
+                         .version = "v2",
+                         .slots = 2});
+    }
+    AttemptId attempt = 0;
+    const auto request = [&](const std::string& version,
+                             CrashSuspicion suspicion) {
+      h.scheduler.RequestSlot(
+          "a", {.attempt = ++attempt,
+                .service = "engines",
+                .model_server = true,
+                .in_time_until = h.clock.Now() + std::chrono::seconds(5),
+                .due = h.clock.Now() + std::chrono::seconds(10),
+                .version = version,
+                .suspicion = suspicion});
+    };
+    // One doubtful request at each server keeps others from both.
+    const CrashSuspicion suspicion =
+        by_version ? CrashSuspicion::kClear : CrashSuspicion::kDoubtful;
+    const std::string version = by_version ? "v2" : "";
+    constexpr int kMoreThanSkipped = 400;
+    for (int i = 0; i < kMoreThanSkipped; ++i) {
+      request(version, suspicion);
+    }
+    BOOST_TEST(h.granted.size() == 2U);
+    request(/*version=*/"", CrashSuspicion::kClear);
+    BOOST_TEST(h.ServerOf(attempt) != "none");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SlotsOfLostEntryAreFreed) {
   Harness h(1);
   h.RequestSlot("a", 1);
