--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -103,6 +103,7 @@
     engines_.emplace_back();
     engine_up_at_.push_back(clock_.Now());
     turning_away_.emplace_back();
+    garbled_until_.emplace_back();
     MakeEngine(i);
   }
   for (size_t i = 0; i < processes_.size(); ++i) {
@@ -171,6 +172,10 @@
   turning_away_[agent].stated = stated;
 }
 
+void Simulation::GarbleStreams(size_t agent, Duration duration) {
+  garbled_until_[agent] = clock_.Now() + duration;
+}
+
 void Simulation::ScheduleServerDisconnect(size_t index,
                                           RunId run,
                                           ServerDisconnect disconnect) {
@@ -682,6 +687,12 @@
       continue;
     }
     for (; stream.next < source->events.size(); ++stream.next) {
+      if (clock_.Now() < garbled_until_[index - options_.entries]) {
+        stream.stalled = true;
+        process.agent->gate().server().OnServerDisconnect(
+            run, ServerDisconnect::kUnreadable);
+        break;
+      }
       const std::string& event = source->events[stream.next];
       const json::value value = json::parse(event);
       if (value.as_object().contains("finish_reason")) {
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -100,6 +100,8 @@
   void TurnAway(size_t agent,
                 Duration duration,
                 const std::optional<std::string>& stated = std::nullopt);
+  /// Makes events of the engine's streams unreadable for a while.
+  void GarbleStreams(size_t agent, Duration duration);
   /// Number of starts that the engine has turned away.
   size_t turned_away(size_t agent) const { return turning_away_[agent].count; }
   /// Times of the engines' crashes, in ascending order.
@@ -181,6 +183,8 @@
   std::string crashing_text_;
   std::string prompt_text_;
   std::vector<TurningAway> turning_away_;
+  /// By agent.
+  std::vector<TimePoint> garbled_until_;
   std::map<LinkId, std::unique_ptr<PeerLink>> links_;
   std::set<std::pair<size_t, size_t>> partitions_;
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> queue_;
--- a/test/fuzz/step.cc
+++ b/test/fuzz/step.cc
@@ -36,6 +36,7 @@
                                       "crash-engine",
                                       "turn-away",
                                       "list-unreadable",
+                                      "garble-streams",
                                       "submit-everywhere"};
 static_assert(std::size(kKindNames) == Step::kAllKinds);
 
--- a/test/fuzz/step.h
+++ b/test/fuzz/step.h
@@ -46,6 +46,8 @@
     kTurnAway,
     /// Another writer lists an instance that can't be read.
     kListUnreadable,
+    /// For a while the events of an engine's streams can't be read.
+    kGarbleStreams,
     /// Number of kinds that AnyStep generates.
     kGeneratedKinds,
     /// Submits one key to all entries at once.
