--- a/test/rollout/rollout_controller_test.cc
+++ b/test/rollout/rollout_controller_test.cc
@@ -145,6 +145,24 @@
   BOOST_TEST(harness.written.empty());
 }
 
+// Guards against an order that ends, or whose record is never written, because
+// its object can't be read any more.
+BOOST_AUTO_TEST_CASE(UnreadableOrderIsStillCarriedOut) {
+  Harness harness;
+  harness.rollouts.OnList({harness.Order(5)});
+  harness.Tick();
+  harness.rollouts.OnUnreadable({.name = "plain", .revision = 6});
+  harness.rollouts.OnUnreadable({.name = "other", .revision = 7});
+  BOOST_REQUIRE(harness.rollouts.Plans().size() == 1);
+  harness.rollouts.OnList({}, {{.name = "plain", .revision = 8}});
+  BOOST_REQUIRE(harness.rollouts.Plans().size() == 1);
+  harness.AddFailures();
+  harness.clock.Advance(seconds(1));
+  harness.Tick();
+  BOOST_TEST((harness.written.back().record.state == State::kRolledBack));
+  BOOST_TEST(harness.written.back().revision == 8);
+}
+
 // Guards against an order that still routes requests after its removal.
 BOOST_AUTO_TEST_CASE(WithdrawnOrderHasNoPlan) {
   Harness harness;
