Answers of the store beyond the limit are told apart

Changes that exceed an answer were handled as a lost history, and a page of a list that does as no answer: an operator could not tell either from a store that is out of reach. Lines watch_too_large, and store_lost why=too_large.

--- a/lavenderkeel/watch/object_watch.cc
+++ b/lavenderkeel/watch/object_watch.cc
@@ -95,6 +95,17 @@
     case ObjectReadResult::Outcome::kNoAnswer:
       RetryLater("no_answer");
       return;
+    case ObjectReadResult::Outcome::kTooLarge:
+      if (pending_kind_ == ObjectRead::Kind::kWatch) {
+        // A list comes in pages; the changes would be too large each time.
+        log_.Warn("watch_too_large",
+                  {{"kind", options_.object_kind}, {"revision", revision_}});
+        must_list_ = true;
+        List({});
+      } else {
+        RetryLater("too_large");
+      }
+      return;
   }
 }
 
--- a/lavenderkeel/watch/object_watch.h
+++ b/lavenderkeel/watch/object_watch.h
@@ -57,6 +57,8 @@
     /// The store refused the read, for now.
     kRefused,
     kNoAnswer,
+    /// The answer exceeded the limit and was not read to its end.
+    kTooLarge,
   };
 
   Outcome outcome = Outcome::kNoAnswer;
--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -216,15 +216,14 @@
   BOOST_TEST(list.unreadable == 1U);
 }
 
-// Guards against changes that are never read, since together they are larger
-// than an answer may be.
-BOOST_AUTO_TEST_CASE(ChangesThatAreTooLargeAreListed) {
+// Guards against an answer beyond the limit that counts as none, so that its
+// changes would be asked for again and again.
+BOOST_AUTO_TEST_CASE(AnswersThatAreTooLargeAreToldApart) {
   const HttpResult too_large = {.kind = HttpResult::Kind::kTooLarge};
-  BOOST_TEST(
-      (StoreReader::Decode(ObjectRead::Kind::kWatch, too_large).outcome ==
-       ReadOutcome::kHistoryGone));
-  BOOST_TEST((StoreReader::Decode(ObjectRead::Kind::kList, too_large).outcome ==
-              ReadOutcome::kNoAnswer));
+  for (const auto kind : {ObjectRead::Kind::kWatch, ObjectRead::Kind::kList}) {
+    BOOST_TEST((StoreReader::Decode(kind, too_large).outcome ==
+                ReadOutcome::kTooLarge));
+  }
 }
 
 // Guards against losing a change for good: an answer that can be decoded only
--- a/test/watch/object_watch_test.cc
+++ b/test/watch/object_watch_test.cc
@@ -160,6 +160,23 @@
   BOOST_TEST(h.events.back() == "list c");
 }
 
+// Guards against changes that are never read, since together they are larger
+// than an answer may be.
+BOOST_AUTO_TEST_CASE(ChangesThatAreTooLargeAreListed) {
+  Harness h;
+  h.watch.Start();
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kOk, .revision = 10});
+  h.Answer(h.Take(), {.outcome = ReadOutcome::kTooLarge});
+  const Harness::Call list = h.Take();
+  BOOST_TEST((list.read.kind == Kind::kList));
+  // A page that is too large is read again after a while.
+  h.Answer(list, {.outcome = ReadOutcome::kTooLarge});
+  BOOST_TEST(h.calls.empty());
+  BOOST_TEST(h.events.back() == "outage");
+  h.TickLater();
+  BOOST_TEST((h.Take().read.kind == Kind::kList));
+}
+
 BOOST_AUTO_TEST_CASE(OutageAndRecoveryAreReportedOnce) {
   Harness h;
   h.watch.Start();
