Crash ledger: suspects with several losses are found without a search

Culprits and alternatives were sought among all suspects with each report: a lost prompt of 4,000 parts adds as many, which nearly all have a single loss.

--- a/lavenderkeel/crash/crash_ledger.cc
+++ b/lavenderkeel/crash/crash_ledger.cc
@@ -149,6 +149,9 @@
   losses.insert(std::ranges::upper_bound(losses, loss.ended, {}, &Loss::ended),
                 loss);
   ++lost_servers_[loss.server].counted;
+  if (losses.size() > 1) {
+    repeated_.insert(suspect);
+  }
   if (losses.size() > options_.max_losses) {
     // Drops a loss that doesn't add to the sequential count, else the oldest.
     const std::vector<size_t> sequential = SequentialLosses(losses);
@@ -166,7 +169,9 @@
 }
 
 template <typename Predicate>
-bool CrashLedger::RemoveLosses(Record& record, Predicate predicate) {
+bool CrashLedger::RemoveLosses(const Suspect& suspect,
+                               Record& record,
+                               Predicate predicate) {
   std::vector<uint64_t> servers;
   std::erase_if(record.losses, [&](const Loss& loss) {
     const bool removed = predicate(loss);
@@ -178,6 +183,9 @@
   for (const uint64_t server : servers) {
     UncountLoss(server);
   }
+  if (record.losses.size() < 2) {
+    repeated_.erase(suspect);
+  }
   return !servers.empty();
 }
 
@@ -189,8 +197,9 @@
       continue;
     }
     Record& record = found->second;
-    const bool cleared = RemoveLosses(
-        record, [&](const Loss& loss) { return loss.ended <= report.ended; });
+    const bool cleared = RemoveLosses(suspect, record, [&](const Loss& loss) {
+      return loss.ended <= report.ended;
+    });
     if (cleared) {
       ++record.answers;
       record.last_survival =
@@ -216,7 +225,7 @@
       const auto found = suspects_.find(suspect);
       changed |=
           found != suspects_.end() &&
-          RemoveLosses(found->second, [&](const Loss& loss) {
+          RemoveLosses(suspect, found->second, [&](const Loss& loss) {
             return loss.server == report.server && loss.ended < report.sent;
           });
     }
@@ -347,7 +356,8 @@
   culprits_.clear();
   explained_.clear();
   std::vector<std::pair<Suspect, Record*>> candidates;
-  for (auto& [suspect, record] : suspects_) {
+  for (const Suspect& suspect : repeated_) {
+    Record& record = suspects_.at(suspect);
     if (record.losses.size() >= options_.blocked_at_losses) {
       candidates.emplace_back(suspect, &record);
     }
@@ -407,8 +417,9 @@
     const RequestTraits& request) const {
   constexpr size_t kHalf = 2;
   std::vector<Suspect> alternatives;
-  for (const auto& [suspect, record] : suspects_) {
-    if (record.losses.size() < min_losses || HasSuspect(request, suspect)) {
+  for (const Suspect& suspect : repeated_) {
+    if (suspects_.at(suspect).losses.size() < min_losses ||
+        HasSuspect(request, suspect)) {
       continue;
     }
     const auto count =
@@ -538,11 +549,11 @@
 
 std::vector<Suspect> CrashLedger::DoubtfulSuspects() const {
   std::vector<Suspect> doubtful;
-  for (const auto& [suspect, record] : suspects_) {
-    // One loss makes nothing doubtful.
-    if (record.losses.size() > 1 &&
-        SuspicionOf(CountOf(record, UnexplainedLosses(suspect, record))) >=
-            CrashSuspicion::kDoubtful) {
+  // One loss makes nothing doubtful.
+  for (const Suspect& suspect : repeated_) {
+    const Record& record = suspects_.at(suspect);
+    if (SuspicionOf(CountOf(record, UnexplainedLosses(suspect, record))) >=
+        CrashSuspicion::kDoubtful) {
       doubtful.push_back(suspect);
     }
   }
@@ -635,6 +646,7 @@
   for (const Loss& loss : suspect->second.losses) {
     UncountLoss(loss.server);
   }
+  repeated_.erase(suspect->first);
   suspects_.erase(suspect);
 }
 
--- a/lavenderkeel/crash/crash_ledger.h
+++ b/lavenderkeel/crash/crash_ledger.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "lavenderkeel/base/clock.h"
@@ -202,7 +203,9 @@
   /// Removes the losses for which the predicate holds; returns whether there
   /// were any.
   template <typename Predicate>
-  bool RemoveLosses(Record& record, Predicate predicate);
+  bool RemoveLosses(const Suspect& suspect,
+                    Record& record,
+                    Predicate predicate);
   void UncountLoss(uint64_t server);
   void Erase(Suspects::iterator suspect);
   void EvictExcess();
@@ -243,6 +246,8 @@
 
   Options options_;
   Suspects suspects_;
+  /// Those of them that have two losses or more.
+  std::unordered_set<Suspect, SuspectHash> repeated_;
   std::unordered_map<uint64_t, LostServer> lost_servers_;
   /// The latest time at which a server was found alive after a loss, so that a
   /// late report of that loss is ignored.
