Evidence of runs: one record of a request's attempts, logged with its end

An operator who is told of a 503 for a request that ran had no line that says by what the entry concluded that it had not: the log named the failures of attempts, but neither what a rejection stated nor what was known of all attempts together.

RunHistory keeps what the end of each attempt shows, in place of three counters of the request. The end line has it (evidence=), and a rejection logs its status, its statement, its receipt, the id that it names and whether its connection was fresh. RefusalWriter takes the record: a code that states "not run" becomes server_lost while the request may have run, whatever the reason to refuse. No refusal changes by this: each place checked the same counters before.

--- a/lavenderkeel/forward/attempt.h
+++ b/lavenderkeel/forward/attempt.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "lavenderkeel/base/clock.h"
+#include "lavenderkeel/evidence/run_evidence.h"
 
 namespace lavenderkeel {
 
@@ -32,25 +33,25 @@
   kSilent,
 };
 
-/// Knowledge of whether a server ran a request.
-enum class RunState { kUnsent, kProvedNotRun, kMayHaveRun };
-
 /// Returns what a failure shows about the run of the request. However the
 /// connection was closed, the server may have run it: only a statement of the
 /// server, or the lack of a connection, proves otherwise.
-constexpr RunState RunStateAfter(AttemptFailure failure) {
+constexpr RunEvidence EvidenceOf(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kNotConnected:
-      return RunState::kUnsent;
+      return RunEvidence::kNotSent;
     case AttemptFailure::kRejected:
+      return RunEvidence::kRejected;
     case AttemptFailure::kWrongServer:
-      return RunState::kProvedNotRun;
+      return RunEvidence::kOtherServer;
     case AttemptFailure::kDisconnected:
+      return RunEvidence::kDisconnected;
     case AttemptFailure::kBroken:
+      return RunEvidence::kInvalidAnswer;
     case AttemptFailure::kSilent:
-      return RunState::kMayHaveRun;
+      return RunEvidence::kSilent;
   }
-  return RunState::kMayHaveRun;
+  return RunEvidence::kInvalidAnswer;
 }
 
 constexpr const char* AttemptFailureName(AttemptFailure failure) {
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -283,10 +283,10 @@
              {"suspect", SuspectName(suspect)},
              {"lost", decision.assessment.lost},
              {"in_turn", decision.assessment.in_turn},
-             {"runs", request.runs},
+             {"runs", request.runs.count()},
              {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
-  if (request.runs > 0 || request.head_sent) {
-    GiveUp(request, RunState::kMayHaveRun);
+  if (request.runs.may_have_run() || request.head_sent) {
+    GiveUp(request);
   } else {
     RefuseRequest(request, {.code = ResultCode::kCrashesServers,
                             .retry_after = decision.retry_after});
@@ -493,7 +493,7 @@
   }
   if (!retries_.OnSend(*request)) {
     EndAttempt(*request, {});
-    GiveUp(*request, request->last_run_state);
+    GiveUp(*request);
     return true;
   }
   SendTo(*request, *server, scheduler, grant);
@@ -513,6 +513,7 @@
       version_selector_.OnSent(request.service, request.route->name, server,
                                grant.in_flight, request.fresh());
   request.state = State::kSent;
+  request.runs.OnSent();
   request.server = key;
   request.server_address = server.address;
   request.tried.push_back(key);
@@ -614,6 +615,9 @@
     crashes_.OnServerAnswered(HashBytes(request->server), request->sent_at);
     notices_.OnAnswer(request->server, metadata.notices, request->sent_at);
   }
+  if (rejected) {
+    request_log_.OnRejection(*request, head.status, metadata, fresh);
+  }
   request->rejected = rejected;
   request->rejected_at = clock_.Now();
   request->rejection_bytes = 0;
@@ -708,6 +712,7 @@
   EndAttempt(request, {.kind = SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .read = PromptReadOf(request)});
+  retries_.OnAttemptEnded(request, RunEvidence::kAnswered);
   ReportSurvival(request);
   port_.RespondEnd(request.exchange);
   LogEnd(request, "answered", request.answer_head->status);
@@ -727,9 +732,7 @@
                                      : SlotResult::Kind::kAnswered,
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .pushback = PushbackOf(request.server)});
-  ++request.runs;
-  retries_.OnAttemptEnded(request, RunState::kMayHaveRun);
-  request.last_run_state = RunState::kMayHaveRun;
+  retries_.OnAttemptEnded(request, RunEvidence::kAnswered);
   request.has_error_answer = error && !request.head_sent;
   if (request.has_error_answer) {
     SendAgainOrEnd(request, retries_.Decide(request));
@@ -785,10 +788,7 @@
   }
   EndAttempt(request, {.kind = ResultKindOf(failure),
                        .pushback = PushbackOf(request.server)});
-  const RunState state = RunStateAfter(failure);
-  request.runs += state == RunState::kMayHaveRun ? 1 : 0;
-  request.last_run_state = state;
-  retries_.OnAttemptEnded(request, state);
+  retries_.OnAttemptEnded(request, EvidenceOf(failure));
   SendAgainOrEnd(request, retries_.Decide(request));
 }
 
@@ -801,11 +801,11 @@
     case RequestRetries::Decision::kAwaitLoan:
       return;
     case RequestRetries::Decision::kEnd:
-      GiveUp(request, request.last_run_state);
+      GiveUp(request);
   }
 }
 
-void ForwardController::GiveUp(ForwardedRequest& request, RunState state) {
+void ForwardController::GiveUp(ForwardedRequest& request) {
   if (request.has_error_answer) {
     FinishWithAnswer(request);
     return;
@@ -816,9 +816,9 @@
     RemoveRequest(request.exchange);
     return;
   }
-  if (request.runs > 0) {
+  if (request.runs.may_have_run()) {
     RefuseRequest(request, {.code = ResultCode::kServerLost});
-  } else if (state == RunState::kUnsent) {
+  } else if (request.runs.last() == RunEvidence::kNotSent) {
     RefuseRequest(request, {.code = ResultCode::kServerUnreachable});
   } else {
     const TimePoint now = clock_.Now();
@@ -862,12 +862,12 @@
     if (request.state == State::kSent) {
       port_.Cancel(request.attempt);
       EndAttempt(request, {});
-      ++request.runs;
+      retries_.OnAttemptEnded(request, RunEvidence::kGivenUp);
     }
-    if (request.runs == 0) {
-      RefuseRequest(request, {.code = ResultCode::kDeadlinePassed});
+    if (request.runs.may_have_run()) {
+      GiveUp(request);
     } else {
-      GiveUp(request, RunState::kMayHaveRun);
+      RefuseRequest(request, {.code = ResultCode::kDeadlinePassed});
     }
     return;
   }
@@ -888,7 +888,7 @@
   const bool silent =
       now - request.last_received_at >= timing_.MaxSilence(request);
   if (silent && request.may_repeat() &&
-      request.runs + 1 < request.route->max_attempts) {
+      request.runs.count() + 1 < request.route->max_attempts) {
     // The connection to the former server is closed before another server gets
     // the request, so that the two do not work on the request at the same time
     // for long.
@@ -900,7 +900,7 @@
 void ForwardController::CheckWait(ForwardedRequest& request, TimePoint now) {
   const TimePoint wait_end = timing_.SlotWaitEnd(request);
   const std::optional<TimePoint> blocked_until = BlockedUntil(request.service);
-  const bool may_have_run = request.runs > 0 || request.head_sent;
+  const bool may_have_run = request.runs.may_have_run() || request.head_sent;
   // With all servers blocked for longer than the request waits, its client
   // learns at once when to come back.
   const bool waits_in_vain = !may_have_run && blocked_until.has_value() &&
@@ -913,7 +913,7 @@
     return;
   }
   if (may_have_run) {
-    GiveUp(request, RunState::kMayHaveRun);
+    GiveUp(request);
     return;
   }
   RecordEndOfWait(request, /*got_slot=*/false);
@@ -956,23 +956,23 @@
 
 void ForwardController::RefuseRequest(ForwardedRequest& request,
                                       const Refusal& refusal) {
-  LogEnd(request, Describe(refusal.code).name,
-         Describe(refusal.code).http_status);
-  Refuse(request.exchange, request.metadata.request_id, refusal);
+  const ResultCodeInfo& info =
+      Describe(RefusalWriter::CodeOf(refusal, request.runs));
+  LogEnd(request, info.name, info.http_status);
+  refusals_.Write(request.exchange, request.metadata.request_id, refusal,
+                  request.runs);
   RemoveRequest(request.exchange);
 }
 
 void ForwardController::Refuse(ExchangeId exchange,
                                const std::string& request_id,
                                const Refusal& refusal) {
-  if (!requests_.contains(exchange)) {
-    log_.Info("refused", {{"exchange", exchange},
-                          {"id", request_id},
-                          {"result", Describe(refusal.code).name},
-                          {"retry_after_ms",
-                           ToMilliseconds(refusals_.RetryAfterOf(refusal))}});
-  }
-  refusals_.Write(exchange, request_id, refusal);
+  log_.Info("refused", {{"exchange", exchange},
+                        {"id", request_id},
+                        {"result", Describe(refusal.code).name},
+                        {"retry_after_ms",
+                         ToMilliseconds(refusals_.RetryAfterOf(refusal))}});
+  refusals_.Write(exchange, request_id, refusal, /*runs=*/{});
 }
 
 void ForwardController::LogEnd(const ForwardedRequest& request,
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -266,7 +266,7 @@
                       RequestRetries::Decision decision);
   /// Ends a request that is not sent again, with the error that a server
   /// answered if there is one.
-  void GiveUp(ForwardedRequest& request, RunState state);
+  void GiveUp(ForwardedRequest& request);
   void FinishNonStream(ForwardedRequest& request);
   /// Gives the client the answer of the attempt.
   void FinishWithAnswer(ForwardedRequest& request);
@@ -274,6 +274,7 @@
   /// Reports to the rollout what the complete answer shows of the version.
   void ReportVersionOutcome(ForwardedRequest& request, bool error);
 
+  /// Refuses a request that was not admitted, so that no server got it.
   void Refuse(ExchangeId exchange,
               const std::string& request_id,
               const Refusal& refusal);
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -9,6 +9,7 @@
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/crash/crash_suspicion.h"
 #include "lavenderkeel/crash/request_traits.h"
+#include "lavenderkeel/evidence/run_history.h"
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/request_metadata.h"
 #include "lavenderkeel/forward/route_table.h"
@@ -87,13 +88,8 @@
 
   /// Servers that the request was sent to, in order.
   std::vector<std::string> tried;
-  /// Number of attempts after which the request may have run.
-  int runs = 0;
-  /// Number of attempts after which the request may have reached a server,
-  /// whether or not it ran.
-  int arrivals = 0;
-  /// What is known of the run of the last attempt that failed.
-  RunState last_run_state = RunState::kUnsent;
+  /// What is known of its runs.
+  RunHistory runs;
   /// Whether a retry is reserved for the next attempt, see RetryBound.
   bool retry_reserved = false;
   /// Until when the retry that is borrowed for the next attempt is valid.
--- a/lavenderkeel/forward/refusal_writer.cc
+++ b/lavenderkeel/forward/refusal_writer.cc
@@ -26,8 +26,9 @@
 
 void RefusalWriter::Write(ExchangeId exchange,
                           const std::string& request_id,
-                          const Refusal& refusal) {
-  const ResultCodeInfo& info = Describe(refusal.code);
+                          const Refusal& refusal,
+                          const RunHistory& runs) {
+  const ResultCodeInfo& info = Describe(CodeOf(refusal, runs));
   const Duration wait = RetryAfterOf(refusal);
   ResponseHead head{.status = info.http_status,
                     .fields = codec_.own_answer_fields(request_id)};
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -15,7 +15,7 @@
                      {"server", server.start_key()},
                      {"version", server.version},
                      {"attempt", request.tried.size() + 1},
-                     {"retry", request.arrivals > 0 ? 1 : 0},
+                     {"retry", request.runs.arrivals() > 0 ? 1 : 0},
                      {"gate", scheduler},
                      {"config_version", request.table->version()},
                      {"priority", request.priority},
@@ -23,11 +23,24 @@
                      {"pace_ms", grant.pace_ms},
                      {"waited_ms", ToMilliseconds(now - request.waiting_since)},
                      {"left_ms", ToMilliseconds(request.due - now)}});
-  if (request.arrivals > 0) {
+  if (request.runs.arrivals() > 0) {
     metrics_.Add("retries_sent{service=\"" + request.service + "\"}");
   }
 }
 
+void RequestLog::OnRejection(const ForwardedRequest& request,
+                             int status,
+                             const AnswerMetadata& stated,
+                             bool fresh) const {
+  log_.Info("rejection", {{"id", request.metadata.request_id},
+                          {"server", request.server},
+                          {"status", status},
+                          {"stated", stated.not_run ? 1 : 0},
+                          {"sealed", stated.sealed ? 1 : 0},
+                          {"answers", stated.request_id},
+                          {"fresh", fresh ? 1 : 0}});
+}
+
 void RequestLog::OnAttemptFailed(const ForwardedRequest& request,
                                  AttemptFailure failure) const {
   log_.Info("attempt_failed",
@@ -53,7 +66,7 @@
              {"server", request.server},
              {"reason", RetryRefusalName(refusal)},
              {"attempts", request.tried.size()},
-             {"runs", request.runs},
+             {"runs", request.runs.count()},
              {"used", usage.retries},
              {"bound", usage.bound},
              {"requests", usage.requests},
@@ -112,7 +125,8 @@
        {"team", request.team},
        {"config_version", request.table->version()},
        {"attempts", request.tried.size()},
-       {"runs", request.runs},
+       {"runs", request.runs.count()},
+       {"evidence", request.runs.ToString()},
        {"events", request.event_count},
        {"prompt_tokens", request.metadata.prompt_tokens},
        {"body_bytes", request.body.size()},
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -36,6 +36,12 @@
               const BackendServer& server,
               const std::string& scheduler,
               const SlotGrant& grant) const;
+  /// Logs what the head of a rejection states.
+  /// @param fresh whether nothing was answered on its connection before
+  void OnRejection(const ForwardedRequest& request,
+                   int status,
+                   const AnswerMetadata& stated,
+                   bool fresh) const;
   void OnAttemptFailed(const ForwardedRequest& request,
                        AttemptFailure failure) const;
   /// Logs whether a request is sent again after a failed attempt.
--- a/lavenderkeel/forward/request_retries.cc
+++ b/lavenderkeel/forward/request_retries.cc
@@ -51,10 +51,10 @@
   if (request.tried.size() >= kMaxServersTried) {
     return RetryRefusal::kServersTried;
   }
-  if (request.runs > 0 && !request.may_repeat()) {
+  if (request.runs.may_have_run() && !request.may_repeat()) {
     return RetryRefusal::kNotRepeatable;
   }
-  if (request.runs >= std::max(1, request.route->max_attempts)) {
+  if (request.runs.count() >= std::max(1, request.route->max_attempts)) {
     return RetryRefusal::kMaxAttempts;
   }
   if (request.head_sent &&
@@ -69,7 +69,7 @@
   RetryBound& bound = BoundOf(request.service);
   const RetryUsage usage = bound.UsageAt(now, extra());
   RetryRefusal refusal = CheckRepeatable(request);
-  if (refusal == RetryRefusal::kNone && request.arrivals > 0) {
+  if (refusal == RetryRefusal::kNone && request.runs.arrivals() > 0) {
     request.retry_reserved = bound.TryReserve(now, extra());
     if (!request.retry_reserved && !ReserveLoan(request)) {
       refusal = RetryRefusal::kBound;
@@ -114,7 +114,7 @@
   const TimePoint now = clock_.Now();
   request.counted_against.reset();
   request.sent_on_loan_until.reset();
-  if (request.arrivals == 0) {
+  if (request.runs.arrivals() == 0) {
     return true;
   }
   if (request.borrowed_until.has_value() &&
@@ -135,9 +135,10 @@
   return false;
 }
 
-void RequestRetries::OnAttemptEnded(ForwardedRequest& request, RunState state) {
-  if (state != RunState::kUnsent) {
-    ++request.arrivals;
+void RequestRetries::OnAttemptEnded(ForwardedRequest& request,
+                                    RunEvidence evidence) {
+  request.runs.OnEnded(evidence);
+  if (evidence != RunEvidence::kNotSent) {
     return;
   }
   if (request.sent_on_loan_until.has_value()) {
--- a/lavenderkeel/forward/request_retries.h
+++ b/lavenderkeel/forward/request_retries.h
@@ -57,8 +57,8 @@
   /// Counts the attempt that is about to be sent if it is a retry.
   /// @return whether the bound still allows it
   bool OnSend(ForwardedRequest& request);
-  /// Records whether the attempt reached a server.
-  void OnAttemptEnded(ForwardedRequest& request, RunState state);
+  /// Records the end of an attempt.
+  void OnAttemptEnded(ForwardedRequest& request, RunEvidence evidence);
   /// Gives back what is reserved for a request that is not sent again.
   void Release(ForwardedRequest& request);
 
