--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "lavenderkeel/io/internal/listener.h"
+#include "lavenderkeel/io/socket_options.h"
 
 namespace lavenderkeel::fakes {
 
@@ -18,6 +19,7 @@
   bufferevent* events = nullptr;
   /// Sent again and again if not empty.
   std::string endless;
+  bool closes = false;
 };
 
 ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
@@ -81,6 +83,10 @@
 }
 
 void ScriptedServer::OnWritable(Connection& connection) {
+  if (connection.closes) {
+    connections_.erase(connection.id);
+    return;
+  }
   if (!connection.endless.empty()) {
     endless_bytes_ += connection.endless.size();
     bufferevent_write(connection.events, connection.endless.data(),
@@ -101,6 +107,21 @@
   }
 }
 
+void ScriptedServer::CloseAfterWriting(ConnectionId connection, bool reset) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  Connection& closing = *found->second;
+  closing.closes = true;
+  if (reset) {
+    ResetOnClose(bufferevent_getfd(closing.events));
+  }
+  if (evbuffer_get_length(bufferevent_get_output(closing.events)) == 0) {
+    connections_.erase(found);
+  }
+}
+
 void ScriptedServer::SendWithoutEnd(ConnectionId connection,
                                     std::string bytes) {
   Connection& found = *connections_.at(connection);
--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -35,6 +35,9 @@
   /// From now on sends these bytes on the connection again and again, as fast
   /// as they are read, until the peer closes it.
   void SendWithoutEnd(ConnectionId connection, std::string bytes);
+  /// Closes the connection once all bytes are written.
+  /// @param reset whether the peer gets an error after these bytes
+  void CloseAfterWriting(ConnectionId connection, bool reset);
   /// Whether the connection was accepted and has not been closed.
   bool IsOpen(ConnectionId connection) const {
     return connections_.contains(connection);
