A server's own 408, 421, 429 or 503 is not passed on

Cause: the entry told a rejection from an answer by the statement, as it must, but passed every answer on with its status, and took 421 for a rejection even with the receipt of a run. To the caller the status is the statement.

Such an answer is read and not used, within the bounds for the body of a rejection; the caller gets 504 (answer_withheld, 3009), which promises nothing. It counts as an error of the server. Allowed retries: a request that may run once is sent no second time, as before, and its caller no longer sends it again. A repeatable request is sent again after 408, 421 and 429, too, as after 503 and 500 before, within the same bounds.

The fake of the tests sealed its 421, as no real server does that rejects; it no longer does, so that the test of another server at the address plays what it says.

--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -89,6 +89,9 @@
      "the entry that sent it, or an agent that may have it, is silent"},
     {kServerCrashed, "server_crashed", kUnknown, 504,
      "the backend server ended while it ran the request"},
+    {kAnswerWithheld, "answer_withheld", kUnknown, 504,
+     "the backend server answered with a status that would state that the "
+     "request did not run"},
     {kConfigInvalid, "config_invalid", kNotRun, 400,
      "the configuration document has faults"},
     {kConfigConflict, "config_conflict", kNotRun, 409,
--- a/lavenderkeel/base/result_code.h
+++ b/lavenderkeel/base/result_code.h
@@ -59,6 +59,7 @@
   kAnswerTooLarge = 3006,
   kOwnerSilent = 3007,
   kServerCrashed = 3008,
+  kAnswerWithheld = 3009,
 
   kConfigInvalid = 4001,
   kConfigConflict = 4002,
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
+#include "lavenderkeel/evidence/not_run_status.h"
 #include "lavenderkeel/forward/answer_speed.h"
 
 namespace lavenderkeel {
@@ -49,6 +50,11 @@
   }
 }
 
+/// Returns the name of an answer whose body is not used.
+std::string_view DiscardedPartOf(const ForwardedRequest& request) {
+  return request.rejected ? "rejection" : "withheld";
+}
+
 }  // namespace
 
 using State = ForwardedRequest::State;
@@ -523,6 +529,7 @@
   request.answer_body.clear();
   request.has_error_answer = false;
   request.rejected = false;
+  request.withheld = false;
   request.events = EventStreamReader();
   request.event_count = 0;
   const RequestHead head = codec_.write_request(
@@ -598,7 +605,8 @@
                                  {"answers", metadata.request_id}});
     return HeadVerdict::kSkip;
   }
-  const bool rejected = metadata.not_run || head.status == kMisdirected;
+  const bool rejected =
+      metadata.not_run || (head.status == kMisdirected && !metadata.sealed);
   const bool encoded = FindField(head.fields, "Content-Encoding") != nullptr;
   // Without an id a rejection matches only the first request on a connection.
   const bool matched = !metadata.request_id.empty() || (rejected && fresh);
@@ -619,8 +627,11 @@
     request_log_.OnRejection(*request, head.status, metadata, fresh);
   }
   request->rejected = rejected;
-  request->rejected_at = clock_.Now();
-  request->rejection_bytes = 0;
+  // The status is the server's, but to the client it would state that the
+  // request did not run, and it would be sent again.
+  request->withheld = !rejected && StatesNotRun(head.status);
+  request->discarding_since = clock_.Now();
+  request->discarded_bytes = 0;
   request->answer_streams = streams;
   request->answer_head = head;
   return HeadVerdict::kTake;
@@ -632,10 +643,10 @@
     return false;
   }
   request->last_received_at = clock_.Now();
-  if (request->rejected) {
-    request->rejection_bytes += bytes.size();
-    if (request->rejection_bytes > options_.max_rejection_bytes) {
-      AbandonEndlessAnswer(*request, "rejection");
+  if (request->discards_answer()) {
+    request->discarded_bytes += bytes.size();
+    if (request->discarded_bytes > options_.max_discarded_bytes) {
+      AbandonEndlessAnswer(*request, DiscardedPartOf(*request));
       return false;
     }
     return true;
@@ -721,7 +732,7 @@
 
 void ForwardController::FinishNonStream(ForwardedRequest& request) {
   const int status = request.answer_head->status;
-  const bool error = status >= kFirstServerError;
+  const bool error = status >= kFirstServerError || request.withheld;
   if (!error) {
     ReportSurvival(request);
     route_history_[request.route->name].answer_ms.Add(
@@ -733,8 +744,11 @@
                        .pace_ms = PaceOf(request, clock_.Now()),
                        .pushback = PushbackOf(request.server)});
   retries_.OnAttemptEnded(request, RunEvidence::kAnswered);
-  request.has_error_answer = error && !request.head_sent;
-  if (request.has_error_answer) {
+  request.has_error_answer = error && !request.withheld && !request.head_sent;
+  if (request.withheld) {
+    request_log_.OnAnswerWithheld(request);
+  }
+  if (request.has_error_answer || request.withheld) {
     SendAgainOrEnd(request, retries_.Decide(request));
     return;
   }
@@ -817,7 +831,9 @@
     return;
   }
   if (request.runs.may_have_run()) {
-    RefuseRequest(request, {.code = ResultCode::kServerLost});
+    RefuseRequest(request,
+                  {.code = request.withheld ? ResultCode::kAnswerWithheld
+                                            : ResultCode::kServerLost});
   } else if (request.runs.last() == RunEvidence::kNotSent) {
     RefuseRequest(request, {.code = ResultCode::kServerUnreachable});
   } else {
@@ -875,10 +891,10 @@
     CheckWait(request, now);
     return;
   }
-  if (request.rejected &&
-      now - request.rejected_at >= options_.max_rejection_time) {
+  if (request.discards_answer() &&
+      now - request.discarding_since >= options_.max_discard_time) {
     port_.Cancel(request.attempt);
-    AbandonEndlessAnswer(request, "rejection");
+    AbandonEndlessAnswer(request, DiscardedPartOf(request));
     return;
   }
   if (request.event_count == 0 && !request.answer_head.has_value()) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -77,10 +77,10 @@
     /// A single event of a stream may have this size. Bytes without the end of
     /// an event are no stream.
     size_t max_event_bytes = size_t{1} << 20;
-    /// The body of a rejection is not used; one that goes on beyond this size
-    /// or time is not awaited.
-    size_t max_rejection_bytes = size_t{64} << 10;
-    Duration max_rejection_time = std::chrono::milliseconds(500);
+    /// The body of a rejection, or of an answer that is withheld, is not used;
+    /// one that goes on beyond this size or time is not awaited.
+    size_t max_discarded_bytes = size_t{64} << 10;
+    Duration max_discard_time = std::chrono::milliseconds(500);
     /// Limit for the bodies of waiting and running requests together; above it,
     /// new requests are refused. Set from the memory of the instance.
     size_t max_buffered_body_bytes = size_t{64} << 20;
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -76,9 +76,12 @@
   std::string answer_body;
   /// The head of the answer states that the server did not run the request.
   bool rejected = false;
-  TimePoint rejected_at;
-  /// Size of the body of the rejection so far.
-  size_t rejection_bytes = 0;
+  /// The answer is not passed on, since its status would state that the request
+  /// did not run.
+  bool withheld = false;
+  /// When the body began that is read and not used, and its size so far.
+  TimePoint discarding_since;
+  size_t discarded_bytes = 0;
   /// The answer is an event stream.
   bool answer_streams = false;
   EventStreamReader events;
@@ -121,6 +124,7 @@
   bool is_retry() const {
     return arrived - first_sent >= std::chrono::milliseconds(100);
   }
+  bool discards_answer() const { return rejected || withheld; }
   bool streams() const { return route->streaming; }
   bool may_repeat() const { return route->may_repeat(); }
 };
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -41,6 +41,16 @@
                           {"fresh", fresh ? 1 : 0}});
 }
 
+void RequestLog::OnAnswerWithheld(const ForwardedRequest& request) const {
+  const int status = request.answer_head->status;
+  log_.Warn("answer_withheld",
+            {{"id", request.metadata.request_id},
+             {"server", request.server},
+             {"status", status},
+             {"after_ms", ToMilliseconds(clock_.Now() - request.sent_at)}});
+  metrics_.Add("answers_withheld{status=\"" + std::to_string(status) + "\"}");
+}
+
 void RequestLog::OnAttemptFailed(const ForwardedRequest& request,
                                  AttemptFailure failure) const {
   log_.Info("attempt_failed",
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -42,6 +42,8 @@
                    int status,
                    const AnswerMetadata& stated,
                    bool fresh) const;
+  /// Logs that the server's complete answer is not passed on.
+  void OnAnswerWithheld(const ForwardedRequest& request) const;
   void OnAttemptFailed(const ForwardedRequest& request,
                        AttemptFailure failure) const;
   /// Logs whether a request is sent again after a failed attempt.
--- a/test/fakes/forward_simulation.h
+++ b/test/fakes/forward_simulation.h
@@ -77,7 +77,8 @@
   void Head(const SentAttempt& attempt,
             int status,
             const HttpFields& extra = {});
-  /// Delivers a complete answer to an attempt.
+  /// Delivers a complete answer to an attempt: with a seal, unless it is a
+  /// rejection or that of another server.
   void Answer(const SentAttempt& attempt,
               int status,
               const std::string& body,
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -136,6 +136,38 @@
   BOOST_TEST(*simulation.client(request).status == 500);
 }
 
+// Guards against a request that ran and is answered with a status that tells
+// its client that it did not.
+BOOST_AUTO_TEST_CASE(OwnRefusalOfAServerIsNotPassedOn) {
+  constexpr size_t kLarge = size_t{300} << 10;
+  for (const int status : {408, 421, 429, 503}) {
+    for (const size_t size : {size_t{4}, size_t{0}, kLarge}) {
+      BOOST_TEST_CONTEXT(status << " with " << size << " bytes") {
+        ForwardSimulation simulation({.servers = 3});
+        const std::string body(size, 'x');
+        const HttpFields sealed = {{"Response-Seal", "seal"}};
+        const ExchangeId once = simulation.Request("once");
+        const std::vector<fakes::SentAttempt> sent = simulation.port.sent;
+        simulation.Answer(sent.back(), status, body, sealed);
+        BOOST_TEST(simulation.port.sent.size() == 1U);
+        BOOST_TEST(*simulation.client(once).status == 504);
+        BOOST_TEST((FindField(simulation.client(once).fields,
+                              "Response-Seal") == nullptr));
+        const ExchangeId lookup = simulation.Request("lookup");
+        simulation.Answer(simulation.last(), status, body, sealed);
+        BOOST_TEST(simulation.port.sent.size() == 3U);
+        simulation.Answer(simulation.last(), status, body, sealed);
+        BOOST_TEST(*simulation.client(lookup).status == 504);
+        const ExchangeId served = simulation.Request("lookup");
+        simulation.Answer(simulation.last(), status, body, sealed);
+        simulation.Answer(simulation.last(), 200, "answer");
+        BOOST_TEST(simulation.client(served).body == "answer");
+        BOOST_TEST(simulation.controller.open() == 0U);
+      }
+    }
+  }
+}
+
 // A second answer to an earlier request arrives where the answer to this one is
 // expected. Guards against passing it to the client; it is skipped.
 BOOST_AUTO_TEST_CASE(AnswerToAnotherRequestIsSkipped) {
