Rejections that contradict themselves prove nothing

Cause: the presence of one field, or the status 421, was the whole evidence.

AssessAnswer decides in one place what an answer is, from typed statements: to another request, a rejection with what it proves, the server's answer, one that is withheld, or invalid. A statement counts only if its value is the documented one, its status is one of a rejection, and neither the receipt of a run nor another id stands beside it. What contradicts itself ends the attempt as one that may have run, is logged with its fault (answer_invalid) and closes the connection.

A rejection by another server that is cut is now reported to the slot scheduler as such, not as that of a full one.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
-#include "lavenderkeel/evidence/not_run_status.h"
+#include "lavenderkeel/evidence/answer_assessment.h"
 #include "lavenderkeel/forward/answer_speed.h"
 
 namespace lavenderkeel {
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr int kMisdirected = 421;
 
 /// How retries are told from first attempts with early refusal.
 constexpr RequestAgeEstimator::Options kAgeWithEarlyRefusal = {
@@ -52,7 +51,7 @@
 
 /// Returns the name of an answer whose body is not used.
 std::string_view DiscardedPartOf(const ForwardedRequest& request) {
-  return request.rejected ? "rejection" : "withheld";
+  return request.rejection.has_value() ? "rejection" : "withheld";
 }
 
 }  // namespace
@@ -521,6 +520,7 @@
   request.state = State::kSent;
   request.runs.OnSent();
   request.server = key;
+  request.server_id = server.id;
   request.server_address = server.address;
   request.tried.push_back(key);
   request.sent_at = now;
@@ -528,7 +528,7 @@
   request.answer_head.reset();
   request.answer_body.clear();
   request.has_error_answer = false;
-  request.rejected = false;
+  request.rejection.reset();
   request.withheld = false;
   request.events = EventStreamReader();
   request.event_count = 0;
@@ -593,43 +593,39 @@
     return HeadVerdict::kDrop;
   }
   const AnswerMetadata metadata = codec_.read_answer(head);
+  const AnswerAssessment assessment = AssessAnswer(
+      metadata.statements, {.request_id = request->metadata.request_id,
+                            .server_id = request->server_id,
+                            .fresh = fresh});
   // A server may answer an earlier request twice, and the second copy arrives
-  // where this answer is expected. The echoed id identifies the copy, which is
-  // skipped; otherwise a client would get the answer to another request.
-  const bool foreign = !metadata.request_id.empty() &&
-                       metadata.request_id != request->metadata.request_id;
-  if (foreign) {
-    metrics_.Add("foreign_answers");
-    log_.Warn("foreign_answer", {{"id", request->metadata.request_id},
-                                 {"server", request->server},
-                                 {"answers", metadata.request_id}});
+  // where this answer is expected.
+  if (assessment.kind == AnswerAssessment::Kind::kOtherRequest) {
+    request_log_.OnForeignAnswer(*request, metadata.statements);
     return HeadVerdict::kSkip;
   }
-  const bool rejected =
-      metadata.not_run || (head.status == kMisdirected && !metadata.sealed);
-  const bool encoded = FindField(head.fields, "Content-Encoding") != nullptr;
-  // Without an id a rejection matches only the first request on a connection.
-  const bool matched = !metadata.request_id.empty() || (rejected && fresh);
-  const bool genuine = rejected || (metadata.sealed && !encoded);
   const bool streams =
       request->streams() && AnswerForwarder::IsEventStream(head);
+  const bool is_rejection =
+      assessment.kind == AnswerAssessment::Kind::kRejection;
   // A stream of which the client has a part can only be continued by a stream.
-  const bool continues = !request->head_sent || streams || rejected;
-  if (!matched || !genuine || !continues) {
+  const bool continues = !request->head_sent || streams || is_rejection;
+  if (assessment.kind == AnswerAssessment::Kind::kInvalid || !continues) {
+    request_log_.OnInvalidAnswer(*request, metadata.statements,
+                                 continues ? assessment.fault : "no_stream");
     AfterFailure(*request, AttemptFailure::kBroken);
     return HeadVerdict::kDrop;
   }
-  if (head.status != kMisdirected) {
+  if (assessment.evidence != RunEvidence::kOtherServer) {
     crashes_.OnServerAnswered(HashBytes(request->server), request->sent_at);
     notices_.OnAnswer(request->server, metadata.notices, request->sent_at);
   }
-  if (rejected) {
-    request_log_.OnRejection(*request, head.status, metadata, fresh);
+  if (is_rejection) {
+    request_log_.OnRejection(*request, metadata.statements, fresh);
+    request->rejection = assessment.evidence == RunEvidence::kOtherServer
+                             ? AttemptFailure::kWrongServer
+                             : AttemptFailure::kRejected;
   }
-  request->rejected = rejected;
-  // The status is the server's, but to the client it would state that the
-  // request did not run, and it would be sent again.
-  request->withheld = !rejected && StatesNotRun(head.status);
+  request->withheld = assessment.kind == AnswerAssessment::Kind::kWithheld;
   request->discarding_since = clock_.Now();
   request->discarded_bytes = 0;
   request->answer_streams = streams;
@@ -671,14 +667,7 @@
   log_.Warn("endless_answer", {{"id", request.metadata.request_id},
                                {"server", request.server},
                                {"what", what}});
-  AfterFailure(request, request.rejected ? RejectionOf(request)
-                                         : AttemptFailure::kBroken);
-}
-
-AttemptFailure ForwardController::RejectionOf(const ForwardedRequest& request) {
-  return request.answer_head->status == kMisdirected
-             ? AttemptFailure::kWrongServer
-             : AttemptFailure::kRejected;
+  AfterFailure(request, request.rejection.value_or(AttemptFailure::kBroken));
 }
 
 void ForwardController::OnAnswerEnd(AttemptId attempt) {
@@ -686,8 +675,8 @@
   if (request == nullptr) {
     return;
   }
-  if (request->rejected) {
-    AfterFailure(*request, RejectionOf(*request));
+  if (request->rejection.has_value()) {
+    AfterFailure(*request, *request->rejection);
     return;
   }
   if (request->answer_streams) {
@@ -781,8 +770,7 @@
 void ForwardController::OnAttemptFailed(AttemptId attempt,
                                         AttemptFailure failure) {
   if (ForwardedRequest* request = FindByAttempt(attempt)) {
-    AfterFailure(*request,
-                 request->rejected ? AttemptFailure::kRejected : failure);
+    AfterFailure(*request, request->rejection.value_or(failure));
   }
 }
 
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -261,7 +261,6 @@
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
   /// Ends an attempt whose answer goes on without a sign of its end.
   void AbandonEndlessAnswer(ForwardedRequest& request, std::string_view what);
-  static AttemptFailure RejectionOf(const ForwardedRequest& request);
   void SendAgainOrEnd(ForwardedRequest& request,
                       RequestRetries::Decision decision);
   /// Ends a request that is not sent again, with the error that a server
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -63,7 +63,9 @@
   CrashSuspicion suspicion = CrashSuspicion::kClear;
 
   AttemptId attempt = 0;
+  /// Start key, id and address of the server.
   std::string server;
+  std::string server_id;
   std::string server_address;
   /// Rollout data of the attempt that was sent last.
   VersionSelector::Attempt version_attempt = {};
@@ -74,8 +76,8 @@
   TimePoint last_received_at;
   std::optional<ResponseHead> answer_head;
   std::string answer_body;
-  /// The head of the answer states that the server did not run the request.
-  bool rejected = false;
+  /// What the head of a rejection proves; nothing for another answer.
+  std::optional<AttemptFailure> rejection;
   /// The answer is not passed on, since its status would state that the request
   /// did not run.
   bool withheld = false;
@@ -124,7 +126,7 @@
   bool is_retry() const {
     return arrived - first_sent >= std::chrono::milliseconds(100);
   }
-  bool discards_answer() const { return rejected || withheld; }
+  bool discards_answer() const { return rejection.has_value() || withheld; }
   bool streams() const { return route->streaming; }
   bool may_repeat() const { return route->may_repeat(); }
 };
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -6,6 +6,18 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+std::string FirstOf(const std::vector<std::string>& values) {
+  return values.empty() ? std::string() : values.front();
+}
+
+bool IsStated(const AnswerStatements& answer) {
+  return answer.not_run == AnswerStatements::NotRun::kStated;
+}
+
+}  // namespace
+
 void RequestLog::OnSend(const ForwardedRequest& request,
                         const BackendServer& server,
                         const std::string& scheduler,
@@ -29,18 +41,39 @@
 }
 
 void RequestLog::OnRejection(const ForwardedRequest& request,
-                             int status,
-                             const AnswerMetadata& stated,
+                             const AnswerStatements& answer,
                              bool fresh) const {
   log_.Info("rejection", {{"id", request.metadata.request_id},
                           {"server", request.server},
-                          {"status", status},
-                          {"stated", stated.not_run ? 1 : 0},
-                          {"sealed", stated.sealed ? 1 : 0},
-                          {"answers", stated.request_id},
+                          {"status", answer.status},
+                          {"stated", IsStated(answer) ? 1 : 0},
+                          {"sealed", answer.sealed ? 1 : 0},
+                          {"answers", FirstOf(answer.request_ids)},
                           {"fresh", fresh ? 1 : 0}});
 }
 
+void RequestLog::OnForeignAnswer(const ForwardedRequest& request,
+                                 const AnswerStatements& answer) const {
+  log_.Warn("foreign_answer", {{"id", request.metadata.request_id},
+                               {"server", request.server},
+                               {"answers", FirstOf(answer.request_ids)}});
+  metrics_.Add("foreign_answers");
+}
+
+void RequestLog::OnInvalidAnswer(const ForwardedRequest& request,
+                                 const AnswerStatements& answer,
+                                 std::string_view fault) const {
+  log_.Warn("answer_invalid", {{"id", request.metadata.request_id},
+                               {"server", request.server},
+                               {"status", answer.status},
+                               {"fault", fault},
+                               {"stated", IsStated(answer) ? 1 : 0},
+                               {"sealed", answer.sealed ? 1 : 0},
+                               {"ids", answer.request_ids.size()},
+                               {"answered_by", FirstOf(answer.server_ids)}});
+  metrics_.Add("answers_invalid{fault=\"" + std::string(fault) + "\"}");
+}
+
 void RequestLog::OnAnswerWithheld(const ForwardedRequest& request) const {
   const int status = request.answer_head->status;
   log_.Warn("answer_withheld",
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -39,9 +39,15 @@
   /// Logs what the head of a rejection states.
   /// @param fresh whether nothing was answered on its connection before
   void OnRejection(const ForwardedRequest& request,
-                   int status,
-                   const AnswerMetadata& stated,
+                   const AnswerStatements& answer,
                    bool fresh) const;
+  /// Logs an answer to another request, which is skipped.
+  void OnForeignAnswer(const ForwardedRequest& request,
+                       const AnswerStatements& answer) const;
+  /// Logs an answer that proves nothing and is not passed on.
+  void OnInvalidAnswer(const ForwardedRequest& request,
+                       const AnswerStatements& answer,
+                       std::string_view fault) const;
   /// Logs that the server's complete answer is not passed on.
   void OnAnswerWithheld(const ForwardedRequest& request) const;
   void OnAttemptFailed(const ForwardedRequest& request,
--- a/lavenderkeel/forward/request_metadata.h
+++ b/lavenderkeel/forward/request_metadata.h
@@ -9,6 +9,7 @@
 
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/prompt_part.h"
+#include "lavenderkeel/evidence/answer_assessment.h"
 #include "lavenderkeel/http/message_head.h"
 #include "lavenderkeel/notice/answer_notices.h"
 
@@ -52,12 +53,7 @@
 
 /// Contents of the head of a server's answer, independent of the wire format.
 struct AnswerMetadata {
-  /// The request that is answered; empty: not stated.
-  std::string request_id;
-  /// The answer carries the seal of the server.
-  bool sealed = false;
-  /// The server states that it did not run the request and never will.
-  bool not_run = false;
+  AnswerStatements statements;
   /// What the server says about itself.
   AnswerNotices notices = {};
 
