A connection is closed after a rejection without an id

Without an id a rejection is that of the first request on a connection, or of nobody known; so the connection that carried one is used no more, and the next attempt gets a fresh one, where it is a proof again. Servers that name the request keep their connections.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -630,7 +630,8 @@
   request->discarded_bytes = 0;
   request->answer_streams = streams;
   request->answer_head = head;
-  return HeadVerdict::kTake;
+  return metadata.statements.request_ids.empty() ? HeadVerdict::kTakeLast
+                                                 : HeadVerdict::kTake;
 }
 
 bool ForwardController::OnAnswerChunk(AttemptId attempt, std::string bytes) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -143,6 +143,9 @@
   enum class HeadVerdict {
     /// The message answers the request.
     kTake,
+    /// The same, but the connection is to be closed after it: later answers on
+    /// it could not be told apart.
+    kTakeLast,
     /// The message answers another request; the next one may answer this
     /// request.
     kSkip,
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -66,6 +66,8 @@
   /// True until the first answer has arrived.
   bool fresh = true;
   bool head_taken = false;
+  /// True if no further request may be sent.
+  bool is_last = false;
   /// True if the current message is discarded, since it does not answer the
   /// current request.
   bool skipping = false;
@@ -286,9 +288,16 @@
     return true;
   }
   const ConnectionId id = connection.id;
-  switch (hooks_.on_head(connection.attempt, head, connection.fresh)) {
+  const auto verdict =
+      hooks_.on_head(connection.attempt, head, connection.fresh);
+  switch (verdict) {
     case ForwardController::HeadVerdict::kTake:
-      return connections_.contains(id);
+    case ForwardController::HeadVerdict::kTakeLast:
+      if (!connections_.contains(id)) {
+        return false;
+      }
+      connection.is_last = verdict == ForwardController::HeadVerdict::kTakeLast;
+      return true;
     case ForwardController::HeadVerdict::kSkip:
       connection.skipping = true;
       return true;
@@ -307,10 +316,11 @@
   // A server may answer before it has read the whole request. The rest of the
   // request is still to be sent then, so no other request may use this
   // connection.
-  const bool reusable =
-      head.keep_alive && head.framing != BodyFraming::kUntilClose &&
-      connection.requests.size() < options_.max_requests &&
-      evbuffer_get_length(input) == 0 && evbuffer_get_length(output) == 0;
+  const bool reusable = head.keep_alive && !connection.is_last &&
+                        head.framing != BodyFraming::kUntilClose &&
+                        connection.requests.size() < options_.max_requests &&
+                        evbuffer_get_length(input) == 0 &&
+                        evbuffer_get_length(output) == 0;
   attempts_.erase(attempt);
   if (reusable) {
     constexpr Duration kIdleTimeMargin = std::chrono::seconds(1);
