An engine's refusal counts once the engine confirms it

At the product's own interface a request was sent to another engine, and could be reported as not run (server_pushback, 503), although the engine that had answered 503 with Retry-After ran it.

Cause: the status was the whole evidence. An engine has no field for it, but it tells what it knows of a request when asked to cancel it.

The rest begins with the refusal, as before.

Allowed retries: a request that the engine disclaims goes elsewhere, as before, one call later. One that it does not disclaim is repeated within the bound on retries if it may run again, and ends otherwise.

--- a/lavenderkeel/action/action.h
+++ b/lavenderkeel/action/action.h
@@ -97,6 +97,8 @@
   uint64_t from = 0;
 };
 
+/// Makes the server run the request no more. An engine states what it knew of
+/// it; results in OnServerCancelled.
 struct ServerCancel {
   RunId run = 0;
   /// Services have no cancel operation; only the connection is closed.
--- a/lavenderkeel/gate/run_controller.cc
+++ b/lavenderkeel/gate/run_controller.cc
@@ -220,7 +220,7 @@
   }
   const RequestKey key = *runs_.KeyOf(id);
   if (run->next_index == 0 && run->resumes == 0) {
-    Finish(key, ResultCode::kServerPushback);
+    ConfirmRefusal(*run);
     return;
   }
   // The refusal of a resume says nothing about the run itself, which may
@@ -238,6 +238,14 @@
                     std::max(rest, ResumeBackoff(run->resumes));
 }
 
+void RunController::ConfirmRefusal(Run& run) {
+  // The status does not show that the engine runs the request no more: an
+  // engine that fails on the way may answer with it, too. Its statement on the
+  // request does.
+  run.awaits_confirmation = true;
+  outbox_.Push(ServerCancel{.run = run.run, .request_id = run.request_id});
+}
+
 void RunController::OnServicePushback(
     RunId id,
     const std::vector<std::string>& retry_after) {
@@ -324,9 +332,22 @@
       .run = run.run, .service = run.go.service, .request_id = run.request_id});
 }
 
-void RunController::OnServerCancelled(RunId run) {
-  cancelling_.erase(run);
-  on_slot_free_();
+void RunController::OnServerCancelled(RunId id, CancelResult result) {
+  cancelling_.erase(id);
+  const Run* run = runs_.FindByRun(id);
+  if (run == nullptr || !run->awaits_confirmation) {
+    on_slot_free_();
+    return;
+  }
+  const bool is_refusal = result == CancelResult::kUnknown;
+  const RequestKey key = *runs_.KeyOf(id);
+  log_.Info("refusal_checked",
+            {{"key", key.ToString()},
+             {"server", self_.id.instance},
+             {"proved", is_refusal ? 1 : 0},
+             {"answered", result == CancelResult::kNoAnswer ? 0 : 1}});
+  Finish(key,
+         is_refusal ? ResultCode::kServerPushback : ResultCode::kServerFailed);
 }
 
 void RunController::Finish(const RequestKey& key, ResultCode code) {
@@ -408,7 +429,7 @@
   for (const RunId id : ids) {
     Run* run = runs_.FindByRun(id);
     const bool stalled = now - run->last_event > options_.stream_silence;
-    if (!stalled || run->go.service) {
+    if (!stalled || run->go.service || run->awaits_confirmation) {
       continue;
     }
     ResumeOrFail(id, *run);
--- a/lavenderkeel/gate/run_controller.h
+++ b/lavenderkeel/gate/run_controller.h
@@ -31,6 +31,16 @@
   kUnreadable,
 };
 
+/// What an engine states about a request that is cancelled.
+enum class CancelResult {
+  /// It stopped the request, or had finished it.
+  kKnown,
+  /// It does not have the request, and will not run it.
+  kUnknown,
+  /// It made no statement.
+  kNoAnswer,
+};
+
 /// The controller of the runs at one backend server.
 ///
 /// Starts, reads, resumes and ends runs, and preempts the cheapest one for a
@@ -91,9 +101,8 @@
   /// since a service's answer is its caller's, whatever the status.
   void OnServicePushback(RunId run,
                          const std::vector<std::string>& retry_after);
-  /// Handles that the server confirmed the end of a cancelled run or can't be
-  /// reached.
-  void OnServerCancelled(RunId run);
+  /// Handles the end of a cancellation.
+  void OnServerCancelled(RunId run, CancelResult result);
 
   /// Returns the number of runs that the server may have now.
   uint32_t limit() const;
@@ -121,6 +130,8 @@
   /// tried often enough.
   void ResumeOrFail(RunId id, Run& run);
   void BeginRest(RunId id, const std::vector<std::string>& retry_after);
+  /// Asks the engine whether it runs a request that it refused.
+  void ConfirmRefusal(Run& run);
   const Run* FindCheapestVictim(uint32_t tier) const;
 
   Options options_;
--- a/lavenderkeel/gate/run_table.h
+++ b/lavenderkeel/gate/run_table.h
@@ -47,6 +47,8 @@
   uint32_t resumes = 0;
   /// Consecutive resumes for which the server accepted no connection.
   uint32_t unreachable_resumes = 0;
+  /// The engine refused the request and is asked whether it runs it.
+  bool awaits_confirmation = false;
   /// See RunController::server_life_.
   uint64_t server_life = 0;
 
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -20,6 +20,21 @@
 constexpr size_t kMaxLineBytes = size_t{1} << 20;
 constexpr size_t kMaxStreamBytes = size_t{256} << 20;
 
+CancelResult CancelResultOf(const HttpResult& result) {
+  constexpr int kOk = 200;
+  const std::optional<json::value> answer =
+      result.kind == HttpResult::Kind::kAnswered && result.status == kOk
+          ? ParseJsonObject(result.body)
+          : std::nullopt;
+  const json::value* state =
+      answer.has_value() ? answer->get_object().if_contains("state") : nullptr;
+  if (state == nullptr || !state->is_string()) {
+    return CancelResult::kNoAnswer;
+  }
+  return state->get_string() == "unknown" ? CancelResult::kUnknown
+                                          : CancelResult::kKnown;
+}
+
 /// Returns whether the server turned the request away and asks for a rest.
 bool IsPushback(const HttpResult& result) {
   constexpr int kUnavailable = 503;
@@ -183,7 +198,7 @@
 void ServerClient::Handle(const ServerCancel& cancel) {
   Drop(cancel.run);
   if (cancel.service) {
-    runs_.OnServerCancelled(cancel.run);
+    runs_.OnServerCancelled(cancel.run, CancelResult::kNoAnswer);
     return;
   }
   http_.Start({.address = address_,
@@ -193,8 +208,8 @@
                .body = "",
                .timeout = kCancelTimeout,
                .on_data = nullptr,
-               .on_done = [this, run = cancel.run](const HttpResult&) {
-                 runs_.OnServerCancelled(run);
+               .on_done = [this, run = cancel.run](const HttpResult& result) {
+                 runs_.OnServerCancelled(run, CancelResultOf(result));
                  execute_actions_();
                }});
 }
--- a/test/dispatch/resting_engine_test.cc
+++ b/test/dispatch/resting_engine_test.cc
@@ -61,6 +61,22 @@
   }
 }
 
+// Guards against a request that is reported as turned away, or sent to another
+// engine, although the engine that refused it runs it.
+BOOST_AUTO_TEST_CASE(RefusedRequestsThatRunAreNotReportedAsNotRun) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    Simulation simulation({.seed = seed});
+    for (size_t i = 0; i < 3; ++i) {
+      simulation.TurnAwayFalsely(i, seconds(2));
+    }
+    // The first one may run once.
+    Submit(simulation, 1, 20, milliseconds(100));
+    BOOST_TEST(AreAllConcluded(simulation, seconds(10)));
+    BOOST_TEST(simulation.oracle().Count(ResultCode::kServerFailed) >= 1U);
+    CheckGuarantees(simulation);
+  }
+}
+
 // Guards against an engine that gets no requests after its rest.
 BOOST_AUTO_TEST_CASE(EngineIsUsedAgainAfterItsRest) {
   Simulation simulation({.agents = 1});
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -26,6 +26,8 @@
 
 namespace {
 
+constexpr std::string_view kCancel = "/cancel";
+
 class FakeEngine {
  public:
   FakeEngine(bool is_service, EngineCore::Options options)
@@ -61,7 +63,8 @@
       Reply(request.id, 200, std::to_string(core_.starts() + calls_));
     } else if (request.path == "/refusals") {
       Reply(request.id, 200, std::to_string(refusals_));
-    } else if (!retry_after_.empty() && request.method == "POST") {
+    } else if (!retry_after_.empty() && request.method == "POST" &&
+               !request.path.ends_with(kCancel)) {
       ++refusals_;
       http_.Handle(ReplyComplete{.caller = request.id,
                                  .status = 503,
@@ -128,7 +131,6 @@
 
   void OnStream(const HttpRequest& request) {
     std::string id = request.path.substr(12);
-    constexpr std::string_view kCancel = "/cancel";
     if (id.ends_with(kCancel)) {
       id.resize(id.size() - kCancel.size());
       Reply(request.id, 200,
--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -131,6 +131,10 @@
             step.argument % 3 == 0 ? std::optional<std::string>("0")
                                    : std::nullopt);
         break;
+      case Step::kTurnAwayFalsely:
+        simulation_.TurnAwayFalsely(
+            agent, std::chrono::milliseconds(60 * step.argument));
+        break;
       case Step::kGarbleStreams:
         simulation_.GarbleStreams(
             agent, std::chrono::milliseconds(10 * step.argument));
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -170,6 +170,12 @@
                           const std::optional<std::string>& stated) {
   turning_away_[agent].until = clock_.Now() + duration;
   turning_away_[agent].stated = stated;
+  turning_away_[agent].falsely = false;
+}
+
+void Simulation::TurnAwayFalsely(size_t agent, Duration duration) {
+  TurnAway(agent, duration);
+  turning_away_[agent].falsely = true;
 }
 
 void Simulation::GarbleStreams(size_t agent, Duration duration) {
@@ -631,6 +637,15 @@
   }
 }
 
+std::string Simulation::StartAtEngine(fakes::EngineCore& engine,
+                                      const ServerStart& start) {
+  const json::value body = json::parse(start.body);
+  std::string id(body.at("request_id").as_string());
+  engine.Start(id, std::string(body.at("prompt").as_string()),
+               body.at("max_tokens").to_number<uint32_t>());
+  return id;
+}
+
 void Simulation::ExecuteServerAction(size_t index, const Action& action) {
   Process& process = *processes_[index];
   fakes::EngineCore& engine = *engines_[index - options_.entries];
@@ -646,6 +661,9 @@
   TurningAway& turning_away = turning_away_[index - options_.entries];
   if (started != nullptr && clock_.Now() < turning_away.until) {
     ++turning_away.count;
+    if (turning_away.falsely) {
+      StartAtEngine(engine, *started);
+    }
     const std::string retry_after = turning_away.stated.value_or(
         std::to_string(ToSeconds(turning_away.until - clock_.Now())));
     ScheduleIn(index, clock_.Now() + Delay(),
@@ -660,20 +678,21 @@
     return;
   }
   if (const auto* start = std::get_if<ServerStart>(&action)) {
-    const json::value body = json::parse(start->body);
-    const std::string id(body.at("request_id").as_string());
-    engine.Start(id, std::string(body.at("prompt").as_string()),
-                 body.at("max_tokens").to_number<uint32_t>());
-    process.streams[start->run] = {.request_id = id};
+    process.streams[start->run] = {.request_id = StartAtEngine(engine, *start)};
   } else if (const auto* resume = std::get_if<ServerResume>(&action)) {
     process.streams[resume->run] = {.request_id = resume->request_id,
                                     .next = resume->from};
   } else if (const auto* cancel = std::get_if<ServerCancel>(&action)) {
     process.streams.erase(cancel->run);
-    engine.Cancel(cancel->request_id);
-    ScheduleIn(index, clock_.Now() + Delay(), [this, index, run = cancel->run] {
-      processes_[index]->agent->gate().server().OnServerCancelled(run);
-    });
+    const bool known = engine.Cancel(cancel->request_id) != "unknown";
+    const CancelResult result = down    ? CancelResult::kNoAnswer
+                                : known ? CancelResult::kKnown
+                                        : CancelResult::kUnknown;
+    ScheduleIn(index, clock_.Now() + Delay(),
+               [this, index, run = cancel->run, result] {
+                 processes_[index]->agent->gate().server().OnServerCancelled(
+                     run, result);
+               });
   }
 }
 
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -100,6 +100,8 @@
   void TurnAway(size_t agent,
                 Duration duration,
                 const std::optional<std::string>& stated = std::nullopt);
+  /// The same, but the engine runs what it turns away.
+  void TurnAwayFalsely(size_t agent, Duration duration);
   /// Makes events of the engine's streams unreadable for a while.
   void GarbleStreams(size_t agent, Duration duration);
   /// Number of starts that the engine has turned away.
@@ -138,6 +140,7 @@
   struct TurningAway {
     TimePoint until;
     std::optional<std::string> stated;
+    bool falsely = false;
     size_t count = 0;
   };
 
@@ -151,6 +154,9 @@
   void Execute(size_t process, const Dial& dial);
   void Execute(size_t process, const PlatformCall& call, TimePoint watch_until);
   void ExecuteServerAction(size_t process, const Action& action);
+  /// @return the id of the request at the engine
+  static std::string StartAtEngine(fakes::EngineCore& engine,
+                                   const ServerStart& start);
   void CloseLinkFrom(size_t process, LinkId link);
   EventLog LogOf(size_t process);
   /// Handshake information that the process would send now.
--- a/test/fuzz/step.cc
+++ b/test/fuzz/step.cc
@@ -37,6 +37,7 @@
                                       "turn-away",
                                       "list-unreadable",
                                       "garble-streams",
+                                      "turn-away-falsely",
                                       "submit-everywhere"};
 static_assert(std::size(kKindNames) == Step::kAllKinds);
 
--- a/test/fuzz/step.h
+++ b/test/fuzz/step.h
@@ -48,6 +48,8 @@
     kListUnreadable,
     /// For a while the events of an engine's streams can't be read.
     kGarbleStreams,
+    /// An engine answers like one that turns requests away, but runs them.
+    kTurnAwayFalsely,
     /// Number of kinds that AnyStep generates.
     kGeneratedKinds,
     /// Submits one key to all entries at once.
--- a/test/gate/resting_server_test.cc
+++ b/test/gate/resting_server_test.cc
@@ -63,6 +63,12 @@
     return 0;
   }
 
+  /// Makes the server turn a run away, and state that it does not have it.
+  void TurnAway(RunId run, const std::string& retry_after) {
+    server().OnServerPushback(run, {retry_after});
+    server().OnServerCancelled(run, CancelResult::kUnknown);
+  }
+
   /// Reserves a slot.
   /// @return whether it is offered at once
   bool IsOffered(const Reserve& reserve) {
@@ -88,27 +94,44 @@
 }  // namespace
 
 // Guards against a refused request that is reported as possibly run, so that it
-// fails or uses up the retry budget, although it may run elsewhere.
-BOOST_AUTO_TEST_CASE(RequestTurnedAwayDidNotRun) {
+// fails or uses up the retry budget, although it may run elsewhere; and against
+// one that is reported as not run although the engine doesn't confirm it.
+BOOST_AUTO_TEST_CASE(RequestTurnedAwayDidNotRunIfTheEngineConfirmsIt) {
   for (const bool repeatable : {true, false}) {
-    Harness h;
-    const RunId run = h.StartRun(repeatable);
-    h.server().OnServerPushback(run, {"60"});
-    const std::vector<Action> actions = h.agent.outbox().Take();
-    const auto* finished = FindSent<Finished>(actions, kEntry);
-    BOOST_REQUIRE(finished != nullptr);
-    BOOST_TEST(finished->code == kPushback);
-    BOOST_TEST(
-        (Describe(ResultCode::kServerPushback).outcome == Outcome::kNotRun));
-    BOOST_TEST(h.metrics.counter("server_pushbacks_total") == 1U);
+    for (const CancelResult result :
+         {CancelResult::kUnknown, CancelResult::kKnown,
+          CancelResult::kNoAnswer}) {
+      Harness h;
+      const RunId run = h.StartRun(repeatable);
+      h.server().OnServerPushback(run, {"60"});
+      const std::vector<Action> asked = h.agent.outbox().Take();
+      BOOST_TEST(FindSent<Finished>(asked, kEntry) == nullptr);
+      BOOST_TEST(std::ranges::any_of(asked, [run](const Action& action) {
+        const auto* cancel = std::get_if<ServerCancel>(&action);
+        return cancel != nullptr && cancel->run == run;
+      }));
+      h.server().OnServerCancelled(run, result);
+      const std::vector<Action> actions = h.agent.outbox().Take();
+      const auto* finished = FindSent<Finished>(actions, kEntry);
+      BOOST_REQUIRE(finished != nullptr);
+      BOOST_TEST(finished->code ==
+                 (result == CancelResult::kUnknown
+                      ? kPushback
+                      : static_cast<uint32_t>(ResultCode::kServerFailed)));
+      BOOST_TEST(h.metrics.counter("server_pushbacks_total") == 1U);
+    }
   }
+  BOOST_TEST(
+      (Describe(ResultCode::kServerPushback).outcome == Outcome::kNotRun));
+  BOOST_TEST(
+      (Describe(ResultCode::kServerFailed).outcome == Outcome::kUnknown));
 }
 
 // Guards against requests that wait for a resting server while others are free,
 // since the agent offers a slot ahead of the next free one.
 BOOST_AUTO_TEST_CASE(RestingServerIsOfferedToNobody) {
   Harness h;
-  h.server().OnServerPushback(h.StartRun(true), {"60"});
+  h.TurnAway(h.StartRun(true), "60");
   h.agent.outbox().Take();
   BOOST_TEST(!h.IsOffered(h.MakeReserve(true)));
   BOOST_TEST(!h.IsOfferedAfter(seconds(59)));
@@ -120,7 +143,7 @@
 // soon as its rest is over.
 BOOST_AUTO_TEST_CASE(OneRequestIsOfferedAfterTheRest) {
   Harness h;
-  h.server().OnServerPushback(h.StartRun(true), {"60"});
+  h.TurnAway(h.StartRun(true), "60");
   h.agent.outbox().Take();
   const Reserve probe = h.MakeReserve(true);
   const Reserve other = h.MakeReserve(true);
@@ -153,7 +176,7 @@
   const RunId run = h.StartRun(true);
   const Reserve reserve = h.MakeReserve(true);
   BOOST_TEST(h.IsOffered(reserve));
-  h.server().OnServerPushback(run, {"60"});
+  h.TurnAway(run, "60");
   h.agent.outbox().Take();
   const std::vector<Action> actions = h.SendGo(reserve.key);
   const auto* rejected = FindSent<Rejected>(actions, kEntry);
@@ -173,7 +196,7 @@
   // The first is offered the slot that is the next to be free.
   BOOST_TEST(h.IsOffered(h.MakeReserve(true)));
   BOOST_TEST(!h.IsOffered(h.MakeReserve(true)));
-  h.server().OnServerPushback(runs.front(), {"60"});
+  h.TurnAway(runs.front(), "60");
   const std::vector<Action> actions = h.agent.outbox().Take();
   const auto* heartbeat = FindSent<Heartbeat>(actions, kEntry);
   const auto* rejected = FindSent<Rejected>(actions, kEntry);
@@ -199,7 +222,7 @@
 // agent whose server turns each probe away after a short rest.
 BOOST_AUTO_TEST_CASE(ReservationsStayWhenTheProbeIsTurnedAway) {
   Harness h;
-  h.server().OnServerPushback(h.StartRun(true), {"0.1"});
+  h.TurnAway(h.StartRun(true), "0.1");
   const Reserve probe = h.MakeReserve(true);
   BOOST_TEST(!h.IsOffered(probe));
   BOOST_TEST(!h.IsOffered(h.MakeReserve(true)));
@@ -209,7 +232,7 @@
     const auto* start = std::get_if<ServerStart>(&action);
     run = start == nullptr ? run : start->run;
   }
-  h.server().OnServerPushback(run, {"0.1"});
+  h.TurnAway(run, "0.1");
   const std::vector<Action> actions = h.agent.outbox().Take();
   BOOST_TEST(FindSent<Finished>(actions, kEntry) != nullptr);
   BOOST_TEST(FindSent<Rejected>(actions, kEntry) == nullptr);
@@ -221,7 +244,7 @@
 BOOST_AUTO_TEST_CASE(NothingIsPreemptedDuringTheRest) {
   Harness h;
   h.StartRun(true);
-  h.server().OnServerPushback(h.StartRun(true), {"60"});
+  h.TurnAway(h.StartRun(true), "60");
   Reserve check = h.MakeReserve(false);
   check.tier = 0;
   check.deadline_bound = true;
--- a/test/io/server_client_test.cc
+++ b/test/io/server_client_test.cc
@@ -1,10 +1,12 @@
 #include "lavenderkeel/io/server_client.h"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <type_traits>
+#include <vector>
 
 #include "lavenderkeel/gate.h"
 #include "lavenderkeel/io/action_runner.h"
@@ -168,4 +170,51 @@
   BOOST_TEST(requests == 2);
 }
 
+// Guards against a refusal that is believed without the engine's statement that
+// it does not have the request.
+BOOST_AUTO_TEST_CASE(RefusalIsProvedByTheEnginesStatement) {
+  const auto answer = [](const std::string& status, const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  struct Case {
+    std::string cancelled;
+    ResultCode result;
+  };
+  for (const Case& engine_case : std::vector<Case>{
+           {answer("200 OK", R"({"state":"unknown"})"),
+            ResultCode::kServerPushback},
+           {answer("200 OK", R"({"state":"cancelled"})"),
+            ResultCode::kServerFailed},
+           {answer("200 OK", R"({"state":"finished"})"),
+            ResultCode::kServerFailed},
+           {answer("200 OK", R"({"state":"unknown","state":"finished"})"),
+            ResultCode::kServerFailed},
+           {answer("200 OK", R"({"state":1})"), ResultCode::kServerFailed},
+           {answer("200 OK", ""), ResultCode::kServerFailed},
+           {answer("503 Busy", R"({"state":"unknown"})"),
+            ResultCode::kServerFailed},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+            R"({"state":"unknown"})",
+            ResultCode::kServerFailed}}) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> engine;
+    engine = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view request) {
+          const bool is_cancel = request.find("/cancel") != std::string::npos;
+          engine->Send(connection,
+                       is_cancel
+                           ? engine_case.cancelled
+                           : "HTTP/1.1 503 Busy\r\nRetry-After: 60\r\n"
+                             "Connection: close\r\nContent-Length: 0\r\n\r\n");
+          engine->CloseAfterWriting(connection, /*reset=*/false);
+          return std::string();
+        });
+    StreamReader reader(loop, engine->address());
+    BOOST_TEST(
+        reader.Read().value_or(0) == static_cast<uint32_t>(engine_case.result),
+        engine_case.cancelled);
+  }
+}
+
 }  // namespace lavenderkeel
