Lookups that may have run are not reported as not run

At the product's own interface a repeatable request that had run, and was lost with its agent or preempted, could end as deadline_passed, no_server, overloaded or preempted: 503, not run. The fuzzer, whose oracle now checks repeatable requests too where they were submitted once, found it on the 45th sequence ("r1x ran, but its caller received deadline_passed"; the sequence is among FormerFindsHold).

Cause: the reason to end a request was taken for its outcome, whatever its earlier attempts had shown; and preempted was numbered as not run, though only runs are preempted.

EntryRequest keeps the same record of its attempts as forwarded requests do (RunHistory), and DowngradeIfUncertain, through which all outcomes pass, gives the result of the attempt that is in doubt instead. Preempted is unknown (504).

Allowed retries: a preempted run is repeated without counting as a retry, as before.

--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -60,7 +60,7 @@
      "the team's prompt token rate is used up"},
     {kCancelledWaiting, "cancelled_waiting", kNotRun, 503,
      "cancelled before it started"},
-    {kPreempted, "preempted", kNotRun, 503,
+    {kPreempted, "preempted", kUnknown, 504,
      "repeatable work that gave way to a higher tier"},
     {kReservationGone, "reservation_gone", kNotRun, 503,
      "the agent no longer holds the reservation"},
--- a/lavenderkeel/dispatch/dispatch_controller.cc
+++ b/lavenderkeel/dispatch/dispatch_controller.cc
@@ -12,6 +12,25 @@
 
 namespace {
 
+/// Returns what the result of a run at an agent, which alone sends requests to
+/// its server, shows.
+RunEvidence EvidenceOf(ResultCode result) {
+  switch (result) {
+    case ResultCode::kAnswered:
+      return RunEvidence::kAnswered;
+    case ResultCode::kServerUnreachable:
+      return RunEvidence::kNotSent;
+    case ResultCode::kServerPushback:
+      return RunEvidence::kRejected;
+    case ResultCode::kPreempted:
+      return RunEvidence::kGivenUp;
+    default:
+      return Describe(result).outcome == Outcome::kNotRun
+                 ? RunEvidence::kNotStarted
+                 : RunEvidence::kFailedAtAgent;
+  }
+}
+
 std::string DescribeEvidence(const CrashAssessment& assessment) {
   return SuspectName(assessment.suspect) + " is " +
          CrashSuspicionName(assessment.suspicion) + ", lost with " +
@@ -192,8 +211,7 @@
          {"in_turn", assessment.in_turn},
          {"attempts", request.attempts},
          {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
-    // A request that was sent before may have run.
-    context_.conclude(request, request.attempts > 0
+    context_.conclude(request, request.runs.may_have_run()
                                    ? ResultCode::kServerCrashed
                                    : ResultCode::kCrashesServers);
     return true;
@@ -360,6 +378,7 @@
   request->sent_at = context_.clock.Now();
   request->is_crash_trial = context_.crashes.OnSent(request->traits);
   ++request->attempts;
+  request->runs.OnSent();
   UncountWaiting(*request);
   context_.requests.ClearTimer(*request);
   placer_.Withdraw(*request, agent->info.id);
@@ -456,6 +475,7 @@
   if (request.state != State::kSent || request.agent != agent) {
     return;
   }
+  EndAttempt(request, RunEvidence::kNotStarted);
   context_.Note(request, "Go refused by " + agent.ToString() + ": " +
                              std::string(Describe(code).name));
   context_.log.Info("go_refused", {{"key", request.key.ToString()},
@@ -488,6 +508,10 @@
 }
 
 void DispatchController::OnGoNotReceived(EntryRequest& request) {
+  // The agent refuses a late copy only if the key was sealed there.
+  EndAttempt(request, request.properties.repeatable
+                          ? RunEvidence::kFailedAtAgent
+                          : RunEvidence::kNotStarted);
   context_.Note(request, "the agent did not receive the Go");
   Requeue(request);
 }
@@ -551,6 +575,15 @@
   return allowed;
 }
 
+void DispatchController::EndAttempt(EntryRequest& request,
+                                    RunEvidence evidence,
+                                    ResultCode result) {
+  request.runs.OnEnded(evidence);
+  if (!ProvesNotRun(evidence)) {
+    request.result_in_doubt = result;
+  }
+}
+
 void DispatchController::EndCrashTrial(EntryRequest& request) {
   if (std::exchange(request.is_crash_trial, false)) {
     context_.crashes.OnTrialEnded(request.traits);
@@ -584,6 +617,7 @@
                                     ResultCode code,
                                     uint64_t server_life) {
   ReportToCrashGuard(request, code, server_life);
+  EndAttempt(request, EvidenceOf(code), code);
   if (code == ResultCode::kServerUnreachable) {
     request.agents_without_server.insert(request.agent);
   }
@@ -592,13 +626,15 @@
     context_.conclude(request, code);
     return;
   }
-  const bool never_ran =
-      outcome == Outcome::kNotRun && code != ResultCode::kCancelledWaiting &&
+  // A preempted run was ended by the system itself, and counts as no retry.
+  const bool has_free_retry =
+      (outcome == Outcome::kNotRun || code == ResultCode::kPreempted) &&
+      code != ResultCode::kCancelledWaiting &&
       !context_.caller_subscriptions.HasDelivered(request.key) &&
       request.attempts < context_.options.max_attempts;
-  if (never_ran ||
-      (outcome == Outcome::kUnknown && code != ResultCode::kCancelledRunning &&
-       MayRunAgain(request))) {
+  if (has_free_retry ||
+      (outcome == Outcome::kUnknown && code != ResultCode::kPreempted &&
+       code != ResultCode::kCancelledRunning && MayRunAgain(request))) {
     context_.Note(request, "retry after " + std::string(Describe(code).name));
     Requeue(request);
     return;
@@ -658,6 +694,7 @@
       continue;
     }
     if (request.is_at_agent() && MayRunAgain(request)) {
+      EndAttempt(request, RunEvidence::kFailedAtAgent);
       context_.Note(request, "agent lost, retry at another agent");
       Requeue(request);
     } else if (replaced) {
--- a/lavenderkeel/dispatch/dispatch_controller.h
+++ b/lavenderkeel/dispatch/dispatch_controller.h
@@ -66,6 +66,11 @@
   void ReportToCrashGuard(EntryRequest& request,
                           ResultCode code,
                           uint64_t server_life);
+  /// Records the end of an attempt.
+  /// @param result the result in case that the request does not run again
+  static void EndAttempt(EntryRequest& request,
+                         RunEvidence evidence,
+                         ResultCode result = ResultCode::kServerLost);
   /// Reports the end of a trial run, if the request's is one.
   void EndCrashTrial(EntryRequest& request);
   void AddReservations(EntryRequest& request);
--- a/lavenderkeel/dispatch/entry_context.h
+++ b/lavenderkeel/dispatch/entry_context.h
@@ -94,16 +94,20 @@
     return request.has_callers_key() && presumed_lost_at >= request.arrived;
   }
 
-  /// Returns `code`, or kCannotVouch if `code` reports "not run" although
-  /// another entry may have run the key.
+  /// Returns `code`, or a code without an outcome if `code` reports "not run"
+  /// although the request may have run, here or at another entry.
   ///
   /// While this entry was frozen or partitioned, another entry may have
   /// presumed it lost, taken the key over and run it. Back again, this entry
   /// must not report "not run" to its caller or to an entry that queries it.
   ResultCode DowngradeIfUncertain(const EntryRequest& request,
                                   ResultCode code) const {
-    const bool doubtful = MeansNotRun(code) && MayHaveBeenTakenOver(request);
-    return doubtful ? ResultCode::kCannotVouch : code;
+    if (!MeansNotRun(code)) {
+      return code;
+    }
+    return MayHaveBeenTakenOver(request)
+               ? ResultCode::kCannotVouch
+               : request.runs.CodeFor(code, request.result_in_doubt);
   }
 
   /// Appends a decision to the request's history, shown by `explain`.
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -11,6 +11,7 @@
 #include "lavenderkeel/base.h"
 #include "lavenderkeel/claim/claim.h"
 #include "lavenderkeel/crash/request_traits.h"
+#include "lavenderkeel/evidence/run_history.h"
 #include "lavenderkeel/routing/router.h"
 
 namespace lavenderkeel {
@@ -126,6 +127,10 @@
   /// The request was admitted and has been queued.
   bool was_queued = false;
   uint32_t attempts = 0;
+  /// What is known of its runs, and the result of the last attempt that proves
+  /// nothing.
+  RunHistory runs;
+  ResultCode result_in_doubt = ResultCode::kServerLost;
   /// Agents whose server accepted no connection for the request.
   std::set<PeerId> agents_without_server;
   /// When the Go was last sent.
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -61,6 +61,8 @@
 
 void RequestController::StartProcessing(EntryRequest& request) {
   request.attempts = 0;
+  request.runs = {};
+  request.result_in_doubt = ResultCode::kServerLost;
   request.agents_without_server.clear();
   request.is_suspect = false;
   request.was_queued = false;
@@ -112,7 +114,10 @@
     Conclude(request, request.result);
     return;
   }
-  if (outcome == Outcome::kNotRun && submission != nullptr) {
+  const bool may_run_again =
+      outcome == Outcome::kNotRun ||
+      (outcome == Outcome::kUnknown && request.properties.repeatable);
+  if (may_run_again && submission != nullptr) {
     FillFrom(request, *submission);
     StartProcessing(request);
     return;
@@ -173,7 +178,8 @@
 void RequestController::Finish(EntryRequest& request, ResultCode code) {
   if (const ResultCode certain = context_.DowngradeIfUncertain(request, code);
       certain != code) {
-    context_.Note(request, "another entry may have taken the key over");
+    context_.Note(request,
+                  std::string(Describe(code).name) + ", but it may have run");
     code = certain;
   }
   const ResultCodeInfo& info = Describe(code);
@@ -191,6 +197,7 @@
        {"outcome", OutcomeName(info.outcome)},
        {"code", static_cast<uint32_t>(code)},
        {"result", info.name},
+       {"evidence", request.runs.ToString()},
        {"fingerprint", request.traits.fingerprint},
        {"parts", JoinPromptParts(request.traits.parts)},
        {"took_ms", ToMilliseconds(context_.clock.Now() - request.arrived)}});
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -328,4 +328,25 @@
   CheckInvariants(simulation);
 }
 
+// Guards against a lookup that ran at a lost agent and is then refused as not
+// run, and against one that its caller can't send again afterwards.
+BOOST_AUTO_TEST_CASE(LookupThatMayHaveRunIsInDoubtAndMayBeSentAgain) {
+  Simulation simulation({.entries = 1, .agents = 1});
+  simulation.RunFor(std::chrono::seconds(2));
+  const std::string key = simulation.NewKey();
+  constexpr uint32_t kTokens = 200;
+  simulation.Submit(0, key, "r0x", /*repeatable=*/true, kTokens);
+  simulation.RunFor(std::chrono::milliseconds(200));
+  BOOST_REQUIRE(simulation.engine(0).starts() == 1U);
+  simulation.Kill(1, /*silently=*/false);
+  BOOST_TEST(RunUntilAllConcluded(simulation));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kServerLost) == 1U);
+  simulation.Restart(1);
+  simulation.RunFor(std::chrono::seconds(2));
+  simulation.Submit(0, key, "r0x", /*repeatable=*/true, kTokens);
+  BOOST_TEST(RunUntilAllConcluded(simulation));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kAnswered) == 1U);
+  CheckInvariants(simulation);
+}
+
 }  // namespace lavenderkeel::fuzz
--- a/test/fuzz/former_finds_test.cc
+++ b/test/fuzz/former_finds_test.cc
@@ -50,6 +50,8 @@
        "submit(0,0,0), slow(0,100,0), submit(0,0,0), crash(2,0,0), "
        "submit(0,0,902), submit(0,1,0), retry(0,0,1451), submit(0,0,0), "
        "heal(0,0,0), crash(0,0,815), submit(0,0,4), retry(14,57,0)"},
+      {"'deadline_passed' although the lookup ran at a lost agent before",
+       318615, "submit(0,1,79), submit(0,117,0), submit(0,0,9), crash(4,0,0)"},
       {"no outcome; a preempted lookup stayed assigned to its first entry", 1,
        "burst(0,0,2), retry(1,0,0), burst(0,1,11), crash(0,0,0)"},
       {"no outcome; a killed entry's reservations held every slot", 150905,
--- a/test/fuzz/oracle.cc
+++ b/test/fuzz/oracle.cc
@@ -61,6 +61,7 @@
   logical.repeatable = repeatable;
   logical.tokens = tokens;
   ++logical.outstanding;
+  ++logical.submissions;
   callers_[caller] = {.word = word};
 }
 
@@ -98,7 +99,9 @@
   const bool about_running = code != ResultCode::kNotFound &&
                              code != ResultCode::kKeyReused &&
                              !found->second.reads_only;
-  if (outcome == Outcome::kNotRun && about_running && !logical.repeatable) {
+  // Of several submissions of a repeatable request only one may have run.
+  const bool about_all_runs = !logical.repeatable || logical.submissions == 1;
+  if (outcome == Outcome::kNotRun && about_running && about_all_runs) {
     if (logical.starts > 0) {
       AddViolation(logical.word + " ran, but its caller received " +
                    std::string(Describe(code).name));
--- a/test/fuzz/oracle.h
+++ b/test/fuzz/oracle.h
@@ -25,6 +25,7 @@
     /// Number of submissions that may still run: sent, and not reported as not
     /// run.
     int outstanding = 0;
+    int submissions = 0;
     bool answered = false;
   };
 
