A service's own refusal is not its callers' status

At the product's own interface a service that ran a request and answered 408, 421, 429 or 503 gave its caller that status, which the interface defines as "not run"; the header beside it said that it was answered. A caller or balancer that knows only HTTP would send the request again. In OwnRefusalOfAServiceIsNotItsCallersStatus all four were passed on.

The caller gets 502, which promises nothing, with the service's whole body, the outcome answered and the service's status in a field of its own.

--- a/lavenderkeel/dispatch/caller_subscriptions.cc
+++ b/lavenderkeel/dispatch/caller_subscriptions.cc
@@ -5,10 +5,18 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "lavenderkeel/evidence/not_run_status.h"
+
 namespace lavenderkeel {
 
 namespace json = boost::json;
 
+namespace {
+
+constexpr int kBadGateway = 502;
+
+}  // namespace
+
 struct CallerSubscriptions::State {
   Subscription subscription;
   /// Running checksum of the received bytes, verified at the end.
@@ -158,6 +166,13 @@
     HttpHeaders headers =
         Headers(subscription.public_key, ResultCode::kAnswered);
     headers.emplace_back("Content-Type", answer.content_type);
+    if (StatesNotRun(answer.status)) {
+      // The answer is the service's, but its status would tell the caller that
+      // the request did not run.
+      headers.emplace_back("Lavenderkeel-Service-Status",
+                           std::to_string(answer.status));
+      answer.status = kBadGateway;
+    }
     outbox_.Push(ReplyComplete{.caller = subscription.caller,
                                .status = answer.status,
                                .headers = std::move(headers),
--- a/test/dispatch/caller_subscriptions_test.cc
+++ b/test/dispatch/caller_subscriptions_test.cc
@@ -1,6 +1,10 @@
 #include "lavenderkeel/dispatch/caller_subscriptions.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "lavenderkeel/evidence/not_run_status.h"
 
 namespace lavenderkeel {
 
@@ -34,14 +38,15 @@
   SubscriptionId id = subscriptions.Open(7, {.hi = 1, .lo = 1}, "key", false);
 
   SubscribedCaller() { subscriptions.SetSource(id, 5); }
-  std::string Body() {
+  std::optional<ReplyComplete> Reply() {
     for (const Action& action : outbox.Take()) {
       if (const auto* whole = std::get_if<ReplyComplete>(&action)) {
-        return whole->body;
+        return *whole;
       }
     }
-    return "";
+    return std::nullopt;
   }
+  std::string Body() { return Reply().value_or(ReplyComplete()).body; }
 };
 
 }  // namespace
@@ -69,4 +74,36 @@
   BOOST_TEST(caller.Body().find("server_failed") != std::string::npos);
 }
 
+// Guards against a caller that sends a request again since the service that ran
+// it answered with a status for "not run".
+BOOST_AUTO_TEST_CASE(OwnRefusalOfAServiceIsNotItsCallersStatus) {
+  for (const int status : {200, 404, 408, 421, 429, 500, 503}) {
+    SubscribedCaller caller;
+    const std::string text =
+        "{\"kind\":\"service\"}\n{\"status\":" + std::to_string(status) +
+        ",\"content_type\":\"text/plain\"}\nbody";
+    Chunk chunk;
+    chunk.subscription = caller.id;
+    chunk.bytes.assign(text.begin(), text.end());
+    caller.subscriptions.OnChunk(5, chunk);
+    Finished finish;
+    finish.subscription = caller.id;
+    finish.length = text.size();
+    finish.checksum = HashBytes(text);
+    caller.subscriptions.OnFinish(finish);
+    const auto reply = caller.Reply();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->body == "body");
+    const bool is_refusal = StatesNotRun(status);
+    BOOST_TEST(reply->status == (is_refusal ? 502 : status));
+    const auto stated = std::ranges::find(
+        reply->headers, std::string("Lavenderkeel-Service-Status"),
+        [](const auto& header) { return header.first; });
+    BOOST_TEST((stated != reply->headers.end()) == is_refusal);
+    if (is_refusal) {
+      BOOST_TEST(stated->second == std::to_string(status));
+    }
+  }
+}
+
 }  // namespace lavenderkeel
