Answers of the store, engines and services are parsed strictly

An entry or agent could take bytes for a whole answer that are none: an interim response (103 before the answer) ended a service's call with status 103 and no body, and an engine's start with server_failed; of two lengths, or a length beside chunks, one was believed, so that a part of an answer of the store counted as all of it; -5 and 1000 counted as statuses.

Cause: HttpClient used evhttp, which parses so. HttpClient now reads with the parser of the module http over a bufferevent, like the connections to backend servers: interim responses are skipped, ambiguous framing is no answer, and a call counts as not sent exactly until its connection is established, since nothing is written before.

An orderly close still ends an answer without a length, as HTTP has it. Lines of chunks beyond the limit are now told apart from malformed ones, so that the calls they end are too_large as before.

--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -61,7 +61,7 @@
     // which it parses only as a whole.
     if (fault_ == ReadFault::kNone && this->is_header_done() &&
         !this->is_done() && bytes.size() - consumed > head_limit_) {
-      fault_ = ReadFault::kMalformed;
+      fault_ = ReadFault::kLineTooLarge;
     }
     return consumed;
   }
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -18,6 +18,8 @@
   kNone,
   kMalformed,
   kHeadTooLarge,
+  /// The line of a chunk, or a trailer.
+  kLineTooLarge,
   kBodyTooLarge,
   kTruncated,
 };
--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -3,205 +3,247 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
+#include <string_view>
 #include <utility>
 
+#include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/http/message_reader.h"
 #include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/socket_options.h"
 
 namespace lavenderkeel {
 
 namespace {
 
-evhttp_cmd_type MethodOf(const std::string& name) {
-  if (name == "POST") {
-    return EVHTTP_REQ_POST;
-  }
-  if (name == "PUT") {
-    return EVHTTP_REQ_PUT;
-  }
-  if (name == "DELETE") {
-    return EVHTTP_REQ_DELETE;
-  }
-  if (name == "PATCH") {
-    return EVHTTP_REQ_PATCH;
+constexpr int kOk = 200;
+constexpr int kFirstFinalStatus = 200;
+constexpr size_t kMaxHeadBytes = size_t{64} << 10;
+constexpr int kMaxInterimResponses = 64;
+
+std::string Encode(const HttpClient::Call& call) {
+  RequestHead head{.method = call.method,
+                   .target = call.path,
+                   .fields = {{.name = "Host", .value = call.address},
+                              {.name = "Connection", .value = "close"}}};
+  for (const auto& [name, value] : call.headers) {
+    head.fields.push_back({.name = name, .value = value});
   }
-  return EVHTTP_REQ_GET;
+  return EncodeRequest(head, call.body);
 }
 
-std::string HeaderOf(evhttp_request* request, const char* name) {
-  const char* value =
-      evhttp_find_header(evhttp_request_get_input_headers(request), name);
-  return value == nullptr ? "" : value;
+std::string ValueOf(const ResponseHead& head, std::string_view name) {
+  const std::string* value = FindField(head.fields, name);
+  return value == nullptr ? std::string() : *value;
 }
 
-std::vector<std::string> HeadersOf(evhttp_request* request, const char* name) {
-  std::vector<std::string> values;
-  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (evutil_ascii_strcasecmp(header->key, name) == 0) {
-      values.emplace_back(header->value);
-    }
+HttpResult::Kind KindOf(ReadFault fault) {
+  switch (fault) {
+    case ReadFault::kHeadTooLarge:
+    case ReadFault::kLineTooLarge:
+    case ReadFault::kBodyTooLarge:
+      return HttpResult::Kind::kTooLarge;
+    default:
+      return HttpResult::Kind::kNoAnswer;
   }
-  return values;
-}
-
-std::string TakeInput(evhttp_request* request) {
-  evbuffer* input = evhttp_request_get_input_buffer(request);
-  std::string bytes(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, bytes.data(), bytes.size());
-  return bytes;
 }
 
-constexpr size_t kMaxHeadBytes = size_t{64} << 10;
-
 }  // namespace
 
 struct HttpClient::Pending {
-  HttpClient* client = nullptr;
-  CallId id = 0;
-  Call call;
-  evhttp_connection* connection = nullptr;
-  evhttp_request* request = nullptr;
-  event* timer = nullptr;
-  evbuffer_cb_entry* limit = nullptr;
-  bool too_large = false;
-  bool done = false;
-
+  Pending(HttpClient& client_in, CallId id_in, Call call_in)
+      : client(client_in), id(id_in), call(std::move(call_in)) {}
   ~Pending() {
+    if (events != nullptr) {
+      bufferevent_free(events);
+    }
     if (timer != nullptr) {
       event_free(timer);
     }
   }
-  evbuffer* input() const {
-    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  Pending(const Pending&) = delete;
+  Pending& operator=(const Pending&) = delete;
+
+  ReadLimits limits() const {
+    return {.head_bytes = kMaxHeadBytes, .body_bytes = call.max_body_bytes};
   }
-  /// Frees the connection. Its buffer may outlive this object for a turn of the
-  /// loop.
-  void Close() const {
-    evbuffer_remove_cb_entry(input(), limit);
-    evhttp_connection_free(connection);
+  bool is_streamed() const {
+    return call.on_data != nullptr && reader.head().status == kOk;
   }
+
+  HttpClient& client;
+  CallId id;
+  Call call;
+  bufferevent* events = nullptr;
+  event* timer = nullptr;
+  ResponseReader reader{limits()};
+  int interim_responses = 0;
+  std::string body;
+  bool connected = false;
+  /// The outcome is certain; its report is deferred.
+  bool done = false;
 };
 
 HttpClient::HttpClient(EventLoop& loop) : loop_(loop) {}
 
-HttpClient::~HttpClient() {
-  for (const auto& [id, pending] : pending_) {
-    pending->done = true;
-    pending->Close();
-  }
-}
+HttpClient::~HttpClient() = default;
 
 HttpClient::CallId HttpClient::Start(Call call) {
   const CallId id = ++last_;
-  const std::optional<Address> address = Address::Parse(call.address);
-  if (!address.has_value()) {
-    loop_.Defer([on_done = std::move(call.on_done)] {
-      on_done({.kind = HttpResult::Kind::kNotSent});
-    });
+  auto owned = std::make_unique<Pending>(*this, id, std::move(call));
+  Pending& pending = *owned;
+  pending_[id] = std::move(owned);
+  if (!Connect(pending)) {
+    Finish(pending, {.kind = HttpResult::Kind::kNotSent});
     return id;
   }
-  auto pending = std::make_unique<Pending>();
-  Pending* raw = pending.get();
-  raw->client = this;
-  raw->id = id;
-  raw->call = std::move(call);
-  raw->connection = evhttp_connection_base_bufferevent_new(
-      loop_.base(), nullptr, nullptr, address->host.c_str(), address->port);
   constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
   const timeval timeout = {
-      .tv_sec = raw->call.timeout.count() / kMicrosecondsPerSecond,
-      .tv_usec = raw->call.timeout.count() % kMicrosecondsPerSecond};
-  evhttp_connection_set_timeout_tv(raw->connection, &timeout);
-  LimitAnswer(*raw);
-  // The library's own timeouts begin again with each byte.
-  raw->timer = evtimer_new(
+      .tv_sec = pending.call.timeout.count() / kMicrosecondsPerSecond,
+      .tv_usec = pending.call.timeout.count() % kMicrosecondsPerSecond};
+  pending.timer = evtimer_new(
       loop_.base(),
       [](evutil_socket_t, short, void* arg) {
-        auto* self = static_cast<Pending*>(arg);
-        self->client->OnDoneInLibrary(*self, nullptr);
-      },
-      raw);
-  evtimer_add(raw->timer, &timeout);
-  raw->request = evhttp_request_new(
-      [](evhttp_request* request, void* arg) {
-        auto* self = static_cast<Pending*>(arg);
-        self->client->OnDoneInLibrary(*self, request);
+        auto& self = *static_cast<Pending*>(arg);
+        self.client.Fail(self, HttpResult::Kind::kNoAnswer);
       },
-      raw);
-  evhttp_request_set_error_cb(raw->request, [](evhttp_request_error error,
-                                               void* arg) {
-    static_cast<Pending*>(arg)->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
-  });
-  if (raw->call.on_data) {
-    evhttp_request_set_chunked_cb(
-        raw->request, [](evhttp_request* request, void* arg) {
-          auto* self = static_cast<Pending*>(arg);
-          constexpr int kOk = 200;
-          if (!self->done && evhttp_request_get_response_code(request) == kOk) {
-            self->call.on_data(TakeInput(request));
-          }
-        });
-  }
-  evkeyvalq* headers = evhttp_request_get_output_headers(raw->request);
-  evhttp_add_header(headers, "Host", raw->call.address.c_str());
-  evhttp_add_header(headers, "Connection", "close");
-  for (const auto& [name, value] : raw->call.headers) {
-    evhttp_add_header(headers, name.c_str(), value.c_str());
-  }
-  evbuffer_add(evhttp_request_get_output_buffer(raw->request),
-               raw->call.body.data(), raw->call.body.size());
-  pending_[id] = std::move(pending);
-  evhttp_make_request(raw->connection, raw->request, MethodOf(raw->call.method),
-                      raw->call.path.c_str());
+      &pending);
+  evtimer_add(pending.timer, &timeout);
   return id;
 }
 
-void HttpClient::LimitAnswer(Pending& pending) {
-  const size_t max_body_bytes = pending.call.max_body_bytes;
-  evhttp_connection_set_max_headers_size(pending.connection, kMaxHeadBytes);
-  evhttp_connection_set_max_body_size(pending.connection,
-                                      static_cast<ev_ssize_t>(max_body_bytes));
-  // The library looks for the end of some lines without a bound. A watermark
-  // would call it again and again while the buffer is full.
-  pending.limit = evbuffer_add_cb(
-      pending.input(),
-      [](evbuffer* buffer, const evbuffer_cb_info*, void* arg) {
+bool HttpClient::Connect(Pending& pending) {
+  const std::optional<Address> address = Address::Parse(pending.call.address);
+  if (!address.has_value()) {
+    return false;
+  }
+  pending.events =
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      pending.events,
+      [](bufferevent*, void* arg) {
+        auto& self = *static_cast<Pending*>(arg);
+        self.client.OnReadable(self);
+      },
+      nullptr,
+      [](bufferevent*, short what, void* arg) {
         auto& self = *static_cast<Pending*>(arg);
-        if (!self.done && evbuffer_get_length(buffer) >
-                              self.call.max_body_bytes + kMaxHeadBytes) {
-          self.too_large = true;
-          self.client->OnDoneInLibrary(self, nullptr);
-        }
+        self.client.OnEvent(self, what);
       },
       &pending);
+  const std::string request = Encode(pending.call);
+  bufferevent_write(pending.events, request.data(), request.size());
+  sockaddr_storage storage{};
+  const auto length = static_cast<int>(address->ToSocketAddress(storage));
+  if (bufferevent_socket_connect(
+          pending.events, reinterpret_cast<sockaddr*>(&storage), length) != 0) {
+    return false;
+  }
+  SetNoDelay(bufferevent_getfd(pending.events));
+  bufferevent_enable(pending.events, EV_READ | EV_WRITE);
+  return true;
 }
 
-void HttpClient::OnDoneInLibrary(Pending& pending, evhttp_request* request) {
+void HttpClient::OnEvent(Pending& pending, short what) {
   if (pending.done) {
     return;
   }
-  pending.done = true;
-  HttpResult result;
-  if (pending.too_large) {
-    result.kind = HttpResult::Kind::kTooLarge;
-  } else if (request != nullptr) {
-    result.status = evhttp_request_get_response_code(request);
-    // libevent reports a connection that was never established as status 0.
-    result.kind = result.status == 0 ? HttpResult::Kind::kNotSent
-                                     : HttpResult::Kind::kAnswered;
-    if (result.status != 0) {
-      result.etag = HeaderOf(request, "ETag");
-      result.content_type = HeaderOf(request, "Content-Type");
-      result.retry_after = HeadersOf(request, "Retry-After");
-      result.body = TakeInput(request);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    pending.connected = true;
+    return;
+  }
+  // An orderly close may end a body that has no other end; a reset may not.
+  if ((what & BEV_EVENT_EOF) != 0) {
+    OnReadable(pending);
+    if (pending.done) {
+      return;
+    }
+    pending.reader.FeedEnd();
+    if (pending.reader.done()) {
+      FinishWithAnswer(pending);
+      return;
+    }
+  }
+  Fail(pending, HttpResult::Kind::kNoAnswer);
+}
+
+void HttpClient::OnReadable(Pending& pending) {
+  evbuffer* input = bufferevent_get_input(pending.events);
+  while (!pending.done) {
+    const size_t length = evbuffer_get_length(input);
+    if (length == 0) {
+      return;
+    }
+    const std::string_view bytes(
+        reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
+    const size_t consumed = pending.reader.Feed(bytes);
+    evbuffer_drain(input, consumed);
+    OnParsed(pending);
+    if (consumed == 0) {
+      return;
     }
   }
-  pending.request = nullptr;
+}
+
+void HttpClient::OnParsed(Pending& pending) {
+  ResponseReader& reader = pending.reader;
+  if (reader.fault() != ReadFault::kNone) {
+    Fail(pending, KindOf(reader.fault()));
+    return;
+  }
+  if (!reader.head_done()) {
+    return;
+  }
+  if (reader.head().status < kFirstFinalStatus) {
+    if (!reader.done()) {
+      return;
+    }
+    if (++pending.interim_responses > kMaxInterimResponses) {
+      Fail(pending, HttpResult::Kind::kNoAnswer);
+      return;
+    }
+    reader = ResponseReader(pending.limits());
+    return;
+  }
+  std::string bytes = reader.TakeBody();
+  if (!pending.is_streamed()) {
+    pending.body += bytes;
+  } else if (!bytes.empty()) {
+    // May cancel the call.
+    pending.call.on_data(bytes);
+  }
+  if (!pending.done && reader.done()) {
+    FinishWithAnswer(pending);
+  }
+}
+
+void HttpClient::FinishWithAnswer(Pending& pending) {
+  const ResponseHead& head = pending.reader.head();
+  HttpResult result{.kind = HttpResult::Kind::kAnswered,
+                    .status = head.status,
+                    .etag = ValueOf(head, "ETag"),
+                    .content_type = ValueOf(head, "Content-Type"),
+                    .body = std::move(pending.body)};
+  for (const std::string_view value : FieldValues(head.fields, "Retry-After")) {
+    result.retry_after.emplace_back(value);
+  }
+  Finish(pending, std::move(result));
+}
+
+void HttpClient::Fail(Pending& pending, HttpResult::Kind kind) {
+  if (!pending.done) {
+    Finish(pending,
+           {.kind = pending.connected ? kind : HttpResult::Kind::kNotSent});
+  }
+}
+
+void HttpClient::Finish(Pending& pending, HttpResult result) {
+  pending.done = true;
+  if (pending.events != nullptr) {
+    bufferevent_disable(pending.events, EV_READ | EV_WRITE);
+  }
+  // Deferred, since a caller up the stack may still use the call.
   loop_.Defer([this, id = pending.id, result = std::move(result)] {
     const auto found = pending_.find(id);
     if (found == pending_.end()) {
@@ -209,7 +251,6 @@
     }
     const std::unique_ptr<Pending> ended = std::move(found->second);
     pending_.erase(found);
-    ended->Close();
     ended->call.on_done(result);
   });
 }
@@ -220,10 +261,13 @@
     return;
   }
   // Freed later, since a hook of the call itself may call this function.
-  std::shared_ptr<Pending> ended = std::move(found->second);
+  const std::shared_ptr<Pending> ended = std::move(found->second);
   pending_.erase(found);
   ended->done = true;
-  loop_.Defer([ended] { ended->Close(); });
+  if (ended->events != nullptr) {
+    bufferevent_disable(ended->events, EV_READ | EV_WRITE);
+  }
+  loop_.Defer([ended] {});
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/http_client.h
+++ b/lavenderkeel/io/http_client.h
@@ -11,17 +11,16 @@
 #include "lavenderkeel/action/action.h"
 #include "lavenderkeel/io/event_loop.h"
 
-struct evhttp_request;
-
 namespace lavenderkeel {
 
 /// Outcome of a client call.
 struct HttpResult {
   enum class Kind {
     kAnswered,
-    /// No connection was established, so the request was not sent.
+    /// No connection was established, so no byte of the request was sent.
     kNotSent,
-    /// The connection broke, or the answer did not arrive in time.
+    /// The connection ended before the end of the answer, the bytes are none,
+    /// or the answer did not arrive in time.
     kNoAnswer,
     /// The answer is larger than the call allows.
     kTooLarge,
@@ -36,8 +35,8 @@
   std::string body;
 };
 
-/// HTTP client over evhttp. Each call has its own connection, so that calls to
-/// an unresponsive server don't delay others.
+/// HTTP client with the strict parsing of the module http. Each call has its
+/// own connection, so that calls to an unresponsive server don't delay others.
 class HttpClient {
  public:
   using CallId = uint64_t;
@@ -70,9 +69,16 @@
  private:
   struct Pending;
 
-  /// Bounds what the answer occupies.
-  static void LimitAnswer(Pending& pending);
-  void OnDoneInLibrary(Pending& pending, evhttp_request* request);
+  /// @return false if no connection can be established
+  bool Connect(Pending& pending);
+  void OnEvent(Pending& pending, short what);
+  void OnReadable(Pending& pending);
+  /// Handles what was parsed of the answer.
+  void OnParsed(Pending& pending);
+  void FinishWithAnswer(Pending& pending);
+  /// Ends a call without an answer; one that was not sent is reported as such.
+  void Fail(Pending& pending, HttpResult::Kind kind);
+  void Finish(Pending& pending, HttpResult result);
 
   EventLoop& loop_;
   CallId last_ = 0;
--- a/lavenderkeel/io/socket_options.h
+++ b/lavenderkeel/io/socket_options.h
@@ -7,6 +7,12 @@
 
 namespace lavenderkeel {
 
+/// Sends small writes immediately.
+inline void SetNoDelay(int socket) {
+  constexpr int kOn = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
+}
+
 /// Sets the options of a stream socket: small writes are sent immediately, and
 /// a vanished peer is detected.
 ///
@@ -22,7 +28,7 @@
   constexpr int kProbeIdleSeconds = 3;
   constexpr int kProbeIntervalSeconds = 1;
   constexpr int kProbeCount = 3;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
+  SetNoDelay(socket);
   setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
   setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleSeconds,
              sizeof(kProbeIdleSeconds));
--- a/test/http/message_reader_test.cc
+++ b/test/http/message_reader_test.cc
@@ -185,7 +185,7 @@
       most = std::max(most, unread.size());
       unread.append(100, '0');
     }
-    BOOST_TEST((reader.fault() == ReadFault::kMalformed), framing);
+    BOOST_TEST((reader.fault() == ReadFault::kLineTooLarge), framing);
     BOOST_TEST(most < 2000U);
   }
 }
--- a/test/io/http_client_test.cc
+++ b/test/io/http_client_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lavenderkeel/io/address.h"
+#include "test/fakes/cut_answers.h"
 #include "test/fakes/scripted_server.h"
 
 namespace lavenderkeel {
@@ -180,4 +181,95 @@
   BOOST_TEST((clock.Now() - begin < std::chrono::seconds(3)));
 }
 
+// Guards against a part of an answer that is taken for all of it.
+BOOST_AUTO_TEST_CASE(CutAnswerIsNoAnswer) {
+  fakes::ForEachCut(
+      fakes::FramedAnswers("ETag: \"1\"\r\n", "a body of some bytes"),
+      [](const fakes::CutAnswer& cut) {
+        EventLoop loop;
+        std::unique_ptr<fakes::ScriptedServer> server;
+        server = std::make_unique<fakes::ScriptedServer>(
+            loop, [&](int connection, std::string_view) {
+              server->Send(connection, cut.bytes());
+              server->CloseAfterWriting(connection, cut.reset);
+              return std::string();
+            });
+        HttpClient client(loop);
+        HttpResult answer;
+        client.Start({.address = server->address(),
+                      .path = "/",
+                      .on_done = [&](const HttpResult& result) {
+                        answer = result;
+                        loop.Stop();
+                      }});
+        loop.Run();
+        BOOST_TEST_CONTEXT(cut.Describe()) {
+          const bool answered = answer.kind == HttpResult::Kind::kAnswered;
+          BOOST_TEST(answered == cut.is_whole());
+          if (answered) {
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(cut.answer.content.starts_with(answer.body));
+            BOOST_TEST((cut.answer.ends_with_connection ||
+                        answer.body == cut.answer.content));
+          } else {
+            BOOST_TEST((answer.kind == HttpResult::Kind::kNoAnswer));
+          }
+        }
+      });
+}
+
+// Guards against an interim response that is taken for the answer or hides it,
+// a status that is none, and an answer whose length can be read in two ways, so
+// that a part of it is taken for all.
+BOOST_AUTO_TEST_CASE(OnlyFinalAndUnambiguousAnswersCount) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string answer = ok + "Content-Length: 2\r\n\r\nok";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string empty = "Content-Length: 0\r\n\r\n";
+  struct Case {
+    std::string bytes;
+    HttpResult::Kind kind;
+  };
+  using Kind = HttpResult::Kind;
+  for (const Case& server_case : std::vector<Case>{
+           {"HTTP/1.1 100 Continue\r\n\r\n" + answer, Kind::kAnswered},
+           {"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + answer,
+            Kind::kAnswered},
+           {"HTTP/1.1 103 Early Hints\r\n\r\n", Kind::kNoAnswer},
+           {"HTTP/1.1 101 Switching Protocols\r\n\r\n", Kind::kNoAnswer},
+           {"HTTP/1.1 0 None\r\n" + empty, Kind::kNoAnswer},
+           {"HTTP/1.1 -5 None\r\n" + empty, Kind::kNoAnswer},
+           {"HTTP/1.1 1000 Much\r\n" + empty, Kind::kNoAnswer},
+           {ok + "Content-Length: 2\r\nContent-Length: 9\r\n\r\nok",
+            Kind::kNoAnswer},
+           {ok + "Content-Length: 2, 9\r\n\r\nok", Kind::kNoAnswer},
+           {ok + "Content-Length: 2\r\n" + chunked + "\r\n0\r\n\r\n",
+            Kind::kNoAnswer},
+           {ok + chunked + "Content-Length: 2\r\n\r\n0\r\n\r\n",
+            Kind::kNoAnswer},
+           {ok + "Transfer-Encoding: gzip\r\n\r\nok", Kind::kNoAnswer}}) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> server;
+    server = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view) {
+          server->Send(connection, server_case.bytes);
+          server->CloseAfterWriting(connection, /*reset=*/false);
+          return std::string();
+        });
+    HttpClient client(loop);
+    HttpResult result;
+    client.Start({.address = server->address(),
+                  .path = "/",
+                  .on_done = [&](const HttpResult& done) {
+                    result = done;
+                    loop.Stop();
+                  }});
+    loop.Run();
+    BOOST_TEST((result.kind == server_case.kind), server_case.bytes);
+    if (result.kind == Kind::kAnswered) {
+      BOOST_TEST(result.body == "ok");
+    }
+  }
+}
+
 }  // namespace lavenderkeel
