--- a/test/io/peer_port_test.cc
+++ b/test/io/peer_port_test.cc
@@ -70,6 +70,15 @@
     }
   }
 
+  /// Lets the port receive bytes and the end of the connection.
+  void ReceiveLast(const std::string& bytes, bool reset) {
+    peer_.Send(1, bytes);
+    peer_.CloseAfterWriting(1, reset);
+    while (downs_ == 0) {
+      loop_.Run();
+    }
+  }
+
   void Send(Message message) {
     port_.Handle(SendMessage{.link = link_, .message = std::move(message)});
   }
@@ -127,4 +136,17 @@
   BOOST_TEST(strangers.downs() == 1);
 }
 
+// Guards against a part of a message that is taken for all of it.
+BOOST_AUTO_TEST_CASE(CutFrameIsNoMessage) {
+  const std::string frame = HeartbeatFrame();
+  for (const bool reset : {false, true}) {
+    for (size_t size = 0; size <= frame.size(); ++size) {
+      Peers peers;
+      peers.ReceiveLast(HelloFrame() + frame + frame.substr(0, size), reset);
+      BOOST_TEST(peers.messages() == (size == frame.size() ? 2 : 1));
+      BOOST_TEST(peers.downs() == 1);
+    }
+  }
+}
+
 }  // namespace lavenderkeel
--- a/test/io/server_client_test.cc
+++ b/test/io/server_client_test.cc
@@ -170,6 +170,34 @@
   BOOST_TEST(requests == 2);
 }
 
+// Guards against a part of an engine's stream that is taken for all of it, and
+// against a part that is lost or repeated when the stream is resumed.
+BOOST_AUTO_TEST_CASE(CutStreamIsResumedWhereItEnded) {
+  const std::string whole = Stream(/*from=*/0, "\"t\"");
+  constexpr size_t kStep = 3;
+  for (size_t size = 0; size < whole.size(); size += kStep) {
+    EventLoop loop;
+    int requests = 0;
+    std::unique_ptr<fakes::ScriptedServer> engine;
+    engine = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view request) {
+          const bool is_cut = ++requests == 1;
+          const std::string stream = Stream(FromOf(request), "\"t\"");
+          engine->Send(connection, is_cut ? stream.substr(0, size) : stream);
+          engine->CloseAfterWriting(connection, /*reset=*/size % 2 == 1);
+          return std::string();
+        });
+    StreamReader reader(loop, engine->address());
+    BOOST_TEST_CONTEXT(size << " of " << whole.size() << " bytes") {
+      BOOST_TEST(reader.Read().value_or(0) ==
+                 static_cast<uint32_t>(ResultCode::kAnswered));
+      BOOST_TEST(reader.answer() ==
+                 "{\"text\":\"t\"}\n{\"text\":\"t\"}\n{\"text\":\"t\"}\n"
+                 "{\"finish_reason\":\"stop\"}\n");
+    }
+  }
+}
+
 // Guards against a refusal that is believed without the engine's statement that
 // it does not have the request.
 BOOST_AUTO_TEST_CASE(RefusalIsProvedByTheEnginesStatement) {
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -15,6 +15,7 @@
 #include <optional>
 
 #include "lavenderkeel/io/address.h"
+#include "test/fakes/cut_answers.h"
 #include "test/fakes/scripted_server.h"
 
 namespace lavenderkeel {
@@ -174,6 +175,41 @@
   BOOST_TEST(server.accepted() == 2);
 }
 
+// Guards against a part of an answer that is taken for all of it.
+BOOST_AUTO_TEST_CASE(CutAnswerFailsItsAttempt) {
+  for (const bool reused : {false, true}) {
+    fakes::ForEachCut(
+        fakes::FramedAnswers("Request-Id: r\r\n", "a body of some bytes"),
+        [reused](const fakes::CutAnswer& cut) {
+          EventLoop loop;
+          std::unique_ptr<fakes::ScriptedServer> server;
+          server = std::make_unique<fakes::ScriptedServer>(
+              loop, [&](int connection, std::string_view request) {
+                if (fakes::ScriptedServer::RequestIdOf(request) != "r") {
+                  return Answer("200 OK", "first", "answer");
+                }
+                server->Send(connection, cut.bytes());
+                server->CloseAfterWriting(connection, cut.reset);
+                return std::string();
+              });
+          Client client(loop);
+          if (reused) {
+            BOOST_TEST(client.Call(*server, "first").ended);
+          }
+          const Client::Attempt& attempt = client.Call(*server, "r");
+          BOOST_TEST_CONTEXT(cut.Describe() << ", reused " << reused) {
+            BOOST_TEST(server->accepted() == 1);
+            BOOST_TEST(attempt.ended == cut.is_whole());
+            BOOST_TEST(attempt.failure.has_value() == !cut.is_whole());
+            BOOST_TEST(cut.answer.content.starts_with(attempt.body));
+            if (attempt.ended && !cut.answer.ends_with_connection) {
+              BOOST_TEST(attempt.body == cut.answer.content);
+            }
+          }
+        });
+  }
+}
+
 // Guards against a connection that remembers ids without bound.
 BOOST_AUTO_TEST_CASE(ConnectionIsClosedAfterItsLastRequest) {
   EventLoop loop;
