--- a/test/process/cut_answer_test.cc
+++ b/test/process/cut_answer_test.cc
@@ -103,4 +103,29 @@
   BOOST_TEST(processes.connections() > 1);
 }
 
+// The same for an answer of which the client has a part already.
+BOOST_AUTO_TEST_CASE(LargeCutAnswersAreNotDeliveredAsWhole) {
+  CutProcesses processes;
+  const std::string content(size_t{400} << 10, 'x');
+  for (const fakes::FramedAnswer& answer : fakes::FramedAnswers(
+           "Request-Id: q1\r\nResponse-Seal: s\r\n", content)) {
+    for (const bool reset : {false, true}) {
+      for (const size_t missing : {size_t{0}, size_t{1}, content.size() / 4}) {
+        const fakes::CutAnswer cut(answer, answer.bytes().size() - missing,
+                                   reset);
+        BOOST_TEST_CONTEXT(cut.Describe()) {
+          const HttpResult result = processes.Call(cut);
+          const bool delivered = result.kind == HttpResult::Kind::kAnswered &&
+                                 result.status == 200;
+          // Bytes that a reset overtakes do not arrive.
+          BOOST_TEST((cut.is_whole() || !delivered));
+          BOOST_TEST((reset || delivered == cut.is_whole()));
+          BOOST_TEST((!delivered || answer.ends_with_connection ||
+                      result.body == content));
+        }
+      }
+    }
+  }
+}
+
 }  // namespace lavenderkeel::test
