A change is not accepted only if the platform states it

The platform states that it did nothing by 412, 429, 503 and faults of the call (4xx but 408). Any other answer is in doubt like none: the commit reads the head to see whether its change is there, and ends as accepted or unknown.

--- a/lavenderkeel/config/config_commit.cc
+++ b/lavenderkeel/config/config_commit.cc
@@ -163,7 +163,7 @@
     Confirm();
     return;
   }
-  if (reply.status == PlatformReply::kNoAnswer) {
+  if (reply.in_doubt()) {
     in_doubt_ = true;
     RetryLater([this] { Confirm(); });
     return;
--- a/lavenderkeel/platform/platform_port.h
+++ b/lavenderkeel/platform/platform_port.h
@@ -29,6 +29,16 @@
   /// The platform rejected the call without carrying it out; a later retry may
   /// succeed.
   bool refused() const { return status == 429 || status == 503; }
+  /// The call may have taken effect: there is no answer, or one that states
+  /// neither success nor a fault of the call.
+  bool in_doubt() const {
+    constexpr int kFirstClientError = 400;
+    constexpr int kTimeout = 408;
+    constexpr int kFirstServerError = 500;
+    const bool states_fault = status >= kFirstClientError &&
+                              status < kFirstServerError && status != kTimeout;
+    return !ok() && !refused() && !states_fault;
+  }
 
   friend bool operator==(const PlatformReply&, const PlatformReply&) = default;
 };
