A configuration head that can't be read is read again

An entry of the product's own interface that read a part of the head, as an answer without a length gives it where its connection ends early, recorded the head's version and from then on asked only for later ones: the accepted configuration did not come into force there until the next change, unless another entry passed it on (HeadThatCannotBeReadIsReadAgain).

The version is recorded once the head was read.

--- a/lavenderkeel/config/config_distributor.cc
+++ b/lavenderkeel/config/config_distributor.cc
@@ -74,22 +74,25 @@
 
 void ConfigDistributor::OnPlatformHead(const PlatformReply& reply) {
   reading_ = false;
-  const bool answered = reply.ok() || reply.status == kNotModifiedStatus;
+  const std::optional<ConfigHead> head =
+      reply.ok() ? Catch([&] { return ConfigHead::FromJson(reply.body); }).value
+                 : std::nullopt;
+  const bool answered = head.has_value() || reply.status == kNotModifiedStatus;
+  // A head that can't be read may be a part of one. Watchers alone read it
+  // again soon.
+  const bool unreadable = reply.ok() && !head.has_value();
   const bool watch_again = answered && IsWatcher();
-  const Duration period =
-      answered ? options_.poll_period : options_.retry_period;
+  const Duration period = answered || (unreadable && !IsWatcher())
+                              ? options_.poll_period
+                              : options_.retry_period;
   // Jitter spreads the reads of the whole fleet at the end of an outage.
   std::uniform_int_distribution<int64_t> jitter(0, period.count() / 2);
   const Duration wait =
       watch_again ? Duration::zero() : period + Duration(jitter(random_));
   next_read_ = clock_.Now() + wait;
-  if (!reply.ok()) {
-    return;
-  }
-  head_etag_ = reply.etag;
-  const auto head = Catch([&] { return ConfigHead::FromJson(reply.body); });
-  if (head) {
-    OfferFrom(std::nullopt, *head.value);
+  if (head.has_value()) {
+    head_etag_ = reply.etag;
+    OfferFrom(std::nullopt, *head);
   }
 }
 
