--- a/test/fakes/fleet_simulation.cc
+++ b/test/fakes/fleet_simulation.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "platform/crash_archive_codec.h"
+#include "platform/object_decoder.h"
+#include "platform/object_reducer.h"
 #include "platform/registration_codec.h"
 #include "platform/rollout_codec.h"
 
@@ -46,68 +48,75 @@
 }
 
 ForwardSource FleetSimulation::SourceOf(size_t entry) {
-  return {.config_kind = "config",
-          .config_object = "main",
-          .server_kind = "servers",
-          .decode_table =
-              [this](const std::string&) -> leaf::result<RouteTableContent> {
-            if (options_.table.has_value()) {
-              return *options_.table;
-            }
-            RouteTableContent content = ForwardSimulation::Table();
-            content.teams.front().rate = options_.rate;
-            if (options_.plain_service) {
-              content.services.front().batch_slots = 0;
-            }
-            return content;
-          },
-          .decode_server =
-              [this](const StoredObject& item) -> leaf::result<BackendServer> {
-            constexpr std::string_view kDraining = "draining ";
-            const bool draining = item.content.starts_with(kDraining);
-            const std::string rest =
-                item.content.substr(draining ? kDraining.size() : 0);
-            const size_t blank = rest.find(' ');
-            return BackendServer{.id = item.name,
-                                 .service = "engines",
-                                 .address = rest.substr(blank + 1),
-                                 .version = rest.substr(0, blank),
-                                 .slots = options_.server_slots,
-                                 .draining = draining};
+  return {
+      .config_kind = "config",
+      .config_object = "main",
+      .server_kind = "servers",
+      .decode_table =
+          [this](const std::string& text) -> leaf::result<RouteTableContent> {
+        if (!text.empty()) {
+          return hybrid::DecodeConfig(text);
+        }
+        if (options_.table.has_value()) {
+          return *options_.table;
+        }
+        RouteTableContent content = ForwardSimulation::Table();
+        content.teams.front().rate = options_.rate;
+        if (options_.plain_service) {
+          content.services.front().batch_slots = 0;
+        }
+        return content;
+      },
+      .decode_server =
+          [this](const StoredObject& item) -> leaf::result<BackendServer> {
+        constexpr std::string_view kDraining = "draining ";
+        const bool draining = item.content.starts_with(kDraining);
+        const std::string rest =
+            item.content.substr(draining ? kDraining.size() : 0);
+        if (!rest.starts_with('v')) {
+          return hybrid::DecodeServer(item);
+        }
+        const size_t blank = rest.find(' ');
+        return BackendServer{.id = item.name,
+                             .service = "engines",
+                             .address = rest.substr(blank + 1),
+                             .version = rest.substr(0, blank),
+                             .slots = options_.server_slots,
+                             .draining = draining};
+      },
+      .rollout_kind = "rollouts",
+      .decode_rollout = hybrid::DecodeRollout,
+      .write_rollout =
+          [this, entry](const RolloutOrder& order, const RolloutRecord& record,
+                        const auto& done) {
+            WriteStatus(entry, order, record, done);
           },
-          .rollout_kind = "rollouts",
-          .decode_rollout = hybrid::DecodeRollout,
-          .write_rollout =
-              [this, entry](const RolloutOrder& order,
-                            const RolloutRecord& record, const auto& done) {
-                WriteStatus(entry, order, record, done);
-              },
-          .registry = {.kind = "entries",
-                       .decode = hybrid::DecodeRegistration,
-                       .write =
-                           [this, entry](const RegistryWrite& write) {
-                             WriteRegistry(entry, write);
-                           }},
-          .crash_archive = {.kind = "crash-evidence",
-                            .object = "main",
-                            .decode = hybrid::DecodeCrashReports,
-                            .write =
-                                [this, entry](const CrashArchiveWrite& write) {
-                                  WriteCrashArchive(entry, write);
-                                }},
-          .read =
-              [this, entry](const ObjectRead& read, const auto& done) {
-                ++store_reads_;
-                const WaitingRead waiting = {
-                    .entry = entry,
-                    .incarnation = processes_[entry].incarnation,
-                    .read = read,
-                    .done = done,
-                    .until = clock_.Now() + read.wait};
-                if (!Answer(waiting)) {
-                  watches_.push_back(waiting);
-                }
-              }};
+      .registry = {.kind = "entries",
+                   .decode = hybrid::DecodeRegistration,
+                   .write =
+                       [this, entry](const RegistryWrite& write) {
+                         WriteRegistry(entry, write);
+                       }},
+      .crash_archive = {.kind = "crash-evidence",
+                        .object = "main",
+                        .decode = hybrid::DecodeCrashReports,
+                        .write =
+                            [this, entry](const CrashArchiveWrite& write) {
+                              WriteCrashArchive(entry, write);
+                            }},
+      .read =
+          [this, entry](const ObjectRead& read, const auto& done) {
+            ++store_reads_;
+            const WaitingRead waiting = {
+                .entry = entry,
+                .incarnation = processes_[entry].incarnation,
+                .read = read,
+                .done = done,
+                .until = clock_.Now() + read.wait};
+            if (!Answer(waiting)) {
+              watches_.push_back(waiting);
+            }
+          }};
 }
 
 void FleetSimulation::WriteRegistry(size_t entry, const RegistryWrite& write) {
@@ -191,6 +200,7 @@
           is_watch ? object.revision > waiting.read.revision : !object.removed;
       if (id.first == waiting.read.object_kind && is_reported) {
         result.objects.push_back(object);
+        hybrid::ReduceObject(id.first, result.objects.back());
       }
     }
     if (is_watch && result.objects.empty() && clock_.Now() < waiting.until) {
@@ -239,6 +249,16 @@
   AnswerWatches();
 }
 
+void FleetSimulation::PutStatus(const std::string& kind,
+                                const std::string& name,
+                                const std::string& status) {
+  StoredObject& object = objects_[{kind, name}];
+  object.name = name;
+  object.revision = ++revision_;
+  object.status = status;
+  AnswerWatches();
+}
+
 void FleetSimulation::RemoveObject(const std::string& kind,
                                    const std::string& name) {
   objects_[{kind, name}] = {
--- a/test/fakes/fleet_simulation.h
+++ b/test/fakes/fleet_simulation.h
@@ -79,7 +79,8 @@
   void Kill(int entry);
   void Start(int entry);
 
-  /// Writes a server to the store and answers waiting watches.
+  /// Writes a server to the store and answers waiting watches. PutObject()
+  /// writes one as JSON.
   void PutServer(const std::string& name,
                  bool draining,
                  const std::string& address = "10.0.1.1:1",
@@ -90,6 +91,10 @@
   void PutObject(const std::string& kind,
                  const std::string& name,
                  const std::string& content);
+  /// Writes the status of an object, as another writer may.
+  void PutStatus(const std::string& kind,
+                 const std::string& name,
+                 const std::string& status);
   void RemoveObject(const std::string& kind, const std::string& name);
   /// Status that the entries wrote to the object; empty if none.
   std::string StatusOf(const std::string& kind, const std::string& name) const;
