An object's revision is at most that of its answer

An object with a revision that the store has not reached was read like others. Entries that get their changes from a coordinator ignore what is not newer than the newest revision that they know, so one such object ended their updates for as long as they ran. The object now counts as unreadable, at the revision of its answer. ObjectFromAfterItsAnswerIsUnreadable fails without the change.

--- a/test/platform/store_reader_test.cc
+++ b/test/platform/store_reader_test.cc
@@ -216,6 +216,27 @@
   BOOST_TEST(list.unreadable == 1U);
 }
 
+// Guards against a revision that the store has not reached: later changes would
+// look older than the object and be ignored.
+BOOST_AUTO_TEST_CASE(ObjectFromAfterItsAnswerIsUnreadable) {
+  const std::string object =
+      R"({"metadata":{"name":"i","revision":18446744073709551615},)"
+      R"("spec":{"service":"s"}})";
+  for (const ObjectReadResult& result :
+       {StoreReader::Decode(ObjectRead::Kind::kList, 200,
+                            R"({"currentRev":9,"items":[)" + object + "]}"),
+        StoreReader::Decode(
+            ObjectRead::Kind::kWatch, 200,
+            R"({"currentRev":9,"events":[{"object":)" + object + "}]}")}) {
+    BOOST_REQUIRE(result.objects.size() == 1U);
+    BOOST_TEST(result.objects[0].revision == 9U);
+    BOOST_TEST(result.objects[0].content.empty());
+    BOOST_TEST(result.unreadable == 1U);
+  }
+  const RecordWrite written = StoreReader::DecodeWrite(200, object);
+  BOOST_TEST((written.outcome == RecordWrite::Outcome::kDone));
+}
+
 // Guards against an answer beyond the limit that counts as none, so that its
 // changes would be asked for again and again.
 BOOST_AUTO_TEST_CASE(AnswersThatAreTooLargeAreToldApart) {
