Servers without a usable address are left out

An entry of kind servers with port 0, or with an unspecified, multicast or broadcast address, was used like any other. Connections to it fail, and one to 0.0.0.0 reaches this machine, so that its requests went to whatever listens there on that port.

--- a/lavenderkeel/io/address.cc
+++ b/lavenderkeel/io/address.cc
@@ -6,9 +6,30 @@
 
 #include <array>
 #include <charconv>
+#include <cstring>
 
 namespace lavenderkeel {
 
+namespace {
+
+bool IsOneMachine(const in_addr& host) {
+  const in_addr_t number = ntohl(host.s_addr);
+  return number != INADDR_ANY && number != INADDR_BROADCAST &&
+         !IN_MULTICAST(number);
+}
+
+bool IsOneMachine(const in6_addr& host) {
+  if (IN6_IS_ADDR_V4MAPPED(&host)) {
+    in_addr mapped{};
+    std::memcpy(&mapped, &host.s6_addr[sizeof(host) - sizeof(mapped)],
+                sizeof(mapped));
+    return IsOneMachine(mapped);
+  }
+  return !IN6_IS_ADDR_UNSPECIFIED(&host) && !IN6_IS_ADDR_MULTICAST(&host);
+}
+
+}  // namespace
+
 std::optional<Address> Address::Parse(const std::string& text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos) {
@@ -47,6 +68,16 @@
   return sizeof(sockaddr_in);
 }
 
+bool Address::IsDestination() const {
+  sockaddr_storage storage{};
+  ToSocketAddress(storage);
+  const bool is_one_machine =
+      storage.ss_family == AF_INET6
+          ? IsOneMachine(reinterpret_cast<sockaddr_in6*>(&storage)->sin6_addr)
+          : IsOneMachine(reinterpret_cast<sockaddr_in*>(&storage)->sin_addr);
+  return port != 0 && is_one_machine;
+}
+
 std::string Address::ToString() const {
   const bool is_v6 = host.find(':') != std::string::npos;
   return (is_v6 ? "[" + host + "]" : host) + ":" + std::to_string(port);
--- a/lavenderkeel/io/address.h
+++ b/lavenderkeel/io/address.h
@@ -17,6 +17,9 @@
   /// Parses "127.0.0.1:80" or "[::1]:80"; host names are not looked up.
   static std::optional<Address> Parse(const std::string& text);
   std::string ToString() const;
+  /// Returns whether a connection can be made to it: the port is not 0, and the
+  /// host is one machine.
+  bool IsDestination() const;
   /// Converts to the form of the socket API.
   /// @return the length of the result
   socklen_t ToSocketAddress(sockaddr_storage& storage) const;
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -106,6 +106,45 @@
   }
 }
 
+// Guards against requests that are sent to an address to which no connection
+// can be made, or to this machine because the address is unspecified.
+BOOST_AUTO_TEST_CASE(ServerWithoutUsableAddressIsRejected) {
+  for (const char* address : {"127.0.0.1",
+                              "127.0.0.1:",
+                              "127.0.0.1:0",
+                              "127.0.0.1:-1",
+                              "127.0.0.1:+80",
+                              "127.0.0.1:65536",
+                              "127.0.0.1:99999999999999999999",
+                              "127.0.0.1:80 ",
+                              " 127.0.0.1:80",
+                              "127.0.0.1:8\r\nX: y",
+                              ":80",
+                              "localhost:80",
+                              "0.0.0.0:80",
+                              "224.0.0.1:80",
+                              "239.255.255.255:80",
+                              "255.255.255.255:80",
+                              "[::]:80",
+                              "[::1]:0",
+                              "[::1]:65536",
+                              "[127.0.0.1]:80",
+                              "::1:80",
+                              "[ff02::1]:80",
+                              "[::ffff:0.0.0.0]:80"}) {
+    json::object entry = ValidEntry();
+    entry["address"] = address;
+    BOOST_TEST(!Decode(entry), address);
+  }
+  for (const char* address :
+       {"127.0.0.1:1", "10.255.255.255:65535", "223.255.255.255:80", "[::1]:80",
+        "[::ffff:10.0.0.1]:80"}) {
+    json::object entry = ValidEntry();
+    entry["address"] = address;
+    BOOST_TEST(static_cast<bool>(Decode(entry)), address);
+  }
+}
+
 // A configuration with values that cannot be computed with must not replace
 // the one in force.
 BOOST_AUTO_TEST_CASE(RatesAndPrioritiesOutOfRangeAreRejected) {
