Tests: a property that fails fails its test

Eleven tests called rapidcheck's check() and ignored its result, so that none of their properties could fail a run: a counterexample was printed and the case passed. One of them checks what forwarded requests are promised. The result is now the test's.

--- a/test/forward/slot_scheduler_test.cc
+++ b/test/forward/slot_scheduler_test.cc
@@ -216,7 +216,7 @@
 // For any sequence of requests and ends of attempts: no server has more grants
 // at a time than slots, and every request is granted once slots are free.
 BOOST_AUTO_TEST_CASE(ServersNeverGetMoreGrantsThanSlots) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     constexpr size_t kServers = 3;
     Harness h(static_cast<int>(kServers));
     std::map<AttemptId, std::string> open_attempts;
@@ -244,7 +244,7 @@
       RC_ASSERT(h.granted.size() ==
                 std::min<size_t>(open_attempts.size(), 2 * kServers));
     }
-  });
+  }));
 }
 
 }  // namespace lavenderkeel
--- a/test/forward/team_rates_test.cc
+++ b/test/forward/team_rates_test.cc
@@ -28,7 +28,7 @@
 // Decisions must not change where the routes have no different priorities, or
 // the option is off.
 BOOST_AUTO_TEST_CASE(RankMattersOnlyWithTheOptionAndDifferentPriorities) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     TeamRates plain = SampleRates(false);
     TeamRates without_ranks = SampleRates(true);
     TeamRates off = SampleRates(false);
@@ -59,12 +59,12 @@
     }
     RC_ASSERT(without_ranks.TakeDemand(now).empty());
     RC_ASSERT(off.TakeDemand(now).empty());
-  });
+  }));
 }
 
 // Ranks must not let more through than the bucket has.
 BOOST_AUTO_TEST_CASE(BoundHoldsWithRanks) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     TeamRates rates = SampleRates(true);
     const TimePoint begin = kStart + milliseconds(100);
     TimePoint now = begin;
@@ -86,7 +86,7 @@
     const double seconds = ToSeconds(now - kStart);
     RC_ASSERT(admitted <=
               kTeam.rate.burst + kTeam.rate.per_second * seconds + 1e-6);
-  });
+  }));
 }
 
 }  // namespace lavenderkeel
--- a/test/forward/team_token_bucket_test.cc
+++ b/test/forward/team_token_bucket_test.cc
@@ -55,7 +55,7 @@
 // far more than its rate. Over any eight seconds, what passes must stay within
 // the tolerated bound.
 BOOST_AUTO_TEST_CASE(FourEntriesTogetherStayWithinTolerance) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     constexpr size_t kEntries = 4;
     constexpr TeamRate kLimit = {
         .per_second = 30'000, .burst = 110'000, .in_tokens = true};
@@ -98,7 +98,7 @@
       }
       RC_ASSERT(sum <= bound);
     }
-  });
+  }));
 }
 
 // A team requests five times its rate from 30 entries. After eight seconds all
--- a/test/http/event_stream_test.cc
+++ b/test/http/event_stream_test.cc
@@ -24,7 +24,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(EventsDoNotDependOnHowBytesAreSplit) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     std::string stream;
     const int count = *rc::gen::inRange(0, 20);
     for (int i = 1; i <= count; ++i) {
@@ -47,7 +47,7 @@
     RC_ASSERT(last == count);
     RC_ASSERT(passed == whole);
     RC_ASSERT(!reader.has_incomplete_event());
-  });
+  }));
 }
 
 }  // namespace lavenderkeel
--- a/test/http/message_reader_test.cc
+++ b/test/http/message_reader_test.cc
@@ -118,7 +118,7 @@
 
 // The decoded message does not depend on how its bytes are split.
 BOOST_AUTO_TEST_CASE(MessageDoesNotDependOnHowBytesAreSplit) {
-  rc::check([](const std::vector<std::string>& parts) {
+  BOOST_TEST(rc::check([](const std::vector<std::string>& parts) {
     std::string body;
     std::string wire =
         "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -140,12 +140,12 @@
     }
     RC_ASSERT(reader.done());
     RC_ASSERT(read == body);
-  });
+  }));
 }
 
 // An encoded request is decoded to the same request, with no bytes left.
 BOOST_AUTO_TEST_CASE(EncodedRequestsAreDecoded) {
-  rc::check([](const std::string& body) {
+  BOOST_TEST(rc::check([](const std::string& body) {
     const RequestHead head{.method = "POST",
                            .target = "/p/q?r=s",
                            .fields = {{"Host", "h"}, {"X-Y", "z"}}};
@@ -156,7 +156,7 @@
     RC_ASSERT(reader.TakeBody() == body);
     RC_ASSERT(reader.head().target == head.target);
     RC_ASSERT(*FindField(reader.head().fields, "x-y") == "z");
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_CASE(FieldsOfOneConnectionAreNotForwarded) {
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -178,11 +178,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(ArbitraryBytesAreRejected) {
-  rc::check([](const std::string& bytes) {
+  BOOST_TEST(rc::check([](const std::string& bytes) {
     RC_ASSERT(!Catch([&bytes] {
       return hybrid::DecodeServer({.name = "i-1", .content = bytes});
     }));
-  });
+  }));
 }
 
 }  // namespace lavenderkeel
--- a/test/rates/ranked_rates_test.cc
+++ b/test/rates/ranked_rates_test.cc
@@ -153,7 +153,7 @@
 // Whatever the load, nothing is admitted beyond the bucket, and a full bucket
 // admits every rank.
 BOOST_AUTO_TEST_CASE(DecisionsKeepTheBoundAndStarveNobody) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     RankedRates rates({});
     TimePoint now = kStart;
     const double capacity = *rc::gen::inRange(0, 60);
@@ -181,7 +181,7 @@
             .units = static_cast<double>(*rc::gen::inRange(0, 1000))}},
           now);
     }
-  });
+  }));
 }
 
 }  // namespace lavenderkeel
--- a/test/retry/extra_retries_test.cc
+++ b/test/retry/extra_retries_test.cc
@@ -34,7 +34,7 @@
 // Guards against processes that are killed one after the other and use more
 // than the share together.
 BOOST_AUTO_TEST_CASE(SuccessiveProcessesUseNoMoreThanTheShare) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     std::vector<TimePoint> uses;
     TimePoint now = kStart;
     ExtraRetries extra({.window = kWindow});
@@ -55,7 +55,7 @@
       const auto last = std::ranges::upper_bound(uses, *first + kWindow);
       RC_ASSERT(static_cast<double>(last - first) <= kShare);
     }
-  });
+  }));
 }
 
 // Guards against a process that uses nothing in its first window.
--- a/test/retry/retry_bound_test.cc
+++ b/test/retry/retry_bound_test.cc
@@ -27,7 +27,7 @@
 // whatever they may, and the retries arrive early or late. Some lend what they
 // may, which is sent early or late too; some are killed and start again.
 BOOST_AUTO_TEST_CASE(NoWindowExceedsItsRetryBound) {
-  rc::check([] {
+  BOOST_TEST(rc::check([] {
     const auto entries = *rc::gen::inRange<size_t>(1, 5);
     const double extra = *rc::gen::inRange(0, 12);
     const RetryBound::Options options = {.window = kWindow, .ratio = 0.2};
@@ -76,7 +76,7 @@
       history.OnArrival(id, at);
     }
     RC_ASSERT(history.WorstWindow().excess() <= 0);
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_CASE(ExtraRetryIsAvailableAgainAfterOneWindow) {
