Tests: a fake that left its connection open is freed

AllRetryAfterFieldsAreReported leaked the server's end of its connection, which the address sanitizer reports. It uses the scripted server now.

--- a/test/io/http_client_test.cc
+++ b/test/io/http_client_test.cc
@@ -65,34 +65,13 @@
 // fields that contradict each other.
 BOOST_AUTO_TEST_CASE(AllRetryAfterFieldsAreReported) {
   EventLoop loop;
-  sockaddr_storage storage{};
-  const auto length =
-      static_cast<int>(Address{.host = "127.0.0.1"}.ToSocketAddress(storage));
-  evconnlistener* listener = evconnlistener_new_bind(
-      loop.base(),
-      [](evconnlistener* self, evutil_socket_t socket, sockaddr*, int, void*) {
-        bufferevent* events = bufferevent_socket_new(
-            evconnlistener_get_base(self), socket, BEV_OPT_CLOSE_ON_FREE);
-        bufferevent_setcb(
-            events,
-            [](bufferevent* read, void*) {
-              evbuffer* input = bufferevent_get_input(read);
-              evbuffer_drain(input, evbuffer_get_length(input));
-              constexpr std::string_view kAnswer =
-                  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.5\r\n"
-                  "retry-after: 3\r\nContent-Length: 2\r\n\r\n{}";
-              bufferevent_write(read, kAnswer.data(), kAnswer.size());
-            },
-            nullptr,
-            [](bufferevent* ended, int16_t, void*) { bufferevent_free(ended); },
-            nullptr);
-        bufferevent_enable(events, EV_READ | EV_WRITE);
-      },
-      nullptr, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&storage),
-      length);
+  const fakes::ScriptedServer server(loop, [](int, std::string_view) {
+    return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.5\r\n"
+           "retry-after: 3\r\nContent-Length: 2\r\n\r\n{}";
+  });
   HttpClient client(loop);
   HttpResult answer;
-  client.Start({.address = BoundAddress(evconnlistener_get_fd(listener)),
+  client.Start({.address = server.address(),
                 .method = "POST",
                 .path = "/",
                 .body = "x",
@@ -101,7 +80,6 @@
                   loop.Stop();
                 }});
   loop.Run();
-  evconnlistener_free(listener);
   BOOST_TEST(answer.status == 503);
   BOOST_TEST(answer.retry_after == (std::vector<std::string>{"1.5", "3"}),
              boost::test_tools::per_element());
