Readers of a key that may have run get no refusal

At the product's own interface, GET /v1/requests/KEY could state "not run" for a key that ran: the code of a refusal (503) at an entry that had refused the key before another one took it over; 404 where the entries had restarted, or a holder of the key was missing; 503 where the entry had no configuration yet. DELETE gave the same 404. A caller that believes it sends the request under another key, and it runs twice.

The lack of a claim was taken as proof, whatever the holders can vouch for; and a kept refusal held after it had been passed on to the entry that took the key over.

A reader gets "not found" only if a holder would know of the claim and none is missing, as for new keys; otherwise, and for a key taken over, the result is cannot_vouch (504). A submission at the same entry finds the owner, as before.

Evidence: the oracle of the fuzzer left readers out. ReaderOfAKeyTakenOverGetsNoRefusal (deadline_passed for a key that was answered) and ReaderAtRestartedEntriesGetsNoRefusal (no_configuration, not_found) failed before.

Allowed retries: none changes.

--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -91,7 +91,8 @@
   draft.config = context_.config.current();
   draft.http = request;
   if (!draft.config) {
-    Refuse(request.caller, MakeFailure(ResultCode::kNoConfiguration));
+    // The key may be known at another entry.
+    Refuse(request.caller, MakeFailure(ResultCode::kCannotVouch));
     return;
   }
   if (const std::optional<Failure> failure = IdentifyTeam(draft)) {
@@ -112,19 +113,19 @@
     Refuse(request.caller, MakeFailure(ResultCode::kMethodNotAllowed));
     return;
   }
-  requests_.CancelForCaller(
-      key, [this, caller = request.caller, text](bool found) {
-        if (!found) {
-          Refuse(caller, MakeFailure(ResultCode::kNotFound));
-          return;
-        }
-        context_.outbox.Push(
-            ReplyComplete{.caller = caller,
-                          .status = 202,
-                          .headers = {{"Content-Type", "application/json"},
-                                      {"Lavenderkeel-Key", text}},
-                          .body = R"({"state":"cancelling"})"});
-      });
+  requests_.CancelForCaller(key, [this, caller = request.caller, text](
+                                     const std::optional<ResultCode>& failure) {
+    if (failure.has_value()) {
+      Refuse(caller, MakeFailure(*failure));
+      return;
+    }
+    context_.outbox.Push(
+        ReplyComplete{.caller = caller,
+                      .status = 202,
+                      .headers = {{"Content-Type", "application/json"},
+                                  {"Lavenderkeel-Key", text}},
+                      .body = R"({"state":"cancelling"})"});
+  });
 }
 
 void CallerApi::Refuse(CallerId caller, const Failure& failure) {
--- a/lavenderkeel/dispatch/ownership_controller.cc
+++ b/lavenderkeel/dispatch/ownership_controller.cc
@@ -68,11 +68,18 @@
         if (claim_result.kind == ClaimResult::Kind::kHeld) {
           OnHeld(*pending, claim_result.claim);
         } else {
-          context_.conclude(*pending, ResultCode::kNotFound);
+          context_.conclude(*pending, CodeOfUnclaimed(claim_result));
         }
       });
 }
 
+ResultCode OwnershipController::CodeOfUnclaimed(
+    const ClaimResult& claim_result) {
+  const bool is_known =
+      claim_result.vouched && claim_result.coverage == HolderCoverage::kFull;
+  return is_known ? ResultCode::kNotFound : ResultCode::kCannotVouch;
+}
+
 void OwnershipController::OnClaimed(const RequestKey& key,
                                     const ClaimResult& claim_result) {
   EntryRequest* request = context_.requests.FindIn(key, State::kClaiming);
--- a/lavenderkeel/dispatch/ownership_controller.h
+++ b/lavenderkeel/dispatch/ownership_controller.h
@@ -21,6 +21,9 @@
   void Reclaim(EntryRequest& request);
   /// Looks up the owner of a key that a caller queries without a request.
   void LookUpOwner(EntryRequest& request);
+  /// Returns the result of a lookup that found no claim: "not found" only if a
+  /// holder would know of one.
+  static ResultCode CodeOfUnclaimed(const ClaimResult& claim_result);
 
   void OnLocate(LinkId link, const Locate& locate);
   void OnLocated(LinkId link, const Located& located);
--- a/lavenderkeel/dispatch/request_controller.cc
+++ b/lavenderkeel/dispatch/request_controller.cc
@@ -114,6 +114,15 @@
     Conclude(request, request.result);
     return;
   }
+  if (request.is_being_taken_over && submission == nullptr) {
+    // Only a submission claims the key again and so finds its owner.
+    for (const SubscriptionId id :
+         context_.caller_subscriptions.SubscriptionsOf(request.key)) {
+      context_.caller_subscriptions.Fail(id, ResultCode::kCannotVouch,
+                                         /*retry_after=*/Duration::zero());
+    }
+    return;
+  }
   const bool may_run_again =
       outcome == Outcome::kNotRun ||
       (outcome == Outcome::kUnknown && request.properties.repeatable);
@@ -258,23 +267,24 @@
 
 void RequestController::CancelForCaller(
     const RequestKey& key,
-    const std::function<void(bool found)>& found) {
+    const std::function<void(const std::optional<ResultCode>& failure)>& done) {
   if (Cancel(key, /*by_caller=*/true)) {
-    found(true);
+    done(std::nullopt);
     return;
   }
   context_.claimer.Start(
       key, Claim(), PeerId(), /*lookup=*/true,
-      [this, found](const RequestKey& held_key,
-                    const ClaimResult& claim_result) {
-        const bool held = claim_result.kind == ClaimResult::Kind::kHeld;
-        if (held) {
-          CancelAt(claim_result.claim.owner, held_key, /*by_caller=*/true);
-          for (const PeerId& agent : claim_result.claim.agents) {
-            CancelAt(agent, held_key, /*by_caller=*/true);
-          }
+      [this, done](const RequestKey& held_key,
+                   const ClaimResult& claim_result) {
+        if (claim_result.kind != ClaimResult::Kind::kHeld) {
+          done(OwnershipController::CodeOfUnclaimed(claim_result));
+          return;
+        }
+        CancelAt(claim_result.claim.owner, held_key, /*by_caller=*/true);
+        for (const PeerId& agent : claim_result.claim.agents) {
+          CancelAt(agent, held_key, /*by_caller=*/true);
         }
-        found(held);
+        done(std::nullopt);
       });
 }
 
--- a/lavenderkeel/dispatch/request_controller.h
+++ b/lavenderkeel/dispatch/request_controller.h
@@ -37,9 +37,11 @@
                   const std::string& public_key,
                   const std::string& team);
   /// Cancels a request for its caller, at whichever entry or agent it is.
-  /// @param found called once with whether the request exists
-  void CancelForCaller(const RequestKey& key,
-                       const std::function<void(bool found)>& found);
+  /// @param done called once, with the reason if no such request is known
+  void CancelForCaller(
+      const RequestKey& key,
+      const std::function<void(const std::optional<ResultCode>& failure)>&
+          done);
   void OnCallerGone(CallerId caller);
 
   // From other processes.
--- a/test/dispatch/scenario_test.cc
+++ b/test/dispatch/scenario_test.cc
@@ -349,4 +349,42 @@
   CheckInvariants(simulation);
 }
 
+// Guards against "not run" for a key that ran, from an entry that refused it
+// before another one took it over.
+BOOST_AUTO_TEST_CASE(ReaderOfAKeyTakenOverGetsNoRefusal) {
+  Simulation simulation({.seed = 1});
+  simulation.RunFor(std::chrono::seconds(2));
+  const std::string key = simulation.NewKey();
+  simulation.Submit(0, key, "r0x", /*repeatable=*/false, /*tokens=*/3,
+                    /*deadline_ms=*/1);
+  BOOST_REQUIRE(RunUntilAllConcluded(simulation));
+  BOOST_REQUIRE(simulation.oracle().Count(ResultCode::kAnswered) == 0U);
+  simulation.Submit(1, key, "r0x", /*repeatable=*/false, /*tokens=*/3);
+  BOOST_REQUIRE(RunUntilAllConcluded(simulation));
+  BOOST_REQUIRE(simulation.oracle().Count(ResultCode::kAnswered) == 1U);
+  simulation.Read(0, key, "r0x");
+  BOOST_TEST(RunUntilAllConcluded(simulation));
+  CheckInvariants(simulation);
+}
+
+// Guards against "not run" for a key that ran, from entries that started after
+// it did.
+BOOST_AUTO_TEST_CASE(ReaderAtRestartedEntriesGetsNoRefusal) {
+  Simulation simulation({.seed = 1});
+  simulation.RunFor(std::chrono::seconds(2));
+  const std::string key = simulation.NewKey();
+  simulation.Submit(0, key, "r0x", /*repeatable=*/false, /*tokens=*/3);
+  BOOST_REQUIRE(RunUntilAllConcluded(simulation));
+  for (size_t entry = 0; entry < simulation.entries(); ++entry) {
+    simulation.Kill(entry, /*silently=*/false);
+    simulation.Restart(entry);
+  }
+  simulation.Read(0, key, "r0x");
+  simulation.RunFor(std::chrono::seconds(5));
+  simulation.Read(1, key, "r0x");
+  BOOST_TEST(RunUntilAllConcluded(simulation));
+  BOOST_TEST(simulation.oracle().Count(ResultCode::kCannotVouch) == 2U);
+  CheckInvariants(simulation);
+}
+
 }  // namespace lavenderkeel::fuzz
--- a/test/fuzz/oracle.cc
+++ b/test/fuzz/oracle.cc
@@ -96,9 +96,9 @@
   LogicalRequest& logical = logical_[found->second.word];
   ++outcome_counts_[code];
   const Outcome outcome = Describe(code).outcome;
+  const bool reads_only = found->second.reads_only;
   const bool about_running = code != ResultCode::kNotFound &&
-                             code != ResultCode::kKeyReused &&
-                             !found->second.reads_only;
+                             code != ResultCode::kKeyReused && !reads_only;
   // Of several submissions of a repeatable request only one may have run.
   const bool about_all_runs = !logical.repeatable || logical.submissions == 1;
   if (outcome == Outcome::kNotRun && about_running && about_all_runs) {
@@ -108,6 +108,12 @@
     }
     --logical.outstanding;
   }
+  // Where a key is not claimed, as for repeatable work, it is known nowhere.
+  if (outcome == Outcome::kNotRun && reads_only && !logical.repeatable &&
+      logical.starts > 0) {
+    AddViolation(logical.word + " ran, but its reader received " +
+                 std::string(Describe(code).name));
+  }
   if (code == ResultCode::kKeyReused) {
     --logical.outstanding;
   }
