--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -2,7 +2,8 @@
 // HTTP. PUT /objects/KIND/NAME sets an object's spec. POST /objects/KIND
 // creates the object that the request names, unless it exists. PUT
 // /objects/KIND/NAME/status sets its status, if the object still has the
-// revision in the request. DELETE /objects/KIND/NAME removes the object.
+// revision in the request. DELETE /objects/KIND/NAME removes the object. Lists
+// come in pages of a few objects.
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <deque>
@@ -23,12 +24,33 @@
 using lavenderkeel::HttpRequest;
 using lavenderkeel::TimePoint;
 
+/// Returns the value of a query parameter; empty if it is missing.
+std::string QueryText(const std::string& query, const std::string& name) {
+  const size_t at = query.find(name + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const size_t begin = at + name.size() + 1;
+  return query.substr(begin, query.find('&', begin) - begin);
+}
+
 /// Returns the numeric value of a query parameter; zero if it is missing.
 uint64_t QueryNumber(const std::string& query, const std::string& name) {
-  const size_t at = query.find(name + "=");
-  return at == std::string::npos
-             ? 0
-             : std::strtoull(query.c_str() + at + name.size() + 1, nullptr, 10);
+  return std::strtoull(QueryText(query, name).c_str(), nullptr, 10);
+}
+
+std::string Nested(const std::string& open,
+                   const std::string& close,
+                   size_t depth) {
+  std::string text;
+  for (size_t i = 0; i < depth; ++i) {
+    text += open;
+  }
+  text += "1";
+  for (size_t i = 0; i < depth; ++i) {
+    text += close;
+  }
+  return text;
 }
 
 class FakeStore {
@@ -110,7 +132,7 @@
            .until = clock_.Now() + std::chrono::milliseconds(
                                        QueryNumber(request.query, "waitMs"))});
     } else {
-      List(request.id, kind);
+      List(request.id, kind, QueryText(request.query, "afterRev"));
     }
   }
 
@@ -175,13 +197,20 @@
     }
   }
 
-  void List(CallerId caller, const std::string& kind) {
+  /// @param after name after which the page begins
+  void List(CallerId caller,
+            const std::string& kind,
+            const std::string& after) {
+    constexpr size_t kPageObjects = 5;
+    const std::map<std::string, Object>& objects = objects_[kind];
     json::array items;
-    for (const auto& [name, object] : objects_[kind]) {
-      items.push_back(ToJson(name, object));
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && items.size() < kPageObjects; ++object) {
+      items.push_back(ToJson(object->first, object->second));
     }
-    Answer(caller,
-           {{"items", items}, {"hasMore", false}, {"currentRev", revision_}});
+    Answer(caller, {{"items", items},
+                    {"hasMore", object != objects.end()},
+                    {"currentRev", revision_}});
   }
 
   void AnswerWatches() {
@@ -218,7 +247,10 @@
         {"\"@surrogate\"", R"("\udcff")"},
         {"\"@control\"", "\"\x01\""},
         {"\"@number\"", "1e99999999999"},
-        {"\"@nested\"", std::string(500, '[') + std::string(500, ']')}};
+        {"\"@digits\"", std::string(400, '9')},
+        {"\"@nested\"", Nested("[", "]", 500)},
+        {"\"@deep\"", Nested("[", "]", 100'000)},
+        {"\"@deep objects\"", Nested(R"({"a":)", "}", 100'000)}};
     for (const auto& [name, value] : values) {
       for (size_t at = text.find(name); at != std::string::npos;
            at = text.find(name, at)) {
