Soak: servers refuse what they ran, answers end early, odd objects

The soak judged "not run" for requests that may run once and drew no server that says so falsely. It now checks each request that was answered with 408, 421, 429 or 503 against what the servers ran, and draws servers that refuse what they ran or contradict themselves, answers of servers and the store and messages of peers that end at some byte by a close or a reset, interim responses before answers, and the odd objects of the process test.

--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -5,7 +5,9 @@
 //
 // PUT /failing with the body "WHAT PERCENT" makes it fail a part of the
 // requests from then on: "reject" turns them away, "error" answers with an
-// error, "lose" ends the connection after a part of the answer.
+// error, "lose" ends the connection after a part of the answer. "refuse" runs
+// them and answers with a status that would mean otherwise, "contradict" with
+// statements that contradict each other.
 //
 // A request whose prompt has the part "dead" ends the process when it begins to
 // answer.
@@ -13,9 +15,12 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "lavenderkeel/io.h"
 #include "test/fakes/fake_server.h"
@@ -26,9 +31,13 @@
 using lavenderkeel::HttpHeaders;
 using lavenderkeel::HttpRequest;
 
+using Refusal = std::pair<int, HttpHeaders>;
+
 constexpr int kEvents = 12;
 constexpr int kOk = 200;
+constexpr int kTimeout = 408;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kServerError = 500;
 
@@ -58,6 +67,8 @@
     /// Whether the answer is lost, or an error.
     bool lost = false;
     bool error = false;
+    /// Head of the answer, if it is a refusal.
+    std::optional<Refusal> refusal;
     bool crashes = false;
   };
 
@@ -99,12 +110,15 @@
         .stream = request.path.starts_with("/stream/"),
         .lost = Fails("lose"),
         .error = Fails("error"),
+        .refusal = Fails("refuse")       ? DrawFrom(Refusals())
+                   : Fails("contradict") ? DrawFrom(Contradictions(id))
+                                         : std::nullopt,
         .crashes = request.header("Prompt-Prefix").value_or("").find("dead:") !=
                    std::string::npos};
     runs_ << run.request << '\n' << std::flush;
     const auto last = request.header("Last-Event-Id");
     run.next = last.has_value() ? std::atoi(last->c_str()) + 1 : 1;
-    run.stream = run.stream && !run.error && !run.crashes;
+    run.stream = run.stream && !run.error && !run.refusal && !run.crashes;
     if (run.stream) {
       HttpHeaders headers = Headers(run);
       headers.emplace_back("Content-Type", "text/event-stream");
@@ -118,6 +132,38 @@
     return {{"Request-Id", run.request}, {"Response-Seal", "s." + run.request}};
   }
 
+  static std::vector<Refusal> Refusals() {
+    return {{kTimeout, {}},
+            {kMisdirected, {}},
+            {kTooManyRequests, {}},
+            {kUnavailable, {}},
+            {kUnavailable, {{"Retry-After", "1"}}}};
+  }
+
+  std::vector<Refusal> Contradictions(const std::string& id) const {
+    return {{kUnavailable, {{"Not-Executed", "1"}}},
+            {kServerError, {{"Not-Executed", "1"}}},
+            {kOk, {{"Not-Executed", "1"}}},
+            {kUnavailable, {{"Not-Executed", "0"}}},
+            {kUnavailable, {{"Request-Id", id + "0"}, {"Not-Executed", "1"}}},
+            {kMisdirected, {{"Instance-Id", id_}}}};
+  }
+
+  std::optional<Refusal> DrawFrom(const std::vector<Refusal>& refusals) {
+    return refusals[std::uniform_int_distribution<size_t>(
+        0, refusals.size() - 1)(random_)];
+  }
+
+  void Refuse(CallerId caller, const Running& run) {
+    HttpHeaders headers = Headers(run);
+    headers.insert(headers.end(), run.refusal->second.begin(),
+                   run.refusal->second.end());
+    http_.Handle(lavenderkeel::ReplyComplete{.caller = caller,
+                                             .status = run.refusal->first,
+                                             .headers = headers,
+                                             .body = "refused"});
+  }
+
   void Step() {
     for (auto run = running_.begin(); run != running_.end();) {
       const auto current = run++;
@@ -143,6 +189,10 @@
         http_.Handle(lavenderkeel::ReplyAbort{.caller = caller});
         return true;
       }
+      if (run.refusal.has_value()) {
+        Refuse(caller, run);
+        return true;
+      }
       http_.Handle(
           lavenderkeel::ReplyComplete{.caller = caller,
                                       .status = run.error ? kServerError : kOk,
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -68,6 +68,10 @@
   /// Whether one end has sent EOF. Both connections are closed once all bytes
   /// have been sent.
   bool half_closed = false;
+  /// Whether the bytes of the target have ended early, and whether the
+  /// connections are then reset.
+  bool cut = false;
+  bool resets = false;
   std::deque<QueuedBytes> queued;
   AnswerRecorder answers;
   /// Sent to the client once the next request has been forwarded.
@@ -80,6 +84,16 @@
            evbuffer_get_length(bufferevent_get_output(out)) == 0;
   }
 
+  /// Ends both connections with an error.
+  void Reset() {
+    constexpr linger kReset = {.l_onoff = 1, .l_linger = 0};
+    for (bufferevent* end : {in, out}) {
+      setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &kReset,
+                 sizeof(kReset));
+    }
+    Close();
+  }
+
   void Close() {
     closed = true;
     for (bufferevent* end : {in, out}) {
@@ -170,27 +184,48 @@
       if (queued.to_target && on_forwarded_) {
         on_forwarded_(queued.bytes);
       }
-      bufferevent_write(queued.to_target ? pair->out : pair->in,
-                        queued.bytes.data(), queued.bytes.size());
       if (queued.to_target) {
         const std::string repeated = std::exchange(pair->repeated_answer, {});
+        bufferevent_write(pair->out, queued.bytes.data(), queued.bytes.size());
         bufferevent_write(pair->in, repeated.data(), repeated.size());
         continue;
       }
-      pair->endless = pair->endless || endless_;
-      if (repeat_period_ > 0 && pair->answers.Feed(queued.bytes) > 0 &&
-          ++answers_ % repeat_period_ == 0) {
-        pair->repeated_answer = pair->answers.last();
-      }
+      Return(*pair, std::move(queued.bytes));
     }
     pair->queued.swap(remaining);
     SendEndless(*pair);
     if (pair->half_closed && !pair->closed && pair->Drained()) {
-      pair->Close();
+      pair->resets ? pair->Reset() : pair->Close();
     }
   }
 }
 
+void Relay::Return(ConnectionPair& pair, std::string bytes) {
+  constexpr std::string_view kInterim =
+      "HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n\r\n";
+  if (pair.cut) {
+    return;
+  }
+  pair.endless = pair.endless || endless_;
+  if (repeat_period_ > 0 && pair.answers.Feed(bytes) > 0 &&
+      ++answers_ % repeat_period_ == 0) {
+    pair.repeated_answer = pair.answers.last();
+  }
+  if (interim_ && bytes.starts_with("HTTP/1.1 ")) {
+    bufferevent_write(pair.in, kInterim.data(), kInterim.size());
+  }
+  pair.cut = cut_period_ > 0 && ++receipts_ % cut_period_ == 0;
+  if (pair.cut) {
+    bytes.resize(
+        std::uniform_int_distribution<size_t>(0, bytes.size())(random_));
+  }
+  bufferevent_write(pair.in, bytes.data(), bytes.size());
+  if (pair.cut) {
+    pair.half_closed = true;
+    pair.resets = std::bernoulli_distribution()(random_);
+  }
+}
+
 void Relay::SendEndless(ConnectionPair& pair) {
   constexpr size_t kMaxUnsent = size_t{256} << 10;
   if (!pair.endless || pair.closed ||
@@ -207,16 +242,10 @@
 }
 
 void Relay::ResetOpenConnections() {
-  constexpr linger kReset = {.l_onoff = 1, .l_linger = 0};
   for (const auto& pair : pairs_) {
-    if (pair->closed) {
-      continue;
-    }
-    for (bufferevent* end : {pair->in, pair->out}) {
-      setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &kReset,
-                 sizeof(kReset));
+    if (!pair->closed) {
+      pair->Reset();
     }
-    pair->Close();
   }
 }
 
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,11 @@
   /// Makes the target seem to send bytes without end after each answer, on all
   /// connections that it answers on from now on.
   void set_endless(bool endless) { endless_ = endless; }
+  /// Sets how often bytes from the target end at some byte, by a close or a
+  /// reset: after each so many receipts; zero: never.
+  void set_cut_period(int period) { cut_period_ = period; }
+  /// Sends an interim response before each HTTP answer.
+  void set_interim(bool interim) { interim_ = interim; }
   /// Sets a function that is called with the bytes that go to the target.
   void set_on_forwarded(std::function<void(const std::string&)> on_forwarded) {
     on_forwarded_ = std::move(on_forwarded);
@@ -55,6 +61,8 @@
   void Forward(ConnectionPair& pair, bool to_target);
   /// Forwards queued bytes that are due and not blocked.
   void Flush();
+  /// Writes bytes of the target to the client.
+  void Return(ConnectionPair& pair, std::string bytes);
   static void SendEndless(ConnectionPair& pair);
 
   EventLoop& loop_;
@@ -69,6 +77,10 @@
   int repeat_period_ = 0;
   int answers_ = 0;
   bool endless_ = false;
+  int cut_period_ = 0;
+  int receipts_ = 0;
+  bool interim_ = false;
+  std::minstd_rand random_;
   std::function<void(const std::string&)> on_forwarded_;
 };
 
--- a/test/soak/checker.cc
+++ b/test/soak/checker.cc
@@ -2,16 +2,14 @@
 
 #include <sstream>
 
+#include "lavenderkeel/evidence.h"
+
 namespace lavenderkeel::soak {
 
 namespace {
 
 constexpr int kOk = 200;
 
-bool MeansNotRun(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 }  // namespace
 
 void Checker::AddViolation(const RequestRecord& record,
@@ -61,7 +59,7 @@
   if (*record.status == kOk) {
     ++served_;
     CheckAnswer(record);
-  } else if (MeansNotRun(*record.status)) {
+  } else if (StatesNotRun(*record.status)) {
     ++refused_;
     reported_not_run_.insert(record.id);
   } else {
@@ -103,7 +101,9 @@
     if (runs.count(id) > 1) {
       violations_.push_back("ran more than once: " + id);
     }
-    if (runs.contains(id) && reported_not_run_.contains(id)) {
+  }
+  for (const std::string& id : reported_not_run_) {
+    if (runs.contains(id)) {
       violations_.push_back("reported as not run, but ran: " + id);
     }
   }
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <random>
 
+#include "test/fakes/odd_objects.h"
+
 namespace lavenderkeel::soak {
 
 namespace {
@@ -34,7 +36,13 @@
     "server loses answers",
     "server repeats answers",
     "server never ends",
-    "store lists unreadable"};
+    "store lists an odd object",
+    "server refuses what it ran",
+    "server contradicts itself",
+    "cut server answers",
+    "cut store answers",
+    "cut peer messages",
+    "server sends interim responses"};
 
 constexpr int kFaultsEndMs = 8000;
 constexpr int kMaxFaultMs = 2500;
@@ -95,12 +103,55 @@
   for (int objects = pick(0, 4); objects > 0; --objects) {
     plan.steps.push_back(
         {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
-         .fault = Fault::kStoreListsUnreadable,
+         .fault = Fault::kStoreListsOddObject,
          .target = objects,
          .duration = std::chrono::milliseconds(pick(1000, kFaultsEndMs / 2))});
   }
 }
 
+/// Adds servers that refuse what they ran, answers and messages that end early,
+/// interim responses, and objects with values that can't be used.
+void AddFalseAnswers(Plan& plan) {
+  std::mt19937_64 random(plan.seed + 4);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  const auto add = [&](Fault fault, int target) {
+    plan.steps.push_back(
+        {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
+         .fault = fault,
+         .target = target,
+         .duration = std::chrono::milliseconds(pick(500, kFaultsEndMs / 2))});
+  };
+  for (int server = 0; server < plan.servers; ++server) {
+    if (const int fault = pick(0, 5); fault < 4) {
+      constexpr Fault kFaults[] = {
+          Fault::kServerRefuses, Fault::kServerContradicts,
+          Fault::kCutServerAnswers, Fault::kServerSendsInterim};
+      add(kFaults[fault], server);
+    }
+  }
+  for (int entry = 0; entry < plan.entries; ++entry) {
+    if (pick(0, 1) == 1) {
+      add(pick(0, 1) == 1 ? Fault::kCutStoreAnswers : Fault::kCutPeerMessages,
+          entry);
+    }
+  }
+  for (int objects = pick(0, 4); objects > 0; --objects) {
+    add(Fault::kStoreListsOddObject,
+        pick(0, static_cast<int>(fakes::OddObjects().size()) - 1));
+  }
+}
+
+void MakeServersRefuse(Plan& plan) {
+  for (int server = 0; server < plan.servers; ++server) {
+    plan.steps.push_back({.fault = server % 2 == 0 ? Fault::kServerRefuses
+                                                   : Fault::kServerContradicts,
+                          .target = server,
+                          .duration = std::chrono::milliseconds(kFaultsEndMs)});
+  }
+}
+
 /// Leaves a single server for a time, which rejects requests and repeats its
 /// answers: a rejected request returns to it.
 void AddRepeatedRejections(Plan& plan) {
@@ -172,10 +223,14 @@
   } else {
     AddFailingServers(plan);
     AddFaultyBytes(plan);
+    AddFalseAnswers(plan);
   }
   if (variant == Variant::kRepeatedRejections) {
     AddRepeatedRejections(plan);
   }
+  if (variant == Variant::kFalseRefusals) {
+    MakeServersRefuse(plan);
+  }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
 }
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -40,12 +40,21 @@
   kServerRepeatsAnswers,
   /// Bytes without end follow the answers.
   kServerNeverEnds,
-  /// Another writer lists servers that can't be read.
-  kStoreListsUnreadable,
+  /// Another writer lists objects with values that can't be read or used.
+  kStoreListsOddObject,
+  /// The server runs a part of its requests and answers as if it had not.
+  kServerRefuses,
+  kServerContradicts,
+  /// Some receipts end at some byte, by a close or a reset.
+  kCutServerAnswers,
+  kCutStoreAnswers,
+  kCutPeerMessages,
+  /// Answers come after an interim response.
+  kServerSendsInterim,
 };
 
 inline constexpr int kFaultKinds =
-    static_cast<int>(Fault::kStoreListsUnreadable) + 1;
+    static_cast<int>(Fault::kServerSendsInterim) + 1;
 
 /// The usual bound on retries. Its window is short, so that the faults of a
 /// plan spread over several.
@@ -64,6 +73,8 @@
   /// For a time a single server is left, which rejects requests and repeats its
   /// answers, and retries are limited little.
   kRepeatedRejections,
+  /// For most of the time all servers run requests that they refuse.
+  kFalseRefusals,
 };
 
 /// One fault of a plan.
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -1,9 +1,10 @@
 // Soak test: runs the real programs under generated fault plans and checks the
 // system's guarantees.
-// Usage: soak FIRST_SEED [RUNS [timed | large | part | repeat]]. "timed" also
-// checks answer times, for a machine that runs nothing else; "large" runs
-// dozens of processes; with "part", a part of some prompts crashes servers;
-// with "repeat", rejected requests return to a server that repeats its answers.
+// Usage: soak FIRST_SEED [RUNS [timed | large | part | repeat | refuse]].
+// "timed" also checks answer times, for a machine that runs nothing else;
+// "large" runs dozens of processes; with "part", a part of some prompts crashes
+// servers; with "repeat", rejected requests return to a server that repeats its
+// answers; with "refuse", servers run most requests that they refuse.
 // Prints one line per seed and, on a violation, the plan, the violated
 // guarantees with the ids of the requests, and the directory of the logs.
 #include <cstdlib>
@@ -186,7 +187,8 @@
 int Main(int argc, char** argv) {
   if (argc < 2) {
     std::cerr
-        << "usage: soak FIRST_SEED [RUNS [timed | large | part | repeat]]\n";
+        << "usage: soak FIRST_SEED [RUNS [timed | large | part | repeat | "
+           "refuse]]\n";
     return kBadUseStatus;
   }
   PrepareProcess();
@@ -198,6 +200,7 @@
   const Variant variant = name == "large"    ? Variant::kLarge
                           : name == "part"   ? Variant::kCrashingPart
                           : name == "repeat" ? Variant::kRepeatedRejections
+                          : name == "refuse" ? Variant::kFalseRefusals
                                              : Variant::kUsual;
   uint64_t failed = 0;
   for (uint64_t seed = first; seed < first + runs; ++seed) {
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -3,14 +3,19 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <iterator>
 #include <sstream>
 #include <utility>
+#include <vector>
+
+#include "test/fakes/odd_objects.h"
 
 namespace lavenderkeel::soak {
 
 namespace {
 
+/// One in so many receipts of bytes ends early while answers are cut.
+constexpr int kCutPeriod = 9;
+
 std::string Program(const std::string& name) {
   return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
 }
@@ -173,8 +178,8 @@
     case Fault::kChangeConfig:
       PutConfig();
       return;
-    case Fault::kStoreListsUnreadable:
-      ListUnreadable(step);
+    case Fault::kStoreListsOddObject:
+      ListOddObject(step);
       return;
     default:
       InjectAtEntry(
@@ -184,17 +189,12 @@
   }
 }
 
-void System::ListUnreadable(const Step& step) {
-  static constexpr const char* kValues[] = {"@surrogate", "@control", "@number",
-                                            "@nested"};
-  const auto index = static_cast<size_t>(step.target);
-  // Names before and after those of the servers.
-  const std::string name = (index % 2 == 0 ? "a" : "z") + std::to_string(index);
-  PutObject("/objects/servers/" + name,
-            R"({"service": "s", "address": "127.0.0.1:1", "zone": ")" +
-                std::string(kValues[index % std::size(kValues)]) +
-                R"(", "slots": 3, "state": "ready"})");
-  Schedule(step.duration, [this, name] { RemoveObject("servers/" + name); });
+void System::ListOddObject(const Step& step) {
+  const std::vector<fakes::OddObject>& objects = fakes::OddObjects();
+  const fakes::OddObject& odd =
+      objects[static_cast<size_t>(step.target) % objects.size()];
+  PutObject("/objects/" + odd.path, odd.content);
+  Schedule(step.duration, [this, &odd] { RemoveObject(odd.path); });
 }
 
 void System::InjectAtEntry(const Step& step, Entry& entry) {
@@ -226,6 +226,14 @@
       store.SetBlocked(/*to_target=*/false, /*from_target=*/true);
       Schedule(step.duration, [&store] { store.SetBlocked(false, false); });
       return;
+    case Fault::kCutStoreAnswers:
+      store.set_cut_period(kCutPeriod);
+      Schedule(step.duration, [&store] { store.set_cut_period(0); });
+      return;
+    case Fault::kCutPeerMessages:
+      peers.set_cut_period(kCutPeriod);
+      Schedule(step.duration, [&peers] { peers.set_cut_period(0); });
+      return;
     case Fault::kResetPeerLinks:
       peers.ResetOpenConnections();
       return;
@@ -312,6 +320,20 @@
     case Fault::kServerLosesAnswers:
       FailRequests(step, "lose", server);
       return;
+    case Fault::kServerRefuses:
+      FailRequests(step, "refuse", server);
+      return;
+    case Fault::kServerContradicts:
+      FailRequests(step, "contradict", server);
+      return;
+    case Fault::kCutServerAnswers:
+      relay.set_cut_period(kCutPeriod);
+      Schedule(step.duration, [&relay] { relay.set_cut_period(0); });
+      return;
+    case Fault::kServerSendsInterim:
+      relay.set_interim(true);
+      Schedule(step.duration, [&relay] { relay.set_interim(false); });
+      return;
     case Fault::kServerRepeatsAnswers:
       relay.set_repeat_period(/*period=*/3);
       Schedule(step.duration, [&relay] { relay.set_repeat_period(0); });
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -88,8 +88,9 @@
   void ListServer(const Server& server, bool draining);
   void PutObject(const std::string& path, const std::string& body);
   void RemoveObject(const std::string& object);
-  /// Lists a server with a value that can't be read, until the step's end.
-  void ListUnreadable(const Step& step);
+  /// Lists an object with a value that can't be read or used, until the step's
+  /// end.
+  void ListOddObject(const Step& step);
   void PutConfig();
   void Schedule(Duration after, std::function<void()> action);
   bool Wait(const std::function<bool()>& condition);
