Tests: a rejection without an id ends its connection, without processes

The safeguard was noticed by RefusedRequestsDidNotRun alone, which runs processes; the mutant connection-kept-after-rejection passed the unit tests. RejectionWithoutAnIdEndsItsConnection fails with it.

--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -168,6 +168,24 @@
   }
 }
 
+// Guards against a connection on which a second rejection without an id could
+// be that of either request.
+BOOST_AUTO_TEST_CASE(RejectionWithoutAnIdEndsItsConnection) {
+  using Verdict = ForwardController::HeadVerdict;
+  for (const bool has_id : {false, true}) {
+    ForwardSimulation simulation;
+    simulation.Request("once");
+    const fakes::SentAttempt sent = simulation.last();
+    ResponseHead head{.status = 503, .fields = {{"Not-Executed", "1"}}};
+    if (has_id) {
+      head.fields.push_back({"Request-Id", sent.Field("Request-Id")});
+    }
+    const Verdict verdict =
+        simulation.controller.OnAnswerHead(sent.attempt, head, /*fresh=*/true);
+    BOOST_TEST((verdict == (has_id ? Verdict::kTake : Verdict::kTakeLast)));
+  }
+}
+
 // A second answer to an earlier request arrives where the answer to this one is
 // expected. Guards against passing it to the client; it is skipped.
 BOOST_AUTO_TEST_CASE(AnswerToAnotherRequestIsSkipped) {
