--- a/test/fakes/odd_objects.cc
+++ b/test/fakes/odd_objects.cc
@@ -66,7 +66,8 @@
 std::string ToJson(const Members& members) {
   std::string text;
   for (const auto& [name, value] : members) {
-    text += (text.empty() ? "{\"" : ", \"") + name + "\": " + value;
+    text += text.empty() ? "{\"" : ", \"";
+    text.append(name).append("\": ").append(value);
   }
   return text + "}";
 }
@@ -87,8 +88,8 @@
 }  // namespace
 
 const std::vector<OddObject>& OddObjects() {
-  static const std::vector<OddObject> kObjects = MakeOddObjects();
-  return kObjects;
+  static const std::vector<OddObject> objects = MakeOddObjects();
+  return objects;
 }
 
 }  // namespace lavenderkeel::fakes
--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -29,8 +29,6 @@
     const size_t process = step.target % simulation_.processes();
     const size_t other = step.argument % simulation_.processes();
     const size_t entry = step.target % simulation_.entries();
-    const size_t agent =
-        step.target % (simulation_.processes() - simulation_.entries());
     switch (step.kind) {
       case Step::kSubmit:
       case Step::kSubmitAgain:
@@ -103,15 +101,6 @@
         RecordChange(simulation_.UsePreset(
             entry, step.argument % 2 == 0 ? "peak" : "ordinary"));
         break;
-      case Step::kBreakStreams:
-        simulation_.BreakServerStreams(agent, /*silently=*/false);
-        break;
-      case Step::kSilenceStreams:
-        simulation_.BreakServerStreams(agent, /*silently=*/true);
-        break;
-      case Step::kSlowEngine:
-        simulation_.engine(agent).set_speed(step.argument % 2 == 0 ? 0.1 : 1);
-        break;
       case Step::kBurst:
         for (int i = 0; i < 15; ++i) {
           Submit(entry, step);
@@ -121,28 +110,11 @@
         simulation_.Kill(process, /*silently=*/step.argument % 2 == 0);
         simulation_.Restart(process);
         break;
-      case Step::kCrashEngine:
-        simulation_.CrashEngine(agent,
-                                std::chrono::milliseconds(20 * step.argument));
-        break;
-      case Step::kTurnAway:
-        simulation_.TurnAway(
-            agent, std::chrono::milliseconds(60 * step.argument),
-            step.argument % 3 == 0 ? std::optional<std::string>("0")
-                                   : std::nullopt);
-        break;
-      case Step::kTurnAwayFalsely:
-        simulation_.TurnAwayFalsely(
-            agent, std::chrono::milliseconds(60 * step.argument));
-        break;
-      case Step::kGarbleStreams:
-        simulation_.GarbleStreams(
-            agent, std::chrono::milliseconds(10 * step.argument));
-        break;
       case Step::kListUnreadable:
         simulation_.ListUnreadable(step.argument);
         break;
       default:
+        DisturbEngine(step);
         break;
     }
     simulation_.RunFor(std::chrono::milliseconds(step.wait_ms));
@@ -183,6 +155,42 @@
   Simulation& simulation() { return simulation_; }
 
  private:
+  void DisturbEngine(const Step& step) {
+    const size_t agent =
+        step.target % (simulation_.processes() - simulation_.entries());
+    switch (step.kind) {
+      case Step::kBreakStreams:
+        simulation_.BreakServerStreams(agent, /*silently=*/false);
+        break;
+      case Step::kSilenceStreams:
+        simulation_.BreakServerStreams(agent, /*silently=*/true);
+        break;
+      case Step::kSlowEngine:
+        simulation_.engine(agent).set_speed(step.argument % 2 == 0 ? 0.1 : 1);
+        break;
+      case Step::kCrashEngine:
+        simulation_.CrashEngine(agent,
+                                std::chrono::milliseconds(20 * step.argument));
+        break;
+      case Step::kTurnAway:
+        simulation_.TurnAway(
+            agent, std::chrono::milliseconds(60 * step.argument),
+            step.argument % 3 == 0 ? std::optional<std::string>("0")
+                                   : std::nullopt);
+        break;
+      case Step::kTurnAwayFalsely:
+        simulation_.TurnAwayFalsely(
+            agent, std::chrono::milliseconds(60 * step.argument));
+        break;
+      case Step::kGarbleStreams:
+        simulation_.GarbleStreams(
+            agent, std::chrono::milliseconds(10 * step.argument));
+        break;
+      default:
+        break;
+    }
+  }
+
   void Submit(size_t entry, const Step& step) {
     const bool repeatable = step.argument % 3 == 0;
     sent_.push_back({.key = simulation_.NewKey(),
--- a/test/io/http_client_test.cc
+++ b/test/io/http_client_test.cc
@@ -202,7 +202,7 @@
 BOOST_AUTO_TEST_CASE(OnlyFinalAndUnambiguousAnswersCount) {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string answer = ok + "Content-Length: 2\r\n\r\nok";
-  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n";
   const std::string empty = "Content-Length: 0\r\n\r\n";
   struct Case {
     std::string bytes;
@@ -221,9 +221,9 @@
            {ok + "Content-Length: 2\r\nContent-Length: 9\r\n\r\nok",
             Kind::kNoAnswer},
            {ok + "Content-Length: 2, 9\r\n\r\nok", Kind::kNoAnswer},
-           {ok + "Content-Length: 2\r\n" + chunked + "\r\n0\r\n\r\n",
+           {ok + "Content-Length: 2\r\n" + kChunked + "\r\n0\r\n\r\n",
             Kind::kNoAnswer},
-           {ok + chunked + "Content-Length: 2\r\n\r\n0\r\n\r\n",
+           {ok + kChunked + "Content-Length: 2\r\n\r\n0\r\n\r\n",
             Kind::kNoAnswer},
            {ok + "Transfer-Encoding: gzip\r\n\r\nok", Kind::kNoAnswer}}) {
     EventLoop loop;
