Tests: crowds of clients that send more than a process can hold

Crowds of 60 (forwarding entry, memory_mb 160) and 150 clients (the other processes; 256 MiB) send bodies that stop short, whole ones, chunks, chunk extensions, trailers and frames without end, and take connections. The process has to live, to stay within its memory and its descriptors, and to answer an ordinary request and a legal large body, beside the crowd and after it.

Causes, by reading: ClientPort counts a body once it is whole and reads bodies that the head refuses; HttpServer leaves bodies, chunk lines and trailers to evhttp; a peer that has not greeted may send a frame of 9 MiB; nothing limits the connections of clients, and a listener whose accept fails is tried again at once.

--- a/test/process/cluster.h
+++ b/test/process/cluster.h
@@ -48,6 +48,10 @@
   /// @param seed the address of a peer to connect to first; may be empty
   void StartEntry(size_t index, const std::string& seed = "");
   void StartAgent(size_t index);
+  /// Limits the open descriptors of the processes that are started from now on.
+  void set_max_descriptors(size_t count) {
+    processes_.set_max_descriptors(count);
+  }
   void Signal(const std::string& name, int signal);
   /// Waits for the process to end.
   ///
--- /dev/null
+++ b/test/process/crowd.h
@@ -0,0 +1,51 @@
+#ifndef LAVENDERKEEL_TEST_PROCESS_CROWD_H_
+#define LAVENDERKEEL_TEST_PROCESS_CROWD_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lavenderkeel/io/event_loop.h"
+
+namespace lavenderkeel::test {
+
+/// What each client of a crowd sends.
+struct CrowdScript {
+  std::string begin;
+  /// Sent after `begin` this many times.
+  std::string repeated;
+  size_t times = 0;
+  /// Whether the client reads what it is sent.
+  bool reads = true;
+};
+
+/// Clients that send the same bytes at once and keep their connections open
+/// until the peer closes them.
+class Crowd {
+ public:
+  Crowd(EventLoop& loop,
+        const std::string& address,
+        size_t clients,
+        const CrowdScript& script);
+  ~Crowd();
+  Crowd(const Crowd&) = delete;
+  Crowd& operator=(const Crowd&) = delete;
+
+  /// Returns whether each client has sent everything or lost its connection.
+  bool IsDone() const;
+  size_t open() const;
+  /// Returns the number of clients whose first answer has the status.
+  size_t CountStatus(int status) const;
+  /// Returns the number of clients whose answer has the text.
+  size_t CountAnswers(const std::string& text) const;
+
+ private:
+  class Client;
+
+  std::vector<std::unique_ptr<Client>> clients_;
+};
+
+}  // namespace lavenderkeel::test
+
+#endif  // LAVENDERKEEL_TEST_PROCESS_CROWD_H_
--- a/test/process/platform_processes.cc
+++ b/test/process/platform_processes.cc
@@ -2,7 +2,6 @@
 
 #include <cstdlib>
 #include <fstream>
-#include <string_view>
 
 namespace lavenderkeel::test {
 
@@ -85,15 +84,7 @@
 }
 
 size_t PlatformProcesses::EntryPeakKiB() const {
-  std::ifstream status("/proc/" + std::to_string(processes_.Pid("entry")) +
-                       "/status");
-  constexpr std::string_view kField = "VmHWM:";
-  for (std::string line; std::getline(status, line);) {
-    if (line.starts_with(kField)) {
-      return std::stoul(line.substr(kField.size()));
-    }
-  }
-  return 0;
+  return PeakKiB(processes_.Pid("entry"));
 }
 
 void PlatformProcesses::Put(const std::string& object,
--- a/test/process/process_set.cc
+++ b/test/process/process_set.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 
 extern char** environ;
 
@@ -23,6 +24,17 @@
   return text.str();
 }
 
+size_t PeakKiB(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  constexpr std::string_view kField = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) {
+      return std::stoul(line.substr(kField.size()));
+    }
+  }
+  return 0;
+}
+
 ProcessSet::ProcessSet(bool keep) : keep_(keep) {
   std::string pattern = "/tmp/lavenderkeel-test-XXXXXX";
   directory_ = mkdtemp(pattern.data());
@@ -42,9 +54,16 @@
 void ProcessSet::Spawn(const std::string& name,
                        const std::vector<std::string>& command) {
   std::filesystem::remove(ReadyFile(name));
+  std::vector<std::string> words = command;
+  if (max_descriptors_.has_value()) {
+    words = {"/bin/sh", "-c",
+             "ulimit -n " + std::to_string(*max_descriptors_) +
+                 " && exec \"$0\" \"$@\""};
+    words.insert(words.end(), command.begin(), command.end());
+  }
   std::vector<char*> arguments;
-  arguments.reserve(command.size() + 1);
-  for (const std::string& word : command) {
+  arguments.reserve(words.size() + 1);
+  for (const std::string& word : words) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
   arguments.push_back(nullptr);
--- a/test/process/process_set.h
+++ b/test/process/process_set.h
@@ -21,6 +21,8 @@
   ProcessSet& operator=(const ProcessSet&) = delete;
 
   void Spawn(const std::string& name, const std::vector<std::string>& command);
+  /// Limits the open descriptors of the processes that are spawned from now on.
+  void set_max_descriptors(size_t count) { max_descriptors_ = count; }
   void Signal(const std::string& name, int signal);
   /// @return the exit status if the process has ended; minus the signal that
   ///     killed it, if one did
@@ -44,10 +46,14 @@
 
  private:
   bool keep_;
+  std::optional<size_t> max_descriptors_;
   std::string directory_;
   std::map<std::string, pid_t> pids_;
 };
 
+/// Returns the most memory that a process has used, in KiB.
+size_t PeakKiB(pid_t pid);
+
 /// Returns the contents of a file; empty if it can't be read.
 std::string ReadFile(const std::string& path);
 
