--- a/lavenderkeel/base/result_code.cc
+++ b/lavenderkeel/base/result_code.cc
@@ -73,6 +73,8 @@
      "prompt, were lost each time"},
     {kServerPushback, "server_pushback", kNotRun, 503,
      "the backend servers turned requests away and asked for a rest"},
+    {kMemoryLimit, "memory_limit", kNotRun, 503,
+     "the memory for requests is used up"},
     {kServerLost, "server_lost", kUnknown, 504,
      "the agent was lost after the request was sent to it"},
     {kCannotVouch, "cannot_vouch", kUnknown, 504,
--- a/lavenderkeel/base/result_code.h
+++ b/lavenderkeel/base/result_code.h
@@ -50,6 +50,7 @@
   kServerUnreachable = 2014,
   kCrashesServers = 2015,
   kServerPushback = 2016,
+  kMemoryLimit = 2017,
 
   kServerLost = 3001,
   kCannotVouch = 3002,
--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -25,6 +25,14 @@
   return key;
 }
 
+/// Returns why a request is refused while there is no configuration. The team,
+/// and so the internal key, is unknown then. A request with an Idempotency-Key
+/// may have run at another entry, so that "not run" could be false.
+ResultCode UnconfiguredCode(const CallerRequest& request) {
+  return request.idempotency_key.has_value() ? ResultCode::kCannotVouch
+                                             : ResultCode::kNoConfiguration;
+}
+
 Failure MakeFailure(ResultCode code) {
   return {code, std::string(Describe(code).message)};
 }
@@ -34,9 +42,10 @@
 CallerApi::CallerApi(EntryContext& context, RequestController& requests)
     : context_(context),
       requests_(requests),
-      filters_({[this](RequestDraft& draft) { return IdentifyTeam(draft); },
-                [this](RequestDraft& draft) { return ReadKey(draft); },
-                ReadWork, ReadDeadline, ReadBody}) {}
+      head_filters_(
+          {[this](RequestDraft& draft) { return IdentifyTeam(draft); },
+           [this](RequestDraft& draft) { return ReadKey(draft); }, ReadWork,
+           ReadDeadline}) {}
 
 void CallerApi::Handle(CallerRequest request) {
   const std::string path = request.path;
@@ -44,20 +53,58 @@
     HandleByKey(request, path.substr(kRequestsPath.size()));
     return;
   }
-  const bool is_submission = path == kCompletionsPath || path == kChatPath ||
-                             path.starts_with(kServicesPath);
-  if (!is_submission) {
-    Refuse(request.caller, MakeFailure(ResultCode::kNotFound));
-    return;
-  }
-  const bool is_service = path.starts_with(kServicesPath);
-  if (request.method != "POST" && !is_service) {
-    Refuse(request.caller, MakeFailure(ResultCode::kMethodNotAllowed));
+  if (const std::optional<ResultCode> code = CheckPath(request)) {
+    Refuse(request.caller, MakeFailure(*code));
     return;
   }
   HandleSubmission(std::move(request));
 }
 
+std::optional<ResultCode> CallerApi::CheckPath(const CallerRequest& request) {
+  const bool is_service = request.path.starts_with(kServicesPath);
+  const bool is_submission = request.path == kCompletionsPath ||
+                             request.path == kChatPath || is_service;
+  if (!is_submission) {
+    return ResultCode::kNotFound;
+  }
+  return request.method != "POST" && !is_service
+             ? std::optional(ResultCode::kMethodNotAllowed)
+             : std::nullopt;
+}
+
+CallerHeadDecision CallerApi::CheckHead(const CallerRequest& head) {
+  if (const std::optional<ResultCode> code = CheckPath(head)) {
+    return {.refusal = *code};
+  }
+  RequestDraft draft;
+  draft.config = context_.config.current();
+  draft.http = head;
+  if (!draft.config) {
+    return {.refusal = UnconfiguredCode(head)};
+  }
+  if (const std::optional<Failure> failure = ReadHead(draft)) {
+    return {.refusal = failure->code};
+  }
+  return {.rank = static_cast<int>(draft.submission.properties.tier)};
+}
+
+void CallerApi::RefuseUnread(const CallerRequest& head, ResultCode code) {
+  // The request of this key may have run at another entry.
+  const bool may_have_run =
+      code == ResultCode::kMemoryLimit && head.idempotency_key.has_value();
+  Refuse(head.caller,
+         MakeFailure(may_have_run ? ResultCode::kCannotVouch : code));
+}
+
+std::optional<Failure> CallerApi::ReadHead(RequestDraft& draft) const {
+  for (const RequestFilter& filter : head_filters_) {
+    if (std::optional<Failure> failure = filter(draft)) {
+      return failure;
+    }
+  }
+  return std::nullopt;
+}
+
 void CallerApi::HandleSubmission(CallerRequest request) {
   RequestDraft draft;
   draft.config = context_.config.current();
@@ -66,23 +113,20 @@
     RefuseUnconfigured(draft.http);
     return;
   }
-  for (const RequestFilter& filter : filters_) {
-    if (const std::optional<Failure> failure = filter(draft)) {
-      Refuse(draft.http.caller, *failure);
-      return;
-    }
+  std::optional<Failure> failure = ReadHead(draft);
+  if (!failure.has_value()) {
+    failure = ReadBody(draft);
+  }
+  if (failure.has_value()) {
+    Refuse(draft.http.caller, *failure);
+    return;
   }
+  draft.submission.payload.memory = std::move(draft.http.memory);
   requests_.Submit(std::move(draft.submission));
 }
 
 void CallerApi::RefuseUnconfigured(const CallerRequest& request) {
-  // The team, and so the internal key, is unknown without a configuration. A
-  // request with an Idempotency-Key may have run at another entry, so that "not
-  // run" could be false.
-  const ResultCode code = request.idempotency_key.has_value()
-                              ? ResultCode::kCannotVouch
-                              : ResultCode::kNoConfiguration;
-  Refuse(request.caller, MakeFailure(code));
+  Refuse(request.caller, MakeFailure(UnconfiguredCode(request)));
 }
 
 void CallerApi::HandleByKey(const CallerRequest& request,
--- a/lavenderkeel/dispatch/caller_api.h
+++ b/lavenderkeel/dispatch/caller_api.h
@@ -34,10 +34,18 @@
   CallerApi(EntryContext& context, RequestController& requests);
 
   void Handle(CallerRequest request);
+  /// Decides from the head of a request whether its body is to be read.
+  CallerHeadDecision CheckHead(const CallerRequest& head);
+  /// Refuses a request that was not read whole.
+  void RefuseUnread(const CallerRequest& head, ResultCode code);
 
  private:
   void HandleByKey(const CallerRequest& request, const std::string& text);
+  /// Returns why the path or the method is refused.
+  static std::optional<ResultCode> CheckPath(const CallerRequest& request);
   void HandleSubmission(CallerRequest request);
+  /// Runs the filters that need the head only.
+  std::optional<Failure> ReadHead(RequestDraft& draft) const;
   void RefuseUnconfigured(const CallerRequest& request);
   void Refuse(CallerId caller, const Failure& failure);
 
@@ -49,7 +57,7 @@
 
   EntryContext& context_;
   RequestController& requests_;
-  std::vector<RequestFilter> filters_;
+  std::vector<RequestFilter> head_filters_;
 };
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/dispatch/entry_node.cc
+++ b/lavenderkeel/dispatch/entry_node.cc
@@ -5,6 +5,12 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+constexpr std::string_view kAdminPath = "/admin/v1/";
+
+}  // namespace
+
 EntryNode::EntryNode(Options options,
                      InstanceInfo self,
                      const Clock& clock,
@@ -422,13 +428,27 @@
     metrics_.Set("requests_waiting",
                  static_cast<double>(requests_.dispatch().waiting()));
     reply_plain(200, metrics_.ToPrometheus());
-  } else if (request.path.starts_with("/admin/v1/")) {
+  } else if (request.path.starts_with(kAdminPath)) {
     operator_api_.Handle(request);
   } else {
     caller_api_.Handle(std::move(request));
   }
 }
 
+CallerHeadDecision EntryNode::CheckHead(const CallerRequest& head) {
+  if (!head.path.starts_with(kAdminPath)) {
+    return caller_api_.CheckHead(head);
+  }
+  if (!operator_api_.IsAllowed(head)) {
+    return {.refusal = ResultCode::kOperatorKey};
+  }
+  return {};
+}
+
+void EntryNode::RefuseUnread(const CallerRequest& head, ResultCode code) {
+  caller_api_.RefuseUnread(head, code);
+}
+
 void EntryNode::OnCallerDrained(CallerId caller) {
   caller_subscriptions_.OnDrained(caller);
 }
--- a/lavenderkeel/dispatch/entry_node.h
+++ b/lavenderkeel/dispatch/entry_node.h
@@ -70,6 +70,10 @@
   void OnMessage(LinkId link, Message message);
   void OnPlatformReply(PlatformCallId call, const PlatformReply& reply);
   void OnCallerRequest(CallerRequest request);
+  /// Decides from the head of a request whether its body is to be read.
+  CallerHeadDecision CheckHead(const CallerRequest& head);
+  /// Refuses a request that was not read whole.
+  void RefuseUnread(const CallerRequest& head, ResultCode code);
   void OnCallerDrained(CallerId caller);
   void OnCallerGone(CallerId caller);
 
--- a/lavenderkeel/dispatch/entry_request.h
+++ b/lavenderkeel/dispatch/entry_request.h
@@ -2,6 +2,7 @@
 #define LAVENDERKEEL_DISPATCH_ENTRY_REQUEST_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -12,6 +13,7 @@
 #include "lavenderkeel/claim/claim.h"
 #include "lavenderkeel/crash/request_traits.h"
 #include "lavenderkeel/evidence/run_history.h"
+#include "lavenderkeel/memory/memory_budget.h"
 #include "lavenderkeel/routing/router.h"
 
 namespace lavenderkeel {
@@ -30,6 +32,8 @@
   std::vector<uint64_t> prefix;
   /// The ids of the paragraphs of the prompt; empty for services.
   std::vector<PromptPartId> prompt_parts;
+  /// What is held of the memory for callers.
+  std::shared_ptr<MemoryCharge> memory = nullptr;
 
   friend bool operator==(const Payload&, const Payload&) = default;
 };
--- a/lavenderkeel/dispatch/operator_api.cc
+++ b/lavenderkeel/dispatch/operator_api.cc
@@ -60,10 +60,13 @@
       platform_(platform),
       key_sha256_(std::move(key_sha256)) {}
 
+bool OperatorApi::IsAllowed(const CallerRequest& request) const {
+  return request.bearer.has_value() && !key_sha256_.empty() &&
+         Sha256Hex(*request.bearer) == key_sha256_;
+}
+
 void OperatorApi::Handle(const CallerRequest& request) {
-  const bool allowed = request.bearer.has_value() && !key_sha256_.empty() &&
-                       Sha256Hex(*request.bearer) == key_sha256_;
-  if (!allowed) {
+  if (!IsAllowed(request)) {
     Refuse(request.caller, ResultCode::kOperatorKey, "");
     return;
   }
--- a/lavenderkeel/dispatch/operator_api.h
+++ b/lavenderkeel/dispatch/operator_api.h
@@ -21,6 +21,8 @@
               std::string key_sha256);
 
   void Handle(const CallerRequest& request);
+  /// Returns whether the request has the operator key.
+  bool IsAllowed(const CallerRequest& request) const;
   void Tick();
   /// Returns true if no configuration change is pending at the platform.
   bool IsIdle() const { return commits_.empty(); }
--- a/lavenderkeel/forward/answer_forwarder.cc
+++ b/lavenderkeel/forward/answer_forwarder.cc
@@ -45,7 +45,10 @@
     return;
   }
   request.answer_body += bytes;
-  if (request.answer_body.size() > options_.max_buffered_bytes) {
+  const size_t max_bytes = request.memory.is_over()
+                               ? options_.max_buffered_bytes_if_short
+                               : options_.max_buffered_bytes;
+  if (request.answer_body.size() > max_bytes) {
     request.head_sent = true;
     port_.RespondHead(request.exchange, ForClient(*request.answer_head));
     port_.RespondChunk(request.exchange,
--- a/lavenderkeel/forward/answer_forwarder.h
+++ b/lavenderkeel/forward/answer_forwarder.h
@@ -20,6 +20,9 @@
   struct Options {
     /// Answers that are not streams are buffered up to this size.
     size_t max_buffered_bytes = size_t{256} << 10;
+    /// The same while the memory for clients is used up. A truncated answer
+    /// can't be fetched again once a part of it is passed on.
+    size_t max_buffered_bytes_if_short = size_t{16} << 10;
   };
 
   AnswerForwarder(const Options& options,
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
@@ -131,7 +133,8 @@
 
 void ForwardController::OnRequest(ExchangeId exchange,
                                   RequestHead head,
-                                  std::string body) {
+                                  std::string body,
+                                  MemoryCharge memory) {
   if (refuses_new_) {
     Refuse(exchange, {}, {.code = ResultCode::kLeaving});
     return;
@@ -143,8 +146,8 @@
   }
   const TimePoint now = clock_.Now();
   if (table_ != nullptr) {
-    Begin(exchange, std::move(head), std::move(body), *std::move(metadata),
-          now);
+    Begin(exchange, std::move(head), std::move(body), *std::move(metadata), now,
+          std::move(memory));
     return;
   }
   // If all entries were killed while the store is unavailable, a client that is
@@ -159,6 +162,7 @@
                               .body = std::move(body),
                               .metadata = *std::move(metadata),
                               .arrived = now,
+                              .memory = std::move(memory),
                               .waits_until = now + wait});
 }
 
@@ -183,7 +187,7 @@
     EarlyRequest& early = node.mapped();
     held_body_bytes_ -= early.body.size();
     Begin(exchange, std::move(early.head), std::move(early.body),
-          std::move(early.metadata), early.arrived);
+          std::move(early.metadata), early.arrived, std::move(early.memory));
   }
 }
 
@@ -213,7 +217,8 @@
                               RequestHead head,
                               std::string body,
                               RequestMetadata metadata,
-                              TimePoint arrived) {
+                              TimePoint arrived,
+                              MemoryCharge memory) {
   const std::string* host = FindField(head.fields, "Host");
   auto request = std::make_unique<ForwardedRequest>();
   request->exchange = exchange;
@@ -222,16 +227,19 @@
   request->route =
       host == nullptr ? nullptr : table_->FindRoute(*host, head.target);
   request->head = std::move(head);
-  request->body = std::move(body);
+  request->body = std::make_shared<const std::string>(std::move(body));
+  request->memory = std::move(memory);
+  request->answer_memory = request->memory.Another();
   request->arrived = arrived;
   if (const std::optional<Refusal> refusal =
           admission_.Admit(*request, held_body_bytes_)) {
     if (refusal->undecided) {
       // Whether the request exceeds the rate is known half a second later.
       HoldEarlyRequest(exchange, {.head = std::move(request->head),
-                                  .body = std::move(request->body),
+                                  .body = *request->body,
                                   .metadata = std::move(request->metadata),
-                                  .arrived = arrived});
+                                  .arrived = arrived,
+                                  .memory = std::move(request->memory)});
       return;
     }
     LogEnd(*request, Describe(refusal->code).name,
@@ -244,10 +252,10 @@
                                    .method = request->head.method,
                                    .host = *host,
                                    .target = request->head.target,
-                                   .body = request->body,
+                                   .body = *request->body,
                                }),
                                request->metadata.prompt_parts);
-  held_body_bytes_ += request->body.size();
+  held_body_bytes_ += request->body->size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
   retries_.OnAdmitted(admitted);
@@ -255,8 +263,69 @@
   Enqueue(admitted);
 }
 
-void ForwardController::OnBadRequest(ExchangeId exchange, ResultCode code) {
-  Refuse(exchange, {}, {.code = code});
+void ForwardController::OnBadRequest(ExchangeId exchange,
+                                     const RequestHead& head,
+                                     ResultCode code) {
+  const std::optional<RequestMetadata> metadata = codec_.read_request(head);
+  Refuse(exchange, metadata.has_value() ? metadata->request_id : std::string(),
+         {.code = code});
+}
+
+ForwardController::HeadDecision ForwardController::CheckHead(
+    const RequestHead& head) const {
+  if (refuses_new_) {
+    return {.refusal = ResultCode::kLeaving};
+  }
+  const std::optional<RequestMetadata> metadata = codec_.read_request(head);
+  if (!metadata.has_value()) {
+    return {.refusal = ResultCode::kMalformedRequest};
+  }
+  if (table_ == nullptr) {
+    return {};
+  }
+  const std::string* host = FindField(head.fields, "Host");
+  const Route* route =
+      host == nullptr ? nullptr : table_->FindRoute(*host, head.target);
+  if (route == nullptr) {
+    return {.refusal = ResultCode::kNoRoute};
+  }
+  const TeamConfig* team = metadata->api_key.has_value()
+                               ? table_->FindTeamByKey(*metadata->api_key)
+                               : nullptr;
+  if (team == nullptr && table_->has_teams() && !route->is_public) {
+    return {.refusal = ResultCode::kUnknownTeam};
+  }
+  return {.priority = team == nullptr
+                          ? route->priority
+                          : team->priority.value_or(route->priority)};
+}
+
+void ForwardController::YieldMemory(int priority, size_t bytes) {
+  const auto may_yield = [priority](const ForwardedRequest& request) {
+    return request.priority > priority && request.state == State::kWaiting &&
+           request.tried.empty() && !request.head_sent;
+  };
+  std::vector<std::tuple<int, TimePoint, ExchangeId>> yielding;
+  for (const auto& [exchange, request] : requests_) {
+    if (may_yield(*request)) {
+      yielding.emplace_back(request->priority, request->arrived, exchange);
+    }
+  }
+  std::ranges::sort(yielding, std::greater<>());
+  size_t freed = 0;
+  for (const auto& [rank, arrived, exchange] : yielding) {
+    // A refusal may change the state of other requests.
+    const auto found = requests_.find(exchange);
+    if (found == requests_.end() || !may_yield(*found->second)) {
+      continue;
+    }
+    if (freed >= bytes) {
+      return;
+    }
+    freed += found->second->memory.bytes();
+    metrics_.Add("requests_yielded_memory");
+    RefuseRequest(*found->second, {.code = ResultCode::kMemoryLimit});
+  }
 }
 
 CrashDecision ForwardController::DecideOnCrashes(
@@ -542,7 +611,8 @@
       {.server = key,
        .address = server.address,
        .request_id = request.metadata.request_id,
-       .bytes = EncodeRequest(head, request.body),
+       .head = EncodeRequestHead(head, request.body->size()),
+       .body = request.body,
        .max_reuse_idle_time =
            request.may_repeat() ? options_.max_reuse_idle_time
                                 : options_.max_non_repeatable_reuse_idle_time});
@@ -649,6 +719,8 @@
     return true;
   }
   answers_.OnChunk(*request, std::move(bytes));
+  request->answer_memory.Resize(request->answer_body.capacity() +
+                                request->events.incomplete_bytes());
   if (request->events.incomplete_bytes() > options_.max_event_bytes) {
     AbandonEndlessAnswer(*request, "event");
     return false;
@@ -989,7 +1061,7 @@
 
 void ForwardController::RemoveRequest(ExchangeId exchange) {
   const auto found = requests_.find(exchange);
-  held_body_bytes_ -= found->second->body.size();
+  held_body_bytes_ -= found->second->body->size();
   retries_.Release(*found->second);
   if (found->second->attempt != 0) {
     EndAttempt(*found->second, {});
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -128,9 +128,27 @@
   }
 
   // Clients.
-  void OnRequest(ExchangeId exchange, RequestHead head, std::string body);
-  /// Answers a request that could not be parsed with the given code.
-  void OnBadRequest(ExchangeId exchange, ResultCode code);
+  /// @param memory what is held for the head and the body
+  void OnRequest(ExchangeId exchange,
+                 RequestHead head,
+                 std::string body,
+                 MemoryCharge memory = {});
+  /// Refuses a request that was not read whole.
+  /// @param head empty if it was not read
+  void OnBadRequest(ExchangeId exchange,
+                    const RequestHead& head,
+                    ResultCode code);
+  struct HeadDecision {
+    /// Why the request is refused whatever its body is.
+    std::optional<ResultCode> refusal = std::nullopt;
+    /// Priority of the request; 0 is the most urgent.
+    int priority = 0;
+  };
+  /// Decides from the head whether the body is to be read.
+  HeadDecision CheckHead(const RequestHead& head) const;
+  /// Refuses requests that were never sent and are less urgent, the least
+  /// urgent and then the newest first, until they have freed the memory.
+  void YieldMemory(int priority, size_t bytes);
   void OnClientGone(ExchangeId exchange);
   /// Refuses new requests from now on; earlier ones are finished.
   void RejectNewRequests() { refuses_new_ = true; }
@@ -213,6 +231,7 @@
     std::string body;
     RequestMetadata metadata;
     TimePoint arrived;
+    MemoryCharge memory = {};
     /// End of the wait for the first configuration; unused once there is one.
     TimePoint waits_until;
   };
@@ -222,7 +241,8 @@
              RequestHead head,
              std::string body,
              RequestMetadata metadata,
-             TimePoint arrived);
+             TimePoint arrived,
+             MemoryCharge memory);
   void HoldEarlyRequest(ExchangeId exchange, EarlyRequest request);
   void BeginEarlyRequests();
   /// Begins or refuses the early requests whose wait is over.
--- a/lavenderkeel/forward/forward_port.h
+++ b/lavenderkeel/forward/forward_port.h
@@ -1,6 +1,7 @@
 #ifndef LAVENDERKEEL_FORWARD_FORWARD_PORT_H_
 #define LAVENDERKEEL_FORWARD_FORWARD_PORT_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -34,7 +35,9 @@
     /// Echoed in every answer to the request. No connection carries the same id
     /// twice, so that an answer with this id belongs to this attempt.
     std::string request_id;
-    std::string bytes;
+    /// The encoded head.
+    std::string head;
+    std::shared_ptr<const std::string> body;
     /// An idle connection may be reused within this time of its last use; zero:
     /// only a new connection.
     Duration max_reuse_idle_time{};
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -15,6 +15,7 @@
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/http/event_stream.h"
 #include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/memory/memory_budget.h"
 #include "lavenderkeel/retry/retry_decision.h"
 #include "lavenderkeel/rollout/version_selector.h"
 
@@ -32,7 +33,12 @@
 
   ExchangeId exchange = 0;
   RequestHead head;
-  std::string body;
+  /// Shared with the connection that sends it.
+  std::shared_ptr<const std::string> body;
+  /// What is held for the request.
+  MemoryCharge memory;
+  /// What is held of the answer and not passed on.
+  MemoryCharge answer_memory;
   RequestMetadata metadata;
   /// The configuration in force on arrival; keeps `route` alive.
   std::shared_ptr<const RouteTable> table;
--- a/lavenderkeel/forward/request_admission.cc
+++ b/lavenderkeel/forward/request_admission.cc
@@ -43,7 +43,7 @@
   request.last_event_id = request.metadata.last_event_id;
   request.is_long = route.streaming &&
                     route_history_[route.name].sizes.IsLong(request.metadata);
-  if (held_body_bytes + request.body.size() >
+  if (held_body_bytes + request.body->size() >
       options_.max_buffered_body_bytes) {
     return Refusal{.code = ResultCode::kOverloaded};
   }
--- a/lavenderkeel/http/message_head.cc
+++ b/lavenderkeel/http/message_head.cc
@@ -120,21 +120,26 @@
   return kept;
 }
 
-std::string EncodeRequest(const RequestHead& head, std::string_view body) {
+std::string EncodeRequestHead(const RequestHead& head, size_t body_size) {
   std::string out;
   constexpr size_t kTypicalHeadBytes = 768;
-  out.reserve(kTypicalHeadBytes + body.size());
+  out.reserve(kTypicalHeadBytes);
   out += head.method;
   out += ' ';
   out += head.target;
   out += " HTTP/1.1\r\n";
   AppendFields(head.fields, out);
   const bool no_body_expected = head.method == "GET" || head.method == "HEAD";
-  if (body.empty() && no_body_expected) {
+  if (body_size == 0 && no_body_expected) {
     out += "\r\n";
   } else {
-    AppendLength(body.size(), out);
+    AppendLength(body_size, out);
   }
+  return out;
+}
+
+std::string EncodeRequest(const RequestHead& head, std::string_view body) {
+  std::string out = EncodeRequestHead(head, body.size());
   out += body;
   return out;
 }
--- a/lavenderkeel/http/message_head.h
+++ b/lavenderkeel/http/message_head.h
@@ -62,6 +62,9 @@
 /// Encodes a request: the head, with `Content-Length: body_size`, and the body.
 std::string EncodeRequest(const RequestHead& head, std::string_view body);
 
+/// Encodes the head of a request, with `Content-Length: body_size`.
+std::string EncodeRequestHead(const RequestHead& head, size_t body_size);
+
 /// Encodes a response: the head, with its length, and the body.
 std::string EncodeResponse(const ResponseHead& head, std::string_view body);
 
--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -30,7 +30,9 @@
   using Base = http::basic_parser<kIsRequest>;
 
   explicit Parser(ReadLimits limits)
-      : head_limit_(limits.head_bytes), body_limit_(limits.body_bytes) {
+      : head_limit_(limits.head_bytes),
+        body_limit_(limits.body_bytes),
+        strict_(limits.strict) {
     this->eager(true);
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     // OnBody() counts the bytes instead, to distinguish a body over the limit
@@ -82,7 +84,17 @@
   ReadFault fault() const { return fault_; }
   bool started() const { return started_; }
   const Head& head() const { return head_; }
+  Head TakeHead() { return std::exchange(head_, {}); }
   std::string TakeBody() { return std::exchange(body_, {}); }
+  std::string& body() { return body_; }
+  std::optional<uint64_t> body_length() const {
+    const boost::optional<std::uint64_t> length = this->content_length();
+    return length.has_value() ? std::optional<uint64_t>(*length) : std::nullopt;
+  }
+  size_t head_capacity() const {
+    return sizeof(*this) + head_text_bytes_ +
+           head_.fields.capacity() * sizeof(HttpField);
+  }
 
  private:
   void RecordFault(const beast::error_code& error) {
@@ -120,7 +132,7 @@
 
   void OnVersion(int version, beast::error_code& error) {
     version_ = version;
-    if (kIsRequest && version != kHttp11) {
+    if (kIsRequest && strict_ && version != kHttp11) {
       error = http::error::bad_version;
     }
   }
@@ -148,15 +160,18 @@
         error = http::error::bad_transfer_encoding;
       }
     }
-    head_.fields.push_back(
-        {.name = std::string(View(name)), .value = std::string(View(value))});
+    const HttpField& added = head_.fields.emplace_back(HttpField{
+        .name = std::string(View(name)), .value = std::string(View(value))});
+    head_text_bytes_ += added.name.capacity() + added.value.capacity();
   }
 
   void on_header_impl(beast::error_code& error) override {
     head_done_ = true;
     const bool ambiguous = length_count_ > 1 || coding_count_ > 1 ||
                            (length_count_ > 0 && coding_count_ > 0);
-    if (ambiguous || (kIsRequest && host_count_ != 1)) {
+    const int min_hosts = kIsRequest && strict_ ? 1 : 0;
+    if (ambiguous ||
+        (kIsRequest && (host_count_ < min_hosts || host_count_ > 1))) {
       error = http::error::bad_field;
       return;
     }
@@ -208,8 +223,10 @@
 
   size_t head_limit_;
   uint64_t body_limit_;
+  bool strict_;
   Head head_;
   std::string body_;
+  size_t head_text_bytes_ = 0;
   size_t body_total_ = 0;
   int version_ = 0;
   int host_count_ = 0;
@@ -266,6 +283,31 @@
   return parser_->TakeBody();
 }
 
+template <typename Head>
+Head MessageReader<Head>::TakeHead() {
+  return parser_->TakeHead();
+}
+template <typename Head>
+std::optional<uint64_t> MessageReader<Head>::body_length() const {
+  return parser_->body_length();
+}
+template <typename Head>
+size_t MessageReader<Head>::body_bytes() const {
+  return parser_->body().size();
+}
+template <typename Head>
+void MessageReader<Head>::ReserveBody(size_t bytes) {
+  parser_->body().reserve(bytes);
+}
+template <typename Head>
+size_t MessageReader<Head>::head_capacity() const {
+  return parser_->head_capacity();
+}
+template <typename Head>
+size_t MessageReader<Head>::body_capacity() const {
+  return parser_->body().capacity();
+}
+
 template class MessageReader<RequestHead>;
 template class MessageReader<ResponseHead>;
 
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -29,6 +29,9 @@
 struct ReadLimits {
   size_t head_bytes = size_t{16} << 10;
   uint64_t body_bytes = uint64_t{4} << 20;
+  /// Requests need a host and version 1.1; other versions of HTTP/1 are
+  /// rejected.
+  bool strict = true;
 };
 
 /// Incremental parser of one HTTP/1.1 message, without sockets.
@@ -61,8 +64,19 @@
   bool started() const;
   /// Valid once head_done().
   const Head& head() const;
+  /// Returns the head; head() is empty afterwards.
+  Head TakeHead();
+  /// Returns the length that the head states for the body, if any.
+  std::optional<uint64_t> body_length() const;
   /// Returns the body bytes since the last call, without framing.
   std::string TakeBody();
+  /// Returns the number of body bytes since the last call of TakeBody().
+  size_t body_bytes() const;
+  /// Allocates the memory of a body at once.
+  void ReserveBody(size_t bytes);
+  /// Returns the memory that is allocated for the head, and for the body.
+  size_t head_capacity() const;
+  size_t body_capacity() const;
 
  private:
   class Parser;
--- a/lavenderkeel/io/address.cc
+++ b/lavenderkeel/io/address.cc
@@ -28,6 +28,25 @@
   return !IN6_IS_ADDR_UNSPECIFIED(&host) && !IN6_IS_ADDR_MULTICAST(&host);
 }
 
+/// Returns an address of a socket: its own, or that of its peer.
+std::string AddressOf(int socket, int (*get_name)(int, sockaddr*, socklen_t*)) {
+  sockaddr_storage storage{};
+  socklen_t length = sizeof(storage);
+  auto* address = reinterpret_cast<sockaddr*>(&storage);
+  if (get_name(socket, address, &length) != 0) {
+    return {};
+  }
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  const bool is_v6 = storage.ss_family == AF_INET6;
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(address);
+  auto* v4 = reinterpret_cast<sockaddr_in*>(address);
+  const void* number = is_v6 ? static_cast<const void*>(&v6->sin6_addr)
+                             : static_cast<const void*>(&v4->sin_addr);
+  inet_ntop(storage.ss_family, number, text.data(), text.size());
+  const uint16_t port = ntohs(is_v6 ? v6->sin6_port : v4->sin_port);
+  return Address{.host = text.data(), .port = port}.ToString();
+}
+
 }  // namespace
 
 std::optional<Address> Address::Parse(const std::string& text) {
@@ -84,21 +103,11 @@
 }
 
 std::string BoundAddress(int socket) {
-  sockaddr_storage storage{};
-  socklen_t length = sizeof(storage);
-  auto* address = reinterpret_cast<sockaddr*>(&storage);
-  if (getsockname(socket, address, &length) != 0) {
-    return {};
-  }
-  std::array<char, INET6_ADDRSTRLEN> text{};
-  const bool is_v6 = storage.ss_family == AF_INET6;
-  auto* v6 = reinterpret_cast<sockaddr_in6*>(address);
-  auto* v4 = reinterpret_cast<sockaddr_in*>(address);
-  const void* number = is_v6 ? static_cast<const void*>(&v6->sin6_addr)
-                             : static_cast<const void*>(&v4->sin_addr);
-  inet_ntop(storage.ss_family, number, text.data(), text.size());
-  const uint16_t port = ntohs(is_v6 ? v6->sin6_port : v4->sin_port);
-  return Address{.host = text.data(), .port = port}.ToString();
+  return AddressOf(socket, getsockname);
+}
+
+std::string PeerAddress(int socket) {
+  return AddressOf(socket, getpeername);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/address.h
+++ b/lavenderkeel/io/address.h
@@ -30,6 +30,9 @@
 /// Returns the address that a socket is bound to.
 std::string BoundAddress(int socket);
 
+/// Returns the address of the other end of a connection.
+std::string PeerAddress(int socket);
+
 }  // namespace lavenderkeel
 
 #endif  // LAVENDERKEEL_IO_ADDRESS_H_
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -2,6 +2,7 @@
 #define LAVENDERKEEL_IO_CLIENT_PORT_H_
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,7 +14,9 @@
 #include "lavenderkeel/forward/attempt.h"
 #include "lavenderkeel/forward/route_table.h"
 #include "lavenderkeel/http/message_head.h"
+#include "lavenderkeel/io/client_limit_event.h"
 #include "lavenderkeel/io/event_loop.h"
+#include "lavenderkeel/memory/body_memory.h"
 
 struct bufferevent;
 struct evconnlistener;
@@ -23,21 +26,68 @@
 /// HTTP server for clients. Reads one request at a time from each connection,
 /// with strict framing, and writes its answer. Bytes that follow a request wait
 /// until it is answered.
+///
+/// What is held for a connection is accounted, and bounded by the budget of the
+/// process and the number of connections. A body is read only once its memory
+/// is reserved. When the connections or the memory are used up, connections
+/// yield that wait for their client, the longest waiting first: idle ones,
+/// those with a part of a request, and those whose client does not read its
+/// answer. A connection whose request is being handled yields only memory, and
+/// only if its client does not read.
 class ClientPort {
  public:
+  struct Options {
+    /// Name of the port in logs and metrics.
+    std::string name = "clients";
+    /// Open connections, including those that are being closed.
+    size_t max_connections = std::numeric_limits<size_t>::max();
+    /// See ReadLimits.
+    bool strict = true;
+    /// Bytes of following requests that are read while one is answered.
+    size_t read_ahead_bytes = size_t{16} << 10;
+    /// Size of the buffers of each socket.
+    int socket_buffer_bytes = 128 << 10;
+    /// A client that reads nothing of its complete answer for this time is
+    /// disconnected.
+    Duration unread_answer_time = std::chrono::seconds(30);
+  };
+
+  /// What the head of a request says about its body.
+  struct HeadDecision {
+    /// Why the request is refused whatever its body is, which is not read.
+    std::optional<ResultCode> refusal = std::nullopt;
+    /// Order in which bodies get memory; 0 is the most urgent.
+    int rank = 0;
+  };
+
   struct Hooks {
-    std::function<void(ExchangeId, RequestHead, std::string body)> on_request;
-    /// A request can't be parsed; the connection closes after its answer.
-    std::function<void(ExchangeId, ResultCode)> on_bad_request;
+    /// @param memory what is held for the head and the body
+    std::function<
+        void(ExchangeId, RequestHead, std::string body, MemoryCharge memory)>
+        on_request;
+    /// Decides whether the body of a request is read; empty: always. Called
+    /// only for a body that has not arrived with its head.
+    std::function<HeadDecision(const RequestHead&)> check_head;
+    /// A request can't be parsed or is refused unread; the connection closes
+    /// after its answer. The head is empty if it was not read whole.
+    std::function<void(ExchangeId, const RequestHead&, ResultCode)>
+        on_bad_request;
     /// The client closed the connection before the answer was fully written.
     std::function<void(ExchangeId)> on_gone;
     /// All that was written of an answer so far has been sent.
     std::function<void(ExchangeId)> on_written;
     /// Returns the limits in force.
     std::function<ClientLimits()> limits;
+    /// A limit was reached; empty: ignored.
+    std::function<void(const ClientLimitEvent&)> on_limit;
   };
 
-  ClientPort(EventLoop& loop, const Clock& clock, Hooks hooks);
+  /// @param bodies shared by all ports of the process
+  ClientPort(EventLoop& loop,
+             Options options,
+             const Clock& clock,
+             BodyMemory& bodies,
+             Hooks hooks);
   ~ClientPort();
   ClientPort(const ClientPort&) = delete;
   ClientPort& operator=(const ClientPort&) = delete;
@@ -67,6 +117,8 @@
   /// Returns the number of requests that are not yet answered or whose answer
   /// is not fully written.
   size_t busy() const;
+  /// The same without requests that are not read whole.
+  size_t unanswered() const;
   size_t connections() const { return connections_.size(); }
 
  private:
@@ -79,7 +131,36 @@
   void OnEnded(Connection& connection);
   void ReadRequest(Connection& connection);
   void StartExchange(Connection& connection);
+  /// Decides whether the body of the request is read on.
+  bool MayReadBody(Connection& connection);
+  /// Reads and drops what follows a request that was not read whole.
+  void Discard(Connection& connection);
+  bool RequestMemory(Connection& connection, int rank);
+  void BeginBody(Connection& connection);
+  void OnMemoryGranted(ConnectionId id);
+  void OnMemoryRefused(ConnectionId id, BodyMemory::End end);
+  void ReleaseBody(Connection& connection);
   void Fail(Connection& connection, ResultCode code);
+  /// Accounts what is held for the connection.
+  void Account(Connection& connection);
+  void SetReading(Connection& connection, bool reads);
+  /// Returns since when a connection that may yield waits for its client.
+  static std::optional<TimePoint> YieldsSince(Connection& connection,
+                                              TimePoint now,
+                                              bool frees_memory);
+  /// Returns the connection that yields first; null if none does.
+  Connection* FindYielding(TimePoint now, bool frees_memory);
+  /// Gives up what was read beyond the requests that are being handled.
+  void DropReadAhead();
+  /// Closes connections while the budget is exceeded.
+  void ReclaimMemory();
+  static std::string_view StateName(const Connection& connection);
+  void Report(const Connection& connection,
+              std::string_view limit,
+              std::string_view state);
+  void Write(Connection& connection, std::string_view bytes);
+  /// Returns for how long the client has read nothing of its answer.
+  static Duration UnreadTime(Connection& connection, TimePoint now);
   Connection* FindExchange(ExchangeId exchange);
   ResponseHead WithConnection(Connection& connection,
                               const ResponseHead& head) const;
@@ -88,8 +169,12 @@
   void Close(ConnectionId id);
 
   EventLoop& loop_;
+  Options options_;
   const Clock& clock_;
+  BodyMemory& bodies_;
   Hooks hooks_;
+  bool reclaims_ = false;
+  bool processes_bodies_ = false;
   evconnlistener* listener_ = nullptr;
   bool leaving_ = false;
   ConnectionId last_connection_ = 0;
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -13,16 +13,20 @@
     : settings_(std::move(settings)),
       log_(log),
       http_client_(loop_),
+      memory_(settings_.common.limits.client_bytes()),
       node_(settings_.node,
             settings_.common.self,
             clock_,
             settings_.common.self.id.incarnation,
             log,
             metrics_),
+      bodies_({}, memory_, clock_),
       peers_(loop_, {}, node_.members().self(), log),
       callers_(
           loop_,
           settings_.http,
+          clock_,
+          bodies_,
           {.on_request =
                [this](const HttpRequest& request) { OnRequest(request); },
            .on_drained =
@@ -35,12 +39,15 @@
                  node_.OnCallerGone(caller);
                  ExecuteActions();
                },
-           .on_too_large =
-               [this](CallerId caller) {
-                 callers_.Handle(CallerSubscriptions::ErrorReply(
-                     caller, ResultCode::kBodyTooLarge,
-                     std::string(Describe(ResultCode::kBodyTooLarge).message),
-                     "", Duration::zero()));
+           .on_refused = [this](const HttpRequest& request,
+                                ResultCode code) { OnRefused(request, code); },
+           .check_head =
+               [this](const HttpRequest& request) {
+                 return CheckHead(request);
+               },
+           .on_limit =
+               [this](const ClientLimitEvent& event) {
+                 RecordLimitEvent(event, log_, metrics_);
                }}),
       platform_(http_client_,
                 settings_.common.platform,
@@ -84,6 +91,7 @@
 void EntryDaemon::OnTick() {
   node_.Tick();
   peers_.Tick(clock_.Now());
+  callers_.Tick();
   ExecuteActions();
   // Connections made before the stop may still be unread. If the process ended
   // now, their callers would see a reset and could not tell whether their
@@ -97,7 +105,7 @@
   }
 }
 
-void EntryDaemon::OnRequest(const HttpRequest& request) {
+CallerRequest EntryDaemon::ToCallerRequest(const HttpRequest& request) {
   constexpr std::string_view kBearer = "Bearer ";
   CallerRequest read{.caller = request.id,
                      .method = request.method,
@@ -107,12 +115,31 @@
                      .idempotency_key = request.header("Idempotency-Key"),
                      .work = request.header("Lavenderkeel-Work"),
                      .deadline_ms = request.header("Lavenderkeel-Deadline-Ms"),
-                     .body = request.body};
+                     .body = request.body,
+                     .memory = request.memory};
   const auto authorization = request.header("Authorization");
   if (authorization.has_value() && authorization->starts_with(kBearer)) {
     read.bearer = authorization->substr(kBearer.size());
   }
+  return read;
+}
+
+ClientPort::HeadDecision EntryDaemon::CheckHead(const HttpRequest& request) {
+  const CallerHeadDecision decision = node_.CheckHead(ToCallerRequest(request));
+  return {.refusal = decision.refusal, .rank = decision.rank};
+}
+
+void EntryDaemon::OnRefused(const HttpRequest& request, ResultCode code) {
+  node_.RefuseUnread(ToCallerRequest(request), code);
+  ExecuteActions();
+}
+
+void EntryDaemon::OnRequest(const HttpRequest& request) {
+  CallerRequest read = ToCallerRequest(request);
   if (read.path == "/metrics") {
+    PutMemoryMetrics(bodies_, metrics_);
+    metrics_.Set("client_connections",
+                 static_cast<double>(callers_.connections()));
     metrics_.Set("peer_bytes_sent", static_cast<double>(peers_.bytes_sent()));
     metrics_.Set("peer_bytes_received",
                  static_cast<double>(peers_.bytes_received()));
--- a/lavenderkeel/io/entry_daemon.h
+++ b/lavenderkeel/io/entry_daemon.h
@@ -28,7 +28,11 @@
 
  private:
   void ExecuteActions();
+  static CallerRequest ToCallerRequest(const HttpRequest& request);
+  ClientPort::HeadDecision CheckHead(const HttpRequest& request);
   void OnRequest(const HttpRequest& request);
+  /// Refuses a request that was not read whole.
+  void OnRefused(const HttpRequest& request, ResultCode code);
   void OnTick();
 
   EntrySettings settings_;
@@ -37,7 +41,10 @@
   Metrics metrics_;
   EventLoop loop_;
   HttpClient http_client_;
+  /// Before the node, whose requests hold a part of it.
+  MemoryBudget memory_;
   EntryNode node_;
+  BodyMemory bodies_;
   PeerPort peers_;
   HttpServer callers_;
   PlatformClient platform_;
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -30,6 +30,9 @@
 /// way.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 
+/// Requests at the status port need no body.
+constexpr size_t kMaxStatusBodyBytes = size_t{4} << 10;
+
 Duration BootTime() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
@@ -77,6 +80,7 @@
       log_(log),
       http_client_(loop_),
       port_(std::make_unique<Port>(*this)),
+      memory_(settings_.limits.client_bytes()),
       node_(settings_.node,
             settings_.self,
             make_source(http_client_),
@@ -86,18 +90,38 @@
             std::random_device()(),
             log,
             metrics_),
+      bodies_({.reclaim =
+                   [this](int rank, size_t bytes) {
+                     node_.controller().YieldMemory(rank, bytes);
+                   }},
+              memory_,
+              clock_),
       peers_(loop_, {}, node_.members().self(), log),
       clients_(
           loop_,
+          {},
           clock_,
+          bodies_,
           {.on_request =
-               [this](ExchangeId exchange, RequestHead head, std::string body) {
+               [this](ExchangeId exchange,
+                      RequestHead head,
+                      std::string body,
+                      MemoryCharge memory) {
                  node_.controller().OnRequest(exchange, std::move(head),
-                                              std::move(body));
+                                              std::move(body),
+                                              std::move(memory));
+               },
+           .check_head =
+               [this](const RequestHead& head) {
+                 const auto decision = node_.controller().CheckHead(head);
+                 return ClientPort::HeadDecision{.refusal = decision.refusal,
+                                                 .rank = decision.priority};
                },
            .on_bad_request =
-               [this](ExchangeId exchange, ResultCode code) {
-                 node_.controller().OnBadRequest(exchange, code);
+               [this](ExchangeId exchange,
+                      const RequestHead& head,
+                      ResultCode code) {
+                 node_.controller().OnBadRequest(exchange, head, code);
                },
            .on_gone =
                [this](ExchangeId exchange) {
@@ -110,6 +134,10 @@
                [this] {
                  const auto& table = node_.controller().table();
                  return table == nullptr ? ClientLimits() : table->limits();
+               },
+           .on_limit =
+               [this](const ClientLimitEvent& event) {
+                 RecordLimitEvent(event, log_, metrics_);
                }}),
       upstream_(
           loop_,
@@ -137,12 +165,24 @@
                }}),
       status_(
           loop_,
-          {},
+          {.name = "status",
+           .max_body_bytes = kMaxStatusBodyBytes},
+          clock_,
+          bodies_,
           {.on_request =
                [this](const HttpRequest& request) { OnStatusRequest(request); },
            .on_drained = [](CallerId) {},
            .on_gone = [](CallerId) {},
-           .on_too_large = [](CallerId) {}}) {
+           .on_refused =
+               [this](const HttpRequest& request, ResultCode code) {
+                 status_.Handle(
+                     ReplyComplete{.caller = request.id,
+                                   .status = Describe(code).http_status});
+               },
+           .on_limit =
+               [this](const ClientLimitEvent& event) {
+                 RecordLimitEvent(event, log_, metrics_);
+               }}) {
   WirePeers(peers_, node_, [this] { ExecuteActions(); });
 }
 
@@ -208,7 +248,11 @@
 
 void ForwardDaemon::PauseIfCongested(ExchangeId exchange) {
   constexpr size_t kMaxUnsentBytes = size_t{256} << 10;
-  if (reading_ == 0 || clients_.UnsentBytes(exchange) <= kMaxUnsentBytes) {
+  /// The same while the memory for clients is used up.
+  constexpr size_t kMaxUnsentBytesIfShort = size_t{16} << 10;
+  const size_t max_unsent =
+      memory_.is_over() ? kMaxUnsentBytesIfShort : kMaxUnsentBytes;
+  if (reading_ == 0 || clients_.UnsentBytes(exchange) <= max_unsent) {
     return;
   }
   if (paused_.insert_or_assign(exchange, reading_).second) {
@@ -238,6 +282,7 @@
   CheckForFreeze();
   CheckPausedAnswers();
   clients_.Tick();
+  status_.Tick();
   upstream_.Tick();
   node_.Tick();
   peers_.Tick(clock_.Now());
@@ -274,6 +319,7 @@
                  static_cast<double>(node_.controller().open()));
     metrics_.Set("waiting_requests",
                  static_cast<double>(node_.controller().waiting()));
+    PutMemoryMetrics(bodies_, metrics_);
     metrics_.Set("client_connections",
                  static_cast<double>(clients_.connections()));
     metrics_.Set("server_connects", static_cast<double>(upstream_.connects()));
--- a/lavenderkeel/io/forward_daemon.h
+++ b/lavenderkeel/io/forward_daemon.h
@@ -57,7 +57,10 @@
   EventLoop loop_;
   HttpClient http_client_;
   std::unique_ptr<Port> port_;
+  /// Before the node, whose requests hold a part of it.
+  MemoryBudget memory_;
   ForwardNode node_;
+  BodyMemory bodies_;
   PeerPort peers_;
   ClientPort clients_;
   UpstreamPort upstream_;
--- a/lavenderkeel/io/forward_settings.cc
+++ b/lavenderkeel/io/forward_settings.cc
@@ -9,9 +9,9 @@
 
 using internal::ObjectOrEmpty;
 using internal::ReadAddress;
-using internal::ReadCount;
 using internal::ReadDuration;
 using internal::ReadLogLevel;
+using internal::ReadProcessLimits;
 using internal::ReadSeeds;
 
 namespace {
@@ -42,15 +42,9 @@
 
 void ReadLimits(JsonReader& reader, ForwardSettings& settings, Faults& faults) {
   JsonReader limits(ObjectOrEmpty(reader, "limits"), "/limits", faults);
-  uint64_t memory_mb = 0;
-  ReadCount(limits, "memory_mb", memory_mb, 0);
-  if (memory_mb > 0) {
-    // Socket buffers hold the same bytes up to twice, in addition to the copy
-    // kept for a retry, and the process itself needs about 20 MB.
-    constexpr uint64_t kBodyMemoryDivisor = 6;
-    settings.node.controller.max_buffered_body_bytes =
-        (memory_mb << 20) / kBodyMemoryDivisor;
-  }
+  ReadProcessLimits(limits, settings.limits);
+  settings.node.controller.max_buffered_body_bytes =
+      settings.limits.client_bytes();
   settings.self.processor_share =
       limits.PositiveNumber("processor_share", settings.self.processor_share);
   if (settings.self.processor_share <= 0) {
--- a/lavenderkeel/io/forward_settings.h
+++ b/lavenderkeel/io/forward_settings.h
@@ -8,6 +8,7 @@
 #include "lavenderkeel/base/failure.h"
 #include "lavenderkeel/forward/forward_node.h"
 #include "lavenderkeel/membership/instance_info.h"
+#include "lavenderkeel/memory/process_limits.h"
 
 namespace lavenderkeel {
 
@@ -24,6 +25,7 @@
   /// Time from the request to stop until the process is killed.
   Duration stop_time = std::chrono::seconds(8);
   LogLevel log_level = LogLevel::kInfo;
+  ProcessLimits limits;
   ForwardNode::Options node;
 };
 
--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -1,303 +1,162 @@
 #include "lavenderkeel/io/http_server.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
+#include <algorithm>
+#include <array>
 #include <utility>
 
-#include "lavenderkeel/io/address.h"
-
 namespace lavenderkeel {
 
 namespace {
 
-const char* MethodName(evhttp_cmd_type type) {
-  switch (type) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    default:
-      return "HEAD";
-  }
-}
+constexpr int kBadMethodStatus = 501;
 
-std::string TakeBody(evhttp_request* request) {
-  evbuffer* input = evhttp_request_get_input_buffer(request);
-  std::string body(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, body.data(), body.size());
-  return body;
+bool IsKnownMethod(std::string_view method) {
+  // An answer to HEAD has no body, which the handlers do not know.
+  constexpr std::array<std::string_view, 5> kMethods = {"GET", "POST", "PUT",
+                                                        "DELETE", "PATCH"};
+  return std::ranges::find(kMethods, method) != kMethods.end();
 }
 
-void AddHeaders(evhttp_request* request, const HttpHeaders& headers) {
-  evkeyvalq* out = evhttp_request_get_output_headers(request);
+ResponseHead HeadOf(int status, const HttpHeaders& headers) {
+  ResponseHead head{.status = status};
   for (const auto& [name, value] : headers) {
-    evhttp_add_header(out, name.c_str(), value.c_str());
-  }
+    head.fields.push_back({.name = name, .value = value});
+  }
+  return head;
+}
+
+HttpRequest FromHead(CallerId id, RequestHead read) {
+  const auto shared = std::make_shared<const RequestHead>(std::move(read));
+  const RequestHead& head = *shared;
+  const size_t question = std::min(head.target.find('?'), head.target.size());
+  HttpRequest request{.id = id,
+                      .method = head.method,
+                      .path = head.target.substr(0, question),
+                      .query = question == head.target.size()
+                                   ? std::string()
+                                   : head.target.substr(question + 1)};
+  request.header = [shared](const char* name) {
+    const std::string* value = FindField(shared->fields, name);
+    return value == nullptr ? std::nullopt : std::optional(*value);
+  };
+  return request;
 }
 
 }  // namespace
 
-struct HttpServer::Exchange {
-  enum class Phase {
-    kOpen,
-    /// The whole answer is passed to the library, which is still writing it.
-    kFinished,
-    /// The connection is closed once the current event is handled.
-    kAborted,
-  };
-
-  ~Exchange() { StopWatching(); }
-  void StopWatching() {
-    if (close_event != nullptr) {
-      event_free(std::exchange(close_event, nullptr));
-    }
-  }
-
-  HttpServer* server = nullptr;
-  CallerId id = 0;
-  evhttp_request* request = nullptr;
-  evhttp_connection* connection = nullptr;
-  event* close_event = nullptr;
-  Phase phase = Phase::kOpen;
+struct HttpServer::OwnMemory {
+  SystemClock clock;
+  MemoryBudget budget{std::numeric_limits<size_t>::max() / 2};
+  BodyMemory bodies{{}, budget, clock};
 };
 
-HttpServer::HttpServer(EventLoop& loop, Options options, Hooks hooks)
-    : loop_(loop),
-      options_(options),
+HttpServer::HttpServer(EventLoop& loop,
+                       Options options,
+                       const Clock& clock,
+                       BodyMemory& bodies,
+                       Hooks hooks)
+    : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      http_(evhttp_new(loop.base())) {
-  // libevent cuts off a body at twice the limit, so that up to there the caller
-  // gets a numbered result.
-  evhttp_set_max_body_size(
-      http_, static_cast<ev_ssize_t>(2 * options_.max_body_bytes));
-  evhttp_set_max_headers_size(
-      http_, static_cast<ev_ssize_t>(options_.max_header_bytes));
-  evhttp_set_timeout(http_, options_.idle_seconds);
-  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                        EVHTTP_REQ_PATCH);
-  evhttp_set_gencb(
-      http_,
-      [](evhttp_request* request, void* self) {
-        static_cast<HttpServer*>(self)->OnHttp(request);
-      },
-      this);
-}
+      port_(std::make_unique<ClientPort>(
+          loop,
+          ClientPort::Options{.name = options_.name,
+                              .max_connections = options_.max_connections,
+                              .strict = false},
+          clock,
+          bodies,
+          ClientPort::Hooks{
+              .on_request =
+                  [this](CallerId id,
+                         RequestHead head,
+                         std::string body,
+                         MemoryCharge memory) {
+                    OnRequest(id, std::move(head), std::move(body),
+                              std::move(memory));
+                  },
+              .check_head =
+                  [this](const RequestHead& head) {
+                    return hooks_.check_head
+                               ? hooks_.check_head(FromHead(0, head))
+                               : ClientPort::HeadDecision();
+                  },
+              .on_bad_request =
+                  [this](CallerId id,
+                         const RequestHead& head,
+                         ResultCode code) {
+                    hooks_.on_refused(FromHead(id, head), code);
+                  },
+              .on_gone = [this](CallerId id) { hooks_.on_gone(id); },
+              .on_written = [this](CallerId id) { hooks_.on_drained(id); },
+              .limits =
+                  [this] {
+                    return ClientLimits{.head_bytes = options_.max_header_bytes,
+                                        .body_bytes = options_.max_body_bytes,
+                                        .head_time = options_.head_time,
+                                        .idle_time = options_.idle_time};
+                  },
+              .on_limit =
+                  [this](const ClientLimitEvent& event) {
+                    if (hooks_.on_limit) {
+                      hooks_.on_limit(event);
+                    }
+                  }})) {}
 
-HttpServer::~HttpServer() {
-  for (const auto& [id, exchange] : exchanges_) {
-    evhttp_connection_set_closecb(exchange->connection, nullptr, nullptr);
-  }
-  exchanges_.clear();
-  evhttp_free(http_);
-}
-
-std::optional<std::string> HttpServer::Listen(const std::string& text) {
-  const std::optional<Address> address = Address::Parse(text);
-  if (!address.has_value()) {
-    return std::nullopt;
-  }
-  socket_ = evhttp_bind_socket_with_handle(http_, address->host.c_str(),
-                                           address->port);
-  if (socket_ == nullptr) {
-    return std::nullopt;
-  }
-  return BoundAddress(evhttp_bound_socket_get_fd(socket_));
-}
-
-void HttpServer::StopListening() {
-  if (socket_ != nullptr) {
-    evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
-  }
-}
-
-void HttpServer::OnHttp(evhttp_request* request) {
-  const CallerId id = ++last_;
-  auto exchange = std::make_unique<Exchange>();
-  exchange->server = this;
-  exchange->id = id;
-  exchange->request = request;
-  exchange->connection = evhttp_request_get_connection(request);
-  evhttp_connection_set_closecb(
-      exchange->connection,
-      [](evhttp_connection*, void* arg) {
-        auto* closed = static_cast<Exchange*>(arg);
-        closed->server->OnClosed(closed->id);
-      },
-      exchange.get());
-  // libevent does not read while an answer is pending, so it would not notice
-  // that the caller closes the connection; a separate event watches for that.
-  const int fd = bufferevent_getfd(
-      evhttp_connection_get_bufferevent(exchange->connection));
-  // Otherwise each token waits for the caller's delayed acknowledgement of the
-  // previous one.
-  constexpr int kOn = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
-  exchange->close_event = event_new(
-      loop_.base(), fd, EV_CLOSED,
-      [](evutil_socket_t, short, void* arg) {
-        auto* closed = static_cast<Exchange*>(arg);
-        evhttp_connection_free(closed->connection);
-      },
-      exchange.get());
-  event_add(exchange->close_event, nullptr);
-  exchanges_[id] = std::move(exchange);
-
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
-  const char* path = evhttp_uri_get_path(uri);
-  const char* query = evhttp_uri_get_query(uri);
-  HttpRequest read{.id = id,
-                   .method = MethodName(evhttp_request_get_command(request)),
-                   .path = path == nullptr ? "" : path,
-                   .query = query == nullptr ? "" : query,
-                   .body = TakeBody(request),
-                   .header = nullptr};
-  read.header = [request](const char* name) -> std::optional<std::string> {
-    const char* value =
-        evhttp_find_header(evhttp_request_get_input_headers(request), name);
-    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
-  };
-  if (read.body.size() > options_.max_body_bytes) {
-    hooks_.on_too_large(id);
-    return;
-  }
-  hooks_.on_request(read);
-}
-
-HttpServer::Exchange* HttpServer::FindOpen(CallerId id) {
-  const auto found = exchanges_.find(id);
-  const bool usable = found != exchanges_.end() &&
-                      found->second->phase == Exchange::Phase::kOpen;
-  return usable ? found->second.get() : nullptr;
-}
-
-void HttpServer::OnClosed(CallerId id) {
-  const auto found = exchanges_.find(id);
-  if (found == exchanges_.end()) {
+HttpServer::HttpServer(EventLoop& loop, Options options, Hooks hooks)
+    : HttpServer(loop,
+                 std::move(options),
+                 std::make_unique<OwnMemory>(),
+                 std::move(hooks)) {}
+
+HttpServer::HttpServer(EventLoop& loop,
+                       Options options,
+                       std::unique_ptr<OwnMemory> memory,
+                       Hooks hooks)
+    : HttpServer(loop,
+                 std::move(options),
+                 memory->clock,
+                 memory->bodies,
+                 std::move(hooks)) {
+  own_memory_ = std::move(memory);
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::OnRequest(CallerId id,
+                           RequestHead head,
+                           std::string body,
+                           MemoryCharge memory) {
+  if (!IsKnownMethod(head.method)) {
+    port_->Respond(id, {.status = kBadMethodStatus}, {});
     return;
   }
-  const bool open = found->second->phase == Exchange::Phase::kOpen;
-  evhttp_request* request = found->second->request;
-  exchanges_.erase(found);
-  if (evhttp_request_get_connection(request) == nullptr) {
-    // libevent detaches an unanswered request from a connection that breaks,
-    // and leaves it to its user. Without this, each caller that closes the
-    // connection during a stream would leak the memory of its request.
-    evhttp_request_free(request);
-  }
-  if (open) {
-    hooks_.on_gone(id);
-  }
+  HttpRequest request = FromHead(id, std::move(head));
+  request.body = std::move(body);
+  request.memory = std::make_shared<MemoryCharge>(std::move(memory));
+  hooks_.on_request(request);
 }
 
-evhttp_connection* HttpServer::Release(CallerId id) {
-  const auto found = exchanges_.find(id);
-  if (found == exchanges_.end()) {
-    return nullptr;
-  }
-  evhttp_connection* connection = found->second->connection;
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  exchanges_.erase(found);
-  return connection;
-}
-
-void HttpServer::CloseAborted(CallerId id) {
-  if (evhttp_connection* connection = Release(id)) {
-    evhttp_connection_free(connection);
-  }
-}
-
-void HttpServer::Finish(Exchange& exchange) {
-  // The exchange counts as open until the library has written everything.
-  // Otherwise the process could end while the end of an answer is still in a
-  // buffer here, and the answer would lose its last events.
-  exchange.phase = Exchange::Phase::kFinished;
-  exchange.StopWatching();
-  evhttp_request_set_on_complete_cb(
-      exchange.request,
-      [](evhttp_request*, void* arg) {
-        auto* written = static_cast<Exchange*>(arg);
-        written->server->Release(written->id);
-      },
-      &exchange);
+void HttpServer::Tick() {
+  port_->Tick();
 }
 
 void HttpServer::Handle(ReplyComplete reply) {
-  Exchange* exchange = FindOpen(reply.caller);
-  if (exchange == nullptr) {
-    return;
-  }
-  evhttp_request* request = exchange->request;
-  Finish(*exchange);
-  AddHeaders(request, reply.headers);
-  evbuffer* body = evbuffer_new();
-  evbuffer_add(body, reply.body.data(), reply.body.size());
-  evhttp_send_reply(request, reply.status, nullptr, body);
-  evbuffer_free(body);
+  port_->Respond(reply.caller, HeadOf(reply.status, reply.headers), reply.body);
 }
 
 void HttpServer::Handle(const ReplyHead& reply) {
-  if (Exchange* exchange = FindOpen(reply.caller)) {
-    AddHeaders(exchange->request, reply.headers);
-    evhttp_send_reply_start(exchange->request, reply.status, nullptr);
-  }
+  port_->RespondHead(reply.caller, HeadOf(reply.status, reply.headers));
 }
 
 void HttpServer::Handle(const ReplyChunk& reply) {
-  Exchange* exchange = FindOpen(reply.caller);
-  if (exchange == nullptr) {
-    return;
-  }
-  evbuffer* bytes = evbuffer_new();
-  evbuffer_add(bytes, reply.bytes.data(), reply.bytes.size());
-  evhttp_send_reply_chunk_with_cb(
-      exchange->request, bytes,
-      [](evhttp_connection*, void* arg) {
-        const auto* drained = static_cast<Exchange*>(arg);
-        if (drained->phase == Exchange::Phase::kOpen) {
-          drained->server->hooks_.on_drained(drained->id);
-        }
-      },
-      exchange);
-  evbuffer_free(bytes);
+  port_->RespondChunk(reply.caller, reply.bytes);
 }
 
 void HttpServer::Handle(const ReplyEnd& reply) {
-  if (Exchange* exchange = FindOpen(reply.caller)) {
-    evhttp_request* request = exchange->request;
-    Finish(*exchange);
-    evhttp_send_reply_end(request);
-  }
+  port_->RespondEnd(reply.caller);
 }
 
 void HttpServer::Handle(const ReplyAbort& reply) {
-  Exchange* exchange = FindOpen(reply.caller);
-  if (exchange == nullptr) {
-    return;
-  }
-  // The exchange exists as long as its connection, which is freed in the next
-  // iteration of the event loop, and whichever of the two ends first ends both.
-  // If the exchange were erased here, the process would end by a segmentation
-  // fault under many aborts: in between, libevent reports the last chunk as
-  // written to the erased exchange, or frees the connection by itself when the
-  // caller closes it.
-  exchange->phase = Exchange::Phase::kAborted;
-  exchange->StopWatching();
-  loop_.Defer([this, id = reply.caller] { CloseAborted(id); });
+  port_->Abort(reply.caller);
 }
 
 }  // namespace lavenderkeel
--- a/lavenderkeel/io/internal/listener.h
+++ b/lavenderkeel/io/internal/listener.h
@@ -8,17 +8,24 @@
 #include <string>
 
 #include "lavenderkeel/io/address.h"
+#include "lavenderkeel/io/socket_options.h"
 
 namespace lavenderkeel::internal {
 
+struct ListenOptions {
+  /// Connections that may wait to be accepted; -1: the default of the library.
+  int backlog = -1;
+  /// Size of the socket buffers of each connection; zero: that of the system,
+  /// which grows with the load.
+  int socket_buffer_bytes = 0;
+};
+
 /// Listens at an address and passes each accepted socket to a member function.
-///
-/// @param backlog connections that may wait to be accepted
 /// @return null if the address can't be parsed or bound
 template <typename Owner, void (Owner::*kAccept)(int socket)>
 evconnlistener* NewListener(event_base* base,
                             const std::string& text,
-                            int backlog,
+                            const ListenOptions& options,
                             Owner& owner) {
   const std::optional<Address> address = Address::Parse(text);
   if (!address.has_value()) {
@@ -26,13 +33,21 @@
   }
   sockaddr_storage storage{};
   const socklen_t length = address->ToSocketAddress(storage);
-  return evconnlistener_new_bind(
+  evconnlistener* listener = evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         (static_cast<Owner*>(self)->*kAccept)(socket);
       },
-      &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+      &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, options.backlog,
       reinterpret_cast<sockaddr*>(&storage), static_cast<int>(length));
+  if (listener == nullptr) {
+    return nullptr;
+  }
+  if (options.socket_buffer_bytes > 0) {
+    SetBufferSizes(evconnlistener_get_fd(listener),
+                   options.socket_buffer_bytes);
+  }
+  return listener;
 }
 
 /// Returns the bound address; nothing for null.
--- a/lavenderkeel/io/internal/settings_fields.cc
+++ b/lavenderkeel/io/internal/settings_fields.cc
@@ -1,5 +1,8 @@
 #include "lavenderkeel/io/internal/settings_fields.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "lavenderkeel/io/address.h"
@@ -41,6 +44,24 @@
   target = std::chrono::milliseconds(milliseconds);
 }
 
+void ReadProcessLimits(JsonReader& limits, ProcessLimits& target) {
+  constexpr size_t kBytesPerMb = size_t{1} << 20;
+  size_t memory_mb = 0;
+  ReadCount(limits, "memory_mb", memory_mb, 0);
+  if (memory_mb > 0) {
+    target.memory_bytes = memory_mb * kBytesPerMb;
+  }
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+    target.descriptors = files.rlim_max;
+  }
+  size_t descriptors = 0;
+  ReadCount(limits, "descriptors", descriptors, 0);
+  if (descriptors > 0) {
+    target.descriptors = std::min(target.descriptors, descriptors);
+  }
+}
+
 LogLevel ReadLogLevel(JsonReader& log) {
   const std::string level = log.String("level", {.default_value = "info"});
   if (level == "debug") {
--- a/lavenderkeel/io/internal/settings_fields.h
+++ b/lavenderkeel/io/internal/settings_fields.h
@@ -8,6 +8,7 @@
 #include "lavenderkeel/base/clock.h"
 #include "lavenderkeel/base/event_log.h"
 #include "lavenderkeel/config/json_reader.h"
+#include "lavenderkeel/memory/process_limits.h"
 
 // Fields that several kinds of settings files share.
 namespace lavenderkeel::internal {
@@ -40,6 +41,10 @@
                            .max = kMost}));
 }
 
+/// Reads the memory of the machine and the descriptors of the process. Without
+/// them, the limit of the process for descriptors is used.
+void ReadProcessLimits(JsonReader& limits, ProcessLimits& target);
+
 /// Reads the field "level" of the object "log".
 LogLevel ReadLogLevel(JsonReader& log);
 
--- a/lavenderkeel/io/settings.cc
+++ b/lavenderkeel/io/settings.cc
@@ -12,6 +12,7 @@
 using internal::ReadCount;
 using internal::ReadDuration;
 using internal::ReadLogLevel;
+using internal::ReadProcessLimits;
 using internal::ReadSeeds;
 
 namespace {
@@ -31,6 +32,9 @@
   common.self.region = reader.String("region");
   common.platform = ReadAddress(reader, "platform", /*required=*/false);
   ReadLog(reader, common, faults);
+  JsonReader limits(ObjectOrEmpty(reader, "limits"), "/limits", faults);
+  ReadProcessLimits(limits, common.limits);
+  limits.RejectUnknown();
   return common;
 }
 
--- a/lavenderkeel/io/settings.h
+++ b/lavenderkeel/io/settings.h
@@ -9,6 +9,7 @@
 #include "lavenderkeel/dispatch/entry_node.h"
 #include "lavenderkeel/gate/agent_node.h"
 #include "lavenderkeel/io/http_server.h"
+#include "lavenderkeel/memory/process_limits.h"
 
 namespace lavenderkeel {
 
@@ -18,6 +19,7 @@
   std::string listen_peers;
   std::string platform;
   LogLevel log_level = LogLevel::kInfo;
+  ProcessLimits limits;
   /// Path of the log; empty for standard output.
   std::string log_file;
 };
--- a/lavenderkeel/io/socket_options.h
+++ b/lavenderkeel/io/socket_options.h
@@ -40,6 +40,13 @@
              sizeof(kUserTimeoutMs));
 }
 
+/// Fixes the sizes of the buffers of a socket, which otherwise grow with the
+/// load. The sockets that a listening one accepts inherit them.
+inline void SetBufferSizes(int socket, int bytes) {
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 /// Makes the next close discard what was written and not acknowledged.
 inline void ResetOnClose(int socket) {
   constexpr linger kReset = {.l_onoff = 1, .l_linger = 0};
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -40,6 +40,22 @@
   return FromSeconds(static_cast<double>(seconds));
 }
 
+/// Appends a text without copying it.
+void AddShared(evbuffer* output, std::shared_ptr<const std::string> text) {
+  if (text == nullptr || text->empty()) {
+    return;
+  }
+  auto held =
+      std::make_unique<std::shared_ptr<const std::string>>(std::move(text));
+  const std::string& bytes = **held;
+  evbuffer_add_reference(
+      output, bytes.data(), bytes.size(),
+      [](const void*, size_t, void* arg) {
+        delete static_cast<std::shared_ptr<const std::string>*>(arg);
+      },
+      held.release());
+}
+
 }  // namespace
 
 struct UpstreamPort::Connection {
@@ -108,8 +124,9 @@
   connection->skipped_bytes = 0;
   connection->reader = ResponseReader(options_.answer);
   attempts_[attempt] = connection->id;
-  bufferevent_write(connection->events, outgoing.bytes.data(),
-                    outgoing.bytes.size());
+  bufferevent_write(connection->events, outgoing.head.data(),
+                    outgoing.head.size());
+  AddShared(bufferevent_get_output(connection->events), outgoing.body);
 }
 
 UpstreamPort::Connection* UpstreamPort::TakeIdle(
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -38,7 +38,13 @@
               {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
                .on_drained = [](CallerId) {},
                .on_gone = [this](CallerId caller) { readers_.erase(caller); },
-               .on_too_large = [](CallerId) {}}) {
+               .on_refused =
+                   [this](const HttpRequest& request,
+                          lavenderkeel::ResultCode code) {
+                     http_.Handle(lavenderkeel::ReplyComplete{
+                         .caller = request.id,
+                         .status = lavenderkeel::Describe(code).http_status});
+                   }}) {
     core_.on_start = [this](const std::string& prompt) {
       exit_requested_ = exit_requested_ || prompt.starts_with("deadly");
     };
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -38,10 +38,12 @@
               {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
                .on_drained = [](CallerId) {},
                .on_gone = [](CallerId) {},
-               .on_too_large =
-                   [this](CallerId caller) {
-                     http_.Handle(lavenderkeel::ReplyComplete{.caller = caller,
-                                                              .status = 413});
+               .on_refused =
+                   [this](const HttpRequest& request,
+                          lavenderkeel::ResultCode code) {
+                     http_.Handle(lavenderkeel::ReplyComplete{
+                         .caller = request.id,
+                         .status = lavenderkeel::Describe(code).http_status});
                    }}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
--- a/test/fakes/forward_simulation.cc
+++ b/test/fakes/forward_simulation.cc
@@ -43,7 +43,7 @@
 void FakeForwardPort::Send(AttemptId attempt, OutgoingRequest outgoing) {
   sent.push_back({.attempt = attempt,
                   .address = std::move(outgoing.address),
-                  .bytes = std::move(outgoing.bytes),
+                  .bytes = outgoing.head + *outgoing.body,
                   .max_reuse_idle_time = outgoing.max_reuse_idle_time});
 }
 
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -37,6 +37,40 @@
   BOOST_TEST(simulation.port.sent.empty());
 }
 
+// Guards against bodies that are read although their head refuses them, and
+// against reading bodies in another order than that of their routes.
+BOOST_AUTO_TEST_CASE(HeadSaysWhetherTheBodyIsRead) {
+  ForwardSimulation simulation;
+  const auto check = [&](const std::string& route, const std::string& key) {
+    return simulation.controller.CheckHead(
+        {.method = "POST",
+         .target = "/" + route + "/x",
+         .fields = {{"Host", "h"},
+                    {"Request-Id", "r"},
+                    {"Authorization", "Bearer " + key}}});
+  };
+  BOOST_TEST((check("nowhere", "key").refusal == ResultCode::kNoRoute));
+  BOOST_TEST((check("once", "other").refusal == ResultCode::kUnknownTeam));
+  BOOST_TEST(!check("once", "key").refusal.has_value());
+  BOOST_TEST(check("lookup", "key").priority > check("once", "key").priority);
+  simulation.controller.RejectNewRequests();
+  BOOST_TEST((check("once", "key").refusal == ResultCode::kLeaving));
+}
+
+// Guards against waiting requests that keep the memory from a more urgent one,
+// and against a refusal of one that may have run.
+BOOST_AUTO_TEST_CASE(OnlyLessUrgentRequestsThatDidNotRunYieldTheirMemory) {
+  ForwardSimulation simulation({.servers = 1, .slots = 1});
+  const ExchangeId running = simulation.Request("lookup");
+  const ExchangeId waiting = simulation.Request("lookup");
+  const ExchangeId equal = simulation.Request("once");
+  simulation.controller.YieldMemory(/*priority=*/0, /*bytes=*/1);
+  BOOST_TEST(!simulation.client(running).ended);
+  BOOST_TEST(*simulation.client(waiting).status == 503);
+  BOOST_TEST(!simulation.client(equal).ended);
+  BOOST_TEST(simulation.controller.open() == 2U);
+}
+
 // All entries were killed while the store is down. Guards against refusing a
 // request before the first configuration: its client would come back too early
 // and have no further attempt.
--- a/test/fuzz/driver.cc
+++ b/test/fuzz/driver.cc
@@ -43,6 +43,12 @@
                              sent.tokens);
         });
         break;
+      case Step::kRefuseUnread:
+        WithSentRequest(step.argument, [&](const SentRequest& sent) {
+          simulation_.RefuseUnread(entry, sent.key, sent.word, sent.repeatable,
+                                   sent.tokens);
+        });
+        break;
       case Step::kRead:
         WithSentRequest(step.argument, [&](const SentRequest& sent) {
           simulation_.Read(entry, sent.key, sent.word);
--- a/test/fuzz/simulation.cc
+++ b/test/fuzz/simulation.cc
@@ -787,6 +787,29 @@
   return caller;
 }
 
+CallerId Simulation::RefuseUnread(size_t index,
+                                  const std::string& key,
+                                  const std::string& word,
+                                  bool repeatable,
+                                  uint32_t tokens) {
+  const CallerId caller = ++last_caller_;
+  if (!alive(index)) {
+    return caller;
+  }
+  CallerRequest request = MakeRequest(key);
+  request.caller = caller;
+  request.work = repeatable ? "lookup" : "check";
+  oracle_.OnSubmit(caller, word, repeatable, tokens);
+  process_by_caller_[caller] = index;
+  ScheduleIn(index, clock_.Now() + Delay(), [this, index, request] {
+    EntryNode& entry = *processes_[index]->entry;
+    const CallerHeadDecision decision = entry.CheckHead(request);
+    entry.RefuseUnread(request,
+                       decision.refusal.value_or(ResultCode::kMemoryLimit));
+  });
+  return caller;
+}
+
 CallerId Simulation::Read(size_t index,
                           const std::string& key,
                           const std::string& word) {
--- a/test/fuzz/simulation.h
+++ b/test/fuzz/simulation.h
@@ -54,6 +54,12 @@
                   bool repeatable,
                   uint32_t tokens,
                   std::optional<int64_t> deadline_ms = std::nullopt);
+  /// Sends the head of a request whose body finds no memory at the entry.
+  CallerId RefuseUnread(size_t entry,
+                        const std::string& key,
+                        const std::string& word,
+                        bool repeatable,
+                        uint32_t tokens);
   CallerId Read(size_t entry, const std::string& key, const std::string& word);
   void Delete(size_t entry, const std::string& key);
   std::string NewKey();
--- a/test/fuzz/step.cc
+++ b/test/fuzz/step.cc
@@ -38,6 +38,7 @@
                                       "list-unreadable",
                                       "garble-streams",
                                       "turn-away-falsely",
+                                      "refuse-unread",
                                       "submit-everywhere"};
 static_assert(std::size(kKindNames) == Step::kAllKinds);
 
--- a/test/fuzz/step.h
+++ b/test/fuzz/step.h
@@ -50,6 +50,9 @@
     kGarbleStreams,
     /// An engine answers like one that turns requests away, but runs them.
     kTurnAwayFalsely,
+    /// The body of a request finds no memory at an entry, or its client stops
+    /// before the end.
+    kRefuseUnread,
     /// Number of kinds that AnyStep generates.
     kGeneratedKinds,
     /// Submits one key to all entries at once.
--- a/test/io/http_server_test.cc
+++ b/test/io/http_server_test.cc
@@ -1,16 +1,11 @@
 #include "lavenderkeel/io/http_server.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <sys/socket.h>
-
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <string>
 #include <string_view>
 
-#include "lavenderkeel/io/address.h"
+#include "test/fakes/raw_client.h"
 
 namespace lavenderkeel {
 
@@ -20,60 +15,6 @@
 /// More than a socket buffer takes at once.
 constexpr size_t kLargeBytes = size_t{8} << 20;
 
-/// Caller with one connection, which keeps the bytes that it receives.
-class RawCaller {
- public:
-  RawCaller(EventLoop& loop, const std::string& address)
-      : events_(
-            bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-    bufferevent_setcb(
-        events_,
-        [](bufferevent* source, void* self) {
-          static_cast<RawCaller*>(self)->Take(source);
-        },
-        nullptr,
-        [](bufferevent* source, short what, void* self) {
-          if ((what & BEV_EVENT_CONNECTED) == 0) {
-            static_cast<RawCaller*>(self)->Take(source);
-            static_cast<RawCaller*>(self)->closed_ = true;
-          }
-        },
-        this);
-    bufferevent_enable(events_, EV_READ | EV_WRITE);
-    sockaddr_storage storage{};
-    const auto length =
-        static_cast<int>(Address::Parse(address)->ToSocketAddress(storage));
-    bufferevent_socket_connect(events_, reinterpret_cast<sockaddr*>(&storage),
-                               length);
-  }
-  ~RawCaller() { bufferevent_free(events_); }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-
-  void Send(std::string_view bytes) {
-    bufferevent_write(events_, bytes.data(), bytes.size());
-  }
-  /// Closes the connection without reading further.
-  void CloseAbruptly() {
-    shutdown(bufferevent_getfd(events_), SHUT_RDWR);
-    bufferevent_disable(events_, EV_READ | EV_WRITE);
-  }
-  const std::string& received() const { return received_; }
-  bool closed() const { return closed_; }
-
- private:
-  void Take(bufferevent* source) {
-    evbuffer* input = bufferevent_get_input(source);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    received_ += bytes;
-  }
-
-  bufferevent* events_;
-  std::string received_;
-  bool closed_ = false;
-};
-
 /// Server whose answers the test writes itself.
 class ServerHarness {
  public:
@@ -88,7 +29,7 @@
                      },
                  .on_drained = [this](CallerId) { ++drained; },
                  .on_gone = [this](CallerId) { ++gone; },
-                 .on_too_large = [](CallerId) {}}),
+                 .on_refused = [](const HttpRequest&, ResultCode) {}}),
         address_(*server_.Listen("127.0.0.1:0")) {
     loop_.Every(std::chrono::milliseconds(1), [this] { loop_.Stop(); });
   }
@@ -112,7 +53,8 @@
   /// `then` in the same iteration of the event loop; then runs the loop until
   /// the exchange has ended, and for a few more iterations.
   /// @return whether the exchange has ended
-  bool StreamThen(RawCaller& to, const std::function<void(CallerId)>& then) {
+  bool StreamThen(fakes::RawClient& to,
+                  const std::function<void(CallerId)>& then) {
     on_request = [this, &then](CallerId id) {
       server_.Handle(ReplyHead{.caller = id, .status = 200});
       server_.Handle(
@@ -156,7 +98,7 @@
     harness.server().Handle(ReplyChunk{.caller = caller, .bytes = "piece"});
     harness.server().Handle(ReplyAbort{.caller = caller});
   };
-  RawCaller caller(harness.loop(), harness.address());
+  fakes::RawClient caller(harness.loop(), harness.address());
   caller.Send(kGet);
   BOOST_TEST(harness.RunUntil([&] { return caller.closed(); }));
   harness.RunIterations(3);
@@ -171,7 +113,7 @@
 // by itself. The caller is not reported as gone after its answer has ended.
 BOOST_AUTO_TEST_CASE(AbortWhileTheCallerCloses) {
   ServerHarness harness;
-  RawCaller caller(harness.loop(), harness.address());
+  fakes::RawClient caller(harness.loop(), harness.address());
   BOOST_TEST(harness.StreamThen(caller, [&](CallerId id) {
     caller.CloseAbruptly();
     harness.server().Handle(ReplyAbort{.caller = id});
@@ -184,7 +126,7 @@
 // answered, so it is not reported as gone.
 BOOST_AUTO_TEST_CASE(CallerClosesBeforeTheLastChunkIsWritten) {
   ServerHarness harness;
-  RawCaller caller(harness.loop(), harness.address());
+  fakes::RawClient caller(harness.loop(), harness.address());
   BOOST_TEST(harness.StreamThen(caller, [&](CallerId id) {
     harness.server().Handle(ReplyEnd{.caller = id});
     caller.CloseAbruptly();
@@ -199,7 +141,7 @@
 // reported as gone once.
 BOOST_AUTO_TEST_CASE(CallerClosesDuringItsStream) {
   ServerHarness harness;
-  RawCaller caller(harness.loop(), harness.address());
+  fakes::RawClient caller(harness.loop(), harness.address());
   BOOST_TEST(
       harness.StreamThen(caller, [&](CallerId) { caller.CloseAbruptly(); }));
   BOOST_TEST(harness.gone == 1);
@@ -214,7 +156,7 @@
     harness.server().Handle(ReplyChunk{.caller = id, .bytes = "piece"});
     harness.server().Handle(ReplyEnd{.caller = id});
   };
-  RawCaller caller(harness.loop(), harness.address());
+  fakes::RawClient caller(harness.loop(), harness.address());
   caller.Send(kGet);
   BOOST_TEST(harness.RunUntil(
       [&] { return harness.requests == 1 && harness.server().open() == 0; }));
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -109,12 +109,12 @@
                       const std::string& request_id) {
     const AttemptId id = ++last_;
     attempts_[id].request_id = request_id;
-    port_.Send(id, {.server = "s",
-                    .address = server.address(),
-                    .request_id = request_id,
-                    .bytes = "GET / HTTP/1.1\r\nRequest-Id: " + request_id +
-                             "\r\n\r\n",
-                    .max_reuse_idle_time = std::chrono::seconds(8)});
+    port_.Send(
+        id, {.server = "s",
+             .address = server.address(),
+             .request_id = request_id,
+             .head = "GET / HTTP/1.1\r\nRequest-Id: " + request_id + "\r\n\r\n",
+             .max_reuse_idle_time = std::chrono::seconds(8)});
     loop_.Run();
     return attempts_.at(id);
   }
@@ -300,7 +300,7 @@
   constexpr AttemptId kAttempt = 1;
   port.Send(kAttempt, {.server = "s",
                        .address = server.address(),
-                       .bytes = "GET / HTTP/1.1\r\n\r\n"});
+                       .head = "GET / HTTP/1.1\r\n\r\n"});
   loop.Run();
   port.Cancel(kAttempt);
   // The socket is closed in the next turn of the loop.
