Frames of other processes are bounded

Anyone who connected to a peer port could announce a frame of 9 MiB and stop short of its end: 60 connections took 564 MiB of a forwarding entry, 150 took 1,049 of an entry and 1,059 of an agent.

Cause: a frame is kept until it is whole, whoever sends it, and nothing limited the sum or the time.

A connection that has not greeted may send 16 KiB. Frames in part are bounded by an eighth of the memory, above which the connection with the oldest is dropped, and each by 30 s. What is written and not sent is bounded likewise over all peers; the one with the most is dropped. Peers are not authenticated: that a stranger can greet stays open.

--- a/lavenderkeel/io/agent_daemon.cc
+++ b/lavenderkeel/io/agent_daemon.cc
@@ -19,7 +19,10 @@
             settings_.common.self.id.incarnation,
             log,
             metrics_),
-      peers_(loop_, {}, node_.members().self(), log),
+      peers_(loop_,
+             PeerPort::OptionsFor(settings_.common.limits),
+             node_.members().self(),
+             log),
       platform_(http_client_,
                 settings_.common.platform,
                 [this](PlatformCallId call, const PlatformReply& reply) {
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -21,7 +21,10 @@
             log,
             metrics_),
       bodies_({}, memory_, clock_),
-      peers_(loop_, {}, node_.members().self(), log),
+      peers_(loop_,
+             PeerPort::OptionsFor(settings_.common.limits),
+             node_.members().self(),
+             log),
       callers_(
           loop_,
           settings_.http,
@@ -143,6 +146,7 @@
     metrics_.Set("peer_bytes_sent", static_cast<double>(peers_.bytes_sent()));
     metrics_.Set("peer_bytes_received",
                  static_cast<double>(peers_.bytes_received()));
+    metrics_.Set("peers_refused", static_cast<double>(peers_.refused()));
     metrics_.Set("peer_messages_skipped",
                  static_cast<double>(peers_.messages_skipped()));
     metrics_.Set("peer_messages_too_large",
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -96,7 +96,10 @@
                    }},
               memory_,
               clock_),
-      peers_(loop_, {}, node_.members().self(), log),
+      peers_(loop_,
+             PeerPort::OptionsFor(settings_.limits),
+             node_.members().self(),
+             log),
       clients_(
           loop_,
           {},
@@ -327,6 +330,7 @@
                  static_cast<double>(upstream_.reuses()));
     metrics_.Set("server_connections_passed_over",
                  static_cast<double>(upstream_.passed_over()));
+    metrics_.Set("peers_refused", static_cast<double>(peers_.refused()));
     metrics_.Set("peer_messages_skipped",
                  static_cast<double>(peers_.messages_skipped()));
     metrics_.Set("peer_messages_too_large",
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 #include <vector>
@@ -18,6 +19,13 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+/// A handshake has a few short texts.
+constexpr size_t kMaxHelloBytes = size_t{16} << 10;
+
+}  // namespace
+
 struct PeerPort::Connection {
   ~Connection() { bufferevent_free(events); }
 
@@ -27,6 +35,9 @@
   /// Empty for an accepted connection.
   std::string dialed;
   bool handshake_done = false;
+  /// Bytes of an incomplete frame, and when its first ones arrived.
+  size_t partial_frame_bytes = 0;
+  TimePoint partial_frame_since;
   /// True once the connection is dropped; it is freed after the current event.
   bool dropped = false;
   TimePoint opened;
@@ -53,12 +64,21 @@
 }
 
 void PeerPort::Accept(int socket) {
-  if (pending_handshakes_ >= options_.max_pending_handshakes) {
-    // Peers that connect without a handshake must not exhaust the file
-    // descriptors.
+  // Peers that connect without a handshake must not exhaust the file
+  // descriptors.
+  const bool too_many_pending =
+      pending_handshakes_ >= options_.max_pending_handshakes;
+  if (too_many_pending || accepted_ >= options_.max_accepted) {
+    ++refused_;
+    log_.Info("peer_refused",
+              {{"limit", "descriptors"},
+               {"reason", too_many_pending ? "handshakes" : "connections"},
+               {"accepted", accepted_},
+               {"handshakes", pending_handshakes_}});
     evutil_closesocket(socket);
     return;
   }
+  ++accepted_;
   Open(bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE), "");
 }
 
@@ -126,13 +146,21 @@
       Drop(link, std::string(Describe(length.failure.code).name));
       return;
     }
+    const bool too_large =
+        !connection.handshake_done && *length.value > kMaxHelloBytes;
+    if (too_large) {
+      Drop(link, std::string(Describe(ResultCode::kFrameTooLarge).name));
+      return;
+    }
     const size_t whole = kFrameHeaderSize + *length.value;
     if (evbuffer_get_length(input) < whole) {
+      AccountInput(connection);
       return;
     }
     std::vector<uint8_t> frame(whole);
     evbuffer_remove(input, frame.data(), frame.size());
     bytes_received_ += whole;
+    EndPartialFrame(connection);
     if (!OnFrame(connection, frame)) {
       return;
     }
@@ -200,6 +228,76 @@
   const size_t unsent = evbuffer_get_length(bufferevent_get_output(events));
   if (unsent > options_.max_unsent_bytes) {
     Drop(send.link, "too much unsent");
+  } else if (unsent > frame.size()) {
+    // The peer is slow. Otherwise the sum over all peers is not needed.
+    DropLargestUnsent();
+  }
+}
+
+PeerPort::Options PeerPort::OptionsFor(const ProcessLimits& limits) {
+  /// A frame, and what follows it.
+  constexpr size_t kMinBytes = 2 * kMaxFrameSize;
+  Options options;
+  options.max_total_unsent_bytes =
+      std::max(kMinBytes, limits.peer_output_bytes());
+  options.max_unsent_bytes = options.max_total_unsent_bytes;
+  options.max_partial_frame_bytes =
+      std::max(kMinBytes, limits.peer_input_bytes());
+  options.max_accepted = limits.peer_connections();
+  options.max_pending_handshakes =
+      std::min(options.max_pending_handshakes, limits.peer_connections() / 2);
+  return options;
+}
+
+void PeerPort::AccountInput(Connection& connection) {
+  const size_t length =
+      evbuffer_get_length(bufferevent_get_input(connection.events));
+  if (connection.partial_frame_bytes == 0) {
+    connection.partial_frame_since = SystemClock().Now();
+  }
+  partial_frame_bytes_ += length;
+  partial_frame_bytes_ -= std::exchange(connection.partial_frame_bytes, length);
+  if (partial_frame_bytes_ > options_.max_partial_frame_bytes) {
+    DropOldestPartialFrame();
+  }
+}
+
+void PeerPort::EndPartialFrame(Connection& connection) {
+  partial_frame_bytes_ -= std::exchange(connection.partial_frame_bytes, 0);
+}
+
+void PeerPort::DropOldestPartialFrame() {
+  const Connection* oldest = nullptr;
+  for (const auto& [link, connection] : connections_) {
+    if (connection->partial_frame_bytes > 0 && !connection->dropped &&
+        (oldest == nullptr ||
+         connection->partial_frame_since < oldest->partial_frame_since)) {
+      oldest = connection.get();
+    }
+  }
+  if (oldest != nullptr) {
+    Drop(oldest->id, "memory: partial frame");
+  }
+}
+
+void PeerPort::DropLargestUnsent() {
+  size_t total = 0;
+  size_t largest_bytes = 0;
+  LinkId largest = 0;
+  for (const auto& [link, connection] : connections_) {
+    if (connection->dropped) {
+      continue;
+    }
+    const size_t bytes =
+        evbuffer_get_length(bufferevent_get_output(connection->events));
+    total += bytes;
+    if (bytes > largest_bytes) {
+      largest_bytes = bytes;
+      largest = link;
+    }
+  }
+  if (total > options_.max_total_unsent_bytes) {
+    Drop(largest, "memory: unsent");
   }
 }
 
@@ -212,6 +310,8 @@
   Connection& connection = *found->second;
   pending_handshakes_ -= connection.handshake_done ? 0 : 1;
   connection.dropped = true;
+  EndPartialFrame(connection);
+  accepted_ -= connection.dialed.empty() ? 1 : 0;
   bufferevent_disable(connection.events, EV_READ | EV_WRITE);
   loop_.Defer([this, link = close.link] { connections_.erase(link); });
 }
@@ -244,6 +344,8 @@
   const bool handshake_done = connection.handshake_done;
   const std::string dialed = connection.dialed;
   pending_handshakes_ -= handshake_done ? 0 : 1;
+  EndPartialFrame(connection);
+  accepted_ -= dialed.empty() ? 1 : 0;
   bufferevent_disable(connection.events, EV_READ | EV_WRITE);
   loop_.Defer([this, link] { connections_.erase(link); });
   if (why != "closed") {
@@ -269,13 +371,27 @@
 }
 
 void PeerPort::Tick(TimePoint now) {
+  if (listener_ != nullptr) {
+    // It is disabled after a failure.
+    evconnlistener_enable(listener_);
+  }
   std::vector<LinkId> overdue;
+  std::vector<LinkId> partial;
   for (const auto& [link, connection] : connections_) {
-    if (!connection->handshake_done && !connection->dropped &&
+    if (connection->dropped) {
+      continue;
+    }
+    if (!connection->handshake_done &&
         now - connection->opened > options_.handshake_timeout) {
       overdue.push_back(link);
+    } else if (connection->partial_frame_bytes > 0 &&
+               now - connection->partial_frame_since > options_.frame_timeout) {
+      partial.push_back(link);
     }
   }
+  for (const LinkId link : partial) {
+    Drop(link, "partial frame");
+  }
   for (const LinkId link : overdue) {
     Drop(link, "no greeting");
   }
--- a/test/io/peer_port_test.cc
+++ b/test/io/peer_port_test.cc
@@ -44,10 +44,10 @@
 /// A port that has a connection to a peer whose frames a test writes.
 class Peers {
  public:
-  Peers()
+  explicit Peers(PeerPort::Options options = {})
       : self_(EntryNamed("self")),
         peer_(loop_, [](int, std::string_view) { return std::string(); }),
-        port_(loop_, {}, self_, log_) {
+        port_(loop_, options, self_, log_) {
     port_.signal_up().connect([this](LinkId link, const InstanceInfo&,
                                      const std::string&) { link_ = link; });
     port_.signal_message().connect([this](LinkId, Message&) { ++messages_; });
@@ -136,6 +136,25 @@
   BOOST_TEST(strangers.downs() == 1);
 }
 
+// Guards against strangers that announce a large frame, which is kept until it
+// is whole.
+BOOST_AUTO_TEST_CASE(LargeFrameBeforeTheHandshakeEndsTheConnection) {
+  Peers peers;
+  peers.Receive(std::string("\0\0\x10\0", 4) + "x");
+  BOOST_TEST(peers.downs() == 1);
+}
+
+// Guards against frames in part that take more memory than they may.
+BOOST_AUTO_TEST_CASE(FramesInPartAreBounded) {
+  Peers peers({.max_partial_frame_bytes = 4000});
+  peers.Receive(HelloFrame());
+  const std::string begin("\0\0\x10\0", 4);
+  peers.Receive(begin + std::string(3000, 'x'));
+  BOOST_TEST(peers.downs() == 0);
+  peers.Receive(std::string(3000, 'x'));
+  BOOST_TEST(peers.downs() == 1);
+}
+
 // Guards against a part of a message that is taken for all of it.
 BOOST_AUTO_TEST_CASE(CutFrameIsNoMessage) {
   const std::string frame = HeartbeatFrame();
