Connections of clients leave descriptors to servers, store and peers

With 400 idle connections all 256 descriptors were in use. The entry spun in accept, could connect to no server, and ordinary clients got 503 or timed out.

Cause: nothing limited the connections, and after a failed accept the waiting connection makes the listener ready again at once.

A listener whose accept fails is disabled until the next tick.

--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -750,6 +750,10 @@
 
 void ClientPort::Tick() {
   const TimePoint now = clock_.Now();
+  if (listener_ != nullptr) {
+    // It is disabled after a failure.
+    evconnlistener_enable(listener_);
+  }
   bodies_.Process();
   if (bodies_.budget().is_over()) {
     ReclaimMemory();
--- a/lavenderkeel/io/entry_daemon.cc
+++ b/lavenderkeel/io/entry_daemon.cc
@@ -9,6 +9,16 @@
 
 namespace lavenderkeel {
 
+namespace {
+
+HttpServer::Options HttpOptions(const EntrySettings& settings) {
+  HttpServer::Options options = settings.http;
+  options.max_connections = settings.common.limits.client_connections();
+  return options;
+}
+
+}  // namespace
+
 EntryDaemon::EntryDaemon(EntrySettings settings, const EventLog& log)
     : settings_(std::move(settings)),
       log_(log),
@@ -27,7 +37,7 @@
              log),
       callers_(
           loop_,
-          settings_.http,
+          HttpOptions(settings_),
           clock_,
           bodies_,
           {.on_request =
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -102,7 +102,7 @@
              log),
       clients_(
           loop_,
-          {},
+          {.max_connections = settings_.limits.client_connections()},
           clock_,
           bodies_,
           {.on_request =
@@ -169,7 +169,8 @@
       status_(
           loop_,
           {.name = "status",
-           .max_body_bytes = kMaxStatusBodyBytes},
+           .max_body_bytes = kMaxStatusBodyBytes,
+           .max_connections = settings_.limits.status_connections()},
           clock_,
           bodies_,
           {.on_request =
--- a/lavenderkeel/io/internal/listener.h
+++ b/lavenderkeel/io/internal/listener.h
@@ -21,6 +21,10 @@
 };
 
 /// Listens at an address and passes each accepted socket to a member function.
+///
+/// After a failure, as without a free descriptor, the listener is disabled: the
+/// connection still waits, and accept would fail again at once. The owner
+/// enables it again later.
 /// @return null if the address can't be parsed or bound
 template <typename Owner, void (Owner::*kAccept)(int socket)>
 evconnlistener* NewListener(event_base* base,
@@ -43,6 +47,9 @@
   if (listener == nullptr) {
     return nullptr;
   }
+  evconnlistener_set_error_cb(listener, [](evconnlistener* failed, void*) {
+    evconnlistener_disable(failed);
+  });
   if (options.socket_buffer_bytes > 0) {
     SetBufferSizes(evconnlistener_get_fd(listener),
                    options.socket_buffer_bytes);
