Soak: crowds of clients that never end their requests

Entries of the soak have a machine of 160 MiB; one to four crowds of 60 clients at a time send half-read and chunked bodies, chunk extensions, trailers, bodies over the limit or with an unknown key, heads, or nothing. No entry beside a crowd may use more than its memory, and the other checks hold meanwhile. The scripts are those of the process tests.

--- a/test/process/crowd.cc
+++ b/test/process/crowd.cc
@@ -7,10 +7,85 @@
 #include <algorithm>
 #include <csignal>
 
+#include "lavenderkeel/http/message_head.h"
 #include "lavenderkeel/io/address.h"
 
 namespace lavenderkeel::test {
 
+namespace {
+
+constexpr size_t kBodyBytes = size_t{4} << 20;
+constexpr size_t kPieceBytes = size_t{64} << 10;
+
+CrowdScript Announced(const std::string& head, size_t announced, size_t sent) {
+  return {.begin = head + "Content-Length: " + std::to_string(announced) +
+                   "\r\n\r\n",
+          .repeated = std::string(kPieceBytes, 'x'),
+          .times = sent / kPieceBytes};
+}
+
+std::string ChunkOf(size_t bytes) {
+  return EncodeChunk(std::string(bytes, 'x'));
+}
+
+std::string Repeat(const std::string& text, size_t times) {
+  std::string repeated;
+  for (size_t i = 0; i < times; ++i) {
+    repeated += text;
+  }
+  return repeated;
+}
+
+}  // namespace
+
+CrowdScript HalfReadBody(const std::string& head) {
+  return Announced(head, kBodyBytes, kBodyBytes - kPieceBytes);
+}
+CrowdScript WholeBody(const std::string& head) {
+  return Announced(head, kBodyBytes, kBodyBytes);
+}
+CrowdScript BodyOverTheLimit(const std::string& head) {
+  return Announced(head, 16 * kBodyBytes, 4 * kBodyBytes);
+}
+CrowdScript ChunksWithoutEnd(const std::string& head) {
+  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n",
+          .repeated = ChunkOf(kPieceBytes),
+          .times = 4 * kBodyBytes / kPieceBytes};
+}
+CrowdScript ChunksThatStopShort(const std::string& head) {
+  CrowdScript script = ChunksWithoutEnd(head);
+  script.times = kBodyBytes / kPieceBytes - 1;
+  return script;
+}
+CrowdScript SmallChunks(const std::string& head) {
+  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n",
+          .repeated = Repeat(ChunkOf(1), kPieceBytes),
+          .times = 8};
+}
+CrowdScript EndlessChunkExtension(const std::string& head) {
+  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n5;x=",
+          .repeated = std::string(kPieceBytes, 'x'),
+          .times = 4 * kBodyBytes / kPieceBytes};
+}
+CrowdScript EndlessTrailer(const std::string& head) {
+  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+          .repeated = std::string(kPieceBytes, 'x'),
+          .times = 4 * kBodyBytes / kPieceBytes};
+}
+std::vector<CrowdScript> MisbehavingScripts(const std::string& head,
+                                            const std::string& unknown_head) {
+  return {HalfReadBody(head),
+          ChunksWithoutEnd(head),
+          ChunksThatStopShort(head),
+          SmallChunks(head),
+          EndlessChunkExtension(head),
+          EndlessTrailer(head),
+          BodyOverTheLimit(head),
+          HalfReadBody(unknown_head),
+          {.begin = head},
+          {}};
+}
+
 class Crowd::Client {
  public:
   Client(EventLoop& loop,
--- a/test/process/crowd.h
+++ b/test/process/crowd.h
@@ -20,6 +20,23 @@
   bool reads = true;
 };
 
+// Requests with bodies of 4 MiB, the usual limit, or of no end.
+// The head has no empty line at its end.
+CrowdScript HalfReadBody(const std::string& head);
+CrowdScript WholeBody(const std::string& head);
+CrowdScript BodyOverTheLimit(const std::string& head);
+CrowdScript ChunksWithoutEnd(const std::string& head);
+CrowdScript ChunksThatStopShort(const std::string& head);
+CrowdScript SmallChunks(const std::string& head);
+CrowdScript EndlessChunkExtension(const std::string& head);
+CrowdScript EndlessTrailer(const std::string& head);
+
+/// Returns scripts that never end a request, including heads and connections
+/// without one.
+/// @param unknown_head head that is to be refused
+std::vector<CrowdScript> MisbehavingScripts(const std::string& head,
+                                            const std::string& unknown_head);
+
 /// Clients that send the same bytes at once and keep their connections open
 /// until the peer closes them.
 class Crowd {
--- a/test/process/misbehaving_clients_test.cc
+++ b/test/process/misbehaving_clients_test.cc
@@ -6,7 +6,6 @@
 #include <filesystem>
 #include <string>
 
-#include "lavenderkeel/http/message_head.h"
 #include "lavenderkeel/io/daemon_main.h"
 #include "lavenderkeel/wire/codec.h"
 #include "test/process/cluster.h"
@@ -36,59 +35,6 @@
 constexpr Duration kSettleTime = std::chrono::seconds(10);
 constexpr int kOk = 200;
 
-CrowdScript Announced(const std::string& head, size_t announced, size_t sent) {
-  return {.begin = head + "Content-Length: " + std::to_string(announced) +
-                   "\r\n\r\n",
-          .repeated = std::string(kPieceBytes, 'x'),
-          .times = sent / kPieceBytes};
-}
-
-std::string ChunkOf(size_t bytes) {
-  return EncodeChunk(std::string(bytes, 'x'));
-}
-
-std::string Repeat(const std::string& text, size_t times) {
-  std::string repeated;
-  for (size_t i = 0; i < times; ++i) {
-    repeated += text;
-  }
-  return repeated;
-}
-
-CrowdScript StopShort(const std::string& head) {
-  return Announced(head, kBodyBytes, kBodyBytes - kPieceBytes);
-}
-CrowdScript Whole(const std::string& head) {
-  return Announced(head, kBodyBytes, kBodyBytes);
-}
-CrowdScript OverLimit(const std::string& head) {
-  return Announced(head, 16 * kBodyBytes, 4 * kBodyBytes);
-}
-CrowdScript ChunksWithoutEnd(const std::string& head) {
-  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n",
-          .repeated = ChunkOf(kPieceBytes),
-          .times = 4 * kBodyBytes / kPieceBytes};
-}
-CrowdScript ChunksThatStopShort(const std::string& head) {
-  CrowdScript script = ChunksWithoutEnd(head);
-  script.times = kBodyBytes / kPieceBytes - 1;
-  return script;
-}
-CrowdScript SmallChunks(const std::string& head) {
-  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n",
-          .repeated = Repeat(ChunkOf(1), kPieceBytes),
-          .times = 8};
-}
-CrowdScript ChunkExtension(const std::string& head) {
-  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n5;x=",
-          .repeated = std::string(kPieceBytes, 'x'),
-          .times = 4 * kBodyBytes / kPieceBytes};
-}
-CrowdScript Trailer(const std::string& head) {
-  return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ",
-          .repeated = std::string(kPieceBytes, 'x'),
-          .times = 4 * kBodyBytes / kPieceBytes};
-}
 /// The length of a frame, and all of it but the last bytes.
 CrowdScript FrameThatStopsShort() {
   std::string begin;
@@ -263,22 +209,22 @@
 
 // Guards against half-read bodies that exhaust the memory or keep it.
 BOOST_AUTO_TEST_CASE(ForwardedBodiesThatStopShort) {
-  Forwarding().CheckCrowd("clients", StopShort(Forwarding::Head("key")));
+  Forwarding().CheckCrowd("clients", HalfReadBody(Forwarding::Head("key")));
 }
 
 // Guards against whole bodies that exhaust the memory.
 BOOST_AUTO_TEST_CASE(ForwardedWholeBodies) {
-  Forwarding().CheckCrowd("clients", Whole(Forwarding::Head("key")));
+  Forwarding().CheckCrowd("clients", WholeBody(Forwarding::Head("key")));
 }
 
 // Guards against bodies that are read although the head refuses them.
 BOOST_AUTO_TEST_CASE(ForwardedBodiesWithAnUnknownKey) {
-  Forwarding().CheckCrowd("clients", StopShort(Forwarding::Head("other")));
+  Forwarding().CheckCrowd("clients", HalfReadBody(Forwarding::Head("other")));
 }
 
 // Guards against announced bodies beyond the limit that are kept.
 BOOST_AUTO_TEST_CASE(ForwardedBodiesOverTheLimit) {
-  Forwarding().CheckCrowd("clients", OverLimit(Forwarding::Head("key")));
+  Forwarding().CheckCrowd("clients", BodyOverTheLimit(Forwarding::Head("key")));
 }
 
 // Guards against chunks that are kept up to the limit at all connections.
@@ -299,18 +245,19 @@
 
 // Guards against lines of chunks that are kept without a limit.
 BOOST_AUTO_TEST_CASE(ForwardedChunkExtensions) {
-  Forwarding().CheckCrowd("clients", ChunkExtension(Forwarding::Head("key")));
+  Forwarding().CheckCrowd("clients",
+                          EndlessChunkExtension(Forwarding::Head("key")));
 }
 
 // Guards against trailers that are kept without a limit.
 BOOST_AUTO_TEST_CASE(ForwardedTrailers) {
-  Forwarding().CheckCrowd("clients", Trailer(Forwarding::Head("key")));
+  Forwarding().CheckCrowd("clients", EndlessTrailer(Forwarding::Head("key")));
 }
 
 // Guards against bodies at a port that takes none.
 BOOST_AUTO_TEST_CASE(BodiesAtTheStatusPort) {
   Forwarding().CheckCrowd(
-      "status", StopShort("POST /metrics HTTP/1.1\r\nHost: 127.0.0.1\r\n"));
+      "status", HalfReadBody("POST /metrics HTTP/1.1\r\nHost: 127.0.0.1\r\n"));
 }
 
 // Guards against frames of strangers that exhaust the memory.
@@ -341,17 +288,19 @@
 // Guards against half-read bodies that exhaust the memory or keep it.
 BOOST_AUTO_TEST_CASE(CallersBodiesThatStopShort) {
   Callers().CheckCrowd("entry-0", "callers",
-                       StopShort(Callers::Head("board-key")));
+                       HalfReadBody(Callers::Head("board-key")));
 }
 
 // Guards against whole bodies that exhaust the memory.
 BOOST_AUTO_TEST_CASE(CallersWholeBodies) {
-  Callers().CheckCrowd("entry-0", "callers", Whole(Callers::Head("board-key")));
+  Callers().CheckCrowd("entry-0", "callers",
+                       WholeBody(Callers::Head("board-key")));
 }
 
 // Guards against bodies that are read although the head refuses them.
 BOOST_AUTO_TEST_CASE(CallersBodiesWithAnUnknownKey) {
-  Callers().CheckCrowd("entry-0", "callers", StopShort(Callers::Head("wrong")));
+  Callers().CheckCrowd("entry-0", "callers",
+                       HalfReadBody(Callers::Head("wrong")));
 }
 
 // Guards against chunks that are kept beyond the limit.
@@ -369,21 +318,21 @@
 // Guards against lines of chunks that are kept without a limit.
 BOOST_AUTO_TEST_CASE(CallersChunkExtensions) {
   Callers().CheckCrowd("entry-0", "callers",
-                       ChunkExtension(Callers::Head("board-key")));
+                       EndlessChunkExtension(Callers::Head("board-key")));
 }
 
 // Guards against trailers that are kept without a limit.
 BOOST_AUTO_TEST_CASE(CallersTrailers) {
   Callers().CheckCrowd("entry-0", "callers",
-                       Trailer(Callers::Head("board-key")));
+                       EndlessTrailer(Callers::Head("board-key")));
 }
 
 // Guards against bodies of operators' requests without the operator key.
 BOOST_AUTO_TEST_CASE(OperatorsBodiesThatStopShort) {
   Callers().CheckCrowd(
       "entry-0", "callers",
-      StopShort("POST /admin/v1/config HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-                "Authorization: Bearer wrong\r\n"));
+      HalfReadBody("POST /admin/v1/config HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                   "Authorization: Bearer wrong\r\n"));
 }
 
 // Guards against frames of strangers that exhaust the memory.
--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -42,6 +42,8 @@
   void OnRequestAfterRecovery(const RequestRecord& record);
 
   /// Violated guarantees, each with the id of its request.
+  /// Records a violation that was seen elsewhere.
+  void OnViolation(std::string what) { violations_.push_back(std::move(what)); }
   const std::vector<std::string>& violations() const { return violations_; }
   /// Number of requests with status 200.
   size_t served() const { return served_; }
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -42,7 +42,8 @@
     "cut server answers",
     "cut store answers",
     "cut peer messages",
-    "server sends interim responses"};
+    "server sends interim responses",
+    "clients crowd"};
 
 constexpr int kFaultsEndMs = 8000;
 constexpr int kMaxFaultMs = 2500;
@@ -143,6 +144,23 @@
   }
 }
 
+/// Adds crowds of clients at entries, some of them at the same time.
+void AddCrowds(Plan& plan) {
+  constexpr int kMaxCrowds = 4;
+  constexpr int kMaxTarget = 1000;
+  std::mt19937_64 random(plan.seed + 5);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  for (int crowds = pick(1, kMaxCrowds); crowds > 0; --crowds) {
+    plan.steps.push_back(
+        {.at = std::chrono::milliseconds(pick(0, kFaultsEndMs / 2)),
+         .fault = Fault::kClientsCrowd,
+         .target = pick(0, kMaxTarget),
+         .duration = std::chrono::milliseconds(pick(500, kFaultsEndMs / 2))});
+  }
+}
+
 void MakeServersRefuse(Plan& plan) {
   for (int server = 0; server < plan.servers; ++server) {
     plan.steps.push_back({.fault = server % 2 == 0 ? Fault::kServerRefuses
@@ -224,6 +242,7 @@
     AddFailingServers(plan);
     AddFaultyBytes(plan);
     AddFalseAnswers(plan);
+    AddCrowds(plan);
   }
   if (variant == Variant::kRepeatedRejections) {
     AddRepeatedRejections(plan);
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -51,10 +51,12 @@
   kCutPeerMessages,
   /// Answers come after an interim response.
   kServerSendsInterim,
+  /// A crowd of clients sends requests without end to an entry, or takes
+  /// connections.
+  kClientsCrowd,
 };
 
-inline constexpr int kFaultKinds =
-    static_cast<int>(Fault::kServerSendsInterim) + 1;
+inline constexpr int kFaultKinds = static_cast<int>(Fault::kClientsCrowd) + 1;
 
 /// The usual bound on retries. Its window is short, so that the faults of a
 /// plan spread over several.
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -150,6 +150,12 @@
   }
 
   bool Report() {
+    constexpr size_t kKiBPerMiB = 1024;
+    const size_t peak_kib = system_.PeakKiBBesideCrowds();
+    if (peak_kib > System::kEntryMemoryMiB * kKiBPerMiB) {
+      checker_.OnViolation("an entry beside a crowd used " +
+                           std::to_string(peak_kib) + " KiB");
+    }
     const bool holds = checker_.violations().empty();
     std::cout << "seed " << plan_.seed << ": " << (holds ? "holds" : "BROKEN")
               << ", " << plan_.entries << " entries, " << plan_.servers
@@ -158,7 +164,8 @@
               << checker_.refused() << " refused, " << checker_.crashes()
               << " crashes, " << checker_.lost() << " lost, "
               << checker_.retries() << " sent again, at most "
-              << checker_.WorstRetryWindow() << std::endl;
+              << checker_.WorstRetryWindow() << ", " << peak_kib
+              << " KiB beside crowds" << std::endl;
     if (holds) {
       return true;
     }
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <memory>
 #include <sstream>
 #include <utility>
 #include <vector>
 
 #include "test/fakes/odd_objects.h"
+#include "test/process/crowd.h"
 
 namespace lavenderkeel::soak {
 
@@ -90,6 +92,7 @@
                           << ToSeconds(plan_.retry_bound.window)
                           << R"(, "retry_ratio": )" << plan_.retry_bound.ratio
                           << R"(, "retry_extra": )" << plan_.retry_bound.extra
+                          << R"(}, "limits": {"memory_mb": )" << kEntryMemoryMiB
                           << "}}";
   processes_.Spawn(
       entry.name,
@@ -197,6 +200,29 @@
   Schedule(step.duration, [this, &odd] { RemoveObject(odd.path); });
 }
 
+void System::SendCrowd(const Step& step, const Entry& entry) {
+  constexpr size_t kClients = 60;
+  if (!processes_.Has(entry.name) || entry.starting) {
+    return;
+  }
+  const auto head = [](const std::string& key) {
+    return "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: crowd\r\n"
+           "Deadline-Ms: 8000\r\nAuthorization: Bearer " +
+           key + "\r\n";
+  };
+  const auto scripts = test::MisbehavingScripts(head("key"), head("unknown"));
+  // Directly, since a relay would hold what the entry does not read.
+  auto crowd = std::make_shared<test::Crowd>(
+      loop_, processes_.Address(entry.name, "clients"), kClients,
+      scripts[static_cast<size_t>(step.target) / entries_.size() %
+              scripts.size()]);
+  const pid_t pid = processes_.Pid(entry.name);
+  Schedule(step.duration, [this, crowd, pid] {
+    peak_kib_beside_crowds_ =
+        std::max(peak_kib_beside_crowds_, test::PeakKiB(pid));
+  });
+}
+
 void System::InjectAtEntry(const Step& step, Entry& entry) {
   test::Relay& store = *entry.store;
   test::Relay& peers = *entry.peers;
@@ -216,6 +242,9 @@
         Pause(entry.name, step.duration);
       }
       return;
+    case Fault::kClientsCrowd:
+      SendCrowd(step, entry);
+      return;
     case Fault::kResetStoreLinks:
       store.ResetOpenConnections();
       return;
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -43,6 +43,10 @@
   void set_on_arrival(std::function<void(const std::string&)> on_arrival) {
     on_arrival_ = std::move(on_arrival);
   }
+  /// Returns the most memory that an entry beside a crowd has used, in KiB.
+  size_t PeakKiBBesideCrowds() const { return peak_kib_beside_crowds_; }
+  /// Memory of the machine of each entry, in MiB.
+  static constexpr size_t kEntryMemoryMiB = 160;
   /// Called when a server has crashed by a request.
   void set_on_crash(std::function<void()> on_crash) {
     on_crash_ = std::move(on_crash);
@@ -95,6 +99,7 @@
   void Schedule(Duration after, std::function<void()> action);
   bool Wait(const std::function<bool()>& condition);
   void InjectAtEntry(const Step& step, Entry& entry);
+  void SendCrowd(const Step& step, const Entry& entry);
   void InjectAtServer(const Step& step, Server& server);
   void Pause(const std::string& name, Duration duration);
   /// Makes the server fail a part of the requests until the step's end.
@@ -115,6 +120,7 @@
   std::vector<Server> servers_;
   std::vector<PendingAction> pending_;
   uint64_t config_version_ = 0;
+  size_t peak_kib_beside_crowds_ = 0;
   std::function<void(const std::string&)> on_arrival_;
   std::function<void()> on_crash_;
 };
