--- a/test/process/platform_processes.cc
+++ b/test/process/platform_processes.cc
@@ -1,6 +1,5 @@
 #include "test/process/platform_processes.h"
 
-#include <cstdlib>
 #include <fstream>
 
 namespace lavenderkeel::test {
@@ -18,17 +17,6 @@
       "maxAttempts": 3})";
 }
 
-/// Bounds the freed memory that the address sanitizer keeps from reuse, so that
-/// the memory of a process is what it needs.
-void LimitSanitizerQuarantine() {
-  constexpr const char* kVariable = "ASAN_OPTIONS";
-  const char* present = std::getenv(kVariable);
-  const std::string options =
-      (present == nullptr ? "" : std::string(present) + ":") +
-      "quarantine_size_mb=8";
-  setenv(kVariable, options.c_str(), /*overwrite=*/1);
-}
-
 std::string Program(const std::string& name) {
   return std::string(LAVENDERKEEL_BINARY_DIR) + "/" + name;
 }
@@ -36,7 +24,6 @@
 }  // namespace
 
 PlatformProcesses::PlatformProcesses() {
-  LimitSanitizerQuarantine();
   loop_.Every(std::chrono::milliseconds(4), [this] { loop_.Stop(); });
   processes_.Spawn("store", {Program("fake_store"), "127.0.0.1:0",
                              processes_.ReadyFile("store")});
--- a/test/process/process_set.cc
+++ b/test/process/process_set.cc
@@ -35,7 +35,26 @@
   return 0;
 }
 
+namespace {
+
+/// Bounds the freed memory that the address sanitizer keeps from reuse, so that
+/// the memory of a process is what it needs.
+void LimitSanitizerQuarantine() {
+  constexpr const char* kVariable = "ASAN_OPTIONS";
+  constexpr std::string_view kOption = "quarantine_size_mb=8";
+  const char* present = std::getenv(kVariable);
+  std::string options = present == nullptr ? "" : present;
+  if (options.find(kOption) == std::string::npos) {
+    options += options.empty() ? "" : ":";
+    options += kOption;
+    setenv(kVariable, options.c_str(), /*overwrite=*/1);
+  }
+}
+
+}  // namespace
+
 ProcessSet::ProcessSet(bool keep) : keep_(keep) {
+  LimitSanitizerQuarantine();
   std::string pattern = "/tmp/lavenderkeel-test-XXXXXX";
   directory_ = mkdtemp(pattern.data());
 }
