Documents of many values no longer take many times their size

Ten callers that sent documents of 4 MiB with two million values each took 1,175 MiB of lavenderkeel-entry (256), and ordinary requests beside them got 504.

Cause: each value of a document is parsed into an object and, where a message is expected, its fault is described; both take up to a hundred times the text. The bound on bodies does not see it.

Prompt parts, which a head or a body names by a few bytes each, are accounted with the request.

--- a/lavenderkeel/dispatch/caller_api.cc
+++ b/lavenderkeel/dispatch/caller_api.cc
@@ -121,10 +121,23 @@
     Refuse(draft.http.caller, *failure);
     return;
   }
-  draft.submission.payload.memory = std::move(draft.http.memory);
+  HoldMemory(draft);
   requests_.Submit(std::move(draft.submission));
 }
 
+void CallerApi::HoldMemory(RequestDraft& draft) {
+  Payload& payload = draft.submission.payload;
+  payload.memory = std::move(draft.http.memory);
+  if (payload.memory != nullptr) {
+    // The parts are held twice, and the content is not that of the body.
+    payload.memory->Resize(
+        payload.memory->bytes() -
+        std::min(payload.memory->bytes(), draft.http.body.size()) +
+        payload.body.capacity() +
+        2 * payload.prompt_parts.capacity() * sizeof(PromptPartId));
+  }
+}
+
 void CallerApi::RefuseUnconfigured(const CallerRequest& request) {
   Refuse(request.caller, MakeFailure(UnconfiguredCode(request)));
 }
--- a/lavenderkeel/dispatch/caller_api.h
+++ b/lavenderkeel/dispatch/caller_api.h
@@ -46,6 +46,8 @@
   void HandleSubmission(CallerRequest request);
   /// Runs the filters that need the head only.
   std::optional<Failure> ReadHead(RequestDraft& draft) const;
+  /// Accounts what is held for the request until it has ended.
+  static void HoldMemory(RequestDraft& draft);
   void RefuseUnconfigured(const CallerRequest& request);
   void Refuse(CallerId caller, const Failure& failure);
 
--- a/lavenderkeel/dispatch/request_body.cc
+++ b/lavenderkeel/dispatch/request_body.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <string_view>
 #include <utility>
 
 #include "lavenderkeel/base/rendezvous.h"
@@ -22,6 +23,30 @@
 constexpr size_t kPrefixBlockBytes = 1024;
 constexpr size_t kMaxPrefixBlocks = 16;
 
+/// A parsed value takes up to a hundred times its text, with what is said of
+/// its faults.
+constexpr size_t kMaxValues = size_t{1} << 16;
+
+/// Returns whether a JSON text has more values than a limit, counted by what
+/// separates them.
+bool HasMoreValues(std::string_view text, size_t limit) {
+  constexpr std::string_view kSeparators = ",:[{";
+  size_t values = 1;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (in_string && text[i] == '\\') {
+      ++i;
+    } else if (text[i] == '"') {
+      in_string = !in_string;
+    } else if (!in_string &&
+               kSeparators.find(text[i]) != std::string_view::npos &&
+               ++values > limit) {
+      return true;
+    }
+  }
+  return false;
+}
+
 struct Prompt {
   std::string text;
   std::vector<PromptPartId> parts;
@@ -67,6 +92,11 @@
 leaf::result<ParsedBody> ParseEngineBody(const std::string& body,
                                          bool chat,
                                          const Config& config) {
+  if (HasMoreValues(body, kMaxValues)) {
+    return leaf::new_error(
+        Failure{ResultCode::kWrongType,
+                "/: has more than " + std::to_string(kMaxValues) + " values"});
+  }
   BOOST_LEAF_AUTO(value, ParseJson(body));
   Faults faults;
   JsonReader reader(value, "", faults);
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -255,6 +255,10 @@
                                    .body = *request->body,
                                }),
                                request->metadata.prompt_parts);
+  request->memory.Resize(request->memory.bytes() +
+                         sizeof(PromptPartId) *
+                             (request->metadata.prompt_parts.capacity() +
+                              request->traits.parts.capacity()));
   held_body_bytes_ += request->body->size();
   ForwardedRequest& admitted = *request;
   requests_[exchange] = std::move(request);
--- a/test/process/crowd.cc
+++ b/test/process/crowd.cc
@@ -28,6 +28,8 @@
   return EncodeChunk(std::string(bytes, 'x'));
 }
 
+}  // namespace
+
 std::string Repeat(const std::string& text, size_t times) {
   std::string repeated;
   for (size_t i = 0; i < times; ++i) {
@@ -36,8 +38,6 @@
   return repeated;
 }
 
-}  // namespace
-
 CrowdScript HalfReadBody(const std::string& head) {
   return Announced(head, kBodyBytes, kBodyBytes - kPieceBytes);
 }
--- a/test/process/crowd.h
+++ b/test/process/crowd.h
@@ -20,6 +20,9 @@
   bool reads = true;
 };
 
+/// Returns the text this many times.
+std::string Repeat(const std::string& text, size_t times);
+
 // Requests with bodies of 4 MiB, the usual limit, or of no end.
 // The head has no empty line at its end.
 CrowdScript HalfReadBody(const std::string& head);
--- a/test/process/misbehaving_clients_test.cc
+++ b/test/process/misbehaving_clients_test.cc
@@ -28,6 +28,7 @@
 /// What the crowds send is more than the memory.
 constexpr size_t kForwardingCrowd = 60;
 constexpr size_t kCallerCrowd = 150;
+constexpr size_t kDocumentCrowd = 10;
 /// Limit of the process for descriptors, and connections of each crowd.
 constexpr size_t kDescriptors = 256;
 constexpr size_t kConnections = 400;
@@ -185,10 +186,11 @@
   }
   void CheckCrowd(const std::string& process,
                   const std::string& port,
-                  const CrowdScript& script) {
+                  const CrowdScript& script,
+                  size_t clients = kCallerCrowd) {
     {
-      Crowd crowd(cluster_.loop(), cluster_.Address(process, port),
-                  kCallerCrowd, script);
+      Crowd crowd(cluster_.loop(), cluster_.Address(process, port), clients,
+                  script);
       Settle(cluster_, crowd);
       CheckServes();
       CheckMemory(process);
@@ -327,6 +329,22 @@
                        EndlessTrailer(Callers::Head("board-key")));
 }
 
+// Guards against documents whose values take many times their size.
+BOOST_AUTO_TEST_CASE(CallersDocumentsOfManyValues) {
+  const std::string begin = R"({"model":"m","messages":[)";
+  const std::string end = "0]}";
+  const size_t pairs = (kBodyBytes - begin.size() - end.size()) / 2;
+  const std::string body = begin + Repeat("0,", pairs) + end;
+  Callers().CheckCrowd(
+      "entry-0", "callers",
+      {.begin =
+           "POST /v1/chat/completions HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+           "Lavenderkeel-Work: check\r\nAuthorization: Bearer board-key\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body},
+      kDocumentCrowd);
+}
+
 // Guards against bodies of operators' requests without the operator key.
 BOOST_AUTO_TEST_CASE(OperatorsBodiesThatStopShort) {
   Callers().CheckCrowd(
