--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -117,6 +117,8 @@
   /// Memory that is reserved for the body, or requested.
   size_t body_reserved = 0;
   bool reads = true;
+  /// Whether the buffers of the socket no longer grow.
+  bool buffers_fixed = false;
   /// What is held beside the body.
   MemoryCharge held;
   /// Bytes that were written for the client, and what was seen to be sent.
@@ -150,10 +152,7 @@
   /// clients at once.
   constexpr int kBacklog = 1024;
   listener_ = internal::NewListener<ClientPort, &ClientPort::Accept>(
-      loop_.base(), text,
-      {.backlog = kBacklog,
-       .socket_buffer_bytes = options_.socket_buffer_bytes},
-      *this);
+      loop_.base(), text, {.backlog = kBacklog}, *this);
   return internal::AddressOf(listener_);
 }
 
@@ -280,6 +279,11 @@
   const auto socket_bytes = static_cast<size_t>(options_.socket_buffer_bytes);
   bytes += connection.reads ? 0 : socket_bytes;
   bytes += output < kUnreadBytes ? 0 : socket_bytes;
+  const bool fills_up = !connection.reads || output >= kUnreadBytes;
+  if (fills_up && !std::exchange(connection.buffers_fixed, true)) {
+    SetBufferSizes(bufferevent_getfd(connection.events),
+                   options_.socket_buffer_bytes);
+  }
   connection.held.Resize(bytes);
   // Deferred, since a caller up the stack may still use a connection.
   if (bodies_.budget().is_over() && !std::exchange(reclaims_, true)) {
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -45,7 +45,7 @@
     bool strict = true;
     /// Bytes of following requests that are read while one is answered.
     size_t read_ahead_bytes = size_t{16} << 10;
-    /// Size of the buffers of each socket.
+    /// Size of the buffers of a socket of which one end does not read.
     int socket_buffer_bytes = 128 << 10;
     /// A client that reads nothing of its complete answer for this time is
     /// disconnected.
--- a/lavenderkeel/io/internal/listener.h
+++ b/lavenderkeel/io/internal/listener.h
@@ -8,16 +8,12 @@
 #include <string>
 
 #include "lavenderkeel/io/address.h"
-#include "lavenderkeel/io/socket_options.h"
 
 namespace lavenderkeel::internal {
 
 struct ListenOptions {
   /// Connections that may wait to be accepted; -1: the default of the library.
   int backlog = -1;
-  /// Size of the socket buffers of each connection; zero: that of the system,
-  /// which grows with the load.
-  int socket_buffer_bytes = 0;
 };
 
 /// Listens at an address and passes each accepted socket to a member function.
@@ -50,10 +46,6 @@
   evconnlistener_set_error_cb(listener, [](evconnlistener* failed, void*) {
     evconnlistener_disable(failed);
   });
-  if (options.socket_buffer_bytes > 0) {
-    SetBufferSizes(evconnlistener_get_fd(listener),
-                   options.socket_buffer_bytes);
-  }
   return listener;
 }
 
--- a/lavenderkeel/io/socket_options.h
+++ b/lavenderkeel/io/socket_options.h
@@ -41,7 +41,7 @@
 }
 
 /// Fixes the sizes of the buffers of a socket, which otherwise grow with the
-/// load. The sockets that a listening one accepts inherit them.
+/// load.
 inline void SetBufferSizes(int socket, int bytes) {
   setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
   setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
