Tests: the ends of a cut link exceed the shared rate (known red)

Two entries whose link is cut, and which a third one reaches, both use what the third leaves: 1504 requests in a window that allows 1050.

--- a/test/forward/shared_rate_test.cc
+++ b/test/forward/shared_rate_test.cc
@@ -41,7 +41,8 @@
     servers_.Advance(seconds(3));
   }
 
-  /// Sends three times the rate, evenly over the entries that run.
+  /// Sends three times the rate, evenly over the entries that run and get
+  /// traffic.
   void SendTraffic(Duration duration) {
     constexpr Duration kStep = milliseconds(10);
     constexpr int kRequestsPerStep = 3;
@@ -73,6 +74,9 @@
     }
   }
 
+  /// Lets only the first entries get traffic.
+  void set_entries_in_use(int count) { entries_in_use_ = count; }
+
   fakes::FleetSimulation& fleet() { return fleet_; }
   size_t arrivals() const { return arrivals_.size(); }
 
@@ -103,7 +107,7 @@
 
   void SendToNext() {
     for (int tried = 0; tried < kEntries; ++tried) {
-      const int entry = next_entry_++ % kEntries;
+      const int entry = next_entry_++ % entries_in_use_;
       if (fleet_.IsRunning(entry)) {
         fleet_.Request(entry);
         return;
@@ -115,6 +119,7 @@
   fakes::SimulatedServers servers_;
   std::set<std::string> arrived_;
   std::vector<TimePoint> arrivals_;
+  int entries_in_use_ = kEntries;
   int next_entry_ = 0;
 };
 
@@ -176,6 +181,21 @@
   CheckRate(simulation);
 }
 
+// Guards against two entries that both use what the others leave, since only
+// the link between the two is cut.
+BOOST_AUTO_TEST_CASE(EndsOfACutLinkKeepTheSharedRate) {
+  RateSimulation simulation;
+  simulation.set_entries_in_use(2);
+  simulation.fleet().set_partitioned(0, 1, true);
+  simulation.SendTraffic(seconds(20));
+  CheckRate(simulation);
+  // All of the rate is used, though two entries get no traffic.
+  BOOST_TEST(simulation.arrivals() >= 20 * RateSimulation::kRate.per_second);
+  simulation.fleet().set_partitioned(0, 1, false);
+  simulation.SendTraffic(seconds(10));
+  CheckRate(simulation);
+}
+
 BOOST_AUTO_TEST_CASE(AddedEntriesKeepTheSharedRate) {
   RateSimulation simulation(/*started=*/1);
   simulation.SendTraffic(seconds(4));
