Soak: a cut answer is not filled up with bytes without end

Cause: the relay of the soak, not the entry. The relay sent those bytes after the point of the cut, so an answer of which 10 of 16 bytes were passed on got 6 others from the relay, under a length and a seal that were right. No client of a server can tell such a body from a whole one.

Ruled out: an answer of another request, and a part taken for the whole by the entry: the log of each has a single attempt at server-2-1 with the status 200.

Now bytes without end follow only whole answers, as the relay's page says, and the violation shows what the body was.

--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -228,7 +228,7 @@
 
 void Relay::SendEndless(ConnectionPair& pair) {
   constexpr size_t kMaxUnsent = size_t{256} << 10;
-  if (!pair.endless || pair.closed ||
+  if (!pair.endless || pair.cut || pair.closed ||
       evbuffer_get_length(bufferevent_get_output(pair.in)) > kMaxUnsent) {
     return;
   }
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -40,8 +40,8 @@
   /// on its connection has been forwarded: after each so many answers; zero:
   /// never.
   void set_repeat_period(int period) { repeat_period_ = period; }
-  /// Makes the target seem to send bytes without end after each answer, on all
-  /// connections that it answers on from now on.
+  /// Makes the target seem to send bytes without end after each answer that is
+  /// not cut, on all connections that it answers on from now on.
   void set_endless(bool endless) { endless_ = endless; }
   /// Sets how often bytes from the target end at some byte, by a close or a
   /// reset: after each so many receipts; zero: never.
--- a/test/soak/checker.cc
+++ b/test/soak/checker.cc
@@ -75,7 +75,9 @@
   if (record.route == "stream") {
     CheckStream(record, /*complete=*/true);
   } else if (record.body != "answer to " + record.id) {
-    AddViolation(record, "body is not the complete answer to this request");
+    constexpr size_t kMaxShown = 64;
+    AddViolation(record, "body is not the complete answer to this request (" +
+                             record.body.substr(0, kMaxShown) + ")");
   }
 }
 
