Bodies that wait for memory yield to ordinary requests

Cause: client_limited state=request used_bytes= limit_bytes=. The budget was exceeded by bodies that waited unread: each costs its first 64 KiB and 128 KiB of socket buffers, of 100 clients 19 MiB, beside the three quarters that large bodies may have. Nothing of it yielded until the waits were over, two seconds later, so each request that arrived whole was refused for memory. Without the sanitizers the waits were over before the check was sent.

Ruled out: an entry that takes itself for frozen, which was suspected; there is no gap_noticed line, and the refusal is that of the port.

Now, while the budget is exceeded, stalled bodies end first and then large ones that wait, the least urgent and the newest of these first; none of them was read, so the 503 is true. A small body that waits takes the same memory. The account of a refused connection is updated at once, not with its answer.

--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -480,6 +480,7 @@
   SetReading(connection, true);
   Consume(connection.events,
           evbuffer_get_length(bufferevent_get_input(connection.events)));
+  Account(connection);
   exchanges_[connection.exchange] = connection.id;
   hooks_.on_bad_request(connection.exchange, head, code);
 }
@@ -700,6 +701,7 @@
   constexpr int kMaxClosed = 32;
   const TimePoint now = clock_.Now();
   DropReadAhead();
+  bodies_.Reclaim();
   for (int i = 0; i < kMaxClosed && bodies_.budget().is_over(); ++i) {
     Connection* yielding = FindYielding(now, /*frees_memory=*/true);
     if (yielding == nullptr) {
--- a/lavenderkeel/memory/body_memory.cc
+++ b/lavenderkeel/memory/body_memory.cc
@@ -86,6 +86,9 @@
   if (!Fits(body.needed, held)) {
     EndStalled(body.needed, held);
   }
+  if (!IsLarge(body.needed)) {
+    EndWaiting(body.needed, held);
+  }
   if (!Fits(body.needed, held) && options_.reclaim) {
     options_.reclaim(body.rank, body.needed - held);
   }
@@ -107,6 +110,19 @@
   }
 }
 
+void BodyMemory::EndWaiting(size_t bytes, size_t held) {
+  std::vector<BodyId> large;
+  for (const auto& [rank, id] : waiting_) {
+    if (IsLarge(bodies_.at(id).needed)) {
+      large.push_back(id);
+    }
+  }
+  while (!large.empty() && !Fits(bytes, held)) {
+    EndBody(large.back(), End::kWaitOver);
+    large.pop_back();
+  }
+}
+
 void BodyMemory::EndBody(BodyId id, End end) {
   const auto found = bodies_.find(id);
   const std::function<void(End)> on_ended =
@@ -129,6 +145,11 @@
   bodies_.erase(found);
 }
 
+void BodyMemory::Reclaim() {
+  EndStalled(/*bytes=*/0, /*held=*/0);
+  EndWaiting(/*bytes=*/0, /*held=*/0);
+}
+
 void BodyMemory::Process() {
   const TimePoint now = clock_.Now();
   const std::vector<Order> waiting(waiting_.begin(), waiting_.end());
--- a/lavenderkeel/memory/body_memory.h
+++ b/lavenderkeel/memory/body_memory.h
@@ -22,7 +22,9 @@
 /// none waits unread, the most urgent and then the oldest first. It takes the
 /// memory of bodies that have stalled, the longest stalled first, and is
 /// refused when its wait is over. A part of the budget is left to small bodies,
-/// so that they do not wait for large ones.
+/// so that they do not wait for large ones. The connections of bodies that wait
+/// hold memory, too: large ones are refused early if it is needed for others,
+/// the least urgent and then the newest first.
 class BodyMemory {
  public:
   struct Options {
@@ -84,6 +86,9 @@
   /// Grants and refuses bodies that wait. To be called after memory was
   /// released, and regularly.
   void Process();
+  /// Ends bodies while the budget is exceeded: those that have stalled, then
+  /// large ones that wait.
+  void Reclaim();
 
   MemoryBudget& budget() { return budget_; }
   const MemoryBudget& budget() const { return budget_; }
@@ -113,6 +118,8 @@
   bool TryGrant(BodyId id, Body& body);
   /// Ends bodies that have stalled until there is room.
   void EndStalled(size_t bytes, size_t held);
+  /// Ends large bodies that wait until there is room.
+  void EndWaiting(size_t bytes, size_t held);
   void EndBody(BodyId id, End end);
   void Forget(BodyId id, Body& body);
 
--- a/test/io/client_port_test.cc
+++ b/test/io/client_port_test.cc
@@ -164,6 +164,32 @@
              boost::test_tools::per_element());
 }
 
+// Guards against bodies that wait unread, whose connections use the memory of
+// ordinary requests.
+BOOST_AUTO_TEST_CASE(WaitingBodiesYieldToOrdinaryRequests) {
+  PortHarness harness;
+  fakes::RawClient& reading = harness.Connect();
+  reading.Send(WithLength(kBodyLimit) + "x");
+  harness.Run();
+  std::vector<fakes::RawClient*> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.push_back(&harness.Connect());
+    waiting.back()->Send(WithLength(kBodyLimit) + "x");
+    harness.Run();
+  }
+  fakes::RawClient& ordinary = harness.Connect();
+  ordinary.Send(WithLength(1) + "o");
+  harness.Run();
+  BOOST_TEST(ordinary.received().starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(!harness.budget().is_over());
+  // The oldest one waits on, and the one that is read is not disturbed.
+  BOOST_TEST(waiting.front()->received().empty());
+  BOOST_TEST(waiting.back()->received().starts_with("HTTP/1.1 503 "));
+  reading.Send(std::string(kBodyLimit - 1, 'x'));
+  BOOST_TEST(harness.RunUntil([&] { return !reading.received().empty(); }));
+  BOOST_TEST(reading.received().starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against a chunked body that takes more memory than is reserved.
 BOOST_AUTO_TEST_CASE(ChunkedBodyArrivesWhole) {
   PortHarness harness;
