Tests: crowds that read no answers, or send beyond their request

At the clients', callers' and status port, before real processes; so far only tests without processes covered them.

--- a/test/process/crowd.cc
+++ b/test/process/crowd.cc
@@ -62,6 +62,17 @@
           .repeated = Repeat(ChunkOf(1), kPieceBytes),
           .times = 8};
 }
+CrowdScript BytesBeyondTheRequest(const std::string& head) {
+  return {.begin = head + "Content-Length: 0\r\n\r\n",
+          .repeated = std::string(kPieceBytes, 'x'),
+          .times = kBodyBytes / kPieceBytes};
+}
+CrowdScript UnreadAnswers(const std::string& head) {
+  constexpr size_t kRequests = 1000;
+  return {.repeated = Repeat(head + "Content-Length: 0\r\n\r\n", kRequests),
+          .times = 16,
+          .reads = false};
+}
 CrowdScript EndlessChunkExtension(const std::string& head) {
   return {.begin = head + "Transfer-Encoding: chunked\r\n\r\n5;x=",
           .repeated = std::string(kPieceBytes, 'x'),
--- a/test/process/crowd.h
+++ b/test/process/crowd.h
@@ -31,6 +31,10 @@
 CrowdScript ChunksWithoutEnd(const std::string& head);
 CrowdScript ChunksThatStopShort(const std::string& head);
 CrowdScript SmallChunks(const std::string& head);
+/// A whole request without a body, and bytes that follow it before its answer.
+CrowdScript BytesBeyondTheRequest(const std::string& head);
+/// Requests one after the other, without reading an answer.
+CrowdScript UnreadAnswers(const std::string& head);
 CrowdScript EndlessChunkExtension(const std::string& head);
 CrowdScript EndlessTrailer(const std::string& head);
 
--- a/test/process/misbehaving_clients_test.cc
+++ b/test/process/misbehaving_clients_test.cc
@@ -245,6 +245,23 @@
   Forwarding().CheckCrowd("clients", SmallChunks(Forwarding::Head("key")));
 }
 
+// Guards against bytes that are read ahead while a request is answered.
+BOOST_AUTO_TEST_CASE(ForwardedBytesBeyondTheRequest) {
+  Forwarding().CheckCrowd("clients",
+                          BytesBeyondTheRequest(Forwarding::Head("key")));
+}
+
+// Guards against answers that pile up for clients that do not read.
+BOOST_AUTO_TEST_CASE(ForwardedRequestsWithUnreadAnswers) {
+  Forwarding().CheckCrowd("clients", UnreadAnswers(Forwarding::Head("other")));
+}
+
+// Guards against answers that pile up for clients that do not read.
+BOOST_AUTO_TEST_CASE(UnreadAnswersOfTheStatusPort) {
+  Forwarding().CheckCrowd(
+      "status", UnreadAnswers("GET /metrics HTTP/1.1\r\nHost: 127.0.0.1\r\n"));
+}
+
 // Guards against lines of chunks that are kept without a limit.
 BOOST_AUTO_TEST_CASE(ForwardedChunkExtensions) {
   Forwarding().CheckCrowd("clients",
@@ -317,6 +334,18 @@
                        SmallChunks(Callers::Head("board-key")));
 }
 
+// Guards against bytes that are read ahead while a request is answered.
+BOOST_AUTO_TEST_CASE(CallersBytesBeyondTheRequest) {
+  Callers().CheckCrowd("entry-0", "callers",
+                       BytesBeyondTheRequest(Callers::Head("board-key")));
+}
+
+// Guards against answers that pile up for clients that do not read.
+BOOST_AUTO_TEST_CASE(CallersRequestsWithUnreadAnswers) {
+  Callers().CheckCrowd("entry-0", "callers",
+                       UnreadAnswers(Callers::Head("wrong")));
+}
+
 // Guards against lines of chunks that are kept without a limit.
 BOOST_AUTO_TEST_CASE(CallersChunkExtensions) {
   Callers().CheckCrowd("entry-0", "callers",
