--- a/test/forward/shared_rate_test.cc
+++ b/test/forward/shared_rate_test.cc
@@ -44,11 +44,12 @@
         servers_(fleet_,
                  {.servers = 20,
                   .answer_delay = milliseconds(20),
-                  .on_arrival = [this](const std::string& request_id) {
-                    if (arrived_.insert(request_id).second) {
-                      arrivals_.push_back(fleet_.Now());
-                    }
-                  }}),
+                  .on_arrival =
+                      [this](const std::string& request_id) {
+                        if (arrived_.insert(request_id).second) {
+                          arrivals_.push_back(fleet_.Now());
+                        }
+                      }}),
         entries_in_use_(options.entries) {
     servers_.Advance(seconds(3));
   }
@@ -57,9 +58,8 @@
   /// traffic.
   void SendTraffic(Duration duration) {
     constexpr Duration kStep = milliseconds(10);
-    const auto requests_per_step =
-        static_cast<int>(options_.demand * options_.rate.per_second *
-                         ToSeconds(kStep));
+    const auto requests_per_step = static_cast<int>(
+        options_.demand * options_.rate.per_second * ToSeconds(kStep));
     const TimePoint end = fleet_.Now() + duration;
     while (fleet_.Now() < end) {
       for (int i = 0; i < requests_per_step; ++i) {
