--- a/lavenderkeel/forward/team_token_bucket.h
+++ b/lavenderkeel/forward/team_token_bucket.h
@@ -138,9 +138,6 @@
   double level() const { return level_; }
 
  private:
-  /// A debt is paid back within this time, or within that of a burst.
-  static constexpr Duration kMaxDebtTime = std::chrono::seconds(2);
-
   void Deduct(double units) {
     level_ -= units;
     used_ += units;
@@ -153,11 +150,8 @@
       level_ += ToSeconds(now - last_fill_) * rate.per_second * share;
     }
     // The debt is bounded, so that an overload at other entries does not refuse
-    // the team here for long. What all entries let through before they know of
-    // each other's usage may exceed the burst.
-    const double max_debt =
-        std::max(rate.burst, rate.per_second * ToSeconds(kMaxDebtTime));
-    level_ = std::clamp(level_, -max_debt, rate.burst * share);
+    // the team here for longer than its own burst.
+    level_ = std::clamp(level_, -rate.burst, rate.burst * share);
     last_fill_ = now;
   }
 
