--- a/review/stand_in_2/deployment.cc
+++ b/review/stand_in_2/deployment.cc
@@ -20,10 +20,6 @@
 constexpr char kProgram[] = "target/lavenderkeel-platform-entry";
 constexpr auto kStartTime = std::chrono::seconds(20);
 
-std::string Loopback(int port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
 std::string MakeDirectory() {
   std::string path =
       std::filesystem::temp_directory_path().string() + "/review-XXXXXX";
@@ -49,17 +45,16 @@
 Entry::Entry(const std::string& name,
              const std::string& directory,
              const std::string& store,
-             const json::array& seeds)
-    : clients_(FreePort()), status_(FreePort()), peers_(FreePort()) {
+             const json::array& seeds) {
   const json::object settings = {
       {"instance", name},
       {"data_centre", "govan-hall"},
       {"region", "scot-central"},
       {"listen",
-       {{"clients", Loopback(clients_)},
-        {"status", Loopback(status_)},
-        {"peers", Loopback(peers_)},
-        {"advertise", Loopback(peers_)},
+       {{"clients", clients_.address()},
+        {"status", status_.address()},
+        {"peers", peers_.address()},
+        {"advertise", peers_.address()},
         {"ready_path", "/readiness"}}},
       {"seeds", seeds},
       {"store", store},
@@ -93,7 +88,7 @@
 }
 
 bool Entry::IsReady() const {
-  const int socket = Connection::Dial(status_);
+  const int socket = Connection::Dial(status_.number());
   if (socket < 0) {
     return false;
   }
--- a/review/stand_in_2/deployment.h
+++ b/review/stand_in_2/deployment.h
@@ -30,8 +30,8 @@
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
 
-  int port() const { return clients_; }
-  std::string peers() const { return "127.0.0.1:" + std::to_string(peers_); }
+  int port() const { return clients_.number(); }
+  std::string peers() const { return peers_.address(); }
   /// Whether the entry answers the question for its readiness with 200.
   bool IsReady() const;
   /// Sends SIGTERM, and SIGKILL once the grace is over, as the platform does.
@@ -39,9 +39,9 @@
   bool IsRunning();
 
  private:
-  int clients_;
-  int status_;
-  int peers_;
+  ReservedPort clients_;
+  ReservedPort status_;
+  ReservedPort peers_;
   pid_t process_ = -1;
   bool ended_ = false;
   std::thread killer_;
--- a/review/stand_in_2/net.cc
+++ b/review/stand_in_2/net.cc
@@ -226,10 +226,17 @@
   return "127.0.0.1:" + std::to_string(port_);
 }
 
-int FreePort() {
-  int port = 0;
-  close(BindLoopback(port));
-  return port;
+ReservedPort::ReservedPort() : socket_(BindLoopback(number_)) {
+  constexpr int kOn = 1;
+  setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof(kOn));
+}
+
+ReservedPort::~ReservedPort() {
+  close(socket_);
+}
+
+std::string ReservedPort::address() const {
+  return "127.0.0.1:" + std::to_string(number_);
 }
 
 }  // namespace review
--- a/review/stand_in_2/net.h
+++ b/review/stand_in_2/net.h
@@ -89,8 +89,24 @@
   std::thread thread_;
 };
 
-/// Returns a loopback port that is free at the moment.
-int FreePort();
+/// Loopback port that is kept for a process of the script: nothing else is
+/// given this port as long as the object lives. The process can listen there,
+/// since its sockets reuse addresses.
+class ReservedPort {
+ public:
+  ReservedPort();
+  ~ReservedPort();
+  ReservedPort(const ReservedPort&) = delete;
+  ReservedPort& operator=(const ReservedPort&) = delete;
+
+  int number() const { return number_; }
+  std::string address() const;
+
+ private:
+  /// Set by the initialisation of the socket.
+  int number_ = 0;
+  int socket_;
+};
 
 }  // namespace review
 
