A silent server keeps its request until another one can have it

Without a retry, a repeatable request of which the client had nothing got 504 from an entry whose server was at work.

Cause: CheckTimeLimits cancelled a silent attempt before it was known whether another server could have the request: whether the bound on retries allowed one, whether one had a free slot, or whether an answer could be continued at all. If not, GiveUp ended the answer.

Now the attempt goes on. If the request may be sent again, a retry is reserved and a slot at another server is requested beside the attempt (`replacement`). Only its grant ends the attempt; if the server sends again, fails or completes before that, the slot request is withdrawn. An answer that can't be continued is awaited up to the time limit. A silent server is not replaced by itself.

The log line `replacement` and its metric tell the decision.

The connection to the former server is still closed before another one gets the request, so two servers do not work on it for long.

--- a/lavenderkeel/evidence/run_history.h
+++ b/lavenderkeel/evidence/run_history.h
@@ -22,6 +22,8 @@
   /// Records the end of the attempt that is under way.
   void OnEnded(RunEvidence evidence);
 
+  /// Returns whether an attempt has begun that has not ended.
+  bool under_way() const { return under_way_; }
   /// Returns whether the request may have run, or may run yet.
   bool may_have_run() const { return under_way_ || runs_ > 0; }
   /// Returns the number of ended attempts after which it may have run.
--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -402,8 +402,13 @@
   }
   request.suspicion = decision.assessment.suspicion;
   request.attempt = ++last_attempt_;
-  attempts_[request.attempt] = request.exchange;
-  SlotRequest slot_request = MakeSlotRequest(request);
+  RequestSlot(request, request.attempt);
+}
+
+void ForwardController::RequestSlot(const ForwardedRequest& request,
+                                    AttemptId attempt) {
+  attempts_[attempt] = request.exchange;
+  SlotRequest slot_request = MakeSlotRequest(request, attempt);
   if (options_.early_refusal) {
     early_refusal_.OnSlotRequest(
         request.service,
@@ -421,12 +426,12 @@
   return team == nullptr ? 1 : request.table->WeightOf(*team);
 }
 
-SlotRequest ForwardController::MakeSlotRequest(
-    const ForwardedRequest& request) {
+SlotRequest ForwardController::MakeSlotRequest(const ForwardedRequest& request,
+                                               AttemptId attempt) {
   const Route& route = *request.route;
   const RouteHistory& history = route_history_[route.name];
   SlotRequest slot_request = {
-      .attempt = request.attempt,
+      .attempt = attempt,
       .service = request.service,
       .model_server = request.model_server,
       .priority = request.priority,
@@ -530,42 +535,61 @@
   }
 }
 
-bool ForwardController::OnSlotGranted(const std::string& scheduler,
-                                      const SlotGrant& grant) {
-  ForwardedRequest* request = FindByAttempt(grant.attempt);
-  if (request == nullptr || request->state != State::kWaiting) {
-    return false;
-  }
-  const BackendServer* server = directory_.Find(grant.server);
+std::optional<SlotResult> ForwardController::CheckGrant(
+    const ForwardedRequest& request,
+    const BackendServer* server,
+    const SlotGrant& grant) const {
   if (server == nullptr) {
     // Either list may be the older one. Nothing is wrong with a server that is
     // only new: if its slot came back as that of a replaced server, it would
     // get no requests of any entry for seconds.
-    EndAttempt(*request, {.pushback = options_.unlisted_server_pushback});
-    Enqueue(*request);
-    return true;
+    return SlotResult{.pushback = options_.unlisted_server_pushback};
   }
   if (server->draining) {
     // The list here is newer than that of the slot scheduler.
-    EndAttempt(*request, {.kind = SlotResult::Kind::kReplaced});
-    Enqueue(*request);
-    return true;
+    return SlotResult{.kind = SlotResult::Kind::kReplaced};
   }
   if (const ServerNotice* notice = notices_.FindBlocking(grant.server)) {
     // The slot scheduler does not know yet what the server told this entry.
-    EndAttempt(*request, {.kind = RulesOf(notice->kind).shared
-                                      ? SlotResult::Kind::kReplaced
-                                      : SlotResult::Kind::kFull,
-                          .pushback = PushbackOf(grant.server)});
-    Enqueue(*request);
-    return true;
+    return SlotResult{.kind = RulesOf(notice->kind).shared
+                                  ? SlotResult::Kind::kReplaced
+                                  : SlotResult::Kind::kFull,
+                      .pushback = PushbackOf(grant.server)};
   }
   // Rollout plans and crash evidence that arrived since the slot request may
   // hold the request or change its placement.
-  if (!version_selector_.Admits(request->service, server->version) ||
-      DecideOnCrashes(*request).kind != CrashDecision::Kind::kRun ||
-      crashes_.SuspicionOf(request->traits) > request->suspicion) {
-    EndAttempt(*request, {});
+  if (!version_selector_.Admits(request.service, server->version) ||
+      DecideOnCrashes(request).kind != CrashDecision::Kind::kRun ||
+      crashes_.SuspicionOf(request.traits) > request.suspicion) {
+    return SlotResult{};
+  }
+  return std::nullopt;
+}
+
+bool ForwardController::OnSlotGranted(const std::string& scheduler,
+                                      const SlotGrant& grant) {
+  ForwardedRequest* request = FindByAttempt(grant.attempt);
+  if (request == nullptr) {
+    return false;
+  }
+  const BackendServer* server = directory_.Find(grant.server);
+  if (grant.attempt == request->replacement) {
+    const std::optional<SlotResult> unusable =
+        CheckGrant(*request, server, grant);
+    if (unusable.has_value() || !MayReplace(*request, grant.server)) {
+      EndReplacement(*request, unusable.value_or(SlotResult{}));
+      return true;
+    }
+    ReplaceSilentAttempt(*request);
+    SendTo(*request, *server, scheduler, grant);
+    return true;
+  }
+  if (request->state != State::kWaiting) {
+    return false;
+  }
+  if (const std::optional<SlotResult> unusable =
+          CheckGrant(*request, server, grant)) {
+    EndAttempt(*request, *unusable);
     Enqueue(*request);
     return true;
   }
@@ -578,6 +602,78 @@
   return true;
 }
 
+bool ForwardController::MayReplace(ForwardedRequest& request,
+                                   const std::string& server) {
+  return server != request.server && IsSilent(request) &&
+         retries_.OnSend(request);
+}
+
+void ForwardController::ReplaceSilentAttempt(ForwardedRequest& request) {
+  const AttemptId replacement = std::exchange(request.replacement, 0);
+  // The connection to the former server is closed before another server gets
+  // the request, so that the two do not work on the request at the same time
+  // for long.
+  port_.Cancel(request.attempt);
+  EndFailedAttempt(request, AttemptFailure::kSilent);
+  request.attempt = replacement;
+}
+
+void ForwardController::EndReplacement(ForwardedRequest& request,
+                                       const SlotResult& result) {
+  request.loan_wait_end.reset();
+  if (request.replacement == 0) {
+    return;
+  }
+  const AttemptId replacement = std::exchange(request.replacement, 0);
+  attempts_.erase(replacement);
+  retries_.Release(request);
+  request.next_replacement_at =
+      clock_.Now() + options_.replacement_decision_interval;
+  slot_router_.ReleaseSlot(replacement, result);
+}
+
+bool ForwardController::IsSilent(const ForwardedRequest& request) const {
+  return clock_.Now() - request.last_received_at >= timing_.MaxSilence(request);
+}
+
+void ForwardController::CheckSilence(ForwardedRequest& request, TimePoint now) {
+  if (!IsSilent(request)) {
+    if (request.replacement != 0) {
+      request_log_.OnReplacement(request, "withdrawn");
+    }
+    EndReplacement(request, {});
+    return;
+  }
+  // Silence alone does not show that a server no longer works on the request,
+  // so its attempt ends only once another server can have the request.
+  const bool may_replace =
+      request.may_repeat() && retries_.IsRepeatable(request);
+  if (!may_replace || request.replacement != 0 ||
+      now < request.next_replacement_at) {
+    return;
+  }
+  const RequestRetries::Decision decision = request.loan_wait_end.has_value()
+                                                ? retries_.CheckLoan(request)
+                                                : retries_.Decide(request);
+  if (decision == RequestRetries::Decision::kAwaitLoan) {
+    return;
+  }
+  request.next_replacement_at = now + options_.replacement_decision_interval;
+  if (decision == RequestRetries::Decision::kEnd) {
+    return;
+  }
+  const CrashDecision crash_decision = DecideOnCrashes(request);
+  if (crash_decision.kind != CrashDecision::Kind::kRun ||
+      !version_selector_.known()) {
+    retries_.Release(request);
+    return;
+  }
+  request.suspicion = crash_decision.assessment.suspicion;
+  request_log_.OnReplacement(request, "requested");
+  request.replacement = ++last_attempt_;
+  RequestSlot(request, request.replacement);
+}
+
 void ForwardController::SendTo(ForwardedRequest& request,
                                const BackendServer& server,
                                const std::string& scheduler,
@@ -629,6 +725,7 @@
 
 void ForwardController::EndAttempt(ForwardedRequest& request,
                                    const SlotResult& result) {
+  EndReplacement(request, {});
   const AttemptId attempt = std::exchange(request.attempt, 0);
   attempts_.erase(attempt);
   version_selector_.OnAttemptEnd(request.service, request.version_attempt);
@@ -853,6 +950,12 @@
 
 void ForwardController::AfterFailure(ForwardedRequest& request,
                                      AttemptFailure failure) {
+  EndFailedAttempt(request, failure);
+  SendAgainOrEnd(request, retries_.Decide(request));
+}
+
+void ForwardController::EndFailedAttempt(ForwardedRequest& request,
+                                         AttemptFailure failure) {
   request_log_.OnAttemptFailed(request, failure);
   if (failure == AttemptFailure::kDisconnected) {
     crashes_.OnServerLost(RunOf(request));
@@ -868,7 +971,6 @@
   EndAttempt(request, {.kind = ResultKindOf(failure),
                        .pushback = PushbackOf(request.server)});
   retries_.OnAttemptEnded(request, EvidenceOf(failure));
-  SendAgainOrEnd(request, retries_.Decide(request));
 }
 
 void ForwardController::SendAgainOrEnd(ForwardedRequest& request,
@@ -935,7 +1037,7 @@
 
 void ForwardController::CheckTimeLimits(ForwardedRequest& request,
                                         TimePoint now) {
-  if (request.loan_wait_end.has_value()) {
+  if (request.state == State::kWaiting && request.loan_wait_end.has_value()) {
     SendAgainOrEnd(request, retries_.CheckLoan(request));
     return;
   }
@@ -966,16 +1068,7 @@
     version_selector_.OnNoAnswerYet(request.service, request.version_attempt,
                                     now - request.sent_at);
   }
-  const bool silent =
-      now - request.last_received_at >= timing_.MaxSilence(request);
-  if (silent && request.may_repeat() &&
-      request.runs.count() + 1 < request.route->max_attempts) {
-    // The connection to the former server is closed before another server gets
-    // the request, so that the two do not work on the request at the same time
-    // for long.
-    port_.Cancel(request.attempt);
-    AfterFailure(request, AttemptFailure::kSilent);
-  }
+  CheckSilence(request, now);
 }
 
 void ForwardController::CheckWait(ForwardedRequest& request, TimePoint now) {
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -96,6 +96,9 @@
     Duration unconfigured_retry_after = std::chrono::milliseconds(1200);
     /// Default Retry-After.
     Duration retry_after = std::chrono::milliseconds(300);
+    /// Time between two decisions on whether the attempt of a silent server is
+    /// replaced.
+    Duration replacement_decision_interval = std::chrono::milliseconds(200);
     /// Whether a request that will get no slot within its wait is refused on
     /// arrival.
     bool early_refusal = false;
@@ -264,7 +267,25 @@
   EarlyRefusal::Request MakeEarlyRequest(const ForwardedRequest& request);
   /// Refuses a request on arrival that would get no slot within its wait.
   std::optional<Refusal> RefuseEarly(ForwardedRequest& request);
-  SlotRequest MakeSlotRequest(const ForwardedRequest& request);
+  void RequestSlot(const ForwardedRequest& request, AttemptId attempt);
+  SlotRequest MakeSlotRequest(const ForwardedRequest& request,
+                              AttemptId attempt);
+  /// Returns the result with which a granted slot is given back, if the request
+  /// can't use it.
+  std::optional<SlotResult> CheckGrant(const ForwardedRequest& request,
+                                       const BackendServer* server,
+                                       const SlotGrant& grant) const;
+  bool IsSilent(const ForwardedRequest& request) const;
+  /// Requests a slot at another server if that of the attempt is silent; ends
+  /// this wait once it no longer is.
+  void CheckSilence(ForwardedRequest& request, TimePoint now);
+  /// Returns whether the request is sent to the server in place of its present
+  /// one, and counts the retry.
+  bool MayReplace(ForwardedRequest& request, const std::string& server);
+  /// Ends the attempt that was sent; the replacement takes its place.
+  void ReplaceSilentAttempt(ForwardedRequest& request);
+  /// Ends the wait for a replacement, if there is one.
+  void EndReplacement(ForwardedRequest& request, const SlotResult& result);
   void SendTo(ForwardedRequest& request,
               const BackendServer& server,
               const std::string& scheduler,
@@ -282,6 +303,7 @@
   /// Ends the attempt, whether or not it was sent, and frees its slot.
   void EndAttempt(ForwardedRequest& request, const SlotResult& result);
   void AfterFailure(ForwardedRequest& request, AttemptFailure failure);
+  void EndFailedAttempt(ForwardedRequest& request, AttemptFailure failure);
   /// Ends an attempt whose answer goes on without a sign of its end.
   void AbandonEndlessAnswer(ForwardedRequest& request, std::string_view what);
   void SendAgainOrEnd(ForwardedRequest& request,
--- a/lavenderkeel/forward/forwarded_request.h
+++ b/lavenderkeel/forward/forwarded_request.h
@@ -80,6 +80,10 @@
   bool is_crash_trial = false;
   /// When the last byte arrived, or the attempt was sent.
   TimePoint last_received_at;
+  /// Slot request for an attempt at another server, made while that of the
+  /// present attempt is silent; 0: none.
+  AttemptId replacement = 0;
+  TimePoint next_replacement_at;
   std::optional<ResponseHead> answer_head;
   std::string answer_body;
   /// What the head of a rejection proves; nothing for another answer.
--- a/lavenderkeel/forward/request_log.cc
+++ b/lavenderkeel/forward/request_log.cc
@@ -98,6 +98,18 @@
                AttemptFailureName(failure) + "\"}");
 }
 
+void RequestLog::OnReplacement(const ForwardedRequest& request,
+                               std::string_view outcome) const {
+  log_.Info(
+      "replacement",
+      {{"id", request.metadata.request_id},
+       {"server", request.server},
+       {"outcome", outcome},
+       {"silent_ms", ToMilliseconds(clock_.Now() - request.last_received_at)},
+       {"events", request.event_count}});
+  metrics_.Add("replacements{outcome=\"" + std::string(outcome) + "\"}");
+}
+
 void RequestLog::OnRetryDecision(const ForwardedRequest& request,
                                  RetryRefusal refusal,
                                  const RetryUsage& usage,
--- a/lavenderkeel/forward/request_log.h
+++ b/lavenderkeel/forward/request_log.h
@@ -52,6 +52,10 @@
   void OnAnswerWithheld(const ForwardedRequest& request) const;
   void OnAttemptFailed(const ForwardedRequest& request,
                        AttemptFailure failure) const;
+  /// Records that a slot at another server is requested in place of a silent
+  /// one, or no longer.
+  void OnReplacement(const ForwardedRequest& request,
+                     std::string_view outcome) const;
   /// Logs whether a request is sent again after a failed attempt.
   /// @param usage how much of the bound was used before the decision
   /// @param share this entry's share of the extra retries
--- a/lavenderkeel/forward/request_retries.cc
+++ b/lavenderkeel/forward/request_retries.cc
@@ -12,6 +12,11 @@
 /// request has time for few of these.
 constexpr size_t kMaxServersTried = 6;
 
+/// Returns whether the next attempt is a retry, which the bound counts.
+bool NextIsRetry(const RunHistory& runs) {
+  return runs.arrivals() > 0 || runs.under_way();
+}
+
 }  // namespace
 
 RequestRetries::RequestRetries(const Options& options,
@@ -54,7 +59,8 @@
   if (request.runs.may_have_run() && !request.may_repeat()) {
     return RetryRefusal::kNotRepeatable;
   }
-  if (request.runs.count() >= std::max(1, request.route->max_attempts)) {
+  const int runs = request.runs.count() + (request.runs.under_way() ? 1 : 0);
+  if (runs >= std::max(1, request.route->max_attempts)) {
     return RetryRefusal::kMaxAttempts;
   }
   if (request.head_sent &&
@@ -69,7 +75,7 @@
   RetryBound& bound = BoundOf(request.service);
   const RetryUsage usage = bound.UsageAt(now, extra());
   RetryRefusal refusal = CheckRepeatable(request);
-  if (refusal == RetryRefusal::kNone && request.runs.arrivals() > 0) {
+  if (refusal == RetryRefusal::kNone && NextIsRetry(request.runs)) {
     request.retry_reserved = bound.TryReserve(now, extra());
     if (!request.retry_reserved && !ReserveLoan(request)) {
       refusal = RetryRefusal::kBound;
@@ -114,7 +120,7 @@
   const TimePoint now = clock_.Now();
   request.counted_against.reset();
   request.sent_on_loan_until.reset();
-  if (request.runs.arrivals() == 0) {
+  if (!NextIsRetry(request.runs)) {
     return true;
   }
   if (request.borrowed_until.has_value() &&
--- a/lavenderkeel/forward/request_retries.h
+++ b/lavenderkeel/forward/request_retries.h
@@ -49,8 +49,13 @@
 
   /// Counts a request that this entry admitted.
   void OnAdmitted(const ForwardedRequest& request);
-  /// Decides on a request whose attempt has ended; reserves the retry if it is
-  /// to be sent again.
+  /// Returns whether the request itself allows a further attempt, whatever the
+  /// bound on retries is.
+  bool IsRepeatable(const ForwardedRequest& request) const {
+    return CheckRepeatable(request) == RetryRefusal::kNone;
+  }
+  /// Decides on a request whose attempt has ended or is to be replaced;
+  /// reserves the retry if it is to be sent again.
   Decision Decide(ForwardedRequest& request);
   /// Decides on a request that waits for a loan.
   Decision CheckLoan(ForwardedRequest& request);
