Requests on open connections are read under the limits in force

Cause: ClientPort made the reader of the next request, with the limits of that moment, when the answer before was written or the connection was accepted.

Now the limits are set before bytes are read (MessageReader::SetLimits). A head follows the limits in force until it is complete; a body keeps those of its head where they are higher, so that none is refused on its way. The parser waits for more bytes if the limit of a head is lowered below what has arrived; the reader refuses it. The other limits, headerMs and idleMs, were looked up at each tick already. The product's own interface has fixed limits.

--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -29,12 +29,9 @@
   static constexpr bool kIsRequest = std::is_same_v<Head, RequestHead>;
   using Base = http::basic_parser<kIsRequest>;
 
-  explicit Parser(ReadLimits limits)
-      : head_limit_(limits.head_bytes),
-        body_limit_(limits.body_bytes),
-        strict_(limits.strict) {
+  explicit Parser(ReadLimits limits) : strict_(limits.strict) {
+    SetLimits(limits);
     this->eager(true);
-    this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     // OnBody() counts the bytes instead, to distinguish a body over the limit
     // from a malformed one.
     this->body_limit(boost::none);
@@ -49,6 +46,17 @@
     // line byte by byte would abort the process. A body can't end with fewer
     // bytes anyway.
     constexpr size_t kMinLastChunkBytes = 5;
+  void SetLimits(const ReadLimits& limits) {
+    if (this->is_header_done()) {
+      head_limit_ = std::max(head_limit_, limits.head_bytes);
+      body_limit_ = std::max(body_limit_, limits.body_bytes);
+      return;
+    }
+    head_limit_ = limits.head_bytes;
+    body_limit_ = limits.body_bytes;
+    this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+  }
+
     if (has_unconsumed_bytes_ && this->is_header_done() &&
         bytes.size() < kMinLastChunkBytes) {
       return 0;
@@ -59,11 +67,13 @@
         this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
     has_unconsumed_bytes_ = consumed < bytes.size();
     RecordFault(error);
-    // Beast bounds the head, but neither the line of a chunk nor a trailer,
-    // which it parses only as a whole.
-    if (fault_ == ReadFault::kNone && this->is_header_done() &&
-        !this->is_done() && bytes.size() - consumed > head_limit_) {
-      fault_ = ReadFault::kLineTooLarge;
+    // Beast bounds the head unless its limit was lowered below what has
+    // arrived, but neither the line of a chunk nor a trailer, which it parses
+    // only as a whole.
+    if (fault_ == ReadFault::kNone && !this->is_done() &&
+        bytes.size() - consumed > head_limit_) {
+      fault_ = this->is_header_done() ? ReadFault::kLineTooLarge
+                                      : ReadFault::kHeadTooLarge;
     }
     return consumed;
   }
@@ -221,8 +231,8 @@
     return body.size();
   }
 
-  size_t head_limit_;
-  uint64_t body_limit_;
+  size_t head_limit_ = 0;
+  uint64_t body_limit_ = 0;
   bool strict_;
   Head head_;
   std::string body_;
@@ -263,6 +273,10 @@
   return parser_->is_header_done() && fault() == ReadFault::kNone;
 }
 template <typename Head>
+template <typename Head>
+void MessageReader<Head>::SetLimits(const ReadLimits& limits) {
+  parser_->SetLimits(limits);
+}
 bool MessageReader<Head>::done() const {
   return parser_->is_done() && fault() == ReadFault::kNone;
 }
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -49,6 +49,10 @@
   MessageReader& operator=(MessageReader&&) noexcept;
 
   /// Parses bytes. Bytes that are not consumed have to be passed again,
+  /// Changes the limits of a message that is being read. The body of a message
+  /// whose head is complete keeps its former limits where they are higher.
+  void SetLimits(const ReadLimits& limits);
+
   /// followed by more; after done() they belong to the next message.
   /// @return the number of bytes consumed
   size_t Feed(std::string_view bytes);
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -199,7 +199,7 @@
   SetStreamOptions(socket);
   const ConnectionId id = ++last_connection_;
   auto connection = std::make_unique<Connection>(
-      *this, id, LimitsOf(hooks_.limits(), options_.strict));
+      *this, id, ReadLimits{.strict = options_.strict});
   connection->events =
       bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
   connection->wait_started_at = now;
@@ -306,6 +306,8 @@
   if (!reader.started()) {
     connection.wait_started_at = clock_.Now();
   }
+  // They may have changed since the last bytes arrived.
+  reader.SetLimits(LimitsOf(hooks_.limits(), options_.strict));
   while (!input.empty() && !reader.done() &&
          reader.fault() == ReadFault::kNone) {
     const size_t consumed = reader.Feed(input);
@@ -471,7 +473,7 @@
   const RequestHead head = connection.reader.head_done()
                                ? connection.reader.TakeHead()
                                : RequestHead();
-  connection.reader = RequestReader(LimitsOf(hooks_.limits(), options_.strict));
+  connection.reader = RequestReader({.strict = options_.strict});
   connection.state = Connection::State::kBusy;
   connection.exchange = ++last_exchange_;
   connection.keep_alive = false;
@@ -577,7 +579,7 @@
   }
   connection.state = Connection::State::kReading;
   connection.wait_started_at = clock_.Now();
-  connection.reader = RequestReader(LimitsOf(hooks_.limits(), options_.strict));
+  connection.reader = RequestReader({.strict = options_.strict});
   SetReading(connection, true);
   ReadRequest(connection);
 }
--- a/test/io/client_port_test.cc
+++ b/test/io/client_port_test.cc
@@ -1,13 +1,10 @@
 #include "lavenderkeel/io/client_port.h"
 
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
-#include "test/fakes/raw_client.h"
-#include "test/fuzz/virtual_clock.h"
+#include "test/io/port_harness.h"
 
 namespace lavenderkeel {
 
@@ -16,113 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr size_t kBodyLimit = size_t{256} << 10;
-constexpr size_t kBudget = size_t{512} << 10;
-
-std::string Head(const std::string& fields) {
-  return "POST /x HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
-}
-std::string WithLength(size_t bytes) {
-  return Head("Content-Length: " + std::to_string(bytes) + "\r\n");
-}
-
-/// A port whose requests the test answers.
-class PortHarness {
- public:
-  explicit PortHarness(ClientPort::Options options = {},
-                       size_t budget = kBudget)
-      : budget_(budget),
-        port_(loop_,
-              std::move(options),
-              clock_,
-              bodies_,
-              {.on_request =
-                   [this](ExchangeId exchange,
-                          const RequestHead&,
-                          std::string body,
-                          MemoryCharge memory) {
-                     last = exchange;
-                     requests.push_back(std::move(body));
-                     held_.push_back(std::move(memory));
-                     if (answers) {
-                       Answer(exchange, 200);
-                     }
-                   },
-               .check_head =
-                   [this](const RequestHead& head) {
-                     ClientPort::HeadDecision decision;
-                     if (FindField(head.fields, "Unknown") != nullptr) {
-                       decision.refusal = ResultCode::kUnknownTeam;
-                     }
-                     return decision;
-                   },
-               .on_bad_request =
-                   [this](ExchangeId exchange,
-                          const RequestHead&,
-                          ResultCode code) {
-                     Answer(exchange, Describe(code).http_status);
-                   },
-               .on_gone = [this](ExchangeId) { ++gone; },
-               .on_written = [](ExchangeId) {},
-               .limits = [] { return ClientLimits{.body_bytes = kBodyLimit}; },
-               .on_limit =
-                   [this](const ClientLimitEvent& event) {
-                     limited.push_back(event.limit + " " + event.state);
-                   }}),
-        address_(port_.Listen("127.0.0.1:0").value()) {
-    loop_.Every(milliseconds(1), [this] { loop_.Stop(); });
-  }
-
-  fakes::RawClient& Connect() {
-    clients_.push_back(std::make_unique<fakes::RawClient>(loop_, address_));
-    Run();
-    return *clients_.back();
-  }
-  void Answer(ExchangeId exchange, int status) {
-    port_.Respond(exchange, {.status = status}, "answer");
-  }
-  /// Runs the event loop for a few turns.
-  void Run(int turns = 20) {
-    for (int i = 0; i < turns; ++i) {
-      loop_.Run();
-    }
-  }
-  /// Runs the event loop until the condition holds; returns false after many
-  /// turns.
-  bool RunUntil(const std::function<bool()>& condition) {
-    constexpr int kMaxTurns = 2000;
-    for (int i = 0; i < kMaxTurns && !condition(); ++i) {
-      loop_.Run();
-    }
-    return condition();
-  }
-  void Advance(Duration duration) {
-    clock_.Advance(duration);
-    port_.Tick();
-    Run();
-  }
-  void ReleaseRequests() { held_.clear(); }
-
-  MemoryBudget& budget() { return budget_; }
-  ClientPort& port() { return port_; }
-
-  bool answers = true;
-  ExchangeId last = 0;
-  int gone = 0;
-  std::vector<std::string> requests;
-  std::vector<std::string> limited;
-
- private:
-  EventLoop loop_;
-  fuzz::VirtualClock clock_;
-  MemoryBudget budget_;
-  BodyMemory bodies_{{}, budget_, clock_};
-  std::vector<MemoryCharge> held_;
-  ClientPort port_;
-  std::string address_;
-  std::vector<std::unique_ptr<fakes::RawClient>> clients_;
-};
-
 }  // namespace
 
 // Guards against bodies that are read although the head refuses them, and
@@ -130,7 +20,7 @@
 BOOST_AUTO_TEST_CASE(RefusalOfTheHeadReachesAClientThatStillSends) {
   PortHarness harness;
   fakes::RawClient& client = harness.Connect();
-  client.Send(Head("Unknown: 1\r\nContent-Length: 200000\r\n") + "x");
+  client.Send(HeadWith("Unknown: 1\r\nContent-Length: 200000\r\n") + "x");
   harness.Run();
   client.Send(std::string(100'000, 'x'));
   harness.Advance(milliseconds(900));
@@ -147,10 +37,10 @@
 BOOST_AUTO_TEST_CASE(StalledBodyIsRefusedForTheNext) {
   PortHarness harness;
   fakes::RawClient& stalled = harness.Connect();
-  stalled.Send(WithLength(kBodyLimit) + "x");
+  stalled.Send(HeadWithLength(kBodyLimit) + "x");
   harness.Run();
   fakes::RawClient& second = harness.Connect();
-  second.Send(WithLength(kBodyLimit) + std::string(kBodyLimit, 'y'));
+  second.Send(HeadWithLength(kBodyLimit) + std::string(kBodyLimit, 'y'));
   harness.Run();
   BOOST_TEST(harness.requests.empty());
   harness.Advance(milliseconds(1100));
@@ -169,16 +59,16 @@
 BOOST_AUTO_TEST_CASE(WaitingBodiesYieldToOrdinaryRequests) {
   PortHarness harness;
   fakes::RawClient& reading = harness.Connect();
-  reading.Send(WithLength(kBodyLimit) + "x");
+  reading.Send(HeadWithLength(kBodyLimit) + "x");
   harness.Run();
   std::vector<fakes::RawClient*> waiting;
   for (int i = 0; i < 4; ++i) {
     waiting.push_back(&harness.Connect());
-    waiting.back()->Send(WithLength(kBodyLimit) + "x");
+    waiting.back()->Send(HeadWithLength(kBodyLimit) + "x");
     harness.Run();
   }
   fakes::RawClient& ordinary = harness.Connect();
-  ordinary.Send(WithLength(1) + "o");
+  ordinary.Send(HeadWithLength(1) + "o");
   harness.Run();
   BOOST_TEST(ordinary.received().starts_with("HTTP/1.1 200 "));
   BOOST_TEST(!harness.budget().is_over());
@@ -194,7 +84,7 @@
 BOOST_AUTO_TEST_CASE(ChunkedBodyArrivesWhole) {
   PortHarness harness;
   fakes::RawClient& client = harness.Connect();
-  client.Send(Head("Transfer-Encoding: chunked\r\n"));
+  client.Send(HeadWith("Transfer-Encoding: chunked\r\n"));
   constexpr size_t kChunk = 10'000;
   constexpr size_t kChunks = 25;
   for (size_t i = 0; i < kChunks; ++i) {
@@ -213,11 +103,11 @@
 BOOST_AUTO_TEST_CASE(ClientIsToldToContinueOnceThereIsMemory) {
   PortHarness harness;
   fakes::RawClient& first = harness.Connect();
-  first.Send(WithLength(kBodyLimit) + "x");
+  first.Send(HeadWithLength(kBodyLimit) + "x");
   harness.Run();
   fakes::RawClient& second = harness.Connect();
-  second.Send(Head("Expect: 100-continue\r\nContent-Length: " +
-                   std::to_string(kBodyLimit) + "\r\n"));
+  second.Send(HeadWith("Expect: 100-continue\r\nContent-Length: " +
+                       std::to_string(kBodyLimit) + "\r\n"));
   harness.Run();
   BOOST_TEST(second.received().empty());
   first.Send(std::string(kBodyLimit - 1, 'x'));
@@ -232,7 +122,7 @@
   PortHarness harness({.max_connections = 3});
   harness.answers = false;
   fakes::RawClient& busy = harness.Connect();
-  busy.Send(WithLength(0));
+  busy.Send(HeadWithLength(0));
   harness.Advance(milliseconds(10));
   fakes::RawClient& idle = harness.Connect();
   harness.Advance(milliseconds(10));
@@ -240,7 +130,7 @@
   begun.Send("POST /");
   harness.Advance(milliseconds(10));
   fakes::RawClient& next = harness.Connect();
-  next.Send(WithLength(0));
+  next.Send(HeadWithLength(0));
   harness.Run();
   BOOST_TEST(harness.requests.size() == 2U);
   BOOST_TEST(idle.closed());
@@ -260,7 +150,7 @@
   harness.answers = false;
   fakes::RawClient& client = harness.Connect();
   client.SetReading(false);
-  client.Send(WithLength(0));
+  client.Send(HeadWithLength(0));
   harness.Run();
   harness.ReleaseRequests();
   harness.port().Respond(harness.last, {.status = 200},
@@ -287,7 +177,7 @@
   harness.answers = false;
   constexpr size_t kClients = 6;
   for (size_t i = 0; i < kClients; ++i) {
-    harness.Connect().Send(WithLength(0) + std::string(200'000, 'x'));
+    harness.Connect().Send(HeadWithLength(0) + std::string(200'000, 'x'));
     harness.Run();
   }
   BOOST_TEST(harness.requests.size() == kClients);
