A reused connection to a server is read again

Cause: an answer that its client does not take is paused by disabling the reading of its connection. If the answer ends within the bytes that were already read, the connection is kept for reuse; nothing enables its reading again, since the attempt that was paused is over.

Now reading is enabled as the connection becomes idle, so a byte or a close that follows the answer is seen as well. Searched for the same cause: pauses are set nowhere else on connections to servers; ClientPort, which pauses its clients, enables reading wherever it begins a request, a body or a refusal; HttpClient and PeerPort never resume.

--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -355,6 +355,8 @@
     if (idle.size() > options_.max_idle) {
       Close(idle.front());
     }
+    // The answer may have ended while its client was behind.
+    bufferevent_enable(connection.events, EV_READ);
   } else {
     Close(connection.id);
   }
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -91,6 +91,9 @@
                .on_chunk =
                    [this](AttemptId id, const std::string& bytes) {
                      attempts_.at(id).body += bytes;
+                     if (pauses_) {
+                       port_.SetReading(id, false);
+                     }
                      return true;
                    },
                .on_end =
@@ -102,11 +105,14 @@
                    [this](AttemptId id, AttemptFailure failure) {
                      attempts_.at(id).failure = failure;
                      loop_.Stop();
-                   }}) {}
+                   }}) {
+    loop_.Every(std::chrono::milliseconds(1), [this] { loop_.Stop(); });
+  }
 
   /// Sends a request and waits for its outcome.
   const Attempt& Call(const fakes::ScriptedServer& server,
-                      const std::string& request_id) {
+                      const std::string& request_id,
+                      std::shared_ptr<const std::string> body = nullptr) {
     const AttemptId id = ++last_;
     attempts_[id].request_id = request_id;
     port_.Send(
@@ -114,11 +120,20 @@
              .address = server.address(),
              .request_id = request_id,
              .head = "GET / HTTP/1.1\r\nRequest-Id: " + request_id + "\r\n\r\n",
+             .body = std::move(body),
              .max_reuse_idle_time = std::chrono::seconds(8)});
-    loop_.Run();
+    // Ends with the outcome, or without one after many turns.
+    constexpr int kMaxTurns = 5000;
+    int turns = 0;
+    while (!attempts_.at(id).ended && !attempts_.at(id).failure.has_value() &&
+           ++turns < kMaxTurns) {
+      loop_.Run();
+    }
     return attempts_.at(id);
   }
   const UpstreamPort& port() const { return port_; }
+  /// Stops reading each answer at its first bytes.
+  void set_pauses(bool pauses) { pauses_ = pauses; }
 
  private:
   ForwardController::HeadVerdict OnHead(AttemptId id,
@@ -135,6 +150,7 @@
   SystemClock clock_;
   std::map<AttemptId, Attempt> attempts_;
   AttemptId last_ = 0;
+  bool pauses_ = false;
   UpstreamPort port_;
 };
 
@@ -285,6 +301,22 @@
   }
 }
 
+// Guards against a connection that is reused and never read, since the answer
+// before ended while its client was behind.
+BOOST_AUTO_TEST_CASE(AnswerAfterAPausedOneIsRead) {
+  EventLoop loop;
+  fakes::ScriptedServer server(loop, [](int, std::string_view request) {
+    return Answer("200 OK", fakes::ScriptedServer::RequestIdOf(request),
+                  "answer");
+  });
+  Client client(loop);
+  client.set_pauses(true);
+  BOOST_TEST(client.Call(server, "first").ended);
+  client.set_pauses(false);
+  BOOST_TEST(client.Call(server, "second").body == "answer");
+  BOOST_TEST(server.accepted() == 1);
+}
+
 // Guards against a request that reaches its server after it was given up.
 BOOST_AUTO_TEST_CASE(CancelledAttemptIsReset) {
   EventLoop loop;
