A peer that reads slowly is not taken for one that has vanished

A client that read nothing for 6 s, within its time limit, was cut off. A server that read nothing of a long body for 6 s lost its connection, and its client got 504.

Cause: TCP_USER_TIMEOUT of 4 s on all of these connections. It ends a connection whose bytes are not acknowledged, and also one whose receive window stays closed although the peer acknowledges each probe.

A client that vanishes is still noticed: while nothing is unacknowledged by keepalive probes as before, otherwise after unread_answer_time (30 s), which also ends answers that nobody reads; what is kept for it stays bounded and yields when memory runs short. On connections to servers 4 s stay, except while a request with a body beyond 16 KiB is on them: that request ends by its time limit.

--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -196,7 +196,7 @@
     Close(yielding->id);
   }
   evutil_make_socket_nonblocking(socket);
-  SetStreamOptions(socket);
+  SetStreamOptions(socket, options_.unread_answer_time);
   const ConnectionId id = ++last_connection_;
   auto connection = std::make_unique<Connection>(
       *this, id, ReadLimits{.strict = options_.strict});
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -47,8 +47,8 @@
     size_t read_ahead_bytes = size_t{16} << 10;
     /// Size of the buffers of a socket of which one end does not read.
     int socket_buffer_bytes = 128 << 10;
-    /// A client that reads nothing of its complete answer for this time is
-    /// disconnected.
+    /// A client that reads nothing of its answer for this time is disconnected,
+    /// and one that has vanished with a part of its answer unread.
     Duration unread_answer_time = std::chrono::seconds(30);
   };
 
--- a/lavenderkeel/io/socket_options.h
+++ b/lavenderkeel/io/socket_options.h
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "lavenderkeel/base/clock.h"
+
 namespace lavenderkeel {
 
 /// Sends small writes immediately.
@@ -13,6 +15,21 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
 }
 
+/// Time without an acknowledgement after which a peer counts as vanished.
+/// Longer than the retransmission of a burst of lost packets takes, shorter
+/// than the timeouts of most clients.
+constexpr Duration kVanishedPeerTime = std::chrono::seconds(4);
+
+/// Sets the time after which a connection with unacknowledged bytes ends.
+///
+/// The time also passes while the peer acknowledges but does not read, since
+/// its receive window is closed.
+inline void SetUserTimeout(int socket, Duration timeout) {
+  const auto milliseconds = static_cast<int>(ToMilliseconds(timeout));
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+             sizeof(milliseconds));
+}
+
 /// Sets the options of a stream socket: small writes are sent immediately, and
 /// a vanished peer is detected.
 ///
@@ -20,11 +37,8 @@
 /// written is acknowledged any more, and the request on it would hang. The user
 /// timeout ends a connection with unacknowledged bytes, keepalive probes end an
 /// idle one.
-inline void SetStreamOptions(int socket) {
+inline void SetStreamOptions(int socket, Duration user_timeout) {
   constexpr int kOn = 1;
-  /// Longer than the retransmission of a burst of lost packets takes, shorter
-  /// than the timeouts of most clients.
-  constexpr int kUserTimeoutMs = 4000;
   constexpr int kProbeIdleSeconds = 3;
   constexpr int kProbeIntervalSeconds = 1;
   constexpr int kProbeCount = 3;
@@ -36,8 +50,7 @@
              sizeof(kProbeIntervalSeconds));
   setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount,
              sizeof(kProbeCount));
-  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
+  SetUserTimeout(socket, user_timeout);
 }
 
 /// Fixes the sizes of the buffers of a socket, which otherwise grow with the
--- a/lavenderkeel/io/upstream_port.cc
+++ b/lavenderkeel/io/upstream_port.cc
@@ -84,6 +84,8 @@
   bool head_taken = false;
   /// True if no further request may be sent.
   bool is_last = false;
+  /// True if the request has a long body.
+  bool uploads = false;
   /// True if the current message is discarded, since it does not answer the
   /// current request.
   bool skipping = false;
@@ -124,6 +126,14 @@
   connection->skipped_bytes = 0;
   connection->reader = ResponseReader(options_.answer);
   attempts_[attempt] = connection->id;
+  // A server may read a body as slowly as it likes; the request has a time
+  // limit of its own.
+  const bool uploads = outgoing.body != nullptr &&
+                       outgoing.body->size() > options_.max_short_body_bytes;
+  if (std::exchange(connection->uploads, uploads) != uploads) {
+    SetUserTimeout(bufferevent_getfd(connection->events),
+                   uploads ? Duration::zero() : kVanishedPeerTime);
+  }
   bufferevent_write(connection->events, outgoing.head.data(),
                     outgoing.head.size());
   AddShared(bufferevent_get_output(connection->events), outgoing.body);
@@ -191,7 +201,7 @@
     connections_.erase(id);
     return nullptr;
   }
-  SetStreamOptions(bufferevent_getfd(result.events));
+  SetStreamOptions(bufferevent_getfd(result.events), kVanishedPeerTime);
   bufferevent_enable(result.events, EV_READ | EV_WRITE);
   return &result;
 }
@@ -345,6 +355,8 @@
     connection.fresh = false;
     connection.idle_since = clock_.Now();
     connection.idle_time = options_.idle_time;
+    // The answer may have ended while its client was behind.
+    bufferevent_enable(connection.events, EV_READ);
     if (const std::optional<Duration> bound = KeepAliveTime(head)) {
       connection.idle_time =
           std::min(connection.idle_time,
@@ -355,8 +367,6 @@
     if (idle.size() > options_.max_idle) {
       Close(idle.front());
     }
-    // The answer may have ended while its client was behind.
-    bufferevent_enable(connection.events, EV_READ);
   } else {
     Close(connection.id);
   }
--- a/lavenderkeel/io/upstream_port.h
+++ b/lavenderkeel/io/upstream_port.h
@@ -46,6 +46,9 @@
     /// ago is closed: a client that sends the same id again and again needs a
     /// new connection each time, and a server accepts a limited number.
     size_t max_idle = 32;
+    /// A server may take longer to read a body beyond this size than a
+    /// vanished peer is waited for.
+    size_t max_short_body_bytes = size_t{16} << 10;
     /// Limits on a server's answer.
     ReadLimits answer = {.head_bytes = size_t{32} << 10,
                          .body_bytes = uint64_t{64} << 20};
--- a/test/fakes/scripted_server.cc
+++ b/test/fakes/scripted_server.cc
@@ -58,10 +58,22 @@
         self.server->connections_.erase(self.id);
       },
       connection.get());
-  bufferevent_enable(connection->events, EV_READ | EV_WRITE);
+  bufferevent_enable(connection->events,
+                     EV_WRITE | (reads_ ? EV_READ : short{0}));
   connections_[connection->id] = std::move(connection);
 }
 
+void ScriptedServer::SetReading(bool reads) {
+  reads_ = reads;
+  for (const auto& [id, connection] : connections_) {
+    if (reads) {
+      bufferevent_enable(connection->events, EV_READ);
+    } else {
+      bufferevent_disable(connection->events, EV_READ);
+    }
+  }
+}
+
 void ScriptedServer::OnReadable(Connection& connection) {
   constexpr std::string_view kEndOfHead = "\r\n\r\n";
   evbuffer* input = bufferevent_get_input(connection.events);
--- a/test/fakes/scripted_server.h
+++ b/test/fakes/scripted_server.h
@@ -35,6 +35,8 @@
   /// From now on sends these bytes on the connection again and again, as fast
   /// as they are read, until the peer closes it.
   void SendWithoutEnd(ConnectionId connection, std::string bytes);
+  /// Stops or resumes reading on all connections, present and future ones.
+  void SetReading(bool reads);
   /// Closes the connection once all bytes are written.
   /// @param reset whether the peer gets an error after these bytes
   void CloseAfterWriting(ConnectionId connection, bool reset);
@@ -63,6 +65,7 @@
   ConnectionId last_ = 0;
   std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
   size_t endless_bytes_ = 0;
+  bool reads_ = true;
 };
 
 }  // namespace lavenderkeel::fakes
--- a/test/process/slow_client_test.cc
+++ b/test/process/slow_client_test.cc
@@ -1,4 +1,4 @@
-// Clients that take large answers slowly, before a real entry.
+// Clients and servers that read slowly, before and behind a real entry.
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Longer than a vanished peer is waited for.
+constexpr Duration kPause = std::chrono::seconds(6);
+
 /// A client that reads its answer only when told to.
 class SlowClient {
  public:
@@ -99,4 +102,69 @@
   BOOST_TEST(processes.EntryPeakKiB() < kMaxKiB);
 }
 
+// Guards against a client that is taken for a vanished one, since it reads
+// nothing of its answer for some seconds.
+BOOST_AUTO_TEST_CASE(ClientThatStopsReadingGetsItsWholeAnswer) {
+  constexpr size_t kAnswerBytes = size_t{8} << 20;
+  PlatformProcesses processes;
+  fakes::ScriptedServer server(
+      processes.loop(), [](int, std::string_view request) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+               fakes::ScriptedServer::RequestIdOf(request) +
+               "\r\nResponse-Seal: s\r\nContent-Length: " +
+               std::to_string(kAnswerBytes) + "\r\n\r\n" +
+               std::string(kAnswerBytes, 'x');
+      });
+  processes.PutConfig(std::chrono::seconds(30));
+  processes.ListServer("large", server.address(), "ready");
+  processes.StartEntry(/*settings=*/"");
+  SlowClient client(
+      processes.loop(), processes.processes().Address("entry", "clients"),
+      "GET /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: q\r\n"
+      "Authorization: Bearer key\r\nDeadline-Ms: 30000\r\n\r\n");
+  BOOST_TEST(processes.Wait([&] { return server.accepted() == 1; }));
+  const SystemClock clock;
+  const TimePoint end = clock.Now() + kPause;
+  processes.Wait([&] { return clock.Now() > end; });
+  client.Read();
+  BOOST_TEST(processes.Wait([&] { return client.received() > kAnswerBytes; }));
+}
+
+// Guards against a server that is taken for a vanished one, since it reads
+// nothing of a long body for some seconds.
+BOOST_AUTO_TEST_CASE(ServerThatStopsReadingGetsTheWholeBody) {
+  constexpr size_t kBodyBytes = size_t{3} << 20;
+  PlatformProcesses processes;
+  fakes::ScriptedServer server(
+      processes.loop(), [](int, std::string_view request) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+               fakes::ScriptedServer::RequestIdOf(request) +
+               "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+      });
+  server.SetReading(false);
+  processes.PutConfig(std::chrono::seconds(30));
+  processes.ListServer("slow", server.address(), "ready");
+  processes.StartEntry(/*settings=*/"");
+  HttpResult result;
+  processes.http().Start(
+      {.address = processes.processes().Address("entry", "clients"),
+       .method = "POST",
+       .path = "/once/x",
+       .headers = {{"Request-Id", "q"},
+                   {"Authorization", "Bearer key"},
+                   {"Deadline-Ms", "30000"}},
+       .body = std::string(kBodyBytes, 'x'),
+       .timeout = std::chrono::seconds(30),
+       .on_done = [&](const HttpResult& done) { result = done; }});
+  BOOST_TEST(processes.Wait([&] { return server.accepted() == 1; }));
+  const SystemClock clock;
+  const TimePoint end = clock.Now() + kPause;
+  processes.Wait([&] { return clock.Now() > end; });
+  BOOST_TEST(result.status == 0);
+  server.SetReading(true);
+  processes.Wait([&] { return result.status != 0; });
+  BOOST_TEST(result.status == 200);
+  BOOST_TEST(result.body == "ok");
+}
+
 }  // namespace lavenderkeel::test
