An answer with an invalid status fails its attempt at once

What callers saw: a server that answered with status 000 or 099 held its caller to the time limit, since the message was skipped as an interim response; 600 and 999 were passed on as answers, at both interfaces. A 101 that nobody asked for held callers likewise.

Decision: HTTP has statuses from 100 to 599, and requests are sent without an upgrade. Bytes with another status are no answer in the protocol, so they are not passed on; the attempt is broken, may have run, and is repeated only where that is allowed. The reader refuses them, so that holds for backend servers, services, engines, the store and the platform.

An answer without a length that is reset beside an upload was never taken for whole: ResetBesideAnUploadIsNoEndOfAnAnswer and ResetBesideAnUploadIsNoAnswer pass on, too.

--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -15,6 +15,15 @@
 namespace {
 
 constexpr int kHttp11 = 11;
+constexpr int kSwitchingProtocols = 101;
+
+/// Returns whether a status is one of HTTP and may answer a request that asks
+/// for no other protocol.
+bool IsValidStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
 
 std::string_view View(beast::string_view text) {
   return {text.data(), text.size()};
@@ -37,15 +46,6 @@
     this->body_limit(boost::none);
   }
 
-  size_t Feed(std::string_view bytes) {
-    if (fault_ != ReadFault::kNone || this->is_done() || bytes.empty()) {
-      return 0;
-    }
-    // Beast asserts that it has five bytes when it parses the line of a last
-    // chunk again that it has seen without its end, so a client that sends this
-    // line byte by byte would abort the process. A body can't end with fewer
-    // bytes anyway.
-    constexpr size_t kMinLastChunkBytes = 5;
   void SetLimits(const ReadLimits& limits) {
     if (this->is_header_done()) {
       head_limit_ = std::max(head_limit_, limits.head_bytes);
@@ -57,6 +57,15 @@
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
   }
 
+  size_t Feed(std::string_view bytes) {
+    if (fault_ != ReadFault::kNone || this->is_done() || bytes.empty()) {
+      return 0;
+    }
+    // Beast asserts that it has five bytes when it parses the line of a last
+    // chunk again that it has seen without its end, so a client that sends this
+    // line byte by byte would abort the process. A body can't end with fewer
+    // bytes anyway.
+    constexpr size_t kMinLastChunkBytes = 5;
     if (has_unconsumed_bytes_ && this->is_header_done() &&
         bytes.size() < kMinLastChunkBytes) {
       return 0;
@@ -136,6 +145,10 @@
     if constexpr (!kIsRequest) {
       head_.status = code;
       head_.reason = View(reason);
+      if (!IsValidStatus(code)) {
+        error = http::error::bad_status;
+        return;
+      }
     }
     OnVersion(version, error);
   }
@@ -260,6 +273,10 @@
 MessageReader<Head>& MessageReader<Head>::operator=(MessageReader&&) noexcept =
     default;
 
+template <typename Head>
+void MessageReader<Head>::SetLimits(const ReadLimits& limits) {
+  parser_->SetLimits(limits);
+}
 template <typename Head>
 size_t MessageReader<Head>::Feed(std::string_view bytes) {
   return parser_->Feed(bytes);
@@ -273,10 +290,6 @@
   return parser_->is_header_done() && fault() == ReadFault::kNone;
 }
 template <typename Head>
-template <typename Head>
-void MessageReader<Head>::SetLimits(const ReadLimits& limits) {
-  parser_->SetLimits(limits);
-}
 bool MessageReader<Head>::done() const {
   return parser_->is_done() && fault() == ReadFault::kNone;
 }
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -39,7 +39,8 @@
 /// Boost.Beast does the framing. A message is also rejected if its length could
 /// be read in two ways (a length beside chunks, two lengths, a coding other
 /// than chunked) or if it has two hosts. Request smuggling, a request hidden in
-/// the body of another, relies on such messages.
+/// the body of another, relies on such messages. The same holds for an answer
+/// whose status is not one of 100 to 599, or switches the protocol.
 template <typename Head>
 class MessageReader {
  public:
@@ -48,11 +49,11 @@
   MessageReader(MessageReader&&) noexcept;
   MessageReader& operator=(MessageReader&&) noexcept;
 
-  /// Parses bytes. Bytes that are not consumed have to be passed again,
   /// Changes the limits of a message that is being read. The body of a message
   /// whose head is complete keeps its former limits where they are higher.
   void SetLimits(const ReadLimits& limits);
 
+  /// Parses bytes. Bytes that are not consumed have to be passed again,
   /// followed by more; after done() they belong to the next message.
   /// @return the number of bytes consumed
   size_t Feed(std::string_view bytes);
--- a/test/io/http_client_test.cc
+++ b/test/io/http_client_test.cc
@@ -250,4 +250,58 @@
   }
 }
 
+// Guards against a status that is none of HTTP, after which the call would wait
+// for another answer, or which its caller would get.
+BOOST_AUTO_TEST_CASE(AnswerWithAnInvalidStatusEndsTheCall) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    EventLoop loop;
+    fakes::ScriptedServer server(loop, [&](int, std::string_view) {
+      return "HTTP/1.1 " + std::string(status) +
+             " x\r\nContent-Length: 2\r\n\r\nok";
+    });
+    HttpClient client(loop);
+    HttpResult result;
+    client.Start({.address = server.address(),
+                  .path = "/",
+                  .timeout = std::chrono::seconds(60),
+                  .on_done = [&](const HttpResult& done) {
+                    result = done;
+                    loop.Stop();
+                  }});
+    const SystemClock clock;
+    const TimePoint begin = clock.Now();
+    loop.Run();
+    BOOST_TEST((result.kind == HttpResult::Kind::kNoAnswer), status);
+    BOOST_TEST((clock.Now() - begin < std::chrono::seconds(30)), status);
+  }
+}
+
+// Guards against a part of an answer that is taken for all of it, since the
+// reset reaches the connection beside a body that is being written.
+BOOST_AUTO_TEST_CASE(ResetBesideAnUploadIsNoAnswer) {
+  constexpr int kRounds = 40;
+  for (int round = 0; round < kRounds; ++round) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> server;
+    server = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view) {
+          server->Send(connection, "HTTP/1.1 200 OK\r\n\r\na part");
+          server->CloseAfterWriting(connection, /*reset=*/true);
+          return std::string();
+        });
+    HttpClient client(loop);
+    HttpResult result;
+    client.Start({.address = server->address(),
+                  .method = "POST",
+                  .path = "/",
+                  .body = std::string(size_t{8} << 20, 'x'),
+                  .on_done = [&](const HttpResult& done) {
+                    result = done;
+                    loop.Stop();
+                  }});
+    loop.Run();
+    BOOST_TEST((result.kind == HttpResult::Kind::kNoAnswer));
+  }
+}
+
 }  // namespace lavenderkeel
--- a/test/io/upstream_port_test.cc
+++ b/test/io/upstream_port_test.cc
@@ -317,6 +317,48 @@
   BOOST_TEST(server.accepted() == 1);
 }
 
+// Guards against a status that is none of HTTP, after which the request would
+// wait for another answer, or which its client would get.
+BOOST_AUTO_TEST_CASE(AnswerWithAnInvalidStatusFailsAtOnce) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    EventLoop loop;
+    fakes::ScriptedServer server(loop, [&](int, std::string_view request) {
+      return Answer(std::string(status) + " x",
+                    fakes::ScriptedServer::RequestIdOf(request), "answer");
+    });
+    Client client(loop);
+    const Client::Attempt& attempt = client.Call(server, "r");
+    BOOST_TEST((attempt.failure == AttemptFailure::kBroken), status);
+    BOOST_TEST(attempt.status == 0, status);
+    client.Call(server, "next");
+    BOOST_TEST(server.accepted() == 2, status);
+  }
+}
+
+// Guards against a part of an answer that is taken for all of it, since the
+// reset reaches the connection beside a body that is being written.
+BOOST_AUTO_TEST_CASE(ResetBesideAnUploadIsNoEndOfAnAnswer) {
+  const auto body = std::make_shared<const std::string>(size_t{8} << 20, 'x');
+  constexpr int kRounds = 40;
+  for (int round = 0; round < kRounds; ++round) {
+    EventLoop loop;
+    std::unique_ptr<fakes::ScriptedServer> server;
+    server = std::make_unique<fakes::ScriptedServer>(
+        loop, [&](int connection, std::string_view request) {
+          server->Send(connection,
+                       "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                           fakes::ScriptedServer::RequestIdOf(request) +
+                           "\r\n\r\na part");
+          server->CloseAfterWriting(connection, /*reset=*/true);
+          return std::string();
+        });
+    Client client(loop);
+    const Client::Attempt& attempt = client.Call(*server, "r", body);
+    BOOST_TEST(!attempt.ended);
+    BOOST_TEST((attempt.failure == AttemptFailure::kDisconnected));
+  }
+}
+
 // Guards against a request that reaches its server after it was given up.
 BOOST_AUTO_TEST_CASE(CancelledAttemptIsReset) {
   EventLoop loop;
