Requests read before the first configuration follow its limits

What callers saw: an entry that had just started ran a request with a body of 64 KiB although the only configuration in force for seconds allowed 16 KiB; and it refused for good, with 413 and 431, what exceeds the built-in limits though the configuration that it had yet to read may allow it.

Cause: without a configuration requests are read under built-in limits. Those that wait for the first one were admitted without a look at its limits.

Now such requests are checked when the first configuration comes into force, and what is too large before it is refused with 503, which promises that it did not run, and Retry-After.

Open: a body that is on its way when the first configuration arrives keeps the built-in limit.

--- a/lavenderkeel/forward/forward_controller.cc
+++ b/lavenderkeel/forward/forward_controller.cc
@@ -51,6 +51,16 @@
   }
 }
 
+/// Returns the size of the fields as they are sent.
+size_t FieldBytes(const RequestHead& head) {
+  constexpr size_t kFramingBytes = sizeof(": \r\n") - 1;
+  size_t bytes = 0;
+  for (const HttpField& field : head.fields) {
+    bytes += field.name.size() + field.value.size() + kFramingBytes;
+  }
+  return bytes;
+}
+
 /// Returns the name of an answer whose body is not used.
 std::string_view DiscardedPartOf(const ForwardedRequest& request) {
   return request.rejection.has_value() ? "rejection" : "withheld";
@@ -121,6 +131,7 @@
                                 {"former", table_version()},
                                 {"routes", table->content().routes.size()},
                                 {"teams", table->content().teams.size()}});
+  const bool is_first = table_ == nullptr;
   table_ = std::move(table);
   admission_.OnRouteTable(*table_);
   std::erase_if(route_history_, [this](const auto& item) {
@@ -128,6 +139,9 @@
         table_->content().routes,
         [&item](const Route& route) { return item.first == route.name; });
   });
+  if (is_first) {
+    RefuseEarlyRequestsBeyondLimits();
+  }
   BeginEarlyRequests();
 }
 
@@ -172,6 +186,22 @@
   early_requests_[exchange] = std::move(request);
 }
 
+void ForwardController::RefuseEarlyRequestsBeyondLimits() {
+  const ClientLimits& limits = table_->limits();
+  std::erase_if(early_requests_, [&](const auto& item) {
+    const auto& [exchange, early] = item;
+    const bool is_head_large = FieldBytes(early.head) > limits.head_bytes;
+    if (!is_head_large && early.body.size() <= limits.body_bytes) {
+      return false;
+    }
+    held_body_bytes_ -= early.body.size();
+    Refuse(exchange, early.metadata.request_id,
+           {.code = is_head_large ? ResultCode::kHeadTooLarge
+                                  : ResultCode::kBodyTooLarge});
+    return true;
+  });
+}
+
 void ForwardController::BeginEarlyRequests() {
   // A request may be held back again or end the wait of another, so the ids are
   // copied.
@@ -271,8 +301,18 @@
                                      const RequestHead& head,
                                      ResultCode code) {
   const std::optional<RequestMetadata> metadata = codec_.read_request(head);
-  Refuse(exchange, metadata.has_value() ? metadata->request_id : std::string(),
-         {.code = code});
+  const std::string request_id =
+      metadata.has_value() ? metadata->request_id : std::string();
+  const bool is_too_large =
+      code == ResultCode::kHeadTooLarge || code == ResultCode::kBodyTooLarge;
+  if (is_too_large && table_ == nullptr) {
+    // The configuration may allow more than is read without one.
+    Refuse(exchange, request_id,
+           {.code = ResultCode::kNoConfiguration,
+            .retry_after = options_.unconfigured_retry_after});
+    return;
+  }
+  Refuse(exchange, request_id, {.code = code});
 }
 
 ForwardController::HeadDecision ForwardController::CheckHead(
--- a/lavenderkeel/forward/forward_controller.h
+++ b/lavenderkeel/forward/forward_controller.h
@@ -247,6 +247,8 @@
              TimePoint arrived,
              MemoryCharge memory);
   void HoldEarlyRequest(ExchangeId exchange, EarlyRequest request);
+  /// Refuses requests that were read before the limits were known.
+  void RefuseEarlyRequestsBeyondLimits();
   void BeginEarlyRequests();
   /// Begins or refuses the early requests whose wait is over.
   void CheckEarlyRequests(TimePoint now);
--- a/test/forward/forward_controller_test.cc
+++ b/test/forward/forward_controller_test.cc
@@ -92,6 +92,40 @@
   BOOST_TEST(simulation.controller.open() == 1U);
 }
 
+// Guards against running a request beyond the limits, since it was read before
+// they were known, and against refusing one for good that they may allow.
+BOOST_AUTO_TEST_CASE(RequestReadBeforeTheFirstConfigurationFollowsItsLimits) {
+  ForwardSimulation simulation({.configured = false});
+  const ExchangeId head =
+      simulation.Request("once", {{"Padding", std::string(300, 'p')}});
+  const ExchangeId small = simulation.Request("once");
+  const ExchangeId unread = 100;
+  simulation.controller.OnBadRequest(unread, {}, ResultCode::kBodyTooLarge);
+  BOOST_TEST(*simulation.client(unread).status == 503);
+  RouteTableContent content = ForwardSimulation::Table();
+  content.limits = {.head_bytes = 200, .body_bytes = 4};
+  simulation.controller.OnRouteTable(
+      std::make_shared<const RouteTable>(content));
+  BOOST_TEST(*simulation.client(head).status == 431);
+  BOOST_REQUIRE(simulation.port.sent.size() == 1U);
+  simulation.Answer(simulation.last(), 200, "done");
+  BOOST_TEST(simulation.client(small).body == "done");
+  simulation.controller.OnBadRequest(unread, {}, ResultCode::kBodyTooLarge);
+  BOOST_TEST(*simulation.client(unread).status == 413);
+}
+
+BOOST_AUTO_TEST_CASE(BodyReadBeforeTheFirstConfigurationFollowsItsLimits) {
+  ForwardSimulation simulation({.configured = false});
+  const ExchangeId request = simulation.Request("once");
+  RouteTableContent content = ForwardSimulation::Table();
+  content.limits.body_bytes = 3;
+  simulation.controller.OnRouteTable(
+      std::make_shared<const RouteTable>(content));
+  BOOST_TEST(*simulation.client(request).status == 413);
+  BOOST_TEST(simulation.port.sent.empty());
+  BOOST_TEST(simulation.controller.open() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored) {
   ForwardSimulation simulation;
   RouteTableContent newer = ForwardSimulation::Table(5);
