Soak: planned work beside servers that pause and clients that are slow

The soak counted a cut answer as lost beside any fault, so it could not see one that nothing excuses, and it drew no pauses within an answer, no sizes around the bounds of buffers, no paces of readers and no limits. In the new variant all servers and links are sound, and a request that ran has to be answered: servers stop for up to 2.4 s before or in an answer, answers have sizes around the bounds, clients pause in their heads and in reading, entries are stopped in series and reloaded, and limits are raised and lowered under connections that are kept.

--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -7,10 +7,15 @@
 // requests from then on: "reject" turns them away, "error" answers with an
 // error, "lose" ends the connection after a part of the answer. "refuse" runs
 // them and answers with a status that would mean otherwise, "contradict" with
-// statements that contradict each other.
+// statements that contradict each other. "pause" stops for a time in the middle
+// of the answer, or before it.
+//
+// The field Answer-Bytes of a request sets the size of an answer that is no
+// stream.
 //
 // A request whose prompt has the part "dead" ends the process when it begins to
 // answer.
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -70,6 +75,12 @@
     /// Head of the answer, if it is a refusal.
     std::optional<Refusal> refusal;
     bool crashes = false;
+    /// Size of an answer that is no stream; zero: as it is.
+    size_t answer_bytes = 0;
+    /// Steps to wait in the answer, and whether a part of it is sent before.
+    int pause_steps = 0;
+    bool sends_part = false;
+    bool part_sent = false;
   };
 
   void SetFailing(const HttpRequest& request) {
@@ -115,6 +126,15 @@
                                          : std::nullopt,
         .crashes = request.header("Prompt-Prefix").value_or("").find("dead:") !=
                    std::string::npos};
+    run.answer_bytes = static_cast<size_t>(
+        std::atoll(request.header("Answer-Bytes").value_or("0").c_str()));
+    if (Fails("pause")) {
+      constexpr int kMinSteps = 30;
+      constexpr int kMaxSteps = 300;
+      run.pause_steps =
+          std::uniform_int_distribution<int>(kMinSteps, kMaxSteps)(random_);
+      run.sends_part = std::uniform_int_distribution<int>(0, 1)(random_) == 1;
+    }
     runs_ << run.request << '\n' << std::flush;
     const auto last = request.header("Last-Event-Id");
     run.next = last.has_value() ? std::atoi(last->c_str()) + 1 : 1;
@@ -173,6 +193,30 @@
     }
   }
 
+  static std::string AnswerTo(const Running& run) {
+    std::string answer = "answer to " + run.request;
+    answer.resize(std::max(answer.size(), run.answer_bytes), 'x');
+    return answer;
+  }
+
+  /// Waits in a run if it is to pause at this point.
+  /// @return whether it waits
+  bool Pauses(CallerId caller, Running& run) {
+    if (run.pause_steps == 0 || (run.stream && run.next <= kEvents / 2)) {
+      return false;
+    }
+    --run.pause_steps;
+    if (!run.stream && run.sends_part && !run.part_sent) {
+      run.part_sent = true;
+      http_.Handle(
+          lavenderkeel::ReplyHead{.caller = caller, .headers = Headers(run)});
+      const std::string answer = AnswerTo(run);
+      http_.Handle(lavenderkeel::ReplyChunk{
+          .caller = caller, .bytes = answer.substr(0, answer.size() / 2)});
+    }
+    return true;
+  }
+
   /// Executes one step of a run.
   ///
   /// @return true once the run has ended
@@ -193,17 +237,30 @@
         Refuse(caller, run);
         return true;
       }
+      if (Pauses(caller, run)) {
+        return false;
+      }
+      if (run.part_sent) {
+        const std::string answer = AnswerTo(run);
+        http_.Handle(lavenderkeel::ReplyChunk{
+            .caller = caller, .bytes = answer.substr(answer.size() / 2)});
+        http_.Handle(lavenderkeel::ReplyEnd{.caller = caller});
+        return true;
+      }
       http_.Handle(
           lavenderkeel::ReplyComplete{.caller = caller,
                                       .status = run.error ? kServerError : kOk,
                                       .headers = Headers(run),
-                                      .body = "answer to " + run.request});
+                                      .body = AnswerTo(run)});
       return true;
     }
     if (run.lost && run.next > kEvents / 2) {
       http_.Handle(lavenderkeel::ReplyAbort{.caller = caller});
       return true;
     }
+    if (Pauses(caller, run)) {
+      return false;
+    }
     if (run.next > kEvents) {
       http_.Handle(lavenderkeel::ReplyEnd{.caller = caller});
       return true;
--- a/test/soak/checker.cc
+++ b/test/soak/checker.cc
@@ -1,5 +1,6 @@
 #include "test/soak/checker.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include "lavenderkeel/evidence.h"
@@ -16,7 +17,10 @@
                            const std::string& guarantee) {
   violations_.push_back(
       guarantee + ": " + record.id + " (" + record.route + ", status " +
-      (record.status ? std::to_string(*record.status) : "none") + ", took " +
+      (record.status ? std::to_string(*record.status) : "none") + ", head " +
+      std::to_string(record.shape.head_bytes) + ", body " +
+      std::to_string(record.shape.body_bytes) + ", answer " +
+      std::to_string(record.shape.answer_bytes) + ", took " +
       std::to_string(ToMilliseconds(record.ended - record.sent)) + " ms)");
 }
 
@@ -67,6 +71,32 @@
   }
 }
 
+void Checker::OnRequestBesidePlannedWork(const RequestRecord& record,
+                                         std::optional<bool> allowed) {
+  OnRequestDone(record);
+  constexpr Duration kTimeLimit = std::chrono::milliseconds(3900);
+  const bool timed_out = record.ended - record.sent >= kTimeLimit;
+  if (!record.status.has_value()) {
+    if (!timed_out) {
+      cut_[record.id] = record;
+    }
+    return;
+  }
+  const int status = *record.status;
+  constexpr int kBodyTooLarge = 413;
+  constexpr int kHeadTooLarge = 431;
+  const bool too_large = status == kBodyTooLarge || status == kHeadTooLarge;
+  if (too_large && allowed == true) {
+    AddViolation(record, "refused though all limits in force allow it");
+  }
+  if (status == kOk && allowed == false) {
+    AddViolation(record, "served though no limit in force allows it");
+  }
+  if (status != kOk && !StatesNotRun(status) && !too_large && !timed_out) {
+    AddViolation(record, "failed beside planned work");
+  }
+}
+
 void Checker::CheckAnswer(const RequestRecord& record) {
   const std::string* seal = FindField(record.fields, "Response-Seal");
   if (seal == nullptr || *seal != "s." + record.id) {
@@ -74,7 +104,11 @@
   }
   if (record.route == "stream") {
     CheckStream(record, /*complete=*/true);
-  } else if (record.body != "answer to " + record.id) {
+    return;
+  }
+  std::string expected = "answer to " + record.id;
+  expected.resize(std::max(expected.size(), record.shape.answer_bytes), 'x');
+  if (record.body != expected) {
     constexpr size_t kMaxShown = 64;
     AddViolation(record, "body is not the complete answer to this request (" +
                              record.body.substr(0, kMaxShown) + ")");
@@ -109,6 +143,11 @@
       violations_.push_back("reported as not run, but ran: " + id);
     }
   }
+  for (const auto& [id, record] : cut_) {
+    if (record.got_head || runs.contains(id)) {
+      AddViolation(record, "cut beside planned work");
+    }
+  }
   for (const std::string& id : runs) {
     if (runs.count(id) > arrivals_.count(id)) {
       violations_.push_back("ran more often than it reached a server: " + id);
--- a/test/soak/checker.h
+++ b/test/soak/checker.h
@@ -1,6 +1,8 @@
 #ifndef LAVENDERKEEL_TEST_SOAK_CHECKER_H_
 #define LAVENDERKEEL_TEST_SOAK_CHECKER_H_
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +24,11 @@
 
   /// Checks a request that has ended at its client.
   void OnRequestDone(const RequestRecord& record);
+  /// Checks a request that was sent beside planned work only.
+  /// @param allowed whether the limits that may be in force allow it; nothing
+  ///     if they differ
+  void OnRequestBesidePlannedWork(const RequestRecord& record,
+                                  std::optional<bool> allowed);
   /// Records that a client sends a request.
   void OnRequest(TimePoint now) { retries_.OnRequest(now); }
   /// Records that a request reached a server.
@@ -70,6 +77,8 @@
   std::vector<std::string> violations_;
   std::set<std::string> non_idempotent_;
   std::set<std::string> reported_not_run_;
+  /// Requests whose connection ended early for no reason, by id.
+  std::map<std::string, RequestRecord> cut_;
   size_t served_ = 0;
   size_t refused_ = 0;
   size_t lost_ = 0;
--- a/test/soak/client.cc
+++ b/test/soak/client.cc
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "lavenderkeel/io/address.h"
@@ -19,7 +20,7 @@
 }  // namespace
 
 Client::Client(EventLoop& loop,
-               std::string address,
+               std::function<std::string()> address,
                OnRequestDone on_request_done)
     : loop_(loop),
       address_(std::move(address)),
@@ -52,7 +53,7 @@
       },
       this);
   sockaddr_storage storage{};
-  const socklen_t length = Address::Parse(address_)->ToSocketAddress(storage);
+  const socklen_t length = Address::Parse(address_())->ToSocketAddress(storage);
   bufferevent_socket_connect(connection_, reinterpret_cast<sockaddr*>(&storage),
                              static_cast<int>(length));
   if (connection_ != nullptr) {
@@ -62,25 +63,37 @@
 
 void Client::Send(const std::string& id,
                   const std::string& route,
-                  const std::string& prompt) {
+                  const std::string& prompt,
+                  const RequestShape& shape) {
   busy_ = true;
-  record_ = {.id = id, .route = route, .sent = clock_.Now()};
+  record_ = {.id = id, .route = route, .shape = shape, .sent = clock_.Now()};
   reader_ = ResponseReader({});
   if (connection_ == nullptr) {
     Connect();
   }
-  const std::string request =
-      EncodeRequest({.method = "POST",
-                     .target = "/" + route + "/x",
-                     .fields = {{"Host", "h"},
-                                {"Request-Id", id},
-                                {"Authorization", "Bearer key"},
-                                {"Deadline-Ms", "5000"},
-                                {"Prompt-Prefix", prompt},
-                                {"Token-Count", "100,20"}}},
-                    "body of " + id);
+  std::string body = "body of " + id;
+  body.resize(std::max(body.size(), shape.body_bytes), 'x');
+  const std::string request = EncodeRequest(
+      {.method = "POST",
+       .target = "/" + route + "/x",
+       .fields = {{"Host", "h"},
+                  {"Request-Id", id},
+                  {"Authorization", "Bearer key"},
+                  {"Deadline-Ms", "5000"},
+                  {"Prompt-Prefix", prompt},
+                  {"Token-Count", "100,20"},
+                  {"Answer-Bytes", std::to_string(shape.answer_bytes)},
+                  {"Padding", std::string(shape.head_bytes, 'p')}}},
+      body);
+  constexpr size_t kHalfHead = 100;
+  const size_t begun =
+      shape.head_pause == Duration::zero() ? request.size() : kHalfHead;
+  rest_ = request.substr(begun);
   if (connection_ != nullptr) {
-    bufferevent_write(connection_, request.data(), request.size());
+    bufferevent_write(connection_, request.data(), begun);
+    if (shape.read_pause > Duration::zero()) {
+      bufferevent_disable(connection_, EV_READ);
+    }
   }
 }
 
@@ -134,6 +147,16 @@
 }
 
 void Client::Tick() {
+  const Duration since = clock_.Now() - record_.sent;
+  if (busy_ && connection_ != nullptr) {
+    if (!rest_.empty() && since >= record_.shape.head_pause) {
+      bufferevent_write(connection_, rest_.data(), rest_.size());
+      rest_.clear();
+    }
+    if (since >= record_.shape.read_pause) {
+      bufferevent_enable(connection_, EV_READ);
+    }
+  }
   if (busy_ && clock_.Now() - record_.sent > kRequestTimeout) {
     CloseConnection();
     Finish(/*complete=*/false);
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -43,7 +43,10 @@
     "cut store answers",
     "cut peer messages",
     "server sends interim responses",
-    "clients crowd"};
+    "clients crowd",
+    "server pauses",
+    "change limits",
+    "reload entry"};
 
 constexpr int kFaultsEndMs = 8000;
 constexpr int kMaxFaultMs = 2500;
@@ -211,6 +214,34 @@
   }
 }
 
+void DoPlannedWork(Plan& plan) {
+  plan.is_planned_work = true;
+  plan.steps.clear();
+  std::mt19937_64 random(plan.seed + 6);
+  const auto pick = [&random](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random);
+  };
+  const auto add = [&](Fault fault, int at, int target, int ms) {
+    plan.steps.push_back({.at = std::chrono::milliseconds(at),
+                          .fault = fault,
+                          .target = target,
+                          .duration = std::chrono::milliseconds(ms)});
+  };
+  for (int server = 0; server < plan.servers; ++server) {
+    add(Fault::kServerPauses, pick(0, kFaultsEndMs / 2), server,
+        pick(1000, kFaultsEndMs));
+  }
+  constexpr int kChanges = 12;
+  constexpr int kMaxTarget = 1000;
+  constexpr Fault kKinds[] = {Fault::kStopEntry, Fault::kReloadEntry,
+                              Fault::kChangeLimits, Fault::kChangeLimits,
+                              Fault::kChangeConfig};
+  for (int change = 0; change < kChanges; ++change) {
+    add(kKinds[pick(0, static_cast<int>(std::size(kKinds)) - 1)],
+        pick(300, kFaultsEndMs), pick(0, kMaxTarget), 0);
+  }
+}
+
 }  // namespace
 
 Plan MakePlan(uint64_t seed, Variant variant) {
@@ -250,6 +281,9 @@
   if (variant == Variant::kFalseRefusals) {
     MakeServersRefuse(plan);
   }
+  if (variant == Variant::kPlannedWork) {
+    DoPlannedWork(plan);
+  }
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
   return plan;
 }
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -54,9 +54,14 @@
   /// A crowd of clients sends requests without end to an entry, or takes
   /// connections.
   kClientsCrowd,
+  /// The server stops for a time in the middle of its answers.
+  kServerPauses,
+  /// A new configuration has other limits on what clients may send.
+  kChangeLimits,
+  kReloadEntry,
 };
 
-inline constexpr int kFaultKinds = static_cast<int>(Fault::kClientsCrowd) + 1;
+inline constexpr int kFaultKinds = static_cast<int>(Fault::kReloadEntry) + 1;
 
 /// The usual bound on retries. Its window is short, so that the faults of a
 /// plan spread over several.
@@ -77,6 +82,10 @@
   kRepeatedRejections,
   /// For most of the time all servers run requests that they refuse.
   kFalseRefusals,
+  /// All servers and links are sound, but servers pause and clients read
+  /// slowly. Entries are stopped and started, and the configuration changes:
+  /// none of it excuses the loss of a request.
+  kPlannedWork,
 };
 
 /// One fault of a plan.
@@ -101,6 +110,8 @@
   int clients = 10;
   /// Whether a part of some prompts crashes the servers that answer them.
   bool has_crashing_part = false;
+  /// Whether only planned work is done, see Variant.
+  bool is_planned_work = false;
   /// The bound on retries that the entries are started with.
   fakes::RetryHistory::Bound retry_bound = kRetryBound;
   /// Duration of the traffic.
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -1,15 +1,20 @@
 // Soak test: runs the real programs under generated fault plans and checks the
 // system's guarantees.
-// Usage: soak FIRST_SEED [RUNS [timed | large | part | repeat | refuse]].
+// Usage: soak FIRST_SEED [RUNS [timed | large | part | repeat | refuse |
+// planned]].
 // "timed" also checks answer times, for a machine that runs nothing else;
 // "large" runs dozens of processes; with "part", a part of some prompts crashes
 // servers; with "repeat", rejected requests return to a server that repeats its
-// answers; with "refuse", servers run most requests that they refuse.
+// answers; with "refuse", servers run most requests that they refuse; with
+// "planned", servers pause and clients are slow beside planned work, which
+// excuses no loss.
 // Prints one line per seed and, on a violation, the plan, the violated
 // guarantees with the ids of the requests, and the directory of the logs.
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -52,11 +57,9 @@
     }
     for (size_t i = 0; i < static_cast<size_t>(plan_.clients); ++i) {
       clients_.push_back(std::make_unique<Client>(
-          loop_, system_.EntryAddress(i % system_.entries()),
-          [this](const RequestRecord& record) {
-            recovered_ ? checker_.OnRequestAfterRecovery(record)
-                       : checker_.OnRequestDone(record);
-          }));
+          loop_,
+          [this, i] { return system_.EntryAddress(i % system_.entries()); },
+          [this](const RequestRecord& record) { OnRequestDone(record); }));
     }
     RunTraffic();
     CheckRecovery();
@@ -65,19 +68,59 @@
   }
 
  private:
+  void OnRequestDone(const RequestRecord& record) {
+    if (recovered_) {
+      checker_.OnRequestAfterRecovery(record);
+    } else if (plan_.is_planned_work) {
+      checker_.OnRequestBesidePlannedWork(
+          record, system_.AllowsShape(record.shape, record.sent, record.ended));
+    } else {
+      checker_.OnRequestDone(record);
+    }
+  }
+
+  /// Draws sizes around the bounds of buffers and limits, and pauses.
+  RequestShape DrawShape() {
+    if (!plan_.is_planned_work || recovered_) {
+      return {};
+    }
+    const auto pick = [this](int min, int max) {
+      return std::uniform_int_distribution<int>(min, max)(random_);
+    };
+    constexpr size_t kKiB = 1024;
+    constexpr size_t kAnswerBytes[] = {0,          16 * kKiB,  200 * kKiB,
+                                       256 * kKiB, 257 * kKiB, 272 * kKiB + 1,
+                                       600 * kKiB};
+    constexpr int kOften = 3;
+    constexpr int kMaxHeadPauseMs = 1500;
+    constexpr int kMaxReadPauseMs = 1200;
+    RequestShape shape;
+    shape.answer_bytes =
+        kAnswerBytes[pick(0, static_cast<int>(std::size(kAnswerBytes)) - 1)];
+    shape.head_bytes = pick(0, kOften) == 0 ? 8 * kKiB : 0;
+    shape.body_bytes = pick(0, kOften) == 0 ? 64 * kKiB : 0;
+    if (pick(0, kOften) == 0) {
+      shape.head_pause = std::chrono::milliseconds(pick(1, kMaxHeadPauseMs));
+    }
+    if (pick(0, kOften) == 0) {
+      shape.read_pause = std::chrono::milliseconds(pick(1, kMaxReadPauseMs));
+    }
+    return shape;
+  }
+
   void SendFromIdleClients() {
     static constexpr const char* kRoutes[] = {"stream", "once", "lookup",
                                               "once"};
     for (size_t i = 0; i < clients_.size(); ++i) {
       Client& client = *clients_[i];
       client.Tick();
-      if (!client.busy()) {
+      if (!client.busy() && client.CanSend()) {
         ++sent_;
         checker_.OnRequest(clock_.Now());
         const bool crashes = sent_ % kCulpritPeriod == 0 && AreCulpritsDue();
         client.Send((crashes ? "c" : "r") + std::to_string(sent_),
                     crashes ? kRoutes[0] : kRoutes[sent_ % std::size(kRoutes)],
-                    PromptOf(crashes));
+                    PromptOf(crashes), DrawShape());
       }
     }
   }
@@ -188,6 +231,8 @@
   std::vector<std::unique_ptr<Client>> clients_;
   TimePoint traffic_start_;
   uint64_t sent_ = 0;
+  std::minstd_rand random_{
+      static_cast<std::minstd_rand::result_type>(plan_.seed + 1)};
   bool recovered_ = false;
 };
 
@@ -195,7 +240,7 @@
   if (argc < 2) {
     std::cerr
         << "usage: soak FIRST_SEED [RUNS [timed | large | part | repeat | "
-           "refuse]]\n";
+           "refuse | planned]]\n";
     return kBadUseStatus;
   }
   PrepareProcess();
@@ -204,11 +249,12 @@
   constexpr int kVariantArgument = 3;
   const std::string name =
       argc > kVariantArgument ? argv[kVariantArgument] : "";
-  const Variant variant = name == "large"    ? Variant::kLarge
-                          : name == "part"   ? Variant::kCrashingPart
-                          : name == "repeat" ? Variant::kRepeatedRejections
-                          : name == "refuse" ? Variant::kFalseRefusals
-                                             : Variant::kUsual;
+  const Variant variant = name == "large"     ? Variant::kLarge
+                          : name == "part"    ? Variant::kCrashingPart
+                          : name == "repeat"  ? Variant::kRepeatedRejections
+                          : name == "refuse"  ? Variant::kFalseRefusals
+                          : name == "planned" ? Variant::kPlannedWork
+                                              : Variant::kUsual;
   uint64_t failed = 0;
   for (uint64_t seed = first; seed < first + runs; ++seed) {
     failed += Run(seed, variant, name == "timed").Execute() ? 0 : 1;
--- a/test/soak/system.cc
+++ b/test/soak/system.cc
@@ -99,6 +99,7 @@
       {Program("lavenderkeel-platform-entry"), "--settings=" + settings,
        "--ready_file=" + processes_.ReadyFile(entry.name)});
   entry.starting = true;
+  entry.leaving = false;
 }
 
 void System::StartServer(Server& server) {
@@ -150,8 +151,60 @@
        << "," << route("lookup", "idempotent") << ","
        << route("v" + std::to_string(config_version_), "idempotent")
        << R"(], "services": [{"name": "s", "engine": {"slots": 3}}],
-            "tenants": [{"name": "t", "apiKeys": ["key"]}]})";
-  PutObject("/objects/config/main", body.str());
+            "tenants": [{"name": "t", "apiKeys": ["key"]}],
+            "limits": {"headerBytes": )"
+       << limits_.back().head_bytes << R"(, "bodyBytes": )"
+       << limits_.back().body_bytes
+       << R"(, "headerMs": 3000, "idleMs": 15000}})";
+  http_.Start({.address = processes_.Address("store", "http"),
+               .method = "PUT",
+               .path = "/objects/config/main",
+               .body = body.str(),
+               .timeout = std::chrono::seconds(20),
+               .on_done = [this, version = limits_.size()](const HttpResult&) {
+                 Limits& limits = limits_[version - 1];
+                 limits.confirmed_at =
+                     std::min(limits.confirmed_at, clock_.Now());
+               }});
+}
+
+void System::ChangeLimits(int target) {
+  constexpr size_t kSmallHeadBytes = size_t{4} << 10;
+  constexpr size_t kSmallBodyBytes = size_t{16} << 10;
+  constexpr int kSmallHead = 1;
+  constexpr int kSmallBody = 2;
+  Limits limits;
+  if ((target & kSmallHead) != 0) {
+    limits.head_bytes = kSmallHeadBytes;
+  }
+  if ((target & kSmallBody) != 0) {
+    limits.body_bytes = kSmallBodyBytes;
+  }
+  limits_.push_back(limits);
+  PutConfig();
+}
+
+std::optional<bool> System::AllowsShape(const RequestShape& shape,
+                                        TimePoint sent,
+                                        TimePoint ended) const {
+  /// Time in which a confirmed configuration comes into force.
+  constexpr Duration kApplyTime = std::chrono::seconds(2);
+  bool allows = false;
+  bool denies = false;
+  for (size_t i = 0; i < limits_.size(); ++i) {
+    const bool replaced = i + 1 < limits_.size() &&
+                          limits_[i + 1].confirmed_at < sent - kApplyTime;
+    // It may be in force before its confirmation arrives.
+    const bool is_later = i > 0 && limits_[i - 1].confirmed_at > ended;
+    if (replaced || is_later) {
+      continue;
+    }
+    (shape.head_bytes <= limits_[i].head_bytes &&
+             shape.body_bytes <= limits_[i].body_bytes
+         ? allows
+         : denies) = true;
+  }
+  return allows && denies ? std::nullopt : std::optional(allows);
 }
 
 void System::Schedule(Duration after, std::function<void()> action) {
@@ -181,6 +234,9 @@
     case Fault::kChangeConfig:
       PutConfig();
       return;
+    case Fault::kChangeLimits:
+      ChangeLimits(step.target);
+      return;
     case Fault::kStoreListsOddObject:
       ListOddObject(step);
       return;
@@ -235,6 +291,12 @@
     case Fault::kStopEntry:
       if (processes_.Has(entry.name)) {
         processes_.Signal(entry.name, SIGTERM);
+        entry.leaving = true;
+      }
+      return;
+    case Fault::kReloadEntry:
+      if (processes_.Has(entry.name)) {
+        processes_.Signal(entry.name, SIGHUP);
       }
       return;
     case Fault::kPauseEntry:
@@ -352,6 +414,9 @@
     case Fault::kServerRefuses:
       FailRequests(step, "refuse", server);
       return;
+    case Fault::kServerPauses:
+      FailRequests(step, "pause", server);
+      return;
     case Fault::kServerContradicts:
       FailRequests(step, "contradict", server);
       return;
@@ -437,7 +502,16 @@
 }
 
 std::string System::EntryAddress(size_t entry) const {
-  return entries_.at(entry).clients->address();
+  if (!plan_.is_planned_work) {
+    return entries_.at(entry).clients->address();
+  }
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    const Entry& next = entries_[(entry + i) % entries_.size()];
+    if (!next.starting && !next.restarting && !next.leaving) {
+      return processes_.Address(next.name, "clients");
+    }
+  }
+  return "";
 }
 
 std::multiset<std::string> System::Runs() const {
--- a/test/soak/system.h
+++ b/test/soak/system.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -13,6 +14,7 @@
 #include "lavenderkeel/io/http_client.h"
 #include "test/process/process_set.h"
 #include "test/process/relay.h"
+#include "test/soak/client.h"
 #include "test/soak/plan.h"
 
 namespace lavenderkeel::soak {
@@ -36,7 +38,15 @@
   void Heal();
   bool healed() const { return pending_.empty(); }
 
+  /// Returns where clients reach an entry: through its relay, or the port of
+  /// the entry itself beside planned work, since a relay reads ahead of a slow
+  /// client. Then it is the next entry that is ready, or empty.
   std::string EntryAddress(size_t entry) const;
+  /// Returns whether the limits that may be in force between two times allow a
+  /// request; nothing if they differ.
+  std::optional<bool> AllowsShape(const RequestShape& shape,
+                                  TimePoint sent,
+                                  TimePoint ended) const;
   size_t entries() const { return entries_.size(); }
   /// Called with the id of each request that reaches a server, whether or not
   /// the server runs it.
@@ -70,6 +80,8 @@
     bool starting = false;
     /// Whether the entry has ended and its restart is scheduled.
     bool restarting = false;
+    /// Whether it was asked to stop.
+    bool leaving = false;
   };
   struct Server {
     std::string name;
@@ -79,6 +91,14 @@
     /// Whether the server has ended and its restart is scheduled.
     bool restarting = false;
   };
+  /// Limits of a configuration. Those that clients stay within or exceed are
+  /// far apart, so that the rest of a head does not matter.
+  struct Limits {
+    size_t head_bytes = size_t{16} << 10;
+    size_t body_bytes = size_t{128} << 10;
+    /// When the store confirmed them.
+    TimePoint confirmed_at = TimePoint::max();
+  };
   struct PendingAction {
     TimePoint at;
     std::function<void()> action;
@@ -96,6 +116,7 @@
   /// end.
   void ListOddObject(const Step& step);
   void PutConfig();
+  void ChangeLimits(int target);
   void Schedule(Duration after, std::function<void()> action);
   bool Wait(const std::function<bool()>& condition);
   void InjectAtEntry(const Step& step, Entry& entry);
@@ -120,6 +141,8 @@
   std::vector<Server> servers_;
   std::vector<PendingAction> pending_;
   uint64_t config_version_ = 0;
+  /// Of all versions, in order.
+  std::vector<Limits> limits_ = {Limits()};
   size_t peak_kib_beside_crowds_ = 0;
   std::function<void(const std::string&)> on_arrival_;
   std::function<void()> on_crash_;
