--- a/test/io/port_harness.h
+++ b/test/io/port_harness.h
@@ -71,16 +71,16 @@
     loop_.Every(std::chrono::milliseconds(1), [this] { loop_.Stop(); });
   }
 
-  fakes::RawClient& Connect() {
+  fakes::RawClient& Connect(int turns = kUsualTurns) {
     clients_.push_back(std::make_unique<fakes::RawClient>(loop_, address_));
-    Run();
+    Run(turns);
     return *clients_.back();
   }
   void Answer(ExchangeId exchange, int status) {
     port_.Respond(exchange, {.status = status}, "answer");
   }
   /// Runs the event loop for a few turns.
-  void Run(int turns = 20) {
+  void Run(int turns = kUsualTurns) {
     for (int i = 0; i < turns; ++i) {
       loop_.Run();
     }
@@ -101,6 +101,8 @@
   }
   void ReleaseRequests() { held_.clear(); }
 
+  static constexpr int kUsualTurns = 20;
+
   MemoryBudget& budget() { return budget_; }
   ClientPort& port() { return port_; }
 
