An error without end from an engine is not kept whole

Reported by operators of systems like this one: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory.

Cause: the bound of such a call, 256 MiB, is meant for texts that are passed on; the body of an error was collected under the same bound, at an agent that may have less memory than that.

Now an error to a streamed call ends the call at 1 MiB, and a cancellation at 64 KiB.

--- a/lavenderkeel/io/http_client.cc
+++ b/lavenderkeel/io/http_client.cc
@@ -21,6 +21,9 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr size_t kMaxHeadBytes = size_t{64} << 10;
 constexpr int kMaxInterimResponses = 64;
+/// The bound of a streamed call is for bytes that are passed on. Another answer
+/// to it is kept whole.
+constexpr size_t kMaxErrorBodyBytes = size_t{1} << 20;
 
 std::string Encode(const HttpClient::Call& call) {
   RequestHead head{.method = call.method,
@@ -209,6 +212,11 @@
   std::string bytes = reader.TakeBody();
   if (!pending.is_streamed()) {
     pending.body += bytes;
+    if (pending.call.on_data != nullptr &&
+        pending.body.size() > kMaxErrorBodyBytes) {
+      Fail(pending, HttpResult::Kind::kTooLarge);
+      return;
+    }
   } else if (!bytes.empty()) {
     // May cancel the call.
     pending.call.on_data(bytes);
--- a/lavenderkeel/io/server_client.cc
+++ b/lavenderkeel/io/server_client.cc
@@ -19,6 +19,7 @@
 /// An event without an end is no event.
 constexpr size_t kMaxLineBytes = size_t{1} << 20;
 constexpr size_t kMaxStreamBytes = size_t{256} << 20;
+constexpr size_t kMaxCancelAnswerBytes = size_t{64} << 10;
 
 CancelResult CancelResultOf(const HttpResult& result) {
   constexpr int kOk = 200;
@@ -207,6 +208,7 @@
                .headers = {},
                .body = "",
                .timeout = kCancelTimeout,
+               .max_body_bytes = kMaxCancelAnswerBytes,
                .on_data = nullptr,
                .on_done = [this, run = cancel.run](const HttpResult& result) {
                  runs_.OnServerCancelled(run, CancelResultOf(result));
--- a/test/io/server_client_test.cc
+++ b/test/io/server_client_test.cc
@@ -198,6 +198,27 @@
   }
 }
 
+// Guards against an error without end that is kept whole, up to what a stream
+// may have.
+BOOST_AUTO_TEST_CASE(EndlessErrorOfAnEngineIsNotKept) {
+  EventLoop loop;
+  std::unique_ptr<fakes::ScriptedServer> engine;
+  engine = std::make_unique<fakes::ScriptedServer>(
+      loop, [&](int connection, std::string_view) {
+        engine->Send(connection,
+                     "HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+        engine->SendWithoutEnd(connection,
+                               "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+        return std::string();
+      });
+  StreamReader reader(loop, engine->address());
+  BOOST_TEST(reader.Read().value_or(0) ==
+             static_cast<uint32_t>(ResultCode::kServerFailed));
+  constexpr size_t kMaxBytesOfACall = size_t{8} << 20;
+  BOOST_TEST(engine->endless_bytes() <
+             static_cast<size_t>(engine->accepted()) * kMaxBytesOfACall);
+}
+
 // Guards against a refusal that is believed without the engine's statement that
 // it does not have the request.
 BOOST_AUTO_TEST_CASE(RefusalIsProvedByTheEnginesStatement) {
