A body that was begun without a configuration follows the first limits

What callers saw: an entry that reads its first configuration while a body is on its way read that body under the built-in limits to its end, and ran it though it exceeds the only limits that were ever in force.

Cause: a body keeps the limits of its head where they are higher, so that a lowered limit refuses none that is on its way; the built-in limits were kept in the same way.

Now the port knows whether limits are in force (a hook that returns nothing before the first configuration), and only those are kept.

Evidence: BodyOnItsWayFollowsTheFirstLimits; with the former SetLimits its second part is answered 200 in place of 413.

--- a/lavenderkeel/http/message_reader.cc
+++ b/lavenderkeel/http/message_reader.cc
@@ -39,15 +39,15 @@
   using Base = http::basic_parser<kIsRequest>;
 
   explicit Parser(ReadLimits limits) : strict_(limits.strict) {
-    SetLimits(limits);
+    SetLimits(limits, /*keeps_higher=*/false);
     this->eager(true);
     // OnBody() counts the bytes instead, to distinguish a body over the limit
     // from a malformed one.
     this->body_limit(boost::none);
   }
 
-  void SetLimits(const ReadLimits& limits) {
-    if (this->is_header_done()) {
+  void SetLimits(const ReadLimits& limits, bool keeps_higher) {
+    if (this->is_header_done() && keeps_higher) {
       head_limit_ = std::max(head_limit_, limits.head_bytes);
       body_limit_ = std::max(body_limit_, limits.body_bytes);
       return;
@@ -274,8 +274,9 @@
     default;
 
 template <typename Head>
-void MessageReader<Head>::SetLimits(const ReadLimits& limits) {
-  parser_->SetLimits(limits);
+void MessageReader<Head>::SetLimits(const ReadLimits& limits,
+                                    bool keeps_higher) {
+  parser_->SetLimits(limits, keeps_higher);
 }
 template <typename Head>
 size_t MessageReader<Head>::Feed(std::string_view bytes) {
--- a/lavenderkeel/http/message_reader.h
+++ b/lavenderkeel/http/message_reader.h
@@ -49,9 +49,10 @@
   MessageReader(MessageReader&&) noexcept;
   MessageReader& operator=(MessageReader&&) noexcept;
 
-  /// Changes the limits of a message that is being read. The body of a message
-  /// whose head is complete keeps its former limits where they are higher.
-  void SetLimits(const ReadLimits& limits);
+  /// Changes the limits of a message that is being read.
+  /// @param keeps_higher whether a message whose head is complete keeps its
+  ///     former limits where they are higher
+  void SetLimits(const ReadLimits& limits, bool keeps_higher = true);
 
   /// Parses bytes. Bytes that are not consumed have to be passed again,
   /// followed by more; after done() they belong to the next message.
--- a/lavenderkeel/io/client_port.cc
+++ b/lavenderkeel/io/client_port.cc
@@ -105,6 +105,8 @@
   RequestReader reader;
   ExchangeId exchange = 0;
   bool keep_alive = true;
+  /// Whether the request is read under limits in force.
+  bool limits_known = false;
   /// Start of the current wait: for a request, for the rest of it, or for the
   /// client.
   TimePoint wait_started_at;
@@ -248,7 +250,7 @@
   Consume(connection.events, length);
   connection.discarded += length;
   connection.wait_started_at = clock_.Now();
-  if (connection.discarded > hooks_.limits().body_bytes) {
+  if (connection.discarded > CurrentLimits().body_bytes) {
     SetReading(connection, false);
   }
 }
@@ -291,6 +293,16 @@
   }
 }
 
+void ClientPort::UpdateLimits(Connection& connection) {
+  const std::optional<ClientLimits> limits = hooks_.limits();
+  // The defaults are no limits that were in force: a body that began under them
+  // does not keep them.
+  connection.reader.SetLimits(
+      LimitsOf(limits.value_or(ClientLimits()), options_.strict),
+      /*keeps_higher=*/connection.limits_known);
+  connection.limits_known = limits.has_value();
+}
+
 void ClientPort::ReadRequest(Connection& connection) {
   RequestReader& reader = connection.reader;
   std::string_view input = InputOf(connection.events);
@@ -306,8 +318,7 @@
   if (!reader.started()) {
     connection.wait_started_at = clock_.Now();
   }
-  // They may have changed since the last bytes arrived.
-  reader.SetLimits(LimitsOf(hooks_.limits(), options_.strict));
+  UpdateLimits(connection);
   while (!input.empty() && !reader.done() &&
          reader.fault() == ReadFault::kNone) {
     const size_t consumed = reader.Feed(input);
@@ -347,7 +358,7 @@
     return RequestMemory(connection, decision.rank);
   }
   bodies_.OnProgress(connection.body, reader.body_bytes());
-  const uint64_t limit = hooks_.limits().body_bytes;
+  const uint64_t limit = CurrentLimits().body_bytes;
   // The capacity of a body without a stated length grows by doubling.
   if (reader.body_length().has_value() || connection.body_reserved >= limit ||
       reader.body_bytes() < connection.body_reserved / 2) {
@@ -589,7 +600,7 @@
   connection.wait_started_at = clock_.Now();
   connection.linger_started_at = connection.wait_started_at;
   shutdown(bufferevent_getfd(connection.events), SHUT_WR);
-  SetReading(connection, connection.discarded <= hooks_.limits().body_bytes);
+  SetReading(connection, connection.discarded <= CurrentLimits().body_bytes);
   Consume(connection.events, InputOf(connection.events).size());
   Account(connection);
 }
@@ -764,7 +775,7 @@
   if (bodies_.budget().is_over()) {
     ReclaimMemory();
   }
-  const ClientLimits limits = hooks_.limits();
+  const ClientLimits limits = CurrentLimits();
   std::vector<ConnectionId> expired;
   std::vector<ConnectionId> slow;
   for (const auto& [id, connection] : connections_) {
--- a/lavenderkeel/io/client_port.h
+++ b/lavenderkeel/io/client_port.h
@@ -76,8 +76,9 @@
     std::function<void(ExchangeId)> on_gone;
     /// All that was written of an answer so far has been sent.
     std::function<void(ExchangeId)> on_written;
-    /// Returns the limits in force.
-    std::function<ClientLimits()> limits;
+    /// Returns the limits in force; nothing while they are not known, in which
+    /// time the defaults hold.
+    std::function<std::optional<ClientLimits>()> limits;
     /// A limit was reached; empty: ignored.
     std::function<void(const ClientLimitEvent&)> on_limit;
   };
@@ -144,6 +145,11 @@
   /// Accounts what is held for the connection.
   void Account(Connection& connection);
   void SetReading(Connection& connection, bool reads);
+  ClientLimits CurrentLimits() const {
+    return hooks_.limits().value_or(ClientLimits());
+  }
+  /// Applies the limits in force to the request that is being read.
+  void UpdateLimits(Connection& connection);
   /// Returns since when a connection that may yield waits for its client.
   static std::optional<TimePoint> YieldsSince(Connection& connection,
                                               TimePoint now,
--- a/lavenderkeel/io/forward_daemon.cc
+++ b/lavenderkeel/io/forward_daemon.cc
@@ -100,48 +100,44 @@
              PeerPort::OptionsFor(settings_.limits),
              node_.members().self(),
              log),
-      clients_(
-          loop_,
-          {.max_connections = settings_.limits.client_connections()},
-          clock_,
-          bodies_,
-          {.on_request =
-               [this](ExchangeId exchange,
-                      RequestHead head,
-                      std::string body,
-                      MemoryCharge memory) {
-                 node_.controller().OnRequest(exchange, std::move(head),
-                                              std::move(body),
-                                              std::move(memory));
-               },
-           .check_head =
-               [this](const RequestHead& head) {
-                 const auto decision = node_.controller().CheckHead(head);
-                 return ClientPort::HeadDecision{.refusal = decision.refusal,
-                                                 .rank = decision.priority};
-               },
-           .on_bad_request =
-               [this](ExchangeId exchange,
-                      const RequestHead& head,
-                      ResultCode code) {
-                 node_.controller().OnBadRequest(exchange, head, code);
-               },
-           .on_gone =
-               [this](ExchangeId exchange) {
-                 paused_.erase(exchange);
-                 node_.controller().OnClientGone(exchange);
-               },
-           .on_written =
-               [this](ExchangeId exchange) { ResumeAnswer(exchange); },
-           .limits =
-               [this] {
-                 const auto& table = node_.controller().table();
-                 return table == nullptr ? ClientLimits() : table->limits();
-               },
-           .on_limit =
-               [this](const ClientLimitEvent& event) {
-                 RecordLimitEvent(event, log_, metrics_);
-               }}),
+      clients_(loop_,
+               {.max_connections = settings_.limits.client_connections()},
+               clock_,
+               bodies_,
+               {.on_request =
+                    [this](ExchangeId exchange,
+                           RequestHead head,
+                           std::string body,
+                           MemoryCharge memory) {
+                      node_.controller().OnRequest(exchange, std::move(head),
+                                                   std::move(body),
+                                                   std::move(memory));
+                    },
+                .check_head =
+                    [this](const RequestHead& head) {
+                      const auto decision = node_.controller().CheckHead(head);
+                      return ClientPort::HeadDecision{
+                          .refusal = decision.refusal,
+                          .rank = decision.priority};
+                    },
+                .on_bad_request =
+                    [this](ExchangeId exchange,
+                           const RequestHead& head,
+                           ResultCode code) {
+                      node_.controller().OnBadRequest(exchange, head, code);
+                    },
+                .on_gone =
+                    [this](ExchangeId exchange) {
+                      paused_.erase(exchange);
+                      node_.controller().OnClientGone(exchange);
+                    },
+                .on_written =
+                    [this](ExchangeId exchange) { ResumeAnswer(exchange); },
+                .limits = [this] { return LimitsInForce(); },
+                .on_limit =
+                    [this](const ClientLimitEvent& event) {
+                      RecordLimitEvent(event, log_, metrics_);
+                    }}),
       upstream_(
           loop_,
           {},
@@ -244,6 +240,11 @@
   suspended_time_ = suspended;
 }
 
+std::optional<ClientLimits> ForwardDaemon::LimitsInForce() {
+  const auto& table = node_.controller().table();
+  return table == nullptr ? std::nullopt : std::optional(table->limits());
+}
+
 void ForwardDaemon::PauseIfCongested(ExchangeId exchange) {
   constexpr size_t kMaxUnsentBytes = size_t{256} << 10;
   /// The same while the memory for clients is used up.
--- a/lavenderkeel/io/forward_daemon.h
+++ b/lavenderkeel/io/forward_daemon.h
@@ -44,6 +44,8 @@
   void ContinueLeaving();
   void ExecuteActions();
   void CheckForFreeze();
+  /// Returns nothing before the first configuration.
+  std::optional<ClientLimits> LimitsInForce();
   /// Stops reading an answer that its client does not take.
   void PauseIfCongested(ExchangeId exchange);
   void ResumeAnswer(ExchangeId exchange);
--- a/test/fuzz/changed_limits_test.cc
+++ b/test/fuzz/changed_limits_test.cc
@@ -83,7 +83,7 @@
     if (!begun_) {
       return;
     }
-    const ClientLimits& limits = harness_.limits;
+    const ClientLimits& limits = *harness_.limits;
     const bool allows =
         head_bytes_ <= limits.head_bytes && body_bytes_ <= limits.body_bytes;
     (allows ? allowed_ : denied_) = true;
@@ -162,15 +162,15 @@
     const auto moves = *rc::gen::resize(
         kMaxMoves, rc::gen::container<std::vector<Move>>(AnyMove()));
     PortHarness harness;
-    harness.limits = {.head_bytes = kLarge, .body_bytes = kLarge};
+    harness.limits = ClientLimits{.head_bytes = kLarge, .body_bytes = kLarge};
     std::vector<PiecewiseClient> clients;
     for (size_t i = 0; i < kConnections; ++i) {
       clients.emplace_back(harness);
     }
     for (const Move& move : moves) {
       if (move.changes_limits) {
-        harness.limits.head_bytes = move.large_head ? kLarge : kSmall;
-        harness.limits.body_bytes = move.large_body ? kLarge : kSmall;
+        harness.limits->head_bytes = move.large_head ? kLarge : kSmall;
+        harness.limits->body_bytes = move.large_body ? kLarge : kSmall;
         for (PiecewiseClient& client : clients) {
           client.OnLimits();
         }
--- a/test/io/client_limits_test.cc
+++ b/test/io/client_limits_test.cc
@@ -70,12 +70,12 @@
 // was read exceeds a limit that was lowered.
 BOOST_AUTO_TEST_CASE(HeadBeyondLoweredLimitsIsRefusedAtOnce) {
   PortHarness harness;
-  harness.limits.head_bytes = kLarge;
+  harness.limits->head_bytes = kLarge;
   fakes::RawClient& client = harness.Connect();
   client.Send("POST /x HTTP/1.1\r\nHost: h\r\nPadding: " +
               std::string(kLarge / 2, 'p'));
   harness.Run();
-  harness.limits.head_bytes = kSmall;
+  harness.limits->head_bytes = kSmall;
   client.Send("p");
   BOOST_TEST(harness.RunUntil([&] { return !client.received().empty(); }));
   BOOST_TEST(client.received().starts_with("HTTP/1.1 431 "));
@@ -87,11 +87,11 @@
 BOOST_AUTO_TEST_CASE(BodyOnItsWayIsReadUnderTheLargerLimit) {
   for (const bool raised : {false, true}) {
     PortHarness harness;
-    harness.limits.body_bytes = raised ? kSmall : kLarge;
+    harness.limits->body_bytes = raised ? kSmall : kLarge;
     fakes::RawClient& client = harness.Connect();
     client.Send(HeadWith("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
     harness.Run();
-    harness.limits.body_bytes = raised ? kLarge : kSmall;
+    harness.limits->body_bytes = raised ? kLarge : kSmall;
     // 2000 (hexadecimal) bytes are between both limits.
     client.Send("2000\r\n" + std::string(0x2000, 'x') + "\r\n0\r\n\r\n");
     BOOST_TEST(harness.RunUntil([&] { return !client.received().empty(); }));
@@ -101,4 +101,22 @@
   }
 }
 
+// Guards against a body that is read beyond the limits in force, since its head
+// was read before they were known, and against refusing one for a limit that is
+// only the default.
+BOOST_AUTO_TEST_CASE(BodyOnItsWayFollowsTheFirstLimits) {
+  for (const bool raised : {false, true}) {
+    PortHarness harness;
+    harness.limits.reset();
+    fakes::RawClient& client = harness.Connect();
+    client.Send(HeadWith("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n");
+    harness.Run();
+    harness.limits = ClientLimits{.body_bytes = raised ? kLarge : kSmall};
+    client.Send("2000\r\n" + std::string(0x2000, 'x') + "\r\n0\r\n\r\n");
+    BOOST_TEST(harness.RunUntil([&] { return !client.received().empty(); }));
+    BOOST_TEST(client.received().starts_with(raised ? "HTTP/1.1 200 "
+                                                    : "HTTP/1.1 413 "));
+  }
+}
+
 }  // namespace lavenderkeel
--- a/test/io/port_harness.h
+++ b/test/io/port_harness.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -106,7 +107,7 @@
   MemoryBudget& budget() { return budget_; }
   ClientPort& port() { return port_; }
 
-  ClientLimits limits = {.body_bytes = kBodyLimit};
+  std::optional<ClientLimits> limits = ClientLimits{.body_bytes = kBodyLimit};
   bool answers = true;
   ExchangeId last = 0;
   int gone = 0;
